Lay down the workspace, the design page and the interfaces of the control core

The repository was empty. This adds the design page, the crate layout, the result codes, the tables' row types, the event and action enums, the peer messages and the traits at the borders, so that the modules can be written in parallel. The systems are still empty.

--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,96 @@
+//! Deterministic control core.
+//!
+//! Entities stand in tables, systems run over them each tick. Time, randomness and messages come in as events, messages
+//! and orders go out as actions. Nothing here reads a clock, opens a socket or starts a thread, so a daemon, a scenario
+//! and a bench drive the same code.
+
+pub mod action;
+pub mod burn;
+pub mod config;
+pub mod event;
+pub mod forward;
+pub mod host;
+pub mod key;
+pub mod listing;
+pub mod peer;
+pub mod queue;
+pub mod request;
+pub mod rollout;
+pub mod route;
+pub mod settings;
+pub mod store;
+pub mod stream;
+pub mod strike;
+pub mod target;
+pub mod world;
+
+pub use self::{action::Action, event::Event, settings::Settings, world::World};
+
+use crate::prelude::*;
+
+/// Longest time between two ticks.
+pub const TICK_MAX: Duration = Duration::from_millis(50);
+
+/// The control core of one host.
+pub struct Core {
+    world: World,
+}
+
+impl Core {
+    /// A core that knows nothing but its settings.
+    pub fn new(settings: Settings, now: Time) -> Self {
+        Self {
+            world: World::new(settings, now),
+        }
+    }
+
+    /// Takes an event into the tables; what follows from it happens in the next tick.
+    pub fn input(&mut self, now: Time, event: Event) {
+        let world = &mut self.world;
+        world.now = now;
+        match event {
+            Event::Request(event) => request::input(world, event),
+            Event::Attempt(event) => request::attempt(world, event),
+            Event::Key(event) => key::input(world, event),
+            Event::Stream(event) => stream::input(world, event),
+            Event::Announce(event) => rollout::announce(world, event),
+            Event::Ordered(event) => rollout::ordered(world, event),
+            Event::Polled(event) => target::polled(world, event),
+            Event::Store(event) => store::input(world, event),
+            Event::Listing(event) => listing::input(world, event),
+            Event::Peer(event) => peer::input(world, event),
+            Event::Admin(event) => config::input(world, event),
+            Event::Cached(body) => config::cached(world, &body),
+        }
+    }
+
+    /// Runs every system once and returns what has to be done outside.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let world = &mut self.world;
+        world.now = now;
+        store::run(world);
+        config::run(world);
+        peer::run(world);
+        host::run(world);
+        listing::run(world);
+        target::run(world);
+        forward::run(world);
+        key::run(world);
+        strike::run(world);
+        request::run(world);
+        stream::run(world);
+        rollout::run(world);
+        burn::run(world);
+        std::mem::take(&mut world.out)
+    }
+
+    /// Latest time of the next tick.
+    pub fn wake(&self) -> Time {
+        self.world.now + TICK_MAX
+    }
+
+    /// The tables, for status pages and checks.
+    pub fn world(&self) -> &World {
+        &self.world
+    }
+}
--- /dev/null
+++ b/src/core/rollout.rs
@@ -0,0 +1,93 @@
+//! Weight versions and the orders that bring engines to them.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    core::{World, store},
+    prelude::*,
+};
+
+/// A trainer announces new weights.
+#[derive(Clone, Debug)]
+pub struct Announce {
+    pub ticket: Ticket,
+    pub trainer: TrainerId,
+    pub version: Version,
+    /// Reference into the weight store.
+    pub weights: Box<str>,
+}
+
+/// Wanted weights of a model; the higher version wins.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Desired {
+    pub version: Version,
+    pub weights: Box<str>,
+}
+
+/// What a target is told to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Op {
+    /// Load the version and serve it.
+    LoadVersion,
+}
+
+/// An order to a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub id: u64,
+    pub target: TargetId,
+    pub address: Box<str>,
+    pub fence: Fence,
+    pub op: Op,
+    pub model: ModelId,
+    pub desired: Desired,
+    pub timeout: Duration,
+}
+
+/// Answer to an order.
+#[derive(Clone, Debug)]
+pub struct Ordered {
+    pub id: u64,
+    pub target: TargetId,
+    pub result: Result<(), Failure>,
+}
+
+/// Why an order was not carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The target knows a higher fencing number.
+    StaleFence,
+    Failed,
+    Unreachable,
+}
+
+/// Wanted versions and orders in flight.
+#[derive(Debug, Default)]
+pub struct Table {
+    pub desired: BTreeMap<ModelId, Desired>,
+}
+
+/// Takes an announcement.
+pub fn announce(world: &mut World, announce: Announce) {
+    let _ = (world, announce);
+}
+
+/// Takes the answer to an order.
+pub fn ordered(world: &mut World, ordered: Ordered) {
+    let _ = (world, ordered);
+}
+
+/// Takes a wanted version that a peer or the store reported.
+pub fn heard(world: &mut World, model: ModelId, desired: Desired) {
+    let _ = (world, model, desired);
+}
+
+/// Takes the store's answer about a model's version.
+pub fn stored(world: &mut World, model: ModelId, result: Result<store::Reply, store::Failure>) {
+    let _ = (world, model, result);
+}
+
+/// Paces and sends orders.
+pub fn run(world: &mut World) {
+    let _ = world;
+}
--- /dev/null
+++ b/src/core/route.rs
@@ -0,0 +1,1 @@
+//! Choice of a target for a request.
--- /dev/null
+++ b/src/file/mod.rs
@@ -0,0 +1,9 @@
+//! Declarative file.
+//!
+//! `raw` mirrors the JSON text, `Snapshot` is the checked form that the rest of the library uses. The way from one to
+//! the other is `Snapshot::try_from`, which lists every fault with its JSON path.
+
+pub mod raw;
+pub mod snapshot;
+
+pub use self::snapshot::{Kind, Limits, Model, Objective, Pool, Route, Service, Snapshot, Trainer};
--- /dev/null
+++ b/src/file/raw.rs
@@ -0,0 +1,1 @@
+//! Raw form of the declarative file, as serde reads it.
