Add the request path of the control core

Cause: the modules for requests, keys, routing, strikes, targets and forwards were empty, so nothing could run on a target.

Change: bounded queues per model and service, admission, choice of a target, dispatch, retries with a budget, keys, strikes with isolation, forwards, polls and quarantine.

--- /dev/null
+++ b/src/core/admit.rs
@@ -0,0 +1,213 @@
+//! Admission of requests into the queues.
+
+use crate::{
+    core::{
+        World, dispatch, finish, forward,
+        key::{self, Arrival, Key},
+        lane::Lane,
+        queue::Class,
+        request::{Answer, Call, Incoming, Origin, Stage, Submit, Work, answer},
+    },
+    file::{Limits, Route, Snapshot},
+    prelude::*,
+    wire,
+};
+
+/// How work of a lane may be run.
+struct Terms {
+    idempotent: bool,
+    /// Longest run of one attempt, where the route sets one.
+    run_limit: Option<Duration>,
+}
+
+/// Takes a caller's request: a copy of a keyed one joins the first, a foreign key goes to its issuer, the rest is
+/// queued or refused.
+pub fn caller(world: &mut World, ticket: Ticket, incoming: Incoming) {
+    let Incoming { work, key, deadline } = incoming;
+    let deadline = world.now + deadline.unwrap_or_else(|| usual_deadline(world, &work));
+    let mut sequence = None;
+    if let Some(text) = key {
+        let Some(key) = Key::parse(&text) else {
+            return answer(world, ticket, Answer::error(Code::KeyInvalid));
+        };
+        if key.host != world.settings.host {
+            return pass_on(world, ticket, &key, text, work, deadline);
+        }
+        match key::arrive(world, &key, &work, ticket, deadline) {
+            Arrival::Start => sequence = Some(key.sequence),
+            Arrival::Joined => return,
+            Arrival::Answer(done) => return answer(world, ticket, done),
+        }
+    }
+    let submit = Submit {
+        origin: Origin::Caller(ticket),
+        work,
+        deadline,
+        avoid: Vec::new(),
+    };
+    let id = world.requests.insert(submit);
+    match queue(world, id, sequence) {
+        Ok(()) => match sequence {
+            Some(sequence) => key::start(world, sequence, id, ticket),
+            None => {
+                world.requests.tickets.insert(ticket, id);
+            }
+        },
+        Err(code) => {
+            if let Some(sequence) = sequence {
+                key::refuse(world, sequence, code);
+            }
+            finish::end(world, id, Err(code));
+        }
+    }
+}
+
+/// Takes a request from inside the core.
+pub fn bulk(world: &mut World, id: RequestId) {
+    if !world.requests.rows.contains_key(&id) {
+        return;
+    }
+    if let Err(code) = queue(world, id, None) {
+        finish::end(world, id, Err(code));
+    }
+}
+
+/// Queues a request, or says why it is refused. Nothing has run at this point.
+fn queue(world: &mut World, id: RequestId, key: Option<key::Sequence>) -> Result<(), Code> {
+    let now = world.now;
+    let snapshot = world.config.snapshot.clone().ok_or(Code::NotReady)?;
+    let row = world.requests.rows.get_mut(&id).ok_or(Code::Internal)?;
+    row.arrived = now;
+    let (class, lane, deadline) = (row.class(), row.lane.clone(), row.submit.deadline);
+    let content = row.submit.work.content();
+    let terms = terms(&snapshot, &row.submit.work)?;
+    row.idempotent = terms.idempotent;
+    row.run_limit = terms.run_limit;
+    row.key = key;
+    if world.draining {
+        return Err(Code::Draining);
+    }
+    if class == Class::Caller && !terms.idempotent && key.is_none() {
+        return Err(Code::KeyRequired);
+    }
+    let limits = lane.limits(&snapshot).ok_or(Code::UnknownName)?;
+    if world.strikes.count(content) >= limits.crash_limit {
+        return Err(Code::CrashesTargets);
+    }
+    if !dispatch::any_target(world, &snapshot, &lane) {
+        return Err(Code::NoTarget);
+    }
+    let queue = world.queues.of(&lane);
+    if now + queue.expected_wait(class, limits) >= deadline {
+        return Err(Code::Deadline);
+    }
+    let mut displaced = None;
+    if queue.len() >= limits.queue_requests as usize {
+        // Callers push out the newest bulk request, down to the share of the queue that bulk keeps.
+        let kept = (limits.queue_requests * limits.bulk_share_percent).div_ceil(100) as usize;
+        displaced = queue
+            .bulk
+            .last()
+            .copied()
+            .filter(|_| class == Class::Caller && queue.bulk.len() > kept);
+        if displaced.is_none() {
+            return Err(Code::QueueFull);
+        }
+    }
+    queue.push(class, id);
+    if let Some(row) = world.requests.rows.get_mut(&id) {
+        row.stage = Stage::Queued;
+    }
+    world.requests.timers.insert((deadline, id));
+    world.queues.touch(&lane);
+    if let Some(displaced) = displaced {
+        finish::end_unserved(world, displaced, Code::QueueFull);
+    }
+    Ok(())
+}
+
+fn terms(snapshot: &Snapshot, work: &Work) -> Result<Terms, Code> {
+    match work {
+        Work::Generate(generate) if snapshot.models.contains_key(&generate.model) => Ok(Terms {
+            idempotent: true,
+            run_limit: None,
+        }),
+        Work::Generate(_) => Err(Code::UnknownName),
+        Work::Call(call) => {
+            let service = snapshot.services.get(&call.service).ok_or(Code::UnknownName)?;
+            let route = route(&service.routes, call)?;
+            Ok(Terms {
+                idempotent: route.idempotent,
+                run_limit: Some(route.timeout),
+            })
+        }
+    }
+}
+
+/// Route of a call: the longest prefix that ends at a path segment, a named method before `*`.
+fn route<'a>(routes: &'a [Route], call: &Call) -> Result<&'a Route, Code> {
+    let path = call.path.split(['?', '#']).next().unwrap_or_default();
+    // A target could resolve such segments to a path of another route, which may not be idempotent.
+    let plain = path
+        .to_ascii_lowercase()
+        .replace("%2e", ".")
+        .replace("%2f", "/")
+        .replace("%5c", "/")
+        .replace('\\', "/");
+    if plain.split('/').any(|segment| segment == "." || segment == "..") {
+        return Err(Code::RequestMalformed);
+    }
+    let matches = |route: &&Route| {
+        let rest = path.strip_prefix(&*route.prefix);
+        let whole = rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('/') || route.prefix.ends_with('/'));
+        whole && (&*route.method == "*" || route.method == call.method)
+    };
+    let found = routes
+        .iter()
+        .filter(matches)
+        .max_by_key(|route| (route.prefix.len(), &*route.method != "*"));
+    found.ok_or(Code::UnknownName)
+}
+
+fn usual_deadline(world: &World, work: &Work) -> Duration {
+    let snapshot = world.config.snapshot.as_deref();
+    let limits = snapshot.and_then(|snapshot| Lane::of(work).limits(snapshot));
+    limits.map_or(Limits::default().deadline, |limits| limits.deadline)
+}
+
+/// Passes a request on to the issuer of its key.
+fn pass_on(world: &mut World, ticket: Ticket, key: &Key, text: Box<str>, work: Work, deadline: Time) {
+    // A request that a peer passed on is not passed on again: the peer holds this host for the issuer.
+    let known = world.hosts.rows.get(&key.host).map(|row| row.incarnation);
+    if ticket & forward::FROM_PEER != 0 || known.is_some_and(|incarnation| incarnation != key.incarnation) {
+        return answer(world, ticket, Answer::error(Code::KeyInvalid));
+    }
+    let wait = deadline.saturating_sub(world.now);
+    let mut call = wire::Call {
+        key: text.into(),
+        deadline_ms: wait.as_millis() as u64,
+        ..wire::Call::default()
+    };
+    match work {
+        Work::Generate(it) => {
+            call.model = it.model.into();
+            call.prompt = it.prompt.to_string();
+            call.max_tokens = it.max_tokens;
+            call.params = it.params.to_string();
+        }
+        Work::Call(it) => {
+            call.service = it.service.into();
+            call.method = it.method.into();
+            call.path = it.path.into();
+            call.content_type = it.content_type.into();
+            call.body = it.body;
+        }
+    }
+    forward::send(
+        world,
+        &key.host,
+        wire::Ask::Call(call),
+        ticket,
+        deadline + forward::GRACE,
+    );
+}
--- /dev/null
+++ b/src/core/finish.rs
@@ -0,0 +1,128 @@
+//! Ends of requests.
+
+use crate::{
+    code::Kind,
+    core::{
+        Action, World, key,
+        request::{Answer, Completion, Origin, Output, Row, Stage, Work, answer},
+    },
+    prelude::*,
+};
+
+/// Ends a request and answers whoever waits for it. An attempt that still runs is cancelled.
+pub fn end(world: &mut World, id: RequestId, result: Result<Output, Code>) {
+    let Some(row) = world.requests.rows.remove(&id) else {
+        return;
+    };
+    let (origin, target) = (row.submit.origin.clone(), row.target.clone());
+    let (key, idempotent, active) = (row.key, row.idempotent, row.stage != Stage::Fresh);
+    if matches!(origin, Origin::Caller(_)) {
+        count(world, &row, result.as_ref().err().copied());
+    }
+    release(world, id, row);
+    match origin {
+        Origin::Bulk(trainer) => world.completions.push(Completion {
+            request: id,
+            trainer,
+            target,
+            result,
+        }),
+        Origin::Caller(ticket) => {
+            let done = match result {
+                Ok(output) => Answer::Done(output),
+                Err(code) => Answer::error(code),
+            };
+            match key {
+                Some(sequence) if active => key::settle(world, sequence, &done, idempotent),
+                _ => {
+                    let waiting = world.requests.tickets.remove(&ticket).is_some();
+                    if waiting || !active {
+                        answer(world, ticket, done);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Ends a request that gets no further attempt. Only if no attempt can have reached a target, the given code, which
+/// says that nothing ran, is true.
+pub fn end_unserved(world: &mut World, id: RequestId, not_run: Code) {
+    let Some(row) = world.requests.rows.get(&id) else {
+        return;
+    };
+    let code = match (&row.submit.work, not_run.kind()) {
+        (_, Kind::NotRun) if !row.touched() => not_run,
+        (Work::Generate(_), Kind::NotRun) => Code::Incomplete,
+        (Work::Call(_), Kind::NotRun) => Code::OutcomeUnknown,
+        _ => not_run,
+    };
+    end(world, id, Err(code));
+}
+
+/// Takes note that a caller closed its connection. Its request is cancelled, but a keyed call that may have reached a
+/// target and must not run twice goes on, so that its answer can be fetched again.
+pub fn gone(world: &mut World, ticket: Ticket) {
+    if world.forwards.abandon(ticket) {
+        return;
+    }
+    if let Some(id) = world.requests.tickets.remove(&ticket) {
+        world.requests.cancel(id);
+        return;
+    }
+    let sequence = world.keys.of_ticket(ticket);
+    let Some((id, sequence)) = key::leave(world, ticket).zip(sequence) else {
+        return;
+    };
+    let kept = world
+        .requests
+        .rows
+        .get(&id)
+        .is_some_and(|row| !row.idempotent && row.touched());
+    if !kept {
+        world.requests.cancel(id);
+        key::withdraw(world, sequence);
+    }
+}
+
+/// Gives back everything that a request held.
+pub fn release(world: &mut World, id: RequestId, mut row: Row) {
+    world.requests.timers.remove(&(row.submit.deadline, id));
+    if let Stage::Delayed(until) = row.stage {
+        world.requests.timers.remove(&(until, id));
+    }
+    world.queues.of(&row.lane).remove(id);
+    if let Some(attempt) = end_attempt(world, id, &mut row) {
+        world.emit(Action::Cancel(attempt));
+    }
+    world.strikes.release(id);
+}
+
+/// Ends the running attempt of a request; what arrives for it later is dropped.
+pub fn end_attempt(world: &mut World, id: RequestId, row: &mut Row) -> Option<AttemptId> {
+    let attempt = row.attempt.take()?;
+    row.sent = false;
+    world.requests.attempts.remove(&attempt);
+    world.strikes.release(id);
+    world.queues.of(&row.lane).running -= 1;
+    world.queues.touch(&row.lane);
+    let target = row.target.take()?;
+    if let Some(ids) = world.requests.by_target.get_mut(&target) {
+        ids.remove(&id);
+        if ids.is_empty() {
+            world.requests.by_target.remove(&target);
+        }
+    }
+    if let Some(target) = world.targets.rows.get_mut(&target) {
+        target.in_flight = target.in_flight.saturating_sub(1);
+    }
+    row.tried.push(target);
+    Some(attempt)
+}
+
+fn count(world: &mut World, row: &Row, code: Option<Code>) {
+    let snapshot = world.config.snapshot.clone();
+    if let Some(yard) = snapshot.as_deref().and_then(|snapshot| row.lane.yard(snapshot)) {
+        world.burn.answered(world.now, yard, code);
+    }
+}
--- /dev/null
+++ b/src/core/health.rs
@@ -0,0 +1,333 @@
+//! Polls of targets, quarantine and the gossip of what polls show.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use crate::{
+    core::{
+        Action, World, peer,
+        target::{self, Outcome, Polled, Report, State},
+    },
+    file::Kind,
+    prelude::*,
+    wire,
+};
+
+/// First and longest time between two probes of a quarantined target.
+const PROBE_MIN: Duration = Duration::from_secs(1);
+pub const PROBE_MAX: Duration = Duration::from_secs(60);
+/// Longest silence about a target whose load does not change.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+/// A poll that has no answer after this many poll intervals counts as failed.
+const OVERDUE_INTERVALS: u32 = 3;
+/// How often the share of targets that this host polls is computed anew, if membership changed.
+const ASSIGN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is known of a target beyond its row.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// The target itself said that it leaves.
+    pub said_leaving: bool,
+    /// The host list says that it leaves.
+    pub listed_leaving: bool,
+    /// A poll or connect failed since the target was last well.
+    pub unreachable: bool,
+    /// When the unanswered poll was sent.
+    polled_at: Option<Time>,
+    next_poll: Option<Time>,
+    probe_interval: Option<Duration>,
+    /// Failures before this time belong to the quarantine that already runs.
+    pub probe_at: Time,
+    /// End of a quarantine that no own poll can end.
+    retry_at: Option<Time>,
+    published: Option<Published>,
+}
+
+#[derive(Clone, Debug)]
+struct Published {
+    at: Time,
+    outcome: u32,
+    load: u32,
+    version: Version,
+}
+
+impl Health {
+    /// Doubles the time to the next probe.
+    pub fn next_probe_interval(&mut self) -> Duration {
+        let interval = self.probe_interval.map_or(PROBE_MIN, |last| (last * 2).min(PROBE_MAX));
+        self.probe_interval = Some(interval);
+        interval
+    }
+}
+
+/// Polls and retries in the order of their times.
+#[derive(Debug, Default)]
+pub struct Schedule {
+    polls: BTreeSet<(Time, TargetId)>,
+    retries: BTreeSet<(Time, TargetId)>,
+    /// Targets that this host polls.
+    mine: BTreeSet<TargetId>,
+    assign_at: Time,
+    changes: u64,
+    assigned: Option<(u64, Vec<HostId>)>,
+}
+
+impl Schedule {
+    /// Has the share of targets computed anew.
+    pub fn changed(&mut self) {
+        self.changes += 1;
+        self.assign_at = Time::ZERO;
+    }
+
+    /// Forgets a target, so that one that comes back under its name is scheduled anew.
+    pub fn forget(&mut self, target: &TargetId) {
+        self.mine.remove(target);
+        self.changed();
+    }
+
+    /// Earliest time at which something is due.
+    pub fn wake(&self) -> Option<Time> {
+        let first = |set: &BTreeSet<(Time, TargetId)>| set.first().map(|(time, _)| *time);
+        first(&self.polls).into_iter().chain(first(&self.retries)).min()
+    }
+}
+
+/// Takes over whether the host list says that a target leaves.
+pub fn listed(world: &mut World, target: &TargetId, leaving: bool) {
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.listed_leaving = leaving;
+    if leaving {
+        row.state = State::Leaving;
+    } else if row.state == State::Leaving && !health.said_leaving {
+        row.state = State::New;
+        world.queues.touch_all();
+    }
+}
+
+/// Takes note that a target answered that it is well. One that said that it leaves is well again only after it was
+/// unreachable, that is in a new process; an answer that was under way when it said so does not revive it.
+pub fn well(world: &mut World, target: &TargetId) {
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    let health = world.targets.health.entry(target.clone()).or_default();
+    if health.said_leaving && health.unreachable {
+        health.said_leaving = false;
+    }
+    health.unreachable = false;
+    health.probe_interval = None;
+    row.failures = 0;
+    let state = if health.said_leaving || health.listed_leaving {
+        State::Leaving
+    } else {
+        State::Live
+    };
+    row.state = state;
+    world.queues.touch_all();
+}
+
+/// Stops new work to a target that cannot be reached. Leaving targets stay leaving.
+pub fn quarantine(world: &mut World, target: &TargetId, interval: Duration) {
+    let now = world.now;
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    if row.state != State::Leaving {
+        row.state = State::Quarantined;
+    }
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.unreachable = true;
+    health.probe_at = now + interval;
+    if world.targets.schedule.mine.contains(target) {
+        schedule_poll(world, target, now + interval);
+        return;
+    }
+    let schedule = &mut world.targets.schedule;
+    if let Some(old) = health.retry_at.replace(now + interval) {
+        schedule.retries.remove(&(old, target.clone()));
+    }
+    schedule.retries.insert((now + interval, target.clone()));
+}
+
+/// Polls a target at once, whoever its poller is.
+pub fn probe(world: &mut World, target: &TargetId) {
+    let now = world.now;
+    let Some(row) = world.targets.rows.get(target) else {
+        return;
+    };
+    let address = row.address.clone();
+    world.targets.health.entry(target.clone()).or_default().polled_at = Some(now);
+    world.emit(Action::Poll {
+        target: target.clone(),
+        address,
+    });
+}
+
+/// Takes note that a poll was answered, and tells when it was sent.
+pub fn answered(world: &mut World, target: &TargetId) -> Option<Time> {
+    world.targets.health.get_mut(target)?.polled_at.take()
+}
+
+/// Gossips what the last poll showed, if this host is the target's poller and it changed enough.
+pub fn report(world: &mut World, target: &TargetId) {
+    if !world.targets.schedule.mine.contains(target) {
+        return;
+    }
+    let (Some(row), Some(health)) = (world.targets.rows.get(target), world.targets.health.get(target)) else {
+        return;
+    };
+    let snapshot = world.config.snapshot.as_deref();
+    let pool = snapshot.and_then(|snapshot| snapshot.pools.get(&row.pool));
+    let outcome = match row.state {
+        State::New => return,
+        State::Live => 0,
+        State::Leaving => 1,
+        State::Quarantined => 2,
+    };
+    let none = Report::default();
+    let last = row.report.as_ref().unwrap_or(&none);
+    let version = match pool.map(|pool| &pool.kind) {
+        Some(Kind::Engine { model }) => last.versions.get(model).copied().unwrap_or_default(),
+        _ => 0,
+    };
+    let load = last.running + last.waiting;
+    let step = pool.map_or(1, |pool| (pool.slots / 10).max(1));
+    let (urgent, due) = match &health.published {
+        None => (outcome != 0, true),
+        Some(old) => (
+            old.outcome != outcome,
+            old.version != version || old.load.abs_diff(load) >= step || world.now >= old.at + REPORT_INTERVAL,
+        ),
+    };
+    if !urgent && !due {
+        return;
+    }
+    let item = wire::Item::Load(wire::Load {
+        target: target.to_string(),
+        running: last.running,
+        waiting: last.waiting,
+        kv_used_percent: last.kv_used_percent,
+        version,
+        outcome,
+    });
+    let at = world.now;
+    world.targets.health.entry(target.clone()).or_default().published = Some(Published {
+        at,
+        outcome,
+        load,
+        version,
+    });
+    let spread = if urgent {
+        peer::Spread::PushAll
+    } else {
+        peer::Spread::Gossip
+    };
+    peer::publish(world, item, spread);
+}
+
+/// Sends the polls that are due and ends the quarantines that are over.
+pub fn run(world: &mut World) {
+    assign(world);
+    let now = world.now;
+    while let Some((_, target)) = pop_due(&mut world.targets.schedule.polls, now) {
+        poll(world, target);
+    }
+    while let Some((time, target)) = pop_due(&mut world.targets.schedule.retries, now) {
+        let current = world.targets.health.get_mut(&target);
+        if current.is_none_or(|health| health.retry_at.take_if(|at| *at == time).is_none()) {
+            continue;
+        }
+        if let Some(row) = world.targets.rows.get_mut(&target)
+            && row.state == State::Quarantined
+        {
+            // The next connect decides; one more failure puts it back for twice the time.
+            row.state = State::New;
+            row.failures = 1;
+            world.queues.touch_all();
+        }
+    }
+}
+
+fn poll(world: &mut World, target: TargetId) {
+    let (now, interval) = (world.now, world.settings.poll_interval);
+    let Some(row) = world.targets.rows.get(&target) else {
+        return;
+    };
+    let quarantined = row.state == State::Quarantined;
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.next_poll = None;
+    let wait = if quarantined {
+        health.probe_interval.unwrap_or(interval)
+    } else {
+        interval
+    };
+    schedule_poll(world, &target, now + wait);
+    let sent = world.targets.health.get(&target).and_then(|health| health.polled_at);
+    match sent {
+        Some(sent) if now < sent + interval * OVERDUE_INTERVALS => {}
+        Some(_) => {
+            let outcome = Outcome::Unreachable;
+            target::polled(world, Polled { target, outcome });
+        }
+        None => probe(world, &target),
+    }
+}
+
+fn schedule_poll(world: &mut World, target: &TargetId, at: Time) {
+    let health = world.targets.health.entry(target.clone()).or_default();
+    if let Some(old) = health.next_poll.replace(at) {
+        world.targets.schedule.polls.remove(&(old, target.clone()));
+    }
+    world.targets.schedule.polls.insert((at, target.clone()));
+}
+
+/// Computes which targets this host polls, when hosts or targets have changed.
+fn assign(world: &mut World) {
+    let now = world.now;
+    if now < world.targets.schedule.assign_at {
+        return;
+    }
+    world.targets.schedule.assign_at = now + ASSIGN_INTERVAL;
+    let alive: Vec<HostId> = world.hosts.alive_in(&world.hosts.zone).into_iter().cloned().collect();
+    let state = (world.targets.schedule.changes, alive);
+    if world.targets.schedule.assigned.as_ref() == Some(&state) {
+        return;
+    }
+    world.targets.schedule.assigned = Some(state);
+    let zone = &world.hosts.zone;
+    let local = world.targets.rows.iter().filter(|(_, row)| row.zone == *zone);
+    let mine: BTreeSet<TargetId> = local
+        .map(|(id, _)| id)
+        .filter(|id| world.hosts.first(&format!("poll/{id}")))
+        .cloned()
+        .collect();
+    let gained: Vec<TargetId> = mine.difference(&world.targets.schedule.mine).cloned().collect();
+    world.targets.schedule.mine = mine;
+    let schedule = &mut world.targets.schedule;
+    schedule.polls.retain(|(_, target)| schedule.mine.contains(target));
+    for target in gained {
+        // Polls are spread over the interval, but a target that is not known yet is polled at once.
+        let known = world
+            .targets
+            .rows
+            .get(&target)
+            .is_some_and(|row| row.state != State::New);
+        let interval = world.settings.poll_interval.mul_f64(world.rng.random());
+        let at = if known { now + interval } else { now };
+        if let Some(health) = world.targets.health.get_mut(&target) {
+            health.next_poll = None;
+            health.polled_at = None;
+        }
+        schedule_poll(world, &target, at);
+    }
+}
+
+fn pop_due(set: &mut BTreeSet<(Time, TargetId)>, now: Time) -> Option<(Time, TargetId)> {
+    set.first()
+        .is_some_and(|(time, _)| *time <= now)
+        .then(|| set.pop_first())?
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,16 +5,23 @@
 //! and a bench drive the same code.
 
 pub mod action;
+pub mod admit;
+pub mod budget;
 pub mod burn;
 pub mod config;
+pub mod dispatch;
 pub mod event;
+pub mod finish;
 pub mod forward;
+pub mod health;
 pub mod host;
 pub mod key;
+pub mod lane;
 pub mod listing;
 pub mod peer;
 pub mod queue;
 pub mod request;
+pub mod retry;
 pub mod rollout;
 pub mod route;
 pub mod settings;
@@ -22,11 +29,14 @@
 pub mod stream;
 pub mod strike;
 pub mod target;
+pub mod work;
 pub mod world;
 
 pub use self::{action::Action, event::Event, settings::Settings, world::World};
 
-use crate::prelude::*;
+use std::sync::Arc;
+
+use crate::{file::Snapshot, prelude::*};
 
 /// Longest time between two ticks.
 pub const TICK_MAX: Duration = Duration::from_millis(50);
@@ -44,6 +54,17 @@
         }
     }
 
+    /// A core with a configuration in force and targets known, for tests and benchmarks.
+    pub fn with_snapshot(settings: Settings, now: Time, snapshot: Snapshot, entries: &[listing::Entry]) -> Self {
+        let mut core = Self::new(settings, now);
+        core.world.config.revision = snapshot.revision;
+        core.world.config.snapshot = Some(Arc::new(snapshot));
+        for entry in entries {
+            target::upsert(&mut core.world, entry);
+        }
+        core
+    }
+
     /// Takes an event into the tables; what follows from it happens in the next tick.
     pub fn input(&mut self, now: Time, event: Event) {
         let world = &mut self.world;
@@ -86,7 +107,8 @@
 
     /// Latest time of the next tick.
     pub fn wake(&self) -> Time {
-        self.world.now + TICK_MAX
+        let latest = self.world.now + TICK_MAX;
+        request::wake(&self.world).map_or(latest, |time| time.clamp(self.world.now, latest))
     }
 
     /// The tables, for status pages and checks.
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -43,6 +43,8 @@
     pub key_validity: Duration,
     /// How long the answer of a keyed request is kept.
     pub key_retention: Duration,
+    /// Bytes of answers kept for keyed requests.
+    pub key_answer_bytes: usize,
     /// Keys that may stand in the table at once.
     pub key_limit: usize,
     /// How long a graceful stop waits for work in flight.
@@ -83,6 +85,7 @@
             gossip_budget_bytes: 12_000,
             key_validity: Duration::from_secs(600),
             key_retention: Duration::from_secs(600),
+            key_answer_bytes: 16 * 1024 * 1024,
             key_limit: 100_000,
             drain_limit: Duration::from_secs(600),
             policy: Policy::Full,
--- a/src/core/stream.rs
+++ b/src/core/stream.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    core::{Action, World, request::Segment},
+    core::{Action, World, forward, request::Segment},
     prelude::*,
 };
 
@@ -64,6 +64,9 @@
 
 /// Answers a waiting trainer, on this host or on the peer that forwarded the pull.
 pub fn answer(world: &mut World, ticket: Ticket, answer: Answer) {
+    if ticket & forward::FROM_PEER != 0 {
+        return forward::answer_pull(world, ticket, &answer);
+    }
     world.emit(Action::Batch { ticket, answer });
 }
 
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -1,8 +1,18 @@
 //! Model engines and plain services that this host may send work to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{core::World, prelude::*};
+use crate::{
+    core::{
+        World,
+        health::{self, Health},
+        listing, strike,
+    },
+    prelude::*,
+};
+
+/// Connects or polls that fail in a row before a target is quarantined.
+const FAILURES_MAX: u32 = 2;
 
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -50,6 +60,36 @@
 #[derive(Debug, Default)]
 pub struct Table {
     pub rows: BTreeMap<TargetId, Row>,
+    pub(super) health: BTreeMap<TargetId, Health>,
+    pub(super) schedule: health::Schedule,
+    places: BTreeMap<PoolId, BTreeMap<ZoneId, BTreeSet<TargetId>>>,
+}
+
+impl Table {
+    /// Targets of a pool by zone.
+    pub fn places(&self, pool: &str) -> impl Iterator<Item = (&ZoneId, &BTreeSet<TargetId>)> {
+        self.places.get(pool).into_iter().flatten()
+    }
+
+    fn place(&mut self, target: &TargetId) {
+        if let Some(row) = self.rows.get(target) {
+            let zones = self.places.entry(row.pool.clone()).or_default();
+            zones.entry(row.zone.clone()).or_default().insert(target.clone());
+        }
+    }
+
+    fn displace(&mut self, target: &TargetId) {
+        let Some(row) = self.rows.get(target) else {
+            return;
+        };
+        if let Some(set) = self
+            .places
+            .get_mut(&row.pool)
+            .and_then(|zones| zones.get_mut(&row.zone))
+        {
+            set.remove(target);
+        }
+    }
 }
 
 /// Answer to a poll.
@@ -68,17 +108,141 @@
     Unreachable,
 }
 
+/// Adds a target of the host list, or takes over what the list says about a known one. A target that itself said that
+/// it leaves stays leaving, unless another process stands at another address under its name.
+pub fn upsert(world: &mut World, entry: &listing::Entry) {
+    let id = &entry.target;
+    world.targets.schedule.changed();
+    if let Some(row) = world.targets.rows.get(id) {
+        if row.address == entry.address && row.pool == entry.pool && row.zone == entry.zone {
+            health::listed(world, id, entry.leaving);
+            return;
+        }
+        remove(world, id);
+    }
+    let row = Row {
+        pool: entry.pool.clone(),
+        zone: entry.zone.clone(),
+        address: entry.address.clone(),
+        state: State::New,
+        report: None,
+        reported_at: world.now,
+        in_flight_then: 0,
+        in_flight: world.requests.in_flight(id),
+        swapping: false,
+        failures: 0,
+    };
+    world.targets.rows.insert(id.clone(), row);
+    world.targets.place(id);
+    health::listed(world, id, entry.leaving);
+    world.queues.touch_all();
+}
+
+/// Stops new work to a target that the host list says is leaving.
+pub fn mark_leaving(world: &mut World, target: &TargetId) {
+    health::listed(world, target, true);
+}
+
+/// Forgets a target; attempts that still run there are left to end.
+pub fn remove(world: &mut World, target: &TargetId) {
+    world.targets.displace(target);
+    world.targets.rows.remove(target);
+    world.targets.health.remove(target);
+    world.targets.schedule.forget(target);
+}
+
 /// Takes the answer to a poll.
 pub fn polled(world: &mut World, polled: Polled) {
-    let _ = (world, polled);
+    let Polled { target, outcome } = polled;
+    if !world.targets.rows.contains_key(&target) {
+        return;
+    }
+    let sent = health::answered(world, &target);
+    match outcome {
+        Outcome::Report(report) => {
+            take_report(world, &target, report);
+            health::well(world, &target);
+            strike::answered(world, &target, sent);
+        }
+        Outcome::Leaving => {
+            says_leaving(world, &target);
+            strike::answered(world, &target, sent);
+        }
+        Outcome::Unreachable => {
+            failed(world, &target);
+            strike::refused(world, &target);
+        }
+    }
+    health::report(world, &target);
 }
 
 /// Takes a load report that the polling peer gossiped.
 pub fn heard(world: &mut World, target: &TargetId, outcome: Outcome) {
-    let _ = (world, target, outcome);
+    if !world.targets.rows.contains_key(target) {
+        return;
+    }
+    match outcome {
+        Outcome::Report(report) => {
+            take_report(world, target, report);
+            health::well(world, target);
+        }
+        Outcome::Leaving => says_leaving(world, target),
+        Outcome::Unreachable => health::quarantine(world, target, health::PROBE_MAX),
+    }
+}
+
+/// Counts a connection that could not be opened.
+pub fn connect_failed(world: &mut World, target: &TargetId) {
+    failed(world, target);
+    strike::refused(world, target);
+    health::report(world, target);
+}
+
+/// Takes note that a connection was opened.
+pub fn connected(world: &mut World, target: &TargetId) {
+    if let Some(row) = world.targets.rows.get_mut(target)
+        && row.state != State::Quarantined
+    {
+        row.failures = 0;
+    }
+}
+
+/// Takes note that the target itself said that it leaves.
+pub fn says_leaving(world: &mut World, target: &TargetId) {
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    row.state = State::Leaving;
+    row.failures = 0;
+    world.targets.health.entry(target.clone()).or_default().said_leaving = true;
+    health::report(world, target);
 }
 
 /// Polls the targets that this host is the poller of, and ends quarantines.
 pub fn run(world: &mut World) {
-    let _ = world;
+    health::run(world);
+}
+
+fn take_report(world: &mut World, target: &TargetId, report: Report) {
+    let now = world.now;
+    if let Some(row) = world.targets.rows.get_mut(target) {
+        row.report = Some(report);
+        row.reported_at = now;
+        row.in_flight_then = row.in_flight;
+    }
+}
+
+fn failed(world: &mut World, target: &TargetId) {
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    row.failures += 1;
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.unreachable = true;
+    let quarantined = row.state == State::Quarantined;
+    if row.failures < FAILURES_MAX && !quarantined || quarantined && world.now < health.probe_at {
+        return;
+    }
+    let interval = health.next_probe_interval();
+    health::quarantine(world, target, interval);
 }
