Test the request path under faults

Cause: the request path had no tests.

Change: tests drive a core by events and a clock set by hand, with targets that die, late answers, lost links, copies of keyed requests and requests that crash engines. Calls whose path resolves to another route are malformed. Core::world_mut lets tests set up states.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -147,14 +147,11 @@
 /// Route of a call: the longest prefix that ends at a path segment, a named method before `*`.
 fn route<'a>(routes: &'a [Route], call: &Call) -> Result<&'a Route, Code> {
     let path = call.path.split(['?', '#']).next().unwrap_or_default();
-    // A target could resolve such segments to a path of another route, which may not be idempotent.
-    let plain = path
-        .to_ascii_lowercase()
-        .replace("%2e", ".")
-        .replace("%2f", "/")
-        .replace("%5c", "/")
-        .replace('\\', "/");
-    if plain.split('/').any(|segment| segment == "." || segment == "..") {
+    let path = decode(path).ok_or(Code::RequestMalformed)?;
+    let inner = path.trim_start_matches('/').trim_end_matches('/');
+    // A target could resolve such a path to one of another route, which may not be idempotent.
+    let odd = path.starts_with("//") || path.ends_with("//") || path.contains('\\');
+    if odd || !inner.is_empty() && inner.split('/').any(|segment| matches!(segment, "" | "." | "..")) {
         return Err(Code::RequestMalformed);
     }
     let matches = |route: &&Route| {
@@ -169,6 +166,23 @@
     found.ok_or(Code::UnknownName)
 }
 
+/// Path with its percent escapes resolved, as a target would see it.
+fn decode(path: &str) -> Option<String> {
+    let mut bytes = Vec::with_capacity(path.len());
+    let mut rest = path.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        rest = tail;
+        if first != b'%' {
+            bytes.push(first);
+            continue;
+        }
+        let digits = tail.get(..2).and_then(|digits| std::str::from_utf8(digits).ok())?;
+        bytes.push(u8::from_str_radix(digits, 16).ok()?);
+        rest = &tail[2..];
+    }
+    String::from_utf8(bytes).ok()
+}
+
 fn usual_deadline(world: &World, work: &Work) -> Duration {
     let snapshot = world.config.snapshot.as_deref();
     let limits = snapshot.and_then(|snapshot| Lane::of(work).limits(snapshot));
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -113,6 +113,9 @@
     if marked && world.strikes.active(content) {
         return Choice::Blocked;
     }
+    if marked && count + 1 >= limits.crash_limit {
+        return choose_alone(world, snapshot, lane, id);
+    }
     let avoid: BTreeSet<&TargetId> = row.submit.avoid.iter().collect();
     let tried: BTreeSet<&TargetId> = row.tried.iter().collect();
     let zones = lane.zones(snapshot);
@@ -130,20 +133,26 @@
                 let Some(target_row) = world.targets.rows.get(target) else {
                     continue;
                 };
-                if !usable(world, target) || avoid.contains(target) {
+                if !usable(world, target) {
+                    continue;
+                }
+                free |= target_row.in_flight < config.slots;
+                if avoid.contains(target) {
                     continue;
                 }
                 fresh_exists |= !tried.contains(target);
                 if target_row.in_flight >= config.slots {
                     continue;
                 }
-                free = true;
                 if world.strikes.reserved_for(target).is_some_and(|holder| holder != id)
                     || marked && beside_marked(world, target)
                 {
                     continue;
                 }
-                let candidate = Candidate::new(target, target_row, config.slots, hosts, own_zone);
+                let mut candidate = Candidate::new(target, target_row, config.slots, hosts, own_zone);
+                if world.targets.recent_error(target, world.now) {
+                    candidate.score += route::ERROR_PENALTY;
+                }
                 if tried.contains(target) {
                     &mut repeated
                 } else {
@@ -162,9 +171,6 @@
     } else {
         fresh
     };
-    if marked && count + 1 >= limits.crash_limit {
-        return choose_alone(world, id, &candidates);
-    }
     let turn = world.queues.of(lane).turn;
     let picked = match world.settings.policy {
         Policy::Full => route::pick(&candidates, prefix, &mut world.rng),
@@ -178,15 +184,38 @@
 }
 
 /// Target for a content that is one strike from its limit. It runs alone, so that a crash can only be its own; a target
-/// is kept free for it until its requests in flight have ended.
-fn choose_alone(world: &mut World, id: RequestId, candidates: &[Candidate]) -> Choice {
+/// is kept free for it until its requests in flight have ended. At most a quarter of the targets are kept free.
+fn choose_alone(world: &mut World, snapshot: &Snapshot, lane: &Lane, id: RequestId) -> Choice {
+    let Some(row) = world.requests.rows.get(&id) else {
+        return Choice::Blocked;
+    };
     let held = world
         .strikes
         .reservation(id)
-        .filter(|held| candidates.iter().any(|it| it.target == **held))
+        .filter(|held| usable(world, held))
         .cloned();
-    let least = candidates.iter().min_by_key(|it| world.requests.in_flight(&it.target));
-    let Some(target) = held.or_else(|| least.map(|it| it.target.clone())) else {
+    let target = held.or_else(|| {
+        let zones = lane.zones(snapshot);
+        let pools = lane.pools(snapshot).map(|(pool, _)| pool);
+        let places = pools
+            .flat_map(|pool| world.targets.places(pool))
+            .filter(|(zone, _)| allowed(zones, zone));
+        let targets = places.flat_map(|(zone, targets)| targets.iter().map(move |target| (zone, target)));
+        let usable: Vec<_> = targets.filter(|(_, target)| usable(world, target)).collect();
+        let reserved = |target: &TargetId| world.strikes.reserved_for(target).is_some_and(|holder| holder != id);
+        if usable.iter().filter(|(_, target)| reserved(target)).count() >= (usable.len() / 4).max(1) {
+            return None;
+        }
+        let free = usable
+            .into_iter()
+            .filter(|(_, it)| !reserved(it) && !row.submit.avoid.contains(it));
+        let best = free.min_by_key(|(zone, target)| {
+            let remote = **zone != world.hosts.zone;
+            (row.tried.contains(target), remote, world.requests.in_flight(target))
+        });
+        best.map(|(_, target)| target.clone())
+    });
+    let Some(target) = target else {
         return Choice::Blocked;
     };
     world.strikes.reserve(&target, id);
--- a/src/core/finish.rs
+++ b/src/core/finish.rs
@@ -91,7 +91,9 @@
     if let Stage::Delayed(until) = row.stage {
         world.requests.timers.remove(&(until, id));
     }
-    world.queues.of(&row.lane).remove(id);
+    if let Some(queue) = world.queues.queues.get_mut(&row.lane) {
+        queue.remove(id);
+    }
     if let Some(attempt) = end_attempt(world, id, &mut row) {
         world.emit(Action::Cancel(attempt));
     }
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -27,12 +27,14 @@
 /// What is known of a target beyond its row.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    /// The target itself said that it leaves.
-    pub said_leaving: bool,
+    /// When the target itself said that it leaves.
+    pub said_leaving: Option<Time>,
     /// The host list says that it leaves.
     pub listed_leaving: bool,
     /// A poll or connect failed since the target was last well.
     pub unreachable: bool,
+    /// A request failed lately.
+    pub error_until: Time,
     /// When the unanswered poll was sent.
     polled_at: Option<Time>,
     next_poll: Option<Time>,
@@ -80,6 +82,11 @@
         self.assign_at = Time::ZERO;
     }
 
+    /// Whether this host is the poller of a target.
+    pub fn is_mine(&self, target: &str) -> bool {
+        self.mine.contains(target)
+    }
+
     /// Forgets a target, so that one that comes back under its name is scheduled anew.
     pub fn forget(&mut self, target: &TargetId) {
         self.mine.remove(target);
@@ -102,7 +109,7 @@
     health.listed_leaving = leaving;
     if leaving {
         row.state = State::Leaving;
-    } else if row.state == State::Leaving && !health.said_leaving {
+    } else if row.state == State::Leaving && health.said_leaving.is_none() {
         row.state = State::New;
         world.queues.touch_all();
     }
@@ -115,13 +122,13 @@
         return;
     };
     let health = world.targets.health.entry(target.clone()).or_default();
-    if health.said_leaving && health.unreachable {
-        health.said_leaving = false;
+    if health.unreachable {
+        health.said_leaving = None;
     }
     health.unreachable = false;
     health.probe_interval = None;
     row.failures = 0;
-    let state = if health.said_leaving || health.listed_leaving {
+    let state = if health.said_leaving.is_some() || health.listed_leaving {
         State::Leaving
     } else {
         State::Live
@@ -130,6 +137,16 @@
     world.queues.touch_all();
 }
 
+/// Takes note that the poller of a target finds it well. A report that was under way when the target said that it leaves
+/// does not revive it; one that still comes after the poller must have noticed belongs to a new process.
+pub fn poller_says_well(world: &mut World, target: &TargetId) {
+    let now = world.now;
+    if let Some(health) = world.targets.health.get_mut(target) {
+        health.said_leaving.take_if(|at| now >= *at + REPORT_INTERVAL * 2);
+    }
+    well(world, target);
+}
+
 /// Stops new work to a target that cannot be reached. Leaving targets stay leaving.
 pub fn quarantine(world: &mut World, target: &TargetId, interval: Duration) {
     let now = world.now;
@@ -185,6 +202,8 @@
     let outcome = match row.state {
         State::New => return,
         State::Live => 0,
+        // Peers learn from the list themselves what the list says.
+        State::Leaving if health.said_leaving.is_none() => return,
         State::Leaving => 1,
         State::Quarantined => 2,
     };
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -115,4 +115,9 @@
     pub fn world(&self) -> &World {
         &self.world
     }
+
+    /// The tables, for tests that put them into a state that takes long to reach by events.
+    pub fn world_mut(&mut self) -> &mut World {
+        &mut self.world
+    }
 }
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -76,11 +76,16 @@
     let content = row.submit.work.content();
     let limit = limit(world, &row, |limits| limits.crash_limit);
     world.requests.rows.insert(id, row);
-    match (failure, &on) {
-        (Failure::Connect, Some(on)) => target::connect_failed(world, on),
-        (Failure::Leaving, Some(on)) => target::says_leaving(world, on),
-        (Failure::Broken, Some(on)) => strike::broken(world, on, id, content, limit),
-        _ => {}
+    if let Some(on) = on {
+        match failure {
+            Failure::Connect => target::connect_failed(world, &on),
+            Failure::Leaving => target::says_leaving(world, &on),
+            Failure::Broken => {
+                target::request_failed(world, &on);
+                strike::broken(world, &on, id, content, limit);
+            }
+            Failure::Timeout | Failure::Status(_) => target::request_failed(world, &on),
+        }
     }
     if unsent {
         move_on(world, id);
@@ -194,6 +199,7 @@
         return;
     };
     if !row.idempotent {
+        // A second run could do real damage, so what may have run once is never sent again.
         return finish::end(world, id, Err(Code::OutcomeUnknown));
     }
     let generation = matches!(row.submit.work, Work::Generate(_));
@@ -209,8 +215,9 @@
         return finish::end(world, id, Err(Code::CrashesTargets));
     }
     let percent = limit(world, row, |limits| limits.retry_budget_percent);
+    let left = row.submit.deadline.saturating_sub(now);
     let wait = match failure {
-        Failure::Broken => VERDICT_WAIT,
+        Failure::Broken => VERDICT_WAIT.min(left / 2),
         _ => backoff(world, row.attempts),
     };
     let Some(row) = world.requests.rows.get(&id) else {
@@ -218,7 +225,7 @@
     };
     let allowed = row.attempts < limit(world, row, |limits| limits.attempts);
     let lane = row.lane.clone();
-    if !allowed || now + wait >= row.submit.deadline || !world.queues.of(&lane).budget.spend(percent) {
+    if !allowed || wait >= left || !world.queues.of(&lane).budget.spend(percent) {
         return finish::end_unserved(world, id, Code::Deadline);
     }
     delay(world, id, wait);
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -10,6 +10,8 @@
 
 /// A remote target is considered once every target of the own zone is loaded beyond its slots.
 pub const REMOTE_PENALTY: f64 = 1.0;
+/// For a target that lately broke off, refused or did not answer a request.
+pub const ERROR_PENALTY: f64 = 1.0;
 const SWAPPING_PENALTY: f64 = 2.0;
 const FAILURE_PENALTY: f64 = 2.0;
 /// A target that has not reported yet may not be up.
--- a/src/core/strike.rs
+++ b/src/core/strike.rs
@@ -88,6 +88,7 @@
 
     /// Keeps a target free for a request.
     pub fn reserve(&mut self, target: &TargetId, id: RequestId) {
+        self.reserved.retain(|_, holder| *holder != id);
         self.reserved.insert(target.clone(), id);
     }
 
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -13,6 +13,8 @@
 
 /// Connects or polls that fail in a row before a target is quarantined.
 const FAILURES_MAX: u32 = 2;
+/// How long a failed request counts against its target.
+const ERROR_MEMORY: Duration = Duration::from_secs(5);
 
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -71,6 +73,11 @@
         self.places.get(pool).into_iter().flatten()
     }
 
+    /// Whether a request lately failed on a target.
+    pub fn recent_error(&self, target: &str, now: Time) -> bool {
+        self.health.get(target).is_some_and(|health| now < health.error_until)
+    }
+
     fn place(&mut self, target: &TargetId) {
         if let Some(row) = self.rows.get(target) {
             let zones = self.places.entry(row.pool.clone()).or_default();
@@ -176,15 +183,19 @@
     health::report(world, &target);
 }
 
-/// Takes a load report that the polling peer gossiped.
+/// Takes a load report that the polling peer gossiped. Once this host polls the target itself, rows of the former
+/// poller are older than its own polls.
 pub fn heard(world: &mut World, target: &TargetId, outcome: Outcome) {
-    if !world.targets.rows.contains_key(target) {
+    let Some(row) = world.targets.rows.get(target) else {
+        return;
+    };
+    if row.state != State::New && world.targets.schedule.is_mine(target) && !matches!(outcome, Outcome::Leaving) {
         return;
     }
     match outcome {
         Outcome::Report(report) => {
             take_report(world, target, report);
-            health::well(world, target);
+            health::poller_says_well(world, target);
         }
         Outcome::Leaving => says_leaving(world, target),
         Outcome::Unreachable => health::quarantine(world, target, health::PROBE_MAX),
@@ -207,6 +218,13 @@
     }
 }
 
+/// Takes note that a request failed on a target, which makes it a worse choice for a while.
+pub fn request_failed(world: &mut World, target: &TargetId) {
+    if let Some(health) = world.targets.health.get_mut(target) {
+        health.error_until = world.now + ERROR_MEMORY;
+    }
+}
+
 /// Takes note that the target itself said that it leaves.
 pub fn says_leaving(world: &mut World, target: &TargetId) {
     let Some(row) = world.targets.rows.get_mut(target) else {
@@ -214,7 +232,9 @@
     };
     row.state = State::Leaving;
     row.failures = 0;
-    world.targets.health.entry(target.clone()).or_default().said_leaving = true;
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.said_leaving = Some(world.now);
+    health.unreachable = false;
     health::report(world, target);
 }
 
--- /dev/null
+++ b/tests/drive/mod.rs
@@ -0,0 +1,263 @@
+//! Drives a core by hand: a clock, polls that answer by themselves, and the actions sorted by kind.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use lagoonyard::{
+    core::{
+        Action, Core, Event, Settings, key, listing,
+        request::{
+            self, Answer, Attempt, Call, Failure, Generate, Incoming, News, Origin, Output, Progress, Response,
+            Segment, Submit, Text, Work,
+        },
+        target,
+    },
+    file::{Kind, Limits, Model, Objective, Pool, Route, Service, Snapshot},
+    prelude::*,
+    wire,
+};
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub struct Drive {
+    pub core: Core,
+    pub now: Time,
+    /// Targets that do not answer polls.
+    pub dead: BTreeSet<TargetId>,
+    pub polls: Vec<(Time, TargetId)>,
+    pub attempts: Vec<Attempt>,
+    pub answers: Vec<(Ticket, Answer)>,
+    pub cancels: Vec<AttemptId>,
+    pub keys: Vec<Box<str>>,
+    pub sent: Vec<wire::Body>,
+}
+
+impl Drive {
+    /// A core that serves model `m` by engines and service `s` by workers, all in zone `z`.
+    pub fn new(engines: usize, workers: usize, limits: Limits) -> Self {
+        Self::with(settings(), engines, workers, limits)
+    }
+
+    pub fn with(settings: Settings, engines: usize, workers: usize, limits: Limits) -> Self {
+        let engines = (0..engines).map(|at| entry(&format!("e{at}"), "engines"));
+        let workers = (0..workers).map(|at| entry(&format!("w{at}"), "workers"));
+        let entries: Vec<_> = engines.chain(workers).collect();
+        let mut drive = Self {
+            core: Core::with_snapshot(settings, Time::ZERO, snapshot(limits), &entries),
+            now: Time::ZERO,
+            dead: BTreeSet::new(),
+            polls: Vec::new(),
+            attempts: Vec::new(),
+            answers: Vec::new(),
+            cancels: Vec::new(),
+            keys: Vec::new(),
+            sent: Vec::new(),
+        };
+        drive.advance(ms(10));
+        drive
+    }
+
+    pub fn event(&mut self, event: Event) {
+        self.core.input(self.now, event);
+    }
+
+    /// One tick; polls are answered at once.
+    pub fn tick(&mut self) {
+        for action in self.core.tick(self.now) {
+            match action {
+                Action::Dispatch(attempt) => self.attempts.push(attempt),
+                Action::Answer { ticket, answer } => self.answers.push((ticket, answer)),
+                Action::Cancel(id) => self.cancels.push(id),
+                Action::Keys { keys, .. } => self.keys.extend(keys),
+                Action::Send { message, .. } => self.sent.extend(message.body),
+                Action::Poll { target, .. } => {
+                    self.polls.push((self.now, target.clone()));
+                    let outcome = match self.dead.contains(&target) {
+                        true => target::Outcome::Unreachable,
+                        false => target::Outcome::Report(target::Report::default()),
+                    };
+                    self.event(Event::Polled(target::Polled { target, outcome }));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Ticks as often as the core asks for until the time has passed.
+    pub fn advance(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.tick();
+            self.now = self.core.wake().max(self.now + ms(1)).min(end);
+        }
+        self.tick();
+        self.tick();
+    }
+
+    pub fn submit(&mut self, ticket: Ticket, work: Work, key: Option<&str>, deadline: Duration) {
+        let key = key.map(Into::into);
+        let deadline = Some(deadline);
+        let incoming = Incoming { work, key, deadline };
+        self.event(Event::Request(request::Event::Submit { ticket, incoming }));
+        self.tick();
+    }
+
+    pub fn gone(&mut self, ticket: Ticket) {
+        self.event(Event::Request(request::Event::Gone { ticket }));
+        self.tick();
+    }
+
+    pub fn news(&mut self, attempt: AttemptId, news: News) {
+        self.event(Event::Attempt(Progress { attempt, news }));
+    }
+
+    pub fn done(&mut self, attempt: &Attempt) {
+        let output = match attempt.work {
+            Work::Generate(_) => text("whole", Some("stop")),
+            Work::Call(_) => Output::Response(Response {
+                status: 200,
+                ..Response::default()
+            }),
+        };
+        self.news(attempt.id, News::Sent);
+        self.news(attempt.id, News::Done(output));
+        self.tick();
+    }
+
+    /// The attempt fails; nothing was sent if no connection was opened.
+    pub fn fail(&mut self, attempt: &Attempt, failure: Failure) {
+        if failure != Failure::Connect {
+            self.news(attempt.id, News::Sent);
+        }
+        let partial = None;
+        self.news(attempt.id, News::Failed { failure, partial });
+        self.tick();
+    }
+
+    /// A bulk request.
+    pub fn bulk(&mut self, text: &str, avoid: &[&str]) -> RequestId {
+        self.core.world_mut().requests.submit(Submit {
+            origin: Origin::Bulk("t".into()),
+            work: prompt(text),
+            deadline: Duration::from_secs(1000),
+            avoid: avoid.iter().map(|target| (*target).into()).collect(),
+        })
+    }
+
+    pub fn key(&mut self) -> Box<str> {
+        self.event(Event::Key(key::Ask { ticket: 0, count: 1 }));
+        self.tick();
+        self.keys.pop().expect("a key is issued")
+    }
+
+    /// Attempts since the last call.
+    pub fn take(&mut self) -> Vec<Attempt> {
+        std::mem::take(&mut self.attempts)
+    }
+
+    /// The only attempt since the last call.
+    pub fn one(&mut self) -> Attempt {
+        let mut attempts = self.take();
+        assert_eq!(attempts.len(), 1, "exactly one attempt is dispatched");
+        attempts.remove(0)
+    }
+
+    /// Code of the only answer for a ticket; `None` when it was answered whole.
+    pub fn code(&self, ticket: Ticket) -> Option<Code> {
+        let answers: Vec<_> = self.answers.iter().filter(|(it, _)| *it == ticket).collect();
+        assert_eq!(answers.len(), 1, "ticket {ticket} is answered exactly once");
+        match &answers[0].1 {
+            Answer::Done(_) => None,
+            Answer::Error { code, .. } => Some(*code),
+        }
+    }
+
+    pub fn answered(&self, ticket: Ticket) -> bool {
+        self.answers.iter().any(|(it, _)| *it == ticket)
+    }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        host: "h".into(),
+        zone: "z".into(),
+        ..Settings::default()
+    }
+}
+
+pub fn entry(target: &str, pool: &str) -> listing::Entry {
+    listing::Entry {
+        target: target.into(),
+        zone: "z".into(),
+        address: target.into(),
+        pool: pool.into(),
+        leaving: false,
+    }
+}
+
+pub fn snapshot(limits: Limits) -> Snapshot {
+    let model = Model {
+        yard: "y".into(),
+        objective: Objective::Idle,
+        zones: Vec::new(),
+        parallel_loads: 1,
+        max_unavailable_percent: 50,
+        load_timeout: ms(1000),
+        limits: limits.clone(),
+    };
+    let route = |prefix: &str, idempotent| Route {
+        method: "*".into(),
+        prefix: prefix.into(),
+        idempotent,
+        timeout: ms(20_000),
+    };
+    let service = Service {
+        yard: "y".into(),
+        zones: Vec::new(),
+        routes: vec![route("/", true), route("/book", false)],
+        limits,
+    };
+    let pool = |kind| Pool {
+        kind,
+        slots: 2,
+        checks_fence: true,
+    };
+    Snapshot {
+        revision: 1,
+        models: [("m".into(), model)].into(),
+        services: [("s".into(), service)].into(),
+        pools: [
+            ("engines".into(), pool(Kind::Engine { model: "m".into() })),
+            ("workers".into(), pool(Kind::Service { service: "s".into() })),
+        ]
+        .into(),
+        ..Snapshot::default()
+    }
+}
+
+pub fn prompt(text: &str) -> Work {
+    Work::Generate(Generate::new("m", text, 16, ""))
+}
+
+pub fn call(path: &str) -> Work {
+    Work::Call(Call::new(
+        "s",
+        "POST",
+        path,
+        "application/json",
+        Bytes::from_static(b"{}"),
+    ))
+}
+
+pub fn text(text: &str, finish_reason: Option<&str>) -> Output {
+    let version = Some(1);
+    Output::Text(Text {
+        text: text.into(),
+        segments: vec![Segment { version, tokens: 1 }],
+        finish_reason: finish_reason.map(Into::into),
+    })
+}
