Add sample streams, version rollout and service-level burn

Cause: the stream, rollout and burn modules of the core were laid down as empty functions. Change: streams keep groups by the trainer's cursor, generate ahead by measured pace, share engines by weight and time until idle, run stragglers twice and judge staleness at delivery. Rollouts publish announced versions, keep them in the store by compare-and-swap and pace orders under the lease. Burn counts in ten-second buckets. A pull carries its hops, an order its last time of sending, and the settings two timeouts for bulk work.

--- a/src/core/burn.rs
+++ b/src/core/burn.rs
@@ -1,28 +1,163 @@
 //! Service-level counters and their burn over several windows.
 
-use crate::{core::World, prelude::*};
+use std::collections::{BTreeMap, VecDeque};
+
+use serde_json::{Value, json};
+
+use crate::{code::Kind, core::World, prelude::*};
+
+/// Share of callers' requests that are answered whole.
+pub const ANSWERED_OBJECTIVE: f64 = 0.999;
+/// Share of time in which a trainer does not wait for a batch.
+pub const BUSY_OBJECTIVE: f64 = 0.95;
+/// Share of samples that are delivered within the staleness bound.
+pub const FRESH_OBJECTIVE: f64 = 0.99;
+
+/// Windows over which the burn is computed.
+pub const WINDOWS: [(&str, Duration); 4] = [
+    ("5m", Duration::from_secs(300)),
+    ("30m", Duration::from_secs(1800)),
+    ("1h", Duration::from_secs(3600)),
+    ("6h", Duration::from_secs(21600)),
+];
+
+const BUCKET: Duration = Duration::from_secs(10);
+/// Buckets of the longest window.
+const BUCKETS_MAX: u64 = 2160;
+/// Yards and trainers counted; names beyond are left out.
+const NAMES_MAX: usize = 256;
 
 /// Counters in time buckets.
 #[derive(Debug, Default)]
-pub struct Table {}
+pub struct Table {
+    yards: BTreeMap<Box<str>, VecDeque<Bucket>>,
+    trainers: BTreeMap<TrainerId, Totals>,
+}
+
+/// Counts of ten seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    number: u64,
+    answered: Ratio,
+    busy_ms: Ratio,
+    fresh: Ratio,
+}
+
+/// Good events out of all.
+#[derive(Clone, Copy, Debug, Default)]
+struct Ratio {
+    good: u64,
+    total: u64,
+}
+
+/// Counts of one trainer since the start of this host.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    waited: Duration,
+    total: Duration,
+    delivered: u64,
+    too_old: u64,
+    /// Sum over the delivered samples.
+    staleness: u64,
+    staleness_max: u64,
+}
+
+impl Ratio {
+    fn add(&mut self, good: u64, total: u64) {
+        self.good = self.good.saturating_add(good);
+        self.total = self.total.saturating_add(total);
+    }
+
+    fn sum(parts: impl Iterator<Item = Self>) -> Self {
+        parts.fold(Self::default(), |mut sum, part| {
+            sum.add(part.good, part.total);
+            sum
+        })
+    }
+
+    /// Speed at which the error budget is used; 1 uses it up exactly within the objective's period.
+    fn burn(self, objective: f64) -> f64 {
+        if self.total == 0 {
+            return 0.0;
+        }
+        (1.0 - self.good as f64 / self.total as f64) / (1.0 - objective)
+    }
+}
 
 impl Table {
     /// Counts a caller's request that ended; `code` is absent when it was answered whole.
+    ///
+    /// A request that was refused for its own fault says nothing about the service and is not counted.
     pub fn answered(&mut self, now: Time, yard: &str, code: Option<Code>) {
-        let _ = (now, yard, code);
+        if code.is_some_and(|code| code.kind() == Kind::Refused) {
+            return;
+        }
+        if let Some(bucket) = self.bucket(now, yard) {
+            bucket.answered.add(u64::from(code.is_none()), 1);
+        }
     }
 
     /// Counts time that a trainer waited for a batch, out of the time since its last batch.
     pub fn pulled(&mut self, now: Time, yard: &str, trainer: &str, waited: Duration, total: Duration) {
-        let _ = (now, yard, trainer, waited, total);
+        if let Some(bucket) = self.bucket(now, yard) {
+            let total_ms = total.as_millis() as u64;
+            bucket
+                .busy_ms
+                .add(total_ms.saturating_sub(waited.as_millis() as u64), total_ms);
+        }
+        if let Some(totals) = self.totals(trainer) {
+            totals.waited += waited;
+            totals.total += total;
+        }
     }
 
     /// Counts a delivered sample by its distance from the trainer's version, or one thrown away as too old.
     pub fn sample(&mut self, now: Time, yard: &str, trainer: &str, staleness: u64, delivered: Delivery) {
-        let _ = (now, yard, trainer, staleness, delivered);
+        let good = u64::from(delivered == Delivery::Delivered);
+        if let Some(bucket) = self.bucket(now, yard) {
+            bucket.fresh.add(good, 1);
+        }
+        let Some(totals) = self.totals(trainer) else {
+            return;
+        };
+        match delivered {
+            Delivery::Delivered => {
+                totals.delivered += 1;
+                totals.staleness = totals.staleness.saturating_add(staleness);
+                totals.staleness_max = totals.staleness_max.max(staleness);
+            }
+            Delivery::TooOld => totals.too_old += 1,
+        }
+    }
+
+    fn bucket(&mut self, now: Time, yard: &str) -> Option<&mut Bucket> {
+        if !self.yards.contains_key(yard) && self.yards.len() >= NAMES_MAX {
+            return None;
+        }
+        let number = number(now);
+        let buckets = self.yards.entry(yard.into()).or_default();
+        // Only buckets with counts are stored, so a quiet yard takes no memory.
+        if buckets.back().is_none_or(|last| last.number < number) {
+            buckets.push_back(Bucket {
+                number,
+                ..Bucket::default()
+            });
+        }
+        buckets.back_mut()
+    }
+
+    fn totals(&mut self, trainer: &str) -> Option<&mut Totals> {
+        if !self.trainers.contains_key(trainer) && self.trainers.len() >= NAMES_MAX {
+            return None;
+        }
+        Some(self.trainers.entry(trainer.into()).or_default())
     }
 }
 
+fn number(now: Time) -> u64 {
+    now.as_secs() / BUCKET.as_secs()
+}
+
 /// What became of a sample.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Delivery {
@@ -32,5 +167,49 @@
 
 /// Moves the time buckets on.
 pub fn run(world: &mut World) {
-    let _ = world;
+    let oldest = (number(world.now) + 1).saturating_sub(BUCKETS_MAX);
+    for buckets in world.burn.yards.values_mut() {
+        while buckets.front().is_some_and(|bucket| bucket.number < oldest) {
+            buckets.pop_front();
+        }
+    }
+}
+
+/// Burn of every yard over every window, and totals of every trainer.
+pub fn report(world: &World) -> Value {
+    let yards = world.burn.yards.iter().map(|(yard, buckets)| {
+        let objectives = json!({
+            "answered": objective(world.now, buckets, ANSWERED_OBJECTIVE, |bucket| bucket.answered),
+            "trainer_busy": objective(world.now, buckets, BUSY_OBJECTIVE, |bucket| bucket.busy_ms),
+            "samples_within_bound": objective(world.now, buckets, FRESH_OBJECTIVE, |bucket| bucket.fresh),
+        });
+        (yard.to_string(), objectives)
+    });
+    let trainers = world.burn.trainers.iter().map(|(trainer, totals)| {
+        let share = |part: f64, whole: f64| if whole > 0.0 { part / whole } else { 0.0 };
+        let totals = json!({
+            "idle_ms": totals.waited.as_millis() as u64,
+            "total_ms": totals.total.as_millis() as u64,
+            "idle_share": share(totals.waited.as_secs_f64(), totals.total.as_secs_f64()),
+            "samples_delivered": totals.delivered,
+            "samples_too_old": totals.too_old,
+            "staleness_mean_versions": share(totals.staleness as f64, totals.delivered as f64),
+            "staleness_max_versions": totals.staleness_max,
+        });
+        (trainer.to_string(), totals)
+    });
+    json!({
+        "yards": yards.collect::<serde_json::Map<_, _>>(),
+        "trainers": trainers.collect::<serde_json::Map<_, _>>(),
+    })
+}
+
+fn objective(now: Time, buckets: &VecDeque<Bucket>, objective: f64, of: fn(&Bucket) -> Ratio) -> Value {
+    let windows = WINDOWS.iter().map(|&(name, length)| {
+        let first = (number(now) + 1).saturating_sub(length.as_secs() / BUCKET.as_secs());
+        let ratio = Ratio::sum(buckets.iter().filter(|bucket| bucket.number >= first).map(of));
+        let window = json!({ "good": ratio.good, "total": ratio.total, "burn": ratio.burn(objective) });
+        (name.to_string(), window)
+    });
+    json!({ "objective": objective, "windows": windows.collect::<serde_json::Map<_, _>>() })
 }
--- /dev/null
+++ b/src/core/delivery.rs
@@ -0,0 +1,126 @@
+//! Batches: choice of groups, staleness at the moment of delivery, answers to waiting pulls.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use crate::{
+    core::{
+        World, burn,
+        cursor::SKIPPED_MAX,
+        stream::{self, Answer, Group, Offered, Row},
+    },
+    file::Trainer,
+    prelude::*,
+};
+
+/// Answers the pulls for which a batch is whole, that were overtaken by another cursor, or whose wait is over.
+pub fn serve(world: &mut World, name: &str, trainer: &Trainer, row: &mut Row) {
+    for waiting in std::mem::take(&mut row.waiting) {
+        if waiting.cursor != row.cursor {
+            stream::refuse(
+                world,
+                waiting.ticket,
+                Code::NoBatch,
+                "a pull with another cursor came later",
+            );
+            continue;
+        }
+        if let Some(groups) = offer(world, name, trainer, row, waiting.version) {
+            let cursor = row.base().into();
+            let version = waiting.version;
+            stream::answer(
+                world,
+                waiting.ticket,
+                Answer::Batch {
+                    cursor,
+                    version,
+                    groups,
+                },
+            );
+        } else if world.now >= waiting.until {
+            stream::refuse(world, waiting.ticket, Code::NoBatch, "no batch is whole yet");
+        } else {
+            row.waiting.push(waiting);
+        }
+    }
+}
+
+/// The batch for the row's cursor, judged by this version: the one offered before if it is recent enough, else a new one.
+fn offer(world: &mut World, name: &str, trainer: &Trainer, row: &mut Row, version: Version) -> Option<Arc<[Group]>> {
+    let bound = trainer.staleness_versions;
+    if let Some(offered) = row
+        .offered
+        .take_if(|offered| !offered.groups.iter().all(|group| group.fresh(version, bound)))
+    {
+        for group in offered.groups.iter() {
+            row.drafts.insert(group.prompt_index, group.into());
+        }
+        row.idle_since = Some(world.now);
+    }
+    if let Some(offered) = &row.offered {
+        return Some(Arc::clone(&offered.groups));
+    }
+    drop_old(world, name, trainer, row, version);
+    let groups = choose(trainer, row)?;
+    let taken: BTreeSet<u64> = groups.iter().map(|group| group.prompt_index).collect();
+    let next = row.cursor.advance(&taken, &row.abandoned, row.epoch)?;
+    row.drafts.retain(|index, _| !taken.contains(index));
+    for sample in groups.iter().flat_map(|group| &group.samples) {
+        let staleness = sample.staleness(version);
+        world
+            .burn
+            .sample(world.now, &trainer.yard, name, staleness, burn::Delivery::Delivered);
+    }
+    let waited = world.now.saturating_sub(row.idle_since.take().unwrap_or(world.now));
+    let total = row.pace.answered_at().map_or(waited, |at| world.now.saturating_sub(at));
+    world
+        .burn
+        .pulled(world.now, &trainer.yard, name, waited, total.max(waited));
+    row.pace.answered(world.now, version);
+    let groups: Arc<[Group]> = groups.into();
+    row.offered = Some(Offered {
+        next,
+        groups: Arc::clone(&groups),
+    });
+    Some(groups)
+}
+
+/// Drops whole groups with a sample that is too old for this version.
+fn drop_old(world: &mut World, name: &str, trainer: &Trainer, row: &mut Row, version: Version) {
+    let bound = trainer.staleness_versions;
+    let old: Vec<Group> = row
+        .drafts
+        .iter()
+        .filter(|(_, draft)| draft.finished.is_some() && draft.stale(version, bound))
+        .filter_map(|(&index, draft)| draft.group(index))
+        .collect();
+    for group in old {
+        for sample in &group.samples {
+            let staleness = sample.staleness(version);
+            if staleness > bound {
+                world
+                    .burn
+                    .sample(world.now, &trainer.yard, name, staleness, burn::Delivery::TooOld);
+            }
+        }
+        row.drafts.remove(&group.prompt_index);
+        row.prompts.put(group.prompt_index, group.prompt);
+    }
+}
+
+/// The groups of one batch, first finished first; `None` if there are not enough.
+fn choose(trainer: &Trainer, row: &Row) -> Option<Vec<Group>> {
+    let count = trainer.groups_per_step.max(1) as usize;
+    // Groups further ahead would leave more open indices below them than a cursor holds.
+    let end = row.cursor.open().nth(count + SKIPPED_MAX)?;
+    let mut whole: Vec<(Time, u64)> = row
+        .drafts
+        .range(..end)
+        .filter_map(|(&index, draft)| Some((draft.finished?, index)))
+        .collect();
+    if whole.len() < count {
+        return None;
+    }
+    whole.sort_unstable();
+    let groups = whole.into_iter().take(count);
+    groups.map(|(_, index)| row.drafts.get(&index)?.group(index)).collect()
+}
--- /dev/null
+++ b/src/core/judge.rs
@@ -0,0 +1,103 @@
+//! Rewards from a trainer's judge.
+
+use bytes::Bytes;
+use serde::Deserialize;
+
+use crate::{
+    core::{
+        World,
+        group::Slot,
+        prompt,
+        request::{Completion, Origin, Output, Submit, Work},
+        sampling,
+        stream::{Row, Use},
+        wait,
+    },
+    file::Trainer,
+    prelude::*,
+};
+
+/// Judge calls of one trainer at the same time.
+const CALLS_MAX: usize = 256;
+/// Failed calls for one sample before the sample is generated again.
+const TRIES_MAX: u32 = 10;
+
+#[derive(Deserialize)]
+struct Verdict {
+    reward: f64,
+}
+
+/// Asks the judge for every sample that waits for a reward.
+pub fn ask(world: &mut World, name: &TrainerId, trainer: &Trainer, row: &mut Row) {
+    let Some((service, prefix)) = &trainer.judge else {
+        return;
+    };
+    let asked = row
+        .uses
+        .values()
+        .filter(|purpose| matches!(purpose, Use::Judge { .. }))
+        .count();
+    let mut room = CALLS_MAX.saturating_sub(asked);
+    let path = format!("{}/judge", prefix.trim_end_matches('/'));
+    for (&index, draft) in &mut row.drafts {
+        for (slot, state) in draft.slots.iter_mut().enumerate() {
+            let Slot::Judging {
+                sample,
+                not_before,
+                asked,
+                ..
+            } = state
+            else {
+                continue;
+            };
+            if *asked || world.now < *not_before || room == 0 {
+                continue;
+            }
+            let body = serde_json::json!({"prompt": &*draft.prompt, "text": &*sample.text}).to_string();
+            let call = prompt::call(service, "POST", path.clone(), Bytes::from(body));
+            let id = world.requests.submit(Submit {
+                origin: Origin::Bulk(name.clone()),
+                work: Work::Call(call),
+                deadline: world.now + world.settings.bulk_call_timeout,
+                avoid: Vec::new(),
+            });
+            *asked = true;
+            room -= 1;
+            row.uses.insert(id, Use::Judge { index, slot });
+        }
+    }
+}
+
+/// Takes the judge's answer.
+pub fn judged(world: &mut World, row: &mut Row, place: (u64, usize), completion: &Completion) {
+    let (index, slot) = place;
+    let state = row.drafts.get_mut(&index).and_then(|draft| draft.slots.get_mut(slot));
+    let Some(Slot::Judging {
+        sample,
+        not_before,
+        tries,
+        asked,
+    }) = state
+    else {
+        return;
+    };
+    let verdict = match &completion.result {
+        Ok(Output::Response(response)) if response.status == 200 => {
+            serde_json::from_slice::<Verdict>(&response.body).ok()
+        }
+        _ => None,
+    };
+    if let Some(verdict) = verdict {
+        let mut sample = sample.clone();
+        sample.reward = Some(verdict.reward);
+        sampling::set(row, place, Slot::Done(sample));
+        return sampling::finish(row, index, world.now);
+    }
+    *asked = false;
+    *tries += 1;
+    if *tries < TRIES_MAX {
+        *not_before = world.now + wait::backoff(&mut world.rng, *tries - 1);
+        return;
+    }
+    sampling::retry(world, row, place, 0, &completion.trainer);
+}
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    core::{World, store},
+    core::{World, desired, order, store},
     prelude::*,
 };
 
@@ -42,6 +42,8 @@
     pub model: ModelId,
     pub desired: Desired,
     pub timeout: Duration,
+    /// Not to be sent after this time, because the lease behind it may have ended.
+    pub send_by: Time,
 }
 
 /// Answer to an order.
@@ -65,29 +67,39 @@
 #[derive(Debug, Default)]
 pub struct Table {
     pub desired: BTreeMap<ModelId, Desired>,
+    pub durable: BTreeMap<ModelId, desired::Durable>,
+    pub orders: order::Table,
+    /// Since when the store has not answered about versions.
+    pub failing: Option<Time>,
 }
 
 /// Takes an announcement.
 pub fn announce(world: &mut World, announce: Announce) {
-    let _ = (world, announce);
+    desired::announce(world, announce);
 }
 
 /// Takes the answer to an order.
 pub fn ordered(world: &mut World, ordered: Ordered) {
-    let _ = (world, ordered);
+    order::ordered(world, ordered);
 }
 
 /// Takes a wanted version that a peer or the store reported.
 pub fn heard(world: &mut World, model: ModelId, desired: Desired) {
-    let _ = (world, model, desired);
+    desired::heard(world, model, desired);
 }
 
 /// Takes the store's answer about a model's version.
 pub fn stored(world: &mut World, model: ModelId, result: Result<store::Reply, store::Failure>) {
-    let _ = (world, model, result);
+    desired::stored(world, model, result);
 }
 
-/// Paces and sends orders.
+/// Whether no announcement of this host waits for the store, so that a draining host may exit.
+pub fn idle(world: &World) -> bool {
+    desired::idle(world)
+}
+
+/// Keeps the store in step, paces and sends orders.
 pub fn run(world: &mut World) {
-    let _ = world;
+    desired::run(world);
+    order::run(world);
 }
--- a/src/core/settings.rs
+++ b/src/core/settings.rs
@@ -45,6 +45,10 @@
     pub key_retention: Duration,
     /// Keys that may stand in the table at once.
     pub key_limit: usize,
+    /// Longest time until the end of one sample.
+    pub sample_timeout: Duration,
+    /// Longest time until the answer of a prompt source or judge.
+    pub bulk_call_timeout: Duration,
     /// How long a graceful stop waits for work in flight.
     pub drain_limit: Duration,
     /// Use the plain policy that measurements compare against.
@@ -84,6 +88,8 @@
             key_validity: Duration::from_secs(600),
             key_retention: Duration::from_secs(600),
             key_limit: 100_000,
+            sample_timeout: Duration::from_secs(420),
+            bulk_call_timeout: Duration::from_secs(30),
             drain_limit: Duration::from_secs(600),
             policy: Policy::Full,
         }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -273,6 +273,9 @@
     pub version: u64,
     #[prost(uint64, tag = "4")]
     pub wait_ms: u64,
+    /// Times that it was passed on before.
+    #[prost(uint32, tag = "5")]
+    pub hops: u32,
 }
 
 /// Answer to a forwarded request.
