Add the frame codec and the gossip messages of membership

Peers had messages but no framing. Digests now carry heartbeats and the sender's row, deltas say up to which version they are complete, and rows for the members of a zone and for fencing numbers are added; the former contacts field of the zone summary is replaced by them.

--- a/src/wire.rs
+++ b/src/wire/mod.rs
@@ -3,8 +3,19 @@
 //! prost derives encode them, so no generator is needed. A frame is a four-byte big-endian length and one `Message`.
 //! Numbers of removed fields are not used again.
 
+mod codec;
+mod gossip;
+
 use bytes::Bytes;
 
+pub use self::{
+    codec::{Codec, Error},
+    gossip::{
+        Config, ConfigAsk, Delta, Desired, Digest, Fence, Head, Host, Item, Known, Listing, Load, Member, Members, Row,
+        Strike, Zone,
+    },
+};
+
 /// Longest frame accepted, in bytes.
 pub const FRAME_MAX_BYTES: usize = 1024 * 1024;
 
@@ -51,171 +62,6 @@
     pub zone: String,
 }
 
-/// Highest row version known of each owner.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Digest {
-    #[prost(message, repeated, tag = "1")]
-    pub known: Vec<Known>,
-}
-
-/// Highest row version known of one owner, which is named by a hash of its host id.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Known {
-    #[prost(fixed32, tag = "1")]
-    pub owner: u32,
-    #[prost(fixed32, tag = "2")]
-    pub incarnation: u32,
-    #[prost(uint64, tag = "3")]
-    pub version: u64,
-}
-
-/// Rows that the other side may lack.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Delta {
-    #[prost(message, repeated, tag = "1")]
-    pub rows: Vec<Row>,
-}
-
-/// One row with its owner and version; a higher (incarnation start, version) replaces a lower one.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Row {
-    #[prost(string, tag = "1")]
-    pub owner: String,
-    #[prost(fixed64, tag = "2")]
-    pub incarnation: u64,
-    #[prost(uint64, tag = "3")]
-    pub version: u64,
-    #[prost(oneof = "Item", tags = "4, 5, 6, 7, 8, 9, 10")]
-    pub item: Option<Item>,
-}
-
-/// Content of a row.
-#[derive(Clone, PartialEq, prost::Oneof)]
-pub enum Item {
-    #[prost(message, tag = "4")]
-    Host(Host),
-    #[prost(message, tag = "5")]
-    Load(Load),
-    #[prost(message, tag = "6")]
-    Strike(Strike),
-    #[prost(message, tag = "7")]
-    Desired(Desired),
-    #[prost(message, tag = "8")]
-    Listing(Listing),
-    #[prost(message, tag = "9")]
-    Head(Head),
-    #[prost(message, tag = "10")]
-    Zone(Zone),
-}
-
-/// A host as it describes itself.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Host {
-    #[prost(string, tag = "1")]
-    pub zone: String,
-    #[prost(string, tag = "2")]
-    pub address: String,
-    #[prost(uint64, tag = "3")]
-    pub beat: u64,
-    #[prost(bool, tag = "4")]
-    pub leaving: bool,
-    #[prost(uint64, tag = "5")]
-    pub revision: u64,
-}
-
-/// Load of a target as its poller saw it.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Load {
-    #[prost(string, tag = "1")]
-    pub target: String,
-    #[prost(uint32, tag = "2")]
-    pub running: u32,
-    #[prost(uint32, tag = "3")]
-    pub waiting: u32,
-    #[prost(uint32, tag = "4")]
-    pub kv_used_percent: u32,
-    /// Version of the pool's model.
-    #[prost(uint64, tag = "5")]
-    pub version: u64,
-    /// 0 reports, 1 leaves, 2 unreachable.
-    #[prost(uint32, tag = "6")]
-    pub outcome: u32,
-}
-
-/// A content that crashed a target.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Strike {
-    #[prost(fixed64, tag = "1")]
-    pub content: u64,
-    #[prost(string, tag = "2")]
-    pub target: String,
-}
-
-/// Wanted weights of a model.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Desired {
-    #[prost(string, tag = "1")]
-    pub model: String,
-    #[prost(uint64, tag = "2")]
-    pub version: u64,
-    #[prost(string, tag = "3")]
-    pub weights: String,
-}
-
-/// Host list of a zone, deflated.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Listing {
-    #[prost(string, tag = "1")]
-    pub zone: String,
-    #[prost(uint64, tag = "2")]
-    pub revision: u64,
-    #[prost(bytes = "bytes", tag = "3")]
-    pub entries: Bytes,
-}
-
-/// Newest configuration known.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Head {
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-    #[prost(fixed64, tag = "2")]
-    pub digest: u64,
-    #[prost(string, tag = "3")]
-    pub apply_id: String,
-}
-
-/// Summary of a zone.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Zone {
-    #[prost(string, tag = "1")]
-    pub zone: String,
-    #[prost(uint32, tag = "2")]
-    pub hosts: u32,
-    #[prost(uint64, tag = "3")]
-    pub lowest_revision: u64,
-    #[prost(string, repeated, tag = "4")]
-    pub lagging: Vec<String>,
-    /// Up to three hosts as `id=address`.
-    #[prost(string, repeated, tag = "5")]
-    pub contacts: Vec<String>,
-}
-
-/// Asks for a configuration body.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct ConfigAsk {
-    #[prost(uint64, tag = "1")]
-    pub revision: u64,
-}
-
-/// A configuration body, deflated.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Config {
-    #[prost(message, optional, tag = "1")]
-    pub head: Option<Head>,
-    #[prost(bytes = "bytes", tag = "2")]
-    pub body: Bytes,
-}
-
 /// A request passed on to the host that must decide it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Forward {
