Add membership, gossip, leases, the host list and the configuration's way

Heartbeats ride in digests, rows go out oldest first within a byte budget, fleet-wide rows are ordered by their own content, and hosts of other zones are known from the member rows of their zone.

--- a/src/core/burn.rs
+++ b/src/core/burn.rs
@@ -34,3 +34,9 @@
 pub fn run(world: &mut World) {
     let _ = world;
 }
+
+/// Burn of each objective over its windows, for operators.
+pub fn report(world: &World) -> serde_json::Value {
+    let _ = world;
+    serde_json::Value::Null
+}
--- /dev/null
+++ b/src/core/gossip.rs
@@ -0,0 +1,326 @@
+//! Exchanges: a digest goes one way, the rows that its sender lacks come back.
+//!
+//! Heartbeats ride in the digests themselves. As rows they would take more than the bytes of an exchange: 93 hosts
+//! with one beat a second are about 5.6 KB/s of host rows.
+
+use std::collections::BTreeSet;
+
+use ahash::AHashMap;
+use prost::Message;
+use rand::{Rng, seq::IteratorRandom};
+
+use crate::{
+    core::{
+        World,
+        budget::Bucket,
+        host::{self, State},
+        peer,
+        rows::{Key, fits, host_hash},
+    },
+    prelude::*,
+    wire::{self, Body, Item},
+};
+
+/// Bytes of rows in one message.
+const ROWS_MAX_BYTES: usize = 1200;
+
+/// One exchange in this many goes to a host that seems dead, so that two halves of a zone find each other again.
+const DEAD_ONE_IN: u32 = 10;
+
+/// Digest entries that are looked at; a zone has about a hundred hosts and the fleet a few dozen wide rows.
+const KNOWN_MAX: usize = 16_384;
+
+/// Name of a host in digests.
+pub fn name(id: &str) -> u32 {
+    host_hash(id)
+}
+
+/// A row held here, as it goes out.
+pub fn row(world: &World, key: &Key) -> Option<wire::Row> {
+    if key.fleet_wide() {
+        let wide = world.peers.wide.get(key)?;
+        return Some(wire::Row {
+            version: wide.version,
+            item: Some(wide.item.clone()),
+            ..wire::Row::default()
+        });
+    }
+    let me = &world.hosts.me;
+    let owner = world.peers.owners.get(me)?;
+    let held = owner.rows.get(key)?;
+    Some(wire::Row {
+        owner: me.to_string(),
+        incarnation: owner.incarnation,
+        version: held.version,
+        item: Some(fresh(world, me, &held.item)),
+    })
+}
+
+/// A host row gets the highest heartbeat known, as receivers order incarnations by it.
+fn fresh(world: &World, owner: &HostId, item: &Item) -> Item {
+    match (item, world.hosts.rows.get(owner)) {
+        (Item::Host(host), Some(row)) => Item::Host(wire::Host {
+            beat: row.beat,
+            ..host.clone()
+        }),
+        _ => item.clone(),
+    }
+}
+
+/// Starts exchanges.
+pub fn run(world: &mut World) {
+    let (now, settings) = (world.now, &world.settings);
+    let (interval, zone_interval) = (settings.gossip_interval, settings.zone_interval);
+    if now >= world.peers.next_exchange {
+        world.peers.next_exchange = now + jitter(world, interval);
+        if let Some(to) = choose_in_zone(world) {
+            let digest = digest(world, Scope::Zone);
+            peer::send(world, &to, Body::Digest(digest));
+        }
+    }
+    if now >= world.peers.next_zone_exchange {
+        world.peers.next_zone_exchange = now + jitter(world, zone_interval);
+        if let Some(to) = choose_elsewhere(world) {
+            let digest = digest(world, Scope::Fleet);
+            peer::send(world, &to, Body::Digest(digest));
+        }
+    }
+}
+
+/// Hosts that start together must not stay in step.
+fn jitter(world: &mut World, interval: Duration) -> Duration {
+    interval.mul_f64(world.rng.random_range(0.9..1.1))
+}
+
+fn choose_in_zone(world: &mut World) -> Option<HostId> {
+    let table = &world.hosts;
+    let others = || {
+        let rows = table.rows.iter();
+        rows.filter(|(id, row)| **id != table.me && row.zone == table.zone)
+    };
+    let dead = others().filter(|(_, row)| row.state == State::Dead);
+    let dead = dead.map(|(id, _)| id).choose(&mut world.rng);
+    let live = others().filter(|(_, row)| row.state != State::Dead);
+    let live = live.map(|(id, _)| id).choose(&mut world.rng);
+    match (live, dead) {
+        (Some(_), Some(dead)) if world.rng.random_ratio(1, DEAD_ONE_IN) => Some(dead.clone()),
+        (Some(id), _) | (None, Some(id)) => Some(id.clone()),
+        (None, None) => None,
+    }
+}
+
+fn choose_elsewhere(world: &mut World) -> Option<HostId> {
+    let table = &world.hosts;
+    let zones: BTreeSet<&ZoneId> = table.rows.values().map(|row| &row.zone).collect();
+    let zone = zones
+        .into_iter()
+        .filter(|zone| **zone != table.zone)
+        .choose(&mut world.rng)?;
+    let rows = || table.rows.iter().filter(|(_, row)| row.zone == *zone);
+    let live = rows().filter(|(_, row)| row.state != State::Dead);
+    let live = live.map(|(id, _)| id).choose(&mut world.rng);
+    live.or_else(|| rows().map(|(id, _)| id).choose(&mut world.rng))
+        .cloned()
+}
+
+/// Which rows an exchange is about.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    Zone,
+    Fleet,
+}
+
+fn digest(world: &World, scope: Scope) -> wire::Digest {
+    let mut known = Vec::new();
+    if scope == Scope::Zone {
+        for (id, owner) in &world.peers.owners {
+            // Left out while dead: otherwise hosts that forget it at different times teach it to each other again.
+            let row = world.hosts.rows.get(id).filter(|row| row.state != State::Dead);
+            known.extend(row.map(|row| wire::Known {
+                owner: name(id),
+                incarnation: owner.incarnation as u32,
+                version: owner.known,
+                beat: row.beat,
+            }));
+        }
+    }
+    known.extend(world.peers.wide.iter().map(|(key, wide)| wire::Known {
+        owner: key.hash(),
+        incarnation: wide.mark,
+        version: wide.version,
+        beat: 0,
+    }));
+    wire::Digest {
+        known,
+        sender: row(world, &Key::Host),
+    }
+}
+
+/// Takes a digest and answers with what its sender lacks.
+pub fn digest_heard(world: &mut World, from: &HostId, digest: wire::Digest) {
+    let Some((item, sender)) = digest.sender.and_then(|mut row| Some((row.item.take()?, row))) else {
+        return peer::ignore(world, from, "a digest without its sender");
+    };
+    let Item::Host(host) = &item else {
+        return peer::ignore(world, from, "a digest whose sender is no host");
+    };
+    if sender.owner != **from || *from == world.hosts.me || !fits(&item) || digest.known.len() > KNOWN_MAX {
+        return peer::ignore(world, from, "a digest with a wrong sender or length");
+    }
+    let same_zone = *host.zone == *world.hosts.zone;
+    peer::take_owned(world, from, from, sender.incarnation, sender.version, &Key::Host, &item);
+    for known in &digest.known {
+        known_heard(world, known);
+    }
+    let Some(row) = world.hosts.rows.get(from) else {
+        return;
+    };
+    if row.incarnation != sender.incarnation {
+        // The sender is newer than the incarnation held, or older. Its own beat settles which: a live host that hears
+        // of a beat above its own answers with a higher one.
+        let known = wire::Known {
+            owner: name(from),
+            incarnation: row.incarnation as u32,
+            version: 0,
+            beat: row.beat,
+        };
+        let delta = wire::Delta {
+            rows: Vec::new(),
+            known: vec![known],
+        };
+        return peer::send(world, from, Body::Delta(delta));
+    }
+    let scope = if same_zone { Scope::Zone } else { Scope::Fleet };
+    answer(world, from, &digest.known, scope);
+}
+
+/// Takes a heartbeat out of a digest or a delta.
+pub fn known_heard(world: &mut World, known: &wire::Known) {
+    if known.owner == name(&world.hosts.me) {
+        if known.incarnation != world.settings.incarnation as u32 {
+            host::raise_beat(world, known.beat);
+        }
+        return;
+    }
+    let Some(id) = world.peers.names.get(&known.owner) else {
+        return;
+    };
+    let now = world.now;
+    if let Some(row) = world.hosts.rows.get(id)
+        && row.incarnation as u32 == known.incarnation
+        && row.beat < known.beat
+    {
+        let id = id.clone();
+        host::beat(&mut world.hosts, &id, known.beat, now);
+    }
+}
+
+fn answer(world: &mut World, to: &HostId, theirs: &[wire::Known], scope: Scope) {
+    let theirs: AHashMap<u32, &wire::Known> = theirs.iter().map(|known| (known.owner, known)).collect();
+    let now = world.now;
+    let rate = world.settings.gossip_budget_bytes;
+    let mut budget = world
+        .peers
+        .budget
+        .take()
+        .unwrap_or_else(|| Bucket::new(rate, rate, now));
+    let (mut messages, mut delta, mut bytes) = (Vec::new(), wire::Delta::default(), 0);
+    let mut put = |delta: &mut wire::Delta, rows: Vec<wire::Row>, cost: usize| {
+        if bytes > 0 && bytes + cost > ROWS_MAX_BYTES {
+            messages.push(std::mem::take(delta));
+            bytes = 0;
+        }
+        bytes += cost;
+        delta.rows.extend(rows);
+    };
+    for (key, wide) in &world.peers.wide {
+        let known = theirs
+            .get(&key.hash())
+            .map_or((0, 0), |known| (known.version, known.incarnation));
+        if known >= wide.order() || !budget.open(now) {
+            continue;
+        }
+        if let Some(row) = row(world, key) {
+            let cost = row.encoded_len();
+            budget.take(cost);
+            put(&mut delta, vec![row], cost);
+        }
+    }
+    if scope == Scope::Zone {
+        let count = world.peers.owners.len();
+        // Starting anywhere keeps a tight budget from always serving the same owners.
+        let start = if count == 0 {
+            0
+        } else {
+            world.rng.random_range(0..count)
+        };
+        let owners = world.peers.owners.iter();
+        for (id, owner) in owners.clone().skip(start).chain(owners.take(start)) {
+            let Some(host) = world.hosts.rows.get(id).filter(|row| row.state != State::Dead) else {
+                continue;
+            };
+            let known = theirs.get(&name(id));
+            let same = known.filter(|known| known.incarnation == owner.incarnation as u32);
+            if same.is_none() && known.is_some_and(|known| known.beat >= host.beat) {
+                continue;
+            }
+            let version = same.map_or(0, |known| known.version);
+            let mut upto = version;
+            if owner.known > version && budget.open(now) {
+                let (rows, whole, cost) = rows_above(world, id, version, same.is_none());
+                upto = match rows.as_slice() {
+                    _ if whole => owner.known,
+                    // A lone host row was sent ahead of older rows.
+                    [] | [_] if same.is_none() => version,
+                    rows => rows.last().map_or(version, |row| row.version.min(owner.known)),
+                };
+                budget.take(cost);
+                put(&mut delta, rows, cost);
+            }
+            if upto > version || same.is_none_or(|known| known.beat < host.beat) {
+                delta.known.push(wire::Known {
+                    owner: name(id),
+                    incarnation: owner.incarnation as u32,
+                    version: upto,
+                    beat: host.beat,
+                });
+            }
+        }
+    }
+    messages.push(delta);
+    world.peers.budget = Some(budget);
+    for delta in messages {
+        if !delta.rows.is_empty() || !delta.known.is_empty() {
+            peer::send(world, to, Body::Delta(delta));
+        }
+    }
+}
+
+/// Rows of one owner that fit into one message, and whether they are all. They are never split over two messages: the
+/// second one could arrive alone, and its versions would then hide the rows of the first.
+fn rows_above(world: &World, id: &HostId, version: u64, with_host: bool) -> (Vec<wire::Row>, bool, usize) {
+    let owner = &world.peers.owners[id];
+    let mut above = owner.above(version);
+    if with_host {
+        // The host row brings in the incarnation that the other rows need.
+        above.sort_by_key(|row| (!matches!(row.item, Item::Host(_)), row.version));
+    }
+    let (mut rows, mut bytes) = (Vec::new(), 0);
+    for held in &above {
+        let mut row = wire::Row {
+            version: held.version,
+            item: Some(fresh(world, id, &held.item)),
+            ..wire::Row::default()
+        };
+        if rows.is_empty() {
+            row.owner = id.to_string();
+            row.incarnation = owner.incarnation;
+        }
+        bytes += row.encoded_len();
+        if bytes > ROWS_MAX_BYTES && !rows.is_empty() {
+            return (rows, false, bytes - row.encoded_len());
+        }
+        rows.push(row);
+    }
+    (rows, true, bytes)
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,22 +5,32 @@
 //! and a bench drive the same code.
 
 pub mod action;
+pub mod apply;
+pub mod budget;
 pub mod burn;
 pub mod config;
+pub mod drain;
 pub mod event;
 pub mod forward;
+pub mod gossip;
+pub mod head;
 pub mod host;
 pub mod key;
+pub mod lease;
 pub mod listing;
+pub mod pack;
 pub mod peer;
 pub mod queue;
 pub mod request;
 pub mod rollout;
 pub mod route;
+pub mod rows;
 pub mod settings;
+pub mod status;
 pub mod store;
 pub mod stream;
 pub mod strike;
+pub mod summary;
 pub mod target;
 pub mod world;
 
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -1,11 +1,41 @@
-//! Gossip with peers.
+//! Gossip with peers: tables, publishing, and the routing of messages to their modules.
+//!
+//! `rows` has the rows and their order, `gossip` the exchanges.
+
+use std::collections::BTreeMap;
+
+use rand::seq::IteratorRandom;
 
 use crate::{
-    core::{Action, World},
+    core::{
+        Action, World,
+        budget::Bucket,
+        config, forward, gossip, host, listing, rollout,
+        rows::{Key, Owner, Wide, fits, named},
+        store, strike, summary, target,
+    },
+    file::Kind,
     prelude::*,
-    wire,
+    wire::{self, Body, Item},
 };
 
+/// Peers that a row is pushed to at once. Each of them that had not seen it pushes on, so that few hops reach a zone.
+const FEW: usize = 3;
+
+/// Fleet-wide rows kept. There are a handful per zone and one per model.
+const WIDE_MAX: usize = 4096;
+
+/// Time between two log lines about bad messages, as a broken peer may send many.
+const QUIET: Duration = Duration::from_secs(10);
+
+/// Loads are repeated every few seconds; one this old belongs to a target that is polled by another host or is gone.
+const LOAD_KEPT: Duration = Duration::from_secs(60);
+
+/// As long as strikes themselves are remembered.
+const STRIKE_KEPT: Duration = Duration::from_secs(3600);
+
+const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+
 /// News from a peer link.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -32,10 +62,21 @@
 
 /// Digests, row versions and the byte budget.
 #[derive(Debug, Default)]
-pub struct Table {}
+pub struct Table {
+    pub owners: BTreeMap<HostId, Owner>,
+    /// Owners by the hash that digests name them with.
+    pub names: BTreeMap<u32, HostId>,
+    pub wide: BTreeMap<Key, Wide>,
+    pub budget: Option<Bucket>,
+    pub next_exchange: Time,
+    pub next_zone_exchange: Time,
+    next_sweep: Time,
+    quiet_until: Time,
+    ignored: u64,
+}
 
 /// Sends one message to a host whose address is known.
-pub fn send(world: &mut World, to: &HostId, body: wire::Body) {
+pub fn send(world: &mut World, to: &HostId, body: Body) {
     let Some(address) = world.hosts.rows.get(to).map(|row| row.address.clone()) else {
         return;
     };
@@ -46,17 +87,274 @@
     });
 }
 
-/// Publishes a row of this host.
-pub fn publish(world: &mut World, item: wire::Item, spread: Spread) {
-    let _ = (world, item, spread);
+/// Publishes a row of this host, or a fleet-wide row if it is newer than the one known.
+pub fn publish(world: &mut World, item: Item, spread: Spread) {
+    let (now, key) = (world.now, Key::of(&item));
+    if key.fleet_wide() {
+        let held = world.peers.wide.get(&key);
+        let row = Wide::new(now, held.map_or(1, |held| held.version + 1), item.clone());
+        if held.is_some_and(|held| held.order() >= row.order()) {
+            return;
+        }
+        world.peers.wide.insert(key.clone(), row);
+    } else {
+        let (me, incarnation) = (world.hosts.me.clone(), world.settings.incarnation);
+        let owner = world.peers.owners.entry(me).or_insert_with(|| Owner::new(incarnation));
+        owner.known += 1;
+        let version = owner.known;
+        owner.take(now, version, &key, &item);
+    }
+    if let Some(row) = gossip::row(world, &key) {
+        push(world, &row, spread, None);
+    }
+}
+
+/// Pushes a row to hosts of this zone.
+fn push(world: &mut World, row: &wire::Row, spread: Spread, except: Option<&HostId>) {
+    let (zone, me) = (world.hosts.zone.clone(), world.hosts.me.clone());
+    let alive = world.hosts.alive_in(&zone).into_iter();
+    let others = alive.filter(|id| **id != me && Some(*id) != except).cloned();
+    let to = match spread {
+        Spread::Gossip => return,
+        Spread::PushFew => others.choose_multiple(&mut world.rng, FEW),
+        Spread::PushAll => others.collect(),
+    };
+    for id in to {
+        let delta = wire::Delta {
+            rows: vec![row.clone()],
+            known: Vec::new(),
+        };
+        send(world, &id, Body::Push(delta));
+    }
 }
 
 /// Takes a message.
 pub fn input(world: &mut World, event: Event) {
-    let _ = (world, event);
+    let (from, message) = match event {
+        Event::Lost { to } => return forward::lost(world, &to),
+        Event::Message { from, message } => (from, message),
+    };
+    let Some(body) = message.body else {
+        return ignore(world, &from, "an empty message");
+    };
+    if let Body::Digest(digest) = body {
+        return gossip::digest_heard(world, &from, digest);
+    }
+    if !world.hosts.rows.contains_key(&from) {
+        return ignore(world, &from, "a message from a host that is not known");
+    }
+    match body {
+        Body::Hello(_) => ignore(world, &from, "a second hello"),
+        Body::Digest(_) => {}
+        Body::Delta(delta) | Body::Push(delta) => delta_heard(world, &from, delta),
+        Body::ConfigAsk(ask) => config::asked(world, &from, ask.revision),
+        Body::Config(body) => config::body_heard(world, &from, body),
+        Body::Forward(forward) => forward::input(world, &from, forward),
+        Body::Reply(reply) => forward::reply(world, &from, reply),
+    }
+}
+
+/// Logs a message that is not taken.
+pub fn ignore(world: &mut World, from: &str, what: &str) {
+    world.peers.ignored += 1;
+    if world.now < world.peers.quiet_until {
+        return;
+    }
+    let count = std::mem::take(&mut world.peers.ignored);
+    world.peers.quiet_until = world.now + QUIET;
+    world.log(
+        log::Level::Warn,
+        format!("ignored {what} from peer \"{from}\" ({count} ignored since the last such line)"),
+    );
+}
+
+fn delta_heard(world: &mut World, from: &HostId, delta: wire::Delta) {
+    let mut owner = (HostId::default(), 0);
+    for row in delta.rows {
+        let Some(item) = row.item.filter(fits) else {
+            ignore(world, from, "a row without usable content");
+            continue;
+        };
+        if !row.owner.is_empty() {
+            owner = (row.owner.into(), row.incarnation);
+        }
+        let key = Key::of(&item);
+        if key.fleet_wide() {
+            take_wide(world, from, row.version, key, item);
+        } else {
+            take_owned(world, from, &owner.0, owner.1, row.version, &key, &item);
+        }
+    }
+    for known in delta.known {
+        gossip::known_heard(world, &known);
+        let Some(id) = world.peers.names.get(&known.owner) else {
+            continue;
+        };
+        if let Some(owner) = world.peers.owners.get_mut(id)
+            && *id != world.hosts.me
+            && owner.incarnation as u32 == known.incarnation
+        {
+            owner.known = owner.known.max(known.version);
+        }
+    }
+}
+
+/// Takes a row of a host of this zone.
+pub fn take_owned(
+    world: &mut World,
+    from: &HostId,
+    owner: &HostId,
+    incarnation: Incarnation,
+    version: u64,
+    key: &Key,
+    item: &Item,
+) {
+    if !named(owner) {
+        return ignore(world, from, "a row without an owner");
+    }
+    if let Item::Host(host) = item {
+        let held = world
+            .peers
+            .owners
+            .get(owner)
+            .filter(|held| held.incarnation == incarnation);
+        if held
+            .and_then(|held| held.rows.get(key))
+            .is_some_and(|row| row.version >= version)
+        {
+            return host::beat(&mut world.hosts, owner, host.beat, world.now);
+        }
+        if !host::heard(world, from, owner, incarnation, host) {
+            return;
+        }
+    }
+    let own_zone = world
+        .hosts
+        .rows
+        .get(owner)
+        .is_some_and(|row| row.zone == world.hosts.zone);
+    if *owner == world.hosts.me || !own_zone {
+        return;
+    }
+    let now = world.now;
+    let joined = world
+        .peers
+        .owners
+        .get(owner)
+        .is_none_or(|held| held.incarnation != incarnation);
+    let held = world
+        .peers
+        .owners
+        .entry(owner.clone())
+        .or_insert_with(|| Owner::new(incarnation));
+    if held.incarnation != incarnation {
+        // Only a host row brings in a new incarnation; rows of the old one are dropped with it.
+        if *key != Key::Host {
+            return;
+        }
+        *held = Owner::new(incarnation);
+    }
+    world.peers.names.insert(gossip::name(owner), owner.clone());
+    if !held.take(now, version, key, item) {
+        return;
+    }
+    match item {
+        Item::Load(load) => load_heard(world, load),
+        Item::Strike(strike) => strike::heard(world, strike.content, strike.target.as_str().into()),
+        // Exchanges only fetch, so a host that has just joined would be known to few at first.
+        Item::Host(_) if joined => {
+            let row = wire::Row {
+                owner: owner.to_string(),
+                incarnation,
+                version,
+                item: Some(item.clone()),
+            };
+            push(world, &row, Spread::PushFew, Some(from));
+        }
+        _ => {}
+    }
+}
+
+fn load_heard(world: &mut World, load: &wire::Load) {
+    let id: TargetId = load.target.as_str().into();
+    let outcome = match load.outcome {
+        0 => target::Outcome::Report(target::Report {
+            running: load.running,
+            waiting: load.waiting,
+            kv_used_percent: load.kv_used_percent,
+            versions: model_of(world, &id)
+                .map(|model| (model, load.version))
+                .into_iter()
+                .collect(),
+        }),
+        1 => target::Outcome::Leaving,
+        _ => target::Outcome::Unreachable,
+    };
+    target::heard(world, &id, outcome);
+}
+
+fn model_of(world: &World, target: &TargetId) -> Option<ModelId> {
+    let pool = &world.targets.rows.get(target)?.pool;
+    match &world.config.snapshot.as_ref()?.pools.get(pool)?.kind {
+        Kind::Engine { model } => Some(model.clone()),
+        Kind::Service { .. } => None,
+    }
+}
+
+/// Takes a fleet-wide row.
+fn take_wide(world: &mut World, from: &HostId, version: u64, key: Key, item: Item) {
+    if let Item::Head(head) = &item {
+        // A head is passed on only by hosts that have its body, so that whoever hears of it knows whom to ask.
+        return config::heard(world, from, head);
+    }
+    let row = Wide::new(world.now, version, item);
+    match world.peers.wide.get(&key) {
+        Some(held) if held.order() >= row.order() => return,
+        None if world.peers.wide.len() >= WIDE_MAX => return ignore(world, from, "a fleet-wide row above the limit"),
+        _ => {}
+    }
+    let item = row.item.clone();
+    world.peers.wide.insert(key.clone(), row);
+    match item {
+        Item::Desired(desired) => {
+            if let Some(row) = gossip::row(world, &key) {
+                push(world, &row, Spread::PushFew, Some(from));
+            }
+            let wanted = rollout::Desired {
+                version: desired.version,
+                weights: desired.weights.into(),
+            };
+            rollout::heard(world, desired.model.into(), wanted);
+        }
+        Item::Listing(list) => listing::heard(world, &list),
+        Item::Zone(zone) => summary::heard(world, &zone),
+        Item::Members(members) => summary::members_heard(world, &members),
+        Item::Fence(fence) => store::fence_heard(world, &fence.lease, fence.fence),
+        Item::Host(_) | Item::Load(_) | Item::Strike(_) | Item::Head(_) => {}
+    }
 }
 
 /// Starts exchanges.
 pub fn run(world: &mut World) {
-    let _ = world;
+    if world.now >= world.peers.next_sweep {
+        world.peers.next_sweep = world.now + SWEEP_INTERVAL;
+        sweep(world);
+    }
+    gossip::run(world);
+}
+
+/// Drops rows that are no longer repeated, and rows of hosts that are gone.
+fn sweep(world: &mut World) {
+    let (now, me) = (world.now, &world.hosts.me);
+    let (hosts, table) = (&world.hosts.rows, &mut world.peers);
+    table.owners.retain(|id, _| id == me || hosts.contains_key(id));
+    table.names.retain(|_, id| id == me || hosts.contains_key(id));
+    for (id, owner) in &mut table.owners {
+        let dead = hosts.get(id).is_some_and(|row| row.state == host::State::Dead);
+        owner.rows.retain(|key, row| match key {
+            Key::Load(_) => !dead && now - row.heard < LOAD_KEPT,
+            Key::Strike(..) => !dead && now - row.heard < STRIKE_KEPT,
+            _ => true,
+        });
+    }
 }
--- a/src/core/request.rs
+++ b/src/core/request.rs
@@ -239,3 +239,8 @@
 pub fn run(world: &mut World) {
     let _ = world;
 }
+
+/// Whether no request waits or runs.
+pub fn idle(world: &World) -> bool {
+    world.requests.rows.is_empty()
+}
--- a/src/core/stream.rs
+++ b/src/core/stream.rs
@@ -71,3 +71,9 @@
 pub fn run(world: &mut World) {
     let _ = world;
 }
+
+/// Whether no trainer waits for an answer.
+pub fn idle(world: &World) -> bool {
+    let _ = world;
+    true
+}
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -185,6 +185,9 @@
     pub address: String,
     #[prost(fixed64, tag = "3")]
     pub incarnation: u64,
+    /// Gets no new roles, but still answers for its keys.
+    #[prost(bool, tag = "4")]
+    pub leaving: bool,
 }
 
 /// Highest fencing number known of a lease.
--- /dev/null
+++ b/tests/host.rs
@@ -0,0 +1,149 @@
+//! Guards against hosts that are taken for live or dead wrongly, and against restarted hosts that are shut out.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Fleet, id};
+use lagoonyard::{
+    core::{Event, config::Admin, host::State},
+    ids::HostId,
+};
+
+const S: Duration = Duration::from_secs(1);
+
+fn state(fleet: &Fleet, at: &str, of: &str) -> Option<State> {
+    fleet.cores[at].world().hosts.rows.get(of).map(|row| row.state)
+}
+
+fn all_see(fleet: &Fleet, of: &str, wanted: State) -> bool {
+    fleet
+        .cores
+        .keys()
+        .filter(|at| ***at != *of)
+        .all(|at| state(fleet, at, of) == Some(wanted))
+}
+
+#[test]
+fn hosts_find_each_other_from_two_seeds() {
+    let mut fleet = Fleet::new(&["a", "b"], 8);
+    fleet.run(8 * S);
+    for core in fleet.cores.values() {
+        assert_eq!(core.world().hosts.alive_in("a").len(), 8);
+        assert_eq!(core.world().hosts.alive_in("b").len(), 8);
+    }
+    let rank = |at: &str| -> Vec<HostId> { fleet.cores[at].world().hosts.rank("stream/x", "a") };
+    assert_eq!(rank("a-0"), rank("b-7"));
+}
+
+#[test]
+fn a_silent_host_is_suspect_then_dead_and_no_other_is() {
+    let mut fleet = Fleet::new(&["a"], 12);
+    fleet.run(10 * S);
+    fleet.frozen.insert(id("a", 3));
+    fleet.run(8 * S);
+    assert!(
+        fleet
+            .cores
+            .keys()
+            .any(|at| state(&fleet, at, "a-3") == Some(State::Suspect))
+    );
+    fleet.run(9 * S);
+    let live: Vec<_> = fleet.cores.keys().filter(|at| &***at != "a-3").collect();
+    for at in &live {
+        assert_eq!(state(&fleet, at, "a-3"), Some(State::Dead));
+        assert_eq!(fleet.cores[*at].world().hosts.alive_in("a").len(), 11, "{at}");
+    }
+}
+
+#[test]
+fn no_host_is_suspected_in_a_quiet_zone() {
+    let mut fleet = Fleet::new(&["a"], 24);
+    fleet.run(10 * S);
+    for _ in 0..60 {
+        fleet.run(S);
+        for core in fleet.cores.values() {
+            assert_eq!(core.world().hosts.alive_in("a").len(), 24);
+        }
+    }
+}
+
+#[test]
+fn a_paused_host_comes_back_and_does_not_take_the_others_for_dead() {
+    let mut fleet = Fleet::new(&["a"], 6);
+    fleet.run(8 * S);
+    fleet.frozen.insert(id("a", 2));
+    fleet.run(30 * S);
+    assert!(all_see(&fleet, "a-2", State::Dead));
+    fleet.frozen.clear();
+    fleet.run(Duration::from_millis(100));
+    assert_eq!(fleet.cores["a-2"].world().hosts.alive_in("a").len(), 6);
+    fleet.run(6 * S);
+    assert!(all_see(&fleet, "a-2", State::Live));
+}
+
+#[test]
+fn a_restarted_host_replaces_its_old_incarnation() {
+    let mut fleet = Fleet::new(&["a", "b"], 4);
+    fleet.run(30 * S);
+    let old = fleet.cores["a-1"].world().hosts.rows["a-3"].incarnation;
+    // Its heartbeats begin again at one, far below the old incarnation's.
+    fleet.start("a", 3, 2);
+    let new = fleet.cores["a-3"].world().settings.incarnation;
+    fleet.run(6 * S);
+    assert_ne!(old, new);
+    for at in fleet.cores.keys() {
+        let row = &fleet.cores[at].world().hosts.rows["a-3"];
+        assert_eq!((row.incarnation, row.state), (new, State::Live), "{at}");
+    }
+}
+
+#[test]
+fn a_leaving_host_loses_its_roles_at_once() {
+    let mut fleet = Fleet::new(&["a"], 5);
+    fleet.run(8 * S);
+    let first = fleet.cores["a-0"].world().hosts.rank("config", "a")[0].clone();
+    fleet.input(&first, Event::Admin(Admin::Drain { ticket: None }));
+    fleet.run(Duration::from_millis(100));
+    assert!(all_see(&fleet, &first, State::Leaving));
+    assert!(fleet.exits.contains(&first));
+    fleet.run(5 * S);
+    assert!(
+        all_see(&fleet, &first, State::Leaving),
+        "heartbeats must not revive a leaving host"
+    );
+}
+
+#[test]
+fn two_halves_of_a_zone_find_each_other_again() {
+    let mut fleet = Fleet::new(&["a"], 6);
+    fleet.run(8 * S);
+    for x in 0..3 {
+        for y in 3..6 {
+            fleet.cut.insert((id("a", x), id("a", y)));
+            fleet.cut.insert((id("a", y), id("a", x)));
+        }
+    }
+    fleet.run(60 * S);
+    assert_eq!(fleet.cores["a-0"].world().hosts.alive_in("a").len(), 3);
+    fleet.cut.clear();
+    fleet.run(20 * S);
+    for core in fleet.cores.values() {
+        assert_eq!(core.world().hosts.alive_in("a").len(), 6);
+    }
+}
+
+#[test]
+fn a_host_that_is_gone_is_forgotten_and_not_taught_again() {
+    let mut fleet = Fleet::new(&["a"], 4);
+    fleet.run(8 * S);
+    fleet.cores.remove("a-3");
+    fleet.run(3600 * S);
+    for at in ["a-0", "a-1", "a-2"] {
+        assert_eq!(state(&fleet, at, "a-3"), Some(State::Dead));
+    }
+    fleet.run(60 * S);
+    for at in ["a-0", "a-1", "a-2"] {
+        assert_eq!(state(&fleet, at, "a-3"), None);
+    }
+}
