--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,201 @@
+//! What the traffic threads share with the control thread: the way in for events and the answers awaited.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::ArcSwapOption;
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, oneshot},
+};
+
+use crate::{
+    core::{Event, config, request, stream},
+    file,
+    metrics::Metrics,
+    prelude::*,
+    settings::Limits,
+};
+
+/// Chunks that may wait for a caller that reads slowly.
+const CHUNKS_MAX: usize = 32;
+
+/// Answer of the control thread to a ticket.
+#[derive(Debug)]
+pub enum Reply {
+    Answer(request::Answer),
+    Keys(Vec<Box<str>>),
+    Batch(stream::Answer),
+    Admin(config::Answer),
+}
+
+/// Text on its way to a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Chunk {
+    /// Bytes of the whole text that stand before it.
+    pub offset: usize,
+    pub text: Box<str>,
+    pub version: Option<Version>,
+}
+
+/// Who waits for a ticket.
+struct Waiter {
+    reply: oneshot::Sender<Reply>,
+    chunks: Option<mpsc::Sender<Chunk>>,
+}
+
+/// Handle of the traffic threads.
+pub struct Control {
+    pub limits: Limits,
+    pub metrics: Arc<Metrics>,
+    /// Configuration in force.
+    pub snapshot: ArcSwapOption<file::Snapshot>,
+    draining: AtomicBool,
+    events: mpsc::Sender<Event>,
+    runtime: Handle,
+    last: AtomicU64,
+    waiters: Mutex<HashMap<Ticket, Waiter>>,
+}
+
+impl Control {
+    /// A handle and the end at which the control thread takes events.
+    pub fn new(limits: Limits, metrics: Arc<Metrics>, runtime: Handle) -> (Arc<Self>, mpsc::Receiver<Event>) {
+        let (events, received) = mpsc::channel(limits.max_events);
+        let control = Self {
+            limits,
+            metrics,
+            snapshot: ArcSwapOption::empty(),
+            draining: AtomicBool::new(false),
+            events,
+            runtime,
+            last: AtomicU64::new(0),
+            waiters: Mutex::default(),
+        };
+        (Arc::new(control), received)
+    }
+
+    /// Way in for events that may wait, such as news of attempts.
+    pub fn events(&self) -> mpsc::Sender<Event> {
+        self.events.clone()
+    }
+
+    /// Whether new callers can be served.
+    pub fn ready(&self) -> Result<(), Code> {
+        if self.draining.load(Ordering::Relaxed) {
+            return Err(Code::Draining);
+        }
+        if self.snapshot.load().is_none() {
+            return Err(Code::NotReady);
+        }
+        Ok(())
+    }
+
+    /// Reports this host as not ready from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
+    /// Sends an event that asks for one answer. It is refused at once when the control thread is behind.
+    pub fn ask(self: &Arc<Self>, event: impl FnOnce(Ticket) -> Event) -> Result<Pending, Code> {
+        self.register(None, event)
+    }
+
+    /// Like `ask`, with the text on the way to the answer.
+    pub fn ask_stream(
+        self: &Arc<Self>,
+        event: impl FnOnce(Ticket) -> Event,
+    ) -> Result<(Pending, mpsc::Receiver<Chunk>), Code> {
+        let (chunks, received) = mpsc::channel(CHUNKS_MAX);
+        Ok((self.register(Some(chunks), event)?, received))
+    }
+
+    fn register(
+        self: &Arc<Self>,
+        chunks: Option<mpsc::Sender<Chunk>>,
+        event: impl FnOnce(Ticket) -> Event,
+    ) -> Result<Pending, Code> {
+        let ticket = self.last.fetch_add(1, Ordering::Relaxed) + 1;
+        let (reply, received) = oneshot::channel();
+        self.waiters().insert(ticket, Waiter { reply, chunks });
+        let mut pending = Pending {
+            control: Arc::clone(self),
+            ticket,
+            reply: received,
+            sent: false,
+            answered: false,
+        };
+        // The waiter is in the table first, because the answer may come before this thread goes on.
+        self.events.try_send(event(ticket)).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => Code::QueueFull,
+            mpsc::error::TrySendError::Closed(_) => Code::Draining,
+        })?;
+        pending.sent = true;
+        Ok(pending)
+    }
+
+    /// Hands an answer to whoever waits for it; one that nobody waits for any more is dropped.
+    pub fn reply(&self, ticket: Ticket, reply: Reply) {
+        let waiter = self.waiters().remove(&ticket);
+        if let Some(waiter) = waiter {
+            let _ = waiter.reply.send(reply);
+        }
+    }
+
+    /// Where the text of a ticket goes.
+    pub fn chunks(&self, ticket: Ticket) -> Option<mpsc::Sender<Chunk>> {
+        self.waiters().get(&ticket)?.chunks.clone()
+    }
+
+    /// Tickets that wait for an answer.
+    pub fn waiting(&self) -> usize {
+        self.waiters().len()
+    }
+
+    fn waiters(&self) -> MutexGuard<'_, HashMap<Ticket, Waiter>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An answer awaited. Dropping it before the answer tells the core that the caller is gone.
+pub struct Pending {
+    control: Arc<Control>,
+    ticket: Ticket,
+    reply: oneshot::Receiver<Reply>,
+    sent: bool,
+    answered: bool,
+}
+
+impl Pending {
+    /// Waits for the answer. It may be polled again after it was cancelled.
+    pub async fn reply(&mut self) -> Result<Reply, Code> {
+        let reply = (&mut self.reply).await;
+        self.answered = true;
+        // The control thread ends only when the process does.
+        reply.map_err(|_| Code::OutcomeUnknown)
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.answered {
+            return;
+        }
+        let ticket = self.ticket;
+        self.control.waiters().remove(&ticket);
+        if !self.sent {
+            return;
+        }
+        let gone = Event::Request(request::Event::Gone { ticket });
+        if let Err(mpsc::error::TrySendError::Full(gone)) = self.control.events.try_send(gone) {
+            let events = self.control.events.clone();
+            self.control.runtime.spawn(async move {
+                let _ = events.send(gone).await;
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,311 @@
+//! Process of one host: the control thread that owns the core, and the traffic runtime around it.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::Arc,
+    thread,
+    time::{Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bytes::Bytes;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    runtime::{self, Handle, Runtime},
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, oneshot, watch},
+    time::{sleep, sleep_until, timeout_at},
+};
+
+use crate::{
+    admin, cache,
+    control::Control,
+    core::{Core, Event, config},
+    engine::Engine,
+    entry,
+    etcd::Etcd,
+    executor::{Borders, Executor, Flow},
+    http_sd::HttpSd,
+    link::{Identity, Link},
+    logging,
+    metrics::Metrics,
+    prelude::*,
+    serve::{self, Open},
+    service::Service,
+    settings::Settings,
+};
+
+/// Shortest time between two ticks.
+const TICK_MIN: Duration = Duration::from_millis(1);
+
+/// Events taken into one tick, so that a flood of them cannot put the tick off.
+const TICK_EVENTS: usize = 1024;
+
+/// Time between two readings of the core's tables for the metrics.
+const OBSERVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why the daemon could not run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("could not open the log: {source}"))]
+    Log { source: io::Error },
+    #[snafu(display("could not listen on {address}: {source}"))]
+    Listen { address: SocketAddr, source: io::Error },
+    #[snafu(display("could not start a thread: {source}"))]
+    Thread { source: io::Error },
+    #[snafu(display("the control thread ended"))]
+    Control,
+}
+
+/// A host that runs.
+pub struct Host {
+    pub control: Arc<Control>,
+    pub entry_address: SocketAddr,
+    pub admin_address: SocketAddr,
+    pub peer_address: SocketAddr,
+    open: [Arc<Open>; 2],
+    stop: watch::Sender<bool>,
+    exit: oneshot::Receiver<()>,
+    flush: Duration,
+}
+
+/// Runs a host until it has drained.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    logging::init(&settings.log, &settings.core.host).context(LogSnafu)?;
+    let runtime = Runtime::new().context(ThreadSnafu)?;
+    let result = runtime.block_on(async {
+        let host = start(settings).await?;
+        let (control, runtime) = (Arc::clone(&host.control), Handle::current());
+        runtime.spawn(watch_signals(control));
+        host.ended().await
+    });
+    // Calls to the outside that nobody waits for any more must not hold the process back.
+    runtime.shutdown_background();
+    result
+}
+
+/// Opens the ports and starts the control thread.
+pub async fn start(mut settings: Settings) -> Result<Host, Error> {
+    settings.core.incarnation = incarnation();
+    settings.core.seed = rand::random();
+    let runtime = Handle::current();
+    let entry_port = listen(settings.entry_address).await?;
+    let admin_port = listen(settings.admin_address).await?;
+    let peer_port = listen(settings.peer_address).await?;
+    let address = |port: &TcpListener, asked| port.local_addr().unwrap_or(asked);
+    let entry_address = address(&entry_port, settings.entry_address);
+    let admin_address = address(&admin_port, settings.admin_address);
+    let peer_address = address(&peer_port, settings.peer_address);
+    // Port 0 asks for any free port, and peers must learn which.
+    settings.core.peer_address = peer_address.to_string().into();
+
+    let metrics = Arc::new(Metrics::new());
+    let (control, events) = Control::new(settings.limits.clone(), Arc::clone(&metrics), runtime.clone());
+    let identity = Identity {
+        deployment: settings.core.deployment.clone(),
+        token: settings.core.secret.clone(),
+        host: settings.core.host.clone(),
+        incarnation: settings.core.incarnation,
+        zone: settings.core.zone.clone(),
+    };
+    let link = Link::new(
+        identity,
+        settings.link.clone(),
+        control.events(),
+        metrics,
+        runtime.clone(),
+    );
+    let link = Arc::new(link);
+    runtime.spawn(Arc::clone(&link).listen(peer_port));
+
+    let (stop, stopped) = watch::channel(false);
+    let open = [Arc::default(), Arc::default()];
+    let [entry_open, admin_open] = [&open[0], &open[1]].map(Arc::clone);
+    let limits = &settings.limits;
+    let router = entry::router(&control);
+    runtime.spawn(serve::run(
+        entry_port,
+        router,
+        limits.clone(),
+        entry_open,
+        stopped.clone(),
+    ));
+    let router = admin::router(&control, &settings.admin_token);
+    runtime.spawn(serve::run(admin_port, router, limits.clone(), admin_open, stopped));
+
+    let (bodies, written) = watch::channel(Bytes::new());
+    if let Some(dir) = &settings.data_dir {
+        restore(&control, dir.clone()).await;
+        runtime.spawn(keep(written, dir.clone()));
+    }
+    let store_timeout = settings.core.store_timeout;
+    let executor = Executor::new(
+        Arc::clone(&control),
+        runtime,
+        borders(&settings),
+        link,
+        store_timeout,
+        bodies,
+    );
+    let (exited, exit) = oneshot::channel();
+    let flush = settings.timings.flush;
+    log::info!("entry={entry_address} admin={admin_address} peer={peer_address} host started");
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            let runtime = runtime::Builder::new_current_thread().enable_time().build();
+            match runtime {
+                Ok(runtime) => runtime.block_on(drive(settings, events, &executor)),
+                Err(error) => return log::error!("could not start the control thread: {error}"),
+            }
+            let _ = exited.send(());
+        })
+        .context(ThreadSnafu)?;
+    Ok(Host {
+        control,
+        entry_address,
+        admin_address,
+        peer_address,
+        open,
+        stop,
+        exit,
+        flush,
+    })
+}
+
+impl Host {
+    /// Waits until the host has drained and its last answers are written.
+    pub async fn ended(self) -> Result<(), Error> {
+        if self.exit.await.is_err() {
+            return Err(Error::Control);
+        }
+        let _ = self.stop.send(true);
+        let until = Instant::now() + self.flush;
+        while self.open.iter().any(|it| it.count() > 0) {
+            if Instant::now() > until {
+                log::warn!("some connections were still open at the exit");
+                break;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+        log::info!("host ended");
+        Ok(())
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+/// Seconds since 1970 in the upper half, so that a later start is higher, and a random lower half.
+fn incarnation() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_secs() << 32 | u64::from(rand::random::<u32>())
+}
+
+fn borders(settings: &Settings) -> Borders {
+    let (timings, max_answer_bytes) = (&settings.timings, settings.limits.max_answer_bytes);
+    Borders {
+        store: Arc::new(Etcd::new(settings.store_urls.clone(), timings.connect)),
+        directory: Arc::new(HttpSd {
+            url: settings.directory_url.clone(),
+            timeout: timings.directory,
+        }),
+        engine: Arc::new(Engine {
+            connect_timeout: timings.connect,
+            poll_timeout: timings.poll,
+            chunk_timeout: timings.chunk,
+            max_answer_bytes,
+        }),
+        service: Arc::new(Service {
+            connect_timeout: timings.connect,
+            max_answer_bytes,
+        }),
+    }
+}
+
+/// Gives the core the body that the data folder holds.
+async fn restore(control: &Control, dir: PathBuf) {
+    match cache::read(&dir) {
+        Ok(Some(body)) => {
+            let _ = control.events().send(Event::Cached(body.into())).await;
+        }
+        Ok(None) => {}
+        Err(error) => log::warn!("could not read the data folder: {error}"),
+    }
+}
+
+/// Writes each new body; of several that wait only the last is written.
+async fn keep(mut bodies: watch::Receiver<Bytes>, dir: PathBuf) {
+    while bodies.changed().await.is_ok() {
+        let body = bodies.borrow_and_update().clone();
+        let dir = dir.clone();
+        let writing = tokio::task::spawn_blocking(move || cache::write(&dir, &body));
+        if let Ok(Err(error)) = writing.await {
+            log::warn!("could not write to the data folder: {error}");
+        }
+    }
+}
+
+/// The control thread: takes events, ticks and starts what the core asks for, until the core says that it may exit.
+async fn drive(settings: Settings, mut events: mpsc::Receiver<Event>, executor: &Executor) {
+    let start = tokio::time::Instant::now();
+    let metrics = &executor.control.metrics;
+    let mut core = Core::new(settings.core, Duration::ZERO);
+    let mut ticked = start;
+    let mut observed = start;
+    loop {
+        match timeout_at(start + core.wake(), events.recv()).await {
+            Ok(Some(event)) => core.input(start.elapsed(), event),
+            Ok(None) => return,
+            Err(_) => {}
+        }
+        // Events that come within a millisecond share a tick.
+        sleep_until(ticked + TICK_MIN).await;
+        for _ in 0..TICK_EVENTS {
+            let Ok(event) = events.try_recv() else { break };
+            core.input(start.elapsed(), event);
+        }
+        ticked = tokio::time::Instant::now();
+        let actions = core.tick(start.elapsed());
+        metrics.ticked(ticked.elapsed());
+        for action in actions {
+            if executor.run(action) == Flow::Exit {
+                return;
+            }
+        }
+        if observed.elapsed() >= OBSERVE_INTERVAL {
+            observed = ticked;
+            metrics.observe(core.world(), events.len());
+        }
+    }
+}
+
+/// The first signal drains the host, the second ends it at once.
+async fn watch_signals(control: Arc<Control>) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return log::error!("could not watch for signals");
+    };
+    let mut first = true;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        if !first {
+            log::warn!("second signal, host ends at once");
+            std::process::exit(1);
+        }
+        first = false;
+        log::info!("signal, host drains");
+        control.drain();
+        let events = control.events();
+        // A second signal must be seen while the event waits for room.
+        tokio::spawn(async move {
+            let _ = events.send(Event::Admin(config::Admin::Drain { ticket: None })).await;
+        });
+    }
+}
--- /dev/null
+++ b/src/engine.rs
@@ -0,0 +1,255 @@
+//! Model engines: OpenAI-style completions over server-sent events.
+
+use std::{collections::BTreeMap, io};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::StatusCode;
+use http_body_util::Limited;
+use serde::Deserialize;
+use serde_json::{Map, Value, json};
+use tokio::time::{Instant, timeout_at};
+use volo_http::client::sse::SseReader;
+
+use crate::{
+    border,
+    core::{
+        request::{Attempt, Failure, Generate, News, Output, Segment, Text, Work},
+        rollout, target,
+    },
+    outbound,
+    prelude::*,
+};
+
+/// Longest load report or answer to an order.
+const REPORT_MAX_BYTES: usize = 256 * 1024;
+
+/// Model engines over HTTP.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub connect_timeout: Duration,
+    pub poll_timeout: Duration,
+    /// Longest time between two chunks.
+    pub chunk_timeout: Duration,
+    pub max_answer_bytes: usize,
+}
+
+/// One chunk of a completion.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    choices: Vec<Choice>,
+    system_fingerprint: Option<String>,
+    usage: Option<Usage>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    #[serde(default)]
+    text: String,
+    finish_reason: Option<Box<str>>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+/// Load as an engine reports it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Load {
+    running: u32,
+    waiting: u32,
+    kv_used_percent: f64,
+    versions: BTreeMap<ModelId, Version>,
+}
+
+/// Text that grows by chunks.
+struct Growing {
+    text: String,
+    segments: Vec<Segment>,
+}
+
+impl Growing {
+    fn new(so_far: Option<&Text>) -> Self {
+        let (text, segments) = so_far.map_or_else(Default::default, |it| (it.text.to_string(), it.segments.clone()));
+        Self { text, segments }
+    }
+
+    fn tokens(&self) -> u32 {
+        self.segments.iter().map(|it| it.tokens).sum()
+    }
+
+    /// Adds a chunk; tokens of the same version in a row stand in one segment.
+    fn push(&mut self, text: &str, tokens: u32, version: Option<Version>) {
+        self.text.push_str(text);
+        if tokens == 0 {
+            return;
+        }
+        match self.segments.last_mut() {
+            Some(last) if last.version == version => last.tokens += tokens,
+            _ => self.segments.push(Segment { version, tokens }),
+        }
+    }
+
+    fn end(self, finish_reason: Option<Box<str>>) -> Text {
+        Text {
+            text: self.text.into(),
+            segments: self.segments,
+            finish_reason,
+        }
+    }
+}
+
+/// The version in a fingerprint `<model>@<version>`, if it names this model.
+fn version(fingerprint: Option<&str>, model: &str) -> Option<Version> {
+    let (name, version) = fingerprint?.rsplit_once('@')?;
+    (name == model).then(|| version.parse().ok()).flatten()
+}
+
+/// Body of a completion request that continues the text so far.
+fn body(work: &Generate, so_far: &Growing, priority: i32) -> Bytes {
+    let mut map: Map<String, Value> = serde_json::from_str(&work.params).unwrap_or_default();
+    map.insert("model".into(), json!(work.model));
+    map.insert("prompt".into(), json!(format!("{}{}", work.prompt, so_far.text)));
+    map.insert("max_tokens".into(), json!(work.max_tokens - so_far.tokens()));
+    map.insert("priority".into(), json!(priority));
+    map.insert("stream".into(), json!(true));
+    Value::Object(map).to_string().into()
+}
+
+impl Engine {
+    /// Reads a generation into `growing`; its finish reason makes it whole.
+    async fn stream(
+        &self,
+        attempt: &Attempt,
+        work: &Generate,
+        growing: &mut Growing,
+        sink: &mut dyn border::Sink,
+    ) -> Result<Box<str>, Failure> {
+        // A break after the last permitted token but before the finish reason leaves nothing to generate.
+        if growing.tokens() >= work.max_tokens {
+            return Ok("length".into());
+        }
+        let body = body(work, growing, attempt.priority);
+        let request = outbound::request("POST", &attempt.address, "/v1/completions", "application/json", body);
+        let request = request.ok_or(Failure::Connect)?;
+        let now = Instant::now();
+        let deadline = now + attempt.timeout;
+        let connection = outbound::connect(&attempt.address, deadline.min(now + self.connect_timeout)).await?;
+        sink.sent();
+        let (response, _driver) = connection.send(request, deadline).await?;
+        if outbound::leaves(response.headers()) && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(Failure::Leaving);
+        }
+        if !response.status().is_success() {
+            return Err(Failure::Status(response.status().as_u16()));
+        }
+        let response = response.map(|body| Limited::new(body, self.max_answer_bytes));
+        let mut events = SseReader::into_sse(response).map_err(|_| Failure::Broken)?;
+        loop {
+            let by = deadline.min(Instant::now() + self.chunk_timeout);
+            let event = match timeout_at(by, events.read()).await {
+                Ok(Ok(Some(event))) => event,
+                Ok(Ok(None) | Err(_)) => return Err(Failure::Broken),
+                Err(_) => return Err(Failure::Timeout),
+            };
+            // `[DONE]` without a finish reason is not a whole answer, like anything else that is not a chunk.
+            let Some(data) = event.data() else { continue };
+            let chunk: Chunk = serde_json::from_str(data).map_err(|_| Failure::Broken)?;
+            let Some(choice) = chunk.choices.into_iter().next() else {
+                continue;
+            };
+            let tokens = chunk.usage.map(|it| it.completion_tokens);
+            let tokens = tokens.unwrap_or_else(|| u32::from(!choice.text.is_empty()));
+            let version = version(chunk.system_fingerprint.as_deref(), &work.model);
+            growing.push(&choice.text, tokens, version);
+            if !choice.text.is_empty() {
+                sink.chunk(&choice.text, tokens, version).await;
+            }
+            if let Some(reason) = choice.finish_reason {
+                return Ok(reason);
+            }
+        }
+    }
+
+    /// Load of a target, `None` when it has no such report, as plain services have none.
+    async fn load(&self, address: &str, deadline: Instant) -> Result<Option<Load>, outbound::Failure> {
+        let (status, body) =
+            outbound::json(address, "/load", Bytes::new(), REPORT_MAX_BYTES, deadline, deadline).await?;
+        if status == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        if !status.is_success() {
+            return Err(outbound::Failure::Broken);
+        }
+        serde_json::from_slice(&body).map(Some).map_err(|error| {
+            let error = io::Error::from(error);
+            log::warn!("could not read the load report of {address}: {error}");
+            outbound::Failure::Broken
+        })
+    }
+}
+
+#[async_trait]
+impl border::Engine for Engine {
+    async fn generate(&self, attempt: &Attempt, sink: &mut dyn border::Sink) -> News {
+        let Work::Generate(work) = &attempt.work else {
+            let (failure, partial) = (Failure::Connect, None);
+            return News::Failed { failure, partial };
+        };
+        let mut growing = Growing::new(attempt.so_far.as_ref());
+        match self.stream(attempt, work, &mut growing, sink).await {
+            Ok(reason) => News::Done(Output::Text(growing.end(Some(reason)))),
+            Err(failure) => News::Failed {
+                failure,
+                partial: Some(growing.end(None)),
+            },
+        }
+    }
+
+    async fn poll(&self, address: &str) -> target::Outcome {
+        let deadline = Instant::now() + self.poll_timeout;
+        let health = outbound::json(address, "/health", Bytes::new(), REPORT_MAX_BYTES, deadline, deadline).await;
+        match health {
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => return target::Outcome::Leaving,
+            Ok((status, _)) if status.is_success() => {}
+            _ => return target::Outcome::Unreachable,
+        }
+        match self.load(address, deadline).await {
+            Ok(load) => {
+                let load = load.unwrap_or_default();
+                target::Outcome::Report(target::Report {
+                    running: load.running,
+                    waiting: load.waiting,
+                    // Rounds half up; the report's own unit is whole percents.
+                    kv_used_percent: (load.kv_used_percent.clamp(0.0, 100.0) + 0.5) as u32,
+                    versions: load.versions,
+                })
+            }
+            Err(_) => target::Outcome::Unreachable,
+        }
+    }
+
+    async fn order(&self, order: &rollout::Order) -> Result<(), rollout::Failure> {
+        let op = match order.op {
+            rollout::Op::LoadVersion => "load_version",
+        };
+        let body = json!({
+            "fence": order.fence,
+            "op": op,
+            "model": order.model,
+            "version": order.desired.version,
+            "weights": order.desired.weights,
+        });
+        let now = Instant::now();
+        let (connect_by, deadline) = (now + self.connect_timeout, now + order.timeout);
+        let body = body.to_string().into();
+        match outbound::json(&order.address, "/orders", body, REPORT_MAX_BYTES, connect_by, deadline).await {
+            Ok((StatusCode::CONFLICT, _)) => Err(rollout::Failure::StaleFence),
+            Ok((status, _)) if status.is_success() => Ok(()),
+            Err(outbound::Failure::Connect) => Err(rollout::Failure::Unreachable),
+            _ => Err(rollout::Failure::Failed),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/keys.rs
@@ -0,0 +1,41 @@
+//! `POST /v1/keys`: idempotency keys.
+
+use std::{sync::Arc, time::Instant};
+
+use serde::Deserialize;
+use volo_http::request::Request;
+
+use super::{Answer, unexpected};
+use crate::{
+    answer::{self, Error},
+    control::{Control, Reply},
+    core::{Event, key, request},
+    prelude::*,
+};
+
+/// Keys of one call, so that one caller cannot use up the table.
+const COUNT_MAX: u32 = 1000;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Ask {
+    count: u32,
+}
+
+pub async fn run(control: &Arc<Control>, request: Request, _: Instant) -> Result<Answer, Error> {
+    let limits = &control.limits;
+    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let Ask { count } = answer::parse(&body)?;
+    if count == 0 || count > COUNT_MAX {
+        return Err(Error::new(
+            Code::RequestMalformed,
+            format!("count: must be 1 to {COUNT_MAX}"),
+        ));
+    }
+    let mut pending = control.ask(|ticket| Event::Key(key::Ask { ticket, count }))?;
+    match pending.reply().await? {
+        Reply::Keys(keys) => Ok(Answer::Whole(answer::json(&serde_json::json!({ "keys": keys })))),
+        Reply::Answer(request::Answer::Error { code, message }) => Err(Error::new(code, message)),
+        _ => Err(unexpected()),
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,115 @@
+//! HTTP for callers and trainers.
+
+pub mod completions;
+pub mod keys;
+pub mod services;
+pub mod trainers;
+
+use std::{sync::Arc, time::Instant};
+
+use http::{HeaderMap, Response};
+use volo_http::{
+    body::Body,
+    request::Request,
+    server::{
+        Router,
+        route::{any, get, post},
+    },
+};
+
+use crate::{
+    answer::{self, Error},
+    control::Control,
+    prelude::*,
+};
+
+/// Routes of the entry port.
+pub fn router(control: &Arc<Control>) -> Router {
+    macro_rules! route {
+        ($method:ident, $name:literal, $handler:path) => {{
+            let control = Arc::clone(control);
+            $method(move |request: Request| {
+                let control = Arc::clone(&control);
+                async move {
+                    let started = Instant::now();
+                    let result = $handler(&control, request, started).await;
+                    finish(&control, $name, started, result)
+                }
+            })
+        }};
+    }
+    Router::new()
+        .route("/v1/completions", route!(post, "completions", completions::run))
+        .route("/v1/keys", route!(post, "keys", keys::run))
+        .route("/v1/services/{service}", route!(any, "services", services::run))
+        .route("/v1/services/{service}/{*path}", route!(any, "services", services::run))
+        .route("/v1/trainers/{trainer}/pull", route!(post, "pull", trainers::pull))
+        .route(
+            "/v1/trainers/{trainer}/versions",
+            route!(post, "versions", trainers::versions),
+        )
+        .route("/readyz", route!(get, "readyz", readyz))
+}
+
+/// What a handler gives.
+pub enum Answer {
+    Whole(Response<Body>),
+    /// The body goes on and counts itself at its end.
+    Streams(Response<Body>),
+}
+
+fn finish(control: &Control, route: &'static str, started: Instant, result: Result<Answer, Error>) -> Response<Body> {
+    let took = started.elapsed();
+    match result {
+        Ok(Answer::Whole(response)) => {
+            control.metrics.answered(route, None, took);
+            response
+        }
+        Ok(Answer::Streams(response)) => response,
+        Err(error) => {
+            control.metrics.answered(route, Some(error.code), took);
+            error.response()
+        }
+    }
+}
+
+async fn readyz(control: &Arc<Control>, _: Request, _: Instant) -> Result<Answer, Error> {
+    control.ready()?;
+    let revision = control.snapshot.load().as_ref().map(|it| it.revision);
+    Ok(Answer::Whole(answer::json(
+        &serde_json::json!({"ready": true, "revision": revision}),
+    )))
+}
+
+/// Key of a request, if it has one.
+fn key(headers: &HeaderMap) -> Result<Option<Box<str>>, Error> {
+    let Some(value) = headers.get("idempotency-key") else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= 256 => Ok(Some(text.into())),
+        _ => Err(Error::new(
+            Code::RequestMalformed,
+            "idempotency-key must be 1 to 256 characters",
+        )),
+    }
+}
+
+/// Longest time that the caller waits, if it says so.
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>, Error> {
+    let Some(value) = headers.get("x-deadline-ms") else {
+        return Ok(None);
+    };
+    match value.to_str().ok().and_then(|text| text.parse().ok()) {
+        Some(ms @ 1..=86_400_000) => Ok(Some(Duration::from_millis(ms))),
+        _ => Err(Error::new(
+            Code::RequestMalformed,
+            "x-deadline-ms must be 1 to 86400000",
+        )),
+    }
+}
+
+/// An answer of a kind that the request cannot have.
+fn unexpected() -> Error {
+    Error::new(Code::Internal, "answer of another kind")
+}
--- /dev/null
+++ b/src/entry/services.rs
@@ -0,0 +1,68 @@
+//! `/v1/services/<service>/<path>`: calls of plain services.
+
+use std::{sync::Arc, time::Instant};
+
+use http::header;
+use volo_http::request::Request;
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{Answer, deadline, key, unexpected};
+use crate::{
+    answer::{self, Error},
+    control::{Control, Reply},
+    core::{
+        Event,
+        request::{self, Call, Incoming, Output, Work},
+    },
+    prelude::*,
+};
+
+pub async fn run(control: &Arc<Control>, request: Request, _: Instant) -> Result<Answer, Error> {
+    let (key, deadline) = (key(request.headers())?, deadline(request.headers())?);
+    let method: Box<str> = request.method().as_str().into();
+    let (service, path) = split(&request).ok_or(Code::UnknownName)?;
+    let content_type = request.headers().get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
+    let limits = &control.limits;
+    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    control.ready()?;
+    let call = Call {
+        content: content(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), &body]),
+        service,
+        method,
+        path,
+        content_type,
+        body,
+    };
+    let work = Work::Call(call);
+    let incoming = Incoming { work, key, deadline };
+    let mut pending = control.ask(|ticket| Event::Request(request::Event::Submit { ticket, incoming }))?;
+    match pending.reply().await? {
+        Reply::Answer(request::Answer::Done(Output::Response(response))) => Ok(Answer::Whole(answer::plain(response))),
+        Reply::Answer(request::Answer::Error { code, message }) => Err(Error::new(code, message)),
+        _ => Err(unexpected()),
+    }
+}
+
+/// Service's name, and path and query behind it.
+fn split(request: &Request) -> Option<(Box<str>, Box<str>)> {
+    let whole = request.uri().path_and_query()?.as_str().strip_prefix("/v1/services/")?;
+    let end = whole.find(['/', '?']).unwrap_or(whole.len());
+    let (service, path) = whole.split_at(end);
+    let path = if path.starts_with('/') {
+        path.into()
+    } else {
+        format!("/{path}").into()
+    };
+    Some((service.into(), path))
+}
+
+/// Hash of parts, each with its length, so that no two lists of parts run together.
+pub fn content(parts: &[&[u8]]) -> ContentHash {
+    let mut hash = Xxh3::new();
+    for part in parts {
+        hash.update(&(part.len() as u64).to_le_bytes());
+        hash.update(part);
+    }
+    hash.digest()
+}
--- /dev/null
+++ b/src/etcd.rs
@@ -0,0 +1,330 @@
+//! Key-value service by the published etcd v3 JSON gateway.
+//!
+//! Keys and values are base64 and 64-bit numbers are JSON strings, as the gateway's mapping of protocol buffers to JSON
+//! has them. A field at its default value is absent from answers.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use async_trait::async_trait;
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use bytes::Bytes;
+use http::{StatusCode, Uri};
+use serde::{Deserialize, Deserializer};
+use serde_json::{Value as Json, json};
+use tokio::time::{Instant, timeout_at};
+
+use crate::{
+    border,
+    core::store::{Call, Expect, Failure, Reply, Value},
+    outbound::{self, Lines},
+    prelude::*,
+};
+
+/// Longest answer: a value of 1 MB in base64 and what surrounds it.
+const ANSWER_MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// gRPC status of a lease that does not exist.
+const NOT_FOUND: u32 = 5;
+
+/// Client of one cluster.
+#[derive(Debug)]
+pub struct Etcd {
+    urls: Vec<Uri>,
+    connect_timeout: Duration,
+    /// Url that answered last; it is tried first.
+    last: AtomicUsize,
+}
+
+/// Answer of the gateway to a call.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Answer {
+    header: Header,
+    succeeded: bool,
+    kvs: Vec<Kv>,
+    responses: Vec<Response>,
+    #[serde(rename = "ID", deserialize_with = "number")]
+    id: i64,
+    #[serde(rename = "TTL", deserialize_with = "number")]
+    ttl: i64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Header {
+    #[serde(deserialize_with = "number")]
+    revision: i64,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Response {
+    response_range: Option<Range>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Range {
+    kvs: Vec<Kv>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Kv {
+    value: String,
+    #[serde(deserialize_with = "number")]
+    mod_revision: i64,
+    #[serde(deserialize_with = "number")]
+    create_revision: i64,
+}
+
+/// One message of a streaming call.
+#[derive(Debug, Deserialize)]
+struct Streamed<T> {
+    result: T,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Watched {
+    canceled: bool,
+    events: Vec<Event>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Event {
+    #[serde(rename = "type")]
+    kind: String,
+    kv: Kv,
+}
+
+/// Error body of the gateway.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct Fault {
+    code: u32,
+}
+
+/// A 64-bit number, which the gateway writes as a string.
+fn number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<i64, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Number {
+        Text(String),
+        Plain(i64),
+    }
+    match Number::deserialize(deserializer)? {
+        Number::Text(text) => text.parse().map_err(serde::de::Error::custom),
+        Number::Plain(number) => Ok(number),
+    }
+}
+
+fn parse<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| {
+        log::warn!("could not read an answer of the key-value service: {error}");
+        Failure::Unknown
+    })
+}
+
+impl TryFrom<Kv> for Value {
+    type Error = Failure;
+
+    fn try_from(kv: Kv) -> Result<Self, Failure> {
+        Ok(Self {
+            bytes: BASE64.decode(kv.value).map_err(|_| Failure::Unknown)?.into(),
+            changed: kv.mod_revision.unsigned_abs(),
+            created: kv.create_revision.unsigned_abs(),
+        })
+    }
+}
+
+fn first(kvs: Vec<Kv>) -> Result<Option<Value>, Failure> {
+    kvs.into_iter().next().map(Value::try_from).transpose()
+}
+
+/// Path and body of a call that is answered at once.
+fn request(call: &Call) -> (&'static str, Json) {
+    let encode = |text: &str| BASE64.encode(text);
+    match call {
+        Call::Get { key } => ("/v3/kv/range", json!({"key": encode(key)})),
+        Call::Swap {
+            key,
+            expect,
+            value,
+            lease,
+        } => {
+            let compare = match expect {
+                Expect::Absent => {
+                    json!({"key": encode(key), "target": "CREATE", "result": "EQUAL", "create_revision": "0"})
+                }
+                Expect::At(revision) => {
+                    let revision = revision.to_string();
+                    json!({"key": encode(key), "target": "MOD", "result": "EQUAL", "mod_revision": revision})
+                }
+            };
+            let mut put = json!({"key": encode(key), "value": BASE64.encode(value)});
+            if let Some(lease) = lease {
+                put["lease"] = lease.to_string().into();
+            }
+            let range = json!({"key": encode(key)});
+            let body = json!({
+                "compare": [compare],
+                "success": [{"request_put": put}],
+                "failure": [{"request_range": range}],
+            });
+            ("/v3/kv/txn", body)
+        }
+        Call::Delete { key } => ("/v3/kv/deleterange", json!({"key": encode(key)})),
+        Call::Grant { ttl } => {
+            // The service counts leases in whole seconds.
+            let seconds = ttl.as_secs_f64().ceil().max(1.0) as u64;
+            ("/v3/lease/grant", json!({"TTL": seconds.to_string()}))
+        }
+        Call::KeepAlive { lease } => ("/v3/lease/keepalive", json!({"ID": lease.to_string()})),
+        Call::Watch { key, after, .. } => {
+            let start = (after + 1).to_string();
+            let create = json!({"key": encode(key), "start_revision": start});
+            ("/v3/watch", json!({"create_request": create}))
+        }
+    }
+}
+
+fn lease(id: i64, ttl: i64) -> Reply {
+    // A keep-alive of an expired lease is answered with no time left.
+    if ttl <= 0 {
+        return Reply::LeaseGone;
+    }
+    let ttl = Duration::from_secs(ttl.unsigned_abs());
+    Reply::Lease { id, ttl }
+}
+
+fn reply(call: &Call, body: &[u8]) -> Result<Reply, Failure> {
+    if matches!(call, Call::KeepAlive { .. }) {
+        let answer: Streamed<Answer> = parse(body)?;
+        return Ok(lease(answer.result.id, answer.result.ttl));
+    }
+    let answer: Answer = parse(body)?;
+    Ok(match call {
+        Call::Swap { .. } if answer.succeeded => Reply::Swapped {
+            changed: answer.header.revision.unsigned_abs(),
+        },
+        Call::Swap { .. } => {
+            let range = answer.responses.into_iter().find_map(|it| it.response_range);
+            Reply::Conflict(first(range.unwrap_or_default().kvs)?)
+        }
+        Call::Delete { .. } => Reply::Deleted,
+        Call::Grant { .. } => lease(answer.id, answer.ttl),
+        Call::Get { .. } | Call::KeepAlive { .. } | Call::Watch { .. } => Reply::Value(first(answer.kvs)?),
+    })
+}
+
+/// What an error answer says about the call.
+fn refused(call: &Call, status: StatusCode, body: &[u8]) -> Result<Reply, Failure> {
+    let fault: Fault = serde_json::from_slice(body).unwrap_or_default();
+    let leased = matches!(call, Call::KeepAlive { .. } | Call::Swap { lease: Some(_), .. });
+    if leased && fault.code == NOT_FOUND {
+        return Ok(Reply::LeaseGone);
+    }
+    log::warn!("the key-value service answered {status}");
+    // A client error is found before the call is proposed; any other may come after the write took effect.
+    if status.is_client_error() && status != StatusCode::REQUEST_TIMEOUT {
+        return Err(Failure::Unsent);
+    }
+    Err(Failure::Unknown)
+}
+
+/// Outcome of one try at one url.
+enum Try {
+    NoConnection,
+    Ended(Result<Reply, Failure>),
+}
+
+impl Etcd {
+    /// A client that tries the urls in turn until one accepts the connection.
+    pub fn new(urls: Vec<Uri>, connect_timeout: Duration) -> Self {
+        Self {
+            urls,
+            connect_timeout,
+            last: AtomicUsize::new(0),
+        }
+    }
+
+    async fn attempt(&self, address: &str, call: &Call, deadline: Instant) -> Try {
+        let (path, body) = request(call);
+        let body = Bytes::from(body.to_string());
+        let Some(request) = outbound::request("POST", address, path, "application/json", body) else {
+            return Try::NoConnection;
+        };
+        let connect_by = deadline.min(Instant::now() + self.connect_timeout);
+        let Ok(connection) = outbound::connect(address, connect_by).await else {
+            return Try::NoConnection;
+        };
+        let Ok((response, _driver)) = connection.send(request, deadline).await else {
+            return Try::Ended(Err(Failure::Unknown));
+        };
+        let status = response.status();
+        let body = response.into_body();
+        if !status.is_success() {
+            let Ok(body) = outbound::collect(body, ANSWER_MAX_BYTES, deadline).await else {
+                return Try::Ended(Err(Failure::Unknown));
+            };
+            return Try::Ended(refused(call, status, &body));
+        }
+        Try::Ended(match call {
+            Call::Watch { wait, .. } => watch(&mut Lines::new(body, ANSWER_MAX_BYTES), *wait).await,
+            // The stream of a keep-alive stays open after its only answer.
+            Call::KeepAlive { .. } => {
+                let mut lines = Lines::new(body, ANSWER_MAX_BYTES);
+                match timeout_at(deadline, lines.next()).await {
+                    Ok(Ok(Some(line))) => reply(call, &line),
+                    _ => Err(Failure::Unknown),
+                }
+            }
+            _ => match outbound::collect(body, ANSWER_MAX_BYTES, deadline).await {
+                Ok(body) => reply(call, &body),
+                Err(_) => Err(Failure::Unknown),
+            },
+        })
+    }
+}
+
+/// Waits for the first change; the watch ends with its connection.
+async fn watch(lines: &mut Lines, wait: Duration) -> Result<Reply, Failure> {
+    let until = Instant::now() + wait;
+    loop {
+        let line = match timeout_at(until, lines.next()).await {
+            Ok(Ok(Some(line))) => line,
+            Ok(_) => return Err(Failure::Unknown),
+            Err(_) => return Ok(Reply::NoChange),
+        };
+        let message: Streamed<Watched> = parse(&line)?;
+        // A start revision that was compacted away cancels the watch; the caller then reads the key.
+        if message.result.canceled {
+            return Err(Failure::Unknown);
+        }
+        if let Some(event) = message.result.events.into_iter().next_back() {
+            let value = (event.kind != "DELETE").then(|| Value::try_from(event.kv));
+            return Ok(Reply::Value(value.transpose()?));
+        }
+    }
+}
+
+#[async_trait]
+impl border::Store for Etcd {
+    async fn call(&self, call: Call, timeout: Duration) -> Result<Reply, Failure> {
+        let deadline = Instant::now() + timeout;
+        let start = self.last.load(Ordering::Relaxed);
+        for step in 0..self.urls.len() {
+            let index = (start + step) % self.urls.len();
+            let Some(authority) = self.urls[index].authority() else {
+                continue;
+            };
+            if let Try::Ended(result) = self.attempt(authority.as_str(), &call, deadline).await {
+                self.last.store(index, Ordering::Relaxed);
+                return result;
+            }
+        }
+        Err(Failure::Unsent)
+    }
+}
--- /dev/null
+++ b/src/executor.rs
@@ -0,0 +1,251 @@
+//! Carries out the core's actions on the traffic runtime and brings back their outcomes as events.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use tokio::{
+    runtime::Handle,
+    sync::{mpsc, watch},
+    task::AbortHandle,
+    time::Instant,
+};
+
+use crate::{
+    border,
+    control::{Chunk, Control, Reply},
+    core::{
+        Action, Event, listing,
+        request::{Attempt, News, Progress, Work},
+        rollout, store, target,
+    },
+    link::Link,
+    prelude::*,
+};
+
+/// Shortest time between two counts of tokens that the core gets of one attempt.
+const TOKENS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The outside systems.
+#[derive(Clone)]
+pub struct Borders {
+    pub store: Arc<dyn border::Store>,
+    pub directory: Arc<dyn border::Directory>,
+    pub engine: Arc<dyn border::Engine>,
+    pub service: Arc<dyn border::Service>,
+}
+
+/// Whether the control thread goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flow {
+    Continue,
+    Exit,
+}
+
+type Running = Arc<Mutex<HashMap<AttemptId, AbortHandle>>>;
+
+/// Carries out actions without ever waiting.
+pub struct Executor {
+    pub control: Arc<Control>,
+    pub events: mpsc::Sender<Event>,
+    pub runtime: Handle,
+    pub borders: Borders,
+    pub link: Arc<Link>,
+    pub store_timeout: Duration,
+    /// Takes the body of the configuration in force.
+    pub cache: watch::Sender<Bytes>,
+    running: Running,
+}
+
+impl Executor {
+    pub fn new(
+        control: Arc<Control>,
+        runtime: Handle,
+        borders: Borders,
+        link: Arc<Link>,
+        store_timeout: Duration,
+        cache: watch::Sender<Bytes>,
+    ) -> Self {
+        Self {
+            events: control.events(),
+            control,
+            runtime,
+            borders,
+            link,
+            store_timeout,
+            cache,
+            running: Running::default(),
+        }
+    }
+
+    /// Starts what an action asks for.
+    pub fn run(&self, action: Action) -> Flow {
+        match action {
+            Action::Dispatch(attempt) => self.dispatch(attempt),
+            Action::Cancel(id) => {
+                // Dropping the task closes its connection, which stops the target's work.
+                if let Some(task) = lock(&self.running).remove(&id) {
+                    task.abort();
+                }
+            }
+            Action::Answer { ticket, answer } => self.control.reply(ticket, Reply::Answer(answer)),
+            Action::Keys { ticket, keys } => self.control.reply(ticket, Reply::Keys(keys)),
+            Action::Batch { ticket, answer } => self.control.reply(ticket, Reply::Batch(answer)),
+            Action::Admin { ticket, answer } => self.control.reply(ticket, Reply::Admin(answer)),
+            Action::Store { id, call } => self.store(id, call),
+            Action::ReadListing { zone } => self.read(zone),
+            Action::Poll { target, address } => self.poll(target, address),
+            Action::Order(order) => self.order(order),
+            Action::Send { to, address, message } => self.link.send(&to, &address, message),
+            Action::InForce { snapshot, body } => {
+                log::info!("revision={} configuration in force", snapshot.revision);
+                self.control.snapshot.store(Some(snapshot));
+                self.cache.send_replace(body);
+            }
+            Action::Log { level, text } => log::log!(target: "lagoonyard::core", level, "{text}"),
+            Action::Exit => return Flow::Exit,
+        }
+        Flow::Continue
+    }
+
+    fn dispatch(&self, attempt: Attempt) {
+        let borders = self.borders.clone();
+        let mut sink = Sink {
+            attempt: attempt.id,
+            chunks: attempt.ticket.and_then(|ticket| self.control.chunks(ticket)),
+            events: self.events.clone(),
+            offset: attempt.so_far.as_ref().map_or(0, |it| it.text.len()),
+            tokens: 0,
+            told: Instant::now(),
+            sent: Sent::No,
+        };
+        let running = Arc::clone(&self.running);
+        let id = attempt.id;
+        // The lock is held until the task stands in the table, since the task takes itself out at its end.
+        let mut table = lock(&self.running);
+        let task = self.runtime.spawn(async move {
+            let news = match &attempt.work {
+                Work::Generate(_) => borders.engine.generate(&attempt, &mut sink).await,
+                Work::Call(_) => borders.service.call(&attempt, &mut sink).await,
+            };
+            sink.settle().await;
+            sink.tell(news).await;
+            lock(&running).remove(&id);
+        });
+        table.insert(id, task.abort_handle());
+    }
+
+    fn store(&self, id: CallId, call: store::Call) {
+        let (store, timeout) = (Arc::clone(&self.borders.store), self.store_timeout);
+        self.spawn(async move {
+            let result = store.call(call, timeout).await;
+            Event::Store(store::Answer { id, result })
+        });
+    }
+
+    fn read(&self, zone: ZoneId) {
+        let directory = Arc::clone(&self.borders.directory);
+        self.spawn(async move {
+            let entries = directory.read(&zone).await;
+            Event::Listing(listing::Read { zone, entries })
+        });
+    }
+
+    fn poll(&self, target: TargetId, address: Box<str>) {
+        let engine = Arc::clone(&self.borders.engine);
+        self.spawn(async move {
+            let outcome = engine.poll(&address).await;
+            Event::Polled(target::Polled { target, outcome })
+        });
+    }
+
+    fn order(&self, order: rollout::Order) {
+        let engine = Arc::clone(&self.borders.engine);
+        self.spawn(async move {
+            let result = engine.order(&order).await;
+            let (id, target) = (order.id, order.target);
+            Event::Ordered(rollout::Ordered { id, target, result })
+        });
+    }
+
+    /// Runs a task whose outcome waits for room at the control thread.
+    fn spawn(&self, task: impl Future<Output = Event> + Send + 'static) {
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            let _ = events.send(task.await).await;
+        });
+    }
+}
+
+fn lock(running: &Running) -> MutexGuard<'_, HashMap<AttemptId, AbortHandle>> {
+    running.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Whether the core knows that a request went out.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sent {
+    No,
+    /// There was no room for the event yet.
+    Owed,
+    Told,
+}
+
+/// Brings the news of one attempt to the core and its text to the caller.
+struct Sink {
+    attempt: AttemptId,
+    chunks: Option<mpsc::Sender<Chunk>>,
+    events: mpsc::Sender<Event>,
+    /// Bytes of the whole text so far.
+    offset: usize,
+    tokens: u32,
+    told: Instant,
+    sent: Sent,
+}
+
+impl Sink {
+    fn event(&self, news: News) -> Event {
+        let attempt = self.attempt;
+        Event::Attempt(Progress { attempt, news })
+    }
+
+    async fn tell(&self, news: News) {
+        let _ = self.events.send(self.event(news)).await;
+    }
+
+    /// Tells the core that the request went out, if it does not know yet; it must learn so before anything later.
+    async fn settle(&mut self) {
+        if self.sent == Sent::Owed {
+            self.tell(News::Sent).await;
+            self.sent = Sent::Told;
+        }
+    }
+}
+
+#[async_trait]
+impl border::Sink for Sink {
+    fn sent(&mut self) {
+        self.sent = match self.events.try_send(self.event(News::Sent)) {
+            Ok(()) => Sent::Told,
+            Err(_) => Sent::Owed,
+        };
+    }
+
+    async fn chunk(&mut self, text: &str, tokens: u32, version: Option<Version>) {
+        self.settle().await;
+        self.tokens += tokens;
+        let offset = self.offset;
+        self.offset += text.len();
+        if let Some(chunks) = &self.chunks {
+            let text = text.into();
+            // A caller that went away is reported by its own connection.
+            let _ = chunks.send(Chunk { offset, text, version }).await;
+        }
+        if self.told.elapsed() >= TOKENS_INTERVAL {
+            self.told = Instant::now();
+            self.tell(News::Tokens(self.tokens)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/link.rs
@@ -0,0 +1,328 @@
+//! Links between peers: TCP connections with length-delimited frames of prost messages.
+//!
+//! A connection carries messages one way, from the host that opened it. Both sides send `Hello` first; the side that
+//! accepts sends its own only after it has checked the other's, so a stranger never learns the token.
+
+use std::{
+    collections::{HashMap, hash_map::Entry},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use prost::Message as _;
+use subtle::ConstantTimeEq;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    runtime::Handle,
+    sync::{Semaphore, mpsc},
+    time::{Instant, timeout},
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec, length_delimited::LengthDelimitedCodecError};
+
+use crate::{
+    core::{Event, peer},
+    metrics::Metrics,
+    prelude::*,
+    wire::{self, Body, Hello, Message},
+};
+
+/// Longest frame before the other side has shown its token.
+const HELLO_MAX_BYTES: usize = 4096;
+
+type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Bounds of the links.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    pub connect_timeout: Duration,
+    /// Time for the whole exchange of `Hello`.
+    pub hello_timeout: Duration,
+    /// Time for one frame to be taken by the other side.
+    pub write_timeout: Duration,
+    /// An outgoing connection without messages is closed after this time. The accepting side waits twice as long for
+    /// the next whole frame, so that it is not the one that closes a healthy connection.
+    pub idle: Duration,
+    /// Messages that may wait for one peer.
+    pub queue_messages: usize,
+    /// Outgoing connections kept.
+    pub outgoing_max: usize,
+    /// Accepted connections kept.
+    pub incoming_max: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_secs(1),
+            hello_timeout: Duration::from_secs(2),
+            write_timeout: Duration::from_secs(5),
+            idle: Duration::from_secs(30),
+            queue_messages: 256,
+            outgoing_max: 16,
+            incoming_max: 128,
+        }
+    }
+}
+
+/// What this host says of itself on each connection.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    pub deployment: Box<str>,
+    pub token: Box<str>,
+    pub host: HostId,
+    pub incarnation: Incarnation,
+    pub zone: ZoneId,
+}
+
+impl Identity {
+    fn hello(&self) -> Message {
+        Message {
+            body: Some(Body::Hello(Hello {
+                deployment: self.deployment.to_string(),
+                token: self.token.to_string(),
+                host: self.host.to_string(),
+                incarnation: self.incarnation,
+                zone: self.zone.to_string(),
+            })),
+        }
+    }
+
+    /// Whether the other side belongs to this deployment.
+    fn admits(&self, hello: &Hello) -> bool {
+        let token = self.token.as_bytes().ct_eq(hello.token.as_bytes());
+        bool::from(token) && *self.deployment == *hello.deployment
+    }
+}
+
+/// Why a connection was closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Refused(Code),
+    Io(io::ErrorKind),
+    Timeout,
+    Closed,
+}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Self {
+        match error.get_ref() {
+            Some(inner) if inner.is::<LengthDelimitedCodecError>() => Self::Refused(Code::FrameTooLarge),
+            _ => Self::Io(error.kind()),
+        }
+    }
+}
+
+/// An outgoing connection.
+struct Outgoing {
+    address: Box<str>,
+    queue: mpsc::Sender<Message>,
+    used: Instant,
+}
+
+/// Links of this host.
+pub struct Link {
+    identity: Identity,
+    settings: Settings,
+    events: mpsc::Sender<Event>,
+    metrics: Arc<Metrics>,
+    runtime: Handle,
+    outgoing: Mutex<HashMap<HostId, Outgoing>>,
+}
+
+impl Link {
+    /// Links whose news go to `events` and whose tasks run on `runtime`.
+    pub fn new(
+        identity: Identity,
+        settings: Settings,
+        events: mpsc::Sender<Event>,
+        metrics: Arc<Metrics>,
+        runtime: Handle,
+    ) -> Self {
+        Self {
+            identity,
+            settings,
+            events,
+            metrics,
+            runtime,
+            outgoing: Mutex::default(),
+        }
+    }
+
+    /// Queues a message and never waits; a message that finds no room is reported as lost.
+    pub fn send(self: &Arc<Self>, to: &HostId, address: &str, message: Message) {
+        let mut outgoing = self.outgoing.lock().unwrap_or_else(PoisonError::into_inner);
+        let message = match outgoing.entry(to.clone()) {
+            Entry::Occupied(mut entry) if *entry.get().address == *address => {
+                entry.get_mut().used = Instant::now();
+                match entry.get().queue.try_send(message) {
+                    Ok(()) => return,
+                    Err(mpsc::error::TrySendError::Full(_)) => return self.report_lost(to),
+                    Err(mpsc::error::TrySendError::Closed(message)) => message,
+                }
+            }
+            _ => message,
+        };
+        outgoing.remove(to);
+        if outgoing.len() >= self.settings.outgoing_max {
+            let idlest = outgoing.iter().min_by_key(|(_, it)| it.used).map(|(id, _)| id.clone());
+            // Its task sends what is still queued and then ends.
+            idlest.map(|id| outgoing.remove(&id));
+        }
+        let (queue, messages) = mpsc::channel(self.settings.queue_messages);
+        if queue.try_send(message).is_err() {
+            return self.report_lost(to);
+        }
+        let connection = Outgoing {
+            address: address.into(),
+            queue,
+            used: Instant::now(),
+        };
+        outgoing.insert(to.clone(), connection);
+        drop(outgoing);
+        let (link, to, address) = (Arc::clone(self), to.clone(), Box::from(address));
+        self.runtime.spawn(async move {
+            if let Err(fault) = link.carry(&to, &address, messages).await {
+                log::info!("peer={to} address={address} link closed: {fault:?}");
+                let _ = link.events.send(Event::Peer(peer::Event::Lost { to })).await;
+            }
+        });
+    }
+
+    /// Number of outgoing connections.
+    pub fn outgoing(&self) -> usize {
+        let outgoing = self.outgoing.lock().unwrap_or_else(PoisonError::into_inner);
+        outgoing.values().filter(|it| !it.queue.is_closed()).count()
+    }
+
+    fn report_lost(self: &Arc<Self>, to: &HostId) {
+        let (link, to) = (Arc::clone(self), to.clone());
+        self.runtime.spawn(async move {
+            let _ = link.events.send(Event::Peer(peer::Event::Lost { to })).await;
+        });
+    }
+
+    /// Opens a connection and sends messages until it is idle or no longer wanted.
+    async fn carry(&self, to: &HostId, address: &str, mut messages: mpsc::Receiver<Message>) -> Result<(), Fault> {
+        let settings = &self.settings;
+        let opening = timeout(settings.connect_timeout, TcpStream::connect(address));
+        let stream = opening.await.map_err(|_| Fault::Timeout)??;
+        let mut frames = frames(stream, HELLO_MAX_BYTES);
+        let hello = timeout(settings.hello_timeout, async {
+            self.write(&mut frames, self.identity.hello()).await?;
+            hello(&mut frames).await
+        });
+        let hello = hello.await.map_err(|_| Fault::Timeout)??;
+        if !self.identity.admits(&hello) || *hello.host != **to {
+            return Err(Fault::Refused(Code::OtherDeployment));
+        }
+        frames.codec_mut().set_max_frame_length(wire::FRAME_MAX_BYTES);
+        loop {
+            tokio::select! {
+                message = timeout(settings.idle, messages.recv()) => match message {
+                    Ok(Some(message)) => self.write(&mut frames, message).await?,
+                    Ok(None) => return Ok(()),
+                    // No new message can be queued once the receiver is closed; those already queued still go out.
+                    Err(_) => messages.close(),
+                },
+                // Nothing but the end of the connection comes on this side.
+                _ = frames.next() => return Err(Fault::Closed),
+            }
+        }
+    }
+
+    async fn write(&self, frames: &mut Frames, message: Message) -> Result<(), Fault> {
+        let bytes = Bytes::from(message.encode_to_vec());
+        if bytes.len() > wire::FRAME_MAX_BYTES {
+            return Err(Fault::Refused(Code::FrameTooLarge));
+        }
+        self.metrics.peer_sent(bytes.len());
+        let sending = timeout(self.settings.write_timeout, frames.send(bytes));
+        Ok(sending.await.map_err(|_| Fault::Timeout)??)
+    }
+
+    /// Accepts connections for ever.
+    pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+        let places = Arc::new(Semaphore::new(self.settings.incoming_max));
+        loop {
+            let Ok((stream, from)) = listener.accept().await else {
+                // An accept fails for want of descriptors; a short wait lets others be closed.
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            };
+            let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+                log::warn!("address={from} link closed: too many connections");
+                continue;
+            };
+            let link = Arc::clone(&self);
+            tokio::spawn(async move {
+                let _place = place;
+                match link.accept(stream, from).await {
+                    Ok(()) | Err(Fault::Closed) => {}
+                    Err(Fault::Refused(code)) => log::warn!("address={from} link closed: {code} {}", code.text()),
+                    Err(fault) => log::info!("address={from} link closed: {fault:?}"),
+                }
+            });
+        }
+    }
+
+    async fn accept(&self, stream: TcpStream, from: SocketAddr) -> Result<(), Fault> {
+        let settings = &self.settings;
+        let mut frames = frames(stream, HELLO_MAX_BYTES);
+        let hello = timeout(settings.hello_timeout, hello(&mut frames));
+        let hello = hello.await.map_err(|_| Fault::Timeout)??;
+        if !self.identity.admits(&hello) {
+            let code = Code::OtherDeployment;
+            let refusal = wire::Reply {
+                code: code as u32,
+                message: code.text().into(),
+                ..wire::Reply::default()
+            };
+            let body = Some(Body::Reply(refusal));
+            self.write(&mut frames, Message { body }).await?;
+            return Err(Fault::Refused(code));
+        }
+        self.write(&mut frames, self.identity.hello()).await?;
+        frames.codec_mut().set_max_frame_length(wire::FRAME_MAX_BYTES);
+        log::debug!("peer={} address={from} link open", hello.host);
+        let host = HostId::from(hello.host);
+        loop {
+            let read = timeout(settings.idle * 2, read(&mut frames));
+            let message = read.await.map_err(|_| Fault::Timeout)??;
+            let event = peer::Event::Message {
+                from: host.clone(),
+                message: Box::new(message),
+            };
+            // Waiting here stops reading, so a busy control thread slows its peers down.
+            if self.events.send(Event::Peer(event)).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+fn frames(stream: TcpStream, limit: usize) -> Frames {
+    // Gossip messages are small and wait for an answer, so they must not be held back.
+    let _ = stream.set_nodelay(true);
+    let codec = LengthDelimitedCodec::builder().max_frame_length(limit).new_codec();
+    Framed::new(stream, codec)
+}
+
+async fn read(frames: &mut Frames) -> Result<Message, Fault> {
+    let frame = frames.next().await.ok_or(Fault::Closed)??;
+    Message::decode(frame).map_err(|_| Fault::Refused(Code::FrameMalformed))
+}
+
+/// Reads the first message, which must be `Hello`.
+async fn hello(frames: &mut Frames) -> Result<Hello, Fault> {
+    match read(frames).await?.body {
+        Some(Body::Hello(hello)) => Ok(hello),
+        Some(Body::Reply(reply)) => {
+            let code = u16::try_from(reply.code).ok().and_then(Code::from_number);
+            Err(Fault::Refused(code.unwrap_or(Code::FrameMalformed)))
+        }
+        _ => Err(Fault::Refused(Code::FrameMalformed)),
+    }
+}
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,178 @@
+//! HTTP server: volo-http routes on connections with bounds on their number and on each read and write.
+//!
+//! The server of volo-http has no timeout for the head of a request and stops accepting on the first signal, while a
+//! draining host still answers. Its router is used, its accept loop is not.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    task::{Context, Poll, ready},
+};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time::{Instant, Sleep, sleep},
+};
+use volo::{Service, net::Address};
+use volo_http::{body::Body, context::ServerContext, server::Router};
+
+use crate::{prelude::*, settings::Limits};
+
+/// Sent to a connection above the limit; no request was read from it.
+const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nconnection: close\r\n\
+    content-length: 77\r\n\r\n{\"error\":{\"code\":\"LY-201\",\"kind\":\"not_run\",\"message\":\"too many connections\"}}";
+
+/// Connections of one port.
+#[derive(Debug, Default)]
+pub struct Open(AtomicUsize);
+
+impl Open {
+    /// Connections open now.
+    pub fn count(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a connection as long as it lives.
+struct Counted(Arc<Open>);
+
+impl Counted {
+    fn new(open: &Arc<Open>) -> Self {
+        open.0.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Serves a port until the process ends. Once `stop` is set, each connection closes after the answer in progress.
+pub async fn run(listener: TcpListener, router: Router, limits: Limits, open: Arc<Open>, stop: watch::Receiver<bool>) {
+    let router = Arc::new(router);
+    let places = Arc::new(Semaphore::new(limits.max_connections));
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout);
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            // An accept fails for want of descriptors; a short wait lets others be closed.
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            // The socket's buffer is empty, so this does not wait; a caller that closed first needs no answer.
+            let _ = stream.try_write(TOO_MANY);
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let router = Arc::clone(&router);
+        let service = service_fn(move |request: hyper::Request<hyper::body::Incoming>| {
+            let router = Arc::clone(&router);
+            async move {
+                let mut context = ServerContext::new(Address::from(from));
+                router.call(&mut context, request.map(Body::from_incoming)).await
+            }
+        });
+        let io = TokioIo::new(Timed::new(stream, limits.write_timeout));
+        let connection = builder.serve_connection(io, service);
+        let (counted, mut stop) = (Counted::new(&open), stop.clone());
+        tokio::spawn(async move {
+            let _held = (place, counted);
+            let mut connection = std::pin::pin!(connection);
+            let result = tokio::select! {
+                result = connection.as_mut() => result,
+                () = stopped(&mut stop) => {
+                    connection.as_mut().graceful_shutdown();
+                    connection.await
+                }
+            };
+            if let Err(error) = result {
+                log::debug!("address={from} connection ended: {error}");
+            }
+        });
+    }
+}
+
+/// Waits until the server is told to stop.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|&stop| stop).await;
+}
+
+/// A stream whose writes fail when the other side takes no byte for a while.
+struct Timed {
+    stream: TcpStream,
+    timeout: Duration,
+    timer: Pin<Box<Sleep>>,
+    stalled: bool,
+}
+
+impl Timed {
+    fn new(stream: TcpStream, timeout: Duration) -> Self {
+        Self {
+            stream,
+            timeout,
+            timer: Box::pin(sleep(timeout)),
+            stalled: false,
+        }
+    }
+
+    /// Passes on the result of a write; while it is pending, the timer runs.
+    fn guard<T>(&mut self, result: Poll<io::Result<T>>, cx: &mut Context<'_>) -> Poll<io::Result<T>> {
+        if result.is_ready() {
+            self.stalled = false;
+            return result;
+        }
+        if !self.stalled {
+            self.stalled = true;
+            self.timer.as_mut().reset(Instant::now() + self.timeout);
+        }
+        ready!(self.timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl AsyncRead for Timed {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Timed {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.guard(result, cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.guard(result, cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/src/service.rs
@@ -0,0 +1,68 @@
+//! Plain services: one HTTP call per attempt.
+
+use async_trait::async_trait;
+use http::{StatusCode, header};
+use tokio::time::Instant;
+
+use crate::{
+    border,
+    core::request::{Attempt, Failure, News, Output, Response, Work},
+    outbound,
+    prelude::*,
+};
+
+/// Plain services over HTTP.
+#[derive(Clone, Debug)]
+pub struct Service {
+    pub connect_timeout: Duration,
+    pub max_answer_bytes: usize,
+}
+
+impl From<outbound::Failure> for Failure {
+    fn from(failure: outbound::Failure) -> Self {
+        match failure {
+            outbound::Failure::Connect => Self::Connect,
+            outbound::Failure::Broken => Self::Broken,
+            outbound::Failure::Timeout => Self::Timeout,
+        }
+    }
+}
+
+impl Service {
+    async fn run(&self, attempt: &Attempt, sink: &mut dyn border::Sink) -> Result<Response, Failure> {
+        // A request that cannot be put into HTTP is never sent.
+        let Work::Call(call) = &attempt.work else {
+            return Err(Failure::Connect);
+        };
+        let (method, path, kind) = (&call.method, &call.path, &call.content_type);
+        let request = outbound::request(method, &attempt.address, path, kind, call.body.clone());
+        let request = request.ok_or(Failure::Connect)?;
+        let now = Instant::now();
+        let deadline = now + attempt.timeout;
+        let connection = outbound::connect(&attempt.address, deadline.min(now + self.connect_timeout)).await?;
+        sink.sent();
+        let (response, _driver) = connection.send(request, deadline).await?;
+        if response.status() == StatusCode::SERVICE_UNAVAILABLE && outbound::leaves(response.headers()) {
+            return Err(Failure::Leaving);
+        }
+        let status = response.status().as_u16();
+        let content_type = response.headers().get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
+        let body = outbound::collect(response.into_body(), self.max_answer_bytes, deadline).await?;
+        Ok(Response {
+            status,
+            content_type,
+            body,
+        })
+    }
+}
+
+#[async_trait]
+impl border::Service for Service {
+    async fn call(&self, attempt: &Attempt, sink: &mut dyn border::Sink) -> News {
+        match self.run(attempt, sink).await {
+            Ok(response) => News::Done(Output::Response(response)),
+            Err(failure) => News::Failed { failure, partial: None },
+        }
+    }
+}
