Test the daemon's borders and ports, and list settings and codes

Cause: nothing guarded the edges at which a lost answer, a cut stream or unbounded input does damage, and operators had no page of settings and result codes.

--- a/tests/codes.rs
+++ b/tests/codes.rs
@@ -1,4 +1,4 @@
-//! Guards against two result codes with one number and against a code that loses its kind.
+//! Guards against two result codes with one number, a code that loses its kind, and a page that falls behind.
 
 use lagoonyard::code::{Code, Kind};
 
@@ -15,3 +15,18 @@
     assert_eq!(Code::OutcomeUnknown.kind(), Kind::OutcomeUnknown);
     assert_eq!(Code::KeyInvalid.kind(), Kind::OutcomeUnknown);
 }
+
+#[test]
+fn the_page_has_every_code() {
+    let page = include_str!("../docs/codes.md");
+    for &code in Code::ALL {
+        let kind = serde_json::to_value(code.kind()).unwrap();
+        let row = format!(
+            "| {code} | {} | `{}` | {} |",
+            code.status(),
+            kind.as_str().unwrap(),
+            code.text()
+        );
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- /dev/null
+++ b/tests/util/mod.rs
@@ -0,0 +1,95 @@
+//! Small servers on loopback for tests of the borders.
+
+#![allow(dead_code, reason = "each test binary uses its own part")]
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_trait::async_trait;
+use lagoonyard::{border, ids::Version};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+};
+
+/// Longest wait for something that must happen.
+pub const SOON: Duration = Duration::from_secs(5);
+
+/// An address on which nothing listens.
+pub async fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// A server that answers each connection with the next text and then closes it; the requests are handed out.
+pub async fn server(answers: Vec<String>) -> (SocketAddr, mpsc::UnboundedReceiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (requests, received) = mpsc::unbounded_channel();
+    tokio::spawn(async move {
+        for answer in answers {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let request = request(&mut stream).await;
+            stream.write_all(answer.as_bytes()).await.unwrap();
+            let _ = requests.send(request);
+            // Reading to the end keeps a close from discarding what was written.
+            let _ = stream.shutdown().await;
+            let _ = stream.read_to_end(&mut Vec::new()).await;
+        }
+    });
+    (address, received)
+}
+
+/// Reads one request with a body of known length.
+pub async fn request(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = head.lines().find_map(|line| {
+                let (name, value) = line.split_once(':')?;
+                name.eq_ignore_ascii_case("content-length")
+                    .then(|| value.trim().parse().ok())
+                    .flatten()
+            });
+            if body.len() >= length.unwrap_or(0usize) {
+                return text;
+            }
+        }
+        if stream.read_buf(&mut bytes).await.unwrap() == 0 {
+            return text;
+        }
+    }
+}
+
+/// An HTTP answer with a body that ends with the connection.
+pub fn http(status: &str, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nconnection: close\r\n{headers}\r\n{body}")
+}
+
+/// Sends raw bytes and reads what comes until the other side closes.
+pub async fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    let _ = tokio::time::timeout(SOON, stream.read_to_end(&mut answer)).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// A sink that keeps everything.
+#[derive(Default)]
+pub struct Kept {
+    pub sent: u32,
+    pub chunks: Vec<(String, u32, Option<Version>)>,
+}
+
+#[async_trait]
+impl border::Sink for Kept {
+    fn sent(&mut self) {
+        self.sent += 1;
+    }
+
+    async fn chunk(&mut self, text: &str, tokens: u32, version: Option<Version>) {
+        self.chunks.push((text.into(), tokens, version));
+    }
+}
