Tell the core of leaving targets on good answers and leave stuck store members

Cause: a target may say that it leaves on an answer that is whole, which no event carried. A store member that took calls without answering stayed the first choice for ever. Unknown paths got an empty body.

Tests for plain services, the host list and the cache.

--- a/src/admin.rs
+++ b/src/admin.rs
@@ -63,6 +63,7 @@
         .route("/v1/admin/report", route!(get, report))
         .route("/v1/admin/drain", route!(post, drain))
         .route("/metrics", route!(get, metrics))
+        .fallback(async || Error::from(Code::UnknownName).response())
 }
 
 fn check(headers: &HeaderMap, token: &str) -> Result<(), Error> {
--- a/src/border.rs
+++ b/src/border.rs
@@ -28,6 +28,8 @@
 pub trait Sink: Send {
     /// The first byte is about to be sent to the target.
     fn sent(&mut self);
+    /// The target's answer is good, but says that the target leaves.
+    fn leaving(&mut self) {}
     /// Text of one chunk, its tokens and the version that produced it. Waits while the caller reads slowly.
     async fn chunk(&mut self, text: &str, tokens: u32, version: Option<Version>);
 }
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -145,6 +145,9 @@
         if !response.status().is_success() {
             return Err(Failure::Status(response.status().as_u16()));
         }
+        if outbound::leaves(response.headers()) {
+            sink.leaving();
+        }
         let response = response.map(|body| Limited::new(body, self.max_answer_bytes));
         let mut events = SseReader::into_sse(response).map_err(|_| Failure::Broken)?;
         loop {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -49,6 +49,7 @@
             route!(post, "versions", trainers::versions),
         )
         .route("/readyz", route!(get, "readyz", readyz))
+        .fallback(async || Error::from(Code::UnknownName).response())
 }
 
 /// What a handler gives.
--- a/src/etcd.rs
+++ b/src/etcd.rs
@@ -31,7 +31,7 @@
 pub struct Etcd {
     urls: Vec<Uri>,
     connect_timeout: Duration,
-    /// Url that answered last; it is tried first.
+    /// Url that is tried first.
     last: AtomicUsize,
 }
 
@@ -321,7 +321,9 @@
                 continue;
             };
             if let Try::Ended(result) = self.attempt(authority.as_str(), &call, deadline).await {
-                self.last.store(index, Ordering::Relaxed);
+                // A member that took the call and did not answer is not asked first again.
+                let next = index + usize::from(result == Err(Failure::Unknown));
+                self.last.store(next % self.urls.len(), Ordering::Relaxed);
                 return result;
             }
         }
--- a/src/executor.rs
+++ b/src/executor.rs
@@ -121,6 +121,7 @@
             tokens: 0,
             told: Instant::now(),
             sent: Sent::No,
+            leaving: false,
         };
         let running = Arc::clone(&self.running);
         let id = attempt.id;
@@ -133,6 +134,11 @@
             };
             sink.settle().await;
             sink.tell(news).await;
+            if sink.leaving {
+                let (target, outcome) = (attempt.target, target::Outcome::Leaving);
+                let polled = target::Polled { target, outcome };
+                let _ = sink.events.send(Event::Polled(polled)).await;
+            }
             lock(&running).remove(&id);
         });
         table.insert(id, task.abort_handle());
@@ -203,6 +209,7 @@
     tokens: u32,
     told: Instant,
     sent: Sent,
+    leaving: bool,
 }
 
 impl Sink {
@@ -233,6 +240,10 @@
         };
     }
 
+    fn leaving(&mut self) {
+        self.leaving = true;
+    }
+
     async fn chunk(&mut self, text: &str, tokens: u32, version: Option<Version>) {
         self.settle().await;
         self.tokens += tokens;
--- a/src/service.rs
+++ b/src/service.rs
@@ -45,6 +45,9 @@
         if response.status() == StatusCode::SERVICE_UNAVAILABLE && outbound::leaves(response.headers()) {
             return Err(Failure::Leaving);
         }
+        if outbound::leaves(response.headers()) {
+            sink.leaving();
+        }
         let status = response.status().as_u16();
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
--- /dev/null
+++ b/tests/borders.rs
@@ -0,0 +1,148 @@
+//! Guards against a plain service that is called twice or cut short, a host list read in part, and a torn cache.
+
+mod util;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use lagoonyard::{
+    border::{Directory as _, Service as _},
+    cache,
+    core::request::{Attempt, Call, Failure, News, Output, Work},
+    http_sd::HttpSd,
+    service::Service,
+};
+use util::{Kept, http, server};
+
+fn attempt(address: &str) -> Attempt {
+    Attempt {
+        id: 1,
+        request: 1,
+        target: "t".into(),
+        address: address.into(),
+        work: Work::Call(Call {
+            service: "s".into(),
+            method: "PUT".into(),
+            path: "/slots/4?by=me".into(),
+            content_type: "text/plain".into(),
+            body: Bytes::from_static(b"booked"),
+            content: 0,
+        }),
+        so_far: None,
+        ticket: None,
+        priority: 0,
+        timeout: Duration::from_millis(300),
+    }
+}
+
+async fn call(address: &str) -> (News, Kept) {
+    let service = Service {
+        connect_timeout: Duration::from_millis(300),
+        max_answer_bytes: 64,
+    };
+    let mut kept = Kept::default();
+    let news = service.call(&attempt(address), &mut kept).await;
+    (news, kept)
+}
+
+#[tokio::test]
+async fn a_service_is_called_once_and_its_answer_passed_on() {
+    let answer = http("409 Conflict", "content-type: text/plain\r\nx-leaving: 1\r\n", "taken");
+    let (address, mut requests) = server(vec![answer]).await;
+    let (news, kept) = call(&address.to_string()).await;
+    assert_matches!(news, News::Done(Output::Response(response)) => {
+        assert_eq!((response.status, &*response.content_type, &response.body[..]), (409, "text/plain", &b"taken"[..]));
+    });
+    assert_eq!((kept.sent, kept.leaving), (1, 1));
+    let request = requests.recv().await.unwrap();
+    assert!(
+        request.starts_with("PUT /slots/4?by=me HTTP/1.1\r\n") && request.ends_with("\r\n\r\nbooked"),
+        "{request}"
+    );
+}
+
+#[tokio::test]
+async fn only_a_refused_connection_counts_as_not_sent() {
+    let (news, kept) = call(&util::closed_port().await.to_string()).await;
+    assert_matches!(
+        news,
+        News::Failed {
+            failure: Failure::Connect,
+            ..
+        }
+    );
+    assert_eq!(kept.sent, 0);
+    let cases = [
+        (String::new(), Failure::Broken),
+        (http("200 OK", "content-length: 9\r\n", "half"), Failure::Broken),
+        (http("200 OK", "", &"x".repeat(65)), Failure::Broken),
+        (
+            http("503 Service Unavailable", "x-leaving: 1\r\n", ""),
+            Failure::Leaving,
+        ),
+    ];
+    for (answer, expected) in cases {
+        let (address, _requests) = server(vec![answer.clone()]).await;
+        let (news, kept) = call(&address.to_string()).await;
+        assert_matches!(news, News::Failed { failure, .. } => assert_eq!(failure, expected, "{answer}"));
+        assert_eq!(kept.sent, 1);
+    }
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (news, _) = call(&silent.local_addr().unwrap().to_string()).await;
+    assert_matches!(
+        news,
+        News::Failed {
+            failure: Failure::Timeout,
+            ..
+        }
+    );
+}
+
+#[tokio::test]
+async fn a_host_list_is_read_whole_or_not_at_all() {
+    let entry = |id: &str, zone: &str, state: &str| {
+        format!(
+            r#"{{"targets":["127.0.0.1:9"],"labels":{{"id":"{id}","zone":"{zone}","pool":"p","state":"{state}","x":"y"}}}}"#
+        )
+    };
+    let good = [
+        entry("a", "z1", "live"),
+        entry("b", "z1", "leaving"),
+        entry("c", "z2", "live"),
+    ]
+    .join(",");
+    let bad = [
+        format!("[{good}"),
+        format!("[{good},{}]", entry("d", "z2", "gone")),
+        format!(r#"[{good},{{"targets":[],"labels":{{"id":"d","zone":"z1","pool":"p","state":"live"}}}}]"#),
+    ];
+    let mut answers = vec![http("200 OK", "", &format!("[{good}]"))];
+    answers.extend(bad.iter().map(|it| http("200 OK", "", it)));
+    answers.push(http("500 Internal Server Error", "", "[]"));
+    let failures = answers.len() - 1;
+    let (address, _requests) = server(answers).await;
+    let list = HttpSd {
+        url: format!("http://{address}/targets").parse().unwrap(),
+        timeout: Duration::from_secs(1),
+    };
+    let entries = list.read(&"z1".into()).await.unwrap();
+    let found: Vec<_> = entries.iter().map(|it| (&*it.target, it.leaving)).collect();
+    assert_eq!(found, [("a", false), ("b", true)]);
+    for _ in 0..failures {
+        assert_eq!(list.read(&"z1".into()).await, None);
+    }
+}
+
+#[test]
+fn the_cache_is_replaced_whole() {
+    let dir = std::env::temp_dir().join(format!("lagoonyard-cache-{}", std::process::id()));
+    assert_eq!(cache::read(&dir).unwrap(), None);
+    cache::write(&dir, b"first").unwrap();
+    // A crash before the rename leaves a draft, which is never read.
+    std::fs::write(dir.join("config.json.new"), b"sec").unwrap();
+    assert_eq!(cache::read(&dir).unwrap().as_deref(), Some(&b"first"[..]));
+    cache::write(&dir, b"second").unwrap();
+    assert_eq!(cache::read(&dir).unwrap().as_deref(), Some(&b"second"[..]));
+    std::fs::remove_dir_all(dir).unwrap();
+}
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -80,6 +80,7 @@
 #[derive(Default)]
 pub struct Kept {
     pub sent: u32,
+    pub leaving: u32,
     pub chunks: Vec<(String, u32, Option<Version>)>,
 }
 
@@ -89,6 +90,10 @@
         self.sent += 1;
     }
 
+    fn leaving(&mut self) {
+        self.leaving += 1;
+    }
+
     async fn chunk(&mut self, text: &str, tokens: u32, version: Option<Version>) {
         self.chunks.push((text.into(), tokens, version));
     }
