Add stand-ins for the platform, model engines and plain services

Tests and trials need the outside systems without third-party servers, and each of them has to fail on demand.

lagoonyard-standin has three subcommands over volo-http: platform (etcd v3 JSON gateway, HTTP service discovery, rate limit, outages), engine (completions over server-sent events, load report, fenced version orders) and service (entries and bookings with a run counter, prompts, judge). The platform listens on a second address for its control interface, because an outage that refuses connections closes the listener of the first.

--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,161 @@
+//! HTTP shared by the stand-ins: bounded requests in, JSON and streams out.
+
+use std::{convert::Infallible, io::Write, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use futures::stream;
+use http::{HeaderName, HeaderValue, Method, StatusCode, header};
+use http_body::Frame;
+use http_body_util::{BodyExt, Limited};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use snafu::ResultExt;
+use tokio::{
+    io,
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+    task::JoinSet,
+    time,
+};
+use tokio_stream::{StreamExt, wrappers::ReceiverStream};
+use volo::Service;
+use volo_http::{body::Body, context::ServerContext, request::Request, response::Response, server::Server};
+
+use crate::{Result, error, gate::Gate};
+
+/// Largest request body; above the key-value service's 1 MB values in base64.
+const BODY_MAX_BYTES: usize = 4 << 20;
+/// Longest time for a request body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answer that ends the handling of a request early.
+pub type Refusal = Box<Response>;
+
+/// One request.
+#[derive(Debug)]
+pub struct Call {
+    pub method: Method,
+    pub path: Box<str>,
+    pub query: Box<str>,
+    pub body: Bytes,
+}
+
+impl Call {
+    /// Value of a query parameter.
+    pub fn param(&self, name: &str) -> Option<&str> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find_map(|(key, value)| (key == name).then_some(value))
+    }
+
+    /// Body as JSON; an empty body reads as an empty object.
+    pub fn json<T: DeserializeOwned>(&self) -> std::result::Result<T, Refusal> {
+        let body: &[u8] = if self.body.is_empty() { b"{}" } else { &self.body };
+        serde_json::from_slice(body).map_err(|error| fail(StatusCode::BAD_REQUEST, &error.to_string()))
+    }
+}
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    fn handle(self: Arc<Self>, call: Call) -> impl Future<Output = Response> + Send;
+}
+
+struct App<H>(Arc<H>);
+
+impl<H: Handler> Service<ServerContext, Request<Body>> for App<H> {
+    type Response = Response;
+    type Error = Infallible;
+
+    async fn call(&self, _: &mut ServerContext, request: Request<Body>) -> std::result::Result<Response, Infallible> {
+        let (parts, body) = request.into_parts();
+        let body = Limited::new(body, BODY_MAX_BYTES).collect();
+        let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
+            return Ok(*fail(StatusCode::PAYLOAD_TOO_LARGE, "body too large or too slow"));
+        };
+        let call = Call {
+            method: parts.method,
+            path: parts.uri.path().into(),
+            query: parts.uri.query().unwrap_or_default().into(),
+            body: body.to_bytes(),
+        };
+        Ok(self.0.clone().handle(call).await)
+    }
+}
+
+/// Prints the line that tells a script where the stand-in listens.
+pub fn announce(line: &Value) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    writeln!(out, "{line}")
+        .and_then(|()| out.flush())
+        .context(error::PrintSnafu)
+}
+
+/// Serves one handler on all gates until SIGTERM or SIGINT; open connections are then dropped.
+pub async fn serve_until_signal<H: Handler>(gates: Vec<Gate>, handler: Arc<H>) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context(error::SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(error::SignalSnafu)?;
+    let mut servers = JoinSet::new();
+    for gate in gates {
+        servers.spawn(Server::new(App(handler.clone())).run(gate));
+    }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        _ = servers.join_next() => {}
+    }
+    Ok(())
+}
+
+/// A JSON answer.
+pub fn reply(status: StatusCode, body: &Value) -> Response {
+    respond(
+        status,
+        &[(header::CONTENT_TYPE, "application/json")],
+        body.to_string().into(),
+    )
+}
+
+/// A JSON answer with status 200.
+pub fn ok(body: &Value) -> Response {
+    reply(StatusCode::OK, body)
+}
+
+/// An error in JSON.
+pub fn fail(status: StatusCode, message: &str) -> Refusal {
+    Box::new(reply(status, &json!({"error": message, "message": message})))
+}
+
+/// Answer of a stand-in that leaves: nothing was run, and the connection closes.
+pub fn leaving() -> Refusal {
+    let headers = [
+        (header::CONNECTION, "close"),
+        (HeaderName::from_static("x-leaving"), "1"),
+    ];
+    Box::new(respond(StatusCode::SERVICE_UNAVAILABLE, &headers, "leaving".into()))
+}
+
+/// Closes the connection without an answer: the body fails before the head is flushed.
+pub fn abort() -> Refusal {
+    let broken = stream::iter([Err(io::Error::other("connection is to be closed").into())]);
+    Box::new(Response::new(Body::from_stream(broken)))
+}
+
+/// A streamed answer; the connection breaks off when an item is an error.
+pub fn streamed(content_type: &'static str, pieces: mpsc::Receiver<io::Result<Bytes>>) -> Response {
+    let frames = ReceiverStream::new(pieces).map(|piece| Ok(Frame::data(piece?)));
+    respond(
+        StatusCode::OK,
+        &[(header::CONTENT_TYPE, content_type)],
+        Body::from_stream(frames),
+    )
+}
+
+fn respond(status: StatusCode, headers: &[(HeaderName, &'static str)], body: Body) -> Response {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    for (name, value) in headers {
+        response.headers_mut().insert(name, HeaderValue::from_static(value));
+    }
+    response
+}
--- /dev/null
+++ b/crates/standin/tests/service.rs
@@ -0,0 +1,36 @@
+//! The plain service counts what really ran, which is what the checks of at-most-once execution read.
+
+mod common;
+
+use common::Standin;
+use serde_json::json;
+
+/// Guards against a counter that misses runs, or counts calls that did not run.
+#[tokio::test]
+async fn only_calls_that_ran_are_counted() {
+    let mut service = Standin::start(&["service"]);
+    let booking = json!({"id": "b-1"});
+    service.post("/control", &json!({"fail_before": 1})).await.unwrap();
+    assert_eq!(service.post("/bookings", &booking).await, None);
+    assert_eq!(service.get("/count?id=b-1").await.1["count"], 0);
+    for _ in 0..2 {
+        assert_eq!(service.post("/bookings", &booking).await.unwrap().0, 201);
+    }
+    assert_eq!(service.get("/count?id=b-1").await.1["count"], 2);
+    service.post("/control", &json!({"leaving": true})).await.unwrap();
+    assert_eq!(service.post("/entries", &booking).await.unwrap().0, 503);
+    let control = json!({"leaving": false, "die_after_run": true});
+    service.post("/control", &control).await.unwrap();
+    assert_eq!(service.post("/entries", &booking).await, None);
+    assert!(service.ended().await);
+}
+
+/// Guards against prompts and rewards that differ between calls.
+#[tokio::test]
+async fn prompts_and_rewards_repeat() {
+    let service = Standin::start(&["service"]);
+    let prompts = service.get("/prompts/prompts?from=3&count=2").await.1;
+    assert_eq!(prompts[1], service.get("/prompts/prompts?from=4&count=1").await.1[0]);
+    let judged = service.post("/judge/judge", &json!({"text": "a"})).await;
+    assert_eq!(judged, service.post("/judge/judge", &json!({"text": "a"})).await);
+}
