Add the command line of operators, callers and trainers

Operators, callers and trainers need a client that keeps the promises on their side: one apply id until the outcome is known, one key for a call, one cursor until a whole batch has come.

lagoonyard has ten subcommands over volo-http.

--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,35 @@
+use std::{fs, path::Path};
+
+use serde_json::json;
+use snafu::ResultExt;
+
+use super::{Check, Error, Result, Run, error, print};
+use crate::prelude::*;
+
+impl Run for Check {
+    async fn run(self) -> Result<()> {
+        let body = fs::read(&self.file).context(error::ReadSnafu { path: &self.file })?;
+        let checked = check(&self.file, &body);
+        if self.json {
+            let faults = match &checked {
+                Err(Error::Invalid { faults, .. }) => faults.clone(),
+                _ => Vec::new(),
+            };
+            print::line(&json!({"valid": checked.is_ok(), "faults": faults}).to_string())?;
+        } else if checked.is_ok() {
+            print::line("valid")?;
+        }
+        checked
+    }
+}
+
+/// Checks a file as the hosts do.
+fn check(path: &Path, body: &[u8]) -> Result<()> {
+    serde_json::from_slice::<serde_json::Value>(body)
+        .map(|_| ())
+        .map_err(|error| Error::Invalid {
+            path: path.into(),
+            code: Code::FileMalformed,
+            faults: vec![error.to_string().into()],
+        })
+}
--- /dev/null
+++ b/src/cmd/cli.rs
@@ -0,0 +1,206 @@
+//! Arguments of all subcommands.
+
+use std::path::PathBuf;
+
+use clap::{Args, Parser, Subcommand};
+
+use crate::prelude::*;
+
+/// Rollout service for reinforcement learning.
+#[derive(Debug, Parser)]
+#[command(
+    name = "lagoonyard",
+    version,
+    after_help = "Exit codes: 0 done, 1 other, 2 usage, 3 invalid file, 4 conflict, 5 unavailable, 6 outcome unknown."
+)]
+pub struct Cli {
+    #[command(subcommand)]
+    pub command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+pub enum Command {
+    /// Check a declarative file without any host.
+    Check(Check),
+    /// Put a declarative file in force.
+    Apply(Apply),
+    /// Print the configuration in force.
+    Show(Show),
+    /// Print the state of a host and what it knows of the others.
+    Status(Status),
+    /// Tell a host to finish its work and exit.
+    Drain(Drain),
+    /// Print the burn of service-level objectives by yard.
+    Report(Report),
+    /// Pull batches of samples as a trainer does.
+    Pull(Pull),
+    /// Announce new weights of a trainer's model.
+    Announce(Announce),
+    /// Call a plain service.
+    Call(Call),
+    /// Stream a completion.
+    Complete(Complete),
+}
+
+/// Admin ports and how to talk to them.
+#[derive(Clone, Debug, Args)]
+pub struct Operator {
+    /// Admin address of a host; the next is tried when one cannot be reached.
+    #[arg(long = "host", value_name = "URL", default_value = "http://127.0.0.1:8081")]
+    pub hosts: Vec<Box<str>>,
+    /// File with the operator token.
+    #[arg(long, value_name = "FILE")]
+    pub token_file: Option<PathBuf>,
+    /// Longest time for the whole command.
+    #[arg(long, value_name = "MS", default_value_t = 10_000)]
+    pub timeout_ms: u64,
+}
+
+/// Entry ports and how to talk to them.
+#[derive(Clone, Debug, Args)]
+pub struct Entry {
+    /// Entry address of a host; the next is tried when one cannot be reached.
+    #[arg(long = "host", value_name = "URL", default_value = "http://127.0.0.1:8080")]
+    pub hosts: Vec<Box<str>>,
+    /// Longest time for the whole command.
+    #[arg(long, value_name = "MS", default_value_t = 60_000)]
+    pub timeout_ms: u64,
+}
+
+#[derive(Debug, Args)]
+pub struct Check {
+    pub file: PathBuf,
+    /// Print the faults as JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Apply {
+    pub file: PathBuf,
+    #[command(flatten)]
+    pub operator: Operator,
+    /// Revision that the file was written against; the one in force if absent.
+    #[arg(long, value_name = "REV")]
+    pub expected: Option<Revision>,
+    /// Id of an earlier apply whose outcome is unknown; a new id if absent.
+    #[arg(long, value_name = "ID")]
+    pub apply_id: Option<Box<str>>,
+    /// Check and compare only.
+    #[arg(long)]
+    pub dry_run: bool,
+    /// Wait until every host has the revision.
+    #[arg(long)]
+    pub wait: bool,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Show {
+    #[command(flatten)]
+    pub operator: Operator,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Status {
+    #[command(flatten)]
+    pub operator: Operator,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Drain {
+    #[command(flatten)]
+    pub operator: Operator,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Report {
+    #[command(flatten)]
+    pub operator: Operator,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Pull {
+    pub trainer: Box<str>,
+    #[command(flatten)]
+    pub entry: Entry,
+    /// File that holds the cursor between runs.
+    #[arg(long, value_name = "FILE")]
+    pub cursor_file: PathBuf,
+    /// Version of the trainer's weights.
+    #[arg(long, required_unless_present = "version_file", conflicts_with = "version_file")]
+    pub version: Option<Version>,
+    /// File with the version of the trainer's weights, read again for every pull.
+    #[arg(long, value_name = "FILE")]
+    pub version_file: Option<PathBuf>,
+    /// Batches to pull.
+    #[arg(long, default_value_t = 1)]
+    pub batches: u32,
+    /// Longest wait of one pull.
+    #[arg(long, value_name = "MS", default_value_t = 5_000)]
+    pub wait_ms: u64,
+    /// Print batches as JSON, one a line.
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Announce {
+    pub trainer: Box<str>,
+    #[command(flatten)]
+    pub entry: Entry,
+    #[arg(long)]
+    pub version: Version,
+    /// Reference into the weight store.
+    #[arg(long)]
+    pub weights: Box<str>,
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Call {
+    pub service: Box<str>,
+    pub method: Box<str>,
+    /// Path and query behind the service's name.
+    pub path: Box<str>,
+    #[command(flatten)]
+    pub entry: Entry,
+    /// Body of the call.
+    #[arg(long, default_value = "")]
+    pub body: Box<str>,
+    /// Idempotency key from an earlier call.
+    #[arg(long, conflicts_with = "key_file")]
+    pub key: Option<Box<str>>,
+    /// File that holds the idempotency key; it is written before the call if it does not exist.
+    #[arg(long, value_name = "FILE")]
+    pub key_file: Option<PathBuf>,
+    /// Times the call is sent in all, with the same key.
+    #[arg(long, default_value_t = 5)]
+    pub attempts: u32,
+    /// Print status, key and body as JSON.
+    #[arg(long)]
+    pub json: bool,
+}
+
+#[derive(Debug, Args)]
+pub struct Complete {
+    pub model: Box<str>,
+    pub prompt: Box<str>,
+    #[command(flatten)]
+    pub entry: Entry,
+    #[arg(long, default_value_t = 64)]
+    pub max_tokens: u32,
+    /// Print the whole text, its finish reason and its versions as JSON at the end.
+    #[arg(long)]
+    pub json: bool,
+}
--- /dev/null
+++ b/src/cmd/print.rs
@@ -0,0 +1,69 @@
+//! Output of the commands.
+
+use std::io::Write;
+
+use serde_json::Value;
+use snafu::ResultExt;
+
+use super::{Result, error};
+
+/// Writes text to stdout at once.
+pub fn text(text: &str) -> Result<()> {
+    let mut out = std::io::stdout().lock();
+    out.write_all(text.as_bytes())
+        .and_then(|()| out.flush())
+        .context(error::PrintSnafu)
+}
+
+/// Writes one line to stdout.
+pub fn line(line: &str) -> Result<()> {
+    text(&format!("{line}\n"))
+}
+
+/// Writes a value, as one line of JSON for programs or as indented text for people.
+pub fn value(value: &Value, json: bool) -> Result<()> {
+    if json {
+        return line(&value.to_string());
+    }
+    let mut lines = Vec::new();
+    indented(value, 0, &mut lines);
+    line(&lines.join("\n"))
+}
+
+/// Writes rows with aligned columns.
+pub fn table(rows: &[Vec<String>]) -> Result<()> {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |column: usize| rows.iter().filter_map(|row| row.get(column)).map(String::len).max();
+    let widths: Vec<usize> = (0..columns).map(|column| width(column).unwrap_or(0)).collect();
+    for row in rows {
+        let cells: Vec<String> = row
+            .iter()
+            .zip(&widths)
+            .map(|(cell, width)| format!("{cell:width$}"))
+            .collect();
+        line(cells.join("  ").trim_end())?;
+    }
+    Ok(())
+}
+
+fn indented(value: &Value, depth: usize, lines: &mut Vec<String>) {
+    let pad = "  ".repeat(depth);
+    let mut entry = |name: &str, value: &Value| match value {
+        Value::Object(fields) if !fields.is_empty() => {
+            lines.push(format!("{pad}{name}:"));
+            indented(value, depth + 1, lines);
+        }
+        Value::Array(items) if !items.is_empty() => {
+            lines.push(format!("{pad}{name}:"));
+            indented(value, depth + 1, lines);
+        }
+        Value::String(text) => lines.push(format!("{pad}{name}: {text}")),
+        other => lines.push(format!("{pad}{name}: {other}")),
+    };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, value)| entry(name, value)),
+        Value::Array(items) => items.iter().for_each(|item| entry("-", item)),
+        Value::String(text) => lines.push(format!("{pad}{text}")),
+        other => lines.push(format!("{pad}{other}")),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! outside systems and `daemon` runs the threads. `docs/design.md` gives the reasons.
 
 pub mod border;
+pub mod cmd;
 pub mod code;
 pub mod core;
 pub mod file;
--- /dev/null
+++ b/tests/cmd.rs
@@ -0,0 +1,178 @@
+//! Exit codes of the command line, against a host that answers from a list.
+
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Command, Output},
+    sync::{Arc, Mutex},
+    thread,
+};
+
+use serde_json::{Value, json};
+
+/// A host that answers one connection after the other; `None` closes it without an answer.
+struct Host {
+    url: String,
+    bodies: Arc<Mutex<Vec<Value>>>,
+}
+
+impl Host {
+    fn new(answers: Vec<Option<(u16, Value)>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let url = format!("http://{}", listener.local_addr().unwrap());
+        let bodies = Arc::<Mutex<Vec<Value>>>::default();
+        let seen = bodies.clone();
+        thread::spawn(move || {
+            for answer in answers {
+                let (mut stream, _) = listener.accept().unwrap();
+                let mut reader = BufReader::new(stream.try_clone().unwrap());
+                let (mut line, mut length) = (String::new(), 0);
+                while reader.read_line(&mut line).unwrap() > 2 {
+                    if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
+                        length = value.trim().parse().unwrap();
+                    }
+                    line.clear();
+                }
+                let mut body = vec![0; length];
+                reader.read_exact(&mut body).unwrap();
+                seen.lock()
+                    .unwrap()
+                    .push(serde_json::from_slice(&body).unwrap_or(Value::Null));
+                if let Some((status, body)) = answer {
+                    let body = body.to_string();
+                    let head = format!(
+                        "HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-length: {}",
+                        body.len()
+                    );
+                    write!(stream, "{head}\r\n\r\n{body}").unwrap();
+                }
+            }
+        });
+        Self { url, bodies }
+    }
+}
+
+fn error(code: &str, kind: &str) -> Value {
+    json!({"error": {"code": code, "kind": kind, "message": "text", "details": ["yards.huon.zones: empty"]}})
+}
+
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+fn lagoonyard(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lagoonyard"))
+        .args(args)
+        .output()
+        .unwrap()
+}
+
+fn apply(host: &Host, extra: &[&str]) -> (Option<i32>, String) {
+    let path = file("file.json", r#"{"yards": {}}"#);
+    let mut args = vec!["apply", path.to_str().unwrap(), "--host", &host.url];
+    args.extend(["--expected", "4", "--timeout-ms", "1500"]);
+    args.extend(extra);
+    let output = lagoonyard(&args);
+    (output.status.code(), String::from_utf8(output.stderr).unwrap())
+}
+
+/// Guards against an exit code that tells a script the wrong thing about what happened.
+#[test]
+fn each_result_has_its_exit_code() {
+    let cases = [
+        (200, json!({"revision": 5}), 0),
+        (422, error("LY-102", "refused"), 3),
+        (409, error("LY-103", "refused"), 4),
+        (409, error("LY-104", "refused"), 4),
+        (401, error("LY-401", "refused"), 1),
+    ];
+    for (status, body, exit) in cases {
+        let (code, stderr) = apply(&Host::new(vec![Some((status, body.clone()))]), &[]);
+        assert_eq!(code, Some(exit), "{body}: {stderr}");
+        if exit != 0 {
+            assert!(stderr.contains("could not apply the file: LY-"), "{stderr}");
+            assert!(stderr.contains("yards.huon.zones: empty"), "{stderr}");
+        }
+    }
+    assert_eq!(lagoonyard(&["apply"]).status.code(), Some(2));
+    assert_eq!(lagoonyard(&["check", "no/such/file"]).status.code(), Some(1));
+    let closed = Host {
+        url: "http://127.0.0.1:9".into(),
+        bodies: Arc::default(),
+    };
+    assert_eq!(apply(&closed, &[]).0, Some(5));
+}
+
+/// Guards against a second apply under a new id after an answer was lost, which could race with the first.
+#[test]
+fn an_unknown_answer_is_repeated_with_the_same_apply_id() {
+    let host = Host::new(vec![
+        None,
+        Some((504, error("LY-106", "outcome_unknown"))),
+        Some((200, json!({"revision": 5}))),
+    ]);
+    assert_eq!(apply(&host, &[]).0, Some(0));
+    let bodies = host.bodies.lock().unwrap();
+    assert_eq!(bodies.len(), 3);
+    assert!(bodies.iter().all(|body| body == &bodies[0]));
+}
+
+/// Guards against "not applied" for an apply that an earlier attempt may have put in force.
+#[test]
+fn a_lost_answer_stays_unknown_when_the_store_is_away() {
+    let unavailable = Some((503, error("LY-105", "not_run")));
+    let mut answers = vec![None];
+    answers.extend(std::iter::repeat_n(unavailable.clone(), 20));
+    let (code, stderr) = apply(&Host::new(answers), &[]);
+    assert_eq!(code, Some(6), "{stderr}");
+    assert!(stderr.contains("--apply-id apply-"), "{stderr}");
+    let only_unavailable = Host::new(std::iter::repeat_n(unavailable, 20).collect());
+    assert_eq!(apply(&only_unavailable, &[]).0, Some(5));
+}
+
+/// Guards against a call that is sent again under another key, which could run it twice.
+#[test]
+fn a_call_is_repeated_with_its_key_only() {
+    let host = Host::new(vec![
+        Some((200, json!({"keys": ["h.1.1.t"]}))),
+        None,
+        Some((504, error("LY-204", "outcome_unknown"))),
+        Some((410, error("LY-205", "outcome_unknown"))),
+    ]);
+    let args = [
+        "call",
+        "works-app",
+        "POST",
+        "/bookings",
+        "--host",
+        &host.url,
+        "--body",
+        r#"{"id": 1}"#,
+    ];
+    let output = lagoonyard(&args);
+    assert_eq!(output.status.code(), Some(6));
+    assert_eq!(host.bodies.lock().unwrap().len(), 4);
+}
+
+/// Guards against a trainer that takes a batch judged by an older version, or loses its cursor.
+#[test]
+fn a_pull_takes_only_a_batch_of_its_version_and_keeps_the_cursor() {
+    let batch = |cursor, version| Some((200, json!({"cursor": cursor, "version": version, "groups": []})));
+    let host = Host::new(vec![None, batch("old", 6), batch("one", 7), batch("two", 7)]);
+    let cursor = file("cursor", "start\n");
+    let mut args = vec!["pull", "blurb", "--host", &host.url, "--version", "7", "--batches", "2"];
+    args.extend(["--cursor-file", cursor.to_str().unwrap(), "--timeout-ms", "5000"]);
+    assert_eq!(lagoonyard(&args).status.code(), Some(0));
+    let sent: Vec<Value> = host
+        .bodies
+        .lock()
+        .unwrap()
+        .iter()
+        .map(|body| body["cursor"].clone())
+        .collect();
+    assert_eq!(sent, ["start", "start", "start", "one"]);
+    assert_eq!(std::fs::read_to_string(&cursor).unwrap().trim(), "two");
+}
