Add the scenario runner, small fakes and the policy measurement

The promises and the policy need runs that can be repeated. A fleet joins several cores with small fakes on one fake clock, scenarios are rhai files, and the measurement runs a fixed load under the full policy and the baseline.

--- /dev/null
+++ b/crates/lab/scenarios/not_run.rhai
@@ -0,0 +1,41 @@
+// P5: a target dies after it took the request, links are cut, a queue is full, a deadline passes in the queue.
+fleet("small", 51);
+ready();
+let keys = [];
+for number in 0..8 {
+    let ticket = ask_key("h" + (number % 4 + 1));
+    advance(100);
+    keys.push(answer(ticket).text);
+}
+die_after_run("s1", true);
+die_after_run("s2", true);
+let one = book("h1", keys[0], "booking one");
+let two = book("h2", keys[1], "booking two");
+advance(3000);
+expect(answer(one).kind == "OutcomeUnknown", "a target that died after it ran the call leaves the outcome unknown, not " + answer(one).kind);
+die_after_run("s1", false);
+die_after_run("s2", false);
+advance(2000);
+let three = book("h3", keys[2], "booking three");
+advance(3000);
+expect(answer(three).kind == "NotRun", "with no live target the call is not run");
+revive("s1");
+revive("s2");
+advance(70000);
+let late = book("h4", keys[2], "booking three");
+advance(3000);
+expect(answer(late).state == "error" && runs("booking three") == 0, "a refused key never runs, even when targets are back");
+let four = book("h4", keys[3], "booking four");
+advance(3000);
+expect(answer(four).state == "done", "a fresh key runs");
+service_takes(2000);
+let tickets = [];
+for number in 0..400 {
+    tickets.push(generate("h1", "flood " + number, 4000));
+}
+advance(30000);
+let refused = 0;
+for ticket in tickets {
+    if answer(ticket).state == "error" { refused += 1; }
+}
+expect(refused > 0, "a flood is refused early");
--- /dev/null
+++ b/crates/lab/src/perform.rs
@@ -0,0 +1,445 @@
+//! Carries out the actions of a core.
+
+use lagoonyard::{
+    core::{
+        Action, Event, listing,
+        request::{Attempt, Failure, News, Output, Progress, Work},
+        rollout::{self, Order, Ordered},
+        store::{self, Call},
+        target::{Outcome, Polled, Report},
+    },
+    prelude::*,
+};
+
+use crate::{
+    Fleet, check,
+    engine::{Note, STEP},
+    fleet::{PLATFORM, Reply},
+    store::Mode,
+};
+
+/// A watch that waits for its key to change.
+pub struct Watch {
+    host: HostId,
+    incarnation: Incarnation,
+    id: CallId,
+    call: Call,
+    until: Time,
+}
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const STORE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between the leaving of a target and the host list that shows it.
+pub const LIST_LAG: Duration = Duration::from_secs(15);
+const LOAD_TIME: Duration = Duration::from_secs(4);
+
+impl Fleet {
+    /// Carries out one action of a host.
+    pub fn perform(&mut self, id: &HostId, incarnation: Incarnation, action: Action) {
+        let zone = self.hosts[id].zone.clone();
+        match action {
+            Action::Dispatch(attempt) => self.dispatch(id, incarnation, &zone, attempt),
+            Action::Cancel(attempt) => {
+                let host = id.clone();
+                self.schedule(Duration::from_millis(1), move |fleet| {
+                    fleet
+                        .engines
+                        .values_mut()
+                        .for_each(|engine| engine.cancel(&host, attempt));
+                });
+            }
+            Action::Answer { ticket, answer } => self.reply(ticket, Reply::Answer(answer)),
+            Action::Keys { ticket, keys } => self.reply(ticket, Reply::Keys(keys)),
+            Action::Batch { ticket, answer } => self.reply(ticket, Reply::Batch(answer)),
+            Action::Admin { ticket, answer } => self.reply(ticket, Reply::Admin(answer)),
+            Action::Store { id: call_id, call } => self.store_call(id, incarnation, &zone, call_id, call),
+            Action::ReadListing { zone: wanted } => self.read_listing(id, incarnation, &zone, wanted),
+            Action::Poll { target, .. } => self.poll(id, incarnation, &zone, target),
+            Action::Order(order) => {
+                let host = self.hosts.get_mut(id);
+                match host {
+                    Some(host) if host.holds_orders => host.held.push(order),
+                    _ => self.order(id, incarnation, &zone, order),
+                }
+            }
+            Action::Send { to, message, .. } => self.send(id, incarnation, &zone, to, message),
+            Action::InForce { snapshot, body } => {
+                check::in_force(self, id, snapshot.revision);
+                if let Some(host) = self.hosts.get_mut(id) {
+                    host.revision = snapshot.revision;
+                    host.cache = Some(body.to_vec().into());
+                }
+            }
+            Action::Log { level, text } => {
+                if level <= self.log_level {
+                    self.note(format!("{id} {level}: {text}"));
+                }
+            }
+            Action::Exit => {
+                check::exits(self, id);
+                if let Some(host) = self.hosts.get_mut(id) {
+                    host.exited = true;
+                }
+                self.kill(id);
+            }
+        }
+    }
+
+    /// Lets out the orders that a paused host held back.
+    pub fn release_orders(&mut self, id: &str) {
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        host.holds_orders = false;
+        let (held, incarnation, zone) = (std::mem::take(&mut host.held), host.incarnation, host.zone.clone());
+        for order in held {
+            self.order(&HostId::from(id), incarnation, &zone, order);
+        }
+    }
+
+    fn reply(&mut self, ticket: Ticket, reply: Reply) {
+        let delay = self.plan.client_delay;
+        self.schedule(delay, move |fleet| fleet.settle(ticket, reply));
+    }
+
+    fn send(
+        &mut self,
+        id: &HostId,
+        incarnation: Incarnation,
+        zone: &str,
+        to: HostId,
+        message: lagoonyard::wire::Message,
+    ) {
+        use prost::Message as _;
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.sent_bytes += message.encoded_len() as u64 + 4;
+        }
+        let open = self
+            .hosts
+            .get(&to)
+            .filter(|host| host.core.is_some())
+            .map(|host| host.zone.clone());
+        let Some(delay) = open.and_then(|other| self.delay(zone, &other)) else {
+            self.lost(id.clone(), incarnation, to);
+            return;
+        };
+        let from = id.clone();
+        self.schedule(delay, move |fleet| {
+            let event = lagoonyard::core::peer::Event::Message {
+                from,
+                message: Box::new(message),
+            };
+            fleet.input(&to, Event::Peer(event));
+        });
+    }
+
+    fn dispatch(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, attempt: Attempt) {
+        let target = attempt.target.clone();
+        check::dispatched(self, &target);
+        let place = self.engines.get(&target).map(|engine| (engine.zone.clone(), engine.up));
+        let place = place.or_else(|| {
+            self.services
+                .get(&target)
+                .map(|service| (service.zone.clone(), service.up))
+        });
+        let open = place
+            .filter(|(_, up)| *up)
+            .and_then(|(other, _)| self.delay(zone, &other));
+        let Some(delay) = open else {
+            let news = News::Failed {
+                failure: Failure::Connect,
+                partial: attempt.so_far.clone(),
+            };
+            let event = Event::Attempt(Progress {
+                attempt: attempt.id,
+                news,
+            });
+            let reached = self.engines.contains_key(&target) || self.services.contains_key(&target);
+            let after = if reached {
+                Duration::from_millis(2)
+            } else {
+                CONNECT_TIMEOUT
+            };
+            self.deliver(after, id.clone(), incarnation, event);
+            return;
+        };
+        let sent = Event::Attempt(Progress {
+            attempt: attempt.id,
+            news: News::Sent,
+        });
+        self.deliver(Duration::ZERO, id.clone(), incarnation, sent);
+        let host = id.clone();
+        match &attempt.work {
+            Work::Generate(_) => {
+                self.schedule(delay, move |fleet| {
+                    fleet.start_generation(&target, attempt, host, incarnation);
+                });
+            }
+            Work::Call(_) => {
+                self.schedule(delay, move |fleet| {
+                    fleet.start_call(&target, attempt, host, incarnation, delay);
+                });
+            }
+        }
+    }
+
+    fn start_generation(&mut self, target: &TargetId, attempt: Attempt, host: HostId, incarnation: Incarnation) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        let failed = |failure| {
+            let news = News::Failed {
+                failure,
+                partial: attempt.so_far.clone(),
+            };
+            Note {
+                host: host.clone(),
+                incarnation,
+                attempt: attempt.id,
+                news,
+            }
+        };
+        if !engine.up {
+            let note = failed(Failure::Broken);
+            return self.tell(note);
+        }
+        if engine.leaving.is_some() {
+            let note = failed(Failure::Leaving);
+            return self.tell(note);
+        }
+        check::ran(&mut self.checks, &attempt);
+        engine.accept(now, attempt, host, incarnation);
+        if !engine.stepping {
+            engine.stepping = true;
+            let id = target.clone();
+            self.schedule(STEP, move |fleet| fleet.step_engine(&id));
+        }
+    }
+
+    fn step_engine(&mut self, target: &TargetId) {
+        let now = self.now;
+        let poisons = self.poisons.clone();
+        let Some(engine) = self.engines.get_mut(target) else {
+            return;
+        };
+        if !engine.up || (engine.running.is_empty() && engine.waiting.is_empty()) {
+            engine.stepping = false;
+            return;
+        }
+        let notes = engine.step(now);
+        let poisoned = poisons.iter().any(|poison| engine.has_prompt(poison));
+        notes.into_iter().for_each(|note| self.tell(note));
+        if poisoned {
+            if let Some(engine) = self.engines.get_mut(target) {
+                engine.stepping = false;
+            }
+            self.checks.poison_crashes += 1;
+            return self.crash(target, Some(Duration::from_secs(10)));
+        }
+        let id = target.clone();
+        self.schedule(STEP, move |fleet| fleet.step_engine(&id));
+    }
+
+    fn start_call(
+        &mut self,
+        target: &TargetId,
+        attempt: Attempt,
+        host: HostId,
+        incarnation: Incarnation,
+        delay: Duration,
+    ) {
+        let Work::Call(call) = attempt.work.clone() else { return };
+        let Some(service) = self.services.get_mut(target) else {
+            return;
+        };
+        let note = move |news| Note {
+            host: host.clone(),
+            incarnation,
+            attempt: attempt.id,
+            news,
+        };
+        let failed = |failure| News::Failed { failure, partial: None };
+        if !service.up {
+            let note = note(failed(Failure::Broken));
+            return self.tell(note);
+        }
+        if service.leaving.is_some() {
+            let note = note(failed(Failure::Leaving));
+            return self.tell(note);
+        }
+        let takes = service.takes;
+        let dies = service.die_after_run;
+        let id = target.clone();
+        self.schedule(takes, move |fleet| {
+            if fleet.services.get(&id).is_none_or(|service| !service.up) {
+                return fleet.tell(note(failed(Failure::Broken)));
+            }
+            let response = fleet.ledger.run(&call);
+            if dies {
+                fleet.crash(&id, None);
+                return fleet.tell(note(failed(Failure::Broken)));
+            }
+            let note = note(News::Done(Output::Response(response)));
+            fleet.schedule(delay, move |fleet| fleet.tell(note));
+        });
+    }
+
+    fn store_call(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, call_id: CallId, call: Call) {
+        let answer = move |result| Event::Store(store::Answer { id: call_id, result });
+        let Some(delay) = self.delay(zone, PLATFORM).filter(|_| self.store.mode != Mode::Refuse) else {
+            let event = answer(Err(store::Failure::Unsent));
+            return self.deliver(Duration::from_millis(5), id.clone(), incarnation, event);
+        };
+        if self.store.mode == Mode::Hang {
+            let event = answer(Err(store::Failure::Unknown));
+            return self.deliver(STORE_TIMEOUT, id.clone(), incarnation, event);
+        }
+        let host = id.clone();
+        let after = delay + self.store.slow;
+        self.schedule(after, move |fleet| {
+            let reply = fleet.store.carry_out(fleet.now, &call);
+            if matches!(call, Call::Swap { .. } | Call::Delete { .. }) {
+                fleet.wake_watches();
+            }
+            if fleet.store.mode == Mode::LoseAnswers {
+                let event = answer(Err(store::Failure::Unknown));
+                return fleet.deliver(STORE_TIMEOUT, host, incarnation, event);
+            }
+            if let (Call::Watch { wait, .. }, store::Reply::NoChange) = (&call, &reply) {
+                let until = fleet.now + *wait;
+                let wait = *wait;
+                fleet.waiting.push(Watch {
+                    host,
+                    incarnation,
+                    id: call_id,
+                    call,
+                    until,
+                });
+                return fleet.schedule(wait, Self::wake_watches);
+            }
+            fleet.deliver(delay, host, incarnation, answer(Ok(reply)));
+        });
+    }
+
+    /// Answers the watches whose key changed or whose time is over.
+    pub fn wake_watches(&mut self) {
+        let now = self.now;
+        for watch in std::mem::take(&mut self.waiting) {
+            let reply = self.store.carry_out(now, &watch.call);
+            if reply == store::Reply::NoChange && now < watch.until {
+                self.waiting.push(watch);
+                continue;
+            }
+            let Some(host) = self.hosts.get(&watch.host) else {
+                continue;
+            };
+            let Some(delay) = self.delay(&host.zone, PLATFORM) else {
+                continue;
+            };
+            let event = Event::Store(store::Answer {
+                id: watch.id,
+                result: Ok(reply),
+            });
+            self.deliver(delay, watch.host, watch.incarnation, event);
+        }
+    }
+
+    fn read_listing(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, wanted: ZoneId) {
+        let open = self.delay(zone, PLATFORM).filter(|_| self.store.mode != Mode::Refuse);
+        let entries: Vec<listing::Entry> = self
+            .listed
+            .values()
+            .filter(|entry| entry.zone == wanted)
+            .cloned()
+            .collect();
+        let read = listing::Read {
+            zone: wanted,
+            entries: open.map(|_| entries),
+        };
+        let delay = open.unwrap_or(Duration::from_millis(5)) * 2;
+        self.deliver(delay, id.clone(), incarnation, Event::Listing(read));
+    }
+
+    fn poll(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, target: TargetId) {
+        let engine = self.engines.get(&target);
+        let service = self.services.get(&target);
+        let place = engine.map(|engine| (&engine.zone, engine.up, engine.leaving));
+        let place = place.or_else(|| service.map(|service| (&service.zone, service.up, service.leaving)));
+        let open = place
+            .filter(|(_, up, _)| *up)
+            .and_then(|(other, _, leaving)| Some((self.delay(zone, other)?, leaving)));
+        let outcome = match (open, engine) {
+            (None, _) => Outcome::Unreachable,
+            (Some((_, Some(_))), _) => Outcome::Leaving,
+            (Some(_), None) => Outcome::Report(Report::default()),
+            (Some(_), Some(_)) if self.mute_reports => return,
+            (Some(_), Some(engine)) => Outcome::Report(Report {
+                running: engine.running.len() as u32,
+                waiting: engine.waiting.len() as u32,
+                kv_used_percent: (engine.running.len() as u32 * 100 / engine.slots.max(1)).min(100),
+                versions: [(engine.model.clone(), engine.version)].into(),
+            }),
+        };
+        // Half a second on top of the way back: engines report load with a lag.
+        let delay = open.map_or(Duration::from_millis(5), |(delay, _)| {
+            delay * 2 + Duration::from_millis(500)
+        });
+        self.deliver(
+            delay,
+            id.clone(),
+            incarnation,
+            Event::Polled(Polled { target, outcome }),
+        );
+    }
+
+    fn order(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, order: Order) {
+        let target = order.target.clone();
+        let (order_id, host) = (order.id, id.clone());
+        let answer = move |result| {
+            Event::Ordered(Ordered {
+                id: order_id,
+                target: order.target.clone(),
+                result,
+            })
+        };
+        let open = self
+            .engines
+            .get(&target)
+            .filter(|engine| engine.up)
+            .map(|engine| engine.zone.clone());
+        let Some(delay) = open.and_then(|other| self.delay(zone, &other)) else {
+            let event = answer(Err(rollout::Failure::Unreachable));
+            return self.deliver(Duration::from_millis(5), host, incarnation, event);
+        };
+        let (version, fence) = (order.desired.version, order.fence);
+        self.schedule(delay, move |fleet| {
+            let now = fleet.now;
+            let loads = fleet.weight_loads + 1;
+            let share = f64::from(loads.max(fleet.plan.weight_rate)) / f64::from(fleet.plan.weight_rate);
+            let takes = LOAD_TIME.mul_f64(share * fleet.weight_slow);
+            let Some(engine) = fleet.engines.get_mut(&target).filter(|engine| engine.up) else {
+                return fleet.deliver(delay, host, incarnation, answer(Err(rollout::Failure::Unreachable)));
+            };
+            if engine.checks_fence && fence < engine.fence {
+                return fleet.deliver(delay, host, incarnation, answer(Err(rollout::Failure::StaleFence)));
+            }
+            engine.fence = engine.fence.max(fence);
+            let fails = engine.fail_loads > 0;
+            engine.fail_loads = engine.fail_loads.saturating_sub(1);
+            engine.loading_until = Some(now + takes);
+            fleet.weight_loads += 1;
+            check::loading(fleet, &target);
+            fleet.schedule(takes, move |fleet| {
+                fleet.weight_loads -= 1;
+                let Some(engine) = fleet.engines.get_mut(&target) else {
+                    return;
+                };
+                if !fails && engine.up {
+                    engine.version = version;
+                }
+                let result = if fails { Err(rollout::Failure::Failed) } else { Ok(()) };
+                fleet.note(format!("{target} loads {version}: {result:?}"));
+                fleet.deliver(delay, host, incarnation, answer(result));
+            });
+        });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/store.rs
@@ -0,0 +1,135 @@
+//! Fake of the platform's key-value service.
+
+use std::collections::BTreeMap;
+
+use lagoonyard::{
+    core::store::{Call, Expect, Reply, Value},
+    prelude::*,
+};
+
+/// How the service behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    #[default]
+    Up,
+    /// No connection is accepted.
+    Refuse,
+    /// Calls are taken and neither carried out nor answered.
+    Hang,
+    /// Calls are carried out and their answers are lost.
+    LoseAnswers,
+}
+
+/// Values by key, each with the lease that it hangs on.
+type Keys = BTreeMap<Box<str>, (Value, Option<i64>)>;
+
+/// Keys, leases and the store revision.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub mode: Mode,
+    pub revision: u64,
+    pub calls: u64,
+    pub writes: u64,
+    /// Extra time before a call is carried out.
+    pub slow: Duration,
+    keys: Keys,
+    leases: BTreeMap<i64, (Time, Duration)>,
+    last_lease: i64,
+    saved: Option<Keys>,
+}
+
+impl Store {
+    /// Carries out a call; a watch is answered by its state now.
+    pub fn carry_out(&mut self, now: Time, call: &Call) -> Reply {
+        self.calls += 1;
+        self.expire(now);
+        match call {
+            Call::Get { key } => Reply::Value(self.get(key)),
+            Call::Swap {
+                key,
+                expect,
+                value,
+                lease,
+            } => {
+                self.writes += 1;
+                let found = self.get(key);
+                let holds = match (expect, &found) {
+                    (Expect::Absent, None) => true,
+                    (Expect::At(revision), Some(value)) => value.changed == *revision,
+                    _ => false,
+                };
+                if !holds {
+                    return Reply::Conflict(found);
+                }
+                if lease.is_some_and(|id| !self.leases.contains_key(&id)) {
+                    return Reply::LeaseGone;
+                }
+                self.revision += 1;
+                let created = found.map_or(self.revision, |value| value.created);
+                let stored = Value {
+                    bytes: value.clone(),
+                    changed: self.revision,
+                    created,
+                };
+                self.keys.insert(key.clone(), (stored, *lease));
+                Reply::Swapped { changed: self.revision }
+            }
+            Call::Delete { key } => {
+                self.writes += 1;
+                if self.keys.remove(key).is_some() {
+                    self.revision += 1;
+                }
+                Reply::Deleted
+            }
+            Call::Grant { ttl } => {
+                self.writes += 1;
+                self.last_lease += 1;
+                self.leases.insert(self.last_lease, (now + *ttl, *ttl));
+                Reply::Lease {
+                    id: self.last_lease,
+                    ttl: *ttl,
+                }
+            }
+            Call::KeepAlive { lease } => match self.leases.get_mut(lease) {
+                Some((until, ttl)) => {
+                    *until = now + *ttl;
+                    Reply::Lease { id: *lease, ttl: *ttl }
+                }
+                None => Reply::LeaseGone,
+            },
+            Call::Watch { key, after, .. } => match self.get(key) {
+                Some(value) if value.changed > *after => Reply::Value(Some(value)),
+                _ => Reply::NoChange,
+            },
+        }
+    }
+
+    /// Value of a key.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.keys.get(key).map(|(value, _)| value.clone())
+    }
+
+    /// Remembers the present contents for `rewind`.
+    pub fn save(&mut self) {
+        self.saved = Some(self.keys.clone());
+    }
+
+    /// Brings back the contents that were saved.
+    pub fn rewind(&mut self) {
+        if let Some(saved) = self.saved.clone() {
+            self.keys = saved;
+            self.revision += 1;
+        }
+    }
+
+    fn expire(&mut self, now: Time) {
+        self.leases.retain(|_, (until, _)| *until > now);
+        let leases = &self.leases;
+        let before = self.keys.len();
+        self.keys
+            .retain(|_, (_, lease)| lease.is_none_or(|id| leases.contains_key(&id)));
+        if self.keys.len() < before {
+            self.revision += 1;
+        }
+    }
+}
