--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -345,6 +345,7 @@
             (other.into(), one.into())
         };
         self.cuts.insert(pair);
+        self.checks.disturbed = Some(self.now);
     }
 
     /// Cuts a zone off from all others and the platform.
@@ -375,6 +376,7 @@
     /// Crashes an engine or service process; it comes back after a while when `back` is given.
     pub fn crash(&mut self, target: &str, back: Option<Duration>) {
         self.note(format!("target {target} crashes"));
+        self.checks.disturbed = Some(self.now);
         if let Some(engine) = self.engines.get_mut(target) {
             self.crashes += 1;
             let notes = engine.crash();
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -97,10 +97,15 @@
     if !dispatch::any_target(world, &snapshot, &lane) {
         return Err(Code::NoTarget);
     }
-    let queue = world.queues.of(&lane);
-    if now + queue.expected_wait(class, limits) >= deadline {
-        return Err(Code::Deadline);
+    let is_late = |world: &mut World, free| now + world.queues.of(&lane).expected_wait(class, limits, free) >= deadline;
+    // The free slots are counted only when it matters, since that looks at every target of the lane.
+    if is_late(world, 0) {
+        let free = dispatch::free_slots(world, &snapshot, &lane);
+        if is_late(world, free) {
+            return Err(Code::Deadline);
+        }
     }
+    let queue = world.queues.of(&lane);
     let mut displaced = None;
     if queue.len() >= limits.queue_requests as usize {
         // Callers push out the newest bulk request, down to the share of the queue that bulk keeps.
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -62,6 +62,21 @@
     })
 }
 
+/// Slots of a lane's usable targets that this host does not use.
+pub fn free_slots(world: &World, snapshot: &Snapshot, lane: &Lane) -> u32 {
+    let zones = lane.zones(snapshot);
+    let free = lane.pools(snapshot).flat_map(|(pool, config)| {
+        let places = world.targets.places(pool).filter(|(zone, _)| allowed(zones, zone));
+        let targets = places
+            .flat_map(|(_, targets)| targets)
+            .filter(|target| usable(world, target));
+        targets
+            .filter_map(|target| world.targets.rows.get(target))
+            .map(|row| config.slots.saturating_sub(row.in_flight))
+    });
+    free.sum()
+}
+
 fn serve(world: &mut World, snapshot: &Snapshot, lane: &Lane, limits: &Limits) {
     loop {
         let queue = world.queues.of(lane);
--- a/src/core/queue.rs
+++ b/src/core/queue.rs
@@ -104,8 +104,9 @@
         });
     }
 
-    /// Expected wait of a new request: requests ahead of it over the measured service rate.
-    pub fn expected_wait(&self, class: Class, limits: &Limits) -> Duration {
+    /// Expected wait of a new request: requests ahead of it over the measured service rate. Requests that arrive together
+    /// stand in the queue for a moment although `free` slots wait for them, so these are taken off first.
+    pub fn expected_wait(&self, class: Class, limits: &Limits, free: u32) -> Duration {
         let Some(mean) = self.service_time else {
             return Duration::ZERO;
         };
@@ -115,7 +116,7 @@
             Class::Caller if self.bulk.is_empty() => callers,
             Class::Caller => callers * 100 / (100 - limits.bulk_share_percent.min(BULK_SHARE_MAX_PERCENT)),
         };
-        mean * ahead / self.running.max(1)
+        mean * ahead.saturating_sub(free) / (self.running + free).max(1)
     }
 }
 
