Match answers of polls to the polls sent

Cause: a poll that was under way when a connection broke could be taken for the answer to the poll that decides whether the target crashed, and the crash went unnoticed.

Change: unanswered polls of a target are kept in order, two at most. Tests cover this, guessed keys and strikes that arrive while a request runs.

--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -21,6 +21,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// A poll that has no answer after this many poll intervals counts as failed.
 const OVERDUE_INTERVALS: u32 = 3;
+/// Polls of one target under way at once: the regular one, and one at once after a connection broke.
+const POLLS_OUT_MAX: usize = 2;
 /// How often the share of targets that this host polls is computed anew, if membership changed.
 const ASSIGN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -35,8 +37,8 @@
     pub unreachable: bool,
     /// A request failed lately.
     pub error_until: Time,
-    /// When the unanswered poll was sent.
-    polled_at: Option<Time>,
+    /// When the unanswered polls were sent.
+    polls_out: Vec<Time>,
     next_poll: Option<Time>,
     probe_interval: Option<Duration>,
     /// Failures before this time belong to the quarantine that already runs.
@@ -177,7 +179,11 @@
         return;
     };
     let address = row.address.clone();
-    world.targets.health.entry(target.clone()).or_default().polled_at = Some(now);
+    let health = world.targets.health.entry(target.clone()).or_default();
+    if health.polls_out.len() >= POLLS_OUT_MAX {
+        return;
+    }
+    health.polls_out.push(now);
     world.emit(Action::Poll {
         target: target.clone(),
         address,
@@ -186,7 +192,8 @@
 
 /// Takes note that a poll was answered, and tells when it was sent.
 pub fn answered(world: &mut World, target: &TargetId) -> Option<Time> {
-    world.targets.health.get_mut(target)?.polled_at.take()
+    let polls = &mut world.targets.health.get_mut(target)?.polls_out;
+    (!polls.is_empty()).then(|| polls.remove(0))
 }
 
 /// Gossips what the last poll showed, if this host is the target's poller and it changed enough.
@@ -285,10 +292,16 @@
         interval
     };
     schedule_poll(world, &target, now + wait);
-    let sent = world.targets.health.get(&target).and_then(|health| health.polled_at);
-    match sent {
+    let polls = world
+        .targets
+        .health
+        .get_mut(&target)
+        .map(|health| &mut health.polls_out);
+    let oldest = polls.as_ref().and_then(|polls| polls.first().copied());
+    match oldest {
         Some(sent) if now < sent + interval * OVERDUE_INTERVALS => {}
         Some(_) => {
+            polls.into_iter().for_each(Vec::clear);
             let outcome = Outcome::Unreachable;
             target::polled(world, Polled { target, outcome });
         }
@@ -339,7 +352,7 @@
         let at = if known { now + interval } else { now };
         if let Some(health) = world.targets.health.get_mut(&target) {
             health.next_poll = None;
-            health.polled_at = None;
+            health.polls_out.clear();
         }
         schedule_poll(world, &target, at);
     }
--- a/tests/drive/mod.rs
+++ b/tests/drive/mod.rs
@@ -9,8 +9,8 @@
     core::{
         Action, Core, Event, Settings, key, listing,
         request::{
-            self, Answer, Attempt, Call, Failure, Generate, Incoming, News, Origin, Output, Progress, Response,
-            Segment, Submit, Text, Work,
+            self, Answer, Attempt, Call, Completion, Failure, Generate, Incoming, News, Origin, Output, Progress,
+            Response, Segment, Submit, Text, Work,
         },
         target,
     },
@@ -34,6 +34,10 @@
     pub cancels: Vec<AttemptId>,
     pub keys: Vec<Box<str>>,
     pub sent: Vec<wire::Body>,
+    /// Ends of bulk requests that events caused; those that a tick causes are taken by `stream`.
+    pub ended: Vec<Completion>,
+    /// Polls are not answered.
+    pub silent: bool,
 }
 
 impl Drive {
@@ -56,6 +60,8 @@
             cancels: Vec::new(),
             keys: Vec::new(),
             sent: Vec::new(),
+            ended: Vec::new(),
+            silent: false,
         };
         drive.advance(ms(10));
         drive
@@ -67,6 +73,7 @@
 
     /// One tick; polls are answered at once.
     pub fn tick(&mut self) {
+        self.ended.append(&mut self.core.world_mut().completions);
         for action in self.core.tick(self.now) {
             match action {
                 Action::Dispatch(attempt) => self.attempts.push(attempt),
@@ -76,17 +83,23 @@
                 Action::Send { message, .. } => self.sent.extend(message.body),
                 Action::Poll { target, .. } => {
                     self.polls.push((self.now, target.clone()));
-                    let outcome = match self.dead.contains(&target) {
-                        true => target::Outcome::Unreachable,
-                        false => target::Outcome::Report(target::Report::default()),
-                    };
-                    self.event(Event::Polled(target::Polled { target, outcome }));
+                    if !self.silent {
+                        self.answer_poll(target);
+                    }
                 }
                 _ => {}
             }
         }
     }
 
+    pub fn answer_poll(&mut self, target: TargetId) {
+        let outcome = match self.dead.contains(&target) {
+            true => target::Outcome::Unreachable,
+            false => target::Outcome::Report(target::Report::default()),
+        };
+        self.event(Event::Polled(target::Polled { target, outcome }));
+    }
+
     /// Ticks as often as the core asks for until the time has passed.
     pub fn advance(&mut self, time: Duration) {
         let end = self.now + time;
--- a/tests/key.rs
+++ b/tests/key.rs
@@ -73,7 +73,7 @@
 #[test]
 fn delayed_copy_after_a_refusal_does_not_run() {
     let mut drive = Drive::new(0, 1, Limits::default());
-    let keys = [drive.key(), drive.key(), drive.key()];
+    let keys = [drive.key(), drive.key(), drive.key(), drive.key()];
     drive.submit(1, call("/book"), Some(&keys[0]), LONG);
     drive.submit(2, call("/book"), Some(&keys[1]), LONG);
     drive.submit(3, call("/book"), Some(&keys[2]), ms(100));
@@ -81,9 +81,11 @@
     drive.advance(ms(200));
     assert_eq!(drive.code(3), Some(Code::Deadline));
     running.iter().for_each(|attempt| drive.done(attempt));
-    drive.submit(4, call("/book"), Some(&keys[2]), LONG);
+    drive.submit(4, call("/book"), Some(&keys[3]), Duration::ZERO);
+    drive.submit(5, call("/book"), Some(&keys[2]), LONG);
+    drive.submit(6, call("/book"), Some(&keys[3]), LONG);
     drive.advance(ms(500));
-    assert_eq!(drive.code(4), Some(Code::Deadline));
+    assert_eq!([4, 5, 6].map(|ticket| drive.code(ticket)), [Some(Code::Deadline); 3]);
     assert!(drive.take().is_empty());
 }
 
@@ -99,14 +101,14 @@
     drive.done(&attempt);
 
     let unused = drive.key();
-    drive.advance(Duration::from_secs(601));
-    let guessed = format!("{}0", &unused[..unused.len() - 1]);
+    let end = if unused.ends_with('0') { "1" } else { "0" };
+    let guessed = format!("{}{end}", &unused[..unused.len() - 1]);
     let other_start = unused.replacen(".1.", ".2.", 1);
-    for (ticket, key) in [&*key, &*unused, &*guessed, &*other_start, "nonsense"]
-        .into_iter()
-        .enumerate()
-    {
-        let ticket = ticket as Ticket + 10;
+    let invalid = [&*guessed, &*other_start, "nonsense", &*key, &*unused];
+    for (ticket, key) in (10..).zip(invalid) {
+        if ticket == 13 {
+            drive.advance(Duration::from_secs(601));
+        }
         drive.submit(ticket, call("/book"), Some(key), LONG);
         assert_eq!(drive.code(ticket), Some(Code::KeyInvalid), "{key}");
     }
@@ -210,13 +212,21 @@
     let key = issuer.key();
     issuer.submit(1, call("/book"), Some(&key), LONG);
     entry.submit(2, call("/book"), Some(&key), LONG);
-    assert_matches!(entry.sent.pop(), Some(wire::Body::Forward(forward)) => {
+    let passed = entry
+        .sent
+        .drain(..)
+        .filter(|body| matches!(body, wire::Body::Forward(_)));
+    assert_matches!(passed.last(), Some(wire::Body::Forward(forward)) => {
         forward::input(issuer.core.world_mut(), &"a".into(), forward);
     });
     let attempt = issuer.one();
     issuer.done(&attempt);
     assert_eq!((issuer.take().len(), issuer.code(1)), (0, None));
-    assert_matches!(issuer.sent.pop(), Some(wire::Body::Reply(reply)) => {
+    let replies = issuer
+        .sent
+        .drain(..)
+        .filter(|body| matches!(body, wire::Body::Reply(_)));
+    assert_matches!(replies.last(), Some(wire::Body::Reply(reply)) => {
         forward::reply(entry.core.world_mut(), &"x".into(), reply.clone());
         assert!(!request::idle(entry.core.world()), "another host cannot answer");
         forward::reply(entry.core.world_mut(), &"b.c".into(), reply);
--- a/tests/request.rs
+++ b/tests/request.rs
@@ -227,8 +227,7 @@
         drive.submit(ticket, prompt(&format!("caller {ticket}")), None, LONG);
     }
     assert_eq!((drive.answers.len(), drive.code(8)), (1, Some(Code::QueueFull)));
-    let ended = &drive.core.world().completions;
-    assert!(ended.len() == 8 && ended.iter().all(|it| it.result == Err(Code::QueueFull)));
+    assert!(drive.ended.len() == 8 && drive.ended.iter().all(|it| it.result == Err(Code::QueueFull)));
 }
 
 /// Guards against a graceful stop that cuts off queued work or takes new work.
@@ -263,6 +262,5 @@
     }
     drive.tick();
     assert_eq!(drive.cancels, [attempt.id]);
-    let world = drive.core.world();
-    assert!(request::idle(world) && world.completions.is_empty());
+    assert!(request::idle(drive.core.world()) && drive.ended.is_empty());
 }
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -146,23 +146,58 @@
     }
 }
 
-/// Guards against two struck requests that share a target, where a crash would be blamed on both, and against contents
-/// that go on crashing targets here after peers have counted enough strikes.
+/// Guards against two struck requests that share a target, where a crash would be blamed on both, and against copies of
+/// one that crash several targets at once.
 #[test]
 fn struck_contents_are_isolated_and_then_refused() {
-    let mut drive = Drive::new(2, 0, Limits::default());
-    for (ticket, text) in ["a", "b", "c", "a"].iter().enumerate() {
-        strike::heard(drive.core.world_mut(), prompt(text).content(), "other".into());
-        drive.submit(ticket as Ticket, prompt(text), None, LONG);
+    for (texts, count) in [(["a", "a", "a", "a"], 1), (["a", "b", "c", "a"], 2)] {
+        let mut drive = Drive::new(2, 0, Limits::default());
+        for (ticket, text) in texts.iter().enumerate() {
+            strike::heard(drive.core.world_mut(), prompt(text).content(), "other".into());
+            drive.submit(ticket as Ticket, prompt(text), None, LONG);
+        }
+        let running = drive.take();
+        let targets: BTreeSet<_> = running.iter().map(|attempt| &attempt.target).collect();
+        assert_eq!((running.len(), targets.len()), (count, count));
+        for target in ["x", "y"] {
+            strike::heard(drive.core.world_mut(), prompt(texts[2]).content(), target.into());
+        }
+        running.iter().for_each(|attempt| drive.fail(attempt, Failure::Timeout));
+        drive.advance(ms(200));
+        assert_eq!(drive.code(2), Some(Code::CrashesTargets));
     }
-    let running = drive.take();
-    assert_eq!(running.len(), 2);
-    assert_ne!(running[0].target, running[1].target);
-    for target in ["x", "y"] {
-        strike::heard(drive.core.world_mut(), prompt("c").content(), target.into());
+}
+
+/// Guards against strikes for requests that peers' strikes reached while they ran beside another one.
+#[test]
+fn only_the_isolated_are_struck_again() {
+    let mut drive = Drive::new(1, 0, Limits::default());
+    drive.submit(1, prompt("a"), None, LONG);
+    drive.submit(2, prompt("b"), None, LONG);
+    let [a, b] = ["a", "b"].map(|text| prompt(text).content());
+    for (content, target) in [(a, "x"), (a, "y"), (b, "x")] {
+        strike::heard(drive.core.world_mut(), content, target.into());
     }
-    running.iter().for_each(|attempt| drive.done(attempt));
-    drive.advance(ms(200));
-    assert_eq!(drive.code(2), Some(Code::CrashesTargets));
-    assert_eq!(drive.one().ticket, Some(3));
+    let running = drive.take();
+    drive.dead.insert("e0".into());
+    drive.silent = true;
+    running.iter().for_each(|attempt| drive.fail(attempt, Failure::Broken));
+    drive.answer_poll("e0".into());
+    let strikes = &drive.core.world().strikes;
+    assert_eq!([strikes.count(a), strikes.count(b)], [2, 1]);
+}
+
+/// Guards against a crash that goes unnoticed because an answer to an older poll arrives after it.
+#[test]
+fn late_answer_to_an_older_poll_does_not_clear_a_crash() {
+    let mut drive = Drive::new(1, 0, Limits::default());
+    drive.silent = true;
+    drive.advance(ms(1100));
+    drive.submit(1, prompt("a"), None, LONG);
+    let attempt = drive.one();
+    drive.fail(&attempt, Failure::Broken);
+    drive.answer_poll("e0".into());
+    drive.dead.insert("e0".into());
+    drive.answer_poll("e0".into());
+    assert_eq!(drive.core.world().strikes.count(attempt.work.content()), 1);
 }
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -109,7 +109,7 @@
         let rows = &mut drive.core.world_mut().hosts.rows;
         let own = rows[id].clone();
         rows.extend(hosts.map(|id| (id.into(), own.clone())));
-        drive.advance(ms(2000));
+        drive.advance(ms(300));
         drive
     });
     let polled = |drives: &mut [Drive]| {
@@ -129,7 +129,7 @@
     assert_eq!(polled(&mut drives), 40);
     for drive in &mut drives[..2] {
         drive.core.world_mut().hosts.rows.get_mut("c").expect("row").state = host::State::Dead;
-        drive.advance(ms(2000));
+        drive.advance(ms(300));
     }
     assert_eq!(polled(&mut drives[..2]), 40);
 }
