Check the promises under random faults

Cause: each test so far injures the system in one way only.

Change: tests/invariants.rs drives 20 seeds of random requests, failures, late news and target deaths and checks that a keyed call runs at most once, that "not run" is true, that each caller gets one answer and that slots are given back. The decisive strike and the last try of a struck content have tests of their own.

--- /dev/null
+++ b/tests/invariants.rs
@@ -0,0 +1,212 @@
+//! Random faults against the promises that always hold: a call with a key runs at most once, "not run" is true, each
+//! caller gets one answer, slots are kept and given back.
+
+mod drive;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use drive::{Drive, call, ms, prompt, settings};
+use lagoonyard::{
+    code::Kind,
+    core::{
+        Event, Settings,
+        request::{self, Answer, Attempt, Failure, News, Work},
+        target::{Outcome, Polled, Report},
+    },
+    file::Limits,
+    prelude::*,
+};
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_chacha::ChaCha8Rng;
+
+const FAILURES: [Failure; 6] = [
+    Failure::Connect,
+    Failure::Broken,
+    Failure::Broken,
+    Failure::Timeout,
+    Failure::Status(503),
+    Failure::Leaving,
+];
+
+/// What the outside has seen.
+#[derive(Default)]
+struct Ledger {
+    running: Vec<Attempt>,
+    old: Vec<Attempt>,
+    /// Attempts that may have run, by the name of their work.
+    ran: BTreeMap<Box<str>, BTreeSet<AttemptId>>,
+    /// Tickets and the name of their work.
+    tickets: BTreeMap<Ticket, Box<str>>,
+    gone: BTreeSet<Ticket>,
+    answered: BTreeSet<Ticket>,
+    not_run: BTreeSet<Box<str>>,
+}
+
+impl Ledger {
+    fn name(work: &Work) -> Box<str> {
+        match work {
+            Work::Generate(it) => (*it.prompt).into(),
+            Work::Call(it) => it.path.clone(),
+        }
+    }
+
+    /// Takes the actions of the last ticks and checks them.
+    fn check(&mut self, drive: &mut Drive) {
+        for attempt in drive.take() {
+            self.ran
+                .entry(Self::name(&attempt.work))
+                .or_default()
+                .insert(attempt.id);
+            self.running.push(attempt);
+        }
+        let (cancels, running) = (std::mem::take(&mut drive.cancels), std::mem::take(&mut self.running));
+        let (cancelled, running) = running.into_iter().partition(|it| cancels.contains(&it.id));
+        self.running = running;
+        self.old.extend::<Vec<_>>(cancelled);
+        for (ticket, answer) in drive.answers.drain(..) {
+            assert!(self.answered.insert(ticket), "ticket {ticket} is answered twice");
+            if let Answer::Error { code, .. } = answer
+                && code.kind() == Kind::NotRun
+            {
+                self.not_run.insert(self.tickets[&ticket].clone());
+            }
+        }
+        for (name, attempts) in &self.ran {
+            let book = name.starts_with("/book");
+            assert!(!book || attempts.len() <= 1, "{name} ran in {attempts:?}");
+            assert!(
+                attempts.is_empty() || !self.not_run.contains(name),
+                "{name} ran although it was said not to"
+            );
+        }
+        for (target, row) in &drive.core.world().targets.rows {
+            let running = self.running.iter().filter(|attempt| attempt.target == *target).count();
+            assert!(
+                row.in_flight as usize == running && running <= 2,
+                "{target}: {} of {running}",
+                row.in_flight
+            );
+        }
+    }
+
+    fn end(&mut self, drive: &mut Drive, at: usize, failure: Option<Failure>) {
+        let attempt = self.running.swap_remove(at);
+        match failure {
+            None => drive.done(&attempt),
+            Some(failure) => {
+                if matches!(failure, Failure::Connect | Failure::Leaving) {
+                    self.ran
+                        .entry(Self::name(&attempt.work))
+                        .or_default()
+                        .remove(&attempt.id);
+                }
+                drive.fail(&attempt, failure);
+            }
+        }
+        self.old.push(attempt);
+    }
+}
+
+fn poll(drive: &mut Drive, target: &TargetId, outcome: Outcome) {
+    let target = target.clone();
+    drive.event(Event::Polled(Polled { target, outcome }));
+}
+
+fn run(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let limits = Limits {
+        queue_requests: 6,
+        ..Limits::default()
+    };
+    let mut drive = Drive::with(Settings { seed, ..settings() }, 3, 3, limits);
+    let mut ledger = Ledger::default();
+    let mut keys: Vec<(Box<str>, Box<str>)> = Vec::new();
+    for ticket in 1..=1500 {
+        let deadline = ms(rng.random_range(1..4000));
+        match rng.random_range(0..13) {
+            0..=3 => {
+                let (work, key) = match rng.random_range(0..4) {
+                    0 => (prompt(&format!("p{ticket}")), None),
+                    1 => (call(&format!("/read/{ticket}")), None),
+                    2 if !keys.is_empty() => keys
+                        .choose(&mut rng)
+                        .map(|(path, key)| (call(path), Some(key.clone())))
+                        .expect("key"),
+                    _ => {
+                        let (path, key) = (format!("/book/{ticket}"), drive.key());
+                        keys.push((path.as_str().into(), key.clone()));
+                        (call(&path), Some(key))
+                    }
+                };
+                ledger.tickets.insert(ticket, Ledger::name(&work));
+                drive.submit(ticket, work, key.as_deref(), deadline);
+            }
+            4 => {
+                let waiting = ledger
+                    .tickets
+                    .keys()
+                    .filter(|it| !ledger.answered.contains(it) && !ledger.gone.contains(it));
+                if let Some(&ticket) = waiting.collect::<Vec<_>>().choose(&mut rng) {
+                    ledger.gone.insert(*ticket);
+                    drive.gone(*ticket);
+                }
+            }
+            5..=8 if !ledger.running.is_empty() => {
+                let at = rng.random_range(0..ledger.running.len());
+                let failure = rng
+                    .random_bool(0.5)
+                    .then(|| *FAILURES.choose(&mut rng).expect("failure"));
+                ledger.end(&mut drive, at, failure);
+            }
+            9 => {
+                // Late news of an attempt that has ended or was cancelled.
+                if let Some(attempt) = ledger.old.choose(&mut rng) {
+                    drive.done(attempt);
+                    let (failure, partial) = (Failure::Connect, None);
+                    drive.news(attempt.id, News::Failed { failure, partial });
+                }
+            }
+            10 => {
+                let targets: Vec<TargetId> = drive.core.world().targets.rows.keys().cloned().collect();
+                let target = targets.choose(&mut rng).expect("target").clone();
+                match rng.random_range(0..9) {
+                    0 => drop(drive.dead.insert(target)),
+                    1 => poll(&mut drive, &target, Outcome::Leaving),
+                    _ => {
+                        // A new process stands under the name.
+                        drive.dead.clear();
+                        poll(&mut drive, &target, Outcome::Unreachable);
+                        poll(&mut drive, &target, Outcome::Report(Report::default()));
+                    }
+                }
+            }
+            _ => drive.advance(ms(rng.random_range(1..400))),
+        }
+        drive.tick();
+        ledger.check(&mut drive);
+    }
+    drive.dead.clear();
+    for _ in 0..400 {
+        drive.advance(ms(100));
+        ledger.check(&mut drive);
+        while !ledger.running.is_empty() {
+            ledger.end(&mut drive, 0, None);
+            ledger.check(&mut drive);
+        }
+    }
+    assert!(request::idle(drive.core.world()));
+    for ticket in ledger.tickets.keys() {
+        assert!(
+            ledger.answered.contains(ticket) || ledger.gone.contains(ticket),
+            "ticket {ticket} has no answer"
+        );
+    }
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    for seed in 0..20 {
+        println!("seed {seed}");
+        run(seed);
+    }
+}
--- a/tests/key.rs
+++ b/tests/key.rs
@@ -123,6 +123,10 @@
     drive.submit(1, call("/book"), Some(&keys[0]), LONG);
     drive.submit(2, call("/book"), Some(&keys[1]), ms(300));
     let attempts = drive.take();
+    assert!(
+        attempts.iter().all(|attempt| attempt.timeout == ms(20_000)),
+        "the route's time"
+    );
     drive.gone(1);
     drive.advance(ms(400));
     assert_eq!(drive.code(2), Some(Code::OutcomeUnknown));
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -168,23 +168,50 @@
     }
 }
 
-/// Guards against strikes for requests that peers' strikes reached while they ran beside another one.
+/// Guards against strikes for requests that peers' strikes reached while they ran beside another one, and against the
+/// decisive strike for a request that was not alone.
 #[test]
 fn only_the_isolated_are_struck_again() {
+    for (heard, counts) in [
+        (vec!["ax", "ay", "bx"], [2, 1]),
+        (vec!["ax", "ay"], [2, 1]),
+        (vec!["ax"], [2, 1]),
+    ] {
+        let mut drive = Drive::new(1, 0, Limits::default());
+        drive.submit(1, prompt("a"), None, LONG);
+        drive.submit(2, prompt("b"), None, LONG);
+        for strike in heard {
+            let content = prompt(&strike[..1]).content();
+            strike::heard(drive.core.world_mut(), content, strike[1..].into());
+        }
+        drive.dead.insert("e0".into());
+        drive.silent = true;
+        drive
+            .take()
+            .iter()
+            .for_each(|attempt| drive.fail(attempt, Failure::Broken));
+        drive.answer_poll("e0".into());
+        let strikes = &drive.core.world().strikes;
+        assert_eq!(["a", "b"].map(|text| strikes.count(prompt(text).content())), counts);
+    }
+}
+
+/// Guards against a decisive crash that takes down other requests, and against a suspect that never gets a target.
+#[test]
+fn last_try_runs_alone() {
     let mut drive = Drive::new(1, 0, Limits::default());
-    drive.submit(1, prompt("a"), None, LONG);
-    drive.submit(2, prompt("b"), None, LONG);
-    let [a, b] = ["a", "b"].map(|text| prompt(text).content());
-    for (content, target) in [(a, "x"), (a, "y"), (b, "x")] {
-        strike::heard(drive.core.world_mut(), content, target.into());
+    drive.submit(1, prompt("other"), None, LONG);
+    for target in ["x", "y"] {
+        strike::heard(drive.core.world_mut(), prompt("suspect").content(), target.into());
+    }
+    drive.submit(2, prompt("suspect"), None, LONG);
+    drive.submit(3, prompt("third"), None, LONG);
+    for ticket in [1, 2, 3] {
+        drive.advance(ms(200));
+        let attempt = drive.one();
+        assert_eq!(attempt.ticket, Some(ticket));
+        drive.done(&attempt);
     }
-    let running = drive.take();
-    drive.dead.insert("e0".into());
-    drive.silent = true;
-    running.iter().for_each(|attempt| drive.fail(attempt, Failure::Broken));
-    drive.answer_poll("e0".into());
-    let strikes = &drive.core.world().strikes;
-    assert_eq!([strikes.count(a), strikes.count(b)], [2, 1]);
 }
 
 /// Guards against a crash that goes unnoticed because an answer to an older poll arrives after it.
