Test the choice of targets and bound deadlines

Cause: a target of another zone was never known to be up, and a deadline of any length was accepted.

Change: an opened connection makes a new target live and ends the growth of its probe interval.

--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -13,6 +13,9 @@
     wire,
 };
 
+/// Longest deadline that a caller may name.
+const DEADLINE_MAX: Duration = Duration::from_secs(24 * 3600);
+
 /// How work of a lane may be run.
 struct Terms {
     idempotent: bool,
@@ -24,7 +27,8 @@
 /// queued or refused.
 pub fn caller(world: &mut World, ticket: Ticket, incoming: Incoming) {
     let Incoming { work, key, deadline } = incoming;
-    let deadline = world.now + deadline.unwrap_or_else(|| usual_deadline(world, &work));
+    let wait = deadline.unwrap_or_else(|| usual_deadline(world, &work));
+    let deadline = world.now + wait.min(DEADLINE_MAX);
     let mut sequence = None;
     if let Some(text) = key {
         let Some(key) = Key::parse(&text) else {
@@ -104,7 +108,10 @@
     let mut displaced = None;
     if queue.len() >= limits.queue_requests as usize {
         // Callers push out the newest bulk request, down to the share of the queue that bulk keeps.
-        let kept = (limits.queue_requests * limits.bulk_share_percent).div_ceil(100) as usize;
+        let kept = limits
+            .queue_requests
+            .saturating_mul(limits.bulk_share_percent)
+            .div_ceil(100) as usize;
         displaced = queue
             .bulk
             .last()
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -40,7 +40,7 @@
     /// When the unanswered polls were sent.
     polls_out: Vec<Time>,
     next_poll: Option<Time>,
-    probe_interval: Option<Duration>,
+    pub probe_interval: Option<Duration>,
     /// Failures before this time belong to the quarantine that already runs.
     pub probe_at: Time,
     /// End of a quarantine that no own poll can end.
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -209,12 +209,21 @@
     health::report(world, target);
 }
 
-/// Takes note that a connection was opened.
+/// Takes note that a connection was opened. Targets of other zones are polled by nobody here, so this is what tells
+/// that they are up. It does not end a quarantine, since the connection may be older than that.
 pub fn connected(world: &mut World, target: &TargetId) {
-    if let Some(row) = world.targets.rows.get_mut(target)
-        && row.state != State::Quarantined
-    {
-        row.failures = 0;
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    if row.state == State::Quarantined {
+        return;
+    }
+    row.failures = 0;
+    if row.state == State::New {
+        row.state = State::Live;
+    }
+    if let Some(health) = world.targets.health.get_mut(target) {
+        health.probe_interval = None;
     }
 }
 
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,74 @@
+//! Choice of a target from late load reports.
+
+mod drive;
+
+use std::collections::BTreeMap;
+
+use drive::{Drive, LONG, call, limits, prompt, settings};
+use lagoonyard::{
+    core::{
+        Settings,
+        settings::Policy,
+        target::{Outcome, Report},
+    },
+    prelude::*,
+};
+
+/// Dispatches of requests that are all still in flight, by target.
+fn spread(drive: &mut Drive) -> BTreeMap<TargetId, usize> {
+    let mut counts = BTreeMap::new();
+    drive
+        .take()
+        .into_iter()
+        .for_each(|attempt| *counts.entry(attempt.target).or_default() += 1);
+    counts
+}
+
+/// Guards against one engine that gets all requests of a popular prefix, and against a prefix without a home.
+#[test]
+fn prefix_keeps_its_engine_up_to_the_bound() {
+    let mut drive = Drive::new(4, 0, limits(|_| ()));
+    let mut homes = Vec::new();
+    for ticket in 1..=5 {
+        drive.submit(ticket, prompt("same"), None, LONG);
+        let attempt = drive.one();
+        drive.done(&attempt);
+        homes.push(attempt.target);
+    }
+    homes.dedup();
+    assert_eq!(homes.len(), 1);
+    (10..14).for_each(|ticket| drive.submit(ticket, prompt("same"), None, LONG));
+    assert!(spread(&mut drive).len() >= 3);
+}
+
+/// Guards against hosts that all send to the one target whose late report looks best, and against loaded targets that
+/// are chosen although others are free.
+#[test]
+fn ties_are_spread_and_load_is_avoided() {
+    let mut firsts = BTreeMap::<TargetId, usize>::new();
+    for seed in 0..60 {
+        let mut drive = Drive::with(Settings { seed, ..settings() }, 0, 4, limits(|_| ()));
+        let report = |running| {
+            Outcome::Report(Report {
+                running,
+                ..Report::default()
+            })
+        };
+        drive.polled("w0", report(4));
+        drive.submit(1, call("/read"), None, LONG);
+        *firsts.entry(drive.one().target).or_default() += 1;
+    }
+    assert!(
+        firsts.len() == 3 && firsts.values().all(|&count| count > 8),
+        "{firsts:?}"
+    );
+}
+
+/// Guards against a baseline that is not round robin, which would flatter the full policy in the measurements.
+#[test]
+fn baseline_takes_targets_in_turn() {
+    let policy = Policy::Baseline;
+    let mut drive = Drive::with(Settings { policy, ..settings() }, 4, 0, limits(|_| ()));
+    (1..=8).for_each(|ticket| drive.submit(ticket, prompt("same"), None, LONG));
+    assert!(spread(&mut drive).values().all(|&count| count == 2));
+}
