--- a/tests/key.rs
+++ b/tests/key.rs
@@ -136,6 +136,19 @@
     assert!(drive.take().is_empty() && request::idle(drive.core.world()));
 }
 
+/// Guards against a key that hangs on a request that was withdrawn before it was dispatched.
+#[test]
+fn withdrawn_request_can_be_asked_again() {
+    let mut drive = Drive::new(0, 1, Limits::default());
+    let key = drive.key();
+    (1..=2).for_each(|ticket| drive.submit(ticket, call("/read"), None, LONG));
+    drive.submit(3, call("/book"), Some(&key), LONG);
+    drive.gone(3);
+    drive.submit(4, call("/book"), Some(&key), LONG);
+    drive.take().iter().for_each(|attempt| drive.done(attempt));
+    assert_eq!(drive.one().ticket, Some(4));
+}
+
 /// Guards against a key table that grows without bound, and against kept answers that do.
 #[test]
 fn keys_and_answers_are_bounded() {
