Use the request module's constructors and pass a pull's hops on

Cause: the stream had its own copy of the content hashes, and a forwarded pull lost its hop count. Change: bulk requests are built by the request module; forward hands a pull to stream::forwarded.

--- a/src/core/bulk.rs
+++ b/src/core/bulk.rs
@@ -1,53 +1,50 @@
-//! Work of bulk requests, with the hashes that requests of callers have too.
+//! Requests that a stream makes: samples, prompts and rewards.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    core::request::{Call, Generate, Work},
+    core::{
+        World,
+        request::{Call, Generate, Origin, Submit, Work},
+    },
     file::Trainer,
     prelude::*,
 };
 
-/// Start of a prompt that decides which engine has it cached, in bytes.
-const PREFIX_BYTES: usize = 1024;
-
-/// Generation of one sample.
-pub fn sample(trainer: &Trainer, prompt: &Arc<str>) -> Work {
-    let model = trainer.model.as_bytes();
-    let mut end = prompt.len().min(PREFIX_BYTES);
-    while !prompt.is_char_boundary(end) {
-        end -= 1;
-    }
-    Work::Generate(Generate {
-        model: trainer.model.clone(),
-        prompt: Arc::clone(prompt),
-        max_tokens: trainer.max_tokens,
-        params: "".into(),
-        content: hash(&[model, prompt.as_bytes(), b""]),
-        prefix: hash(&[model, &prompt.as_bytes()[..end]]),
-    })
+/// Submits the generation of one sample.
+pub fn sample(
+    world: &mut World,
+    name: &TrainerId,
+    trainer: &Trainer,
+    prompt: &Arc<str>,
+    avoid: Vec<TargetId>,
+) -> RequestId {
+    let work = Work::Generate(Generate::new(&trainer.model, prompt, trainer.max_tokens, ""));
+    let deadline = world.now + world.settings.sample_timeout;
+    submit(world, name, work, deadline, avoid)
 }
 
-/// Call of a trainer's prompt source or judge.
-pub fn call(service: &ServiceId, method: &str, path: &str, body: Bytes) -> Work {
-    Work::Call(Call {
-        service: service.clone(),
-        method: method.into(),
-        path: path.into(),
-        content_type: "application/json".into(),
-        content: hash(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), &body]),
-        body,
-    })
+/// Submits a call of the trainer's prompt source or judge.
+pub fn call(
+    world: &mut World,
+    name: &TrainerId,
+    service: &ServiceId,
+    method: &str,
+    path: &str,
+    body: Bytes,
+) -> RequestId {
+    let work = Work::Call(Call::new(service, method, path, "application/json", body));
+    let deadline = world.now + world.settings.bulk_call_timeout;
+    submit(world, name, work, deadline, Vec::new())
 }
 
-fn hash(parts: &[&[u8]]) -> u64 {
-    let mut hash = Xxh3::new();
-    for part in parts {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
+fn submit(world: &mut World, name: &TrainerId, work: Work, deadline: Time, avoid: Vec<TargetId>) -> RequestId {
+    world.requests.submit(Submit {
+        origin: Origin::Bulk(name.clone()),
+        work,
+        deadline,
+        avoid,
+    })
 }
--- a/src/core/forward.rs
+++ b/src/core/forward.rs
@@ -136,16 +136,7 @@
             let incoming = Incoming { work, key, deadline };
             request::input(world, request::Event::Submit { ticket, incoming });
         }
-        Some(wire::Ask::Pull(pull)) => stream::input(
-            world,
-            stream::Event {
-                ticket,
-                trainer: pull.trainer.into(),
-                cursor: pull.cursor.into(),
-                version: pull.version,
-                wait: Duration::from_millis(pull.wait_ms),
-            },
-        ),
+        Some(wire::Ask::Pull(pull)) => stream::forwarded(world, ticket, pull),
         None => answer(world, ticket, &Answer::error(Code::RequestMalformed)),
     }
 }
--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -1,9 +1,6 @@
 //! What to generate next and for whom.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::{
     core::{
@@ -13,7 +10,6 @@
         judge,
         pace::Need,
         prompt, pull,
-        request::{Origin, Submit},
         settings::Policy,
         stream::{Row, Use},
         supply::Supply,
@@ -124,7 +120,8 @@
         && let Some(Slot::Idle { tries, .. }) = draft.slots.get(slot)
     {
         let tries = *tries;
-        let run = start(world, name, trainer, &draft.prompt, row.supply.old.clone());
+        let request = bulk::sample(world, name, trainer, &draft.prompt, row.supply.old.clone());
+        let run = Run::new(request, world.now);
         row.supply.free = row.supply.free.saturating_sub(1);
         row.uses.insert(run.request, Use::Sample { index, slot });
         draft.slots[slot] = Slot::Running {
@@ -136,17 +133,6 @@
     world.streams.rows.insert(name.clone(), row);
 }
 
-/// Submits one request for a sample.
-pub fn start(world: &mut World, name: &TrainerId, trainer: &Trainer, prompt: &Arc<str>, avoid: Vec<TargetId>) -> Run {
-    let request = world.requests.submit(Submit {
-        origin: Origin::Bulk(name.clone()),
-        work: bulk::sample(trainer, prompt),
-        deadline: world.now + world.settings.sample_timeout,
-        avoid,
-    });
-    Run::new(request, world.now)
-}
-
 /// Brings a stream's drafts to its window and lists what could be submitted.
 fn prepare(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, trainer: &Trainer, row: &mut Row) -> Ready {
     let now = world.now;
--- a/src/core/judge.rs
+++ b/src/core/judge.rs
@@ -7,7 +7,7 @@
     core::{
         World, bulk,
         group::Slot,
-        request::{Completion, Origin, Output, Submit},
+        request::{Completion, Output},
         sampling,
         stream::{Row, Use},
         wait,
@@ -57,12 +57,7 @@
                 continue;
             }
             let body = serde_json::json!({"prompt": &*draft.prompt, "text": &*sample.text}).to_string();
-            let id = world.requests.submit(Submit {
-                origin: Origin::Bulk(name.clone()),
-                work: bulk::call(service, "POST", &path, Bytes::from(body)),
-                deadline: world.now + world.settings.bulk_call_timeout,
-                avoid: Vec::new(),
-            });
+            let id = bulk::call(world, name, service, "POST", &path, Bytes::from(body));
             *asked = true;
             room -= 1;
             row.uses.insert(id, Use::Judge { index, slot });
--- a/src/core/prompt.rs
+++ b/src/core/prompt.rs
@@ -7,7 +7,7 @@
 use crate::{
     core::{
         World, bulk,
-        request::{Completion, Origin, Output, Submit},
+        request::{Completion, Output},
         stream::{Row, Use},
         wait,
     },
@@ -68,12 +68,7 @@
     };
     let count = (last - from + 1).min(CALL_MAX);
     let path = format!("{}/prompts?from={from}&count={count}", prefix.trim_end_matches('/'));
-    let id = world.requests.submit(Submit {
-        origin: Origin::Bulk(name.clone()),
-        work: bulk::call(service, "GET", &path, Bytes::new()),
-        deadline: world.now + world.settings.bulk_call_timeout,
-        avoid: Vec::new(),
-    });
+    let id = bulk::call(world, name, service, "GET", &path, Bytes::new());
     row.prompts.asked = true;
     row.uses.insert(id, Use::Prompts { from, count });
 }
--- a/src/core/straggler.rs
+++ b/src/core/straggler.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     core::{
-        World, generation,
-        group::Slot,
+        World, bulk,
+        group::{Run, Slot},
         pull,
         settings::Policy,
         stream::{Row, Use},
@@ -65,7 +65,7 @@
             continue;
         };
         let avoid = std::iter::once(target).chain(row.supply.old.iter().cloned()).collect();
-        let run = generation::start(world, name, trainer, &draft.prompt, avoid);
+        let run = Run::new(bulk::sample(world, name, trainer, &draft.prompt, avoid), world.now);
         row.uses.insert(run.request, Use::Sample { index, slot });
         if let Slot::Running { second, .. } = &mut draft.slots[slot] {
             *second = Some(run);
