Keep samples from engines whose weights will be too old at delivery

Change: each sample names the oldest version that it may have when its batch is due, and engines behind it are avoided; held groups that will be too old are made again before the pull; a further step is kept ahead only after a late batch.

--- a/src/core/delivery.rs
+++ b/src/core/delivery.rs
@@ -75,7 +75,7 @@
     world
         .burn
         .pulled(world.now, &trainer.yard, name, waited, total.max(waited));
-    row.pace.answered(world.now, version);
+    row.pace.answered(world.now, version, waited);
     let groups: Arc<[Group]> = groups.into();
     row.offered = Some(Offered {
         next,
@@ -85,7 +85,7 @@
 }
 
 /// Drops whole groups with a sample that is too old for this version.
-fn drop_old(world: &mut World, name: &str, trainer: &Trainer, row: &mut Row, version: Version) {
+pub fn drop_old(world: &mut World, name: &str, trainer: &Trainer, row: &mut Row, version: Version) {
     let bound = trainer.staleness_versions;
     let old: Vec<Group> = row
         .drafts
--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -1,11 +1,12 @@
 //! What to generate next and for whom.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     core::{
         World, bulk,
         cursor::SKIPPED_MAX,
+        delivery,
         group::{Draft, Run, Slot},
         judge,
         pace::Need,
@@ -26,10 +27,18 @@
 /// Difference in time until idle below which trainers share by weight alone.
 const SLACK_STEP_MS: u128 = 500;
 
+/// A sample that could be submitted.
+struct Task {
+    index: u64,
+    slot: usize,
+    /// Oldest version with which it is not too old when it is delivered.
+    needed: Version,
+}
+
 /// Samples of one trainer that could be submitted now.
 struct Ready {
     name: TrainerId,
-    work: VecDeque<(u64, usize)>,
+    work: VecDeque<Task>,
     outstanding: u64,
     weight: u64,
     slack: Duration,
@@ -94,15 +103,15 @@
         let Some(next) = next else {
             return;
         };
-        let Some(place) = next.work.pop_front() else {
+        let Some(task) = next.work.pop_front() else {
             return;
         };
         next.outstanding += 1;
-        submit(world, snapshot, &next.name, place);
+        submit(world, snapshot, &next.name, &task);
     }
 }
 
-fn submit(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, place: (u64, usize)) {
+fn submit(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, task: &Task) {
     let Some(trainer) = snapshot.trainers.get(name) else {
         return;
     };
@@ -115,12 +124,13 @@
         .get(&trainer.model)
         .map_or(0, |model| u64::from(model.limits.duplicate_percent));
     row.duplicate_credit = (row.duplicate_credit + percent).min((samples * percent).max(100));
-    let (index, slot) = place;
+    let &Task { index, slot, needed } = task;
     if let Some(draft) = row.drafts.get_mut(&index)
         && let Some(Slot::Idle { tries, .. }) = draft.slots.get(slot)
     {
         let tries = *tries;
-        let request = bulk::sample(world, name, trainer, &draft.prompt, row.supply.old.clone());
+        let avoid = row.supply.older(needed).collect();
+        let request = bulk::sample(world, name, trainer, &draft.prompt, avoid);
         let run = Run::new(request, world.now);
         row.supply.free = row.supply.free.saturating_sub(1);
         row.uses.insert(run.request, Use::Sample { index, slot });
@@ -141,11 +151,20 @@
         watch(world, row);
     }
     let queued = queued(row);
-    if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.version != row.version {
-        row.supply = Supply::new(world, snapshot, trainer, row.version);
+    // The next batch to be filled is delivered now, or after the step that the trainer is at.
+    let first = u64::from(row.waiting.is_empty());
+    let needed = |row: &Row, steps| (row.version + row.pace.versions(steps)).saturating_sub(trainer.staleness_versions);
+    let least = needed(row, first);
+    if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != least {
+        row.supply = Supply::new(world, snapshot, trainer, row.version, least);
         // These are in no engine's load yet.
         row.supply.free = row.supply.free.saturating_sub(queued);
     }
+    if row.supply.newest >= Some(least) && world.settings.policy == Policy::Full {
+        // What will be too old when it is delivered is made again in time.
+        let version = row.version + row.pace.versions(first);
+        delivery::drop_old(world, name, trainer, row, version);
+    }
     row.parked.retain(|_, until| *until > now);
     let per_step = u64::from(trainer.groups_per_step.max(1));
     let window = match world.settings.policy {
@@ -189,7 +208,9 @@
         row.drop_draft(world, last);
     }
     prompt::fetch(world, name, trainer, row, &missing);
-    let inside: BTreeSet<u64> = open.into_iter().take(window).collect();
+    let inside = open.into_iter().take(window).enumerate();
+    let inside = inside.map(|(place, index)| (index, needed(row, first + place as u64 / per_step)));
+    let inside: BTreeMap<u64, Version> = inside.collect();
     let whole = row.drafts.values().filter(|draft| draft.finished.is_some()).count() as u64;
     let held = u32::try_from(whole / per_step).unwrap_or(u32::MAX);
     Ready {
@@ -213,19 +234,20 @@
     }
 }
 
-fn idle_slots(row: &Row, inside: &BTreeSet<u64>, now: Time) -> VecDeque<(u64, usize)> {
-    let drafts = row.drafts.iter().filter(|(index, _)| inside.contains(index));
-    drafts
-        .flat_map(|(&index, draft)| {
-            draft
-                .slots
-                .iter()
-                .enumerate()
-                .map(move |(slot, state)| (index, slot, state))
-        })
-        .filter(|(_, _, state)| matches!(state, Slot::Idle { not_before, .. } if *not_before <= now))
-        .map(|(index, slot, _)| (index, slot))
-        .collect()
+fn idle_slots(row: &Row, inside: &BTreeMap<u64, Version>, now: Time) -> VecDeque<Task> {
+    let mut tasks = VecDeque::new();
+    for (index, draft) in &row.drafts {
+        let Some(&needed) = inside.get(index) else {
+            continue;
+        };
+        for (slot, state) in draft.slots.iter().enumerate() {
+            if matches!(state, Slot::Idle { not_before, .. } if *not_before <= now) {
+                let index = *index;
+                tasks.push_back(Task { index, slot, needed });
+            }
+        }
+    }
+    tasks
 }
 
 /// Notes where the samples run.
--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -11,6 +11,11 @@
 /// Steps ahead of the trainer at most, whatever its bound allows.
 const AHEAD_STEPS_MAX: u64 = 4;
 
+/// A wait longer than this part of a step counts as late.
+const LATE_PART: u32 = 50;
+/// Steps for which a late batch has a further step kept ahead.
+const SPARE_STEPS: u32 = 8;
+
 /// Measurements of one stream.
 #[derive(Debug, Default)]
 pub struct Pace {
@@ -20,6 +25,8 @@
     versions_milli: Option<u64>,
     times: VecDeque<Duration>,
     p95: Option<Duration>,
+    /// Steps for which a further step is kept ahead, because the trainer had to wait.
+    spare_steps: u32,
     /// When and at which version the last batch was first answered.
     answered: Option<(Time, Version)>,
 }
@@ -55,9 +62,20 @@
         self.versions_milli = Some(smoothed);
     }
 
-    /// A new batch was answered.
-    pub fn answered(&mut self, now: Time, version: Version) {
+    /// A new batch was answered after this wait.
+    pub fn answered(&mut self, now: Time, version: Version, waited: Duration) {
         self.answered = Some((now, version));
+        let late = self.step.is_none_or(|step| waited > step / LATE_PART);
+        self.spare_steps = if late {
+            SPARE_STEPS
+        } else {
+            self.spare_steps.saturating_sub(1)
+        };
+    }
+
+    /// Versions by which the trainer advances in a number of steps.
+    pub fn versions(&self, steps: u64) -> u64 {
+        (self.versions_milli.unwrap_or(1000).saturating_mul(steps) + 500) / 1000
     }
 
     /// When the last batch was answered.
@@ -106,7 +124,8 @@
 
     /// Steps ahead that keep the trainer from waiting.
     fn wanted(&self, need: Need) -> u64 {
-        let batch = self.batch_time(need);
+        // Half more than the expected time, because the estimate is a percentile of single samples.
+        let batch = self.batch_time(need).map(|batch| batch * 3 / 2);
         let steps = match (batch, self.step) {
             (Some(batch), Some(step)) => {
                 let step = step.as_millis().max(1);
@@ -117,11 +136,10 @@
             _ => 1,
         };
         match need.objective {
-            Objective::Idle => steps + 1,
+            Objective::Idle => steps + u64::from(self.spare_steps > 0 || self.step.is_none()),
             Objective::Staleness => {
-                // A quarter more than the expected time, because the estimate is a percentile of single samples.
-                let late = batch.is_some_and(|batch| self.until_pull(need.now) > batch * 5 / 4);
-                if late { 0 } else { steps }
+                let early = batch.is_some_and(|batch| self.until_pull(need.now) > batch);
+                if early { 0 } else { steps }
             }
         }
     }
--- a/src/core/straggler.rs
+++ b/src/core/straggler.rs
@@ -64,7 +64,9 @@
         let Some(draft) = row.drafts.get_mut(&index) else {
             continue;
         };
-        let avoid = std::iter::once(target).chain(row.supply.old.iter().cloned()).collect();
+        let avoid = std::iter::once(target)
+            .chain(row.supply.older(row.supply.needed))
+            .collect();
         let run = Run::new(bulk::sample(world, name, trainer, &draft.prompt, avoid), world.now);
         row.uses.insert(run.request, Use::Sample { index, slot });
         if let Slot::Running { second, .. } = &mut draft.slots[slot] {
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -6,8 +6,8 @@
     prelude::*,
 };
 
-/// Targets named as to be avoided in one request.
-const OLD_MAX: usize = 64;
+/// Engines with old weights that are remembered, and so named as to be avoided in one request.
+const BEHIND_MAX: usize = 64;
 
 /// Slots and versions of a model's engines, as one trainer sees them.
 #[derive(Debug, Default)]
@@ -20,24 +20,23 @@
     pub guaranteed: u64,
     /// Newest version that a live engine reports.
     pub newest: Option<Version>,
-    /// Engines whose weights are already too old for the trainer.
-    pub old: Vec<TargetId>,
+    /// Engines with older weights than the trainer's.
+    pub behind: Vec<(TargetId, Version)>,
     /// Live engines, those with old weights left out.
     pub engines: u64,
-    /// When and for which version of the trainer this was counted.
+    /// When and for which oldest version this was counted.
     pub counted: Time,
-    pub version: Version,
+    pub needed: Version,
 }
 
 impl Supply {
-    /// Counts the engines of a trainer's model.
-    pub fn new(world: &World, snapshot: &Snapshot, trainer: &Trainer, version: Version) -> Self {
+    /// Counts the engines of a trainer's model for samples that need at least a version.
+    pub fn new(world: &World, snapshot: &Snapshot, trainer: &Trainer, version: Version, needed: Version) -> Self {
         let mut supply = Self {
             counted: world.now,
-            version,
+            needed,
             ..Self::default()
         };
-        let needed = version.saturating_sub(trainer.staleness_versions);
         let zones = snapshot
             .models
             .get(&trainer.model)
@@ -56,12 +55,15 @@
                 .and_then(|report| report.versions.get(&trainer.model))
                 .copied();
             supply.newest = supply.newest.max(served);
-            let old = served.is_some_and(|served| served < needed);
-            if old && world.settings.policy == Policy::Full {
-                if supply.old.len() < OLD_MAX {
-                    supply.old.push(target.clone());
+            if world.settings.policy == Policy::Full
+                && let Some(served) = served.filter(|&served| served < version)
+            {
+                if supply.behind.len() < BEHIND_MAX {
+                    supply.behind.push((target.clone(), served));
+                }
+                if served < needed {
+                    continue;
                 }
-                continue;
             }
             supply.engines += 1;
             supply.slots += u64::from(pool.slots);
@@ -73,6 +75,12 @@
         supply.guaranteed = share.div_ceil(weights.max(1)).min(supply.slots);
         supply
     }
+
+    /// Engines with weights older than a version.
+    pub fn older(&self, version: Version) -> impl Iterator<Item = TargetId> {
+        let older = self.behind.iter().filter(move |(_, served)| *served < version);
+        older.map(|(target, _)| target.clone())
+    }
 }
 
 /// Requests on a target: those reported, less our own of that time, plus our own of now.
