Count engines of other zones, and judge waiting by the cursor

Cause: a trainer's owner counted only engines that it has reports of, those of its own zone; and between two pulls of one cursor the trainer was taken to be at work, so its held groups were dropped as too old for the next version. Change: engines without a report count with the trainer's share of their slots; a trainer waits until its cursor has a batch; a batch's time is estimated from the mean time per sample.

--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -152,7 +152,7 @@
     }
     let queued = queued(row);
     // The next batch to be filled is delivered now, or after the step that the trainer is at.
-    let first = u64::from(row.waiting.is_empty());
+    let first = u64::from(!row.awaited());
     let needed = |row: &Row, steps| (row.version + row.pace.versions(steps)).saturating_sub(trainer.staleness_versions);
     let least = needed(row, first);
     if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != least {
@@ -176,7 +176,7 @@
             samples_per_step: per_step * u64::from(trainer.group_size),
             bound: trainer.staleness_versions,
             lag: row.supply.newest.map_or(0, |newest| row.version.saturating_sub(newest)),
-            waiting: !row.waiting.is_empty(),
+            awaited: row.awaited(),
             slots: row.supply.guaranteed,
         }),
     };
--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -25,6 +25,7 @@
     versions_milli: Option<u64>,
     times: VecDeque<Duration>,
     p95: Option<Duration>,
+    mean: Duration,
     /// Steps for which a further step is kept ahead, because the trainer had to wait.
     spare_steps: u32,
     /// When and at which version the last batch was first answered.
@@ -41,8 +42,8 @@
     pub bound: u64,
     /// Versions that the newest serving engine is behind the trainer.
     pub lag: u64,
-    /// Whether the trainer waits for a batch.
-    pub waiting: bool,
+    /// Whether the trainer still lacks the batch of its cursor.
+    pub awaited: bool,
     /// Slots that this trainer can count on.
     pub slots: u64,
 }
@@ -89,6 +90,7 @@
         if self.times.len() > TIMES_MAX {
             self.times.pop_front();
         }
+        self.mean = self.times.iter().sum::<Duration>() / self.times.len() as u32;
         self.p95 = (self.times.len() >= TIMES_MIN).then(|| {
             let mut times: Vec<Duration> = self.times.iter().copied().collect();
             let place = times.len() * 95 / 100;
@@ -119,13 +121,13 @@
         // A batch made k steps before its use is k steps' versions older when it is delivered.
         let allowed = spare.checked_div(per_step).unwrap_or(AHEAD_STEPS_MAX);
         let ahead = allowed.min(AHEAD_STEPS_MAX).min(self.wanted(need));
-        need.groups_per_step * (u64::from(need.waiting) + ahead)
+        need.groups_per_step * (u64::from(need.awaited) + ahead)
     }
 
     /// Steps ahead that keep the trainer from waiting.
     fn wanted(&self, need: Need) -> u64 {
-        // Half more than the expected time, because the estimate is a percentile of single samples.
-        let batch = self.batch_time(need).map(|batch| batch * 3 / 2);
+        // A quarter more than the expected time, because loads and callers take slots in between.
+        let batch = self.batch_time(need).map(|batch| batch * 5 / 4);
         let steps = match (batch, self.step) {
             (Some(batch), Some(step)) => {
                 let step = step.as_millis().max(1);
@@ -146,7 +148,7 @@
 
     /// Expected time to generate one batch.
     fn batch_time(&self, need: Need) -> Option<Duration> {
-        let rounds = need.samples_per_step.div_ceil(need.slots.max(1)).max(1);
-        Some(self.p95? * u32::try_from(rounds).unwrap_or(u32::MAX))
+        let rounds = need.samples_per_step as f64 / need.slots.max(1) as f64;
+        Some(self.mean.mul_f64(rounds.min(1e6)) + self.p95?)
     }
 }
--- a/src/core/stream.rs
+++ b/src/core/stream.rs
@@ -172,6 +172,11 @@
         self.offered.as_ref().map_or(&self.cursor, |offered| &offered.next)
     }
 
+    /// Whether the trainer still lacks the batch of its cursor, be it between two pulls.
+    pub fn awaited(&self) -> bool {
+        self.offered.is_none()
+    }
+
     /// Whether the prompt of this index still has to be generated.
     pub fn wants(&self, index: u64) -> bool {
         !self.base().consumed(index) && !self.drafts.contains_key(&index) && !self.abandoned.contains(&index)
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -37,6 +37,10 @@
             needed,
             ..Self::default()
         };
+        let of_model = snapshot.trainers.values().filter(|other| other.model == trainer.model);
+        let weights: u64 = of_model.map(|other| u64::from(other.weight)).sum();
+        let weight = u64::from(trainer.weight.max(1));
+        let share = |slots: u64| (slots * weight).div_ceil(weights.max(1)).min(slots);
         let zones = snapshot
             .models
             .get(&trainer.model)
@@ -46,7 +50,12 @@
                 continue;
             };
             let serves = matches!(&pool.kind, Kind::Engine { model } if *model == trainer.model);
-            if !serves || row.state != target::State::Live || !zones.contains(&row.zone) {
+            if !serves || !zones.contains(&row.zone) {
+                continue;
+            }
+            // Engines of other zones are polled by their own zone's hosts and stay without a report here.
+            let remote = row.state == target::State::New && row.zone != world.hosts.zone;
+            if row.state != target::State::Live && !remote {
                 continue;
             }
             let served = row
@@ -67,12 +76,14 @@
             }
             supply.engines += 1;
             supply.slots += u64::from(pool.slots);
-            supply.free += u64::from(pool.slots.saturating_sub(load(row)));
+            let slots = u64::from(pool.slots);
+            // Without a report, the other trainers of the model are taken to use their share.
+            supply.free += match remote {
+                true => share(slots).saturating_sub(u64::from(row.in_flight)),
+                false => slots.saturating_sub(u64::from(load(row))),
+            };
         }
-        let of_model = snapshot.trainers.values().filter(|other| other.model == trainer.model);
-        let weights: u64 = of_model.map(|other| u64::from(other.weight)).sum();
-        let share = supply.slots * u64::from(trainer.weight.max(1));
-        supply.guaranteed = share.div_ceil(weights.max(1)).min(supply.slots);
+        supply.guaranteed = share(supply.slots);
         supply
     }
 
