--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -1,19 +1,16 @@
 //! What to generate next and for whom.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     core::{
         World, bulk,
         cursor::SKIPPED_MAX,
+        delivery,
         group::{Draft, Run, Slot},
         judge,
         pace::Need,
         prompt, pull,
-        request::{Origin, Submit},
         settings::Policy,
         stream::{Row, Use},
         supply::Supply,
@@ -23,17 +20,32 @@
     prelude::*,
 };
 
+/// Time between two counts of the engines, which walk all targets.
+const SUPPLY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two looks at where samples run.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// Difference in time until idle below which trainers share by weight alone.
 const SLACK_STEP_MS: u128 = 500;
 
+/// A sample that could be submitted.
+struct Task {
+    index: u64,
+    slot: usize,
+    /// Oldest version with which it is not too old when it is delivered.
+    needed: Version,
+}
+
 /// Samples of one trainer that could be submitted now.
 struct Ready {
     name: TrainerId,
-    work: VecDeque<(u64, usize)>,
+    work: VecDeque<Task>,
     outstanding: u64,
     weight: u64,
     slack: Duration,
-    supply: Supply,
+    queued: u64,
+    slots: u64,
+    free: u64,
+    guaranteed: u64,
     queue_requests: u64,
 }
 
@@ -59,7 +71,7 @@
             continue;
         };
         judge::ask(world, &name, trainer, &mut row);
-        if pull::generates(world, snapshot, &name, trainer, &row) {
+        if pull::generates(world, &row) {
             let ready = prepare(world, snapshot, &name, trainer, &mut row);
             models.entry(trainer.model.clone()).or_default().push(ready);
         }
@@ -74,14 +86,9 @@
 fn share(world: &mut World, snapshot: &file::Snapshot, mut ready: Vec<Ready>) {
     let sum = |each: fn(&Ready) -> u64| ready.iter().map(each).sum::<u64>();
     let outstanding = sum(|ready| ready.outstanding);
-    let guaranteed = sum(|ready| ready.supply.guaranteed);
-    let queued = sum(|ready| ready.supply.queued);
-    let free = ready
-        .iter()
-        .map(|ready| ready.supply.free)
-        .max()
-        .unwrap_or(0)
-        .saturating_sub(queued);
+    let guaranteed = sum(|ready| ready.guaranteed);
+    let queued = sum(|ready| ready.queued);
+    let free = ready.iter().map(|ready| ready.free).min().unwrap_or(0);
     let queue = ready.iter().map(|ready| ready.queue_requests).min().unwrap_or(0) / 2;
     let budget = guaranteed
         .saturating_sub(outstanding)
@@ -91,20 +98,20 @@
     for _ in 0..budget {
         let next = ready
             .iter_mut()
-            .filter(|ready| !ready.work.is_empty() && ready.supply.slots > 0)
+            .filter(|ready| !ready.work.is_empty() && ready.slots > 0)
             .min_by_key(|ready| ready.key(policy));
         let Some(next) = next else {
             return;
         };
-        let Some(place) = next.work.pop_front() else {
+        let Some(task) = next.work.pop_front() else {
             return;
         };
         next.outstanding += 1;
-        submit(world, snapshot, &next.name, place, next.supply.old.clone());
+        submit(world, snapshot, &next.name, &task);
     }
 }
 
-fn submit(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, place: (u64, usize), avoid: Vec<TargetId>) {
+fn submit(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, task: &Task) {
     let Some(trainer) = snapshot.trainers.get(name) else {
         return;
     };
@@ -117,12 +124,15 @@
         .get(&trainer.model)
         .map_or(0, |model| u64::from(model.limits.duplicate_percent));
     row.duplicate_credit = (row.duplicate_credit + percent).min((samples * percent).max(100));
-    let (index, slot) = place;
+    let &Task { index, slot, needed } = task;
     if let Some(draft) = row.drafts.get_mut(&index)
         && let Some(Slot::Idle { tries, .. }) = draft.slots.get(slot)
     {
         let tries = *tries;
-        let run = start(world, name, trainer, &draft.prompt, avoid);
+        let avoid = row.supply.older(needed).collect();
+        let request = bulk::sample(world, name, trainer, &draft.prompt, avoid);
+        let run = Run::new(request, world.now);
+        row.supply.free = row.supply.free.saturating_sub(1);
         row.uses.insert(run.request, Use::Sample { index, slot });
         draft.slots[slot] = Slot::Running {
             run,
@@ -133,23 +143,28 @@
     world.streams.rows.insert(name.clone(), row);
 }
 
-/// Submits one request for a sample.
-pub fn start(world: &mut World, name: &TrainerId, trainer: &Trainer, prompt: &Arc<str>, avoid: Vec<TargetId>) -> Run {
-    let request = world.requests.submit(Submit {
-        origin: Origin::Bulk(name.clone()),
-        work: bulk::sample(trainer, prompt),
-        deadline: world.now + world.settings.sample_timeout,
-        avoid,
-    });
-    Run::new(request, world.now)
-}
-
 /// Brings a stream's drafts to its window and lists what could be submitted.
 fn prepare(world: &mut World, snapshot: &file::Snapshot, name: &TrainerId, trainer: &Trainer, row: &mut Row) -> Ready {
-    watch(world, row);
-    let mut supply = Supply::new(world, snapshot, trainer, row.version);
-    supply.queued = queued(row);
     let now = world.now;
+    if now >= row.watched + WATCH_INTERVAL {
+        row.watched = now;
+        watch(world, row);
+    }
+    let queued = queued(row);
+    // The next batch to be filled is delivered now, or after the step that the trainer is at.
+    let first = u64::from(!row.awaited());
+    let needed = |row: &Row, steps| (row.version + row.pace.versions(steps)).saturating_sub(trainer.staleness_versions);
+    let least = needed(row, first);
+    if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != least {
+        row.supply = Supply::new(world, snapshot, trainer, row.version, least);
+        // These are in no engine's load yet.
+        row.supply.free = row.supply.free.saturating_sub(queued);
+    }
+    if row.supply.newest >= Some(least) && world.settings.policy == Policy::Full {
+        // What will be too old when it is delivered is made again in time.
+        let version = row.version + row.pace.versions(first);
+        delivery::drop_old(world, name, trainer, row, version);
+    }
     row.parked.retain(|_, until| *until > now);
     let per_step = u64::from(trainer.groups_per_step.max(1));
     let window = match world.settings.policy {
@@ -160,9 +175,9 @@
             groups_per_step: per_step,
             samples_per_step: per_step * u64::from(trainer.group_size),
             bound: trainer.staleness_versions,
-            lag: supply.newest.map_or(0, |newest| row.version.saturating_sub(newest)),
-            waiting: !row.waiting.is_empty(),
-            slots: supply.guaranteed,
+            lag: row.supply.newest.map_or(0, |newest| row.version.saturating_sub(newest)),
+            awaited: row.awaited(),
+            slots: row.supply.guaranteed,
         }),
     };
     let window = (window as usize).min(per_step as usize + SKIPPED_MAX);
@@ -193,7 +208,9 @@
         row.drop_draft(world, last);
     }
     prompt::fetch(world, name, trainer, row, &missing);
-    let inside: BTreeSet<u64> = open.into_iter().take(window).collect();
+    let inside = open.into_iter().take(window).enumerate();
+    let inside = inside.map(|(place, index)| (index, needed(row, first + place as u64 / per_step)));
+    let inside: BTreeMap<u64, Version> = inside.collect();
     let whole = row.drafts.values().filter(|draft| draft.finished.is_some()).count() as u64;
     let held = u32::try_from(whole / per_step).unwrap_or(u32::MAX);
     Ready {
@@ -206,7 +223,10 @@
             .count() as u64,
         weight: u64::from(trainer.weight.max(1)),
         slack: row.pace.until_pull(now) + row.pace.step.unwrap_or_default().saturating_mul(held),
-        supply,
+        queued,
+        slots: row.supply.slots,
+        free: row.supply.free,
+        guaranteed: row.supply.guaranteed,
         queue_requests: snapshot
             .models
             .get(&trainer.model)
@@ -214,19 +234,20 @@
     }
 }
 
-fn idle_slots(row: &Row, inside: &BTreeSet<u64>, now: Time) -> VecDeque<(u64, usize)> {
-    let drafts = row.drafts.iter().filter(|(index, _)| inside.contains(index));
-    drafts
-        .flat_map(|(&index, draft)| {
-            draft
-                .slots
-                .iter()
-                .enumerate()
-                .map(move |(slot, state)| (index, slot, state))
-        })
-        .filter(|(_, _, state)| matches!(state, Slot::Idle { not_before, .. } if *not_before <= now))
-        .map(|(index, slot, _)| (index, slot))
-        .collect()
+fn idle_slots(row: &Row, inside: &BTreeMap<u64, Version>, now: Time) -> VecDeque<Task> {
+    let mut tasks = VecDeque::new();
+    for (index, draft) in &row.drafts {
+        let Some(&needed) = inside.get(index) else {
+            continue;
+        };
+        for (slot, state) in draft.slots.iter().enumerate() {
+            if matches!(state, Slot::Idle { not_before, .. } if *not_before <= now) {
+                let index = *index;
+                tasks.push_back(Task { index, slot, needed });
+            }
+        }
+    }
+    tasks
 }
 
 /// Notes where the samples run.
--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -11,6 +11,11 @@
 /// Steps ahead of the trainer at most, whatever its bound allows.
 const AHEAD_STEPS_MAX: u64 = 4;
 
+/// A wait longer than this part of a step counts as late.
+const LATE_PART: u32 = 50;
+/// Steps for which a late batch has a further step kept ahead.
+const SPARE_STEPS: u32 = 8;
+
 /// Measurements of one stream.
 #[derive(Debug, Default)]
 pub struct Pace {
@@ -20,6 +25,9 @@
     versions_milli: Option<u64>,
     times: VecDeque<Duration>,
     p95: Option<Duration>,
+    mean: Duration,
+    /// Steps for which a further step is kept ahead, because the trainer had to wait.
+    spare_steps: u32,
     /// When and at which version the last batch was first answered.
     answered: Option<(Time, Version)>,
 }
@@ -34,8 +42,8 @@
     pub bound: u64,
     /// Versions that the newest serving engine is behind the trainer.
     pub lag: u64,
-    /// Whether the trainer waits for a batch.
-    pub waiting: bool,
+    /// Whether the trainer still lacks the batch of its cursor.
+    pub awaited: bool,
     /// Slots that this trainer can count on.
     pub slots: u64,
 }
@@ -55,9 +63,20 @@
         self.versions_milli = Some(smoothed);
     }
 
-    /// A new batch was answered.
-    pub fn answered(&mut self, now: Time, version: Version) {
+    /// A new batch was answered after this wait.
+    pub fn answered(&mut self, now: Time, version: Version, waited: Duration) {
         self.answered = Some((now, version));
+        let late = self.step.is_none_or(|step| waited > step / LATE_PART);
+        self.spare_steps = if late {
+            SPARE_STEPS
+        } else {
+            self.spare_steps.saturating_sub(1)
+        };
+    }
+
+    /// Versions by which the trainer advances in a number of steps.
+    pub fn versions(&self, steps: u64) -> u64 {
+        (self.versions_milli.unwrap_or(1000).saturating_mul(steps) + 500) / 1000
     }
 
     /// When the last batch was answered.
@@ -71,6 +90,7 @@
         if self.times.len() > TIMES_MAX {
             self.times.pop_front();
         }
+        self.mean = self.times.iter().sum::<Duration>() / self.times.len() as u32;
         self.p95 = (self.times.len() >= TIMES_MIN).then(|| {
             let mut times: Vec<Duration> = self.times.iter().copied().collect();
             let place = times.len() * 95 / 100;
@@ -101,12 +121,13 @@
         // A batch made k steps before its use is k steps' versions older when it is delivered.
         let allowed = spare.checked_div(per_step).unwrap_or(AHEAD_STEPS_MAX);
         let ahead = allowed.min(AHEAD_STEPS_MAX).min(self.wanted(need));
-        need.groups_per_step * (u64::from(need.waiting) + ahead)
+        need.groups_per_step * (u64::from(need.awaited) + ahead)
     }
 
     /// Steps ahead that keep the trainer from waiting.
     fn wanted(&self, need: Need) -> u64 {
-        let batch = self.batch_time(need);
+        // A quarter more than the expected time, because loads and callers take slots in between.
+        let batch = self.batch_time(need).map(|batch| batch * 5 / 4);
         let steps = match (batch, self.step) {
             (Some(batch), Some(step)) => {
                 let step = step.as_millis().max(1);
@@ -117,18 +138,17 @@
             _ => 1,
         };
         match need.objective {
-            Objective::Idle => steps + 1,
+            Objective::Idle => steps + u64::from(self.spare_steps > 0 || self.step.is_none()),
             Objective::Staleness => {
-                // A quarter more than the expected time, because the estimate is a percentile of single samples.
-                let late = batch.is_some_and(|batch| self.until_pull(need.now) > batch * 5 / 4);
-                if late { 0 } else { steps }
+                let early = batch.is_some_and(|batch| self.until_pull(need.now) > batch);
+                if early { 0 } else { steps }
             }
         }
     }
 
     /// Expected time to generate one batch.
     fn batch_time(&self, need: Need) -> Option<Duration> {
-        let rounds = need.samples_per_step.div_ceil(need.slots.max(1)).max(1);
-        Some(self.p95? * u32::try_from(rounds).unwrap_or(u32::MAX))
+        let rounds = need.samples_per_step as f64 / need.slots.max(1) as f64;
+        Some(self.mean.mul_f64(rounds.min(1e6)) + self.p95?)
     }
 }
