--- a/src/cache.rs
+++ b/src/cache.rs
@@ -9,7 +9,7 @@
 /// Longest body read back; the store takes values up to 1 MB.
 const BODY_MAX_BYTES: u64 = 8 * 1024 * 1024;
 
-const NAME: &str = "config.json";
+const NAME: &str = "config";
 
 /// The body written last, `None` when there is none.
 pub fn read(dir: &Path) -> io::Result<Option<Vec<u8>>> {
@@ -26,7 +26,7 @@
 /// Replaces the body. A crash at any point leaves the old body or the new one, never a part.
 pub fn write(dir: &Path, body: &[u8]) -> io::Result<()> {
     fs::create_dir_all(dir)?;
-    let draft = dir.join("config.json.new");
+    let draft = dir.join("config.new");
     let mut file = File::create(&draft)?;
     file.write_all(body)?;
     file.sync_all()?;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -46,6 +46,9 @@
 /// Time between two readings of the core's tables for the metrics.
 const OBSERVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Readings of the tables for each reading of the service-level report, which counts in steps of 10 s.
+const OBSERVE_BURN: u32 = 10;
+
 /// Why the daemon could not run.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -255,7 +258,7 @@
     let metrics = &executor.control.metrics;
     let mut core = Core::new(settings.core, Duration::ZERO);
     let mut ticked = start;
-    let mut observed = start;
+    let (mut observed, mut readings) = (start, 0);
     loop {
         match timeout_at(start + core.wake(), events.recv()).await {
             Ok(Some(event)) => core.input(start.elapsed(), event),
@@ -279,6 +282,10 @@
         if observed.elapsed() >= OBSERVE_INTERVAL {
             observed = ticked;
             metrics.observe(core.world(), events.len());
+            readings += 1;
+            if readings % OBSERVE_BURN == 0 {
+                metrics.observe_burn(core.world());
+            }
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -8,10 +8,11 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use serde_json::Value;
 
 use crate::{
     code::Kind,
-    core::{World, target},
+    core::{World, burn, target},
     prelude::*,
 };
 
@@ -39,6 +40,8 @@
     hosts: Gauge<u64>,
     targets: Gauge<u64>,
     samples: Counter<u64>,
+    burn: Gauge<f64>,
+    idle: Gauge<f64>,
 }
 
 impl Default for Metrics {
@@ -88,6 +91,14 @@
                 .u64_counter("lagoonyard_samples")
                 .with_description("Samples delivered by trainer")
                 .build(),
+            burn: meter
+                .f64_gauge("lagoonyard_burn")
+                .with_description("Speed at which the error budget is used, by yard, objective and window")
+                .build(),
+            idle: meter
+                .f64_gauge("lagoonyard_trainer_idle_share")
+                .with_description("Share of its time that a trainer waited for batches of this host")
+                .build(),
             in_flight: gauge("lagoonyard_in_flight", "Attempts running on targets"),
             queued: gauge("lagoonyard_queued", "Requests without a running attempt"),
             events: gauge("lagoonyard_events_waiting", "Events that wait for the control thread"),
@@ -146,6 +157,28 @@
         }
     }
 
+    /// Takes the service-level report, which costs more than the tables.
+    pub fn observe_burn(&self, world: &World) {
+        let report = burn::report(world);
+        let entries = |value: &Value| value.as_object().cloned().unwrap_or_default();
+        for (yard, objectives) in entries(&report["yards"]) {
+            for (objective, content) in entries(&objectives) {
+                for (window, counts) in entries(&content["windows"]) {
+                    let labels = [
+                        KeyValue::new("yard", yard.clone()),
+                        KeyValue::new("objective", objective.clone()),
+                        KeyValue::new("window", window),
+                    ];
+                    self.burn.record(counts["burn"].as_f64().unwrap_or_default(), &labels);
+                }
+            }
+        }
+        for (trainer, totals) in entries(&report["trainers"]) {
+            let share = totals["idle_share"].as_f64().unwrap_or_default();
+            self.idle.record(share, &[KeyValue::new("trainer", trainer)]);
+        }
+    }
+
     /// All meters as Prometheus text.
     pub fn text(&self) -> String {
         TextEncoder::new()
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -171,6 +171,24 @@
             store_timeout: self.time("timings.store_timeout_ms", raw.store_timeout_ms, default.store_timeout),
             key_validity: self.time("timings.key_validity_ms", raw.key_validity_ms, default.key_validity),
             key_retention: self.time("timings.key_retention_ms", raw.key_retention_ms, default.key_retention),
+            sample_timeout: self.time(
+                "timings.sample_timeout_ms",
+                raw.sample_timeout_ms,
+                default.sample_timeout,
+            ),
+            bulk_call_timeout: self.time(
+                "timings.bulk_call_timeout_ms",
+                raw.bulk_call_timeout_ms,
+                default.bulk_call_timeout,
+            ),
+            key_answer_bytes: usize::try_from(self.number(
+                "timings.key_answer_bytes",
+                raw.key_answer_bytes,
+                default.key_answer_bytes as u64,
+                0,
+                1024 * 1024 * 1024,
+            ))
+            .unwrap_or(usize::MAX),
             drain_limit: self.time("timings.drain_limit_ms", raw.drain_limit_ms, default.drain_limit),
             gossip_budget_bytes: u32::try_from(self.number(
                 "timings.gossip_budget_bytes",
