--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod answer;
 pub mod border;
 pub mod cache;
+pub mod cmd;
 pub mod code;
 pub mod control;
 pub mod core;
