--- a/src/control.rs
+++ b/src/control.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    code::Kind,
     core::{Event, config, request, stream},
     file,
     metrics::Metrics,
@@ -140,6 +141,14 @@
 
     /// Hands an answer to whoever waits for it; one that nobody waits for any more is dropped.
     pub fn reply(&self, ticket: Ticket, reply: Reply) {
+        if let Reply::Answer(request::Answer::Error { code, message }) = &reply {
+            // Refusals are counted; what may have run or broke off is worth a line of its own.
+            let level = match code.kind() {
+                Kind::NotRun | Kind::Refused => log::Level::Debug,
+                Kind::OutcomeUnknown | Kind::Incomplete | Kind::Internal => log::Level::Warn,
+            };
+            log::log!(level, "request={ticket} code={code} {message}");
+        }
         let waiter = self.waiters().remove(&ticket);
         if let Some(waiter) = waiter {
             let _ = waiter.reply.send(reply);
--- a/tests/borders.rs
+++ b/tests/borders.rs
@@ -5,44 +5,23 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use bytes::Bytes;
 use lagoonyard::{
     border::{Directory as _, Service as _},
     cache,
-    core::request::{Attempt, Call, Failure, News, Output, Work},
+    core::request::{Failure, News, Output},
     http_sd::HttpSd,
     service::Service,
 };
 use util::{Kept, http, server};
 
-fn attempt(address: &str) -> Attempt {
-    Attempt {
-        id: 1,
-        request: 1,
-        target: "t".into(),
-        address: address.into(),
-        work: Work::Call(Call {
-            service: "s".into(),
-            method: "PUT".into(),
-            path: "/slots/4?by=me".into(),
-            content_type: "text/plain".into(),
-            body: Bytes::from_static(b"booked"),
-            content: 0,
-        }),
-        so_far: None,
-        ticket: None,
-        priority: 0,
-        timeout: Duration::from_millis(300),
-    }
-}
-
 async fn call(address: &str) -> (News, Kept) {
     let service = Service {
         connect_timeout: Duration::from_millis(300),
         max_answer_bytes: 64,
     };
     let mut kept = Kept::default();
-    let news = service.call(&attempt(address), &mut kept).await;
+    let work = util::call("PUT", "/slots/4?by=me", b"booked");
+    let news = service.call(&util::attempt(address, work), &mut kept).await;
     (news, kept)
 }
 
--- a/tests/daemon.rs
+++ b/tests/daemon.rs
@@ -12,13 +12,13 @@
     control::Control,
     core::{
         Action, Event, pack,
-        request::{self, Attempt, Call, News, Work},
+        request::{self, News},
         target,
     },
     daemon,
     executor::{Executor, Flow},
     file,
-    link::{Identity, Link},
+    link::Link,
     metrics::Metrics,
     settings::{Limits, Settings},
     wire,
@@ -53,13 +53,7 @@
     };
     let (metrics, runtime) = (Arc::new(Metrics::new()), Handle::current());
     let (control, events) = Control::new(limits, Arc::clone(&metrics), runtime.clone());
-    let identity = Identity {
-        deployment: "d".into(),
-        token: "token".into(),
-        host: "a".into(),
-        incarnation: 1,
-        zone: "z".into(),
-    };
+    let identity = util::identity("a", "d", "token");
     let settings = settings("127.0.0.1:1", Path::new("unused"));
     let link = Link::new(
         identity,
@@ -74,25 +68,8 @@
     (executor, control, events)
 }
 
-fn dispatch(address: &str) -> Action {
-    Action::Dispatch(Attempt {
-        id: 7,
-        request: 1,
-        target: "t".into(),
-        address: address.into(),
-        work: Work::Call(Call {
-            service: "s".into(),
-            method: "GET".into(),
-            path: "/".into(),
-            content_type: "".into(),
-            body: Bytes::new(),
-            content: 0,
-        }),
-        so_far: None,
-        ticket: None,
-        priority: 0,
-        timeout: SOON,
-    })
+fn dispatch(address: impl ToString) -> Action {
+    Action::Dispatch(util::attempt(&address.to_string(), util::call("GET", "/", b"")))
 }
 
 async fn next(events: &mut mpsc::Receiver<Event>) -> Event {
@@ -106,7 +83,7 @@
     let filler = Event::Request(request::Event::Gone { ticket: 0 });
     control.events().send(filler).await.unwrap();
     let (address, _requests) = server(vec![http("200 OK", "x-leaving: 1\r\n", "")]).await;
-    assert_eq!(executor.run(dispatch(&address.to_string())), Flow::Continue);
+    assert_eq!(executor.run(dispatch(address)), Flow::Continue);
     sleep(Duration::from_millis(100)).await;
     assert_matches!(next(&mut events).await, Event::Request(_));
     assert_matches!(next(&mut events).await, Event::Attempt(it) => assert_matches!(it.news, News::Sent));
@@ -121,7 +98,7 @@
 async fn a_cancelled_attempt_closes_its_connection_and_gives_no_news() {
     let (executor, _control, mut events) = executor();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    executor.run(dispatch(&listener.local_addr().unwrap().to_string()));
+    executor.run(dispatch(listener.local_addr().unwrap()));
     let (mut stream, _) = listener.accept().await.unwrap();
     util::request(&mut stream).await;
     assert_matches!(next(&mut events).await, Event::Attempt(it) => assert_matches!(it.news, News::Sent));
@@ -186,10 +163,7 @@
 
     let get = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
     let body = r#"{"model":"m","prompt":"x","stream":true}"#;
-    let post = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
-        body.len()
-    );
+    let post = util::post("/v1/completions", body);
     assert!(exchange(entry, get("/readyz").as_bytes()).await.contains("\"LY-501\""));
     timeout(SOON, async {
         while !exchange(entry, get("/readyz").as_bytes())
--- a/tests/engine.rs
+++ b/tests/engine.rs
@@ -25,26 +25,28 @@
 }
 
 fn attempt(address: &str, so_far: Option<Text>) -> Attempt {
+    let work = Work::Generate(Generate {
+        model: "m".into(),
+        prompt: Arc::from("Once"),
+        max_tokens: 8,
+        params: Arc::from(r#"{"temperature":0.5,"stream":false}"#),
+        content: 0,
+        prefix: 0,
+    });
     Attempt {
-        id: 1,
-        request: 1,
-        target: "t".into(),
-        address: address.into(),
-        work: Work::Generate(Generate {
-            model: "m".into(),
-            prompt: Arc::from("Once"),
-            max_tokens: 8,
-            params: Arc::from(r#"{"temperature":0.5,"stream":false}"#),
-            content: 0,
-            prefix: 0,
-        }),
         so_far,
-        ticket: None,
-        priority: 3,
-        timeout: Duration::from_secs(2),
+        ..util::attempt(address, work)
     }
 }
 
+async fn generate(address: impl ToString, so_far: Option<Text>) -> (News, Kept) {
+    let mut kept = Kept::default();
+    let news = engine()
+        .generate(&attempt(&address.to_string(), so_far), &mut kept)
+        .await;
+    (news, kept)
+}
+
 fn chunk(text: &str, version: u64, finish: &str) -> String {
     format!(
         "data: {{\"choices\":[{{\"text\":\"{text}\",\"finish_reason\":{finish}}}],\"system_fingerprint\":\"m@{version}\"}}\n\n"
@@ -67,9 +69,7 @@
     let done = "data: [DONE]\n\n";
     for rest in ["", done, half_chunk, "data: {\"error\":{}}\n\n"] {
         let (address, _requests) = server(vec![stream(&format!("{whole_chunk}{rest}"))]).await;
-        let news = engine()
-            .generate(&attempt(&address.to_string(), None), &mut Kept::default())
-            .await;
+        let (news, _) = generate(address, None).await;
         assert_matches!(news, News::Failed { failure: Failure::Broken, partial: Some(text) } => {
             assert_eq!(&*text.text, " upon", "{rest:?}");
             assert_eq!(text.finish_reason, None);
@@ -87,8 +87,7 @@
         chunk("", 8, "\"stop\""),
     ];
     let (address, _requests) = server(vec![stream(&events.concat())]).await;
-    let mut kept = Kept::default();
-    let news = engine().generate(&attempt(&address.to_string(), None), &mut kept).await;
+    let (news, kept) = generate(address, None).await;
     assert_matches!(news, News::Done(Output::Text(text)) => {
         assert_eq!(&*text.text, " upon a time");
         assert_eq!(text.segments, [segment(7, 2), segment(8, 1)]);
@@ -102,9 +101,7 @@
     let events = "data: {\"choices\":[{\"text\":\"a\"}]}\n\n\
         data: {\"choices\":[{\"text\":\"b\",\"finish_reason\":\"stop\"}],\"system_fingerprint\":\"other@9\"}\n\n";
     let (address, _requests) = server(vec![stream(events)]).await;
-    let news = engine()
-        .generate(&attempt(&address.to_string(), None), &mut Kept::default())
-        .await;
+    let (news, _) = generate(address, None).await;
     assert_matches!(news, News::Done(Output::Text(text)) => {
         assert_eq!(text.segments, [Segment { version: None, tokens: 2 }]);
     });
@@ -118,9 +115,7 @@
         finish_reason: None,
     };
     let (address, mut requests) = server(vec![stream(&chunk(" a", 7, "\"length\""))]).await;
-    let news = engine()
-        .generate(&attempt(&address.to_string(), Some(so_far)), &mut Kept::default())
-        .await;
+    let (news, _) = generate(address, Some(so_far)).await;
     assert_matches!(news, News::Done(Output::Text(text)) => {
         assert_eq!(&*text.text, " upon a");
         assert_eq!(text.segments, [segment(7, 4)]);
@@ -134,9 +129,7 @@
 
 #[tokio::test]
 async fn failures_before_and_after_the_first_byte_are_told_apart() {
-    let refused = util::closed_port().await.to_string();
-    let mut kept = Kept::default();
-    let news = engine().generate(&attempt(&refused, None), &mut kept).await;
+    let (news, kept) = generate(util::closed_port().await, None).await;
     assert_matches!(
         news,
         News::Failed {
@@ -156,8 +149,7 @@
     ];
     for (answer, expected) in answers {
         let (address, _requests) = server(vec![answer]).await;
-        let mut kept = Kept::default();
-        let news = engine().generate(&attempt(&address.to_string(), None), &mut kept).await;
+        let (news, kept) = generate(address, None).await;
         assert_matches!(news, News::Failed { failure, .. } => assert_eq!(failure, expected));
         assert_eq!(kept.sent, 1);
     }
@@ -177,7 +169,7 @@
         // The client's end of the connection must close once it gives up.
         tokio::io::AsyncReadExt::read(&mut stream, &mut [0]).await
     });
-    let news = engine().generate(&attempt(&address, None), &mut Kept::default()).await;
+    let (news, _) = generate(address, None).await;
     assert_matches!(news, News::Failed { failure: Failure::Timeout, partial: Some(text) } => {
         assert_eq!(&*text.text, " upon");
     });
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -23,7 +23,7 @@
     sync::{mpsc, watch},
     time::timeout,
 };
-use util::{SOON, exchange};
+use util::{SOON, exchange, post};
 
 struct Port {
     address: SocketAddr,
@@ -57,11 +57,6 @@
     }
 }
 
-fn post(path: &str, body: &str) -> String {
-    let length = body.len();
-    format!("POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
-}
-
 fn completion(stream: bool) -> String {
     let body = format!(r#"{{"model":"m","prompt":"Once","max_tokens":4,"stream":{stream},"seed":7}}"#);
     post("/v1/completions", &body)
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -7,8 +7,7 @@
 use assert_matches::assert_matches;
 use lagoonyard::{
     core::{Event, peer},
-    link::{Identity, Link, Settings},
-    metrics::Metrics,
+    link::{Link, Settings},
     wire::{Body, ConfigAsk, Hello, Message},
 };
 use prost::Message as _;
@@ -28,13 +27,6 @@
 }
 
 async fn host(name: &str, deployment: &str, token: &str) -> Host {
-    let identity = Identity {
-        deployment: deployment.into(),
-        token: token.into(),
-        host: name.into(),
-        incarnation: 1,
-        zone: "z".into(),
-    };
     let settings = Settings {
         hello_timeout: Duration::from_millis(1500),
         write_timeout: Duration::from_millis(300),
@@ -45,13 +37,8 @@
         ..Settings::default()
     };
     let (sender, events) = mpsc::channel(64);
-    let link = Arc::new(Link::new(
-        identity,
-        settings,
-        sender,
-        Arc::new(Metrics::new()),
-        Handle::current(),
-    ));
+    let (identity, metrics) = (util::identity(name, deployment, token), Arc::default());
+    let link = Arc::new(Link::new(identity, settings, sender, metrics, Handle::current()));
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(Arc::clone(&link).listen(listener));
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -5,7 +5,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use async_trait::async_trait;
-use lagoonyard::{border, ids::Version};
+use bytes::Bytes;
+use lagoonyard::{
+    border,
+    core::request::{Attempt, Call, Work},
+    ids::Version,
+    link::Identity,
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -76,6 +82,50 @@
     String::from_utf8_lossy(&answer).into_owned()
 }
 
+/// A request with a body of known length.
+pub fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// An attempt on a target at this address.
+pub fn attempt(address: &str, work: Work) -> Attempt {
+    Attempt {
+        id: 7,
+        request: 1,
+        target: "t".into(),
+        address: address.into(),
+        work,
+        so_far: None,
+        ticket: None,
+        priority: 3,
+        timeout: Duration::from_millis(500),
+    }
+}
+
+/// A call of a plain service.
+pub fn call(method: &str, path: &str, body: &'static [u8]) -> Work {
+    Work::Call(Call {
+        service: "s".into(),
+        method: method.into(),
+        path: path.into(),
+        content_type: "text/plain".into(),
+        body: Bytes::from_static(body),
+        content: 0,
+    })
+}
+
+/// What a host says of itself.
+pub fn identity(host: &str, deployment: &str, token: &str) -> Identity {
+    Identity {
+        deployment: deployment.into(),
+        token: token.into(),
+        host: host.into(),
+        incarnation: 1,
+        zone: "z".into(),
+    }
+}
+
 /// A sink that keeps everything.
 #[derive(Default)]
 pub struct Kept {
