--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -199,3 +199,15 @@
     drive.answer_poll(&attempt.target);
     assert_eq!(drive.core.world().strikes.count(attempt.work.content()), 1);
 }
+
+/// Guards against peers that keep a strike after the content ran well, because they take the row without a target for a
+/// malformed one.
+#[test]
+fn a_cleared_strike_is_a_usable_row() {
+    let strike = |target: &str| {
+        let target = target.into();
+        lagoonyard::wire::Item::Strike(lagoonyard::wire::Strike { content: 1, target })
+    };
+    assert!(lagoonyard::core::rows::fits(&strike("")));
+    assert!(!lagoonyard::core::rows::fits(&strike(&"x".repeat(100_000))));
+}
