--- a/crates/standin/src/cmd/cli.rs
+++ b/crates/standin/src/cmd/cli.rs
@@ -20,6 +20,8 @@
     Engine(Engine),
     /// Plain service.
     Service(Service),
+    /// Send one request to a stand-in and print the answer.
+    Control(Control),
 }
 
 #[derive(Debug, Args)]
@@ -94,6 +96,16 @@
     pub delay_ms: u64,
 }
 
+#[derive(Debug, Args)]
+pub struct Control {
+    /// HTTP method.
+    pub method: Box<str>,
+    pub url: Box<str>,
+    /// Body in JSON.
+    #[arg(default_value = "")]
+    pub body: Box<str>,
+}
+
 fn model(text: &str) -> Result<(Box<str>, u64), String> {
     let (name, version) = text.split_once('=').ok_or("expected name=version")?;
     let version = version.parse().map_err(|error| format!("version {version}: {error}"))?;
--- a/crates/standin/src/cmd/mod.rs
+++ b/crates/standin/src/cmd/mod.rs
@@ -1,15 +1,16 @@
 //! Command line of the stand-ins.
 
 mod cli;
+mod control;
 mod engine;
 mod platform;
 mod service;
 
-pub use self::cli::{Cli, Command, Engine, Platform, Service, Swap};
+pub use self::cli::{Cli, Command, Control, Engine, Platform, Service, Swap};
 
 use crate::Result;
 
-/// A subcommand that serves until the process is told to end.
+/// A subcommand.
 pub trait Run {
     fn run(self) -> impl Future<Output = Result<()>> + Send;
 }
@@ -20,6 +21,7 @@
             Command::Platform(command) => command.run().await,
             Command::Engine(command) => command.run().await,
             Command::Service(command) => command.run().await,
+            Command::Control(command) => command.run().await,
         }
     }
 }
--- a/crates/standin/src/error.rs
+++ b/crates/standin/src/error.rs
@@ -14,6 +14,8 @@
     Signal { source: io::Error },
     #[snafu(display("could not print the address: {source}"))]
     Print { source: io::Error },
+    #[snafu(display("could not control the stand-in at {url}: {message}"))]
+    Control { url: Box<str>, message: Box<str> },
 }
 
 /// Result of running a stand-in.
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -1,4 +1,4 @@
-use std::fs;
+use std::{collections::BTreeSet, fs};
 
 use bytes::Bytes;
 use http::Method;
@@ -36,7 +36,7 @@
         let Some(revision) = applied["revision"].as_u64().filter(|_| self.wait && !self.dry_run) else {
             return Ok(());
         };
-        wait(&mut client, revision, self.json).await
+        wait(&mut client, revision, &zones(&file), self.json).await
     }
 }
 
@@ -89,11 +89,11 @@
 }
 
 /// Waits until every host has the revision.
-async fn wait(client: &mut Client, revision: Revision, json: bool) -> Result<()> {
+async fn wait(client: &mut Client, revision: Revision, zones: &BTreeSet<String>, json: bool) -> Result<()> {
     loop {
         let status: Result<Value> = client.read("read the status", Method::GET, "/v1/admin/status").await;
         let lagging = match status {
-            Ok(status) => lagging(&status, revision),
+            Ok(status) => lagging(&status, revision, zones),
             Err(error) => vec![error.to_string().into()],
         };
         if lagging.is_empty() {
@@ -110,8 +110,34 @@
     }
 }
 
-/// Hosts and zones that do not have the revision yet, as far as a host's status shows.
-fn lagging(status: &Value, revision: Revision) -> Vec<Box<str>> {
-    let _ = (status, revision);
-    Vec::new()
+/// Zones that the file names.
+fn zones(file: &[u8]) -> BTreeSet<String> {
+    let file: Value = serde_json::from_slice(file).unwrap_or_default();
+    let yards = file["yards"].as_object().into_iter().flatten();
+    let zones = yards.flat_map(|(_, yard)| yard["zones"].as_array().into_iter().flatten());
+    zones.filter_map(|zone| zone.as_str().map(str::to_owned)).collect()
+}
+
+/// What does not have the revision yet: hosts of the answering host's zone one by one, other zones as they describe
+/// themselves. A zone of the file from which nothing was heard counts too, as its hosts are not known.
+fn lagging(status: &Value, revision: Revision, zones: &BTreeSet<String>) -> Vec<Box<str>> {
+    let behind = |found: &Value| found.as_u64().is_none_or(|found| found < revision);
+    let own = status["hosts"].as_array().into_iter().flatten();
+    let mut lagging: Vec<Box<str>> = own
+        .filter(|host| matches!(host["state"].as_str(), Some("live" | "suspect")) && behind(&host["revision"]))
+        .map(|host| format!("host {} has revision {}", host["host"], host["revision"]).into())
+        .collect();
+    let heard = status["zones"].as_object();
+    let silent = zones
+        .iter()
+        .filter(|&name| heard.is_none_or(|zones| !zones.contains_key(name)));
+    lagging.extend(silent.map(|name| format!("zone {name} was not heard from").into()));
+    for (name, zone) in heard.into_iter().flatten() {
+        let other = status["zone"] != name.as_str();
+        if other && zone["hosts"] != 0 && behind(&zone["lowest_revision"]) {
+            let (lowest, hosts) = (&zone["lowest_revision"], &zone["lagging"]);
+            lagging.push(format!("zone {name} has revision {lowest} at the lowest, behind are {hosts}").into());
+        }
+    }
+    lagging
 }
