Test that a repeated call carries its key

The test of repeated calls counted requests only, so it passed with the key left out. It now reads the key of each request.

Measured: 7 tests of tests/cmd.rs pass; without the header the test fails.

--- a/tests/cmd.rs
+++ b/tests/cmd.rs
@@ -15,6 +15,8 @@
 struct Host {
     url: String,
     bodies: Arc<Mutex<Vec<Value>>>,
+    /// Idempotency key of each request, empty for none.
+    keys: Arc<Mutex<Vec<String>>>,
 }
 
 impl Host {
@@ -22,18 +24,23 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let url = format!("http://{}", listener.local_addr().unwrap());
         let bodies = Arc::<Mutex<Vec<Value>>>::default();
-        let seen = bodies.clone();
+        let keys = Arc::<Mutex<Vec<String>>>::default();
+        let (seen, seen_keys) = (bodies.clone(), keys.clone());
         thread::spawn(move || {
             for answer in answers {
                 let (mut stream, _) = listener.accept().unwrap();
                 let mut reader = BufReader::new(stream.try_clone().unwrap());
-                let (mut line, mut length) = (String::new(), 0);
+                let (mut line, mut length, mut key) = (String::new(), 0, String::new());
                 while reader.read_line(&mut line).unwrap() > 2 {
                     if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
                         length = value.trim().parse().unwrap();
                     }
+                    if let Some(value) = line.to_lowercase().strip_prefix("idempotency-key:") {
+                        key = value.trim().into();
+                    }
                     line.clear();
                 }
+                seen_keys.lock().unwrap().push(key);
                 let mut body = vec![0; length];
                 reader.read_exact(&mut body).unwrap();
                 seen.lock()
@@ -49,7 +56,7 @@
                 }
             }
         });
-        Self { url, bodies }
+        Self { url, bodies, keys }
     }
 }
 
@@ -102,6 +109,7 @@
     let closed = Host {
         url: "http://127.0.0.1:9".into(),
         bodies: Arc::default(),
+        keys: Arc::default(),
     };
     assert_eq!(apply(&closed, &[]).0, Some(5));
 }
@@ -154,7 +162,7 @@
     ];
     let output = lagoonyard(&args);
     assert_eq!(output.status.code(), Some(6));
-    assert_eq!(host.bodies.lock().unwrap().len(), 4);
+    assert_eq!(*host.keys.lock().unwrap(), ["", "h.1.1.t", "h.1.1.t", "h.1.1.t"]);
 }
 
 /// Guards against a trainer that takes a batch judged by an older version, or loses its cursor.
