Lab: a host that runs is not started again

A fault that killed a draining host led to two starts, and the second replaced the running core without breaking its open tickets, which was reported as P8.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -152,6 +152,9 @@
 
     /// Starts a host, or a new process on a host that ended.
     pub fn start(&mut self, id: &str, zone: &str) {
+        if self.hosts.get(id).is_some_and(|host| host.core.is_some()) {
+            return;
+        }
         self.last_incarnation += 1;
         let incarnation = self.last_incarnation;
         let peers = self.plan.hosts.iter().filter(|(other, _)| &**other != id);
