Compute the share of polled targets only when targets change

Cause: each unchanged entry of a host list had the pollers of all targets computed anew, and a poll that was never answered could keep a target from being probed again.

Change: only a new or changed target causes it; polls without an answer are forgotten after three intervals.

--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -175,11 +175,13 @@
 /// Polls a target at once, whoever its poller is.
 pub fn probe(world: &mut World, target: &TargetId) {
     let now = world.now;
+    let overdue = world.settings.poll_interval * OVERDUE_INTERVALS;
     let Some(row) = world.targets.rows.get(target) else {
         return;
     };
     let address = row.address.clone();
     let health = world.targets.health.entry(target.clone()).or_default();
+    health.polls_out.retain(|sent| now < *sent + overdue);
     if health.polls_out.len() >= POLLS_OUT_MAX {
         return;
     }
@@ -286,26 +288,18 @@
     let quarantined = row.state == State::Quarantined;
     let health = world.targets.health.entry(target.clone()).or_default();
     health.next_poll = None;
-    let wait = if quarantined {
-        health.probe_interval.unwrap_or(interval)
-    } else {
-        interval
-    };
-    schedule_poll(world, &target, now + wait);
-    let polls = world
-        .targets
-        .health
-        .get_mut(&target)
-        .map(|health| &mut health.polls_out);
-    let oldest = polls.as_ref().and_then(|polls| polls.first().copied());
-    match oldest {
-        Some(sent) if now < sent + interval * OVERDUE_INTERVALS => {}
-        Some(_) => {
-            polls.into_iter().for_each(Vec::clear);
-            let outcome = Outcome::Unreachable;
-            target::polled(world, Polled { target, outcome });
-        }
-        None => probe(world, &target),
+    let probe_interval = health.probe_interval.filter(|_| quarantined);
+    let oldest = health.polls_out.first().copied();
+    let overdue = oldest.is_some_and(|sent| now >= sent + interval * OVERDUE_INTERVALS);
+    if overdue {
+        health.polls_out.clear();
+    }
+    schedule_poll(world, &target, now + probe_interval.unwrap_or(interval));
+    if overdue {
+        let outcome = Outcome::Unreachable;
+        target::polled(world, Polled { target, outcome });
+    } else if oldest.is_none() {
+        probe(world, &target);
     }
 }
 
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -25,6 +25,7 @@
     if let Output::Text(text) = &output
         && text.finish_reason.is_none()
     {
+        // Without a finish reason the text may be cut off, so it is resumed like one that broke off.
         let partial = Some(text.clone());
         return failed(world, id, Failure::Timeout, partial);
     }
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -119,7 +119,6 @@
 /// it leaves stays leaving, unless another process stands at another address under its name.
 pub fn upsert(world: &mut World, entry: &listing::Entry) {
     let id = &entry.target;
-    world.targets.schedule.changed();
     if let Some(row) = world.targets.rows.get(id) {
         if row.address == entry.address && row.pool == entry.pool && row.zone == entry.zone {
             health::listed(world, id, entry.leaving);
@@ -141,6 +140,7 @@
     };
     world.targets.rows.insert(id.clone(), row);
     world.targets.place(id);
+    world.targets.schedule.changed();
     health::listed(world, id, entry.leaving);
     world.queues.touch_all();
 }
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -114,3 +114,15 @@
     }
     assert_eq!(polled(&mut drives[..2]), 40);
 }
+
+/// Guards against a target that gets work although its polls are never answered, not even with a failure.
+#[test]
+fn silence_counts_as_failure() {
+    let mut drive = Drive::new(1, 0);
+    drive.silent = true;
+    drive.advance(ms(12_000));
+    assert_eq!(state(&drive, "e0"), State::Quarantined);
+    drive.silent = false;
+    drive.advance(ms(12_000));
+    assert_eq!(state(&drive, "e0"), State::Live);
+}
