--- /dev/null
+++ b/src/core/supply.rs
@@ -0,0 +1,103 @@
+//! Engines that a trainer's samples may run on.
+
+use crate::{
+    core::{World, settings::Policy, target},
+    file::{Kind, Snapshot, Trainer},
+    prelude::*,
+};
+
+/// Engines with old weights that are remembered, and so named as to be avoided in one request.
+const BEHIND_MAX: usize = 64;
+
+/// Slots and versions of a model's engines, as one trainer sees them.
+#[derive(Debug, Default)]
+pub struct Supply {
+    /// Slots of live engines with weights that the trainer may use.
+    pub slots: u64,
+    /// Slots of them that are not in use.
+    pub free: u64,
+    /// Slots that the trainer gets by its weight when engines are short.
+    pub guaranteed: u64,
+    /// Newest version that a live engine reports.
+    pub newest: Option<Version>,
+    /// Engines with older weights than the trainer's.
+    pub behind: Vec<(TargetId, Version)>,
+    /// Live engines, those with old weights left out.
+    pub engines: u64,
+    /// When and for which oldest version this was counted.
+    pub counted: Time,
+    pub needed: Version,
+}
+
+impl Supply {
+    /// Counts the engines of a trainer's model for samples that need at least a version.
+    pub fn new(world: &World, snapshot: &Snapshot, trainer: &Trainer, version: Version, needed: Version) -> Self {
+        let mut supply = Self {
+            counted: world.now,
+            needed,
+            ..Self::default()
+        };
+        let of_model = snapshot.trainers.values().filter(|other| other.model == trainer.model);
+        let weights: u64 = of_model.map(|other| u64::from(other.weight)).sum();
+        let weight = u64::from(trainer.weight.max(1));
+        let share = |slots: u64| (slots * weight).div_ceil(weights.max(1)).min(slots);
+        let zones = snapshot
+            .models
+            .get(&trainer.model)
+            .map_or(&[][..], |model| &model.zones);
+        for (target, row) in &world.targets.rows {
+            let Some(pool) = snapshot.pools.get(&row.pool) else {
+                continue;
+            };
+            let serves = matches!(&pool.kind, Kind::Engine { model } if *model == trainer.model);
+            if !serves || !zones.contains(&row.zone) {
+                continue;
+            }
+            // Engines of other zones are polled by their own zone's hosts and stay without a report here.
+            let remote = row.state == target::State::New && row.zone != world.hosts.zone;
+            if row.state != target::State::Live && !remote {
+                continue;
+            }
+            let served = row
+                .report
+                .as_ref()
+                .and_then(|report| report.versions.get(&trainer.model))
+                .copied();
+            supply.newest = supply.newest.max(served);
+            if world.settings.policy == Policy::Full
+                && let Some(served) = served.filter(|&served| served < version)
+            {
+                if supply.behind.len() < BEHIND_MAX {
+                    supply.behind.push((target.clone(), served));
+                }
+                if served < needed {
+                    continue;
+                }
+            }
+            supply.engines += 1;
+            supply.slots += u64::from(pool.slots);
+            let slots = u64::from(pool.slots);
+            // Without a report, the other trainers of the model are taken to use their share.
+            supply.free += match remote {
+                true => share(slots).saturating_sub(u64::from(row.in_flight)),
+                false => slots.saturating_sub(u64::from(load(row))),
+            };
+        }
+        supply.guaranteed = share(supply.slots);
+        supply
+    }
+
+    /// Engines with weights older than a version.
+    pub fn older(&self, version: Version) -> impl Iterator<Item = TargetId> {
+        let older = self.behind.iter().filter(move |(_, served)| *served < version);
+        older.map(|(target, _)| target.clone())
+    }
+}
+
+/// Requests on a target: those reported, less our own of that time, plus our own of now.
+fn load(row: &target::Row) -> u32 {
+    let reported = row.report.as_ref().map_or(0, |report| report.running + report.waiting);
+    reported
+        .saturating_sub(row.in_flight_then)
+        .saturating_add(row.in_flight)
+}
