Refuse a call for keys that cannot be served

Cause: a full key table and a draining host answered a call for keys with an empty list, which says nothing of the reason.

--- a/src/core/key.rs
+++ b/src/core/key.rs
@@ -140,11 +140,15 @@
 pub fn input(world: &mut World, ask: Ask) {
     let Ask { ticket, count } = ask;
     let room = world.settings.key_limit.saturating_sub(world.keys.records.len());
-    let count = if world.draining {
-        0
-    } else {
-        room.min(count.min(ISSUE_MAX) as usize)
-    };
+    if world.draining || room == 0 {
+        let code = if world.draining {
+            Code::Draining
+        } else {
+            Code::QueueFull
+        };
+        return request::answer(world, ticket, Answer::error(code));
+    }
+    let count = room.min(count.min(ISSUE_MAX) as usize);
     let expires = world.now + world.settings.key_validity;
     let mut keys = Vec::with_capacity(count);
     for _ in 0..count {
--- a/tests/key.rs
+++ b/tests/key.rs
@@ -164,6 +164,7 @@
         drive.tick();
         assert_eq!(drive.keys.len(), total);
     }
+    assert_eq!(drive.code(0), Some(Code::QueueFull));
     let keys = drive.keys.clone();
     for (ticket, key) in keys[..3].iter().enumerate() {
         drive.submit(ticket as Ticket, call("/book"), Some(key), LONG);
