Run stragglers twice only when the trainer would soon wait

Cause: duplicates were spent while the trainer was far from its next pull, and none were left at the end of a batch. Change: a second run starts only while the batch is awaited or due within two 95th percentiles; generation starts earlier for four steps after a late batch, the first batch left out.

--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -13,8 +13,8 @@
 
 /// A wait longer than this part of a step counts as late.
 const LATE_PART: u32 = 50;
-/// Steps for which a late batch has a further step kept ahead.
-const SPARE_STEPS: u32 = 8;
+/// Steps for which generation starts earlier after a late batch.
+const SPARE_STEPS: u32 = 4;
 
 /// Measurements of one stream.
 #[derive(Debug, Default)]
@@ -26,7 +26,7 @@
     times: VecDeque<Duration>,
     p95: Option<Duration>,
     mean: Duration,
-    /// Steps for which a further step is kept ahead, because the trainer had to wait.
+    /// Steps for which generation still starts earlier, because the trainer had to wait.
     spare_steps: u32,
     /// When and at which version the last batch was first answered.
     answered: Option<(Time, Version)>,
@@ -66,7 +66,7 @@
     /// A new batch was answered after this wait.
     pub fn answered(&mut self, now: Time, version: Version, waited: Duration) {
         self.answered = Some((now, version));
-        let late = self.step.is_none_or(|step| waited > step / LATE_PART);
+        let late = self.step.is_some_and(|step| waited > step / LATE_PART);
         self.spare_steps = if late {
             SPARE_STEPS
         } else {
@@ -140,7 +140,7 @@
         match need.objective {
             Objective::Idle => steps + u64::from(self.spare_steps > 0 || self.step.is_none()),
             Objective::Staleness => {
-                let early = batch.is_some_and(|batch| self.until_pull(need.now) > batch);
+                let early = self.spare_steps == 0 && batch.is_some_and(|batch| self.until_pull(need.now) > batch);
                 if early { 0 } else { steps }
             }
         }
--- a/src/core/straggler.rs
+++ b/src/core/straggler.rs
@@ -38,6 +38,10 @@
     let Some(limit) = row.pace.p95() else {
         return;
     };
+    // While the trainer is far from its next pull, a straggler ends in time by itself.
+    if !row.awaited() && row.pace.until_pull(world.now) > limit * 2 {
+        return;
+    }
     let mut slow: Vec<(Duration, u64, usize, TargetId)> = Vec::new();
     for (&index, draft) in &row.drafts {
         for (slot, state) in draft.slots.iter().enumerate() {
