Bound the bytes of all bodies of a host

Change: limits.max_bodies_bytes (64 MiB). A request takes room for the length that it announces, or for the longest body if it announces none, before its body is read, and gives it back when it has ended.

--- a/src/answer.rs
+++ b/src/answer.rs
@@ -79,11 +79,20 @@
     segments.iter().map(segment).collect()
 }
 
+/// Length that a request announces for its body.
+pub fn length(request: &Request) -> Option<usize> {
+    request
+        .headers()
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
 /// Reads a request's body within bounds.
 pub async fn read(request: Request, max_bytes: usize, time: Duration) -> Result<Bytes, Error> {
-    let length = request.headers().get(header::CONTENT_LENGTH);
-    let length: Option<usize> = length.and_then(|it| it.to_str().ok()?.parse().ok());
-    if length.is_some_and(|it| it > max_bytes) {
+    if length(&request).is_some_and(|it| it > max_bytes) {
         return Err(Code::TooLarge.into());
     }
     match timeout(time, Limited::new(request.into_body(), max_bytes).collect()).await {
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,12 +9,15 @@
 };
 
 use arc_swap::ArcSwapOption;
+use bytes::Bytes;
 use tokio::{
     runtime::Handle,
-    sync::{mpsc, oneshot},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot},
 };
+use volo_http::request::Request;
 
 use crate::{
+    answer::{self, Error},
     code::Kind,
     core::{Event, config, request, stream},
     file,
@@ -26,6 +29,9 @@
 /// Chunks that may wait for a caller that reads slowly.
 const CHUNKS_MAX: usize = 32;
 
+/// Unit in which the bytes of bodies are counted.
+const BODY_UNIT_BYTES: usize = 1024;
+
 /// Answer of the control thread to a ticket.
 #[derive(Debug)]
 pub enum Reply {
@@ -57,6 +63,7 @@
     /// Configuration in force.
     pub snapshot: ArcSwapOption<file::Snapshot>,
     draining: AtomicBool,
+    bodies: Arc<Semaphore>,
     events: mpsc::Sender<Event>,
     runtime: Handle,
     last: AtomicU64,
@@ -67,11 +74,13 @@
     /// A handle and the end at which the control thread takes events.
     pub fn new(limits: Limits, metrics: Arc<Metrics>, runtime: Handle) -> (Arc<Self>, mpsc::Receiver<Event>) {
         let (events, received) = mpsc::channel(limits.max_events);
+        let bodies = (limits.max_bodies_bytes / BODY_UNIT_BYTES).min(Semaphore::MAX_PERMITS);
         let control = Self {
             limits,
             metrics,
             snapshot: ArcSwapOption::empty(),
             draining: AtomicBool::new(false),
+            bodies: Arc::new(Semaphore::new(bodies)),
             events,
             runtime,
             last: AtomicU64::new(0),
@@ -96,6 +105,20 @@
         Ok(())
     }
 
+    /// Reads a caller's body within bounds. The permit stands for its bytes and is kept until the request has ended.
+    pub async fn read(&self, request: Request) -> Result<(Bytes, OwnedSemaphorePermit), Error> {
+        let most = self.limits.max_body_bytes;
+        let length = answer::length(&request).unwrap_or(most);
+        if length > most {
+            return Err(Code::TooLarge.into());
+        }
+        let units = u32::try_from(length.div_ceil(BODY_UNIT_BYTES)).unwrap_or(u32::MAX);
+        let permit = Arc::clone(&self.bodies).try_acquire_many_owned(units);
+        let permit = permit.map_err(|_| Error::new(Code::QueueFull, "bodies of other requests take all room"))?;
+        let body = answer::read(request, most, self.limits.body_timeout).await?;
+        Ok((body, permit))
+    }
+
     /// Reports this host as not ready from now on.
     pub fn drain(&self) {
         self.draining.store(true, Ordering::Relaxed);
--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -10,7 +10,7 @@
 use http::Response;
 use hyper::body::Frame;
 use serde_json::{Map, Value, json};
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use volo_http::{body::Body, request::Request};
 
 use super::{Answer, deadline, key, services::content, unexpected};
@@ -39,8 +39,7 @@
 
 pub async fn run(control: &Arc<Control>, request: Request, started: Instant) -> Result<Answer, Error> {
     let (key, deadline) = (key(request.headers())?, deadline(request.headers())?);
-    let limits = &control.limits;
-    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let (body, room) = control.read(request).await?;
     let (generate, form) = generate(answer::parse(&body)?)?;
     control.ready()?;
     let head = Head::new(&generate.model);
@@ -59,6 +58,7 @@
         sent: String::new(),
         head,
         started,
+        _room: room,
     };
     // The head of the answer waits for the first chunk, so that a refusal still has its own HTTP status.
     let first = stream.next().await?;
@@ -200,6 +200,8 @@
     sent: String,
     head: Head,
     started: Instant,
+    /// Stands for the bytes of the request.
+    _room: OwnedSemaphorePermit,
 }
 
 impl Stream {
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -23,8 +23,7 @@
 }
 
 pub async fn run(control: &Arc<Control>, request: Request, _: Instant) -> Result<Answer, Error> {
-    let limits = &control.limits;
-    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let (body, _room) = control.read(request).await?;
     let Ask { count } = answer::parse(&body)?;
     if count == 0 || count > COUNT_MAX {
         return Err(Error::new(
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -23,8 +23,7 @@
     let (service, path) = split(&request).ok_or(Code::UnknownName)?;
     let content_type = request.headers().get(header::CONTENT_TYPE);
     let content_type = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
-    let limits = &control.limits;
-    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let (body, _room) = control.read(request).await?;
     control.ready()?;
     let call = Call {
         content: content(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), &body]),
--- a/src/entry/trainers.rs
+++ b/src/entry/trainers.rs
@@ -39,8 +39,7 @@
 
 pub async fn pull(control: &Arc<Control>, request: Request, _: Instant) -> Result<Answer, Error> {
     let trainer = trainer(&request)?;
-    let limits = &control.limits;
-    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let (body, _room) = control.read(request).await?;
     let pull: Pull = answer::parse(&body)?;
     if pull.wait_ms > WAIT_MAX_MS {
         return Err(Error::new(
@@ -77,8 +76,7 @@
 
 pub async fn versions(control: &Arc<Control>, request: Request, _: Instant) -> Result<Answer, Error> {
     let trainer = trainer(&request)?;
-    let limits = &control.limits;
-    let body = answer::read(request, limits.max_body_bytes, limits.body_timeout).await?;
+    let (body, _room) = control.read(request).await?;
     let Announce { version, weights } = answer::parse(&body)?;
     log::info!("trainer={trainer} version={version} announced");
     let event = |ticket| rollout::Announce {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -110,6 +110,13 @@
             1024,
             256 * MB,
         );
+        let max_bodies_bytes = size(
+            "limits.max_bodies_bytes",
+            raw.max_bodies_bytes,
+            default.max_bodies_bytes,
+            1024,
+            4096 * MB,
+        );
         let max_connections = size(
             "limits.max_connections",
             raw.max_connections,
@@ -118,8 +125,12 @@
             100_000,
         );
         let max_events = size("limits.max_events", raw.max_events, default.max_events, 16, 1_000_000);
+        if max_bodies_bytes < max_body_bytes {
+            self.fault("limits.max_bodies_bytes", "must not be below max_body_bytes");
+        }
         Limits {
             max_body_bytes,
+            max_bodies_bytes,
             max_answer_bytes,
             max_connections,
             max_events,
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -59,6 +59,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
     pub max_body_bytes: usize,
+    /// Bytes of all bodies whose requests have not ended.
+    pub max_bodies_bytes: usize,
     /// Longest answer taken from a target.
     pub max_answer_bytes: usize,
     pub max_connections: usize,
@@ -75,6 +77,7 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 1024 * 1024,
+            max_bodies_bytes: 64 * 1024 * 1024,
             max_answer_bytes: 16 * 1024 * 1024,
             max_connections: 4096,
             max_events: 4096,
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -61,6 +61,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     pub max_body_bytes: Option<u64>,
+    pub max_bodies_bytes: Option<u64>,
     pub max_answer_bytes: Option<u64>,
     pub max_connections: Option<u64>,
     pub max_events: Option<u64>,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -36,6 +36,7 @@
 async fn port() -> Port {
     let limits = Limits {
         max_body_bytes: 2048,
+        max_bodies_bytes: 4096,
         max_connections: 4,
         max_events: 2,
         header_timeout: Duration::from_millis(300),
@@ -149,6 +150,28 @@
     assert_code(&answer, Code::TooLarge);
 }
 
+#[tokio::test]
+async fn bodies_that_find_no_room_are_refused_as_not_run() {
+    let port = port().await;
+    let mut held = Vec::new();
+    // Room is taken by what a request announces, before its body comes.
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(port.address).await.unwrap();
+        let head = post("/v1/keys", &"x".repeat(2000));
+        stream.write_all(&head.as_bytes()[..200]).await.unwrap();
+        held.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let request = post("/v1/keys", "{\"count\":0}");
+    assert_code(&exchange(port.address, request.as_bytes()).await, Code::QueueFull);
+    drop(held);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_code(
+        &exchange(port.address, request.as_bytes()).await,
+        Code::RequestMalformed,
+    );
+}
+
 #[tokio::test]
 async fn slow_heads_and_bodies_are_cut_off() {
     let port = port().await;
