Sum the burn report over the given hosts

Each host counts only its own callers, so one host's burn says little about a yard. lagoonyard report asks every given host, adds the counts and computes the burn from the sums; a host that does not answer is named and ends the command with exit code 5. Lists in status and show print one dash an item.

--- a/src/cmd/cli.rs
+++ b/src/cmd/cli.rs
@@ -30,7 +30,7 @@
     Status(Status),
     /// Tell a host to finish its work and exit.
     Drain(Drain),
-    /// Print the burn of service-level objectives by yard.
+    /// Print the burn of service-level objectives by yard, summed over the given hosts.
     Report(Report),
     /// Pull batches of samples as a trainer does.
     Pull(Pull),
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -140,6 +140,16 @@
         })
     }
 
+    /// One client a host, for commands that ask all of them.
+    pub fn each(&self) -> Vec<Self> {
+        let one = |host: &str| Self {
+            hosts: vec![host.into()],
+            next: 0,
+            ..self.clone()
+        };
+        self.hosts.iter().map(|host| one(host)).collect()
+    }
+
     /// Whether the command's time is over.
     pub fn late(&self) -> bool {
         Instant::now() >= self.deadline
--- a/src/cmd/print.rs
+++ b/src/cmd/print.rs
@@ -48,22 +48,39 @@
 
 fn indented(value: &Value, depth: usize, lines: &mut Vec<String>) {
     let pad = "  ".repeat(depth);
-    let mut entry = |name: &str, value: &Value| match value {
-        Value::Object(fields) if !fields.is_empty() => {
-            lines.push(format!("{pad}{name}:"));
-            indented(value, depth + 1, lines);
+    match value {
+        Value::Object(fields) => {
+            for (name, value) in fields {
+                if is_nested(value) {
+                    lines.push(format!("{pad}{name}:"));
+                    indented(value, depth + 1, lines);
+                } else {
+                    lines.push(format!("{pad}{name}: {}", plain(value)));
+                }
+            }
         }
-        Value::Array(items) if !items.is_empty() => {
-            lines.push(format!("{pad}{name}:"));
-            indented(value, depth + 1, lines);
+        Value::Array(items) => {
+            for item in items {
+                let first = lines.len();
+                indented(item, depth + 1, lines);
+                // The dash takes the place of the item's own indentation.
+                if let Some(line) = lines.get_mut(first) {
+                    line.replace_range(..2 * (depth + 1), &format!("{pad}- "));
+                }
+            }
         }
-        Value::String(text) => lines.push(format!("{pad}{name}: {text}")),
-        other => lines.push(format!("{pad}{name}: {other}")),
-    };
+        value => lines.push(format!("{pad}{}", plain(value))),
+    }
+}
+
+fn is_nested(value: &Value) -> bool {
     match value {
-        Value::Object(fields) => fields.iter().for_each(|(name, value)| entry(name, value)),
-        Value::Array(items) => items.iter().for_each(|item| entry("-", item)),
-        Value::String(text) => lines.push(format!("{pad}{text}")),
-        other => lines.push(format!("{pad}{other}")),
+        Value::Object(fields) => !fields.is_empty(),
+        Value::Array(items) => !items.is_empty(),
+        _ => false,
     }
 }
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_owned)
+}
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -1,67 +1,178 @@
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use futures::future;
 use http::Method;
-use serde_json::Value;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::{Client, Error, Report, Result, Run, print};
+
+const WHAT: &str = "read the report";
+const WINDOWS: [&str; 4] = ["5m", "30m", "1h", "6h"];
+
+/// Good events out of all in one window.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct Window {
+    good: u64,
+    total: u64,
+    burn: f64,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct Objective {
+    objective: f64,
+    windows: BTreeMap<String, Window>,
+}
 
-use super::{Client, Report, Result, Run, print};
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct Trainer {
+    idle_ms: u64,
+    total_ms: u64,
+    idle_share: f64,
+    samples_delivered: u64,
+    samples_too_old: u64,
+    staleness_mean_versions: f64,
+    staleness_max_versions: u64,
+}
+
+/// What one host counted, or the sum over hosts.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+struct Counts {
+    yards: BTreeMap<String, BTreeMap<String, Objective>>,
+    trainers: BTreeMap<String, Trainer>,
+}
 
 impl Run for Report {
     async fn run(self) -> Result<()> {
-        let mut client = Client::operator(&self.operator)?;
-        let report: Value = client.read("read the report", Method::GET, "/v1/admin/report").await?;
-        if self.json {
-            return print::value(&report, true);
+        let clients = Client::operator(&self.operator)?.each();
+        let answers = clients.iter().map(|client| async {
+            let answer = client.send(Method::GET, "/v1/admin/report", &[], Bytes::new()).await;
+            let answer = answer.map_err(|_| client.unavailable(WHAT))?;
+            answer.json::<Counts>(WHAT)
+        });
+        let mut sum = Counts::default();
+        let (mut hosts, mut missing) = (0, Vec::new());
+        for (host, counts) in self.operator.hosts.iter().zip(future::join_all(answers).await) {
+            match counts {
+                Ok(counts) => {
+                    sum.add(counts);
+                    hosts += 1;
+                }
+                Err(Error::Unavailable { .. }) => missing.push(host.clone()),
+                Err(error) => return Err(error),
+            }
+        }
+        if hosts > 0 {
+            sum.print(hosts, self.json)?;
+        }
+        if missing.is_empty() {
+            return Ok(());
         }
-        print::table(&objectives(&report))?;
-        let trainers = trainers(&report);
-        if trainers.len() > 1 {
+        Err(Error::Unavailable {
+            what: "read the report of all hosts".into(),
+            hosts: missing,
+        })
+    }
+}
+
+impl Counts {
+    fn add(&mut self, other: Self) {
+        for (yard, objectives) in other.yards {
+            let yard = self.yards.entry(yard).or_default();
+            for (name, objective) in objectives {
+                yard.entry(name).or_default().add(objective);
+            }
+        }
+        for (name, trainer) in other.trainers {
+            self.trainers.entry(name).or_default().add(&trainer);
+        }
+    }
+
+    fn print(&self, hosts: usize, json: bool) -> Result<()> {
+        if json {
+            return print::line(&json!({"hosts": hosts, "yards": self.yards, "trainers": self.trainers}).to_string());
+        }
+        print::table(&self.objectives())?;
+        if !self.trainers.is_empty() {
             print::line("")?;
-            print::table(&trainers)?;
+            print::table(&self.totals())?;
         }
         Ok(())
     }
-}
 
-fn fields(value: &Value) -> impl Iterator<Item = (&String, &Value)> {
-    value.as_object().into_iter().flatten()
+    /// One row a yard and objective, one column a window.
+    fn objectives(&self) -> Vec<Vec<String>> {
+        let mut rows = vec![vec!["yard".to_owned(), "objective".to_owned(), "goal".to_owned()]];
+        rows[0].extend(WINDOWS.map(|window| format!("burn {window}")));
+        for (yard, objectives) in &self.yards {
+            for (name, objective) in objectives {
+                let goal = format!("{:.1}%", 100.0 * objective.objective);
+                let mut row = vec![yard.clone(), name.clone(), goal];
+                row.extend(WINDOWS.map(|window| objective.windows.get(window).map_or("-".into(), Window::cell)));
+                rows.push(row);
+            }
+        }
+        rows
+    }
+
+    fn totals(&self) -> Vec<Vec<String>> {
+        let names = ["trainer", "idle", "delivered", "too old", "mean age", "highest age"];
+        let mut rows = vec![names.map(str::to_owned).to_vec()];
+        for (name, trainer) in &self.trainers {
+            rows.push(vec![
+                name.clone(),
+                format!("{:.1}%", 100.0 * trainer.idle_share),
+                trainer.samples_delivered.to_string(),
+                trainer.samples_too_old.to_string(),
+                format!("{:.2}", trainer.staleness_mean_versions),
+                trainer.staleness_max_versions.to_string(),
+            ]);
+        }
+        rows
+    }
 }
 
-/// One row a yard and objective, one column a window.
-fn objectives(report: &Value) -> Vec<Vec<String>> {
-    const WINDOWS: [&str; 4] = ["5m", "30m", "1h", "6h"];
-    let mut rows = vec![vec!["yard".to_owned(), "objective".to_owned(), "goal".to_owned()]];
-    rows[0].extend(WINDOWS.map(|window| format!("burn {window}")));
-    for (yard, objectives) in fields(&report["yards"]) {
-        for (name, objective) in fields(objectives) {
-            let goal = objective["objective"].as_f64().unwrap_or(0.0);
-            let mut row = vec![yard.clone(), name.clone(), format!("{:.1}%", 100.0 * goal)];
-            row.extend(WINDOWS.map(|window| burn(&objective["windows"][window])));
-            rows.push(row);
+impl Objective {
+    fn add(&mut self, other: Self) {
+        self.objective = other.objective;
+        for (name, window) in other.windows {
+            let sum = self.windows.entry(name).or_default();
+            sum.good += window.good;
+            sum.total += window.total;
+            sum.burn = (1.0 - share(sum.good, sum.total, 1.0)) / (1.0 - self.objective);
         }
     }
-    rows
 }
 
-/// Burn with its number of events; a window without events shows a dash.
-fn burn(window: &Value) -> String {
-    match window["total"].as_u64() {
-        None | Some(0) => "-".into(),
-        Some(total) => format!("{:.2} of {total}", window["burn"].as_f64().unwrap_or(0.0)),
+impl Window {
+    /// Burn with its number of events; a window without events shows a dash.
+    fn cell(&self) -> String {
+        if self.total == 0 {
+            return "-".into();
+        }
+        format!("{:.2} of {}", self.burn, self.total)
     }
 }
 
-fn trainers(report: &Value) -> Vec<Vec<String>> {
-    let names = ["trainer", "idle", "delivered", "too old", "mean age", "highest age"];
-    let mut rows = vec![names.map(str::to_owned).to_vec()];
-    for (trainer, totals) in fields(&report["trainers"]) {
-        let number = |name: &str| totals[name].as_u64().unwrap_or(0).to_string();
-        let share = |name: &str| totals[name].as_f64().unwrap_or(0.0);
-        rows.push(vec![
-            trainer.clone(),
-            format!("{:.1}%", 100.0 * share("idle_share")),
-            number("samples_delivered"),
-            number("samples_too_old"),
-            format!("{:.2}", share("staleness_mean_versions")),
-            number("staleness_max_versions"),
-        ]);
+impl Trainer {
+    fn add(&mut self, other: &Self) {
+        let ages = |trainer: &Self| trainer.staleness_mean_versions * trainer.samples_delivered as f64;
+        let ages = ages(self) + ages(other);
+        self.idle_ms += other.idle_ms;
+        self.total_ms += other.total_ms;
+        self.idle_share = share(self.idle_ms, self.total_ms, 0.0);
+        self.samples_delivered += other.samples_delivered;
+        self.samples_too_old += other.samples_too_old;
+        self.staleness_mean_versions = ages / self.samples_delivered.max(1) as f64;
+        self.staleness_max_versions = self.staleness_max_versions.max(other.staleness_max_versions);
     }
-    rows
+}
+
+fn share(part: u64, whole: u64, none: f64) -> f64 {
+    if whole == 0 { none } else { part as f64 / whole as f64 }
 }
--- a/tests/cmd.rs
+++ b/tests/cmd.rs
@@ -225,3 +225,31 @@
     assert_eq!(code, Some(1), "{stderr}");
     assert!(stderr.contains("franklin") && stderr.contains("f-2"), "{stderr}");
 }
+
+/// Guards against a burn that is averaged over hosts instead of computed from their sums, and against a report that hides
+/// a host that did not answer.
+#[test]
+fn a_report_sums_its_hosts() {
+    let report = |good, total, delivered, age| {
+        let windows = json!({"5m": {"good": good, "total": total, "burn": 9.0}});
+        let trainer =
+            json!({"idle_ms": 10, "total_ms": 100, "samples_delivered": delivered, "staleness_mean_versions": age});
+        let yard = json!({"answered": {"objective": 0.9, "windows": windows}});
+        Host::new(vec![Some((
+            200,
+            json!({"yards": {"huon": yard}, "trainers": {"blurb": trainer}}),
+        ))])
+    };
+    let (one, two) = (report(1, 2, 1, 4.0), report(97, 98, 3, 0.0));
+    let closed = "http://127.0.0.1:9";
+    let output = lagoonyard(&[
+        "report", "--json", "--host", &one.url, "--host", closed, "--host", &two.url,
+    ]);
+    assert_eq!(output.status.code(), Some(5));
+    assert!(String::from_utf8(output.stderr).unwrap().contains(closed));
+    let sum: Value = serde_json::from_slice(&output.stdout).unwrap();
+    let window = &sum["yards"]["huon"]["answered"]["windows"]["5m"];
+    assert_eq!((&window["good"], &window["total"]), (&json!(98), &json!(100)));
+    assert!((window["burn"].as_f64().unwrap() - 0.2).abs() < 1e-9, "{window}");
+    assert_eq!(sum["trainers"]["blurb"]["staleness_mean_versions"], 1.0);
+}
