--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,14 +28,18 @@
     FILE.replace("\"slots\": 16", &format!("\"slots\": {slots}"))
 }
 
+/// Host, call, key, after which change, and until when.
+type Watch = (Box<str>, u64, Box<str>, u64, Duration);
+
 #[derive(Default)]
 pub struct Store {
     pub values: BTreeMap<Box<str>, (Value, Option<i64>)>,
     pub leases: BTreeMap<i64, Duration>,
+    last_lease: i64,
     pub revision: u64,
     pub down: bool,
     pub calls: u64,
-    watches: Vec<(Box<str>, u64, Box<str>, u64, Duration)>,
+    watches: Vec<Watch>,
     /// Swaps of keys with this prefix lose their answer after they took effect.
     pub lose: Option<Box<str>>,
     /// Swaps of keys with this prefix are kept back, to land when the test says so.
@@ -91,7 +95,8 @@
                 Reply::Deleted
             }
             Call::Grant { ttl } => {
-                let id = self.revision as i64 * 1000 + self.leases.len() as i64 + 1;
+                self.last_lease += 1;
+                let id = self.last_lease;
                 self.leases.insert(id, now + *ttl);
                 Reply::Lease { id, ttl: *ttl }
             }
--- /dev/null
+++ b/tests/listing.rs
@@ -0,0 +1,162 @@
+//! Guards against targets that are dropped or revived because a host list is late, wrong or short.
+
+mod common;
+
+use std::time::Duration;
+
+use common::Fleet;
+use lagoonyard::{
+    core::{Event, config::Admin, listing::Entry, target::State},
+    ids::TargetId,
+};
+
+const S: Duration = Duration::from_secs(1);
+
+fn entry(zone: &str, index: usize) -> Entry {
+    Entry {
+        target: format!("{zone}-w{index}").into(),
+        zone: zone.into(),
+        address: format!("10.0.0.{index}:80").into(),
+        pool: "blurb-engines".into(),
+        leaving: false,
+    }
+}
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(&["a", "b"], 4);
+    for zone in ["a", "b"] {
+        fleet
+            .lists
+            .insert(zone.into(), Some((0..20).map(|index| entry(zone, index)).collect()));
+    }
+    fleet.run(16 * S);
+    fleet
+}
+
+fn list<'a>(fleet: &'a mut Fleet, zone: &str) -> &'a mut Vec<Entry> {
+    fleet.lists.get_mut(zone).unwrap().as_mut().unwrap()
+}
+
+fn everywhere(fleet: &Fleet, check: impl Fn(Option<State>) -> bool, target: &str) -> bool {
+    let id = TargetId::from(target);
+    fleet
+        .cores
+        .values()
+        .all(|core| check(core.world().targets.rows.get(&id).map(|row| row.state)))
+}
+
+#[test]
+fn every_host_knows_the_targets_of_all_zones() {
+    let fleet = fleet();
+    for core in fleet.cores.values() {
+        assert_eq!(core.world().targets.rows.len(), 40);
+    }
+}
+
+#[test]
+fn a_target_goes_only_after_it_was_absent_twice() {
+    let mut fleet = fleet();
+    let gone = list(&mut fleet, "a").remove(3);
+    fleet.run(2 * S);
+    list(&mut fleet, "a").push(gone);
+    fleet.run(12 * S);
+    assert!(everywhere(&fleet, |state| state.is_some(), "a-w3"));
+    list(&mut fleet, "a").retain(|entry| &*entry.target != "a-w3");
+    fleet.run(12 * S);
+    assert!(everywhere(&fleet, |state| state.is_none(), "a-w3"));
+    assert!(everywhere(&fleet, |state| state.is_some(), "b-w3"));
+}
+
+#[test]
+fn a_suddenly_short_list_removes_nothing_but_still_adds_and_marks() {
+    let mut fleet = fleet();
+    let old = list(&mut fleet, "a").clone();
+    let mut short: Vec<Entry> = old[..10].to_vec();
+    short[0].leaving = true;
+    short.push(entry("a", 77));
+    *list(&mut fleet, "a") = short;
+    fleet.run(20 * S);
+    assert!(everywhere(&fleet, |state| state.is_some(), "a-w15"));
+    assert!(everywhere(&fleet, |state| state.is_some(), "a-w77"));
+    assert!(everywhere(&fleet, |state| state == Some(State::Leaving), "a-w0"));
+    assert!(
+        fleet
+            .logs
+            .iter()
+            .any(|line| line.contains("host list has 10 of 20 entries, nothing is removed"))
+    );
+    // Absences from the short list do not count once the list is whole but for one.
+    let mut back = old;
+    back.pop();
+    *list(&mut fleet, "a") = back;
+    fleet.run(S * 2);
+    assert!(everywhere(&fleet, |state| state.is_some(), "a-w19"));
+}
+
+#[test]
+fn a_list_does_not_revive_a_target_that_leaves() {
+    let mut fleet = fleet();
+    list(&mut fleet, "a")[5].leaving = true;
+    fleet.run(8 * S);
+    assert!(everywhere(&fleet, |state| state == Some(State::Leaving), "a-w5"));
+    list(&mut fleet, "a")[5].leaving = false;
+    fleet.run(12 * S);
+    assert!(everywhere(&fleet, |state| state == Some(State::Leaving), "a-w5"));
+    // Another process under the same name is a new target.
+    list(&mut fleet, "a")[5].address = "10.0.0.99:80".into();
+    fleet.run(12 * S);
+    assert!(everywhere(&fleet, |state| state == Some(State::New), "a-w5"));
+}
+
+#[test]
+fn wrong_entries_are_ignored() {
+    let mut fleet = fleet();
+    let wrong = [
+        ("", "x:1", "a"),
+        ("bad\tname", "x:1", "a"),
+        ("no-address", "", "a"),
+        ("other-zone", "x:1", "b"),
+    ];
+    for (target, address, zone) in wrong {
+        let entry = Entry {
+            target: target.into(),
+            address: address.into(),
+            ..entry(zone, 1)
+        };
+        list(&mut fleet, "a").push(entry);
+    }
+    fleet.run(8 * S);
+    assert!(fleet.cores.values().all(|core| core.world().targets.rows.len() == 40));
+    assert!(fleet.logs.iter().any(|line| line.contains("ignored 4 of 24 entries")));
+}
+
+#[test]
+fn a_list_that_cannot_be_read_or_a_lost_watcher_changes_nothing() {
+    let mut fleet = fleet();
+    let old = fleet.lists.insert("a".into(), None).unwrap();
+    fleet.run(20 * S);
+    assert!(fleet.cores.values().all(|core| core.world().targets.rows.len() == 40));
+    fleet.lists.insert("a".into(), old);
+    let watchers = fleet.cores["a-0"].world().hosts.rank("config", "a");
+    fleet.cores.remove(&watchers[0]);
+    fleet.input(&watchers[1], Event::Admin(Admin::Drain { ticket: None }));
+    fleet.run(13 * S);
+    list(&mut fleet, "a").push(entry("a", 50));
+    fleet.run(12 * S);
+    assert!(everywhere(&fleet, |state| state.is_some(), "a-w50"));
+}
+
+#[test]
+fn two_watchers_with_one_list_behind_do_not_undo_each_other() {
+    let mut fleet = fleet();
+    let revision = |fleet: &Fleet| fleet.cores["b-0"].world().listing.lists["a"].revision;
+    list(&mut fleet, "a").push(entry("a", 60));
+    fleet.run(10 * S);
+    let before = revision(&fleet);
+    fleet.run(60 * S);
+    assert_eq!(
+        revision(&fleet),
+        before,
+        "a list that does not change is not published again"
+    );
+}
