--- a/src/core/gossip.rs
+++ b/src/core/gossip.rs
@@ -134,8 +134,7 @@
     let mut known = Vec::new();
     if scope == Scope::Zone {
         for (id, owner) in &world.peers.owners {
-            // Left out while dead: otherwise hosts that forget it at different times teach it to each other again.
-            let row = world.hosts.rows.get(id).filter(|row| row.state != State::Dead);
+            let row = world.hosts.rows.get(id);
             known.extend(row.map(|row| wire::Known {
                 owner: name(id),
                 incarnation: owner.incarnation as u32,
@@ -256,6 +255,7 @@
         };
         let owners = world.peers.owners.iter();
         for (id, owner) in owners.clone().skip(start).chain(owners.take(start)) {
+            // Rows of the dead stay here: otherwise hosts that forget one at different times teach it to each other again.
             let Some(host) = world.hosts.rows.get(id).filter(|row| row.state != State::Dead) else {
                 continue;
             };
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -6,10 +6,15 @@
 use std::time::Duration;
 
 use common::{Fleet, STEP, file, id};
-use lagoonyard::core::{
-    Event,
-    config::{Admin, Answer},
+use lagoonyard::{
+    core::{
+        Event,
+        config::{Admin, Answer},
+        peer,
+    },
+    wire,
 };
+use prost::Message as _;
 
 const S: Duration = Duration::from_secs(1);
 
@@ -168,11 +173,28 @@
     fleet.apply("a-0", 3, "in-doubt", 1, 24);
     fleet.run(11 * S);
     assert_eq!(fleet.code(3), "LY-106");
+    fleet.apply("a-0", 4, "in-doubt", 1, 24);
+    fleet.run(S);
+    fleet.store.down = true;
+    fleet.run(10 * S);
+    assert_eq!(fleet.code(4), "LY-106", "the write was sent before the store went down");
     // The same apply through another host settles it.
+    fleet.store.down = false;
     fleet.store.hold = None;
-    fleet.apply("a-1", 4, "in-doubt", 1, 24);
+    fleet.apply("a-1", 6, "in-doubt", 1, 40);
+    fleet.run(S);
+    assert_eq!(fleet.code(6), "LY-102", "the id belongs to another file");
+    fleet.apply("a-1", 5, "in-doubt", 1, 24);
     fleet.run(2 * S);
-    assert_eq!(fleet.code(4), "2");
+    assert_eq!(fleet.code(5), "2");
+    // The deadline passes while the first write of the head is in flight.
+    fleet.store.lose = Some("config/body".into());
+    fleet.apply("a-0", 7, "late", 2, 32);
+    fleet.run(S * 15 / 2);
+    fleet.store.lose = None;
+    fleet.store.hold = Some("config/head".into());
+    fleet.run(3 * S);
+    assert_eq!(fleet.code(7), "LY-106");
 }
 
 #[test]
@@ -261,8 +283,25 @@
 fn a_store_that_comes_back_older_or_other_is_reported_and_not_obeyed() {
     let mut fleet = ready(&["a"], 3);
     let older = fleet.store.values["config/head"].clone();
+    let old_body = wire::Config::decode(fleet.cached["a-1"].clone()).unwrap();
     fleet.apply("a-0", 2, "second", 1, 24);
     fleet.run(7 * S);
+    // Late answers of a peer: the older file, and a file that is not the one of its head.
+    let mut wrong = old_body.clone();
+    wrong.head.as_mut().unwrap().revision = 9;
+    wrong.head.as_mut().unwrap().digest += 1;
+    for body in [old_body, wrong] {
+        let message = Box::new(wire::Message {
+            body: Some(wire::Body::Config(body)),
+        });
+        fleet.input(
+            "a-0",
+            Event::Peer(peer::Event::Message {
+                from: id("a", 1),
+                message,
+            }),
+        );
+    }
     let newer = fleet.store.values.insert("config/head".into(), older).unwrap();
     fleet.run(13 * S);
     fleet.apply("a-0", 3, "third", 1, 32);
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -76,7 +76,9 @@
     fleet.run(30 * S);
     assert!(all_see(&fleet, "a-2", State::Dead));
     fleet.frozen.clear();
-    fleet.run(Duration::from_millis(100));
+    // It ticks before it has heard anything.
+    let now = fleet.now;
+    fleet.cores.get_mut("a-2").unwrap().tick(now);
     assert_eq!(fleet.cores["a-2"].world().hosts.alive_in("a").len(), 6);
     fleet.run(6 * S);
     assert!(all_see(&fleet, "a-2", State::Live));
@@ -135,15 +137,19 @@
 
 #[test]
 fn a_host_that_is_gone_is_forgotten_and_not_taught_again() {
-    let mut fleet = Fleet::new(&["a"], 4);
+    let mut fleet = Fleet::new(&["a"], 8);
     fleet.run(8 * S);
-    fleet.cores.remove("a-3");
-    fleet.run(3600 * S);
-    for at in ["a-0", "a-1", "a-2"] {
-        assert_eq!(state(&fleet, at, "a-3"), Some(State::Dead));
+    fleet.cores.remove("a-7");
+    // A pause makes one host forget later than the others.
+    fleet.frozen.insert(id("a", 5));
+    fleet.run(8 * S);
+    fleet.frozen.clear();
+    fleet.run(3590 * S);
+    for at in fleet.cores.keys() {
+        assert_eq!(state(&fleet, at, "a-7"), Some(State::Dead));
     }
     fleet.run(60 * S);
-    for at in ["a-0", "a-1", "a-2"] {
-        assert_eq!(state(&fleet, at, "a-3"), None);
+    for at in fleet.cores.keys() {
+        assert_eq!(state(&fleet, at, "a-7"), None);
     }
 }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -219,27 +219,23 @@
         .count();
     assert_eq!(lines, 1, "one line in ten seconds");
 
-    for count in 0..4200 {
-        let id = format!("host-{count}");
-        hear(&mut world, &id, digest(Some(host(&id, "x:1"))));
-    }
+    hear(&mut world, "host-1", digest(Some(host("host-1", "x:1"))));
+    let push = |rows| {
+        Some(Body::Push(wire::Delta {
+            rows,
+            known: Vec::new(),
+        }))
+    };
+    let hosts = (0..4200).map(|count| host(&format!("host-{count}"), "x:1")).collect();
+    hear(&mut world, "host-1", push(hosts));
     assert!(world.hosts.rows.len() <= 4096 && world.peers.owners.len() <= 4096);
-    for target in 0..4200 {
-        let rows = vec![wire::Row {
-            owner: "host-1".into(),
-            incarnation: 5,
-            version: target as u64 + 2,
-            item: Some(load(target, 1)),
-        }];
-        hear(
-            &mut world,
-            "host-1",
-            Some(Body::Push(wire::Delta {
-                rows,
-                known: Vec::new(),
-            })),
-        );
-    }
+    let row = |target| wire::Row {
+        owner: "host-1".into(),
+        incarnation: 5,
+        version: target as u64 + 2,
+        item: Some(load(target, 1)),
+    };
+    hear(&mut world, "host-1", push((0..4200).map(row).collect()));
     assert!(rows_of(&world, "host-1") <= 4096);
 }
 
