Repeat a load only on a report from after it

Cause: with reports that stopped, an old report counted against a load after six seconds and the engine was loaded again. Change: a load is repeated only on a report that came six seconds after its answer or later; a report older than 15 s says nothing about the version. The test that asked for a repeat on an old report now asks for none, and for one on a new report.

--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -19,7 +19,7 @@
 const OUTAGE_AFTER: Duration = Duration::from_secs(5);
 /// Last time of sending for an order that no lease bounds.
 const OUTAGE_SEND_WITHIN: Duration = Duration::from_secs(2);
-/// Time for a load report from before the load to be replaced; reports come by gossip within 5 s.
+/// Reports that come this long after a load show it; gossip takes up to 5 s. Without newer reports nothing is repeated.
 const SETTLE: Duration = Duration::from_secs(6);
 /// Time to hear of an announcement when an engine shows a higher version than wanted.
 const AHEAD_GRACE: Duration = Duration::from_secs(30);
@@ -43,7 +43,7 @@
     /// Targets of the orders in flight.
     busy: BTreeSet<TargetId>,
     retries: BTreeMap<TargetId, Retry>,
-    /// Version that a target said it loaded, until its reports must show it.
+    /// Version that a target said it loaded, and the time from which its reports must show it.
     loaded: BTreeMap<TargetId, (Version, Time)>,
     /// Since when a target shows a higher version than wanted.
     ahead: BTreeMap<TargetId, Time>,
@@ -289,8 +289,7 @@
         } else {
             orders.ahead.remove(target);
         }
-        let loaded = orders.loaded.get(target);
-        let settling = loaded.is_some_and(|&(version, until)| version == wanted && now < until);
+        let settling = orders.loaded.get(target).is_some_and(|&(version, _)| version == wanted);
         let paused = orders.retries.get(target).is_some_and(|retry| now < retry.not_before);
         let busy = orders.busy.contains(target);
         if !settling && !paused && !busy {
@@ -378,7 +377,7 @@
     orders.retries.retain(|target, _| rows.contains_key(target));
     orders
         .loaded
-        .retain(|target, &mut (_, until)| now < until && rows.contains_key(target));
+        .retain(|target, (_, shown)| rows.get(target).is_some_and(|row| row.reported_at < *shown));
     orders.ahead.retain(|target, _| rows.contains_key(target));
     for id in lost {
         if let Some(flight) = world.rollouts.orders.in_flight.remove(&id) {
--- a/src/core/supply.rs
+++ b/src/core/supply.rs
@@ -9,6 +9,9 @@
 /// Engines with old weights that are remembered, and so named as to be avoided in one request.
 const BEHIND_MAX: usize = 64;
 
+/// Age at which a report says nothing about the version any more; engines are polled each second, and gossip takes 5 s.
+const REPORT_MAX_AGE: Duration = Duration::from_secs(15);
+
 /// Slots and versions of a model's engines, as one trainer sees them.
 #[derive(Debug, Default)]
 pub struct Supply {
@@ -58,9 +61,11 @@
             if row.state != target::State::Live && !remote {
                 continue;
             }
+            let known = world.now < row.reported_at + REPORT_MAX_AGE;
             let served = row
                 .report
                 .as_ref()
+                .filter(|_| known)
                 .and_then(|report| report.versions.get(&trainer.model))
                 .copied();
             supply.newest = supply.newest.max(served);
