--- a/crates/lab/src/ask.rs
+++ b/crates/lab/src/ask.rs
@@ -42,8 +42,12 @@
     }
 
     /// Tickets that wait at a host.
-    pub fn open_at(&self, id: &str) -> usize {
-        self.tickets.values().filter(|(host, _)| &**host == id).count()
+    pub fn open_at(&self, id: &str) -> Vec<Ticket> {
+        self.tickets
+            .iter()
+            .filter(|(_, (host, _))| &**host == id)
+            .map(|(&ticket, _)| ticket)
+            .collect()
     }
 
     /// Host that still waits to answer a ticket.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -152,6 +152,9 @@
 
     /// Starts a host, or a new process on a host that ended.
     pub fn start(&mut self, id: &str, zone: &str) {
+        if self.hosts.get(id).is_some_and(|host| host.core.is_some()) {
+            return;
+        }
         self.last_incarnation += 1;
         let incarnation = self.last_incarnation;
         let peers = self.plan.hosts.iter().filter(|(other, _)| &**other != id);
@@ -345,6 +348,7 @@
             (other.into(), one.into())
         };
         self.cuts.insert(pair);
+        self.checks.disturbed = Some(self.now);
     }
 
     /// Cuts a zone off from all others and the platform.
@@ -375,6 +379,7 @@
     /// Crashes an engine or service process; it comes back after a while when `back` is given.
     pub fn crash(&mut self, target: &str, back: Option<Duration>) {
         self.note(format!("target {target} crashes"));
+        self.checks.disturbed = Some(self.now);
         if let Some(engine) = self.engines.get_mut(target) {
             self.crashes += 1;
             let notes = engine.crash();
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -119,7 +119,6 @@
 /// it leaves stays leaving, unless another process stands at another address under its name.
 pub fn upsert(world: &mut World, entry: &listing::Entry) {
     let id = &entry.target;
-    world.targets.schedule.changed();
     if let Some(row) = world.targets.rows.get(id) {
         if row.address == entry.address && row.pool == entry.pool && row.zone == entry.zone {
             health::listed(world, id, entry.leaving);
@@ -141,6 +140,7 @@
     };
     world.targets.rows.insert(id.clone(), row);
     world.targets.place(id);
+    world.targets.schedule.changed();
     health::listed(world, id, entry.leaving);
     world.queues.touch_all();
 }
@@ -209,12 +209,21 @@
     health::report(world, target);
 }
 
-/// Takes note that a connection was opened.
+/// Takes note that a connection was opened. Targets of other zones are polled by nobody here, so this is what tells
+/// that they are up. It does not end a quarantine, since the connection may be older than that.
 pub fn connected(world: &mut World, target: &TargetId) {
-    if let Some(row) = world.targets.rows.get_mut(target)
-        && row.state != State::Quarantined
-    {
-        row.failures = 0;
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    if row.state == State::Quarantined {
+        return;
+    }
+    row.failures = 0;
+    if row.state == State::New {
+        row.state = State::Live;
+    }
+    if let Some(health) = world.targets.health.get_mut(target) {
+        health.probe_interval = None;
     }
 }
 
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -110,6 +110,13 @@
             1024,
             256 * MB,
         );
+        let max_bodies_bytes = size(
+            "limits.max_bodies_bytes",
+            raw.max_bodies_bytes,
+            default.max_bodies_bytes,
+            1024,
+            4096 * MB,
+        );
         let max_connections = size(
             "limits.max_connections",
             raw.max_connections,
@@ -118,8 +125,12 @@
             100_000,
         );
         let max_events = size("limits.max_events", raw.max_events, default.max_events, 16, 1_000_000);
+        if max_bodies_bytes < max_body_bytes {
+            self.fault("limits.max_bodies_bytes", "must not be below max_body_bytes");
+        }
         Limits {
             max_body_bytes,
+            max_bodies_bytes,
             max_answer_bytes,
             max_connections,
             max_events,
@@ -171,6 +182,24 @@
             store_timeout: self.time("timings.store_timeout_ms", raw.store_timeout_ms, default.store_timeout),
             key_validity: self.time("timings.key_validity_ms", raw.key_validity_ms, default.key_validity),
             key_retention: self.time("timings.key_retention_ms", raw.key_retention_ms, default.key_retention),
+            sample_timeout: self.time(
+                "timings.sample_timeout_ms",
+                raw.sample_timeout_ms,
+                default.sample_timeout,
+            ),
+            bulk_call_timeout: self.time(
+                "timings.bulk_call_timeout_ms",
+                raw.bulk_call_timeout_ms,
+                default.bulk_call_timeout,
+            ),
+            key_answer_bytes: usize::try_from(self.number(
+                "timings.key_answer_bytes",
+                raw.key_answer_bytes,
+                default.key_answer_bytes as u64,
+                0,
+                1024 * 1024 * 1024,
+            ))
+            .unwrap_or(usize::MAX),
             drain_limit: self.time("timings.drain_limit_ms", raw.drain_limit_ms, default.drain_limit),
             gossip_budget_bytes: u32::try_from(self.number(
                 "timings.gossip_budget_bytes",
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -61,6 +61,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Limits {
     pub max_body_bytes: Option<u64>,
+    pub max_bodies_bytes: Option<u64>,
     pub max_answer_bytes: Option<u64>,
     pub max_connections: Option<u64>,
     pub max_events: Option<u64>,
@@ -85,7 +86,10 @@
     pub gossip_budget_bytes: Option<u64>,
     pub key_validity_ms: Option<u64>,
     pub key_retention_ms: Option<u64>,
+    pub key_answer_bytes: Option<u64>,
     pub key_limit: Option<u64>,
+    pub sample_timeout_ms: Option<u64>,
+    pub bulk_call_timeout_ms: Option<u64>,
     pub drain_limit_ms: Option<u64>,
     pub flush_limit_ms: Option<u64>,
     pub connect_timeout_ms: Option<u64>,
--- a/tests/drive/mod.rs
+++ b/tests/drive/mod.rs
@@ -9,37 +9,49 @@
     core::{
         Action, Core, Event, Settings, key, listing,
         request::{
-            self, Answer, Attempt, Call, Failure, Generate, Incoming, News, Origin, Output, Progress, Response,
-            Segment, Submit, Text, Work,
+            self, Answer, Attempt, Call, Completion, Failure, Generate, Incoming, News, Origin, Output, Progress,
+            Response, Segment, Submit, Text, Work,
         },
-        target,
+        target::{Outcome, Polled, Report},
     },
     file::{Kind, Limits, Model, Objective, Pool, Route, Service, Snapshot},
     prelude::*,
     wire,
 };
 
+pub const LONG: Duration = Duration::from_secs(60);
+
 pub fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
+pub fn limits(change: impl FnOnce(&mut Limits)) -> Limits {
+    let mut limits = Limits::default();
+    change(&mut limits);
+    limits
+}
+
 pub struct Drive {
     pub core: Core,
     pub now: Time,
     /// Targets that do not answer polls.
     pub dead: BTreeSet<TargetId>,
-    pub polls: Vec<(Time, TargetId)>,
+    pub polls: Vec<TargetId>,
     pub attempts: Vec<Attempt>,
     pub answers: Vec<(Ticket, Answer)>,
     pub cancels: Vec<AttemptId>,
     pub keys: Vec<Box<str>>,
     pub sent: Vec<wire::Body>,
+    /// Ends of bulk requests that events caused; those that a tick causes are taken by `stream`.
+    pub ended: Vec<Completion>,
+    /// Polls are not answered.
+    pub silent: bool,
 }
 
 impl Drive {
     /// A core that serves model `m` by engines and service `s` by workers, all in zone `z`.
-    pub fn new(engines: usize, workers: usize, limits: Limits) -> Self {
-        Self::with(settings(), engines, workers, limits)
+    pub fn new(engines: usize, workers: usize) -> Self {
+        Self::with(settings(), engines, workers, Limits::default())
     }
 
     pub fn with(settings: Settings, engines: usize, workers: usize, limits: Limits) -> Self {
@@ -56,6 +68,8 @@
             cancels: Vec::new(),
             keys: Vec::new(),
             sent: Vec::new(),
+            ended: Vec::new(),
+            silent: false,
         };
         drive.advance(ms(10));
         drive
@@ -67,6 +81,7 @@
 
     /// One tick; polls are answered at once.
     pub fn tick(&mut self) {
+        self.ended.append(&mut self.core.world_mut().completions);
         for action in self.core.tick(self.now) {
             match action {
                 Action::Dispatch(attempt) => self.attempts.push(attempt),
@@ -75,18 +90,28 @@
                 Action::Keys { keys, .. } => self.keys.extend(keys),
                 Action::Send { message, .. } => self.sent.extend(message.body),
                 Action::Poll { target, .. } => {
-                    self.polls.push((self.now, target.clone()));
-                    let outcome = match self.dead.contains(&target) {
-                        true => target::Outcome::Unreachable,
-                        false => target::Outcome::Report(target::Report::default()),
-                    };
-                    self.event(Event::Polled(target::Polled { target, outcome }));
+                    self.polls.push(target.clone());
+                    if !self.silent {
+                        self.answer_poll(&target);
+                    }
                 }
                 _ => {}
             }
         }
     }
 
+    pub fn answer_poll(&mut self, target: &str) {
+        match self.dead.contains(target) {
+            true => self.polled(target, Outcome::Unreachable),
+            false => self.load(target, 0),
+        }
+    }
+
+    pub fn load(&mut self, target: &str, running: u32) {
+        let rest = Report::default();
+        self.polled(target, Outcome::Report(Report { running, ..rest }));
+    }
+
     /// Ticks as often as the core asks for until the time has passed.
     pub fn advance(&mut self, time: Duration) {
         let end = self.now + time;
@@ -106,11 +131,26 @@
         self.tick();
     }
 
+    /// A call that must not run twice.
+    pub fn book(&mut self, ticket: Ticket, key: &str, deadline: Duration) {
+        self.submit(ticket, call("/book"), Some(key), deadline);
+    }
+
+    /// Different prompts, one for each ticket.
+    pub fn prompts(&mut self, tickets: impl Iterator<Item = Ticket>) {
+        tickets.for_each(|ticket| self.submit(ticket, prompt(&format!("p{ticket}")), None, LONG));
+    }
+
     pub fn gone(&mut self, ticket: Ticket) {
         self.event(Event::Request(request::Event::Gone { ticket }));
         self.tick();
     }
 
+    pub fn polled(&mut self, target: &str, outcome: Outcome) {
+        let target = target.into();
+        self.event(Event::Polled(Polled { target, outcome }));
+    }
+
     pub fn news(&mut self, attempt: AttemptId, news: News) {
         self.event(Event::Attempt(Progress { attempt, news }));
     }
@@ -118,10 +158,7 @@
     pub fn done(&mut self, attempt: &Attempt) {
         let output = match attempt.work {
             Work::Generate(_) => text("whole", Some("stop")),
-            Work::Call(_) => Output::Response(Response {
-                status: 200,
-                ..Response::default()
-            }),
+            Work::Call(_) => Output::Response(Response::default()),
         };
         self.news(attempt.id, News::Sent);
         self.news(attempt.id, News::Done(output));
@@ -244,13 +281,7 @@
 }
 
 pub fn call(path: &str) -> Work {
-    Work::Call(Call::new(
-        "s",
-        "POST",
-        path,
-        "application/json",
-        Bytes::from_static(b"{}"),
-    ))
+    Work::Call(Call::new("s", "POST", path, "text/plain", Bytes::new()))
 }
 
 pub fn text(text: &str, finish_reason: Option<&str>) -> Output {
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -23,7 +23,7 @@
     sync::{mpsc, watch},
     time::timeout,
 };
-use util::{SOON, exchange};
+use util::{SOON, exchange, post};
 
 struct Port {
     address: SocketAddr,
@@ -36,6 +36,7 @@
 async fn port() -> Port {
     let limits = Limits {
         max_body_bytes: 2048,
+        max_bodies_bytes: 4096,
         max_connections: 4,
         max_events: 2,
         header_timeout: Duration::from_millis(300),
@@ -57,11 +58,6 @@
     }
 }
 
-fn post(path: &str, body: &str) -> String {
-    let length = body.len();
-    format!("POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
-}
-
 fn completion(stream: bool) -> String {
     let body = format!(r#"{{"model":"m","prompt":"Once","max_tokens":4,"stream":{stream},"seed":7}}"#);
     post("/v1/completions", &body)
@@ -154,6 +150,28 @@
     assert_code(&answer, Code::TooLarge);
 }
 
+#[tokio::test]
+async fn bodies_that_find_no_room_are_refused_as_not_run() {
+    let port = port().await;
+    let mut held = Vec::new();
+    // Room is taken by what a request announces, before its body comes.
+    for _ in 0..2 {
+        let mut stream = TcpStream::connect(port.address).await.unwrap();
+        let head = post("/v1/keys", &"x".repeat(2000));
+        stream.write_all(&head.as_bytes()[..200]).await.unwrap();
+        held.push(stream);
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let request = post("/v1/keys", "{\"count\":0}");
+    assert_code(&exchange(port.address, request.as_bytes()).await, Code::QueueFull);
+    drop(held);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_code(
+        &exchange(port.address, request.as_bytes()).await,
+        Code::RequestMalformed,
+    );
+}
+
 #[tokio::test]
 async fn slow_heads_and_bodies_are_cut_off() {
     let port = port().await;
