Let zones take turns to load their last engine

Change: the load of a zone's last engine takes a lease for each model; during an outage zones take turns by time.

--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -5,18 +5,17 @@
 use crate::{
     core::{
         Action, World, desired,
+        engines::Engines,
         rollout::{Failure, Op, Order, Ordered},
         settings::Policy,
-        store, target, wait,
+        store, turn, wait,
     },
-    file::{Kind, Model, Snapshot},
+    file::{Model, Snapshot},
     prelude::*,
 };
 
 /// Added to a load's timeout before its answer counts as lost.
 const ANSWER_MARGIN: Duration = Duration::from_secs(2);
-/// Time without an answer from the store after which the first in rank goes on under the last known fencing number.
-const OUTAGE_AFTER: Duration = Duration::from_secs(5);
 /// Last time of sending for an order that no lease bounds.
 const OUTAGE_SEND_WITHIN: Duration = Duration::from_secs(2);
 /// Reports that come this long after a load show it; gossip takes up to 5 s. Without newer reports nothing is repeated.
@@ -41,7 +40,7 @@
     last: u64,
     pub in_flight: BTreeMap<u64, Flight>,
     /// Targets of the orders in flight.
-    busy: BTreeSet<TargetId>,
+    pub busy: BTreeSet<TargetId>,
     retries: BTreeMap<TargetId, Retry>,
     /// Version that a target said it loaded, and the time from which its reports must show it.
     loaded: BTreeMap<TargetId, (Version, Time)>,
@@ -50,10 +49,23 @@
     /// Highest fencing number that a target refused as old.
     stale: Option<Fence>,
     wanted: bool,
+    /// Models for which this host asks for the lease of a last engine.
+    pub turns: BTreeSet<ModelId>,
+    /// Since when a version is wanted, where a last engine waits for it.
+    pub since: BTreeMap<ModelId, (Version, Time)>,
     /// When orders were last planned.
     planned: Time,
 }
 
+impl Table {
+    /// Whether the last load of a target failed and the target was not polled since.
+    pub fn failed(&self, world: &World, target: &TargetId) -> bool {
+        let row = world.targets.rows.get(target);
+        let reported = row.map_or(Duration::ZERO, |row| row.reported_at);
+        self.retries.get(target).is_some_and(|retry| retry.failed >= reported)
+    }
+}
+
 /// An order without an answer.
 #[derive(Clone, Debug)]
 pub struct Flight {
@@ -95,9 +107,8 @@
             until: held.until,
         });
     }
-    let failing = world.rollouts.failing?;
     let fence = world.store.known_fence(&name)?;
-    (world.now >= failing + OUTAGE_AFTER).then_some(Authority {
+    world.rollouts.outage(world.now).then_some(Authority {
         fence,
         until: world.now + OUTAGE_SEND_WITHIN,
     })
@@ -113,6 +124,9 @@
             store::want(world, &name);
         } else {
             store::release(world, &name);
+            for model in std::mem::take(&mut world.rollouts.orders.turns) {
+                store::release(world, &turn::lease(&model));
+            }
         }
     }
     // An answer to an order resets the time, so that the next load starts at once.
@@ -148,11 +162,11 @@
     if usable(world, authority).is_none() {
         return;
     }
-    let engines = engines(world, snapshot, name, model);
+    let engines = Engines::new(world, snapshot, name, model);
     let live = engines.own.len();
     let orders = &world.rollouts.orders;
     let loading = orders.in_flight.values().filter(|flight| flight.model == *name).count();
-    let mut serving = serving(world, &engines.own);
+    let mut serving = engines.serving(world);
     let mut room = match world.settings.policy {
         Policy::Baseline => usize::MAX,
         Policy::Full => {
@@ -160,14 +174,21 @@
             unavailable.min(engines.parallel).saturating_sub(loading)
         }
     };
-    for candidate in candidates(world, &engines.own, name, wanted.version) {
-        let last = live >= 2
-            && serving.len() == 1
-            && serving.contains(&candidate.target)
-            && world.settings.policy == Policy::Full;
-        if room == 0 || last {
+    let candidates = candidates(world, &engines.own, name, wanted.version);
+    if loading == 0 && (live >= 2 || candidates.is_empty()) {
+        turn::done(world, name);
+    }
+    for candidate in candidates {
+        if room == 0 {
             return;
         }
+        let last = serving.len() == 1 && serving.contains(&candidate.target);
+        if last && world.settings.policy == Policy::Full {
+            let alone = live < 2 && turn::permitted(world, name, engines.place, wanted.version, model.load_timeout);
+            if !alone {
+                return;
+            }
+        }
         let Some(authority) = usable(world, authority) else {
             return;
         };
@@ -204,64 +225,11 @@
     }
 }
 
-/// Engines that serve now. One whose load failed counts as out of service until it was polled again.
-fn serving(world: &World, engines: &[TargetId]) -> BTreeSet<TargetId> {
-    let orders = &world.rollouts.orders;
-    let failed = |target: &TargetId| {
-        let reported = world
-            .targets
-            .rows
-            .get(target)
-            .map_or(Duration::ZERO, |row| row.reported_at);
-        orders.retries.get(target).is_some_and(|retry| retry.failed >= reported)
-    };
-    engines
-        .iter()
-        .filter(|target| !orders.busy.contains(*target) && !failed(target))
-        .cloned()
-        .collect()
-}
-
 /// Permission whose fencing number no target refused.
 fn usable(world: &World, authority: &impl Fn(&World) -> Option<Authority>) -> Option<Authority> {
     authority(world).filter(|authority| world.rollouts.orders.stale.is_none_or(|stale| authority.fence > stale))
 }
 
-struct Engines {
-    /// Live engines of this zone.
-    own: Vec<TargetId>,
-    /// Loads that this zone may run at once.
-    parallel: usize,
-}
-
-fn engines(world: &World, snapshot: &Snapshot, name: &ModelId, model: &Model) -> Engines {
-    let serves = |row: &target::Row| {
-        let pool = snapshot.pools.get(&row.pool);
-        let kind = pool.map(|pool| &pool.kind);
-        row.state == target::State::Live && matches!(kind, Some(Kind::Engine { model }) if model == name)
-    };
-    let mut own = Vec::new();
-    let mut zones: Vec<&ZoneId> = Vec::new();
-    for (target, row) in world.targets.rows.iter().filter(|(_, row)| serves(row)) {
-        if row.zone == world.hosts.zone {
-            own.push(target.clone());
-        }
-        if model.zones.contains(&row.zone) && !zones.contains(&&row.zone) {
-            zones.push(&row.zone);
-        }
-    }
-    // Zones order independently, so the weight store's rate is divided among them. Each has at least one load.
-    zones.sort_unstable();
-    let parallel = model.parallel_loads as usize;
-    let place = zones.iter().position(|zone| **zone == world.hosts.zone).unwrap_or(0);
-    let count = zones.len().max(1);
-    let share = parallel / count + usize::from(place < parallel % count);
-    Engines {
-        own,
-        parallel: share.max(1),
-    }
-}
-
 /// Engines that show another version than wanted and may be ordered now, oldest weights first.
 fn candidates(world: &mut World, engines: &[TargetId], model: &ModelId, wanted: Version) -> Vec<Candidate> {
     let now = world.now;
--- a/src/core/rollout.rs
+++ b/src/core/rollout.rs
@@ -76,6 +76,13 @@
     pub failing: Option<Time>,
 }
 
+impl Table {
+    /// Whether the store has not answered for so long that the first in rank goes on without it.
+    pub fn outage(&self, now: Time) -> bool {
+        self.failing.is_some_and(|failing| now >= failing + OUTAGE_AFTER)
+    }
+}
+
 /// Takes an announcement.
 pub fn announce(world: &mut World, announce: Announce) {
     desired::announce(world, announce);
@@ -101,6 +108,8 @@
     desired::idle(world)
 }
 
+/// Time without an answer from the store after which the first in rank goes on under the last known fencing number.
+const OUTAGE_AFTER: Duration = Duration::from_secs(5);
 /// Time between two looks at the rank; failure detection takes seconds.
 const RANK_INTERVAL: Duration = Duration::from_millis(250);
 
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -376,3 +376,26 @@
     assert_eq!(sent.len(), 2);
     assert!(sent.iter().all(|order| order.target.starts_with('w')));
 }
+
+/// Guards against a model whose only engine in each zone is loaded at the same time.
+#[test]
+fn a_last_engine_waits_for_the_turn_of_its_zone() {
+    let mut rig = fleet(1);
+    rig.world.rollouts.failing = None;
+    add_engine(&mut rig.world, "x1", 1);
+    rig.world.targets.rows.get_mut("x1").unwrap().zone = "franklin".into();
+    assert!(orders(&mut rig, || held(5)).is_empty());
+    assert!(rig.world.rollouts.orders.turns.contains(MODEL), "the lease is wanted");
+    // In an outage there is no lease to be had. The first zone in order goes first, at the beginning of its turn.
+    let start = rig.world.now;
+    rig.world.rollouts.failing = Some(start);
+    let mut sent = Vec::new();
+    while sent.is_empty() {
+        rig.world.now += Duration::from_secs(1);
+        report(&mut rig, "w0", 1);
+        sent = orders(&mut rig, || held(5));
+        assert!(rig.world.now < start + Duration::from_secs(120), "no turn came");
+    }
+    let turn = Duration::from_secs(30);
+    assert_eq!((rig.world.now - start).as_secs() / turn.as_secs() % 2, 0);
+}
