Pass large batches on in parts

Cause: a batch of the planned size (2,048 samples) is larger than a frame, so a pull through a host that does not own the stream ended with an unknown outcome each time.

--- a/src/core/forward.rs
+++ b/src/core/forward.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     core::{
-        World, host, peer,
+        World, host,
+        parts::{self, Parts, Taken as Joined},
+        peer,
         request::{self, Answer, Generate, Incoming, Output, Response, Segment, Text, Work},
         stream,
     },
@@ -30,6 +32,7 @@
     ticket: Ticket,
     deadline: Time,
     pull: bool,
+    parts: Parts,
 }
 
 /// A request taken from a peer.
@@ -114,6 +117,7 @@
             ticket,
             deadline,
             pull,
+            parts: Parts::default(),
         },
     );
     table.by_ticket.insert(ticket, id);
@@ -142,9 +146,16 @@
 }
 
 /// Takes the reply to a request passed on.
-pub fn reply(world: &mut World, from: &HostId, reply: wire::Reply) {
-    if world.forwards.sent.get(&reply.id).is_none_or(|sent| sent.to != *from) {
+pub fn reply(world: &mut World, from: &HostId, mut reply: wire::Reply) {
+    let Some(sent) = world.forwards.sent.get_mut(&reply.id).filter(|sent| sent.to == *from) else {
         return;
+    };
+    if let Some(wire::Done::Batch(part)) = reply.done {
+        reply.done = match sent.parts.take(part) {
+            Joined::More => return,
+            Joined::Whole(batch) => Some(wire::Done::Batch(batch)),
+            Joined::Broken => None,
+        };
     }
     let Some(sent) = world.forwards.close(reply.id) else {
         return;
@@ -226,8 +237,8 @@
 
 /// Sends the answer of a pull that came from a peer.
 pub fn answer_pull(world: &mut World, ticket: Ticket, answer: &stream::Answer) {
-    let (code, message, done) = match answer {
-        stream::Answer::Error { code, message } => (Some(*code), &**message, None),
+    match answer {
+        stream::Answer::Error { code, message } => send_reply(world, ticket, Some(*code), message, None),
         stream::Answer::Batch {
             cursor,
             version,
@@ -237,29 +248,37 @@
                 cursor: cursor.to_string(),
                 version: *version,
                 groups: groups.iter().map(group_out).collect(),
+                ..wire::Batch::default()
             };
-            (None, "", Some(wire::Done::Batch(batch)))
+            let parts = parts::split(batch).into_iter().map(wire::Done::Batch);
+            send_replies(world, ticket, None, "", parts.map(Some).collect());
         }
-    };
-    send_reply(world, ticket, code, message, done);
+    }
 }
 
 fn send_reply(world: &mut World, ticket: Ticket, code: Option<Code>, message: &str, done: Option<wire::Done>) {
+    send_replies(world, ticket, code, message, vec![done]);
+}
+
+/// Sends the parts of an answer, in order.
+fn send_replies(world: &mut World, ticket: Ticket, code: Option<Code>, message: &str, parts: Vec<Option<wire::Done>>) {
     let Some(taken) = world.forwards.taken.remove(&ticket) else {
         return;
     };
-    let mut reply = wire::Reply {
-        id: taken.id,
-        code: code.map_or(0, |code| code as u32),
-        message: message.into(),
-        done,
-    };
-    if reply.encoded_len() + FRAME_MARGIN_BYTES > wire::FRAME_MAX_BYTES {
-        reply.code = Code::OutcomeUnknown as u32;
-        reply.message = "the answer is too large to be passed on".into();
-        reply.done = None;
+    for done in parts {
+        let mut reply = wire::Reply {
+            id: taken.id,
+            code: code.map_or(0, |code| code as u32),
+            message: message.into(),
+            done,
+        };
+        if reply.encoded_len() + FRAME_MARGIN_BYTES > wire::FRAME_MAX_BYTES {
+            reply.code = Code::OutcomeUnknown as u32;
+            reply.message = "the answer is too large to be passed on".into();
+            reply.done = None;
+        }
+        peer::send(world, &taken.from, wire::Body::Reply(reply));
     }
-    peer::send(world, &taken.from, wire::Body::Reply(reply));
 }
 
 fn fail(world: &mut World, ticket: Ticket, pull: bool, code: Code, message: &str) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,6 +35,7 @@
 pub mod order;
 pub mod pace;
 pub mod pack;
+pub mod parts;
 pub mod peer;
 pub mod prompt;
 pub mod pull;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -169,6 +169,12 @@
     pub version: u64,
     #[prost(message, repeated, tag = "3")]
     pub groups: Vec<Group>,
+    /// Number of this part, from 0.
+    #[prost(uint32, tag = "4")]
+    pub part: u32,
+    /// Parts that the batch is sent in.
+    #[prost(uint32, tag = "5")]
+    pub parts: u32,
 }
 
 /// All samples of one prompt.
--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -8,12 +8,15 @@
     core::{
         Action, forward,
         host::State,
+        parts::{self, Parts, Taken},
         settings::Policy,
         stream::{self, Answer},
     },
     file::Objective,
     prelude::*,
+    wire,
 };
+use prost::Message;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -313,12 +316,12 @@
     rig.pull("", 1);
     rig.start();
     assert!(rig.world.streams.rows.is_empty() && rig.samples().is_empty());
-    let pulled = lagoonyard::wire::Pull {
+    let pulled = wire::Pull {
         trainer: TRAINER.into(),
         version: 1,
         wait_ms: 5000,
         hops: 1,
-        ..lagoonyard::wire::Pull::default()
+        ..wire::Pull::default()
     };
     stream::forwarded(&mut rig.world, forward::FROM_PEER | 1, pulled);
     rig.start();
@@ -471,3 +474,37 @@
     );
     assert!(!rig.world.out.iter().any(|action| matches!(action, Action::Order(_))));
 }
+
+/// Guards against a batch of the planned size that cannot be passed on, and against one with a part missing.
+#[test]
+fn a_large_batch_is_passed_on_in_parts() {
+    let sample = |id: usize| wire::Sample {
+        id: format!("s{id}"),
+        text: Some(wire::Text {
+            text: "x".repeat(4000),
+            ..wire::Text::default()
+        }),
+        reward: None,
+    };
+    let group = |prompt_index| wire::Group {
+        prompt_index,
+        prompt: "p".repeat(1000),
+        samples: (0..if prompt_index == 7 { 600 } else { 8 }).map(sample).collect(),
+    };
+    let batch = wire::Batch {
+        cursor: "c".into(),
+        version: 3,
+        groups: (0..64).map(group).collect(),
+        ..wire::Batch::default()
+    };
+    let split = parts::split(batch.clone());
+    assert!(split.len() > 10);
+    assert!(split.iter().all(|part| part.encoded_len() < wire::FRAME_MAX_BYTES / 2));
+    let mut whole = Parts::default();
+    let mut taken: Vec<Taken> = split.iter().cloned().map(|part| whole.take(part)).collect();
+    assert_eq!(taken.pop(), Some(Taken::Whole(batch)));
+    assert!(taken.iter().all(|taken| *taken == Taken::More));
+    let mut gap = Parts::default();
+    gap.take(split[0].clone());
+    assert_eq!(gap.take(split[2].clone()), Taken::Broken);
+}
