Pause before an unreadable body is fetched again

A file of a newer release that this one cannot read was fetched in a loop: 680 store calls of two watchers in a minute. Both the store and the peers are now asked again only after a pause.

--- a/crates/lab/src/bin/slopes.rs
+++ b/crates/lab/src/bin/slopes.rs
@@ -19,7 +19,7 @@
         peer,
         settings::Seed,
         store::{self, Call, Expect, Failure, Reply, Value},
-        target::{Outcome, Polled, Report},
+        target::{Outcome, Polled, Report, State},
     },
     ids::CallId,
     wire::Message,
@@ -57,6 +57,7 @@
     cpu_us: f64,
     bytes: f64,
     in_force_ms: f64,
+    leaving_ms: f64,
 }
 
 /// Key-value service without faults.
@@ -73,33 +74,29 @@
             Call::Get { key } => Reply::Value(self.values.get(&key).cloned()),
             Call::Swap { key, expect, value, .. } => {
                 let found = self.values.get(&key);
-                let changed = found.map(|found| found.changed);
-                let wanted = match expect {
-                    Expect::Absent => None,
-                    Expect::At(changed) => Some(changed),
-                };
-                if changed != wanted {
+                if expect != found.map_or(Expect::Absent, |found| Expect::At(found.changed)) {
                     return Ok(Reply::Conflict(found.cloned()));
                 }
                 self.revision += 1;
-                let created = found.map_or(self.revision, |found| found.created);
+                let (bytes, changed) = (value, self.revision);
+                let created = found.map_or(changed, |found| found.created);
                 let value = Value {
-                    bytes: value,
-                    changed: self.revision,
+                    bytes,
+                    changed,
                     created,
                 };
                 self.values.insert(key, value);
-                Reply::Swapped { changed: self.revision }
+                Reply::Swapped { changed }
             }
             Call::Delete { key } => {
                 self.values.remove(&key);
                 Reply::Deleted
             }
             Call::Grant { ttl } => Reply::Lease { id: 1, ttl },
-            Call::KeepAlive { lease } => Reply::Lease {
-                id: lease,
-                ttl: Duration::from_secs(10),
-            },
+            Call::KeepAlive { lease: id } => {
+                let ttl = Duration::from_secs(10);
+                Reply::Lease { id, ttl }
+            }
             Call::Watch { .. } => return Err(Failure::Unsent),
         })
     }
@@ -304,6 +301,25 @@
         }
         Duration::MAX
     }
+
+    /// Marks a target as leaving in its zone's list and returns the time to the last host of the zone that knows.
+    fn leave(&mut self, index: usize) -> Duration {
+        let entry = &mut self.lists[0][index];
+        entry.leaving = true;
+        let target = entry.target.clone();
+        let start = self.now;
+        let knows = |host: &Host| {
+            let row = host.core.world().targets.rows.get(&target);
+            row.is_some_and(|row| row.state == State::Leaving)
+        };
+        while self.now < start + Duration::from_secs(60) {
+            self.step();
+            if self.hosts.iter().filter(|host| host.zone == 0).all(knows) {
+                return self.now - start;
+            }
+        }
+        Duration::MAX
+    }
 }
 
 fn measure(shape: Shape, args: &Args) -> Measured {
@@ -321,10 +337,13 @@
     let cpu: Duration = lab.hosts.iter().map(|host| host.cpu).sum();
     let bytes: usize = lab.hosts.iter().map(|host| host.bytes).sum();
     let applies: Vec<Duration> = (2..7).map(|revision| lab.apply(revision)).collect();
+    let leaves: Vec<Duration> = (0..5).map(|index| lab.leave(index)).collect();
+    let worst = |times: &[Duration]| times.iter().max().map_or(f64::NAN, |time| time.as_secs_f64() * 1e3);
     Measured {
         cpu_us: cpu.as_secs_f64() * 1e6 / count,
         bytes: bytes as f64 / count,
-        in_force_ms: applies.iter().max().map_or(f64::NAN, |time| time.as_secs_f64() * 1e3),
+        in_force_ms: worst(&applies),
+        leaving_ms: worst(&leaves),
     }
 }
 
@@ -340,20 +359,21 @@
 }
 
 fn sweep(name: &str, shapes: impl Iterator<Item = (usize, Shape)>, args: &Args) {
-    println!(
-        "\n| {name} | control CPU, us/s a host | sent, bytes/s a host | accepted to last in force, ms (worst of 5) |"
-    );
-    println!("|---|---|---|---|");
+    println!("\n| {name} | CPU, us/s | sent, bytes/s | last in force, ms | list mark known, ms |");
+    println!("|---|---|---|---|---|");
     let mut points = Vec::new();
     for (x, shape) in shapes {
         let found = measure(shape, args);
-        println!(
-            "| {x} | {:.0} | {:.0} | {:.0} |",
-            found.cpu_us, found.bytes, found.in_force_ms
-        );
+        let Measured {
+            cpu_us,
+            bytes,
+            in_force_ms,
+            leaving_ms,
+        } = found;
+        println!("| {x} | {cpu_us:.0} | {bytes:.0} | {in_force_ms:.0} | {leaving_ms:.0} |");
         points.push((x as f64, found));
     }
-    let of = |value: fn(&Measured) -> f64| -> (f64, f64) {
+    let of = |value: fn(&Measured) -> f64| {
         let points: Vec<(f64, f64)> = points.iter().map(|(x, found)| (*x, value(found))).collect();
         line(&points)
     };
@@ -361,6 +381,7 @@
         ("us/s", of(|found| found.cpu_us)),
         ("bytes/s", of(|found| found.bytes)),
         ("ms in force", of(|found| found.in_force_ms)),
+        ("ms until a list mark is known", of(|found| found.leaving_ms)),
     ] {
         println!("slope against {name}: {slope:.2} {unit} each, {intercept:.0} at zero");
     }
--- a/src/core/action.rs
+++ b/src/core/action.rs
@@ -40,7 +40,8 @@
         address: Box<str>,
         message: wire::Message,
     },
-    /// A new configuration is in force; keep its body in the data folder if there is one.
+    /// A new configuration is in force. `body` is an encoded `wire::Config`; a host with a data folder keeps it and gives
+    /// it back as `Event::Cached` after a restart.
     InForce { snapshot: Arc<file::Snapshot>, body: Bytes },
     /// Something an operator should know.
     Log { level: log::Level, text: Box<str> },
--- a/src/core/config.rs
+++ b/src/core/config.rs
@@ -20,6 +20,9 @@
     wire::{self, Body, Item},
 };
 
+/// How long a body that this host cannot read is not asked for again; its peers go on naming its head.
+const REFUSED_FOR: Duration = Duration::from_secs(60);
+
 /// An operator's call.
 #[derive(Clone, Debug)]
 pub enum Admin {
@@ -222,6 +225,9 @@
         Err(error) => {
             let text = format!("revision {} is not readable by this host: {error}", head.revision);
             fault(world, "file", Some(text));
+            let revision = head.revision;
+            let until = world.now + REFUSED_FOR;
+            world.config.ask = Some(Ask { revision, until });
             return false;
         }
     };
--- a/src/core/head.rs
+++ b/src/core/head.rs
@@ -24,6 +24,9 @@
 /// Longest wait of one watch. Between two the head is read, so that a store that came back older is noticed.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Pause before a body that is missing or cannot be used is read again.
+const BODY_RETRY: Duration = Duration::from_secs(10);
+
 /// What the store says of the newest file.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
@@ -192,13 +195,12 @@
 
 /// Takes the body of a head.
 pub fn body_stored(world: &mut World, head: &Head, result: Result<Reply, Failure>) {
-    let taken = match result {
-        Ok(Reply::Value(Some(value))) => config::take(world, &head.wire(), value.bytes),
-        _ => false,
+    let wait = match result {
+        // The next reading starts the watch.
+        Ok(Reply::Value(Some(value))) if config::take(world, &head.wire(), value.bytes.clone()) => Duration::ZERO,
+        // Reading a missing or unusable body again at once would not help, but load the store.
+        Ok(_) => BODY_RETRY,
+        Err(_) => return pause(world),
     };
-    if !taken {
-        return pause(world);
-    }
-    // The next reading starts the watch.
-    world.config.watch = Watch::Idle(world.now);
+    world.config.watch = Watch::Idle(world.now + wait);
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -10,8 +10,10 @@
     core::{
         Event,
         config::{Admin, Answer},
+        head,
+        store::Value,
     },
-    wire,
+    file, wire,
 };
 use prost::Message as _;
 
@@ -394,6 +396,37 @@
     assert_eq!(fleet.code(2), "LY-106");
 }
 
+#[test]
+fn a_file_that_this_release_cannot_read_is_reported_and_not_fetched_again_and_again() {
+    let mut fleet = ready(&["a"], 4);
+    let body = file(24).replace("\"slots\"", "\"new_field\": 1, \"slots\"");
+    let (head, _) = head::Head::next(None, "newer", file::digest(body.as_bytes()));
+    let head = head::Head { revision: 2, ..head };
+    for (key, bytes) in [("config/body/newer", body.into()), ("config/head", head.encode())] {
+        fleet.store.revision += 1;
+        let changed = fleet.store.revision;
+        fleet.store.values.insert(
+            key.into(),
+            Value {
+                bytes,
+                changed,
+                created: 1,
+            },
+        );
+    }
+    let calls = fleet.store.calls;
+    fleet.run(60 * S);
+    let calls = fleet.store.calls - calls;
+    assert!(calls <= 40, "{calls} calls of two watchers in a minute");
+    assert!(fleet.revisions().iter().all(|revision| *revision == 1));
+    assert!(
+        fleet
+            .logs
+            .iter()
+            .any(|line| line.contains("revision 2 is not readable by this host"))
+    );
+}
+
 #[test]
 fn a_dry_run_lists_changes_and_writes_nothing() {
     let mut fleet = ready(&["a"], 1);
