--- a/crates/lab/src/bin/slopes.rs
+++ b/crates/lab/src/bin/slopes.rs
@@ -235,10 +235,8 @@
                 host.bytes += message.encoded_len() + FRAME_BYTES;
                 let from = host.core.world().settings.host.clone();
                 if let Some(to) = self.ids.get(&to) {
-                    self.net
-                        .entry(self.now + self.delay)
-                        .or_default()
-                        .push((*to, from, message));
+                    let queue = self.net.entry(self.now + self.delay).or_default();
+                    queue.push((*to, from, message));
                 }
             }
             Action::Store { id, call } => match call {
@@ -389,11 +387,8 @@
 
 fn main() {
     let args = Args::parse();
-    let base = Shape {
-        zones: 2,
-        hosts: 32,
-        targets: 100,
-    };
+    let (zones, hosts, targets) = (2, 32, 100);
+    let base = Shape { zones, hosts, targets };
     let hosts = [8, 16, 32, 64, 93].map(|hosts| (hosts, Shape { hosts, ..base }));
     sweep("hosts per zone", hosts.into_iter(), &args);
     let targets = [13, 100, 300, 650].map(|targets| (targets, Shape { targets, ..base }));
--- a/src/core/listing.rs
+++ b/src/core/listing.rs
@@ -116,7 +116,7 @@
         revision: held.revision + 1,
         entries: encode(&merged),
     };
-    peer::publish(world, Item::Listing(list.clone()), Spread::Gossip);
+    peer::publish(world, Item::Listing(list.clone()), Spread::PushFew);
     heard(world, &list);
 }
 
