--- a/crates/standin/src/cmd/platform.rs
+++ b/crates/standin/src/cmd/platform.rs
@@ -5,9 +5,8 @@
 
 use super::{Platform, Run};
 use crate::{
-    Result,
-    gate::Gate,
-    http,
+    Result, http,
+    listener::Listener,
     outage::{Mode, Outage},
     platform,
 };
@@ -15,9 +14,9 @@
 impl Run for Platform {
     async fn run(self) -> Result<()> {
         let outage = Arc::new(Outage::new(Duration::from_millis(self.delay_ms)));
-        let main = Gate::open(self.listen, outage.subscribe(|mode| mode != Mode::Refuse)).await?;
-        let control = Gate::open(self.control, watch::channel(true).1).await?;
-        http::announce(&json!({"address": main.address(), "control": control.address()}))?;
+        let main = Listener::open(self.listen, outage.subscribe(|mode| mode != Mode::Refuse)).await?;
+        let control = Listener::open(self.control, watch::channel(true).1).await?;
+        http::print_address(&json!({"address": main.address(), "control": control.address()}))?;
         let platform = platform::Platform::start(outage, self.writes_per_s, self.reads_per_s);
         http::serve_until_signal(vec![main, control], platform).await
     }
--- a/crates/standin/src/cmd/service.rs
+++ b/crates/standin/src/cmd/service.rs
@@ -4,13 +4,13 @@
 use tokio::sync::watch;
 
 use super::{Run, Service};
-use crate::{Result, gate::Gate, http, service};
+use crate::{Result, http, listener::Listener, service};
 
 impl Run for Service {
     async fn run(self) -> Result<()> {
-        let gate = Gate::open(self.listen, watch::channel(true).1).await?;
-        http::announce(&json!({"address": gate.address()}))?;
+        let listener = Listener::open(self.listen, watch::channel(true).1).await?;
+        http::print_address(&json!({"address": listener.address()}))?;
         let service = service::Service::new(Duration::from_millis(self.delay_ms));
-        http::serve_until_signal(vec![gate], service).await
+        http::serve_until_signal(vec![listener], service).await
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -102,7 +102,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn thaw(&self) {
+    async fn wait_unfrozen(&self) {
         let until = self.state().frozen_until;
         time::sleep_until(until).await;
     }
@@ -149,7 +149,7 @@
                 return;
             }
             time::sleep(Duration::from_millis(self.settings.token_delay_ms)).await;
-            self.thaw().await;
+            self.wait_unfrozen().await;
             let version = self.version(&request.model).await;
             let Some(token) = text.next() else {
                 finish = "stop";
@@ -228,7 +228,7 @@
 
     async fn load(self: Arc<Self>, order: Order) -> Result<Response, Refusal> {
         time::sleep(Duration::from_millis(self.settings.load_ms)).await;
-        self.thaw().await;
+        self.wait_unfrozen().await;
         let failed = {
             let mut state = self.state();
             state.loading.remove(&order.model);
@@ -278,7 +278,7 @@
         if &*call.path == "/control" {
             return self.control(&call);
         }
-        self.thaw().await;
+        self.wait_unfrozen().await;
         let gone = self.state().leaving;
         match (&call.method, &*call.path) {
             (&Method::GET, "/health") if gone => Err(leaving()),
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -21,7 +21,7 @@
 use volo::Service;
 use volo_http::{body::Body, context::ServerContext, request::Request, response::Response, server::Server};
 
-use crate::{Result, error, gate::Gate};
+use crate::{Result, error, listener::Listener};
 
 /// Largest request body; above the key-value service's 1 MB values in base64.
 const BODY_MAX_BYTES: usize = 4 << 20;
@@ -84,20 +84,20 @@
 }
 
 /// Prints the line that tells a script where the stand-in listens.
-pub fn announce(line: &Value) -> Result<()> {
+pub fn print_address(line: &Value) -> Result<()> {
     let mut out = std::io::stdout().lock();
     writeln!(out, "{line}")
         .and_then(|()| out.flush())
         .context(error::PrintSnafu)
 }
 
-/// Serves one handler on all gates until SIGTERM or SIGINT; open connections are then dropped.
-pub async fn serve_until_signal<H: Handler>(gates: Vec<Gate>, handler: Arc<H>) -> Result<()> {
+/// Serves one handler on all listeners until SIGTERM or SIGINT; open connections are then dropped.
+pub async fn serve_until_signal<H: Handler>(listeners: Vec<Listener>, handler: Arc<H>) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate()).context(error::SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(error::SignalSnafu)?;
     let mut servers = JoinSet::new();
-    for gate in gates {
-        servers.spawn(Server::new(App(handler.clone())).run(gate));
+    for listener in listeners {
+        servers.spawn(Server::new(App(handler.clone())).run(listener));
     }
     tokio::select! {
         _ = terminate.recv() => {}
--- a/crates/standin/src/gate.rs
+++ b/crates/standin/src/listener.rs
@@ -19,13 +19,13 @@
 
 /// Accepts connections while its switch is on; while it is off, connections are refused by the system.
 #[derive(Debug)]
-pub struct Gate {
+pub struct Listener {
     address: SocketAddr,
     listener: Option<TcpListener>,
     open: watch::Receiver<bool>,
 }
 
-impl Gate {
+impl Listener {
     /// Listens on an address; port 0 takes a free port.
     pub async fn open(address: SocketAddr, open: watch::Receiver<bool>) -> Result<Self> {
         let listener = TcpListener::bind(address)
@@ -61,7 +61,7 @@
     }
 }
 
-impl Incoming for Gate {
+impl Incoming for Listener {
     async fn accept(&mut self) -> io::Result<Option<Conn>> {
         loop {
             if !*self.open.borrow_and_update() {
@@ -87,7 +87,7 @@
     }
 }
 
-impl MakeIncoming for Gate {
+impl MakeIncoming for Listener {
     type Incoming = Self;
 
     async fn make_incoming(self) -> io::Result<Self> {
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Starts a stand-in as its own process and talks to it.
 
+#![allow(dead_code)] // Not every test binary uses every helper.
+
 use std::{
     io::{BufRead, BufReader},
     process::{Child, Command, Stdio},
@@ -36,7 +38,6 @@
     }
 
     /// Status and body of a POST, or `None` when the connection broke.
-    #[allow(dead_code)] // Not every test binary uses every helper.
     pub async fn post(&self, path: &str, body: &Value) -> Option<(u16, Value)> {
         let client = Client::builder().build().unwrap();
         let url = if path.starts_with("/control") {
@@ -51,7 +52,6 @@
         Some((status, serde_json::from_str(&text).unwrap_or(Value::String(text))))
     }
 
-    #[allow(dead_code)] // Not every test binary uses every helper.
     pub async fn get(&self, path: &str) -> (u16, Value) {
         let client = Client::builder().build().unwrap();
         let answer = client.get(format!("{}{path}", self.url));
@@ -61,8 +61,13 @@
         (status, serde_json::from_str(&text).unwrap_or(Value::String(text)))
     }
 
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    }
+
     /// Whether the process ends within a second.
-    #[allow(dead_code)] // Not every test binary uses every helper.
     pub async fn ended(&mut self) -> bool {
         for _ in 0..50 {
             if self.child.try_wait().unwrap().is_some() {
@@ -81,13 +86,11 @@
     }
 }
 
-#[allow(dead_code)] // Not every test binary uses every helper.
 pub fn b64(text: &str) -> String {
     BASE64_STANDARD.encode(text)
 }
 
 /// A write of `value` that takes effect only while the key stands at `modified`.
-#[allow(dead_code)] // Not every test binary uses every helper.
 pub fn swap(key: &str, modified: &str, value: &str) -> Value {
     json!({
         "compare": [{"key": b64(key), "target": "MOD", "result": "EQUAL", "mod_revision": modified}],
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/service.rs
@@ -34,3 +34,18 @@
     let judged = service.post("/judge/judge", &json!({"text": "a"})).await;
     assert_eq!(judged, service.post("/judge/judge", &json!({"text": "a"})).await);
 }
+
+/// Guards against stand-ins that outlive the script that stops them, also with a request in flight.
+#[tokio::test]
+async fn every_stand_in_ends_on_sigterm() {
+    for args in [&["platform"][..], &["engine", "--model", "blurb=1"], &["service"]] {
+        let mut standin = Standin::start(args);
+        let slow = json!({"model": "blurb", "prompt": "a", "max_tokens": 1_000});
+        let mut in_flight = Box::pin(standin.post("/v1/completions", &slow));
+        let answer = tokio::time::timeout(std::time::Duration::from_millis(50), &mut in_flight).await;
+        assert_eq!(answer.is_err(), args[0] == "engine");
+        standin.terminate();
+        drop(in_flight);
+        assert!(standin.ended().await, "{args:?}");
+    }
+}
--- a/src/cmd/announce.rs
+++ b/src/cmd/announce.rs
@@ -21,7 +21,7 @@
                     return print::value(&answer.json(WHAT)?, self.json);
                 }
             }
-            client.turn().await;
+            client.next_host().await;
             if client.late() {
                 return Err(client.unavailable(WHAT));
             }
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -75,7 +75,7 @@
                 },
             },
         }
-        client.turn().await;
+        client.next_host().await;
     }
     if unknown {
         let hint = format!(
--- a/src/cmd/call.rs
+++ b/src/cmd/call.rs
@@ -55,7 +55,7 @@
         }
         let key = fetch_key(client).await?;
         if let Some(path) = &self.key_file {
-            keep(path, &key)?;
+            write_key(path, &key)?;
         }
         Ok(Some(key))
     }
@@ -93,7 +93,7 @@
                     Some(fault) => return Err(fault.into_error(what)),
                 },
             }
-            client.turn().await;
+            client.next_host().await;
         }
         if !unknown {
             return Err(refusal.map_or_else(|| client.unavailable(&what), |fault| fault.into_error(what.as_str())));
@@ -134,7 +134,7 @@
                 });
             }
         }
-        client.turn().await;
+        client.next_host().await;
         if client.late() {
             return Err(client.unavailable(what));
         }
@@ -142,7 +142,7 @@
 }
 
 /// Writes a new key durably before its first use, so that a caller that crashes can ask again.
-fn keep(path: &Path, key: &str) -> Result<()> {
+fn write_key(path: &Path, key: &str) -> Result<()> {
     let mut file = OpenOptions::new()
         .write(true)
         .create_new(true)
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -166,7 +166,7 @@
     }
 
     /// Turns to the next host; pauses when all were tried.
-    pub async fn turn(&mut self) {
+    pub async fn next_host(&mut self) {
         self.next = (self.next + 1) % self.hosts.len();
         if self.next == 0 {
             time::sleep(ROUND_PAUSE.min(self.left())).await;
@@ -230,7 +230,7 @@
         loop {
             match self.send(method.clone(), path, &[], Bytes::new()).await {
                 Ok(answer) => return answer.json(what),
-                Err(_) => self.turn().await,
+                Err(_) => self.next_host().await,
             }
             if self.late() {
                 return Err(self.unavailable(what));
--- a/src/cmd/complete.rs
+++ b/src/cmd/complete.rs
@@ -3,7 +3,7 @@
 use http_body_util::BodyExt;
 use serde_json::{Value, json};
 use tokio::time;
-use volo_http::body::Body;
+use volo_http::{body::Body, response::Response};
 
 use super::{Client, Complete, Error, Failure, Result, Run, client::Fault, print};
 use crate::prelude::*;
@@ -21,25 +21,25 @@
             "max_tokens": self.max_tokens,
             "stream": true,
         });
-        let response = loop {
+        let mut events = loop {
             let opened = client.open(Method::POST, "/v1/completions", &[], call.to_string().into());
             match time::timeout(client.left(), opened).await {
-                Ok(Ok(response)) => break response,
-                Ok(Err(Failure::Connect)) => client.turn().await,
+                Ok(Ok(response)) => match Events::of(&client, response).await {
+                    Ok(events) => break events,
+                    // Nothing was run, and another host may take work.
+                    Err(Error::Refused {
+                        code: Code::Draining | Code::NotReady,
+                        ..
+                    }) if !client.late() => client.next_host().await,
+                    Err(error) => return Err(error),
+                },
+                Ok(Err(Failure::Connect)) => client.next_host().await,
                 Ok(Err(Failure::Broken)) | Err(_) => return Err(broken_off()),
             }
             if client.late() {
                 return Err(client.unavailable(WHAT));
             }
         };
-        let status = response.status().as_u16();
-        let mut events = Events {
-            body: response.into_body(),
-            buffer: BytesMut::new(),
-        };
-        if status != 200 {
-            return Err(events.refusal(status).await);
-        }
         self.print(&client, &mut events).await
     }
 }
@@ -93,6 +93,20 @@
 }
 
 impl Events {
+    /// Events of a good answer, or the refusal that came in their place.
+    async fn of(client: &Client, response: Response) -> Result<Self> {
+        let status = response.status().as_u16();
+        let mut events = Self {
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        };
+        if status == 200 {
+            return Ok(events);
+        }
+        let refusal = time::timeout(client.left(), events.refusal(status)).await;
+        Err(refusal.unwrap_or_else(|_| broken_off()))
+    }
+
     /// The next event, or `None` when the stream ended or broke.
     async fn next(&mut self) -> Option<String> {
         loop {
--- a/src/cmd/pull.rs
+++ b/src/cmd/pull.rs
@@ -50,7 +50,7 @@
                     }
                 }
             }
-            client.turn().await;
+            client.next_host().await;
         }
         Err(last.map_or_else(|| client.unavailable(WHAT), |fault| fault.into_error(WHAT)))
     }
--- a/tests/cmd.rs
+++ b/tests/cmd.rs
@@ -47,7 +47,7 @@
                     .unwrap()
                     .push(serde_json::from_slice(&body).unwrap_or(Value::Null));
                 if let Some((status, body)) = answer {
-                    let body = body.to_string();
+                    let body = body.as_str().map_or_else(|| body.to_string(), str::to_owned);
                     let head = format!(
                         "HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-length: {}",
                         body.len()
@@ -253,3 +253,17 @@
     assert!((window["burn"].as_f64().unwrap() - 0.2).abs() < 1e-9, "{window}");
     assert_eq!(sum["trainers"]["blurb"]["staleness_mean_versions"], 1.0);
 }
+
+/// Guards against a completion that ends without its finish reason and looks whole, and one that stops at a draining host.
+#[test]
+fn a_completion_is_whole_only_with_its_finish_reason() {
+    let draining = Some((503, error("LY-209", "not_run")));
+    let chunk = json!({"choices": [{"text": "a", "finish_reason": null}]});
+    let cut = Some((200, format!("data: {chunk}\n\ndata: [DONE]\n\n").into()));
+    let host = Host::new(vec![draining, cut]);
+    let output = lagoonyard(&["complete", "m", "p", "--host", &host.url]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("LY-207"));
+    assert_eq!(output.stdout, b"a");
+    assert_eq!(host.bodies.lock().unwrap().len(), 2);
+}
