--- a/src/cmd/announce.rs
+++ b/src/cmd/announce.rs
@@ -18,7 +18,7 @@
                 let fault = Fault::read(&answer.body);
                 let again = fault.is_some_and(|fault| matches!(fault.code.kind(), Kind::NotRun | Kind::OutcomeUnknown));
                 if !again || client.late() {
-                    return print::value(&answer.json(WHAT)?, self.json);
+                    return print::value(&answer.json(WHAT)?, self.json.into());
                 }
             }
             client.next_host().await;
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -6,7 +6,12 @@
 use snafu::ResultExt;
 use tokio::time;
 
-use super::{Apply, Client, Error, Failure, Result, Run, client::Fault, error, print};
+use super::{
+    Apply, Client, Error, Failure, Result, Run,
+    client::Fault,
+    error,
+    print::{self, Form},
+};
 use crate::prelude::*;
 
 const WHAT: &str = "apply the file";
@@ -32,11 +37,11 @@
             "file": String::from_utf8_lossy(&file),
         });
         let applied = send(&mut client, &call, &apply_id).await?;
-        print::value(&applied, self.json)?;
+        print::value(&applied, self.json.into())?;
         let Some(revision) = applied["revision"].as_u64().filter(|_| self.wait && !self.dry_run) else {
             return Ok(());
         };
-        wait(&mut client, revision, &zones(&file), self.json).await
+        wait(&mut client, revision, &zones(&file), self.json.into()).await
     }
 }
 
@@ -91,7 +96,7 @@
 }
 
 /// Waits until every host has the revision.
-async fn wait(client: &mut Client, revision: Revision, zones: &BTreeSet<String>, json: bool) -> Result<()> {
+async fn wait(client: &mut Client, revision: Revision, zones: &BTreeSet<Box<str>>, form: Form) -> Result<()> {
     let mut behind: Vec<Box<str>> = Vec::new();
     loop {
         let status: Result<Value> = client.read("read the status", Method::GET, "/v1/admin/status").await;
@@ -99,10 +104,9 @@
             Ok(status) => {
                 behind = lagging(&status, revision, zones);
                 if behind.is_empty() {
-                    return if json {
-                        Ok(())
-                    } else {
-                        print::line("in force on all hosts")
+                    return match form {
+                        Form::Json => Ok(()),
+                        Form::Text => print::line("in force on all hosts"),
                     };
                 }
             }
@@ -121,16 +125,16 @@
 }
 
 /// Zones that the file names.
-fn zones(file: &[u8]) -> BTreeSet<String> {
+fn zones(file: &[u8]) -> BTreeSet<Box<str>> {
     let file: Value = serde_json::from_slice(file).unwrap_or_default();
     let yards = file["yards"].as_object().into_iter().flatten();
     let zones = yards.flat_map(|(_, yard)| yard["zones"].as_array().into_iter().flatten());
-    zones.filter_map(|zone| zone.as_str().map(str::to_owned)).collect()
+    zones.filter_map(|zone| zone.as_str().map(Box::from)).collect()
 }
 
 /// What does not have the revision yet: hosts of the answering host's zone one by one, other zones as they describe
 /// themselves. A zone of the file from which nothing was heard counts too, as its hosts are not known.
-fn lagging(status: &Value, revision: Revision, zones: &BTreeSet<String>) -> Vec<Box<str>> {
+fn lagging(status: &Value, revision: Revision, zones: &BTreeSet<Box<str>>) -> Vec<Box<str>> {
     let behind = |found: &Value| found.as_u64().is_none_or(|found| found < revision);
     let own = status["hosts"].as_array().into_iter().flatten();
     let mut lagging: Vec<Box<str>> = own
@@ -140,7 +144,7 @@
     let heard = status["zones"].as_object();
     let silent = zones
         .iter()
-        .filter(|&name| heard.is_none_or(|zones| !zones.contains_key(name)));
+        .filter(|&name| heard.is_none_or(|zones| !zones.contains_key(&**name)));
     lagging.extend(silent.map(|name| format!("zone {name} was not heard from").into()));
     for (name, zone) in heard.into_iter().flatten() {
         let other = status["zone"] != name.as_str();
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -10,7 +10,7 @@
         // Only the first host is meant: draining the next one instead would stop another host.
         let client = Client::operator(&self.operator)?;
         match client.send(Method::POST, "/v1/admin/drain", &[], Bytes::new()).await {
-            Ok(answer) => print::value(&answer.json(WHAT)?, self.json),
+            Ok(answer) => print::value(&answer.json(WHAT)?, self.json.into()),
             Err(Failure::Connect) => Err(client.unavailable(WHAT)),
             Err(Failure::Broken) => Err(Error::Unknown {
                 what: WHAT.into(),
--- a/src/cmd/print.rs
+++ b/src/cmd/print.rs
@@ -20,9 +20,24 @@
     text(&format!("{line}\n"))
 }
 
-/// Writes a value, as one line of JSON for programs or as indented text for people.
-pub fn value(value: &Value, json: bool) -> Result<()> {
-    if json {
+/// Whom the output is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Indented text and tables for people.
+    Text,
+    /// One JSON object a line for programs.
+    Json,
+}
+
+impl From<bool> for Form {
+    fn from(json: bool) -> Self {
+        if json { Self::Json } else { Self::Text }
+    }
+}
+
+/// Writes a value.
+pub fn value(value: &Value, form: Form) -> Result<()> {
+    if form == Form::Json {
         return line(&value.to_string());
     }
     let mut lines = Vec::new();
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -6,7 +6,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use super::{Client, Error, Report, Result, Run, print};
+use super::{
+    Client, Error, Report, Result, Run,
+    print::{self, Form},
+};
 
 const WHAT: &str = "read the report";
 const WINDOWS: [&str; 4] = ["5m", "30m", "1h", "6h"];
@@ -24,7 +27,7 @@
 #[serde(default)]
 struct Objective {
     objective: f64,
-    windows: BTreeMap<String, Window>,
+    windows: BTreeMap<Box<str>, Window>,
 }
 
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -43,8 +46,8 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 #[serde(default)]
 struct Counts {
-    yards: BTreeMap<String, BTreeMap<String, Objective>>,
-    trainers: BTreeMap<String, Trainer>,
+    yards: BTreeMap<Box<str>, BTreeMap<Box<str>, Objective>>,
+    trainers: BTreeMap<Box<str>, Trainer>,
 }
 
 impl Run for Report {
@@ -68,7 +71,7 @@
             }
         }
         if hosts > 0 {
-            sum.print(hosts, self.json)?;
+            sum.print(hosts, self.json.into())?;
         }
         if missing.is_empty() {
             return Ok(());
@@ -93,8 +96,8 @@
         }
     }
 
-    fn print(&self, hosts: usize, json: bool) -> Result<()> {
-        if json {
+    fn print(&self, hosts: usize, form: Form) -> Result<()> {
+        if form == Form::Json {
             return print::line(&json!({"hosts": hosts, "yards": self.yards, "trainers": self.trainers}).to_string());
         }
         print::table(&self.objectives())?;
@@ -112,7 +115,7 @@
         for (yard, objectives) in &self.yards {
             for (name, objective) in objectives {
                 let goal = format!("{:.1}%", 100.0 * objective.objective);
-                let mut row = vec![yard.clone(), name.clone(), goal];
+                let mut row = vec![yard.to_string(), name.to_string(), goal];
                 row.extend(WINDOWS.map(|window| objective.windows.get(window).map_or("-".into(), Window::cell)));
                 rows.push(row);
             }
@@ -125,7 +128,7 @@
         let mut rows = vec![names.map(str::to_owned).to_vec()];
         for (name, trainer) in &self.trainers {
             rows.push(vec![
-                name.clone(),
+                name.to_string(),
                 format!("{:.1}%", 100.0 * trainer.idle_share),
                 trainer.samples_delivered.to_string(),
                 trainer.samples_too_old.to_string(),
--- a/src/cmd/show.rs
+++ b/src/cmd/show.rs
@@ -8,6 +8,6 @@
         let shown = client
             .read("show the configuration", Method::GET, "/v1/admin/config")
             .await?;
-        print::value(&shown, self.json)
+        print::value(&shown, self.json.into())
     }
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -6,6 +6,6 @@
     async fn run(self) -> Result<()> {
         let mut client = Client::operator(&self.operator)?;
         let status = client.read("read the status", Method::GET, "/v1/admin/status").await?;
-        print::value(&status, self.json)
+        print::value(&status, self.json.into())
     }
 }
