Stop the demo's processes when the script is ended by a signal

A script that is ended by SIGTERM skips its exit trap, so stand-ins and hosts would have stayed. The signals now lead to the exit trap.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,6 +26,8 @@
   if [ "$failed" -eq 0 ]; then rm -rf "$tmp"; else echo "logs: $tmp" >&2; fi
 }
 trap stop EXIT
+# Without this a signal would end the script and leave its processes running.
+trap 'exit 1' HUP INT TERM
 
 # ended PID TRIES: whether a process ends within TRIES times 0.1 s.
 ended() {
