Test that answers to operators stay true under random failures

The injuries so far were tried one by one. The new test freezes and restarts hosts, cuts zones, stops the store, loses answers and lets writes land late, all at random, and checks that no host goes back and that no answer is contradicted by the head.

--- /dev/null
+++ b/tests/chaos.rs
@@ -0,0 +1,110 @@
+//! Guards against configurations that revert or are misreported while hosts, zones, links and the store fail at random.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{Fleet, id};
+use lagoonyard::core::{
+    Event,
+    config::{Admin, Answer},
+    head::Head,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const S: Duration = Duration::from_secs(1);
+const ZONES: [&str; 3] = ["a", "b", "c"];
+const HOSTS: usize = 3;
+
+fn injure(fleet: &mut Fleet, rng: &mut ChaCha8Rng, starts: u64) {
+    let host = id(ZONES[rng.random_range(0..3)], rng.random_range(0..HOSTS));
+    match rng.random_range(0..10) {
+        0 => fleet.store.down = !fleet.store.down,
+        1 => drop(fleet.frozen.insert(host)),
+        2 => fleet.frozen.clear(),
+        3 => fleet.cut_zone(ZONES[rng.random_range(0..3)]),
+        4 => fleet.cut.clear(),
+        5 => fleet.start(ZONES[rng.random_range(0..3)], rng.random_range(0..HOSTS), starts),
+        6 => fleet.store.lose = Some("config/".into()),
+        7 => fleet.store.hold = Some("config/head".into()),
+        8 => (fleet.store.lose, fleet.store.hold) = (None, None),
+        _ => {
+            // Writes that were under way land late.
+            let held = std::mem::take(&mut fleet.store.held);
+            held.iter().for_each(|call| drop(fleet.store.apply(call)));
+        }
+    }
+}
+
+fn run(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = Fleet::new(&ZONES, HOSTS);
+    fleet.run(8 * S);
+    let mut applies = BTreeMap::new();
+    let mut seen: BTreeMap<(Box<str>, u64), u64> = BTreeMap::new();
+    for ticket in 1..150 {
+        injure(&mut fleet, &mut rng, ticket + 1);
+        let host = id(ZONES[rng.random_range(0..3)], rng.random_range(0..HOSTS));
+        let expected = fleet.cores[&host].world().config.revision;
+        let apply_id: Box<str> = format!("apply-{ticket}").into();
+        let body = common::FILE
+            .replace("\"slots\": 16", &format!("\"slots\": {ticket}"))
+            .into();
+        let apply = Admin::Apply {
+            ticket,
+            apply_id: apply_id.clone(),
+            expected,
+            dry_run: false,
+            body,
+        };
+        fleet.input(&host, Event::Admin(apply));
+        applies.insert(ticket, apply_id);
+        fleet.run(Duration::from_millis(rng.random_range(20..4000)));
+        for (host, core) in &fleet.cores {
+            let key = (host.clone(), core.world().settings.incarnation);
+            let revision = core.world().config.revision;
+            let before = seen.insert(key, revision).unwrap_or(0);
+            assert!(
+                before <= revision,
+                "seed {seed}: {host} went back from {before} to {revision}"
+            );
+        }
+    }
+    fleet.cut.clear();
+    fleet.frozen.clear();
+    fleet.store.down = false;
+    (fleet.store.lose, fleet.store.hold) = (None, None);
+    fleet.run(40 * S);
+    let head = Head::parse(&fleet.store.values["config/head"]).unwrap();
+    let revisions: Vec<u64> = fleet.cores.values().map(|core| core.world().config.revision).collect();
+    assert!(
+        revisions.iter().all(|revision| *revision == head.revision),
+        "seed {seed}: {revisions:?} {}",
+        head.revision
+    );
+    let mut accepted = 0;
+    for (ticket, apply_id) in applies {
+        let made = head.revision_of(&apply_id);
+        match fleet.answers.get(&ticket) {
+            Some(Answer::Done(value)) => {
+                accepted += 1;
+                let revision = value["revision"].as_u64().unwrap();
+                assert!(
+                    made == Some(revision) || !head.remembers(revision),
+                    "seed {seed}: {apply_id} {made:?} {value}"
+                );
+            }
+            Some(Answer::Error { code, .. }) if code.to_string() != "LY-106" => {
+                assert_eq!(made, None, "seed {seed}: {apply_id} was answered with {code}");
+            }
+            _ => {}
+        }
+    }
+    assert!(accepted > 10, "seed {seed}: only {accepted} accepted");
+}
+
+#[test]
+fn what_operators_were_told_stays_true() {
+    (1..=12).for_each(run);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,6 +21,7 @@
 };
 
 pub const STEP: Duration = Duration::from_millis(20);
+pub const FILE: &str = include_str!("../../docs/examples/huon.json");
 
 /// Host, call, key, after which change, and until when.
 type Watch = (Box<str>, u64, Box<str>, u64, Duration);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -19,11 +19,9 @@
 
 const S: Duration = Duration::from_secs(1);
 
-const FILE: &str = include_str!("../docs/examples/huon.json");
-
 /// The file with another number of slots, so that each apply has its own digest.
 fn file(slots: u32) -> String {
-    FILE.replace("\"slots\": 16", &format!("\"slots\": {slots}"))
+    common::FILE.replace("\"slots\": 16", &format!("\"slots\": {slots}"))
 }
 
 impl Fleet {
