Test that fencing numbers reach all zones by gossip

In an outage the first in rank goes on under the highest number it knows, so the number must not stay with the holder.

--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -291,13 +291,16 @@
                 weights,
             }),
         );
-        let body = push(vec![row]);
+        let (lease, fence) = ("orders/a".into(), version);
+        let number = self::row("", 0, version, Item::Fence(wire::Fence { lease, fence }));
+        let body = push(vec![row, number]);
         fleet.hear("a-1", id("a", 0), Message { body });
     }
     fleet.run(7 * S);
     for (host, core) in &fleet.cores {
         let held = core.world().peers.wide.get(&Key::Desired("m".into()));
         assert_eq!(held.map(|row| row.version), Some(9), "{host}");
+        assert_eq!(core.world().store.known_fence("orders/a"), Some(9), "{host}");
     }
     // A zone cut off keeps what it has and follows after the cut.
     fleet.cut_zone("c");
