Check the burn report in the demo and bound an engine's texts

The report was the only operator command without a check end to end, and the stand-in took any max_tokens.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -45,6 +45,9 @@
     truncate_after_tokens: Option<u64>,
 }
 
+/// Longest text of one request.
+const TOKENS_MAX: u64 = 131_072;
+
 #[derive(Debug, Deserialize)]
 struct Order {
     fence: u64,
@@ -186,11 +189,9 @@
         if !self.versions.borrow().contains_key(&request.model) {
             return Err(fail(StatusCode::NOT_FOUND, "model not found"));
         }
-        if request.max_tokens == 0 || request.n != 1 {
-            return Err(fail(
-                StatusCode::BAD_REQUEST,
-                "max_tokens and n must be at least 1, n at most 1",
-            ));
+        if request.max_tokens == 0 || request.max_tokens > TOKENS_MAX || request.n != 1 {
+            let text = format!("max_tokens must be 1 to {TOKENS_MAX} and n must be 1");
+            return Err(fail(StatusCode::BAD_REQUEST, &text));
         }
         if self.serving(&request.model).is_none() {
             return Err(fail(StatusCode::SERVICE_UNAVAILABLE, "model is loading"));
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -312,6 +312,12 @@
   fail "apply: $(cat "$tmp/apply.log")"
 ok "callers and the trainer were served while the store refused connections, and an apply was refused as not applied"
 
+yard report "${admins[@]}" >"$tmp/report" 2>"$tmp/report.log" || fail "report: $(cat "$tmp/report.log")"
+for objective in answered trainer_busy samples_within_bound; do
+  grep -q "^huon  *$objective  *[0-9.]*%  *[0-9]" "$tmp/report" || fail "no burn of $objective: $(cat "$tmp/report")"
+done
+ok "the burn report of both hosts counts answers, trainer time and samples"
+
 # --- graceful stop ---------------------------------------------------------------------------------------------------
 
 start last "$bin/lagoonyard" complete blurb-writer "A placard for lot 8:" --max-tokens 60 --host "$entry_1"
