Test the share of duplicates and the order of delivery

Cause: trial mutations of the duplicates' price, of the order of groups and of dropped prompts in the cursor went unseen. Change: one test for each.

--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -6,7 +6,9 @@
 
 use lagoonyard::{
     core::{
-        Action, forward,
+        Action,
+        cursor::Cursor,
+        forward,
         host::State,
         parts::{self, Parts, Taken},
         settings::Policy,
@@ -269,6 +271,8 @@
     }
     seen.sort_unstable();
     assert_eq!(seen, [1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    // A later owner does not try it again either.
+    assert!(Cursor::read(&cursor, TRAINER).unwrap().consumed(0));
 }
 
 /// Guards against a pull that waits beyond its time.
@@ -580,3 +584,63 @@
         .filter(|sample| texts.contains(&sample.text));
     assert_eq!(kept.count(), 4);
 }
+
+/// Guards against second runs beyond their share when many samples are slow at once.
+#[test]
+fn duplicates_stay_within_their_share() {
+    let mut rig = Rig::new("a", 1);
+    let mut cursor: Box<str> = "".into();
+    for _ in 0..8 {
+        cursor = rig.batch(&cursor, 1).0;
+    }
+    // The next batch is awaited, and every sample of it hangs.
+    for row in rig.world.targets.rows.values_mut() {
+        row.report.as_mut().unwrap().versions.insert(rig::MODEL.into(), 3);
+    }
+    rig.pull(&cursor, 3);
+    rig.start();
+    let first = rig.samples().len();
+    for _ in 0..20 {
+        let now = rig.world.now;
+        for id in rig.samples() {
+            let row = rig.world.requests.rows.get_mut(&id).unwrap();
+            row.target = Some("w1".into());
+            row.started = row.started.or(Some(now));
+        }
+        rig.pass(Duration::from_secs(1));
+    }
+    let twice = rig.samples().len() - first;
+    assert!(first >= 6 && twice == 1, "{twice} of {first} samples run twice");
+}
+
+/// Guards against old groups that are held until they are too old while newer ones are delivered.
+#[test]
+fn groups_that_were_done_first_are_delivered_first() {
+    let mut snapshot = rig::snapshot();
+    snapshot.trainers.get_mut(TRAINER).unwrap().staleness_versions = 4;
+    let mut rig = Rig::with("a", 1, snapshot, Policy::Full);
+    rig.pull("", 1);
+    rig.start();
+    for id in rig.samples() {
+        let first = ["prompt 0", "prompt 1", "prompt 2"].map(Some);
+        if first.contains(&rig.prompt(id).as_deref()) {
+            rig.generate(id, &[Some(1)]);
+        }
+    }
+    rig.run();
+    let answers = rig.answers();
+    let Some((_, Answer::Batch { cursor, .. })) = answers.first() else {
+        panic!("no batch in {answers:?}");
+    };
+    for index in (3..9).rev() {
+        let prompt = format!("prompt {index}");
+        for id in rig.samples() {
+            if rig.prompt(id).as_deref() == Some(&prompt) {
+                rig.generate(id, &[Some(1)]);
+            }
+        }
+        rig.run();
+    }
+    let (_, groups) = rig.batch(cursor, 1);
+    assert_eq!(indices(&groups), [8, 7, 6]);
+}
