Keep strikes apart from the host that saw the crash, and spread them to all zones

Strikes were rows of the host that saw the crash: they went with its incarnation, a restarted host did not learn them, and they did not leave the zone. In the traces the engines of the other zone crash after the first three, and again after the hosts restart. They are now fleet-wide rows that all hosts merge. Store faults and the retry budget were ruled out: runs without lost hosts crash six engines, three in each zone.

The limit of 6 stays; in addition the lab follows which host could hear of which crash (4 s linked, not frozen) and fails when a host that could hear of three sends the prompt on.

--- a/crates/lab/scenarios/crashing_request.rhai
+++ b/crates/lab/scenarios/crashing_request.rhai
@@ -1,4 +1,5 @@
 // A request that crashes each target that runs it, sent again by its caller through other hosts and under a new key.
+// While it runs, each host that could hear of three crashes is checked not to send the request to another target.
 fleet("small", 101);
 ready();
 poison("poisonous");
--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -12,7 +12,7 @@
     prelude::*,
 };
 
-use crate::{Fleet, engine, fleet::Reply};
+use crate::{Fleet, engine, fleet::Reply, strike::Strikes};
 
 /// Longest time between the leaving of a target and the last new work for it.
 pub const LEAVING_MAX: Duration = Duration::from_secs(5);
@@ -38,6 +38,7 @@
     high: BTreeMap<HostId, Revision>,
     /// Targets that a poisonous prompt ended.
     pub poison_crashes: u32,
+    pub strikes: Strikes,
     pub answered: u64,
     /// Tokens in whole answers to callers.
     pub answered_tokens: u64,
--- a/crates/lab/src/engine.rs
+++ b/crates/lab/src/engine.rs
@@ -206,10 +206,12 @@
         runs.iter().map(failed).collect()
     }
 
-    /// Whether any prompt in it holds the text.
-    pub fn has_prompt(&self, part: &str) -> bool {
-        let holds = |run: &Run| matches!(&run.attempt.work, Work::Generate(generate) if generate.prompt.contains(part));
-        self.running.iter().any(holds)
+    /// Incarnations that sent a running prompt which holds the text.
+    pub fn senders(&self, part: &str) -> Vec<(HostId, Incarnation)> {
+        let holds =
+            |run: &&Run| matches!(&run.attempt.work, Work::Generate(generate) if generate.prompt.contains(part));
+        let runs = self.running.iter().filter(holds);
+        runs.map(|run| (run.host.clone(), run.incarnation)).collect()
     }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod script;
 pub mod service;
 pub mod store;
+pub mod strike;
 pub mod trainer;
 
 pub use self::{engine::Engine, fleet::Fleet, plan::Plan, service::Service, store::Store, trainer::Trainer};
--- a/crates/lab/src/perform.rs
+++ b/crates/lab/src/perform.rs
@@ -16,6 +16,7 @@
     engine::{Note, STEP},
     fleet::{PLATFORM, Reply},
     store::Mode,
+    strike,
 };
 
 /// A watch that waits for its key to change.
@@ -138,6 +139,11 @@
     fn dispatch(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, attempt: Attempt) {
         let target = attempt.target.clone();
         check::dispatched(self, &target);
+        if let Work::Generate(generate) = &attempt.work
+            && self.poisons.iter().any(|poison| generate.prompt.contains(&**poison))
+        {
+            strike::sent(self, id, incarnation, &target);
+        }
         let place = self.engines.get(&target).map(|engine| (engine.zone.clone(), engine.up));
         let place = place.or_else(|| {
             self.services
@@ -230,13 +236,13 @@
             return;
         }
         let notes = engine.step(now);
-        let poisoned = poisons.iter().any(|poison| engine.has_prompt(poison));
+        let poisoned: Vec<_> = poisons.iter().flat_map(|poison| engine.senders(poison)).collect();
         notes.into_iter().for_each(|note| self.tell(note));
-        if poisoned {
+        if !poisoned.is_empty() {
             if let Some(engine) = self.engines.get_mut(target) {
                 engine.stepping = false;
             }
-            self.checks.poison_crashes += 1;
+            strike::crashed(self, target, poisoned);
             return self.crash(target, Some(Duration::from_secs(10)));
         }
         let id = target.clone();
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -12,7 +12,7 @@
 use rhai::{Array, Dynamic, Engine as Rhai, EvalAltResult, Map, Scope};
 use snafu::{ResultExt, Snafu};
 
-use crate::{Fleet, Plan, caller, check, fleet::Reply, store::Mode};
+use crate::{Fleet, Plan, caller, check, fleet::Reply, store::Mode, strike};
 
 /// How a scenario is run.
 #[derive(Clone, Copy, Debug)]
@@ -273,9 +273,12 @@
     verb!(engine, stage, "unlist", |fleet, target: &str| drop(
         fleet.listed.remove(target)
     ));
-    verb!(engine, stage, "poison", |fleet, part: &str| fleet
-        .poisons
-        .push(part.into()));
+    verb!(engine, stage, "poison", |fleet, part: &str| {
+        fleet.poisons.push(part.into());
+        if fleet.poisons.len() == 1 {
+            strike::follow(fleet);
+        }
+    });
     verb!(engine, stage, "truncate", |fleet, engine: &str, tokens: i64| {
         if let Some(row) = fleet.engines.get_mut(engine) {
             row.truncate_after = u32::try_from(tokens).ok().filter(|&tokens| tokens > 0);
--- a/src/core/gossip.rs
+++ b/src/core/gossip.rs
@@ -39,11 +39,11 @@
 pub fn row(world: &World, key: &Key) -> Option<wire::Row> {
     if key.fleet_wide() {
         let wide = world.peers.wide.get(key)?;
-        return Some(wire::Row {
-            version: wide.version,
-            item: Some(wide.item.clone()),
-            ..wire::Row::default()
-        });
+        if let Item::Strike(strike) = &wide.item {
+            let strike = world.strikes.row(strike.content, world.now)?;
+            return Some(wide_row(wide.version, Item::Strike(strike)));
+        }
+        return Some(wide_row(wide.version, wide.item.clone()));
     }
     let me = &world.hosts.me;
     let owner = world.peers.owners.get(me)?;
@@ -56,6 +56,15 @@
     })
 }
 
+/// A row that belongs to no host.
+pub fn wide_row(version: u64, item: Item) -> wire::Row {
+    wire::Row {
+        version,
+        item: Some(item),
+        ..wire::Row::default()
+    }
+}
+
 /// A host row gets the highest heartbeat known, as receivers order incarnations by it.
 fn fresh(world: &World, owner: &HostId, item: &Item) -> Item {
     match (item, world.hosts.rows.get(owner)) {
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -2,7 +2,7 @@
 //!
 //! `rows` has the rows and their order, `gossip` the exchanges.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::seq::IteratorRandom;
 
@@ -31,9 +31,6 @@
 /// Loads are repeated every few seconds; one this old belongs to a target that is polled by another host or is gone.
 const LOAD_KEPT: Duration = Duration::from_secs(60);
 
-/// As long as strikes themselves are remembered.
-const STRIKE_KEPT: Duration = Duration::from_secs(3600);
-
 const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
 
 /// News from a peer link.
@@ -58,6 +55,8 @@
     PushFew,
     /// To all hosts of the zone at once.
     PushAll,
+    /// To all hosts of the zone and a few of each other zone at once.
+    PushFleet,
 }
 
 /// Digests, row versions and the byte budget.
@@ -109,16 +108,23 @@
     }
 }
 
-/// Pushes a row to hosts of this zone.
-fn push(world: &mut World, row: &wire::Row, spread: Spread, except: Option<&HostId>) {
+/// Pushes a row to hosts.
+pub fn push(world: &mut World, row: &wire::Row, spread: Spread, except: Option<&HostId>) {
     let (zone, me) = (world.hosts.zone.clone(), world.hosts.me.clone());
     let alive = world.hosts.alive_in(&zone).into_iter();
     let others = alive.filter(|id| **id != me && Some(*id) != except).cloned();
-    let to = match spread {
+    let mut to: Vec<HostId> = match spread {
         Spread::Gossip => return,
         Spread::PushFew => others.choose_multiple(&mut world.rng, FEW),
-        Spread::PushAll => others.collect(),
+        Spread::PushAll | Spread::PushFleet => others.collect(),
     };
+    if spread == Spread::PushFleet {
+        let zones: BTreeSet<ZoneId> = world.hosts.rows.values().map(|row| row.zone.clone()).collect();
+        for other in zones.into_iter().filter(|other| *other != zone) {
+            let alive = world.hosts.alive_in(&other).into_iter().cloned();
+            to.extend(alive.choose_multiple(&mut world.rng, FEW));
+        }
+    }
     for id in to {
         let delta = wire::Delta {
             rows: vec![row.clone()],
@@ -260,7 +266,6 @@
     }
     match item {
         Item::Load(load) => load_heard(world, load),
-        Item::Strike(strike) => strike::heard(world, strike.content, strike.target.as_str().into()),
         // Exchanges only fetch, so a host that has just joined would be known to few at first.
         Item::Host(_) if joined => {
             let row = wire::Row {
@@ -307,6 +312,10 @@
         // A head is passed on only by hosts that have its body, so that whoever hears of it knows whom to ask.
         return config::heard(world, from, head);
     }
+    if let Item::Strike(strike) = &item {
+        // Two states of one content are merged, so neither replaces the other.
+        return strike::heard(world, from, strike);
+    }
     let row = Wide::new(world.now, version, item);
     match world.peers.wide.get(&key) {
         Some(held) if held.order() >= row.order() => return,
@@ -349,11 +358,14 @@
     let (hosts, table) = (&world.hosts.rows, &mut world.peers);
     table.owners.retain(|id, _| id == me || hosts.contains_key(id));
     table.names.retain(|_, id| id == me || hosts.contains_key(id));
+    let strikes = &world.strikes;
+    table
+        .wide
+        .retain(|key, _| !matches!(key, Key::Strike(content) if !strikes.knows(*content)));
     for (id, owner) in &mut table.owners {
         let dead = hosts.get(id).is_some_and(|row| row.state == host::State::Dead);
         owner.rows.retain(|key, row| match key {
             Key::Load(_) => !dead && now - row.heard < LOAD_KEPT,
-            Key::Strike(..) => !dead && now - row.heard < STRIKE_KEPT,
             _ => true,
         });
     }
--- a/src/core/rows.rs
+++ b/src/core/rows.rs
@@ -24,7 +24,7 @@
 pub enum Key {
     Host,
     Load(TargetId),
-    Strike(ContentHash, TargetId),
+    Strike(ContentHash),
     Head,
     Fence(Box<str>),
     Desired(ModelId),
@@ -39,7 +39,7 @@
         match item {
             Item::Host(_) => Self::Host,
             Item::Load(load) => Self::Load(load.target.as_str().into()),
-            Item::Strike(strike) => Self::Strike(strike.content, strike.target.as_str().into()),
+            Item::Strike(strike) => Self::Strike(strike.content),
             Item::Head(_) => Self::Head,
             Item::Fence(fence) => Self::Fence(fence.lease.as_str().into()),
             Item::Desired(desired) => Self::Desired(desired.model.as_str().into()),
@@ -51,22 +51,27 @@
 
     /// Whether the row crosses zones.
     pub fn fleet_wide(&self) -> bool {
-        !matches!(self, Self::Host | Self::Load(_) | Self::Strike(..))
+        !matches!(self, Self::Host | Self::Load(_))
     }
 
     /// Name of a fleet-wide row in digests.
     pub fn hash(&self) -> u32 {
-        let (kind, name): (u8, &str) = match self {
-            Self::Host | Self::Load(_) | Self::Strike(..) => (0, ""),
-            Self::Head => (1, ""),
-            Self::Fence(lease) => (2, lease),
-            Self::Desired(model) => (3, model),
-            Self::Zone(zone) => (4, zone),
-            Self::Members(zone) => (5, zone),
-            Self::Listing(zone) => (6, zone),
+        let content;
+        let (kind, name): (u8, &[u8]) = match self {
+            Self::Host | Self::Load(_) => (0, b""),
+            Self::Head => (1, b""),
+            Self::Fence(lease) => (2, lease.as_bytes()),
+            Self::Desired(model) => (3, model.as_bytes()),
+            Self::Zone(zone) => (4, zone.as_bytes()),
+            Self::Members(zone) => (5, zone.as_bytes()),
+            Self::Listing(zone) => (6, zone.as_bytes()),
+            Self::Strike(hash) => {
+                content = hash.to_le_bytes();
+                (7, &content)
+            }
         };
         // A leading control character keeps these apart from host ids.
-        xxh3_64(&[&[1, kind], name.as_bytes()].concat()) as u32
+        xxh3_64(&[&[1, kind], name].concat()) as u32
     }
 }
 
@@ -80,9 +85,8 @@
     let texts: &[&str] = match item {
         Item::Host(host) => &[&host.zone, &host.address],
         Item::Load(load) => &[&load.target],
-        // A strike without a target says that the content ran well.
-        Item::Strike(strike) if strike.target.is_empty() => &[],
-        Item::Strike(strike) => &[&strike.target],
+        // A strike without targets says that the content ran well.
+        Item::Strike(strike) => return strike.targets.iter().all(|target| named(target)),
         Item::Head(head) => &[&head.apply_id],
         Item::Fence(fence) => &[&fence.lease],
         Item::Desired(desired) => &[&desired.model],
@@ -194,6 +198,7 @@
         Item::Fence(fence) => Some(fence.fence),
         Item::Desired(desired) => Some(desired.version),
         Item::Listing(listing) => Some(listing.revision),
-        Item::Host(_) | Item::Load(_) | Item::Strike(_) | Item::Zone(_) | Item::Members(_) => None,
+        Item::Strike(strike) => Some(strike.clears << 32 | strike.targets.len() as u64),
+        Item::Host(_) | Item::Load(_) | Item::Zone(_) | Item::Members(_) => None,
     }
 }
--- a/src/core/strike.rs
+++ b/src/core/strike.rs
@@ -4,11 +4,17 @@
 //! that counts as a crash and every content whose connection broke gets a strike. Content with a mark runs isolated: on
 //! a target with no other marked content, one copy at a time. The strike that reaches the limit counts only if the
 //! content ran alone on the target, so content that merely stood beside a culprit is never refused.
+//!
+//! Strikes belong to no host: all hosts of the fleet merge what they hear, so a strike outlives the host that saw the
+//! crash. Two states of one content merge into the one that was cleared more often, or else into the union of targets.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    core::{World, health, peer, retry},
+    core::{
+        World, gossip, health, peer, retry,
+        rows::{Key, Wide},
+    },
     prelude::*,
     wire,
 };
@@ -20,12 +26,30 @@
 /// Contents remembered at most; the one that was struck longest ago is forgotten first.
 const CONTENTS_MAX: usize = 10_000;
 
-/// A marked content.
-#[derive(Debug, Default)]
+/// How long a cleared content is remembered, so that rows still under way do not bring its strikes back.
+const CLEARED_MEMORY: Duration = Duration::from_secs(60);
+/// Contents kept as gossip rows. Each takes about 16 bytes of every digest, so this many take 1 KB. All strikes are
+/// pushed when they are new; the rows only serve hosts that missed the push.
+const SPREAD_MAX: usize = 64;
+/// Targets taken from one row. No limit of strikes is higher than a few.
+const TARGETS_MAX: usize = 32;
+
+/// What is known of a content.
+#[derive(Clone, Debug, Default)]
 struct Mark {
     /// Targets that the content crashed.
     targets: BTreeSet<TargetId>,
-    at: Time,
+    /// Times that the content ran well after a strike.
+    clears: u64,
+    /// A connection broke and the verdict is open.
+    suspect: bool,
+    end: Time,
+}
+
+impl Mark {
+    fn isolated(&self) -> bool {
+        self.suspect || !self.targets.is_empty()
+    }
 }
 
 /// Connections of a target that broke and may prove to be a crash.
@@ -44,7 +68,7 @@
 #[derive(Debug, Default)]
 pub struct Table {
     marks: BTreeMap<ContentHash, Mark>,
-    by_age: BTreeSet<(Time, ContentHash)>,
+    by_end: BTreeSet<(Time, ContentHash)>,
     breaks: BTreeMap<TargetId, Break>,
     /// Marked contents that run now.
     active: BTreeMap<ContentHash, RequestId>,
@@ -60,7 +84,7 @@
 
     /// Whether a content runs isolated.
     pub fn marked(&self, content: ContentHash) -> bool {
-        self.marks.contains_key(&content)
+        self.marks.get(&content).is_some_and(Mark::isolated)
     }
 
     /// Whether a copy of a marked content runs now.
@@ -68,11 +92,6 @@
         self.active.contains_key(&content)
     }
 
-    /// Whether no content is marked, so that nothing needs isolation.
-    pub fn is_empty(&self) -> bool {
-        self.marks.is_empty()
-    }
-
     /// Request for which a target is kept free.
     pub fn reserved_for(&self, target: &str) -> Option<RequestId> {
         self.reserved.get(target).copied()
@@ -105,50 +124,117 @@
         }
     }
 
-    /// Forgets a content; tells whether it had strikes.
-    pub fn clear(&mut self, content: ContentHash) -> bool {
-        let Some(mark) = self.marks.remove(&content) else {
-            return false;
-        };
-        self.by_age.remove(&(mark.at, content));
-        !mark.targets.is_empty()
-    }
-
-    fn mark(&mut self, content: ContentHash, now: Time) -> &mut Mark {
+    /// State of a content, changed by the caller, with a new end of its memory.
+    fn mark(&mut self, content: ContentHash, end: Time) -> &mut Mark {
         if self.marks.len() >= CONTENTS_MAX
             && !self.marks.contains_key(&content)
-            && let Some((_, oldest)) = self.by_age.pop_first()
+            && let Some((_, oldest)) = self.by_end.pop_first()
         {
             self.marks.remove(&oldest);
         }
         let mark = self.marks.entry(content).or_default();
-        self.by_age.remove(&(mark.at, content));
-        mark.at = now;
-        self.by_age.insert((now, content));
+        self.by_end.remove(&(mark.end, content));
+        mark.end = end;
+        self.by_end.insert((end, content));
         mark
     }
+
+    /// Ends the suspicion of a content; one that has no strikes needs no mark.
+    fn forget_suspect(&mut self, content: ContentHash) {
+        let Some(mark) = self.marks.get_mut(&content) else {
+            return;
+        };
+        mark.suspect = false;
+        if mark.targets.is_empty() && mark.clears == 0 {
+            self.forget(content);
+        }
+    }
+
+    fn forget(&mut self, content: ContentHash) {
+        if let Some(mark) = self.marks.remove(&content) {
+            self.by_end.remove(&(mark.end, content));
+        }
+    }
+
+    /// Whether anything is remembered of a content.
+    pub fn knows(&self, content: ContentHash) -> bool {
+        self.marks.contains_key(&content)
+    }
+
+    /// Row of a content. Its age goes out with it, as the hosts have no common clock.
+    pub fn row(&self, content: ContentHash, now: Time) -> Option<wire::Strike> {
+        let mark = self.marks.get(&content)?;
+        let age = MEMORY.saturating_sub(mark.end.saturating_sub(now));
+        Some(wire::Strike {
+            content,
+            targets: mark.targets.iter().map(|target| target.to_string()).collect(),
+            clears: mark.clears,
+            age_ms: age.as_millis() as u64,
+        })
+    }
 }
 
-/// Takes a strike that a peer reported; without a target it says that the content ran well there.
-pub fn heard(world: &mut World, content: ContentHash, target: TargetId) {
-    if target.is_empty() {
-        world.strikes.clear(content);
+/// Takes the state of a content that a peer knows of, and passes it on if it adds to what is known here.
+pub fn heard(world: &mut World, from: &HostId, strike: &wire::Strike) {
+    let (now, content) = (world.now, strike.content);
+    let end = now + MEMORY.saturating_sub(Duration::from_millis(strike.age_ms));
+    let theirs: BTreeSet<TargetId> = strike
+        .targets
+        .iter()
+        .take(TARGETS_MAX)
+        .map(|it| it.as_str().into())
+        .collect();
+    let held = world.strikes.marks.get(&content).cloned().unwrap_or_default();
+    let known = strike.clears < held.clears || strike.clears == held.clears && theirs.is_subset(&held.targets);
+    if known || end <= now {
         return;
     }
-    let now = world.now;
-    world.strikes.mark(content, now).targets.insert(target);
+    let newer = strike.clears > held.clears;
+    let mark = world.strikes.mark(content, if newer { end } else { end.max(held.end) });
+    if newer {
+        mark.targets.clear();
+        mark.clears = strike.clears;
+    }
+    mark.targets.extend(theirs);
+    spread(world, content, peer::Spread::PushFew, Some(from));
 }
 
 /// Takes note that a request ran well.
 pub fn succeeded(world: &mut World, content: ContentHash) {
-    if world.strikes.clear(content) {
-        let target = String::new();
-        peer::publish(
-            world,
-            wire::Item::Strike(wire::Strike { content, target }),
-            peer::Spread::Gossip,
-        );
+    if world.strikes.count(content) == 0 {
+        return world.strikes.forget_suspect(content);
+    }
+    let mark = world.strikes.mark(content, world.now + CLEARED_MEMORY);
+    mark.targets.clear();
+    mark.suspect = false;
+    mark.clears += 1;
+    spread(world, content, peer::Spread::PushFleet, None);
+}
+
+/// Puts the state of a content into gossip, if it is among those that matter most.
+fn spread(world: &mut World, content: ContentHash, spread: peer::Spread, except: Option<&HostId>) {
+    let Some(strike) = world.strikes.row(content, world.now) else {
+        return;
+    };
+    let row = gossip::wide_row(0, wire::Item::Strike(strike.clone()));
+    peer::push(world, &row, spread, except);
+    let wide = &mut world.peers.wide;
+    let rank = |strike: &wire::Strike| (strike.targets.len(), strike.content);
+    let kept = wide.values().filter_map(|row| match &row.item {
+        wire::Item::Strike(strike) => Some(rank(strike)),
+        _ => None,
+    });
+    let kept: BTreeSet<(usize, ContentHash)> = kept.filter(|(_, other)| *other != content).collect();
+    if let Some(lowest) = kept.first().filter(|_| kept.len() >= SPREAD_MAX) {
+        // The order is the same on all hosts, so that they agree on the rows to keep.
+        if *lowest > rank(&strike) {
+            wide.remove(&Key::Strike(content));
+            return;
+        }
+        wide.remove(&Key::Strike(lowest.1));
     }
+    let row = Wide::new(world.now, 0, wire::Item::Strike(wire::Strike { age_ms: 0, ..strike }));
+    wide.insert(Key::Strike(content), row);
 }
 
 /// Takes note that a connection broke while a request ran on a target, and has the target polled at once. The request
@@ -165,7 +251,7 @@
     entry.contents.insert(content, limit);
     entry.beside.insert(content);
     entry.waiting.push(id);
-    world.strikes.mark(content, now);
+    world.strikes.mark(content, now + MEMORY).suspect = true;
     health::probe(world, target);
 }
 
@@ -192,9 +278,7 @@
     }
     let entry = world.strikes.breaks.remove(target).unwrap_or_default();
     for &content in entry.contents.keys() {
-        if world.strikes.count(content) == 0 {
-            world.strikes.clear(content);
-        }
+        world.strikes.forget_suspect(content);
     }
     for id in entry.waiting {
         retry::release(world, id);
@@ -205,11 +289,10 @@
 pub fn run(world: &mut World) {
     let now = world.now;
     let strikes = &mut world.strikes;
-    while let Some(&(at, content)) = strikes.by_age.first()
-        && at + MEMORY <= now
+    while let Some(&(end, content)) = strikes.by_end.first()
+        && end <= now
     {
-        strikes.by_age.pop_first();
-        strikes.marks.remove(&content);
+        strikes.forget(content);
     }
     strikes.breaks.retain(|_, entry| now <= entry.at + CRASH_WINDOW);
 }
@@ -229,13 +312,10 @@
         if !isolated || decisive && !alone {
             continue;
         }
-        if world.strikes.mark(content, now).targets.insert(target.clone()) {
-            let target = target.to_string();
-            peer::publish(
-                world,
-                wire::Item::Strike(wire::Strike { content, target }),
-                peer::Spread::PushAll,
-            );
+        let mark = world.strikes.mark(content, now + MEMORY);
+        mark.suspect = false;
+        if mark.targets.insert(target.clone()) {
+            spread(world, content, peer::Spread::PushFleet, None);
         }
     }
 }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -110,13 +110,19 @@
     pub outcome: u32,
 }
 
-/// A content that crashed a target.
+/// A content that crashed targets.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Strike {
     #[prost(fixed64, tag = "1")]
     pub content: u64,
-    #[prost(string, tag = "2")]
-    pub target: String,
+    #[prost(string, repeated, tag = "2")]
+    pub targets: Vec<String>,
+    /// Times that the content ran well after a strike, which forgot the targets of before.
+    #[prost(uint64, tag = "3")]
+    pub clears: u64,
+    /// Time since the last change, as the sender knows it.
+    #[prost(uint64, tag = "4")]
+    pub age_ms: u64,
 }
 
 /// Wanted weights of a model.
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -8,15 +8,28 @@
 use lagoonyard::{
     core::{
         request::{Attempt, Failure, Work},
+        rows::{self, Key},
         strike,
     },
     prelude::*,
+    wire,
 };
 
 fn is_culprit(attempt: &Attempt) -> bool {
     matches!(&attempt.work, Work::Generate(it) if it.prompt.starts_with("culprit"))
 }
 
+/// A peer reports that a content crashed targets.
+fn struck(drive: &mut Drive, text: &str, targets: &[&str], clears: u64) {
+    let strike = wire::Strike {
+        content: prompt(text).content(),
+        targets: targets.iter().map(|target| (*target).into()).collect(),
+        clears,
+        age_ms: 0,
+    };
+    strike::heard(drive.core.world_mut(), &"peer".into(), &strike);
+}
+
 /// Runs engines that die of culprits after 100 ms and are back after three seconds, until nothing is left to run.
 fn storm(drive: &mut Drive, crashes: &mut BTreeMap<ContentHash, BTreeSet<TargetId>>) {
     let mut restarts: Vec<(Time, TargetId)> = Vec::new();
@@ -121,15 +134,13 @@
     for (texts, count) in [(["a", "a", "a", "a"], 1), (["a", "b", "c", "a"], 2)] {
         let mut drive = Drive::new(2, 0);
         for (ticket, text) in texts.iter().enumerate() {
-            strike::heard(drive.core.world_mut(), prompt(text).content(), "other".into());
+            struck(&mut drive, text, &["other"], 0);
             drive.submit(ticket as Ticket, prompt(text), None, LONG);
         }
         let running = drive.take();
         let targets: BTreeSet<_> = running.iter().map(|attempt| &attempt.target).collect();
         assert_eq!((running.len(), targets.len()), (count, count));
-        for target in ["x", "y"] {
-            strike::heard(drive.core.world_mut(), prompt(texts[2]).content(), target.into());
-        }
+        struck(&mut drive, texts[2], &["x", "y"], 0);
         running.iter().for_each(|attempt| drive.fail(attempt, Failure::Timeout));
         drive.advance(ms(200));
         assert_eq!(drive.code(2), Some(Code::CrashesTargets));
@@ -149,8 +160,7 @@
         drive.submit(1, prompt("a"), None, LONG);
         drive.submit(2, prompt("b"), None, LONG);
         for strike in heard {
-            let content = prompt(&strike[..1]).content();
-            strike::heard(drive.core.world_mut(), content, strike[1..].into());
+            struck(&mut drive, &strike[..1], &[&strike[1..]], 0);
         }
         drive.dead.insert("e0".into());
         drive.silent = true;
@@ -169,9 +179,7 @@
 fn last_try_runs_alone() {
     let mut drive = Drive::new(1, 0);
     drive.submit(1, prompt("other"), None, LONG);
-    for target in ["x", "y"] {
-        strike::heard(drive.core.world_mut(), prompt("suspect").content(), target.into());
-    }
+    struck(&mut drive, "suspect", &["x", "y"], 0);
     drive.submit(2, prompt("suspect"), None, LONG);
     drive.submit(3, prompt("third"), None, LONG);
     for ticket in [1, 2, 3] {
@@ -203,10 +211,47 @@
 /// malformed one.
 #[test]
 fn a_cleared_strike_is_a_usable_row() {
-    let strike = |target: &str| {
-        let target = target.into();
-        lagoonyard::wire::Item::Strike(lagoonyard::wire::Strike { content: 1, target })
+    let strike = |targets: &[&str]| {
+        let targets = targets.iter().map(|target| (*target).into()).collect();
+        let rest = wire::Strike::default();
+        wire::Item::Strike(wire::Strike { targets, ..rest })
     };
-    assert!(lagoonyard::core::rows::fits(&strike("")));
-    assert!(!lagoonyard::core::rows::fits(&strike(&"x".repeat(100_000))));
+    assert!(rows::fits(&strike(&[])));
+    assert!(!rows::fits(&strike(&[&"x".repeat(100_000)])));
+}
+
+/// Guards against strikes that one of two concurrent reports replaces, and against cleared strikes that a late row
+/// brings back.
+#[test]
+fn strikes_merge_and_cleared_ones_stay_cleared() {
+    let mut drive = Drive::new(1, 0);
+    let count = |drive: &Drive| drive.core.world().strikes.count(prompt("a").content());
+    for (targets, clears, expected) in [
+        (vec!["x", "y"], 0, 2),
+        (vec!["x", "z"], 0, 3),
+        (vec![], 1, 0),
+        (vec!["x", "y"], 0, 0),
+        (vec!["x"], 1, 1),
+    ] {
+        struck(&mut drive, "a", &targets, clears);
+        assert_eq!(count(&drive), expected);
+    }
+}
+
+/// Guards against digests that grow without bound with the contents that crashed targets, and against rows that are
+/// kept after their strikes are forgotten.
+#[test]
+fn rows_of_strikes_are_bounded_and_forgotten() {
+    let mut drive = Drive::new(0, 0);
+    (0..200).for_each(|at| struck(&mut drive, &format!("c{at}"), &["x"], 0));
+    struck(&mut drive, "worst", &["x", "y"], 0);
+    let worst = Key::Strike(prompt("worst").content());
+    let wide = |drive: &Drive| drive.core.world().peers.wide.keys().cloned().collect::<Vec<_>>();
+    let strikes = |drive: &Drive| wide(drive).iter().filter(|key| matches!(key, Key::Strike(_))).count();
+    assert_eq!(strikes(&drive), 64);
+    assert!(wide(&drive).contains(&worst));
+    drive.now += Duration::from_secs(3600);
+    drive.tick();
+    drive.advance(Duration::from_secs(11));
+    assert_eq!(strikes(&drive), 0);
 }
