Use a target only after a first report, and tell other zones which targets leave

A target without a first report is now asked before it is used, at most 8 a second and host; what an own poll says of a target of another zone counts for 3 s; after a pause all targets are unknown. The states leaving and quarantined go to other zones on change. A connection that was opened no longer makes a target live.

--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -94,13 +94,13 @@
 }
 
 /// New work goes to a target: P7.
-pub fn dispatched(fleet: &mut Fleet, target: &TargetId) {
+pub fn dispatched(fleet: &mut Fleet, host: &HostId, target: &TargetId) {
     let leaving = fleet.engines.get(target).and_then(|engine| engine.leaving);
     let leaving = leaving.or_else(|| fleet.services.get(target).and_then(|service| service.leaving));
     if leaving.is_some_and(|since| fleet.now > since + LEAVING_MAX) {
         fleet
             .checks
-            .broken(fleet.now, format!("P7 {target} gets work though it leaves"));
+            .broken(fleet.now, format!("P7 {target} gets work from {host} though it leaves"));
     }
 }
 
--- a/crates/lab/src/perform.rs
+++ b/crates/lab/src/perform.rs
@@ -138,7 +138,7 @@
 
     fn dispatch(&mut self, id: &HostId, incarnation: Incarnation, zone: &str, attempt: Attempt) {
         let target = attempt.target.clone();
-        check::dispatched(self, &target);
+        check::dispatched(self, id, &target);
         if let Work::Generate(generate) = &attempt.work
             && self.poisons.iter().any(|poison| generate.prompt.contains(&**poison))
         {
--- /dev/null
+++ b/src/core/ask.rs
@@ -0,0 +1,58 @@
+//! Polls of targets that this host wants to use and of which it knows nothing, or nothing lately.
+
+use crate::{
+    core::{
+        World,
+        health::{self, OVERDUE_INTERVALS, REMOTE_KNOWN},
+        target,
+    },
+    prelude::*,
+};
+
+/// Polls a second by which this host asks targets that it wants to use and knows nothing of. With 93 hosts and 650
+/// targets a zone this doubles the regular polls at most.
+const ASKS_PER_S: u32 = 8;
+
+/// Polls a target that could be used if it were known to be well.
+pub fn run(world: &mut World, target: &TargetId) {
+    let now = world.now;
+    let (since, count) = &mut world.targets.schedule.asks;
+    if now >= *since + Duration::from_secs(1) {
+        (*since, *count) = (now, 0);
+    }
+    let overdue = world.settings.poll_interval * OVERDUE_INTERVALS;
+    let health = world.targets.health.get(target);
+    let out = health.is_some_and(|health| health.polls_out.iter().any(|sent| now < *sent + overdue));
+    if out || world.targets.schedule.asks.1 >= ASKS_PER_S {
+        return;
+    }
+    world.targets.schedule.asks.1 += 1;
+    health::probe(world, target);
+}
+
+/// Whether a target of another zone should be asked again before it counts as unknown.
+pub fn aging(world: &World, target: &TargetId) -> bool {
+    let known = world
+        .targets
+        .health
+        .get(target)
+        .map_or(Time::ZERO, |health| health.known_at);
+    let remote = world
+        .targets
+        .rows
+        .get(target)
+        .is_some_and(|row| row.zone != world.hosts.zone);
+    remote && world.now >= known + REMOTE_KNOWN / 2
+}
+
+/// Takes all targets that were well as unknown, after a pause of this host in which it could hear nothing.
+pub fn doubt(world: &mut World) {
+    for row in world
+        .targets
+        .rows
+        .values_mut()
+        .filter(|row| row.state == target::State::Live)
+    {
+        row.state = target::State::New;
+    }
+}
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -2,9 +2,11 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
+use rand::seq::IteratorRandom;
+
 use crate::{
     core::{
-        Action, World, finish, forward,
+        Action, World, ask, finish, forward,
         lane::Lane,
         request::{Attempt, Origin, Stage},
         retry,
@@ -18,6 +20,8 @@
 
 /// Wait of a request that no target with a free slot may take, because of isolation or its earlier attempts.
 const BLOCKED_WAIT: Duration = Duration::from_millis(100);
+/// Targets that one request has asked before it may use them.
+const ASKS_AT_ONCE: usize = 2;
 /// Engine priorities; lower runs first.
 const CALLER_PRIORITY: i32 = 0;
 const BULK_PRIORITY: i32 = 10;
@@ -139,6 +143,7 @@
     let mut free = false;
     let mut fresh_exists = false;
     let (mut fresh, mut repeated) = (Vec::new(), Vec::new());
+    let mut unsure = Vec::new();
     // Remote zones are looked at only while the own zone has no target below its slots.
     for remote in [false, true] {
         for (pool, config) in lane.pools(snapshot) {
@@ -155,7 +160,8 @@
                 if avoid.contains(target) {
                     continue;
                 }
-                fresh_exists |= !tried.contains(target);
+                let unknown = target_row.state == State::New;
+                fresh_exists |= !(tried.contains(target) || unknown && target_row.failures > 0);
                 if target_row.in_flight >= config.slots {
                     continue;
                 }
@@ -164,6 +170,12 @@
                 {
                     continue;
                 }
+                if unknown || ask::aging(world, target) {
+                    unsure.push(target.clone());
+                }
+                if unknown {
+                    continue;
+                }
                 let mut candidate = Candidate::new(target, target_row, config.slots, hosts, own_zone);
                 if world.targets.recent_error(target, world.now) {
                     candidate.score += route::ERROR_PENALTY;
@@ -180,6 +192,9 @@
             break;
         }
     }
+    for target in unsure.into_iter().choose_multiple(&mut world.rng, ASKS_AT_ONCE) {
+        ask::run(world, &target);
+    }
     // A target that failed this request before is used again only if there is no other.
     let candidates = if fresh.is_empty() && !fresh_exists {
         repeated
@@ -226,7 +241,17 @@
             .filter(|(_, it)| !reserved(it) && !row.submit.avoid.contains(it));
         let best = free.min_by_key(|(zone, target)| {
             let remote = **zone != world.hosts.zone;
-            (row.tried.contains(target), remote, world.requests.in_flight(target))
+            let unknown = world
+                .targets
+                .rows
+                .get(*target)
+                .is_some_and(|row| row.state == State::New);
+            (
+                row.tried.contains(target),
+                unknown,
+                remote,
+                world.requests.in_flight(target),
+            )
         });
         best.map(|(_, target)| target.clone())
     });
@@ -234,6 +259,15 @@
         return Choice::Blocked;
     };
     world.strikes.reserve(&target, id);
+    if world
+        .targets
+        .rows
+        .get(&target)
+        .is_none_or(|row| row.state == State::New)
+    {
+        ask::run(world, &target);
+        return Choice::Blocked;
+    }
     if world.requests.in_flight(&target) == 0 {
         Choice::Run(target)
     } else {
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -20,9 +20,12 @@
 /// Longest silence about a target whose load does not change.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 /// A poll that has no answer after this many poll intervals counts as failed.
-const OVERDUE_INTERVALS: u32 = 3;
+pub(super) const OVERDUE_INTERVALS: u32 = 3;
 /// Polls of one target under way at once: the regular one, and one at once after a connection broke.
 const POLLS_OUT_MAX: usize = 2;
+/// How long an own poll says that a target of another zone may be used. Its own zone's reports do not come here, and a
+/// target may have begun to leave since.
+pub(super) const REMOTE_KNOWN: Duration = Duration::from_secs(3);
 /// How often the share of targets that this host polls is computed anew, if membership changed.
 const ASSIGN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -31,6 +34,8 @@
 pub struct Health {
     /// When the target itself said that it leaves.
     pub said_leaving: Option<Time>,
+    /// Its zone says that it gets no work.
+    pub away: bool,
     /// The host list says that it leaves.
     pub listed_leaving: bool,
     /// A poll or connect failed since the target was last well.
@@ -38,9 +43,11 @@
     /// A request failed lately.
     pub error_until: Time,
     /// When the unanswered polls were sent.
-    polls_out: Vec<Time>,
+    pub(super) polls_out: Vec<Time>,
     next_poll: Option<Time>,
     pub probe_interval: Option<Duration>,
+    /// When the target last was well, by an own poll or by its poller.
+    pub(super) known_at: Time,
     /// Failures before this time belong to the quarantine that already runs.
     pub probe_at: Time,
     /// End of a quarantine that no own poll can end.
@@ -70,6 +77,10 @@
 pub struct Schedule {
     polls: BTreeSet<(Time, TargetId)>,
     retries: BTreeSet<(Time, TargetId)>,
+    /// Targets of other zones that are no longer known to be well from a time on.
+    unknown: BTreeSet<(Time, TargetId)>,
+    /// Start of the running second and the targets asked in it.
+    pub(super) asks: (Time, u32),
     /// Targets that this host polls.
     mine: BTreeSet<TargetId>,
     assign_at: Time,
@@ -130,6 +141,11 @@
     health.unreachable = false;
     health.probe_interval = None;
     row.failures = 0;
+    health.known_at = world.now;
+    if row.zone != world.hosts.zone {
+        let until = world.now + REMOTE_KNOWN;
+        world.targets.schedule.unknown.insert((until, target.clone()));
+    }
     let state = if health.said_leaving.is_some() || health.listed_leaving {
         State::Leaving
     } else {
@@ -264,6 +280,16 @@
     while let Some((_, target)) = pop_due(&mut world.targets.schedule.polls, now) {
         poll(world, target);
     }
+    while let Some((_, target)) = pop_due(&mut world.targets.schedule.unknown, now) {
+        let known = world.targets.health.get(&target).map(|health| health.known_at);
+        if let Some(row) = world.targets.rows.get_mut(&target)
+            && known.is_none_or(|known| now >= known + REMOTE_KNOWN)
+            && row.state == State::Live
+        {
+            row.state = State::New;
+            row.report = None;
+        }
+    }
     while let Some((time, target)) = pop_due(&mut world.targets.schedule.retries, now) {
         let current = world.targets.health.get_mut(&target);
         if current.is_none_or(|health| health.retry_at.take_if(|at| *at == time).is_none()) {
@@ -272,7 +298,7 @@
         if let Some(row) = world.targets.rows.get_mut(&target)
             && row.state == State::Quarantined
         {
-            // The next connect decides; one more failure puts it back for twice the time.
+            // The next poll decides; one more failure puts it back for twice the time.
             row.state = State::New;
             row.failures = 1;
             world.queues.touch_all();
--- a/src/core/host.rs
+++ b/src/core/host.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     core::{
-        Settings, World,
+        Settings, World, ask, away,
         peer::{self, Spread},
         summary::{self, Summary},
     },
@@ -256,9 +256,13 @@
     world.hosts.next_beat = now + BEAT_INTERVAL;
     let (me, next) = (world.hosts.me.clone(), world.hosts.own().beat + 1);
     beat(&mut world.hosts, &me, next, now);
+    if !paused.is_zero() {
+        ask::doubt(world);
+    }
     detect(world, paused);
     if world.hosts.among("config", WATCHERS) {
         summary::publish(world);
+        away::publish(world);
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,8 @@
 pub mod action;
 pub mod admit;
 pub mod apply;
+pub mod ask;
+pub mod away;
 pub mod bucket;
 pub mod budget;
 pub mod bulk;
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -238,7 +238,9 @@
     let serves = |row: &target::Row| {
         let pool = snapshot.pools.get(&row.pool);
         let kind = pool.map(|pool| &pool.kind);
-        row.state == target::State::Live && matches!(kind, Some(Kind::Engine { model }) if model == name)
+        // Engines of other zones are New while this host sends them no work; their zone tells when they are away.
+        let up = row.state == target::State::Live || row.state == target::State::New && row.zone != world.hosts.zone;
+        up && matches!(kind, Some(Kind::Engine { model }) if model == name)
     };
     let mut own = Vec::new();
     let mut zones: Vec<&ZoneId> = Vec::new();
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     core::{
-        Action, World,
+        Action, World, away,
         bucket::Bucket,
         config, forward, gossip, host, listing, rollout,
         rows::{Key, Owner, Wide, fits, named},
@@ -336,6 +336,12 @@
             rollout::heard(world, desired.model.into(), wanted);
         }
         Item::Listing(list) => listing::heard(world, &list),
+        Item::Away(away) => {
+            if let Some(row) = gossip::row(world, &key) {
+                push(world, &row, Spread::PushFew, Some(from));
+            }
+            away::heard(world, &away);
+        }
         Item::Zone(zone) => summary::heard(world, &zone),
         Item::Members(members) => summary::members_heard(world, &members),
         Item::Fence(fence) => store::fence_heard(world, &fence.lease, fence.fence),
--- a/src/core/route.rs
+++ b/src/core/route.rs
@@ -3,10 +3,7 @@
 use rand::{Rng, seq::index};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{
-    core::target::{Row, State},
-    prelude::*,
-};
+use crate::{core::target::Row, prelude::*};
 
 /// A remote target is considered once every target of the own zone is loaded beyond its slots.
 pub const REMOTE_PENALTY: f64 = 1.0;
@@ -14,8 +11,6 @@
 pub const ERROR_PENALTY: f64 = 1.0;
 const SWAPPING_PENALTY: f64 = 2.0;
 const FAILURE_PENALTY: f64 = 2.0;
-/// A target that has not reported yet may not be up.
-const UNPOLLED_PENALTY: f64 = 0.5;
 /// Targets whose scores differ by less are taken as equal, because load reports are late.
 const TIE: f64 = 0.5;
 /// A target keeps the prompts of its prefixes up to this multiple of the mean load.
@@ -43,9 +38,6 @@
         if row.failures > 0 {
             score += FAILURE_PENALTY;
         }
-        if row.state == State::New {
-            score += UNPOLLED_PENALTY;
-        }
         Self {
             target: target.clone(),
             load,
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -19,7 +19,7 @@
 /// Whether a target may get new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
-    /// Known from the host list, not yet polled.
+    /// Known from the host list, or known too long ago; used only once a poll or its poller says that it is well.
     #[default]
     New,
     Live,
@@ -78,6 +78,17 @@
         self.health.get(target).is_some_and(|health| now < health.error_until)
     }
 
+    /// Whether a target itself said that it leaves.
+    pub fn said_leaving(&self, target: &str) -> bool {
+        self.health.get(target).is_some_and(|it| it.said_leaving.is_some())
+    }
+
+    /// Takes over whether the zone of a target says that it gets no work; tells what it said before.
+    pub fn set_away(&mut self, target: &TargetId, away: bool) -> bool {
+        let health = self.health.entry(target.clone()).or_default();
+        std::mem::replace(&mut health.away, away)
+    }
+
     fn place(&mut self, target: &TargetId) {
         if let Some(row) = self.rows.get(target) {
             let zones = self.places.entry(row.pool.clone()).or_default();
@@ -209,8 +220,8 @@
     health::report(world, target);
 }
 
-/// Takes note that a connection was opened. Targets of other zones are polled by nobody here, so this is what tells
-/// that they are up. It does not end a quarantine, since the connection may be older than that.
+/// Takes note that a connection was opened. It does not end a quarantine, since the connection may be older than that,
+/// and it does not tell whether the target leaves.
 pub fn connected(world: &mut World, target: &TargetId) {
     let Some(row) = world.targets.rows.get_mut(target) else {
         return;
@@ -219,9 +230,6 @@
         return;
     }
     row.failures = 0;
-    if row.state == State::New {
-        row.state = State::Live;
-    }
     if let Some(health) = world.targets.health.get_mut(target) {
         health.probe_interval = None;
     }
@@ -247,6 +255,20 @@
     health::report(world, target);
 }
 
+/// Takes note that the zone of a target no longer says that it gets no work.
+pub fn back(world: &mut World, target: &TargetId) {
+    let Some(row) = world.targets.rows.get_mut(target) else {
+        return;
+    };
+    let health = world.targets.health.entry(target.clone()).or_default();
+    health.said_leaving = None;
+    if !health.listed_leaving {
+        row.state = State::New;
+        row.failures = 0;
+        world.queues.touch_all();
+    }
+}
+
 /// Polls the targets that this host is the poller of, and ends quarantines.
 pub fn run(world: &mut World) {
     health::run(world);
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -49,7 +49,7 @@
     pub incarnation: u64,
     #[prost(uint64, tag = "3")]
     pub version: u64,
-    #[prost(oneof = "Item", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Item", tags = "4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub item: Option<Item>,
 }
 
@@ -74,6 +74,8 @@
     Members(Members),
     #[prost(message, tag = "12")]
     Fence(Fence),
+    #[prost(message, tag = "13")]
+    Away(Away),
 }
 
 /// A host as it describes itself.
@@ -196,6 +198,18 @@
     pub leaving: bool,
 }
 
+/// Targets of a zone that get no work.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Away {
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// They said so themselves.
+    #[prost(string, repeated, tag = "2")]
+    pub leaving: Vec<String>,
+    #[prost(string, repeated, tag = "3")]
+    pub quarantined: Vec<String>,
+}
+
 /// Highest fencing number known of a lease.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Fence {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,8 +11,8 @@
 pub use self::{
     codec::{Codec, Error},
     gossip::{
-        Config, ConfigAsk, Delta, Desired, Digest, Fence, Head, Host, Item, Known, Listing, Load, Member, Members, Row,
-        Strike, Zone,
+        Away, Config, ConfigAsk, Delta, Desired, Digest, Fence, Head, Host, Item, Known, Listing, Load, Member,
+        Members, Row, Strike, Zone,
     },
 };
 
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -4,14 +4,15 @@
 
 use std::collections::BTreeSet;
 
-use drive::{Drive, LONG, call, entry, limits, ms, settings};
+use drive::{Drive, LONG, call, entry, limits, ms, prompt, settings};
 use lagoonyard::{
     core::{
-        Settings, host,
+        Settings, away, host,
         request::Failure,
         target::{self, Outcome, Report, State},
     },
     prelude::*,
+    wire,
 };
 
 fn state(drive: &Drive, target: &str) -> State {
@@ -133,3 +134,71 @@
     drive.advance(ms(12_000));
     assert_eq!(state(&drive, "e0"), State::Live);
 }
+
+/// Guards against work for a target of which nothing is known yet, or not lately enough to rule out that it leaves, and
+/// against hosts that poll all targets of the fleet.
+#[test]
+fn remote_target_is_asked_before_use_and_only_while_it_is_wanted() {
+    let mut drive = Drive::new(0, 0);
+    for at in 0..40 {
+        let mut remote = entry(&format!("e{at}"), "engines");
+        remote.zone = "other".into();
+        target::upsert(drive.core.world_mut(), &remote);
+    }
+    drive.advance(Duration::from_secs(10));
+    assert!(drive.polls.is_empty(), "unused targets are not polled");
+    drive.silent = true;
+    drive.submit(1, prompt("a"), None, LONG);
+    drive.advance(ms(1900));
+    assert!(drive.take().is_empty(), "nothing is known yet");
+    assert!(
+        (2..=16).contains(&drive.polls.len()),
+        "{} polls in 2 s",
+        drive.polls.len()
+    );
+    let asked = drive.polls[0].clone();
+    drive.answer_poll(&asked);
+    drive.advance(ms(200));
+    assert_eq!(drive.one().target, asked);
+    drive.advance(ms(3000));
+    assert_eq!(state(&drive, &asked), State::New);
+}
+
+/// Guards against work for targets that began to leave while this host was paused.
+#[test]
+fn targets_are_unknown_after_a_pause() {
+    let mut drive = Drive::new(2, 0);
+    drive.advance(ms(1100));
+    drive.silent = true;
+    drive.now += Duration::from_secs(6);
+    drive.prompts(1..=4);
+    assert!(drive.take().is_empty());
+    ["e0", "e1"].iter().for_each(|target| drive.answer_poll(target));
+    drive.advance(ms(200));
+    assert_eq!(drive.take().len(), 4);
+}
+
+/// Guards against hosts of other zones that do not hear that a target leaves or is quarantined, or is back.
+#[test]
+fn other_zones_hear_which_targets_get_no_work() {
+    let mut drive = Drive::new(0, 0);
+    for at in 0..2 {
+        let mut remote = entry(&format!("e{at}"), "engines");
+        remote.zone = "other".into();
+        target::upsert(drive.core.world_mut(), &remote);
+    }
+    for (leaving, quarantined, expected) in [
+        (vec!["e0"], vec!["e1"], [State::Leaving, State::Quarantined]),
+        (vec![], vec!["e1"], [State::New, State::Quarantined]),
+        (vec![], vec![], [State::New, State::New]),
+    ] {
+        let names = |names: Vec<&str>| names.into_iter().map(Into::into).collect();
+        let away = wire::Away {
+            zone: "other".into(),
+            leaving: names(leaving),
+            quarantined: names(quarantined),
+        };
+        away::heard(drive.core.world_mut(), &away);
+        assert_eq!(["e0", "e1"].map(|target| state(&drive, target)), expected);
+    }
+}
