--- a/src/entry/completions.rs
+++ b/src/entry/completions.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use volo_http::{body::Body, request::Request};
 
-use super::{Answer, deadline, key, services::content, unexpected};
+use super::{Answer, deadline, key, unexpected};
 use crate::{
     answer::{self, Error},
     control::{Chunk, Control, Pending, Reply},
@@ -27,9 +27,6 @@
 /// Tokens of a request that names no limit, as the published interface has it.
 const MAX_TOKENS_DEFAULT: u32 = 16;
 
-/// Start of the prompt that decides prefix affinity; engines cache prefixes in blocks.
-const PREFIX_BYTES: usize = 512;
-
 /// How the caller wants its answer.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Form {
@@ -113,16 +110,7 @@
     } else {
         Value::Object(body).to_string()
     };
-    let start = &prompt.as_bytes()[..prompt.len().min(PREFIX_BYTES)];
-    let generate = Generate {
-        content: content(&[model.as_bytes(), prompt.as_bytes(), params.as_bytes()]),
-        prefix: content(&[model.as_bytes(), start]),
-        model: model.into(),
-        prompt: prompt.into(),
-        max_tokens,
-        params: params.into(),
-    };
-    Ok((generate, form))
+    Ok((Generate::new(&model, &prompt, max_tokens, &params), form))
 }
 
 /// The text of an answer, if it is whole.
--- a/src/entry/services.rs
+++ b/src/entry/services.rs
@@ -4,7 +4,6 @@
 
 use http::header;
 use volo_http::request::Request;
-use xxhash_rust::xxh3::Xxh3;
 
 use super::{Answer, deadline, key, unexpected};
 use crate::{
@@ -22,18 +21,10 @@
     let method: Box<str> = request.method().as_str().into();
     let (service, path) = split(&request).ok_or(Code::UnknownName)?;
     let content_type = request.headers().get(header::CONTENT_TYPE);
-    let content_type = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
+    let content_type: Box<str> = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default().into();
     let (body, _room) = control.read(request).await?;
     control.ready()?;
-    let call = Call {
-        content: content(&[service.as_bytes(), method.as_bytes(), path.as_bytes(), &body]),
-        service,
-        method,
-        path,
-        content_type,
-        body,
-    };
-    let work = Work::Call(call);
+    let work = Work::Call(Call::new(&service, &method, &path, &content_type, body));
     let incoming = Incoming { work, key, deadline };
     let mut pending = control.ask(|ticket| Event::Request(request::Event::Submit { ticket, incoming }))?;
     match pending.reply().await? {
@@ -55,13 +46,3 @@
     };
     Some((service.into(), path))
 }
-
-/// Hash of parts, each with its length, so that no two lists of parts run together.
-pub fn content(parts: &[&[u8]]) -> ContentHash {
-    let mut hash = Xxh3::new();
-    for part in parts {
-        hash.update(&(part.len() as u64).to_le_bytes());
-        hash.update(part);
-    }
-    hash.digest()
-}
