--- a/crates/lab/src/check.rs
+++ b/crates/lab/src/check.rs
@@ -12,7 +12,7 @@
     prelude::*,
 };
 
-use crate::{Fleet, engine, fleet::Reply};
+use crate::{Fleet, engine, fleet::Reply, strike::Strikes};
 
 /// Longest time between the leaving of a target and the last new work for it.
 pub const LEAVING_MAX: Duration = Duration::from_secs(5);
@@ -38,6 +38,7 @@
     high: BTreeMap<HostId, Revision>,
     /// Targets that a poisonous prompt ended.
     pub poison_crashes: u32,
+    pub strikes: Strikes,
     pub answered: u64,
     /// Tokens in whole answers to callers.
     pub answered_tokens: u64,
@@ -93,13 +94,13 @@
 }
 
 /// New work goes to a target: P7.
-pub fn dispatched(fleet: &mut Fleet, target: &TargetId) {
+pub fn dispatched(fleet: &mut Fleet, host: &HostId, target: &TargetId) {
     let leaving = fleet.engines.get(target).and_then(|engine| engine.leaving);
     let leaving = leaving.or_else(|| fleet.services.get(target).and_then(|service| service.leaving));
     if leaving.is_some_and(|since| fleet.now > since + LEAVING_MAX) {
         fleet
             .checks
-            .broken(fleet.now, format!("P7 {target} gets work though it leaves"));
+            .broken(fleet.now, format!("P7 {target} gets work from {host} though it leaves"));
     }
 }
 
