--- a/src/cmd/cli.rs
+++ b/src/cmd/cli.rs
@@ -51,8 +51,8 @@
     /// File with the operator token.
     #[arg(long, value_name = "FILE")]
     pub token_file: Option<PathBuf>,
-    /// Longest time for the whole command. A host tries the store for some 10 s before it gives up an apply, and one
-    /// attempt gets at most half of this time; with less, an outage of the store shows as an unknown outcome.
+    /// Longest time for the whole command. A host refuses an apply after some 4 s without the store, and one
+    /// attempt gets at most half of this time; with less than 10 s, an outage of the store shows as an unknown outcome.
     #[arg(long, value_name = "MS", default_value_t = 30_000)]
     pub timeout_ms: u64,
 }
--- a/src/core/apply.rs
+++ b/src/core/apply.rs
@@ -23,6 +23,10 @@
 /// Store timeouts that fit into one apply: reading, two writes, and two tries to resolve a lost answer.
 const TIMEOUTS: u32 = 5;
 
+/// Store timeouts after which an apply that could not even read the head is refused. A client with a timeout of 10 s
+/// gives one host 5 s, and would otherwise report a refusing store as an unknown outcome.
+const READ_TIMEOUTS: u32 = 2;
+
 /// An operator's file.
 #[derive(Clone, Debug)]
 pub struct Asked {
@@ -128,12 +132,17 @@
 /// Moves applies on and ends those past their deadline.
 pub fn run(world: &mut World) {
     let now = world.now;
+    let early = world.settings.store_timeout * (TIMEOUTS - READ_TIMEOUTS);
     let tickets: Vec<Ticket> = world.config.applies.keys().copied().collect();
     for ticket in tickets {
         let Some(apply) = world.config.applies.get_mut(&ticket) else {
             continue;
         };
-        if apply.deadline <= now {
+        let deadline = match apply.stage {
+            Stage::Read if !apply.risked && apply.failures > 0 => apply.deadline.saturating_sub(early),
+            _ => apply.deadline,
+        };
+        if deadline <= now {
             let in_flight = apply.stage == Stage::Swap && apply.due.is_none();
             let code = if apply.risked || in_flight {
                 Code::ApplyUnknown
--- a/src/http_sd.rs
+++ b/src/http_sd.rs
@@ -81,7 +81,8 @@
         match self.list().await {
             Ok(entries) => Some(entries.into_iter().filter(|it| it.zone == *zone).collect()),
             Err(error) => {
-                log::warn!("could not read the host list: {error}");
+                // The core warns once per outage; a line at each reading would fill the log.
+                log::debug!("could not read the host list: {error}");
                 None
             }
         }
