Truncate every stream of the truncation case

Cause: the second half of the case set the truncation when all its streams had started, so that nothing was cut. Change: each stream of the case starts after both engines were told to cut the next one.

--- a/crates/faultrun/src/cases/streams.rs
+++ b/crates/faultrun/src/cases/streams.rs
@@ -117,29 +117,17 @@
 
 /// Guards against taking a stream that an engine breaks off without a finish reason for a whole one.
 pub fn engine_truncates() -> Result<()> {
-    let mut yard = Yard::start(Plan::default())?;
-    for round in 0..2 {
-        for engine in &yard.engines {
-            let control = json!({"truncate_after_tokens": 5 + round});
-            Request::post(engine.address, "/control", &control).send()?;
-        }
-        // The direct runs for the texts would use up the truncation, so they come from a third generation.
-        let entry = yard.hosts[round % 2].entry;
-        let answer = stream(entry, 100 + round, TOKENS)?;
-        for engine in &yard.engines {
-            let control = json!({"truncate_after_tokens": 1_000_000});
-            Request::post(engine.address, "/control", &control).send()?;
+    let yard = Yard::start(Plan::default())?;
+    let texts = texts(yard.engines[0].address, 2, TOKENS)?;
+    for (index, text) in texts.iter().enumerate() {
+        for (engine, after) in yard.engines.iter().zip([5, 20]) {
+            let control = json!({"truncate_after_tokens": after});
+            let answer = Request::post(engine.address, "/control", &control).send()?;
+            ensure_whatever!(answer.status == 200, "control: {}", answer.text());
         }
-        let text = expected(yard.engines[0].address, 100 + round, TOKENS)?;
-        check(&answer, &text)?;
+        check(&stream(yard.hosts[index].entry, index, TOKENS)?, text)?;
     }
-    run(&mut yard, |yard| {
-        for engine in &yard.engines {
-            Request::post(engine.address, "/control", &json!({"truncate_after_tokens": 3})).send()?;
-        }
-        Ok(())
-    })
-    .map(drop)
+    Ok(())
 }
 
 /// Guards against a stream without an end, or a broken one that looks whole, when an engine hangs.
--- a/crates/faultrun/src/yard.rs
+++ b/crates/faultrun/src/yard.rs
@@ -314,7 +314,7 @@
 
 impl Drop for Yard {
     fn drop(&mut self) {
-        // The logs stay when a case fails, since the caller then panics or reports their folder.
+        // Set this variable to look at the logs of a run.
         if env::var_os("FAULTRUN_KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.dir);
         }
