--- a/crates/standin/src/outage.rs
+++ b/crates/standin/src/outage.rs
@@ -28,6 +28,9 @@
     pub delay_ms: Option<u64>,
     /// Answers to lose before the mode goes back to none.
     pub count: Option<u64>,
+    /// Answers to give before the first one is lost.
+    #[serde(default)]
+    pub skip: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +38,7 @@
     mode: Mode,
     delay: Duration,
     left: Option<u64>,
+    skip: u64,
 }
 
 /// The outage in force.
@@ -49,6 +53,7 @@
             mode: Mode::None,
             delay,
             left: None,
+            skip: 0,
         };
         Self {
             state: watch::Sender::new(state),
@@ -59,6 +64,7 @@
         self.state.send_modify(|state| {
             state.mode = request.mode;
             state.left = request.count;
+            state.skip = request.skip;
             if let Some(delay) = request.delay_ms {
                 state.delay = Duration::from_millis(delay);
             }
@@ -88,7 +94,13 @@
         if self.mode() != Mode::LoseAnswers {
             return false;
         }
+        let mut lost = true;
         self.state.send_modify(|state| {
+            if state.skip > 0 {
+                state.skip -= 1;
+                lost = false;
+                return;
+            }
             if let Some(left) = &mut state.left {
                 *left = left.saturating_sub(1);
                 if *left == 0 {
@@ -96,7 +108,7 @@
                 }
             }
         });
-        true
+        lost
     }
 
     /// A switch that follows the mode.
