Keep engines in use whose load reports stop

A poll whose /load part failed counted as no answer, so every engine of a zone went into quarantine when reports stopped, and no weights were ordered there. The poll now tells a well target without a report apart: load is taken from what the host has in flight, and the version from the last order that succeeded.

--- a/crates/lab/src/perform.rs
+++ b/crates/lab/src/perform.rs
@@ -381,7 +381,7 @@
             (None, _) => Outcome::Unreachable,
             (Some((_, Some(_))), _) => Outcome::Leaving,
             (Some(_), None) => Outcome::Report(Report::default()),
-            (Some(_), Some(_)) if self.mute_reports => return,
+            (Some(_), Some(_)) if self.mute_reports => Outcome::Well,
             (Some(_), Some(engine)) => Outcome::Report(Report {
                 running: engine.running.len() as u32,
                 waiting: engine.waiting.len() as u32,
--- a/src/core/health.rs
+++ b/src/core/health.rs
@@ -226,6 +226,7 @@
     let pool = snapshot.and_then(|snapshot| snapshot.pools.get(&row.pool));
     let outcome = match row.state {
         State::New => return,
+        State::Live if row.report.is_none() => 3,
         State::Live => 0,
         // Peers learn from the list themselves what the list says.
         State::Leaving if health.said_leaving.is_none() => return,
@@ -241,7 +242,7 @@
     let load = last.running + last.waiting;
     let step = pool.map_or(1, |pool| (pool.slots / 10).max(1));
     let (urgent, due) = match &health.published {
-        None => (outcome != 0, true),
+        None => (matches!(outcome, 1 | 2), true),
         Some(old) => (
             old.outcome != outcome,
             old.version != version || old.load.abs_diff(load) >= step || world.now >= old.at + REPORT_INTERVAL,
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -8,7 +8,7 @@
         engines::Engines,
         rollout::{Failure, Op, Order, Ordered},
         settings::Policy,
-        store, turn, wait,
+        store, target, turn, wait,
     },
     file::{Model, Snapshot},
     prelude::*,
@@ -237,11 +237,14 @@
     let mut found = Vec::new();
     let mut hurry = false;
     for target in engines {
-        let report = world.targets.rows.get(target).and_then(|row| row.report.as_ref());
-        let Some(report) = report else {
+        let Some(row) = world.targets.rows.get(target) else {
             continue;
         };
-        let version = report.versions.get(model).copied();
+        // An engine without a report is ordered once and then taken to serve what it answered that it loaded.
+        let version = row
+            .report
+            .as_ref()
+            .and_then(|report| report.versions.get(model).copied());
         if version == Some(wanted) {
             orders.retries.remove(target);
             orders.loaded.remove(target);
@@ -263,7 +266,7 @@
         if !settling && !paused && !busy {
             found.push(Candidate {
                 version,
-                running: report.running,
+                running: row.report.as_ref().map_or(row.in_flight, |report| report.running),
                 target: target.clone(),
             });
         }
@@ -343,9 +346,11 @@
         .collect();
     let rows = &world.targets.rows;
     orders.retries.retain(|target, _| rows.contains_key(target));
-    orders
-        .loaded
-        .retain(|target, (_, shown)| rows.get(target).is_some_and(|row| row.reported_at < *shown));
+    orders.loaded.retain(|target, (_, shown)| {
+        let silent = |row: &target::Row| row.report.is_none() && row.state == target::State::Live;
+        rows.get(target)
+            .is_some_and(|row| silent(row) || row.reported_at < *shown)
+    });
     orders.ahead.retain(|target, _| rows.contains_key(target));
     for id in lost {
         if let Some(flight) = world.rollouts.orders.in_flight.remove(&id) {
--- a/src/core/peer.rs
+++ b/src/core/peer.rs
@@ -293,6 +293,7 @@
                 .collect(),
         }),
         1 => target::Outcome::Leaving,
+        3 => target::Outcome::Well,
         _ => target::Outcome::Unreachable,
     };
     target::heard(world, &id, outcome);
--- a/src/core/target.rs
+++ b/src/core/target.rs
@@ -121,6 +121,8 @@
 #[derive(Clone, Debug)]
 pub enum Outcome {
     Report(Report),
+    /// The target answers that it is well, but gives no load report.
+    Well,
     /// The target says that it leaves.
     Leaving,
     Unreachable,
@@ -182,6 +184,11 @@
             health::well(world, &target);
             strike::answered(world, &target, sent);
         }
+        Outcome::Well => {
+            drop_report(world, &target);
+            health::well(world, &target);
+            strike::answered(world, &target, sent);
+        }
         Outcome::Leaving => {
             says_leaving(world, &target);
             strike::answered(world, &target, sent);
@@ -208,6 +215,10 @@
             take_report(world, target, report);
             health::poller_says_well(world, target);
         }
+        Outcome::Well => {
+            drop_report(world, target);
+            health::poller_says_well(world, target);
+        }
         Outcome::Leaving => says_leaving(world, target),
         Outcome::Unreachable => health::quarantine(world, target, health::PROBE_MAX),
     }
@@ -283,6 +294,15 @@
     }
 }
 
+/// Load is then taken from what this host has in flight, and versions from what the orders reached.
+fn drop_report(world: &mut World, target: &TargetId) {
+    let now = world.now;
+    if let Some(row) = world.targets.rows.get_mut(target) {
+        row.report = None;
+        row.reported_at = now;
+    }
+}
+
 fn failed(world: &mut World, target: &TargetId) {
     let Some(row) = world.targets.rows.get_mut(target) else {
         return;
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -230,7 +230,8 @@
                     versions: load.versions,
                 })
             }
-            Err(_) => target::Outcome::Unreachable,
+            // An engine that answers `/health` serves on, even if its load cannot be read.
+            Err(_) => target::Outcome::Well,
         }
     }
 
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -107,7 +107,7 @@
     /// Version of the pool's model.
     #[prost(uint64, tag = "5")]
     pub version: u64,
-    /// 0 reports, 1 leaves, 2 unreachable.
+    /// 0 reports, 1 leaves, 2 unreachable, 3 well without a report.
     #[prost(uint32, tag = "6")]
     pub outcome: u32,
 }
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -202,3 +202,15 @@
         assert_eq!(["e0", "e1"].map(|target| state(&drive, target)), expected);
     }
 }
+
+/// Guards against engines taken out of use because their load reports stop while they serve on.
+#[test]
+fn a_target_without_load_reports_stays_in_use() {
+    let mut drive = Drive::new(1, 0);
+    for _ in 0..5 {
+        drive.polled("e0", Outcome::Well);
+        drive.advance(ms(1000));
+    }
+    assert_eq!(state(&drive, "e0"), State::Live);
+    assert!(drive.core.world().targets.rows["e0"].report.is_none());
+}
