--- a/crates/lab/src/bin/slopes.rs
+++ b/crates/lab/src/bin/slopes/lab.rs
@@ -1,129 +1,79 @@
-//! Measures how the cost of control grows with hosts, targets and zones.
-//!
-//! Cores run in one process under a fake clock, joined by a network without loss and with a fixed delay. Measured are the
-//! processor time inside the cores, the bytes of their peer messages, and the time from the acceptance of a configuration
-//! to the last host in force. `docs/capacity-slopes.md` has the results.
+//! Cores in one process under a fake clock, joined by a network without loss and with a fixed delay.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
-use clap::Parser;
 use lagoonyard::{
     core::{
         Action, Core, Event, Settings,
         config::{Admin, Answer},
         listing::{Entry, Read},
         peer,
+        rollout::Ordered,
         settings::Seed,
-        store::{self, Call, Expect, Failure, Reply, Value},
+        store::{self, Call, Reply},
         target::{Outcome, Polled, Report, State},
     },
-    ids::CallId,
+    ids::{TargetId, Version},
     wire::Message,
 };
 use prost::Message as _;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::{
+    Args,
+    load::{Due, Load},
+    platform::{self, Store, Watch},
+};
+
 const STEP: Duration = Duration::from_millis(5);
-const WARM_UP: Duration = Duration::from_secs(20);
 const FRAME_BYTES: usize = 4;
-const FILE: &str = include_str!("../../../../docs/examples/huon.json");
-
-/// Measures the control core against hosts per zone, targets per zone and zones.
-#[derive(Parser)]
-struct Args {
-    /// Simulated seconds that are measured after the warm-up.
-    #[arg(long, default_value_t = 60)]
-    seconds: u64,
-    /// One-way delay between hosts.
-    #[arg(long, default_value_t = 2)]
-    delay_ms: u64,
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
-}
+/// Slots of an engine, and so the highest load that a target reports.
+const SLOTS: u32 = 16;
 
+/// Size of a fleet.
 #[derive(Clone, Copy)]
-struct Shape {
-    zones: usize,
-    hosts: usize,
-    targets: usize,
-}
-
-struct Measured {
-    cpu_us: f64,
-    bytes: f64,
-    in_force_ms: f64,
-    leaving_ms: f64,
-}
-
-/// Key-value service without faults.
-#[derive(Default)]
-struct Store {
-    values: BTreeMap<Box<str>, Value>,
-    revision: u64,
-    watches: Vec<(usize, CallId, Box<str>, u64, Duration)>,
-}
-
-impl Store {
-    fn apply(&mut self, call: Call) -> Result<Reply, Failure> {
-        Ok(match call {
-            Call::Get { key } => Reply::Value(self.values.get(&key).cloned()),
-            Call::Swap { key, expect, value, .. } => {
-                let found = self.values.get(&key);
-                if expect != found.map_or(Expect::Absent, |found| Expect::At(found.changed)) {
-                    return Ok(Reply::Conflict(found.cloned()));
-                }
-                self.revision += 1;
-                let (bytes, changed) = (value, self.revision);
-                let created = found.map_or(changed, |found| found.created);
-                let value = Value {
-                    bytes,
-                    changed,
-                    created,
-                };
-                self.values.insert(key, value);
-                Reply::Swapped { changed }
-            }
-            Call::Delete { key } => {
-                self.values.remove(&key);
-                Reply::Deleted
-            }
-            Call::Grant { ttl } => Reply::Lease { id: 1, ttl },
-            Call::KeepAlive { lease: id } => {
-                let ttl = Duration::from_secs(10);
-                Reply::Lease { id, ttl }
-            }
-            Call::Watch { .. } => return Err(Failure::Unsent),
-        })
-    }
+pub struct Shape {
+    pub zones: usize,
+    pub hosts: usize,
+    pub targets: usize,
+    pub trainers: usize,
+    /// Largest change of a target's reported load between two polls.
+    pub load_step: u32,
 }
 
-struct Host {
-    core: Core,
-    events: Vec<Event>,
+/// One host and what it has used.
+pub struct Host {
+    pub core: Core,
+    pub events: Vec<Event>,
     zone: usize,
-    cpu: Duration,
-    bytes: usize,
+    pub cpu: Duration,
+    pub bytes: usize,
 }
 
-struct Lab {
-    now: Duration,
+/// A fleet.
+pub struct Lab {
+    pub now: Duration,
+    pub shape: Shape,
     delay: Duration,
-    hosts: Vec<Host>,
+    pub hosts: Vec<Host>,
     ids: BTreeMap<Box<str>, usize>,
     net: BTreeMap<Duration, Vec<(usize, Box<str>, Message)>>,
-    store: Store,
+    pub due: BTreeMap<Duration, Vec<Due>>,
+    pub store: Store,
     lists: Vec<Vec<Entry>>,
+    reported: BTreeMap<TargetId, (u32, Version)>,
+    pub load: Load,
     rng: ChaCha8Rng,
     accepted: BTreeSet<u64>,
 }
 
 impl Lab {
-    fn new(shape: Shape, args: &Args) -> Self {
+    /// A fleet that has just started.
+    pub fn new(shape: Shape, args: &Args) -> Self {
         let now = Duration::from_secs(1000);
         let id = |zone: usize, host: usize| format!("host-{zone}-{host:03}");
         let seeds: Vec<Seed> = (0..shape.zones)
@@ -162,24 +112,29 @@
             target: format!("worker-{zone}-{target:04}").into(),
             zone: format!("zone-{zone}").into(),
             address: format!("10.{zone}.{}.{}:8000", 1 + target / 200, target % 200).into(),
-            pool: "blurb-engines".into(),
+            pool: if target % 10 == 9 { "desks" } else { "engines" }.into(),
             leaving: false,
         };
         let list = |zone| (0..shape.targets).map(|target| entry(zone, target)).collect();
         Self {
             now,
+            shape,
             delay: Duration::from_millis(args.delay_ms),
             hosts,
             ids,
             net: BTreeMap::new(),
+            due: BTreeMap::new(),
             store: Store::default(),
             lists: (0..shape.zones).map(list).collect(),
+            reported: BTreeMap::new(),
+            load: Load::new(),
             rng: ChaCha8Rng::seed_from_u64(args.seed),
             accepted: BTreeSet::new(),
         }
     }
 
-    fn run(&mut self, time: Duration) {
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
         let until = self.now + time;
         while self.now < until {
             self.step();
@@ -188,6 +143,7 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        self.drive(STEP);
         let later = self.net.split_off(&(self.now + Duration::from_nanos(1)));
         for (to, from, message) in std::mem::replace(&mut self.net, later).into_values().flatten() {
             let message = Box::new(message);
@@ -196,18 +152,21 @@
                 .push(Event::Peer(peer::Event::Message { from, message }));
         }
         for watch in std::mem::take(&mut self.store.watches) {
-            let (host, id, key, after, until) = &watch;
-            let found = self.store.values.get(key).filter(|value| value.changed > *after);
+            let found = self
+                .store
+                .values
+                .get(&watch.key)
+                .filter(|value| value.changed > watch.after);
             let reply = match found {
                 Some(value) => Reply::Value(Some(value.clone())),
-                None if self.now >= *until => Reply::NoChange,
+                None if self.now >= watch.until => Reply::NoChange,
                 None => {
                     self.store.watches.push(watch);
                     continue;
                 }
             };
-            self.hosts[*host].events.push(Event::Store(store::Answer {
-                id: *id,
+            self.hosts[watch.host].events.push(Event::Store(store::Answer {
+                id: watch.id,
                 result: Ok(reply),
             }));
         }
@@ -239,23 +198,49 @@
                     queue.push((*to, from, message));
                 }
             }
-            Action::Store { id, call } => match call {
-                Call::Watch { key, after, wait } => {
-                    self.store.watches.push((index, id, key, after, self.now + wait));
+            Action::Store { id, call } => {
+                self.store.count(&call);
+                match call {
+                    Call::Watch { key, after, wait } => {
+                        let until = self.now + wait;
+                        self.store.watches.push(Watch {
+                            host: index,
+                            id,
+                            key,
+                            after,
+                            until,
+                        });
+                    }
+                    call => {
+                        let result = self.store.apply(call);
+                        host.events.push(Event::Store(store::Answer { id, result }));
+                    }
                 }
-                call => {
-                    let result = self.store.apply(call);
-                    host.events.push(Event::Store(store::Answer { id, result }));
-                }
-            },
+            }
+            Action::Dispatch(attempt) => self.dispatched(index, &attempt),
+            Action::Batch { ticket, answer } => self.pulled(ticket, answer),
+            Action::Answer { .. } => self.load.answered += 1,
+            Action::Order(order) => {
+                let (id, target) = (order.id, order.target);
+                self.reported.entry(target.clone()).or_insert((0, 0)).1 = order.desired.version;
+                let result = Ok(());
+                host.events.push(Event::Ordered(Ordered { id, target, result }));
+            }
             Action::ReadListing { zone } => {
                 let entries = Some(self.lists[host.zone].clone());
                 host.events.push(Event::Listing(Read { zone, entries }));
             }
             Action::Poll { target, .. } => {
+                let step = self.shape.load_step;
+                let (running, version) = self
+                    .reported
+                    .entry(target.clone())
+                    .or_insert_with(|| (self.rng.random_range(0..=SLOTS), 1));
+                let high = (*running + step).min(SLOTS);
+                *running = self.rng.random_range(running.saturating_sub(step)..=high);
                 let report = Report {
-                    running: self.rng.random_range(0..16),
-                    waiting: self.rng.random_range(0..4),
+                    running: *running,
+                    versions: [("writer".into(), *version)].into(),
                     ..Report::default()
                 };
                 let outcome = Outcome::Report(report);
@@ -272,14 +257,14 @@
     }
 
     /// Applies a file and returns the time from its acceptance to the last host in force.
-    fn apply(&mut self, revision: u64) -> Duration {
-        let body = FILE.replace("\"slots\": 16", &format!("\"slots\": {}", 16 + revision));
+    pub fn apply(&mut self, revision: u64) -> Duration {
+        let body = platform::file(self.shape.zones, self.shape.trainers, u64::from(SLOTS) + revision);
         let admin = Admin::Apply {
             ticket: revision,
             apply_id: format!("apply-{revision}").into(),
             expected: revision - 1,
             dry_run: false,
-            body: Bytes::from(body),
+            body,
         };
         self.hosts[0].events.push(Event::Admin(admin));
         let limit = self.now + Duration::from_secs(60);
@@ -301,7 +286,7 @@
     }
 
     /// Marks a target as leaving in its zone's list and returns the time to the last host of the zone that knows.
-    fn leave(&mut self, index: usize) -> Duration {
+    pub fn leave(&mut self, index: usize) -> Duration {
         let entry = &mut self.lists[0][index];
         entry.leaving = true;
         let target = entry.target.clone();
@@ -319,80 +304,3 @@
         Duration::MAX
     }
 }
-
-fn measure(shape: Shape, args: &Args) -> Measured {
-    let mut lab = Lab::new(shape, args);
-    lab.run(WARM_UP);
-    lab.apply(1);
-    lab.run(WARM_UP);
-    for host in &mut lab.hosts {
-        host.cpu = Duration::ZERO;
-        host.bytes = 0;
-    }
-    let time = Duration::from_secs(args.seconds);
-    lab.run(time);
-    let count = lab.hosts.len() as f64 * time.as_secs_f64();
-    let cpu: Duration = lab.hosts.iter().map(|host| host.cpu).sum();
-    let bytes: usize = lab.hosts.iter().map(|host| host.bytes).sum();
-    let applies: Vec<Duration> = (2..7).map(|revision| lab.apply(revision)).collect();
-    let leaves: Vec<Duration> = (0..5).map(|index| lab.leave(index)).collect();
-    let worst = |times: &[Duration]| times.iter().max().map_or(f64::NAN, |time| time.as_secs_f64() * 1e3);
-    Measured {
-        cpu_us: cpu.as_secs_f64() * 1e6 / count,
-        bytes: bytes as f64 / count,
-        in_force_ms: worst(&applies),
-        leaving_ms: worst(&leaves),
-    }
-}
-
-/// Slope and intercept by least squares.
-fn line(points: &[(f64, f64)]) -> (f64, f64) {
-    let count = points.len() as f64;
-    let mean = |of: fn(&(f64, f64)) -> f64| points.iter().map(of).sum::<f64>() / count;
-    let (x, y) = (mean(|point| point.0), mean(|point| point.1));
-    let covariance: f64 = points.iter().map(|point| (point.0 - x) * (point.1 - y)).sum();
-    let variance: f64 = points.iter().map(|point| (point.0 - x).powi(2)).sum();
-    let slope = covariance / variance;
-    (slope, y - slope * x)
-}
-
-fn sweep(name: &str, shapes: impl Iterator<Item = (usize, Shape)>, args: &Args) {
-    println!("\n| {name} | CPU, us/s | sent, bytes/s | last in force, ms | list mark known, ms |");
-    println!("|---|---|---|---|---|");
-    let mut points = Vec::new();
-    for (x, shape) in shapes {
-        let found = measure(shape, args);
-        let Measured {
-            cpu_us,
-            bytes,
-            in_force_ms,
-            leaving_ms,
-        } = found;
-        println!("| {x} | {cpu_us:.0} | {bytes:.0} | {in_force_ms:.0} | {leaving_ms:.0} |");
-        points.push((x as f64, found));
-    }
-    let of = |value: fn(&Measured) -> f64| {
-        let points: Vec<(f64, f64)> = points.iter().map(|(x, found)| (*x, value(found))).collect();
-        line(&points)
-    };
-    for (unit, (slope, intercept)) in [
-        ("us/s", of(|found| found.cpu_us)),
-        ("bytes/s", of(|found| found.bytes)),
-        ("ms in force", of(|found| found.in_force_ms)),
-        ("ms until a list mark is known", of(|found| found.leaving_ms)),
-    ] {
-        println!("slope against {name}: {slope:.2} {unit} each, {intercept:.0} at zero");
-    }
-}
-
-fn main() {
-    let args = Args::parse();
-    let (zones, hosts, targets) = (2, 32, 100);
-    let base = Shape { zones, hosts, targets };
-    let hosts = [8, 16, 32, 64, 93].map(|hosts| (hosts, Shape { hosts, ..base }));
-    sweep("hosts per zone", hosts.into_iter(), &args);
-    let targets = [13, 100, 300, 650].map(|targets| (targets, Shape { targets, ..base }));
-    sweep("targets per zone", targets.into_iter(), &args);
-    let zones = [1, 2, 4].map(|zones| (zones, Shape { zones, ..base }));
-    sweep("zones", zones.into_iter(), &args);
-}
