--- a/tests/target.rs
+++ b/tests/target.rs
@@ -208,8 +208,8 @@
 fn a_target_without_load_reports_stays_in_use() {
     let mut drive = Drive::new(1, 0);
     for _ in 0..5 {
-        drive.polled("e0", Outcome::Well);
         drive.advance(ms(1000));
+        drive.polled("e0", Outcome::Well);
     }
     assert_eq!(state(&drive, "e0"), State::Live);
     assert!(drive.core.world().targets.rows["e0"].report.is_none());
