Excuse a load that starts before a crash can be known; record the pacing faults that stay

The trace shows why: e4 crashed at 54.2 and e3 at 57.6, and at 58.1 the zone of e3 began to load e1, 0.4 s after a crash that two polls a second apart cannot have shown. The check now leaves out 3 s after a crash and is otherwise as it was.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -380,6 +380,7 @@
     pub fn crash(&mut self, target: &str, back: Option<Duration>) {
         self.note(format!("target {target} crashes"));
         self.checks.disturbed = Some(self.now);
+        self.checks.crashed = Some(self.now);
         if let Some(engine) = self.engines.get_mut(target) {
             self.crashes += 1;
             let notes = engine.crash();
