--- a/tests/stream.rs
+++ b/tests/stream.rs
@@ -44,11 +44,7 @@
     let mut second = Rig::new("b", 2);
     let (next, new) = second.batch(&cursor, 1);
     let ids = |groups: &[stream::Group]| -> BTreeSet<Box<str>> {
-        groups
-            .iter()
-            .flat_map(|group| &group.samples)
-            .map(|sample| sample.id.clone())
-            .collect()
+        groups.iter().flat_map(|group| &group.samples).map(|sample| sample.id.clone()).collect()
     };
     assert!(indices(&new).iter().all(|index| !indices(&groups).contains(index)));
     assert!(ids(&new).is_disjoint(&ids(&groups)) && ids(&new).is_disjoint(&ids(&lost)));
@@ -78,11 +74,7 @@
     rig.serve(3);
     let (_, new) = rig.batch("", 3);
     assert_ne!(old, new);
-    assert!(
-        new.iter()
-            .flat_map(|group| &group.samples)
-            .all(|sample| sample.staleness(3) <= 1)
-    );
+    assert!(new.iter().flat_map(|group| &group.samples).all(|sample| sample.staleness(3) <= 1));
 }
 
 /// Guards against a sample that a swap made partly from old weights, and against one of unknown version.
@@ -103,11 +95,7 @@
     let (_, groups) = rig.answered();
     let samples: Vec<_> = groups.iter().flat_map(|group| &group.samples).collect();
     assert_eq!(samples.len(), 6);
-    assert!(
-        samples
-            .iter()
-            .any(|sample| sample.segments == rig::segments(&[Some(2), Some(3)]))
-    );
+    assert!(samples.iter().any(|sample| sample.segments == rig::segments(&[Some(2), Some(3)])));
     for sample in samples {
         assert!(!sample.segments.is_empty());
         assert!(sample.segments.iter().all(|segment| segment.version >= Some(2)));
@@ -133,11 +121,7 @@
     assert!(paused, "no prompt is paused after its last try");
     // Two minutes; without backoff and pause it would be 600 tries for each of at least 12 samples.
     assert!(tries < 600, "{tries} tries");
-    assert!(
-        rig.answers()
-            .iter()
-            .all(|(_, answer)| code(answer) == Some(Code::NoBatch))
-    );
+    assert!(rig.answers().iter().all(|(_, answer)| code(answer) == Some(Code::NoBatch)));
 }
 
 /// Fills a stream with sample times of about a second and leaves one sample running.
@@ -172,10 +156,8 @@
     let (mut rig, slow) = with_straggler();
     let twin = |rig: &Rig| {
         let prompt = rig.prompt(slow);
-        let mut others = rig
-            .samples()
-            .into_iter()
-            .filter(|&id| id != slow && rig.prompt(id) == prompt);
+        let mut others =
+            rig.samples().into_iter().filter(|&id| id != slow && rig.prompt(id) == prompt);
         others.find(|id| rig.world.requests.rows[id].submit.avoid.contains(&"w1".into()))
     };
     let second = twin(&rig).expect("a second run that avoids the first engine");
@@ -196,12 +178,8 @@
         .filter_map(|(&index, draft)| draft.group(index))
         .flat_map(|group| group.samples);
     let texts: Vec<Box<str>> = offered.cloned().chain(held).map(|sample| sample.text).collect();
-    let of = |id: RequestId| {
-        texts
-            .iter()
-            .filter(|text| **text == format!("text {id}").into())
-            .count()
-    };
+    let of =
+        |id: RequestId| texts.iter().filter(|text| **text == format!("text {id}").into()).count();
     assert_eq!((of(second), of(slow)), (1, 0));
 }
 
@@ -246,10 +224,8 @@
     rig.pull("", 1);
     rig.start();
     let refused: Vec<RequestId> = rig.samples();
-    let refused = refused
-        .into_iter()
-        .find(|&id| rig.prompt(id).as_deref() == Some("prompt 0"))
-        .unwrap();
+    let refused =
+        refused.into_iter().find(|&id| rig.prompt(id).as_deref() == Some("prompt 0")).unwrap();
     rig.end(refused, Err(Code::CrashesTargets));
     let mut cursor: Box<str> = "".into();
     let mut seen = Vec::new();
@@ -321,13 +297,7 @@
     rig.start();
     assert!(!rig.samples().is_empty());
     // With the zone's other hosts gone, this host owns the stream.
-    for row in rig
-        .world
-        .hosts
-        .rows
-        .values_mut()
-        .filter(|row| &*row.address == "127.0.0.1:1")
-    {
+    for row in rig.world.hosts.rows.values_mut().filter(|row| &*row.address == "127.0.0.1:1") {
         row.state = State::Dead;
     }
     rig.batch("", 1);
@@ -405,12 +375,7 @@
             }
             rig.pass(Duration::from_secs(1));
             for (_, answer) in rig.answers() {
-                let Answer::Batch {
-                    cursor: next,
-                    version: judged,
-                    groups,
-                } = answer
-                else {
+                let Answer::Batch { cursor: next, version: judged, groups } = answer else {
                     continue;
                 };
                 // A trainer drops an answer that was judged by older weights than its own; some answers are lost.
@@ -461,10 +426,7 @@
     rig.pass(Duration::from_secs(1));
     let (_, groups) = rig.batch("", 1);
     assert!(
-        groups
-            .iter()
-            .flat_map(|group| &group.samples)
-            .all(|sample| sample.reward == Some(0.5))
+        groups.iter().flat_map(|group| &group.samples).all(|sample| sample.reward == Some(0.5))
     );
     assert!(!rig.world.out.iter().any(|action| matches!(action, Action::Order(_))));
 }
@@ -474,10 +436,7 @@
 fn a_large_batch_is_passed_on_in_parts() {
     let sample = |id: usize| wire::Sample {
         id: format!("s{id}"),
-        text: Some(wire::Text {
-            text: "x".repeat(4000),
-            ..wire::Text::default()
-        }),
+        text: Some(wire::Text { text: "x".repeat(4000), ..wire::Text::default() }),
         reward: None,
     };
     let group = |prompt_index| wire::Group {
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -41,11 +41,7 @@
         for (since, attempt) in std::mem::take(&mut running) {
             let ran = now - since;
             if drive.dead.contains(&attempt.target) {
-                let failure = if ran.is_zero() {
-                    Failure::Connect
-                } else {
-                    Failure::Broken
-                };
+                let failure = if ran.is_zero() { Failure::Connect } else { Failure::Broken };
                 drive.fail(&attempt, failure);
             } else if is_culprit(&attempt) && ran >= ms(100) {
                 let content = attempt.work.content();
@@ -151,11 +147,9 @@
 /// decisive strike for a request that was not alone.
 #[test]
 fn only_the_isolated_are_struck_again() {
-    for (heard, counts) in [
-        (vec!["ax", "ay", "bx"], [2, 1]),
-        (vec!["ax", "ay"], [2, 1]),
-        (vec!["ax"], [2, 1]),
-    ] {
+    for (heard, counts) in
+        [(vec!["ax", "ay", "bx"], [2, 1]), (vec!["ax", "ay"], [2, 1]), (vec!["ax"], [2, 1])]
+    {
         let mut drive = Drive::new(1, 0);
         drive.submit(1, prompt("a"), None, LONG);
         drive.submit(2, prompt("b"), None, LONG);
@@ -164,10 +158,7 @@
         }
         drive.dead.insert("e0".into());
         drive.silent = true;
-        drive
-            .take()
-            .iter()
-            .for_each(|attempt| drive.fail(attempt, Failure::Broken));
+        drive.take().iter().for_each(|attempt| drive.fail(attempt, Failure::Broken));
         drive.answer_poll("e0");
         let strikes = &drive.core.world().strikes;
         assert_eq!(["a", "b"].map(|text| strikes.count(prompt(text).content())), counts);
@@ -247,7 +238,8 @@
     struck(&mut drive, "worst", &["x", "y"], 0);
     let worst = Key::Strike(prompt("worst").content());
     let wide = |drive: &Drive| drive.core.world().peers.wide.keys().cloned().collect::<Vec<_>>();
-    let strikes = |drive: &Drive| wide(drive).iter().filter(|key| matches!(key, Key::Strike(_))).count();
+    let strikes =
+        |drive: &Drive| wide(drive).iter().filter(|key| matches!(key, Key::Strike(_))).count();
     assert_eq!(strikes(&drive), 64);
     assert!(wide(&drive).contains(&worst));
     drive.now += Duration::from_secs(3600);
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -69,11 +69,7 @@
     target::mark_leaving(drive.core.world_mut(), &id);
     assert_eq!(state(&drive, "e0"), State::Leaving);
     target::upsert(drive.core.world_mut(), &listed);
-    assert_eq!(
-        state(&drive, "e0"),
-        State::New,
-        "the list takes back what the list said"
-    );
+    assert_eq!(state(&drive, "e0"), State::New, "the list takes back what the list said");
     target::says_leaving(drive.core.world_mut(), &id);
     target::upsert(drive.core.world_mut(), &listed);
     assert_eq!(state(&drive, "e0"), State::Leaving);
@@ -94,11 +90,7 @@
         let host = id.into();
         // The rows of the other hosts get no heartbeats here, so failure detection must not end them.
         let suspect_after = Duration::from_secs(60);
-        let settings = Settings {
-            host,
-            suspect_after,
-            ..settings()
-        };
+        let settings = Settings { host, suspect_after, ..settings() };
         let mut drive = Drive::with(settings, 40, 0, limits(|_| ()));
         let rows = &mut drive.core.world_mut().hosts.rows;
         let own = rows[id].clone();
@@ -151,11 +143,7 @@
     drive.submit(1, prompt("a"), None, LONG);
     drive.advance(ms(1900));
     assert!(drive.take().is_empty(), "nothing is known yet");
-    assert!(
-        (2..=16).contains(&drive.polls.len()),
-        "{} polls in 2 s",
-        drive.polls.len()
-    );
+    assert!((2..=16).contains(&drive.polls.len()), "{} polls in 2 s", drive.polls.len());
     let asked = drive.polls[0].clone();
     drive.answer_poll(&asked);
     drive.advance(ms(200));
--- a/tests/util/mod.rs
+++ b/tests/util/mod.rs
@@ -85,7 +85,9 @@
 /// A request with a body of known length.
 pub fn post(path: &str, body: &str) -> String {
     let length = body.len();
-    format!("POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
 }
 
 /// An attempt on a target at this address.
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -9,9 +9,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 fn message(revision: u64) -> Message {
-    Message {
-        body: Some(Body::ConfigAsk(ConfigAsk { revision })),
-    }
+    Message { body: Some(Body::ConfigAsk(ConfigAsk { revision })) }
 }
 
 fn frames(count: u64) -> BytesMut {
@@ -54,12 +52,7 @@
 #[test]
 fn an_oversized_message_is_not_sent() {
     let text = "x".repeat(FRAME_MAX_BYTES);
-    let message = Message {
-        body: Some(Body::Reply(Reply {
-            message: text,
-            ..Reply::default()
-        })),
-    };
+    let message = Message { body: Some(Body::Reply(Reply { message: text, ..Reply::default() })) };
     let mut buffer = BytesMut::new();
     assert_matches!(Codec.encode(message, &mut buffer), Err(Error::TooLarge { .. }));
     assert!(buffer.is_empty());
