--- a/src/core/forward.rs
+++ b/src/core/forward.rs
@@ -169,15 +169,7 @@
     let ids: Vec<u64> =
         world.forwards.sent.iter().filter(|(_, sent)| sent.to == *to).map(|(id, _)| *id).collect();
     for id in ids {
-        if let Some(sent) = world.forwards.close(id) {
-            fail(
-                world,
-                sent.ticket,
-                sent.pull,
-                Code::OutcomeUnknown,
-                "the link to the deciding host broke",
-            );
-        }
+        end_unknown(world, id, "the link to the deciding host broke");
     }
 }
 
@@ -187,15 +179,13 @@
         && time <= world.now
     {
         world.forwards.deadlines.pop_first();
-        if let Some(sent) = world.forwards.close(id) {
-            fail(
-                world,
-                sent.ticket,
-                sent.pull,
-                Code::OutcomeUnknown,
-                "the deciding host did not answer in time",
-            );
-        }
+        end_unknown(world, id, "the deciding host did not answer in time");
+    }
+}
+
+fn end_unknown(world: &mut World, id: u64, message: &str) {
+    if let Some(sent) = world.forwards.close(id) {
+        fail(world, sent.ticket, sent.pull, Code::OutcomeUnknown, message);
     }
 }
 
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -12,6 +12,7 @@
 use volo_http::client::sse::SseReader;
 
 use crate::{
+    attempt::Started,
     border,
     core::{
         request::{Attempt, Failure, Generate, News, Output, Segment, Text, Work},
@@ -136,18 +137,8 @@
             "application/json",
             body,
         );
-        let request = request.ok_or(Failure::Connect)?;
-        let now = Instant::now();
-        let deadline = now + attempt.timeout;
-        let connection =
-            outbound::connect(&attempt.address, deadline.min(now + self.connect_timeout)).await?;
-        sink.sent();
-        let (response, _driver) = connection.send(request, deadline).await?;
-        if outbound::leaves(response.headers())
-            && response.status() == StatusCode::SERVICE_UNAVAILABLE
-        {
-            return Err(Failure::Leaving);
-        }
+        let Started { response, driver: _driver, deadline } =
+            Started::new(attempt, request, self.connect_timeout, sink).await?;
         if !response.status().is_success() {
             return Err(Failure::Status(response.status().as_u16()));
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod attempt;
 pub mod border;
 pub mod cache;
 pub mod cmd;
--- a/src/service.rs
+++ b/src/service.rs
@@ -1,10 +1,10 @@
 //! Plain services: one HTTP call per attempt.
 
 use async_trait::async_trait;
-use http::{StatusCode, header};
-use tokio::time::Instant;
+use http::header;
 
 use crate::{
+    attempt::Started,
     border,
     core::request::{Attempt, Failure, News, Output, Response, Work},
     outbound,
@@ -40,18 +40,8 @@
         };
         let (method, path, kind) = (&call.method, &call.path, &call.content_type);
         let request = outbound::request(method, &attempt.address, path, kind, call.body.clone());
-        let request = request.ok_or(Failure::Connect)?;
-        let now = Instant::now();
-        let deadline = now + attempt.timeout;
-        let connection =
-            outbound::connect(&attempt.address, deadline.min(now + self.connect_timeout)).await?;
-        sink.sent();
-        let (response, _driver) = connection.send(request, deadline).await?;
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE
-            && outbound::leaves(response.headers())
-        {
-            return Err(Failure::Leaving);
-        }
+        let Started { response, driver: _driver, deadline } =
+            Started::new(attempt, request, self.connect_timeout, sink).await?;
         if outbound::leaves(response.headers()) {
             sink.leaving();
         }
