Lab: one trainer publishes a model's versions, the others follow them

Both trainers of a plan announced versions of the same model, so the slower one was refused, and its samples seemed fresher than its own version.

--- a/crates/lab/scenarios/not_run.rhai
+++ b/crates/lab/scenarios/not_run.rhai
@@ -29,6 +29,9 @@
 let four = book("h4", keys[3], "booking four");
 advance(3000);
 expect(answer(four).state == "done", "a fresh key runs");
+let later = book("h4", keys[2], "booking three");
+advance(3000);
+expect(answer(later).state == "error" && runs("booking three") == 0, "a refused key never runs, even beside one that does");
 service_takes(2000);
 let tickets = [];
 for number in 0..400 {
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -152,7 +152,10 @@
     pub fn trainer_rows(&self) -> Vec<(TrainerId, Trainer)> {
         let one =
             |(id, zone, size, _, bound, step): &(TrainerId, ZoneId, u32, u32, u64, Duration)| {
-                (id.clone(), Trainer::new(zone, *size, *bound, *step))
+                let publishes = self.trainers.first().is_some_and(|(first, ..)| first == id);
+                let mut trainer = Trainer::new(zone, *size, *bound, *step);
+                trainer.publishes = publishes;
+                (id.clone(), trainer)
             };
         self.trainers.iter().map(one).collect()
     }
--- a/crates/lab/src/trainer.rs
+++ b/crates/lab/src/trainer.rs
@@ -25,6 +25,8 @@
     pub zone: ZoneId,
     pub group_size: u32,
     pub bound: u64,
+    /// Makes the model's versions. Others of the model only train on what it produces, with the newest version.
+    pub publishes: bool,
     pub version: Version,
     pub cursor: Box<str>,
     pub step_time: Duration,
@@ -54,6 +56,7 @@
             zone: zone.into(),
             group_size,
             bound,
+            publishes: false,
             version: 0,
             cursor: "".into(),
             step_time,
@@ -90,7 +93,12 @@
 
     /// Pulls with the trainer's cursor, through a given host or one by chance in its zone.
     pub fn pull(&mut self, id: &TrainerId, host: Option<&str>) -> Option<Ticket> {
+        let published =
+            self.trainers.values().filter(|row| row.publishes).map(|row| row.version).max();
         let trainer = self.trainers.get_mut(id)?;
+        if !trainer.publishes {
+            trainer.version = trainer.version.max(published.unwrap_or_default());
+        }
         trainer.pulls += 1;
         let (number, zone, cursor, version) =
             (trainer.pulls, trainer.zone.clone(), trainer.cursor.clone(), trainer.version);
@@ -173,10 +181,12 @@
             return self.schedule(left, move |fleet| fleet.stepped(&id, step_time));
         }
         trainer.trained += step_time;
-        trainer.version += 1;
         trainer.waits_since = now;
         trainer.is_waiting = true;
-        self.announce(id, None);
+        if trainer.publishes {
+            trainer.version += 1;
+            self.announce(id, None);
+        }
         if self.trainers[id].runs {
             self.pull(id, None);
         }
