Expect a model's versions by the time of their announcements

A trainer that does not make its model's versions was taken to advance by a fixed number of versions a step. With steps of 70 s, versions each 60 s and a bound of 1 that came out as more than the bound, so nothing was generated before the pull, and batches waited 70 to 100 s. The version by which a batch will be judged is now expected from the times at which versions were announced.

--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -154,18 +154,19 @@
     let queued = queued(row);
     // The next batch to be filled is delivered now, or after the step that the trainer is at.
     let first = u64::from(!row.awaited());
-    let needed = |row: &Row, steps| {
-        (row.version + row.pace.versions(steps)).saturating_sub(trainer.staleness_versions)
-    };
+    let desired = world.rollouts.desired.get(&trainer.model).map_or(0, |desired| desired.version);
+    row.releases.observe(now, desired);
+    let bound = trainer.staleness_versions;
+    let needed = |row: &Row, steps| row.version_after(now, steps).saturating_sub(bound);
     let least = needed(row, first);
     if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != least {
-        row.supply = Supply::new(world, snapshot, trainer, row.version, least);
+        row.supply = Supply::new(world, snapshot, trainer, row.version_after(now, 0), least);
         // These are in no engine's load yet.
         row.supply.free = row.supply.free.saturating_sub(queued);
     }
     if row.supply.newest >= Some(least) && world.settings.policy == Policy::Full {
         // What will be too old when it is delivered is made again in time.
-        let version = row.version + row.pace.versions(first);
+        let version = row.version_after(now, first);
         delivery::drop_old(world, name, trainer, row, version);
     }
     row.parked.retain(|_, until| *until > now);
@@ -177,8 +178,7 @@
             objective: trainer.objective,
             groups_per_step: per_step,
             samples_per_step: per_step * u64::from(trainer.group_size),
-            bound: trainer.staleness_versions,
-            lag: row.supply.newest.map_or(0, |newest| row.version.saturating_sub(newest)),
+            allowed: row.allowed(now, bound),
             awaited: row.awaited(),
             slots: row.supply.guaranteed,
         }),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod action;
 pub mod admit;
+pub mod ahead;
 pub mod apply;
 pub mod ask;
 pub mod away;
@@ -42,6 +43,7 @@
 pub mod prompt;
 pub mod pull;
 pub mod queue;
+pub mod release;
 pub mod request;
 pub mod retry;
 pub mod rollout;
--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -9,7 +9,7 @@
 /// Fewer times than this give no usable percentile.
 const TIMES_MIN: usize = 20;
 /// Steps ahead of the trainer at most, whatever its bound allows.
-const AHEAD_STEPS_MAX: u64 = 4;
+pub const AHEAD_STEPS_MAX: u64 = 4;
 
 /// A wait longer than this part of a step counts as late.
 const LATE_PART: u32 = 50;
@@ -39,9 +39,8 @@
     pub objective: Objective,
     pub groups_per_step: u64,
     pub samples_per_step: u64,
-    pub bound: u64,
-    /// Versions that the newest serving engine is behind the trainer.
-    pub lag: u64,
+    /// Steps ahead for which samples made now stay within the bound; `None` if even a batch that is awaited would not.
+    pub allowed: Option<u64>,
     /// Whether the trainer still lacks the batch of its cursor.
     pub awaited: bool,
     /// Slots that this trainer can count on.
@@ -108,13 +107,9 @@
 
     /// Open prompts that may be in generation or held, the batch that the trainer waits for included.
     pub fn window(&self, need: Need) -> u64 {
-        if need.lag > need.bound {
+        let Some(allowed) = need.allowed else {
             return 0;
-        }
-        let per_step = self.versions_milli.unwrap_or(1000);
-        let spare = (need.bound - need.lag).saturating_mul(1000);
-        // A batch made k steps before its use is k steps' versions older when it is delivered.
-        let allowed = spare.checked_div(per_step).unwrap_or(AHEAD_STEPS_MAX);
+        };
         let ahead = allowed.min(AHEAD_STEPS_MAX).min(self.wanted(need));
         need.groups_per_step * (u64::from(need.awaited) + ahead)
     }
--- a/src/core/stream.rs
+++ b/src/core/stream.rs
@@ -8,7 +8,8 @@
 use crate::{
     core::{
         Action, World, cursor::Cursor, delivery, forward, generation, group::Draft, pace::Pace,
-        prompt::Buffer, pull, request::Segment, sampling, straggler, supply::Supply,
+        prompt::Buffer, pull, release::Clock, request::Segment, sampling, straggler,
+        supply::Supply,
     },
     file,
     prelude::*,
@@ -98,6 +99,7 @@
     /// What each request in flight is for.
     pub uses: BTreeMap<RequestId, Use>,
     pub pace: Pace,
+    pub releases: Clock,
     /// Duplicates that may be started, in hundredths.
     pub duplicate_credit: u64,
     pub last_pull: Time,
@@ -156,6 +158,7 @@
             parked: BTreeMap::new(),
             uses: BTreeMap::new(),
             pace: Pace::default(),
+            releases: Clock::default(),
             duplicate_credit: 0,
             last_pull: now,
             idle_since: None,
