Leave out engines with older weights while there is time before the next pull

Right after a version is announced most engines still serve the one before, and generation ahead started there at once, so samples were two versions old at the next pull. As long as the next pull is further away than the 95th percentile of the time per sample, only engines with the newest version are used.

--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -159,8 +159,12 @@
     let bound = trainer.staleness_versions;
     let needed = |row: &Row, steps| row.version_after(now, steps).saturating_sub(bound);
     let least = needed(row, first);
-    if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != least {
-        row.supply = Supply::new(world, snapshot, trainer, row.version_after(now, 0), least);
+    // While there is time, engines that have not loaded the newest version are left out, so that samples stay recent.
+    let early = world.settings.policy == Policy::Full && row.has_time(now);
+    let preferred = if early { least.max(row.version_after(now, 0)) } else { least };
+    if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != preferred {
+        let current = row.version_after(now, 0);
+        row.supply = Supply::new(world, snapshot, trainer, current, preferred);
         // These are in no engine's load yet.
         row.supply.free = row.supply.free.saturating_sub(queued);
     }
@@ -212,7 +216,8 @@
     }
     prompt::fetch(world, name, trainer, row, &missing);
     let inside = open.into_iter().take(window).enumerate();
-    let inside = inside.map(|(place, index)| (index, needed(row, first + place as u64 / per_step)));
+    let inside = inside
+        .map(|(place, index)| (index, preferred.max(needed(row, first + place as u64 / per_step))));
     let inside: BTreeMap<u64, Version> = inside.collect();
     let whole = row.drafts.values().filter(|draft| draft.finished.is_some()).count() as u64;
     let held = u32::try_from(whole / per_step).unwrap_or(u32::MAX);
