Start generation for the staleness objective one 95th percentile before the pull

The start was taken from an estimate of a whole batch that exceeds the step, so generation always began right after a pull and samples were a version old at the next.

--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -128,8 +128,7 @@
         match need.objective {
             Objective::Idle => steps + u64::from(self.spare_steps > 0 || self.step.is_none()),
             Objective::Staleness => {
-                let early = self.spare_steps == 0
-                    && batch.is_some_and(|batch| self.until_pull(need.now) > batch);
+                let early = self.p95.is_some_and(|p95| self.until_pull(need.now) > p95);
                 if early { 0 } else { steps }
             }
         }
