--- a/crates/lab/scenarios/not_run.rhai
+++ b/crates/lab/scenarios/not_run.rhai
@@ -16,7 +16,7 @@
 die_after_run("s1", false);
 die_after_run("s2", false);
 advance(2000);
-// It waits for a target until its deadline of 20 s.
+// It is refused at once, or at the latest by its deadline of 20 s.
 let three = book("h3", keys[2], "booking three");
 advance(25000);
 expect(answer(three).kind == "NotRun", "with no live target the call is not run, not " + answer(three));
