--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -8,7 +8,7 @@
 use lagoonyard::{
     core::{
         Core, Event, Settings, config, listing, peer,
-        request::{self, Answer},
+        request::Answer,
         settings::{Policy, Seed},
         stream,
     },
@@ -18,7 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Engine, Plan, Service, Store, Trainer, check::Checks, engine, service::Ledger};
+use crate::{Engine, Plan, Service, Store, Trainer, check::Checks, service::Ledger};
 
 /// Place of the key-value service and the host list in `Fleet::cut`.
 pub const PLATFORM: &str = "platform";
@@ -69,7 +69,7 @@
     pub policy: Policy,
     pub hosts: BTreeMap<HostId, Host>,
     pub store: Store,
-    pub waiting: Vec<crate::perform::Watch>,
+    pub waiting: Vec<crate::watch::Watch>,
     pub listed: BTreeMap<TargetId, listing::Entry>,
     pub engines: BTreeMap<TargetId, Engine>,
     pub services: BTreeMap<TargetId, Service>,
@@ -360,52 +360,6 @@
         );
     }
 
-    /// Crashes an engine or service process; it comes back after a while when `back` is given.
-    pub fn crash(&mut self, target: &str, back: Option<Duration>) {
-        self.note(format!("target {target} crashes"));
-        self.checks.disturbed = Some(self.now);
-        self.checks.crashed = Some(self.now);
-        if let Some(engine) = self.engines.get_mut(target) {
-            self.crashes += 1;
-            let notes = engine.crash();
-            notes.into_iter().for_each(|note| self.tell(note));
-        }
-        if let Some(service) = self.services.get_mut(target) {
-            service.up = false;
-        }
-        let Some(back) = back else { return };
-        let target: TargetId = target.into();
-        self.schedule(back, move |fleet| fleet.revive(&target));
-    }
-
-    /// Starts a crashed target again.
-    pub fn revive(&mut self, target: &str) {
-        if let Some(engine) = self.engines.get_mut(target) {
-            engine.up = true;
-        }
-        if let Some(service) = self.services.get_mut(target) {
-            service.up = true;
-        }
-    }
-
-    /// A target begins to leave; the host list hears of it later.
-    pub fn leave(&mut self, target: &str) {
-        let now = self.now;
-        if let Some(engine) = self.engines.get_mut(target) {
-            engine.leaving = Some(now);
-        }
-        if let Some(service) = self.services.get_mut(target) {
-            service.leaving = Some(now);
-        }
-    }
-
-    /// Brings an attempt's news to its host.
-    pub fn tell(&mut self, note: engine::Note) {
-        let event = Event::Attempt(request::Progress { attempt: note.attempt, news: note.news });
-        let delay = Duration::from_millis(1);
-        self.deliver(delay, note.host, note.incarnation, event);
-    }
-
     /// Adds a line to the trace.
     pub fn note(&mut self, text: impl Into<String>) {
         let line = format!("{:>10.3} {}", self.now.as_secs_f64(), text.into());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -17,7 +17,10 @@
 pub mod service;
 pub mod store;
 pub mod strike;
+pub mod target;
 pub mod trainer;
+pub mod view;
+pub mod watch;
 
 pub use self::{
     engine::Engine, fleet::Fleet, plan::Plan, service::Service, store::Store, trainer::Trainer,
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -6,13 +6,13 @@
 use std::{cell::RefCell, path::Path, rc::Rc};
 
 use lagoonyard::{
-    core::{config, request, settings::Policy, stream},
+    core::{request, settings::Policy},
     prelude::*,
 };
-use rhai::{Array, Dynamic, Engine as Rhai, EvalAltResult, Map, Scope};
+use rhai::{Array, Dynamic, Engine as Rhai, EvalAltResult, Scope};
 use snafu::{ResultExt, Snafu};
 
-use crate::{Fleet, Plan, caller, check, fleet::Reply, store::Mode, strike};
+use crate::{Fleet, Plan, caller, check, store::Mode, strike, view};
 
 /// How a scenario is run.
 #[derive(Clone, Copy, Debug)]
@@ -328,7 +328,7 @@
             fleet.tickets.remove(&ticket);
         }
     });
-    verb!(engine, stage, "answer", |fleet, ticket: i64| answer(fleet, ticket as u64));
+    verb!(engine, stage, "answer", |fleet, ticket: i64| view::answer(fleet, ticket as u64));
     verb!(engine, stage, "runs", |fleet, body: &str| i64::from(
         fleet.ledger.runs.get(body).copied().unwrap_or(0)
     ));
@@ -392,52 +392,3 @@
     let rank = core.map(|core| core.world().hosts.rank(purpose, zone)).unwrap_or_default();
     rank.first().map(ToString::to_string).unwrap_or_default()
 }
-
-fn answer(fleet: &Fleet, ticket: Ticket) -> Map {
-    let (mut state, mut code, mut kind, mut text) = ("open", 0, String::new(), String::new());
-    let mut fail = |found: &Code, message: &str| {
-        state = "error";
-        code = i64::from(*found as u16);
-        kind = format!("{:?}", found.kind());
-        text = message.into();
-    };
-    match fleet.replies.get(&ticket) {
-        None => {}
-        Some(Reply::Broken) => state = "broken",
-        Some(Reply::Answer(request::Answer::Error { code, message })) => fail(code, message),
-        Some(Reply::Batch(stream::Answer::Error { code, message })) => fail(code, message),
-        Some(Reply::Admin(config::Answer::Error { code, message, details })) => {
-            fail(code, &format!("{message} {details:?}"));
-        }
-        Some(Reply::Keys(keys)) => {
-            state = "done";
-            text = keys.first().map(ToString::to_string).unwrap_or_default();
-        }
-        Some(Reply::Answer(request::Answer::Done(request::Output::Text(whole)))) => {
-            state = "done";
-            text = whole.text.to_string();
-        }
-        Some(Reply::Answer(request::Answer::Done(request::Output::Response(response)))) => {
-            state = "done";
-            text = String::from_utf8_lossy(&response.body).into_owned();
-        }
-        Some(Reply::Admin(config::Answer::Done(value))) => {
-            state = "done";
-            text = value.to_string();
-        }
-        Some(Reply::Batch(stream::Answer::Batch { groups, .. })) => {
-            state = "done";
-            text = groups
-                .iter()
-                .map(|group| group.prompt_index.to_string())
-                .collect::<Vec<_>>()
-                .join(",");
-        }
-    }
-    Map::from([
-        ("state".into(), state.into()),
-        ("code".into(), code.into()),
-        ("kind".into(), kind.into()),
-        ("text".into(), text.into()),
-    ])
-}
