State the rule for a late start of generation once

The comparison of the time until the next pull with the 95th percentile stood in the window of the staleness objective and in the choice of engines, and the current version was computed twice a tick. Behaviour is the same.

--- a/src/core/ahead.rs
+++ b/src/core/ahead.rs
@@ -26,7 +26,7 @@
 
     /// Whether samples that start a little later are still in time for the next pull.
     pub fn has_time(&self, now: Time) -> bool {
-        !self.awaited() && self.pace.p95().is_some_and(|p95| self.pace.until_pull(now) > p95)
+        !self.awaited() && self.pace.has_time(now)
     }
 
     /// Steps ahead for which samples made by the newest engines stay within the bound; `None` if even those of an
--- a/src/core/generation.rs
+++ b/src/core/generation.rs
@@ -161,9 +161,9 @@
     let least = needed(row, first);
     // While there is time, engines that have not loaded the newest version are left out, so that samples stay recent.
     let early = world.settings.policy == Policy::Full && row.has_time(now);
-    let preferred = if early { least.max(row.version_after(now, 0)) } else { least };
+    let current = row.version_after(now, 0);
+    let preferred = if early { least.max(current) } else { least };
     if now >= row.supply.counted + SUPPLY_INTERVAL || row.supply.needed != preferred {
-        let current = row.version_after(now, 0);
         row.supply = Supply::new(world, snapshot, trainer, current, preferred);
         // These are in no engine's load yet.
         row.supply.free = row.supply.free.saturating_sub(queued);
--- a/src/core/pace.rs
+++ b/src/core/pace.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Whether nearly all samples that start a little later still end before the next pull.
+    pub fn has_time(&self, now: Time) -> bool {
+        self.p95.is_some_and(|p95| self.until_pull(now) > p95)
+    }
+
     /// Open prompts that may be in generation or held, the batch that the trainer waits for included.
     pub fn window(&self, need: Need) -> u64 {
         let Some(allowed) = need.allowed else {
@@ -128,8 +133,11 @@
         match need.objective {
             Objective::Idle => steps + u64::from(self.spare_steps > 0 || self.step.is_none()),
             Objective::Staleness => {
-                let early = self.p95.is_some_and(|p95| self.until_pull(need.now) > p95);
-                if early { 0 } else { steps }
+                if self.has_time(need.now) {
+                    0
+                } else {
+                    steps
+                }
             }
         }
     }
