--- /dev/null
+++ b/crates/node/src/control/leader.rs
@@ -0,0 +1,302 @@
+//! What the leader of a service decides: which items run where, which rows are kept, which engines load what.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+};
+
+use crate::{
+    control::{orders::Load, role::Standing},
+    dialect::Switch,
+    fleet::Target,
+    job::{Board, Chunk, Ended, Engines, Job, Outcome, Record, Row, Spec, Start},
+    prelude::*,
+    traffic::{Command, Report, Run},
+    weights::{self, Candidate},
+};
+
+/// An item is moved from an engine that takes this many times the usual time per event.
+const SLOW_FACTOR: f64 = 2.2;
+/// Shortest time per event that counts as slow.
+const SLOW_MIN: Duration = Duration::from_millis(70);
+/// Text bytes of one chunk.
+const CHUNK_BYTES: usize = 500 << 10;
+/// Longest time from the first finished row until it is kept, so that rows share a write.
+const KEEP_INTERVAL: Duration = Duration::from_millis(60);
+
+/// A chunk to be written.
+#[derive(Clone, Debug)]
+pub struct Write {
+    pub job: JobId,
+    pub fence: Revision,
+    pub number: u64,
+    pub chunk: Chunk,
+}
+
+/// State of a service that this host leads.
+pub struct Leader {
+    pub service: ServiceId,
+    pub standing: Standing,
+    pub board: Board,
+    engines: Engines,
+    /// Newest version that a trainer named, by model.
+    named: BTreeMap<ModelId, Version>,
+    runs: HashMap<u64, (JobId, usize)>,
+    /// Jobs that are being read from the store.
+    loading: HashSet<JobId>,
+    /// Orders in progress.
+    orders: HashMap<TargetId, ModelId>,
+    /// Time before which no further order goes to an engine.
+    order_after: HashMap<TargetId, Time>,
+    next_run: u64,
+    kept_at: Time,
+}
+
+impl Leader {
+    pub fn new(service: ServiceId, first_run: u64) -> Self {
+        Self {
+            service,
+            standing: Standing::default(),
+            board: Board::default(),
+            engines: Engines::default(),
+            named: BTreeMap::new(),
+            runs: HashMap::new(),
+            loading: HashSet::new(),
+            orders: HashMap::new(),
+            order_after: HashMap::new(),
+            next_run: first_run,
+            kept_at: Time::ZERO,
+        }
+    }
+
+    /// Takes the registered targets and the named versions. Runs on targets that are gone end by themselves.
+    pub fn sync(
+        &mut self,
+        targets: &BTreeMap<TargetId, Arc<Target>>,
+        named: &BTreeMap<ModelId, Version>,
+    ) {
+        let ours = targets.values().filter(|target| target.service == self.service);
+        for target in ours {
+            self.engines.put(Arc::clone(target));
+        }
+        let gone: Vec<TargetId> = self
+            .engines
+            .iter()
+            .map(|engine| engine.target.id.clone())
+            .filter(|id| !targets.contains_key(id))
+            .collect();
+        for id in gone {
+            self.engines.remove(&id);
+        }
+        for (model, version) in named {
+            let known = self.named.entry(model.clone()).or_default();
+            *known = (*known).max(*version);
+        }
+    }
+
+    /// Whether a run is one of this leader's.
+    pub fn runs(&self, run: u64) -> bool {
+        self.runs.contains_key(&run)
+    }
+
+    /// Whether a job has to be read from the store now.
+    pub fn wants(&mut self, id: &JobId) -> bool {
+        self.standing.fence.is_some()
+            && self.board.get(id).is_none()
+            && self.loading.insert(id.clone())
+    }
+
+    /// Takes a job that was read from the store.
+    pub fn loaded(&mut self, spec: Spec, record: Record, chunks: &[Chunk], times: Times) {
+        self.loading.remove(&spec.id);
+        let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
+        let rows: Vec<Row> = rows.cloned().collect();
+        if self.board.get(&id).is_none() {
+            let mut job = Job::new(Arc::new(spec), record, times.due, times.expires);
+            job.max_attempts = times.max_attempts;
+            job.single_version = times.single_version;
+            self.board.insert(job);
+        }
+        if let Some(job) = self.board.get_mut(&id) {
+            job.restore(&rows, chunks.len() as u64);
+        }
+    }
+
+    /// A job could not be read; it is tried again.
+    pub fn not_loaded(&mut self, id: &JobId) {
+        self.loading.remove(id);
+    }
+
+    /// Ends a job. Gives the orders to stop its runs.
+    pub fn end(&mut self, id: &JobId, now: Time) -> Vec<Command> {
+        let of_job = self.runs.iter().filter(|(_, (job, _))| job == id);
+        let stops = of_job.map(|(run, _)| Command::Stop { run: *run }).collect();
+        self.board.end(id, now);
+        stops
+    }
+
+    /// Another host leads: drops all jobs. Gives the orders to stop the runs.
+    pub fn drop_all(&mut self, now: Time) -> Vec<Command> {
+        self.loading.clear();
+        self.board.ids().iter().flat_map(|id| self.end(id, now)).collect()
+    }
+
+    /// Items that start now.
+    pub fn starts(&mut self, now: Time) -> Vec<Command> {
+        let mut commands = Vec::new();
+        if self.standing.fence.is_none() {
+            return commands;
+        }
+        while let Some(start) = self.board.next(now, &mut self.engines) {
+            if let Some(command) = self.command(start) {
+                commands.push(command);
+            }
+        }
+        commands
+    }
+
+    fn command(&mut self, start: Start) -> Option<Command> {
+        let job = self.board.get(&start.job)?;
+        let target = start.target.as_ref().and_then(|id| self.engines.get(id));
+        let target = target.map(|engine| Arc::clone(&engine.target));
+        self.next_run += 1;
+        self.runs.insert(self.next_run, (start.job.clone(), start.item));
+        Some(Command::Run(Box::new(Run {
+            id: self.next_run,
+            spec: Arc::clone(&job.spec),
+            record: Arc::new(job.record.clone()),
+            start,
+            target,
+            single_version: job.single_version,
+            pace_max: self.engines.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN),
+        })))
+    }
+
+    /// Takes the end of a run.
+    pub fn ended(&mut self, report: Report, now: Time) {
+        if self.runs.remove(&report.run).is_none() {
+            return;
+        }
+        self.board.ended(report.outcome, now, &mut self.engines);
+    }
+
+    /// Chunks to write now.
+    pub fn writes(&mut self, now: Time) -> Vec<Write> {
+        let Some(fence) = self.standing.fence else {
+            return Vec::new();
+        };
+        if now < self.kept_at + KEEP_INTERVAL {
+            return Vec::new();
+        }
+        let mut writes = Vec::new();
+        for id in self.board.ids() {
+            let rows = self.board.take_rows(&id, CHUNK_BYTES);
+            let Some(job) = self.board.get(&id).filter(|_| !rows.is_empty()) else {
+                continue;
+            };
+            let chunk = Chunk { first: job.listed, rows };
+            writes.push(Write { job: id, fence, number: job.chunks, chunk });
+            self.kept_at = now;
+        }
+        writes
+    }
+
+    /// Loads to order now.
+    pub fn loads(&mut self, now: Time, host: &HostId) -> Vec<Load> {
+        let Some(fence) = self.standing.fence.filter(|_| now < self.standing.orders_until) else {
+            return Vec::new();
+        };
+        let mut loads = Vec::new();
+        for (model, &version) in &self.named {
+            let candidates = self.candidates(model, now);
+            let room = weights::at_once(self.engines.iter().count());
+            let free = room.saturating_sub(self.orders.len());
+            for id in weights::next(version, &candidates).into_iter().take(free) {
+                let Some(engine) = self.engines.get_mut(&id) else {
+                    continue;
+                };
+                engine.loading = Some(model.clone());
+                loads.push(Load {
+                    target: Arc::clone(&engine.target),
+                    model: model.clone(),
+                    version,
+                    switch: self.board.switch(),
+                    host: host.clone(),
+                    fence,
+                    service: self.service.clone(),
+                });
+                self.orders.insert(id, model.clone());
+            }
+        }
+        loads
+    }
+
+    fn candidates(&self, model: &ModelId, now: Time) -> Vec<Candidate> {
+        let engines = self.engines.iter().filter(|engine| !engine.target.draining);
+        let candidate = |engine: &crate::job::Engine| {
+            let id = &engine.target.id;
+            let waits = self.order_after.get(id).is_some_and(|after| *after > now);
+            Some(Candidate {
+                id: id.clone(),
+                version: engine.version(model)?,
+                loading: self.orders.contains_key(id) || waits,
+                in_flight: engine.in_flight,
+            })
+        };
+        engines.filter_map(candidate).collect()
+    }
+
+    /// Takes the end of a load.
+    pub fn load_ended(&mut self, id: &TargetId, version: Option<Version>, now: Time) {
+        let Some(model) = self.orders.remove(id) else {
+            return;
+        };
+        if version.is_none() {
+            self.order_after.insert(id.clone(), now + weights::ORDER_RETRY);
+        }
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.loading = None;
+            if let Some(version) = version {
+                engine.loaded(model, version);
+            }
+        }
+    }
+
+    /// Whether anything is to be done soon.
+    pub fn is_busy(&self) -> bool {
+        !self.board.is_empty() || !self.orders.is_empty()
+    }
+}
+
+/// Times and limits of a job by its route.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    pub due: Time,
+    pub expires: Time,
+    pub max_attempts: u32,
+    pub single_version: bool,
+}
+
+impl Board {
+    /// What engines do with their runs at a change of version.
+    pub fn switch(&self) -> Switch {
+        let single = |id: &JobId| self.get(id).is_some_and(|job| job.single_version);
+        if self.ids().iter().any(single) { Switch::Wait } else { Switch::Keep }
+    }
+}
+
+/// Outcome of a run that could not be handed to the traffic thread.
+pub fn unsent(run: &Run) -> Report {
+    Report {
+        run: run.id,
+        outcome: Outcome {
+            job: run.start.job.clone(),
+            item: run.start.item,
+            target: run.start.target.clone(),
+            ended: Ended::NotRun,
+            progress: run.start.progress.clone(),
+            whole: run.target.is_none(),
+            pace: None,
+        },
+    }
+}
--- /dev/null
+++ b/crates/node/src/control/orders.rs
@@ -0,0 +1,175 @@
+//! Orders to engines: one load is prepared, sent under the leader's fencing number and followed to its end.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use log::{info, warn};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use crate::{
+    clock,
+    dialect::{self, Order, Report, Switch},
+    fleet::Target,
+    job,
+    prelude::*,
+    store,
+    traffic::{Channel, Channels},
+};
+
+/// Longest time for a report or the answer to an order.
+const CALL_TIMEOUT: Duration = Duration::from_millis(900);
+/// Longest time between the proof of leadership and the order.
+const PROOF_MAX: Duration = Duration::from_millis(400);
+/// Time after an order at which its end is asked for, and the interval of further questions.
+const FIRST_QUESTION: Duration = Duration::from_millis(850);
+const QUESTION_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest time for which an order is followed.
+const FOLLOW_MAX: Duration = Duration::from_millis(4000);
+/// Size limit of a report.
+const REPORT_BYTES_MAX: usize = 1 << 20;
+
+/// How a load ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loaded {
+    /// The engine has this version.
+    Version(Version),
+    /// Not done, or not known to be; it may be tried again.
+    Open,
+    /// The engine has seen a newer leader.
+    Fenced,
+}
+
+/// A load of a version on one engine.
+pub struct Load {
+    pub target: Arc<Target>,
+    pub model: ModelId,
+    pub version: Version,
+    pub switch: Switch,
+    pub host: HostId,
+    pub fence: Revision,
+    pub service: ServiceId,
+}
+
+/// What loads need.
+pub struct Orders {
+    pub store: store::Handle,
+    pub dialect: dialect::Handle,
+    pub channels: Channels,
+}
+
+impl Orders {
+    /// Carries out a load.
+    pub async fn load(self: Rc<Self>, load: Load) -> Loaded {
+        let Some(report) = self.report(&load.target).await else {
+            return Loaded::Open;
+        };
+        if let Some(version) = reached(&report, &load) {
+            return Loaded::Version(version);
+        }
+        if report.busy || !self.proves(&load).await {
+            return Loaded::Open;
+        }
+        let order = Order {
+            model: load.model.clone(),
+            version: load.version,
+            switch: load.switch,
+            holder: load.host.clone(),
+            fence: load.fence,
+            orders: report.orders,
+        };
+        let (path, body) = self.dialect.order(&order);
+        let status =
+            self.call(&load.target, Method::POST, path, body).await.map(|(status, _)| status);
+        info!(target_id = &*load.target.id, model = &*load.model, version = load.version, fence = load.fence, status:? = status; "order to load sent");
+        match status {
+            Some(StatusCode::PRECONDITION_FAILED) => Loaded::Fenced,
+            Some(status) if !status.is_success() => Loaded::Open,
+            _ => self.follow(&load).await,
+        }
+    }
+
+    /// Whether this host still leads, by the store's word of this moment.
+    async fn proves(&self, load: &Load) -> bool {
+        let begun = clock::now();
+        match self.store.get(&job::lead(&load.service)).await {
+            Ok((Some(entry), _)) => {
+                entry.revision == load.fence && clock::now().saturating_sub(begun) < PROOF_MAX
+            }
+            Ok((None, _)) => false,
+            Err(error) => {
+                info!(service = &*load.service, reason:% = error; "could not prove the leadership, no order sent");
+                false
+            }
+        }
+    }
+
+    async fn follow(&self, load: &Load) -> Loaded {
+        let end = Instant::now() + FOLLOW_MAX;
+        sleep(FIRST_QUESTION).await;
+        while Instant::now() < end {
+            let report = self.report(&load.target).await;
+            if let Some(version) = report.and_then(|report| reached(&report, load)) {
+                return Loaded::Version(version);
+            }
+            sleep(QUESTION_INTERVAL).await;
+        }
+        warn!(target_id = &*load.target.id, version = load.version; "load has not ended in time");
+        Loaded::Open
+    }
+
+    async fn report(&self, target: &Target) -> Option<Report> {
+        let path = self.dialect.report_path();
+        let (status, body) = self.call(target, Method::GET, path, Bytes::new()).await?;
+        if !status.is_success() {
+            return None;
+        }
+        match self.dialect.report(&body) {
+            Ok(report) => Some(report),
+            Err(error) => {
+                warn!(target_id = &*target.id, reason:% = error; "report skipped");
+                None
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        target: &Target,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Option<(StatusCode, Bytes)> {
+        let by = Instant::now() + CALL_TIMEOUT;
+        let mut channel = match self.channels.take(target.address, Duration::MAX, by).await {
+            Some(channel) => channel,
+            None => Channel::open(target.address, by).await.ok()?,
+        };
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = method;
+        *request.uri_mut() = path.parse().ok()?;
+        *request.headers_mut() = self.headers(target)?;
+        let response = channel.send(request, by).await.ok()?;
+        let (parts, body) = response.into_parts();
+        let body = http_body_util::Limited::new(body, REPORT_BYTES_MAX).collect();
+        let body = timeout_at(by, body).await.ok()?.ok()?.to_bytes();
+        let idle = self.dialect.answer(parts.status, &parts.headers).idle;
+        self.channels.keep(target.address, channel, idle);
+        Some((parts.status, body))
+    }
+
+    fn headers(&self, target: &Target) -> Option<HeaderMap> {
+        let mut headers = HeaderMap::new();
+        headers.insert(header::HOST, target.address.to_string().parse().ok()?);
+        headers.insert(header::CONTENT_TYPE, "application/json".parse().ok()?);
+        self.dialect.attempt(&mut headers, "", &target.id, None);
+        Some(headers)
+    }
+}
+
+/// Version of the model on the engine, if it is the ordered one or newer and no order is in progress.
+fn reached(report: &Report, load: &Load) -> Option<Version> {
+    let version = report.versions.iter().find(|(model, _)| *model == load.model)?.1;
+    (version >= load.version && !report.busy).then_some(version)
+}
--- /dev/null
+++ b/crates/node/src/job/board.rs
@@ -0,0 +1,386 @@
+//! Open jobs of a leader: states of their items, the order in which items run, and rows that wait to be kept.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use crate::{
+    events::Progress,
+    job::{Engines, Record, Row, Spec},
+    prelude::*,
+};
+
+/// Time for which the text of an ended job's items is remembered, as unfinished groups come back in a later job.
+const CARRY_MEMORY: Duration = Duration::from_secs(20);
+/// Time until an item whose judge could not be reached is tried again.
+const JUDGE_RETRY: Duration = Duration::from_millis(300);
+
+/// State of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum State {
+    Waiting {
+        not_before: Time,
+    },
+    Running {
+        target: Option<TargetId>,
+    },
+    /// Its row waits to be kept.
+    Finished(Box<Row>),
+    /// Its row is being written.
+    Writing(Box<Row>),
+    /// Its row is in the store.
+    Listed,
+}
+
+/// An item of an open job.
+#[derive(Clone, Debug)]
+struct Slot {
+    state: State,
+    progress: Progress,
+    /// The whole text was generated; only the score is missing.
+    whole: bool,
+    /// Answers that count as failed attempts.
+    failures: u32,
+    /// Target that broke or slowed the last run.
+    avoid: Option<TargetId>,
+}
+
+/// An open job.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: Arc<Spec>,
+    pub record: Record,
+    pub single_version: bool,
+    pub max_attempts: u32,
+    /// Time at which the results are due.
+    pub due: Time,
+    /// Time at which items are given up.
+    pub expires: Time,
+    /// Rows in the store.
+    pub listed: u64,
+    /// Chunks in the store.
+    pub chunks: u64,
+    slots: Vec<Slot>,
+    /// Items in the order in which they start.
+    order: Vec<usize>,
+    writing: bool,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The text is whole, with its score if the item has a judge.
+    Scored(Option<Box<str>>),
+    /// The text is whole, but its judge gave no score.
+    Unjudged,
+    /// The judge failed as often as the route allows.
+    JudgeFailed,
+    /// The engine did not run it.
+    NotRun,
+    /// The connection or the stream broke.
+    Broken,
+    /// The engine was slower than the others.
+    Slow,
+    /// The engine answered with a failure of its own.
+    Failed,
+    /// The engine says that the item can never be done.
+    Rejected,
+    /// The run was stopped here.
+    Stopped,
+}
+
+/// End of a run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub job: JobId,
+    pub item: usize,
+    pub target: Option<TargetId>,
+    pub ended: Ended,
+    pub progress: Progress,
+    pub whole: bool,
+    /// Time per event, if there was any.
+    pub pace: Option<Duration>,
+}
+
+/// Order to run an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    pub job: JobId,
+    pub item: usize,
+    /// `None` if only the score is missing.
+    pub target: Option<TargetId>,
+    pub progress: Progress,
+}
+
+impl Job {
+    pub fn new(spec: Arc<Spec>, record: Record, due: Time, expires: Time) -> Self {
+        let slot = Slot {
+            state: State::Waiting { not_before: Time::ZERO },
+            progress: Progress::default(),
+            whole: false,
+            failures: 0,
+            avoid: None,
+        };
+        let slots = vec![slot; spec.items.len()];
+        let mut order: Vec<usize> = (0..spec.items.len()).collect();
+        // Long items decide when a group is whole, so they start first.
+        order.sort_by_key(|&item| std::cmp::Reverse(spec.items[item].length_hint));
+        Self {
+            spec,
+            record,
+            single_version: false,
+            max_attempts: 1,
+            due,
+            expires,
+            listed: 0,
+            chunks: 0,
+            slots,
+            order,
+            writing: false,
+        }
+    }
+
+    /// Takes rows that are in the store already.
+    pub fn restore(&mut self, rows: &[Row], chunks: u64) {
+        self.chunks = chunks;
+        self.writing = false;
+        self.listed = rows.len() as u64;
+        let index: HashMap<&str, usize> =
+            self.spec.items.iter().enumerate().map(|(at, item)| (&*item.id, at)).collect();
+        for slot in &mut self.slots {
+            if let State::Writing(row) = &slot.state {
+                slot.state = State::Finished(row.clone());
+            }
+        }
+        for row in rows {
+            if let Some(&at) = index.get(&*row.item) {
+                self.slots[at].state = State::Listed;
+            }
+        }
+    }
+
+    /// Whether every item is listed.
+    pub fn is_complete(&self) -> bool {
+        self.slots.iter().all(|slot| slot.state == State::Listed)
+    }
+
+    fn row(&self, item: usize, done: bool, score: Option<Box<str>>) -> Box<Row> {
+        let progress = &self.slots[item].progress;
+        let (text, versions) = if done {
+            (progress.text.as_str().into(), progress.versions.iter().copied().collect())
+        } else {
+            ("".into(), Vec::new())
+        };
+        Box::new(Row { item: self.spec.items[item].id.clone(), done, text, versions, score })
+    }
+
+    fn give_up_expired(&mut self, now: Time) {
+        if now < self.expires {
+            return;
+        }
+        for item in 0..self.slots.len() {
+            if matches!(self.slots[item].state, State::Waiting { .. }) {
+                self.slots[item].state = State::Finished(self.row(item, false, None));
+            }
+        }
+    }
+}
+
+/// Open jobs.
+#[derive(Debug, Default)]
+pub struct Board {
+    jobs: BTreeMap<JobId, Job>,
+    /// Texts of items of ended jobs, with the time at which they are forgotten.
+    carried: HashMap<ItemId, (Time, Progress, bool)>,
+}
+
+impl Board {
+    pub fn insert(&mut self, mut job: Job) {
+        for (item, slot) in job.spec.items.iter().zip(&mut job.slots) {
+            if let Some((_, progress, whole)) = self.carried.remove(&item.id) {
+                slot.progress = progress;
+                slot.whole = whole;
+            }
+        }
+        self.jobs.insert(job.spec.id.clone(), job);
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Job> {
+        self.jobs.get_mut(id)
+    }
+
+    pub fn ids(&self) -> Vec<JobId> {
+        self.jobs.keys().cloned().collect()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Forgets a job that has ended; the texts of its unlisted items are remembered for a while.
+    pub fn end(&mut self, id: &str, now: Time) {
+        self.carried.retain(|_, (end, _, _)| *end > now);
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        for (item, slot) in job.spec.items.iter().zip(job.slots) {
+            if slot.state != State::Listed && slot.progress.last_event > 0 {
+                self.carried
+                    .insert(item.id.clone(), (now + CARRY_MEMORY, slot.progress, slot.whole));
+            }
+        }
+    }
+
+    /// The next item to run: jobs that are due first go first, and in a job the longest item.
+    pub fn next(&mut self, now: Time, engines: &mut Engines) -> Option<Start> {
+        let mut ids: Vec<(Time, JobId)> =
+            self.jobs.values().map(|job| (job.due, job.spec.id.clone())).collect();
+        ids.sort_unstable();
+        ids.into_iter().find_map(|(_, id)| self.next_of(&id, now, engines))
+    }
+
+    fn next_of(&mut self, id: &JobId, now: Time, engines: &mut Engines) -> Option<Start> {
+        let job = self.jobs.get_mut(id)?;
+        job.give_up_expired(now);
+        let order = std::mem::take(&mut job.order);
+        let start = order.iter().find_map(|&item| job.start(item, now, engines));
+        job.order = order;
+        start
+    }
+
+    /// Takes the end of a run.
+    pub fn ended(&mut self, outcome: Outcome, now: Time, engines: &mut Engines) {
+        if let Some(target) = &outcome.target {
+            engines.finished(target, now, outcome.pace);
+            if matches!(outcome.ended, Ended::NotRun | Ended::Broken) {
+                engines.block(target, now);
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&outcome.job) else {
+            return;
+        };
+        job.ended(outcome, now);
+    }
+
+    /// Rows of a job that wait to be kept, as many as fit. Until they are, no others are given.
+    pub fn take_rows(&mut self, id: &str, bytes_max: usize) -> Vec<Row> {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.writing) else {
+            return Vec::new();
+        };
+        let (mut rows, mut bytes) = (Vec::new(), 0);
+        for slot in &mut job.slots {
+            let State::Finished(row) = &slot.state else {
+                continue;
+            };
+            bytes += row.text.len();
+            if bytes > bytes_max && !rows.is_empty() {
+                break;
+            }
+            rows.push((**row).clone());
+            slot.state = State::Writing(row.clone());
+        }
+        job.writing = !rows.is_empty();
+        rows
+    }
+
+    /// The rows that were given are in the store, or (`false`) certainly not.
+    pub fn wrote(&mut self, id: &str, kept: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.writing = false;
+        let mut count = 0;
+        for slot in &mut job.slots {
+            if let State::Writing(row) = &slot.state {
+                slot.state = if kept { State::Listed } else { State::Finished(row.clone()) };
+                if kept {
+                    slot.progress = Progress::default();
+                    count += 1;
+                }
+            }
+        }
+        if kept {
+            job.listed += count;
+            job.chunks += 1;
+        }
+    }
+
+    /// Items that run now and their jobs.
+    pub fn running(&self) -> usize {
+        let running = |slot: &&Slot| matches!(slot.state, State::Running { .. });
+        self.jobs.values().map(|job| job.slots.iter().filter(running).count()).sum()
+    }
+
+    /// Whether an item waits for a place.
+    pub fn waits(&self) -> bool {
+        let waits = |slot: &Slot| matches!(slot.state, State::Waiting { .. });
+        self.jobs.values().any(|job| job.slots.iter().any(waits))
+    }
+}
+
+impl Job {
+    fn start(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Start> {
+        let slot = &mut self.slots[item];
+        if !matches!(slot.state, State::Waiting { not_before } if not_before <= now) {
+            return None;
+        }
+        let (min, model) = (self.spec.min_version, &self.spec.model);
+        if slot.whole && slot.progress.fits(min, min, false) {
+            slot.state = State::Running { target: None };
+            return Some(self.order_of(item, None));
+        }
+        let engine = engines
+            .choose(now, model, min, slot.avoid.as_ref())
+            .or_else(|| engines.choose(now, model, min, None))?;
+        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
+        if slot.whole || !slot.progress.fits(min, version, self.single_version) {
+            slot.progress = Progress::default();
+            slot.whole = false;
+        }
+        slot.state = State::Running { target: Some(target.clone()) };
+        engines.started(&target);
+        Some(self.order_of(item, Some(target)))
+    }
+
+    fn order_of(&self, item: usize, target: Option<TargetId>) -> Start {
+        let progress = self.slots[item].progress.clone();
+        Start { job: self.spec.id.clone(), item, target, progress }
+    }
+
+    fn ended(&mut self, outcome: Outcome, now: Time) {
+        let (item, max_attempts) = (outcome.item, self.max_attempts);
+        let Some(slot) = self.slots.get_mut(item) else {
+            return;
+        };
+        if !matches!(slot.state, State::Running { .. }) {
+            return;
+        }
+        slot.progress = outcome.progress;
+        slot.whole = outcome.whole;
+        slot.avoid = None;
+        slot.state = State::Waiting { not_before: now };
+        match outcome.ended {
+            Ended::Scored(score) => {
+                self.slots[item].state = State::Finished(self.row(item, true, score));
+            }
+            Ended::JudgeFailed | Ended::Rejected => {
+                self.slots[item].state = State::Finished(self.row(item, false, None));
+            }
+            Ended::Failed => {
+                slot.failures += 1;
+                slot.avoid = outcome.target;
+                if slot.failures >= max_attempts {
+                    self.slots[item].state = State::Finished(self.row(item, false, None));
+                }
+            }
+            Ended::Unjudged => slot.state = State::Waiting { not_before: now + JUDGE_RETRY },
+            Ended::Broken | Ended::Slow | Ended::NotRun => slot.avoid = outcome.target,
+            Ended::Stopped => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/job/engines.rs
@@ -0,0 +1,162 @@
+//! Placement of job items on model engines: places taken, pace of each engine, and the versions that it may serve.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{fleet::Target, prelude::*};
+
+/// Weight of the last run in the average pace of an engine.
+const PACE_WEIGHT: f64 = 0.3;
+/// Time per event before any run was seen.
+const PACE_INITIAL: Duration = Duration::from_millis(40);
+/// Time without new items after an engine refused or broke a run.
+const BACKOFF: Duration = Duration::from_millis(400);
+/// Time after which a slow pace is forgotten, so that a recovered engine is tried again.
+const PACE_MEMORY: Duration = Duration::from_secs(4);
+
+/// What is known of an engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub target: Arc<Target>,
+    /// Items of this host that run on it.
+    pub in_flight: u32,
+    /// Average time per event.
+    pub pace: Duration,
+    paced_at: Time,
+    blocked_until: Time,
+    /// Model of which a version is being loaded; none of its items starts meanwhile.
+    pub loading: Option<ModelId>,
+    /// Versions that were loaded here and may not yet stand in the registration.
+    loaded: BTreeMap<ModelId, Version>,
+}
+
+impl Engine {
+    fn new(target: Arc<Target>) -> Self {
+        Self {
+            target,
+            in_flight: 0,
+            pace: PACE_INITIAL,
+            paced_at: Time::ZERO,
+            blocked_until: Time::ZERO,
+            loading: None,
+            loaded: BTreeMap::new(),
+        }
+    }
+
+    /// Version of a model on the engine.
+    pub fn version(&self, model: &str) -> Option<Version> {
+        let registered = self.target.versions.get(model).copied();
+        registered.max(self.loaded.get(model).copied())
+    }
+
+    /// A version was loaded.
+    pub fn loaded(&mut self, model: ModelId, version: Version) {
+        self.loaded.insert(model, version);
+    }
+
+    /// Whether a new item of a model may start.
+    pub fn open(&self, model: &str, now: Time) -> bool {
+        self.loading.as_deref() != Some(model)
+            && !self.target.draining
+            && now >= self.blocked_until
+            && self.in_flight < self.target.slots
+    }
+}
+
+/// Engines of one service.
+#[derive(Debug, Default)]
+pub struct Engines {
+    by_id: BTreeMap<TargetId, Engine>,
+}
+
+impl Engines {
+    /// Takes a registration; a new incarnation starts without history.
+    pub fn put(&mut self, target: Arc<Target>) {
+        match self.by_id.get_mut(&target.id) {
+            Some(engine) if engine.target.born == target.born => engine.target = target,
+            _ => {
+                self.by_id.insert(target.id.clone(), Engine::new(target));
+            }
+        }
+    }
+
+    pub fn remove(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
+    pub fn get(&self, id: &str) -> Option<&Engine> {
+        self.by_id.get(id)
+    }
+
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Engine> {
+        self.by_id.get_mut(id)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.by_id.values()
+    }
+
+    /// The open engine on which an item would finish first, with a version of `model` of at least `min`.
+    pub fn choose(
+        &self,
+        now: Time,
+        model: &str,
+        min: Version,
+        avoid: Option<&TargetId>,
+    ) -> Option<&Engine> {
+        let fits = |engine: &&Engine| {
+            engine.open(model, now)
+                && engine.version(model).is_some_and(|version| version >= min)
+                && avoid != Some(&engine.target.id)
+        };
+        self.by_id.values().filter(fits).min_by_key(|engine| self.cost(engine, now))
+    }
+
+    /// Expected time per event, lengthened by the share of places taken.
+    fn cost(&self, engine: &Engine, now: Time) -> Duration {
+        let pace = self.pace(engine, now);
+        let taken = f64::from(engine.in_flight) / f64::from(engine.target.slots.max(1));
+        pace.mul_f64(1.0 + taken)
+    }
+
+    fn pace(&self, engine: &Engine, now: Time) -> Duration {
+        if now > engine.paced_at + PACE_MEMORY { self.usual_pace() } else { engine.pace }
+    }
+
+    /// Median pace of the engines that were measured.
+    pub fn usual_pace(&self) -> Duration {
+        let measured = self.by_id.values().filter(|engine| engine.paced_at > Time::ZERO);
+        let mut paces: Vec<Duration> = measured.map(|engine| engine.pace).collect();
+        paces.sort_unstable();
+        paces.get(paces.len() / 2).copied().unwrap_or(PACE_INITIAL)
+    }
+
+    pub fn started(&mut self, id: &str) {
+        if let Some(engine) = self.by_id.get_mut(id) {
+            engine.in_flight += 1;
+        }
+    }
+
+    /// Takes the end of a run and its time per event, if it made any.
+    pub fn finished(&mut self, id: &str, now: Time, pace: Option<Duration>) {
+        let Some(engine) = self.by_id.get_mut(id) else {
+            return;
+        };
+        engine.in_flight = engine.in_flight.saturating_sub(1);
+        if let Some(pace) = pace {
+            let fresh = now <= engine.paced_at + PACE_MEMORY;
+            engine.pace = if fresh {
+                engine.pace.mul_f64(1.0 - PACE_WEIGHT) + pace.mul_f64(PACE_WEIGHT)
+            } else {
+                pace
+            };
+            engine.paced_at = now;
+        }
+    }
+
+    /// Keeps new items away for a moment.
+    pub fn block(&mut self, id: &str, now: Time) {
+        if let Some(engine) = self.by_id.get_mut(id) {
+            engine.blocked_until = now + BACKOFF;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/job/keys.rs
@@ -0,0 +1,53 @@
+//! Keys of this program in the platform's store.
+
+use crate::prelude::*;
+
+const HEADS: &str = "job/head/";
+const BODIES: &str = "job/body/";
+const ROWS: &str = "job/rows/";
+const LEADS: &str = "lead/";
+
+/// What a key of this program holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Key {
+    Head(JobId),
+    Lead(ServiceId),
+}
+
+impl Key {
+    /// Prefixes that every node mirrors.
+    pub const PREFIXES: [&str; 2] = [HEADS, LEADS];
+
+    /// What a mirrored key holds.
+    pub fn parse(key: &str) -> Option<Self> {
+        if let Some(id) = key.strip_prefix(HEADS) {
+            return Some(Self::Head(id.into()));
+        }
+        key.strip_prefix(LEADS).map(|service| Self::Lead(service.into()))
+    }
+}
+
+/// Head of a job.
+pub fn head(job: &str) -> Box<str> {
+    format!("{HEADS}{job}").into()
+}
+
+/// A part of a job's submission.
+pub fn body_part(job: &str, part: usize) -> Box<str> {
+    format!("{BODIES}{job}/{part:04}").into()
+}
+
+/// Prefix of a job's chunks of results.
+pub fn rows_prefix(job: &str) -> Box<str> {
+    format!("{ROWS}{job}/").into()
+}
+
+/// A chunk of results; chunks sort by their number.
+pub fn rows(job: &str, chunk: u64) -> Box<str> {
+    format!("{ROWS}{job}/{chunk:08}").into()
+}
+
+/// Leader of a service.
+pub fn lead(service: &str) -> Box<str> {
+    format!("{LEADS}{service}").into()
+}
--- /dev/null
+++ b/crates/node/src/job/mod.rs
@@ -0,0 +1,15 @@
+//! Batch jobs: what is submitted, what is kept in the store, and which item runs next.
+
+mod board;
+mod engines;
+mod keys;
+mod record;
+mod row;
+mod spec;
+
+pub use board::{Board, Ended, Job, Outcome, Start};
+pub use engines::{Engine, Engines};
+pub use keys::{Key, body_part, head, lead, rows, rows_prefix};
+pub use record::Record;
+pub use row::{Chunk, Row};
+pub use spec::{Item, Judge, Spec};
--- /dev/null
+++ b/crates/node/src/job/row.rs
@@ -0,0 +1,32 @@
+//! Results as they are kept: rows in chunks, each chunk written once.
+
+use serde::{Deserialize, Serialize};
+
+use crate::prelude::*;
+
+/// Result of an item. Its position never changes once it is kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    pub item: ItemId,
+    /// `false` if the item was given up.
+    pub done: bool,
+    pub text: Box<str>,
+    /// Versions that generated an event of the text.
+    pub versions: Vec<Version>,
+    pub score: Option<Box<str>>,
+}
+
+/// Rows that were written together.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Position of the first row.
+    pub first: u64,
+    pub rows: Vec<Row>,
+}
+
+impl Chunk {
+    /// Position after the last row.
+    pub fn end(&self) -> u64 {
+        self.first + self.rows.len() as u64
+    }
+}
--- /dev/null
+++ b/crates/node/src/prelude.rs
@@ -0,0 +1,24 @@
+//! Common types, the only module that is imported with a glob.
+
+pub use std::time::Duration;
+
+/// Name of an entry host.
+pub type HostId = Box<str>;
+/// Name of an availability zone.
+pub type ZoneId = Box<str>;
+/// Id of one incarnation of a target.
+pub type TargetId = Box<str>;
+/// Name of a service or of a pool of engines.
+pub type ServiceId = Box<str>;
+/// Name of a model.
+pub type ModelId = Box<str>;
+/// Id of a batch job.
+pub type JobId = Box<str>;
+/// Id of an item of a batch job.
+pub type ItemId = Box<str>;
+/// Version of a model's weights.
+pub type Version = u64;
+/// Revision of the store.
+pub type Revision = u64;
+/// Time since the host's boot, which counts while the process is suspended.
+pub type Time = Duration;
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,24 @@
+//! Checked settings of a node.
+
+use std::net::SocketAddr;
+
+use crate::prelude::*;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub host: HostId,
+    pub zone: ZoneId,
+    /// Address for callers and trainers.
+    pub entry: SocketAddr,
+    /// Address at which readiness is asked for.
+    pub ready: SocketAddr,
+    /// Time between the signal to stop and the kill.
+    pub stop_grace: Duration,
+    /// Largest value of the store in bytes.
+    pub value_bytes: usize,
+    /// Shortest lease that the store grants.
+    pub lease_min: Duration,
+    /// Time for which a finished job must stay readable after its submission.
+    pub job_kept: Duration,
+}
--- /dev/null
+++ b/crates/node/src/traffic/jobs.rs
@@ -0,0 +1,239 @@
+//! Reading and ending jobs at any host, straight from the store.
+//!
+//! Chunks of results never change, so those that were read once are served from memory.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use log::{info, warn};
+use snafu::Snafu;
+
+use crate::{
+    job::{self, Chunk, Record, Row, Spec},
+    prelude::*,
+    store::{self, Change, Outcome, Put, Txn, Watched},
+    traffic::serve::Traffic,
+};
+
+/// Bytes of results and submissions kept in memory.
+const CACHE_BYTES: usize = 12 << 20;
+/// Text bytes in one answer.
+const ANSWER_BYTES: usize = 600 << 10;
+/// Tries to end a job against other changes of its head.
+const END_TRIES: u32 = 8;
+
+/// Why a job cannot be read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("no such job"))]
+    Missing,
+    #[snafu(display("could not read the job: {source}"), context(false))]
+    Store { source: store::Error },
+    #[snafu(display("could not decode the job: {reason}"))]
+    Malformed { reason: Box<str> },
+}
+
+#[derive(Debug)]
+struct Cached {
+    total: usize,
+    chunks: Vec<Arc<Chunk>>,
+    revision: Revision,
+    spec: Option<Arc<Spec>>,
+    bytes: usize,
+    used: Instant,
+}
+
+impl Cached {
+    fn end(&self) -> u64 {
+        self.chunks.last().map_or(0, |chunk| chunk.end())
+    }
+
+    /// Adds a chunk if it follows the last one.
+    fn add(&mut self, value: &[u8]) {
+        match serde_json::from_slice::<Chunk>(value) {
+            Ok(chunk) if chunk.first == self.end() => {
+                self.bytes += value.len();
+                self.chunks.push(Arc::new(chunk));
+            }
+            Ok(_) => {}
+            Err(error) => warn!(reason:% = error; "could not decode a chunk of results"),
+        }
+    }
+}
+
+/// Jobs read lately.
+#[derive(Debug, Default)]
+pub struct Cache {
+    jobs: RefCell<HashMap<JobId, Cached>>,
+}
+
+impl Cache {
+    /// Drops the jobs that were not read for the longest time until the rest fits.
+    fn trim(&self) {
+        let mut jobs = self.jobs.borrow_mut();
+        while jobs.len() > 1 && jobs.values().map(|job| job.bytes).sum::<usize>() > CACHE_BYTES {
+            let oldest = jobs.iter().min_by_key(|(_, job)| job.used).map(|(id, _)| id.clone());
+            if let Some(oldest) = oldest {
+                jobs.remove(&oldest);
+            }
+        }
+    }
+}
+
+/// Results of a job from a position on, as the body of an answer.
+pub async fn results(
+    traffic: &Rc<Traffic>,
+    id: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<Bytes, Error> {
+    load(traffic, id).await?;
+    if !traffic.cache.jobs.borrow().get(id).is_some_and(|job| job.end() > after) {
+        refresh(traffic, id, wait).await?;
+    }
+    let jobs = traffic.cache.jobs.borrow();
+    let job = jobs.get(id).ok_or(Error::Missing)?;
+    let rows = job.chunks.iter().flat_map(|chunk| {
+        chunk.rows.iter().enumerate().map(|(at, row)| (chunk.first + at as u64, row))
+    });
+    let (mut taken, mut bytes): (Vec<&Row>, usize) = (Vec::new(), 0);
+    for (_, row) in rows.filter(|(position, _)| *position >= after) {
+        bytes += row.text.len();
+        if bytes > ANSWER_BYTES && !taken.is_empty() {
+            break;
+        }
+        taken.push(row);
+    }
+    Ok(traffic.dialect.results(job.total, after + taken.len() as u64, &taken))
+}
+
+/// Reads a job's head and results if they are not in memory.
+async fn load(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
+    if let Some(job) = traffic.cache.jobs.borrow_mut().get_mut(id) {
+        job.used = Instant::now();
+        return Ok(());
+    }
+    let record = record(traffic, id).await?.0;
+    let (entries, revision) =
+        store::read_all(traffic.store.as_ref(), &job::rows_prefix(id)).await?;
+    let mut cached = Cached {
+        total: record.total,
+        chunks: Vec::new(),
+        revision,
+        spec: None,
+        bytes: 0,
+        used: Instant::now(),
+    };
+    for entry in entries {
+        cached.add(&entry.value);
+    }
+    traffic.cache.jobs.borrow_mut().entry(id.into()).or_insert(cached);
+    traffic.cache.trim();
+    Ok(())
+}
+
+/// Waits for further results.
+async fn refresh(traffic: &Rc<Traffic>, id: &str, wait: Duration) -> Result<(), Error> {
+    let prefix = job::rows_prefix(id);
+    let (revision, complete) = match traffic.cache.jobs.borrow().get(id) {
+        Some(job) => (job.revision, job.end() >= job.total as u64),
+        None => return Ok(()),
+    };
+    if complete {
+        return Ok(());
+    }
+    match traffic.store.watch(&prefix, revision, wait).await? {
+        Watched::Changes { changes, revision } => {
+            let mut jobs = traffic.cache.jobs.borrow_mut();
+            let Some(job) = jobs.get_mut(id) else {
+                return Ok(());
+            };
+            for change in changes {
+                if let Change::Put(entry) = change {
+                    job.add(&entry.value);
+                }
+            }
+            job.revision = job.revision.max(revision);
+            Ok(())
+        }
+        Watched::Compacted => {
+            traffic.cache.jobs.borrow_mut().remove(id);
+            load(traffic, id).await
+        }
+    }
+}
+
+async fn record(traffic: &Traffic, id: &str) -> Result<(Record, Revision), Error> {
+    let (entry, _) = traffic.store.get(&job::head(id)).await?;
+    let entry = entry.ok_or(Error::Missing)?;
+    let record = serde_json::from_slice(&entry.value)
+        .map_err(|error| Error::Malformed { reason: error.to_string().into() })?;
+    Ok((record, entry.revision))
+}
+
+/// Body of an item.
+pub async fn body(traffic: &Rc<Traffic>, id: &str, item: &str) -> Result<Bytes, Error> {
+    load(traffic, id).await?;
+    let held = traffic.cache.jobs.borrow().get(id).and_then(|job| job.spec.clone());
+    let spec = match held {
+        Some(spec) => spec,
+        None => {
+            let record = record(traffic, id).await?.0;
+            let spec =
+                Arc::new(read_spec(traffic.store.as_ref(), &traffic.dialect, id, &record).await?);
+            if let Some(job) = traffic.cache.jobs.borrow_mut().get_mut(id) {
+                job.bytes += spec.items.iter().map(|item| 2 * item.body.len()).sum::<usize>();
+                job.spec = Some(Arc::clone(&spec));
+            }
+            traffic.cache.trim();
+            spec
+        }
+    };
+    let found = spec.items.iter().find(|it| &*it.id == item);
+    found.map(|item| item.body.clone()).ok_or(Error::Missing)
+}
+
+/// Reads the submission of a job.
+pub async fn read_spec(
+    store: &dyn store::Store,
+    dialect: &crate::dialect::Handle,
+    id: &str,
+    record: &Record,
+) -> Result<Spec, Error> {
+    let mut body = BytesMut::new();
+    for part in 0..record.parts {
+        let (entry, _) = store.get(&job::body_part(id, part)).await?;
+        body.extend_from_slice(&entry.ok_or(Error::Missing)?.value);
+    }
+    dialect
+        .submission(id, &body)
+        .map_err(|error| Error::Malformed { reason: error.to_string().into() })
+}
+
+/// Ends a job; ending it again changes nothing.
+pub async fn end(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
+    let mut last = None;
+    for _ in 0..END_TRIES {
+        match try_end(traffic, id).await {
+            Ok(true) => {
+                info!(job = id; "job ended by its trainer");
+                return Ok(());
+            }
+            Ok(false) => {}
+            Err(Error::Missing) => return Err(Error::Missing),
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(last.unwrap_or(Error::Malformed { reason: "its head keeps changing".into() }))
+}
+
+async fn try_end(traffic: &Traffic, id: &str) -> Result<bool, Error> {
+    let (record, revision) = record(traffic, id).await?;
+    if record.ended {
+        return Ok(true);
+    }
+    let value = serde_json::to_vec(&Record { ended: true, ..record }).unwrap_or_default();
+    let put = Put { key: job::head(id), value: value.into(), lease: None };
+    let txn = Txn { expected: vec![(job::head(id), revision)], puts: vec![put], removes: vec![] };
+    Ok(matches!(traffic.store.commit(&txn).await?, Outcome::Committed(_)))
+}
--- /dev/null
+++ b/crates/node/src/traffic/mod.rs
@@ -0,0 +1,16 @@
+//! Traffic thread: serves callers and trainers, and carries requests and items to targets.
+
+mod channel;
+mod dispatch;
+mod entry;
+mod jobs;
+mod pool;
+mod run;
+mod serve;
+mod submit;
+
+pub use channel::{Channel, Channels, guard};
+pub use jobs::{Error as JobError, read_spec};
+pub use pool::Pool;
+pub use run::{Command, Report, Run};
+pub use serve::{Parts, run};
--- /dev/null
+++ b/crates/node/src/traffic/run.rs
@@ -0,0 +1,269 @@
+//! Runs of job items: a generation on an engine, then the call that scores its text.
+
+use std::{rc::Rc, sync::Arc};
+
+use futures::FutureExt;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use log::info;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout},
+};
+
+use crate::{
+    events::{Parser, Progress},
+    fleet::Target,
+    job::{Ended, Item, Outcome, Record, Spec, Start},
+    prelude::*,
+    traffic::{
+        dispatch::{Call, Failure, closes, connect, dispatch},
+        serve::Traffic,
+    },
+};
+
+/// Longest time until a run's answer begins, and between two events.
+const EVENT_GAP_MAX: Duration = Duration::from_millis(2000);
+/// Events after which the pace of a run is judged.
+const PACED_EVENTS: u64 = 6;
+/// Longest time for a judge's answer.
+const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
+
+/// Order of the control thread.
+#[derive(Debug)]
+pub enum Command {
+    Run(Box<Run>),
+    /// Stops a run; its end is reported with the text so far.
+    Stop {
+        run: u64,
+    },
+}
+
+/// A run to be made.
+#[derive(Debug)]
+pub struct Run {
+    pub id: u64,
+    pub spec: Arc<Spec>,
+    pub record: Arc<Record>,
+    pub start: Start,
+    /// Engine, absent if only the score is missing.
+    pub target: Option<Arc<Target>>,
+    pub single_version: bool,
+    /// Time per event above which the item is moved to another engine.
+    pub pace_max: Duration,
+}
+
+/// End of a run.
+#[derive(Debug)]
+pub struct Report {
+    pub run: u64,
+    pub outcome: Outcome,
+}
+
+/// What a run has so far.
+struct Running {
+    progress: Progress,
+    whole: bool,
+    begun: Instant,
+    first: u64,
+}
+
+impl Running {
+    /// Time per event of this run.
+    fn pace(&self) -> Option<Duration> {
+        let events = self.progress.last_event.saturating_sub(self.first);
+        (events > 0).then(|| self.begun.elapsed() / u32::try_from(events).unwrap_or(u32::MAX))
+    }
+}
+
+/// Makes a run to its end or until it is stopped.
+pub async fn run(traffic: Rc<Traffic>, run: Box<Run>, mut stop: oneshot::Receiver<()>) -> Report {
+    let mut state = Running {
+        progress: run.start.progress.clone(),
+        whole: run.target.is_none(),
+        begun: Instant::now(),
+        first: run.start.progress.last_event,
+    };
+    let mut pace = None;
+    let ended = 'ended: {
+        if let Some(target) = &run.target {
+            let stream = stream(&traffic, &run, target, &mut state);
+            let ended = tokio::select! {
+                ended = stream => ended,
+                _ = &mut stop => Some(Ended::Stopped),
+            };
+            pace = state.pace();
+            if let Some(ended) = ended {
+                break 'ended ended;
+            }
+            state.whole = true;
+        }
+        let item = &run.spec.items[run.start.item];
+        let judge = judge(&traffic, item).fuse();
+        tokio::select! {
+            ended = judge => ended,
+            _ = &mut stop => Ended::Stopped,
+        }
+    };
+    log_end(&run, &ended, &state);
+    let outcome = Outcome {
+        job: run.start.job.clone(),
+        item: run.start.item,
+        target: run.start.target.clone(),
+        ended,
+        progress: state.progress,
+        whole: state.whole,
+        pace,
+    };
+    Report { run: run.id, outcome }
+}
+
+fn log_end(run: &Run, ended: &Ended, state: &Running) {
+    let item = &run.spec.items[run.start.item];
+    let target = run.start.target.as_deref().unwrap_or("");
+    info!(job = &*run.spec.id, item = &*item.id, target_id = target, outcome:? = ended, events = state.progress.last_event, took_ms = crate::logging::ms(state.begun.elapsed()); "item run ended");
+}
+
+/// Streams a generation; `None` means that the text is whole.
+async fn stream(
+    traffic: &Rc<Traffic>,
+    run: &Run,
+    target: &Arc<Target>,
+    state: &mut Running,
+) -> Option<Ended> {
+    let by = Instant::now() + EVENT_GAP_MAX;
+    let Ok(mut channel) = connect(traffic, target, Duration::MAX, by).await else {
+        return Some(Ended::NotRun);
+    };
+    let Some(request) = request(traffic, run, target) else {
+        return Some(Ended::Rejected);
+    };
+    state.begun = Instant::now();
+    let response = match channel.send(request, by).await {
+        Ok(response) => response,
+        Err(error) => {
+            info!(job = &*run.spec.id, target_id = &*target.id, reason:% = error; "run broke");
+            return Some(Ended::Broken);
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let answer = traffic.dialect.answer(parts.status, &parts.headers);
+    let item = &run.spec.items[run.start.item];
+    if answer.id.as_ref().is_some_and(|id| *id != item.id) {
+        return Some(Ended::Broken);
+    }
+    if answer.not_run {
+        return Some(Ended::NotRun);
+    }
+    match parts.status {
+        status if status.is_success() && answer.receipt.is_some() => {}
+        StatusCode::INTERNAL_SERVER_ERROR if answer.receipt.is_some() => {
+            return Some(Ended::Failed);
+        }
+        StatusCode::UNPROCESSABLE_ENTITY if answer.receipt.is_some() => {
+            return Some(Ended::Rejected);
+        }
+        _ => return Some(Ended::Broken),
+    }
+    let Some(version) = answer.version else {
+        return Some(Ended::Broken);
+    };
+    if version < run.spec.min_version {
+        return Some(Ended::NotRun);
+    }
+    let closes = closes(&parts.headers);
+    if let Some(ended) = read(traffic, run, state, body, version).await {
+        return Some(ended);
+    }
+    if !closes {
+        traffic.channels.keep(target.address, channel, answer.idle);
+    }
+    None
+}
+
+/// Reads events until the stream is whole.
+async fn read(
+    traffic: &Traffic,
+    run: &Run,
+    state: &mut Running,
+    mut body: Incoming,
+    mut version: Version,
+) -> Option<Ended> {
+    let mut parser = Parser::new(traffic.dialect.version_line());
+    loop {
+        let data = match timeout(EVENT_GAP_MAX, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) if parser.is_partial() => return Some(Ended::Broken),
+            Ok(None) => return None,
+            Ok(Some(Err(_))) | Err(_) => return Some(Ended::Broken),
+        };
+        parser.push(&data);
+        loop {
+            let event = match parser.next() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => return Some(Ended::Broken),
+            };
+            version = event.version.unwrap_or(version);
+            if run.single_version && !state.progress.fits(0, version, true) {
+                state.progress = Progress::default();
+                return Some(Ended::Broken);
+            }
+            if state.progress.append(&event, version).is_err() {
+                return Some(Ended::Broken);
+            }
+        }
+        let made = state.progress.last_event - state.first;
+        if made >= PACED_EVENTS && state.pace().is_some_and(|pace| pace > run.pace_max) {
+            return Some(Ended::Slow);
+        }
+    }
+}
+
+/// Request of an item; `None` if its headers cannot be put into HTTP.
+fn request(traffic: &Traffic, run: &Run, target: &Target) -> Option<Request<Full<bytes::Bytes>>> {
+    let item = &run.spec.items[run.start.item];
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.append(name, HeaderValue::from_str(value).ok()?);
+    }
+    headers.insert(header::HOST, HeaderValue::from_str(&run.record.host).ok()?);
+    traffic.dialect.attempt(&mut headers, &item.id, &target.id, None);
+    if run.start.progress.last_event > 0 {
+        traffic.dialect.resume(&mut headers, run.start.progress.last_event);
+    }
+    let mut request = Request::new(Full::new(item.body.clone()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = item.path.parse().ok()?;
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Has a whole text scored.
+async fn judge(traffic: &Rc<Traffic>, item: &Item) -> Ended {
+    let Some(judge) = &item.judge else {
+        return Ended::Scored(None);
+    };
+    let view = traffic.view.load_full();
+    let route = view.config.as_ref().and_then(|config| config.route(&judge.host, &judge.path));
+    let (Some(route), Ok(uri), Ok(host)) =
+        (route, judge.path.parse(), HeaderValue::from_str(&judge.host))
+    else {
+        return Ended::Unjudged;
+    };
+    let call = Call {
+        id: judge.id.clone(),
+        method: Method::POST,
+        uri,
+        headers: HeaderMap::from_iter([(header::HOST, host)]),
+        body: judge.body.clone(),
+        by: Instant::now() + JUDGE_TIMEOUT.min(route.timeout),
+    };
+    match dispatch(traffic, route, &call).await {
+        Ok(whole) if whole.status.is_success() => Ended::Scored(Some(whole.receipt)),
+        Ok(whole) if whole.failures >= route.max_attempts => Ended::JudgeFailed,
+        Ok(_) | Err(Failure::NotRun | Failure::Unknown | Failure::Timeout) => Ended::Unjudged,
+    }
+}
