--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -9,7 +9,7 @@
     control::{orders::Load, role::Standing},
     dialect::Switch,
     fleet::Target,
-    job::{Board, Chunk, Ended, Engines, Job, Outcome, Record, Row, Spec, Start},
+    job::{Board, Chunk, Engines, Job, Record, Row, Spec, Start},
     prelude::*,
     traffic::{Command, Report, Run},
     weights::{self, Candidate},
@@ -33,6 +33,13 @@
     pub chunk: Chunk,
 }
 
+/// A run in progress.
+#[derive(Clone, Debug)]
+struct Placed {
+    job: JobId,
+    target: Option<TargetId>,
+}
+
 /// State of a service that this host leads.
 pub struct Leader {
     pub service: ServiceId,
@@ -41,7 +48,7 @@
     engines: Engines,
     /// Newest version that a trainer named, by model.
     named: BTreeMap<ModelId, Version>,
-    runs: HashMap<u64, (JobId, usize)>,
+    runs: HashMap<u64, Placed>,
     /// Jobs that are being read from the store.
     loading: HashSet<JobId>,
     /// Orders in progress.
@@ -129,10 +136,20 @@
 
     /// Ends a job. Gives the orders to stop its runs.
     pub fn end(&mut self, id: &JobId, now: Time) -> Vec<Command> {
-        let of_job = self.runs.iter().filter(|(_, (job, _))| job == id);
-        let stops = of_job.map(|(run, _)| Command::Stop { run: *run }).collect();
         self.board.end(id, now);
-        stops
+        self.stops(|placed| placed.job == *id)
+    }
+
+    fn stops(&self, which: impl Fn(&Placed) -> bool) -> Vec<Command> {
+        let chosen = self.runs.iter().filter(|(_, placed)| which(placed));
+        chosen.map(|(run, _)| Command::Stop { run: *run }).collect()
+    }
+
+    /// Orders to stop the runs on an engine, so that they go on elsewhere, if other engines have places for them.
+    pub fn clear(&self, target: &TargetId, now: Time) -> Vec<Command> {
+        let stops = self.stops(|placed| placed.target.as_ref() == Some(target));
+        let model = self.orders.get(target).map_or("", |model| &**model);
+        if self.engines.free(model, now) < stops.len() { Vec::new() } else { stops }
     }
 
     /// Another host leads: drops all jobs. Gives the orders to stop the runs.
@@ -160,7 +177,8 @@
         let target = start.target.as_ref().and_then(|id| self.engines.get(id));
         let target = target.map(|engine| Arc::clone(&engine.target));
         self.next_run += 1;
-        self.runs.insert(self.next_run, (start.job.clone(), start.item));
+        let placed = Placed { job: start.job.clone(), target: start.target.clone() };
+        self.runs.insert(self.next_run, placed);
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
             spec: Arc::clone(&job.spec),
@@ -211,7 +229,8 @@
             let candidates = self.candidates(model, now);
             let room = weights::at_once(self.engines.iter().count());
             let free = room.saturating_sub(self.orders.len());
-            for id in weights::next(version, &candidates).into_iter().take(free) {
+            let calm = !self.board.waits();
+            for id in weights::next(version, &candidates, calm).into_iter().take(free) {
                 let Some(engine) = self.engines.get_mut(&id) else {
                     continue;
                 };
@@ -284,19 +303,3 @@
         if self.ids().iter().any(single) { Switch::Wait } else { Switch::Keep }
     }
 }
-
-/// Outcome of a run that could not be handed to the traffic thread.
-pub fn unsent(run: &Run) -> Report {
-    Report {
-        run: run.id,
-        outcome: Outcome {
-            job: run.start.job.clone(),
-            item: run.start.item,
-            target: run.start.target.clone(),
-            ended: Ended::NotRun,
-            progress: run.start.progress.clone(),
-            whole: run.target.is_none(),
-            pace: None,
-        },
-    }
-}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -13,7 +13,7 @@
     clock,
     config::Config,
     control::{
-        leader::{Leader, Times, Write, unsent},
+        leader::{Leader, Times, Write},
         mirror::{Mirror, Update},
         orders::{Loaded, Orders},
         role::{Role, Seen, Standing},
@@ -466,6 +466,7 @@
         for load in leader.loads(now, &self.settings.host) {
             let (orders, done) = (Rc::clone(&self.orders), self.done.clone());
             let (service, target) = (service.clone(), load.target.id.clone());
+            send(&self.commands, leader.clear(&target, now));
             tokio::task::spawn_local(async move {
                 let loaded = orders.load(load).await;
                 tell(&done, Done::Loaded { service, target, loaded });
@@ -479,7 +480,7 @@
 fn send(commands: &mpsc::UnboundedSender<Command>, orders: Vec<Command>) {
     for order in orders {
         if let Err(mpsc::error::SendError(Command::Run(run))) = commands.send(order) {
-            warn!(run = unsent(&run).run; "traffic thread has ended");
+            warn!(run = run.id; "traffic thread has ended");
         }
     }
 }
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -95,6 +95,7 @@
 pub struct Outcome {
     pub job: JobId,
     pub item: usize,
+    pub item_id: ItemId,
     pub target: Option<TargetId>,
     pub ended: Ended,
     pub progress: Progress,
@@ -165,6 +166,16 @@
         self.slots.iter().all(|slot| slot.state == State::Listed)
     }
 
+    fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
+        let at = self.spec.items.iter().position(|item| &*item.id == id)?;
+        self.slots.get_mut(at)
+    }
+
+    /// Whether an item waits for a place.
+    pub fn waits(&self) -> bool {
+        self.slots.iter().any(|slot| matches!(slot.state, State::Waiting { .. }))
+    }
+
     fn row(&self, item: usize, done: bool, score: Option<Box<str>>) -> Box<Row> {
         let progress = &self.slots[item].progress;
         let (text, versions) = if done {
@@ -197,12 +208,16 @@
 
 impl Board {
     pub fn insert(&mut self, mut job: Job) {
-        for (item, slot) in job.spec.items.iter().zip(&mut job.slots) {
+        let mut came_back = Vec::new();
+        for (at, item) in job.spec.items.iter().enumerate() {
             if let Some((_, progress, whole)) = self.carried.remove(&item.id) {
-                slot.progress = progress;
-                slot.whole = whole;
+                job.slots[at].progress = progress;
+                job.slots[at].whole = whole;
+                came_back.push(at);
             }
         }
+        // The trainer waits for the groups that it asks for again, and their items have proved to be long.
+        job.order.sort_by_key(|at| !came_back.contains(at));
         self.jobs.insert(job.spec.id.clone(), job);
     }
 
@@ -261,10 +276,29 @@
                 engines.block(target, now);
             }
         }
-        let Some(job) = self.jobs.get_mut(&outcome.job) else {
+        match self.jobs.get_mut(&outcome.job) {
+            Some(job) => job.ended(outcome, now),
+            None => self.carry(outcome, now),
+        }
+    }
+
+    /// Remembers the text of a run that was stopped because its job ended.
+    fn carry(&mut self, outcome: Outcome, now: Time) {
+        if outcome.progress.last_event == 0 {
             return;
-        };
-        job.ended(outcome, now);
+        }
+        let text = (now + CARRY_MEMORY, outcome.progress, outcome.whole);
+        let open = self.jobs.values_mut().find_map(|job| job.slot_mut(&outcome.item_id));
+        match open {
+            // The item came back before its run had stopped.
+            Some(slot) if matches!(slot.state, State::Waiting { .. }) => {
+                (slot.progress, slot.whole) = (text.1, text.2);
+            }
+            Some(_) => {}
+            None => {
+                self.carried.insert(outcome.item_id, text);
+            }
+        }
     }
 
     /// Rows of a job that wait to be kept, as many as fit. Until they are, no others are given.
@@ -318,8 +352,7 @@
 
     /// Whether an item waits for a place.
     pub fn waits(&self) -> bool {
-        let waits = |slot: &Slot| matches!(slot.state, State::Waiting { .. });
-        self.jobs.values().any(|job| job.slots.iter().any(waits))
+        self.jobs.values().any(Job::waits)
     }
 }
 
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -130,6 +130,12 @@
         paces.get(paces.len() / 2).copied().unwrap_or(PACE_INITIAL)
     }
 
+    /// Places that are free for items of a model.
+    pub fn free(&self, model: &str, now: Time) -> usize {
+        let open = self.by_id.values().filter(|engine| engine.open(model, now));
+        open.map(|engine| engine.target.slots.saturating_sub(engine.in_flight) as usize).sum()
+    }
+
     pub fn started(&mut self, id: &str) {
         if let Some(engine) = self.by_id.get_mut(id) {
             engine.in_flight += 1;
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -132,35 +132,59 @@
     Ok(())
 }
 
-/// Waits for further results.
+/// Waits for further results. An empty watch is no proof that there are none, so the chunks are then read.
 async fn refresh(traffic: &Rc<Traffic>, id: &str, wait: Duration) -> Result<(), Error> {
     let prefix = job::rows_prefix(id);
-    let (revision, complete) = match traffic.cache.jobs.borrow().get(id) {
-        Some(job) => (job.revision, job.end() >= job.total as u64),
+    let (revision, end, complete) = match traffic.cache.jobs.borrow().get(id) {
+        Some(job) => (job.revision, job.end(), job.end() >= job.total as u64),
         None => return Ok(()),
     };
     if complete {
         return Ok(());
     }
-    match traffic.store.watch(&prefix, revision, wait).await? {
-        Watched::Changes { changes, revision } => {
-            let mut jobs = traffic.cache.jobs.borrow_mut();
-            let Some(job) = jobs.get_mut(id) else {
-                return Ok(());
-            };
-            for change in changes {
-                if let Change::Put(entry) = change {
-                    job.add(&entry.value);
-                }
-            }
-            job.revision = job.revision.max(revision);
-            Ok(())
-        }
-        Watched::Compacted => {
-            traffic.cache.jobs.borrow_mut().remove(id);
-            load(traffic, id).await
+    if !wait.is_zero()
+        && let Watched::Changes { changes, revision } =
+            traffic.store.watch(&prefix, revision, wait).await?
+    {
+        let written = changes.into_iter().filter_map(|change| match change {
+            Change::Put(entry) => Some(entry),
+            Change::Removed { .. } => None,
+        });
+        if add(traffic, id, written, revision) > end {
+            return Ok(());
         }
     }
+    read_rest(traffic, id).await
+}
+
+/// Reads the chunks after those in memory.
+async fn read_rest(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
+    let last = match traffic.cache.jobs.borrow().get(id) {
+        Some(job) if job.chunks.is_empty() => None,
+        Some(job) => Some(job::rows(id, job.chunks.len() as u64 - 1)),
+        None => return Ok(()),
+    };
+    let page = traffic.store.range(&job::rows_prefix(id), last.as_deref()).await?;
+    add(traffic, id, page.entries, page.revision);
+    Ok(())
+}
+
+/// Adds chunks to a job in memory. Gives the position after its last row.
+fn add(
+    traffic: &Traffic,
+    id: &str,
+    entries: impl IntoIterator<Item = store::Entry>,
+    revision: Revision,
+) -> u64 {
+    let mut jobs = traffic.cache.jobs.borrow_mut();
+    let Some(job) = jobs.get_mut(id) else {
+        return 0;
+    };
+    for entry in entries {
+        job.add(&entry.value);
+    }
+    job.revision = job.revision.max(revision);
+    job.end()
 }
 
 async fn record(traffic: &Traffic, id: &str) -> Result<(Record, Revision), Error> {
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -110,6 +110,7 @@
     let outcome = Outcome {
         job: run.start.job.clone(),
         item: run.start.item,
+        item_id: run.spec.items[run.start.item].id.clone(),
         target: run.start.target.clone(),
         ended,
         progress: state.progress,
@@ -149,6 +150,7 @@
     };
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
+    log::debug!(job = &*run.spec.id, target_id = &*target.id, status = parts.status.as_u16(), after = state.first, answer:? = answer; "run began");
     let item = &run.spec.items[run.start.item];
     if answer.id.as_ref().is_some_and(|id| *id != item.id) {
         return Some(Ended::Broken);
@@ -166,14 +168,11 @@
         }
         _ => return Some(Ended::Broken),
     }
-    let Some(version) = answer.version else {
-        return Some(Ended::Broken);
-    };
-    if version < run.spec.min_version {
+    if answer.version.is_some_and(|version| version < run.spec.min_version) {
         return Some(Ended::NotRun);
     }
     let closes = closes(&parts.headers);
-    if let Some(ended) = read(traffic, run, state, body, version).await {
+    if let Some(ended) = read(traffic, run, state, body, answer.version).await {
         return Some(ended);
     }
     if !closes {
@@ -182,36 +181,45 @@
     None
 }
 
-/// Reads events until the stream is whole.
+/// Reads events until the stream is whole. A stream that is resumed after its last event names no version and is empty.
 async fn read(
     traffic: &Traffic,
     run: &Run,
     state: &mut Running,
     mut body: Incoming,
-    mut version: Version,
+    mut version: Option<Version>,
 ) -> Option<Ended> {
+    let broke = |reason: &dyn std::fmt::Display| {
+        let item = &run.spec.items[run.start.item];
+        info!(job = &*run.spec.id, item = &*item.id, reason:% = reason; "stream broke");
+        Some(Ended::Broken)
+    };
     let mut parser = Parser::new(traffic.dialect.version_line());
     loop {
         let data = match timeout(EVENT_GAP_MAX, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(None) if parser.is_partial() => return Some(Ended::Broken),
+            Ok(None) if parser.is_partial() => return broke(&"ended within an event"),
             Ok(None) => return None,
-            Ok(Some(Err(_))) | Err(_) => return Some(Ended::Broken),
+            Ok(Some(Err(error))) => return broke(&error),
+            Err(_) => return broke(&"no event in time"),
         };
         parser.push(&data);
         loop {
             let event = match parser.next() {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
-                Err(_) => return Some(Ended::Broken),
+                Err(error) => return broke(&error),
+            };
+            version = event.version.or(version);
+            let Some(version) = version else {
+                return broke(&"an event without a version");
             };
-            version = event.version.unwrap_or(version);
             if run.single_version && !state.progress.fits(0, version, true) {
                 state.progress = Progress::default();
-                return Some(Ended::Broken);
+                return broke(&"the version changed");
             }
-            if state.progress.append(&event, version).is_err() {
-                return Some(Ended::Broken);
+            if let Err(error) = state.progress.append(&event, version) {
+                return broke(&error);
             }
         }
         let made = state.progress.last_event - state.first;
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -1,8 +1,8 @@
 //! Which engines load a version next.
 //!
-//! A step that is asked for version `k` allows `k - 1`, so an engine may serve for one version after its own. The plan
-//! loads engines that are too old for the named version first and then brings half of the rest up to date. The other
-//! half is loaded with the next version, so that a model is never without engines and each load serves two versions.
+//! A step that is asked for version `k` allows `k - 1`, so an engine may serve for one version after its own. Engines that
+//! are too old for the named version load first. The others load when no item waits for a place, so that a step finds
+//! all engines at its start and none is too old when the next version is named.
 
 use crate::prelude::*;
 
@@ -27,17 +27,14 @@
     total.div_ceil(LOADING_DIVISOR).max(1)
 }
 
-/// Engines to load `named` now, the most urgent first.
-pub fn next(named: Version, candidates: &[Candidate]) -> Vec<TargetId> {
+/// Engines to load `named` now, the most urgent first. `calm` means that no item waits for a place.
+pub fn next(named: Version, candidates: &[Candidate], calm: bool) -> Vec<TargetId> {
     let loading = candidates.iter().filter(|it| it.loading).count();
     let room = at_once(candidates.len()).saturating_sub(loading);
     let oldest_allowed = named.saturating_sub(1);
-    let current = candidates.iter().filter(|it| it.version >= named || it.loading).count();
-    let half = candidates.len().div_ceil(2);
-    let mut behind: Vec<&Candidate> =
-        candidates.iter().filter(|it| !it.loading && it.version < named).collect();
+    let due =
+        |it: &&Candidate| !it.loading && it.version < if calm { named } else { oldest_allowed };
+    let mut behind: Vec<&Candidate> = candidates.iter().filter(due).collect();
     behind.sort_by_key(|it| (it.version, it.in_flight));
-    let urgent = behind.iter().filter(|it| it.version < oldest_allowed).count();
-    let wanted = urgent.max(half.saturating_sub(current));
-    behind.into_iter().take(room.min(wanted)).map(|it| it.id.clone()).collect()
+    behind.into_iter().take(room).map(|it| it.id.clone()).collect()
 }
