--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -9,7 +9,7 @@
     control::{orders::Load, role::Standing},
     dialect::Switch,
     fleet::Target,
-    job::{Board, Chunk, Engines, Job, Record, Row, Spec, Start},
+    job::{Board, Chunk, Engines, Job, Record, Row, Saved, Spec, Start},
     prelude::*,
     traffic::{Command, Report, Run},
     weights::{self, Candidate},
@@ -24,6 +24,9 @@
 /// Longest time from the first finished row until it is kept, so that rows share a write.
 const KEEP_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Interval at which unfinished texts are saved.
+const SAVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A chunk to be written.
 #[derive(Clone, Debug)]
 pub struct Write {
@@ -37,6 +40,7 @@
 #[derive(Clone, Debug)]
 struct Placed {
     job: JobId,
+    item: usize,
     target: Option<TargetId>,
 }
 
@@ -57,6 +61,7 @@
     order_after: HashMap<TargetId, Time>,
     next_run: u64,
     kept_at: Time,
+    saved_at: Time,
 }
 
 impl Leader {
@@ -73,6 +78,7 @@
             order_after: HashMap::new(),
             next_run: first_run,
             kept_at: Time::ZERO,
+            saved_at: Time::ZERO,
         }
     }
 
@@ -114,7 +120,8 @@
     }
 
     /// Takes a job that was read from the store.
-    pub fn loaded(&mut self, spec: Spec, record: Record, chunks: &[Chunk], times: Times) {
+    pub fn loaded(&mut self, read: Read, times: Times) {
+        let Read { spec, record, chunks, saved } = read;
         self.loading.remove(&spec.id);
         let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
         let rows: Vec<Row> = rows.cloned().collect();
@@ -126,6 +133,7 @@
         }
         if let Some(job) = self.board.get_mut(&id) {
             job.restore(&rows, chunks.len() as u64);
+            job.resume(saved);
         }
     }
 
@@ -145,6 +153,16 @@
         chosen.map(|(run, _)| Command::Stop { run: *run }).collect()
     }
 
+    /// Orders to stop all runs.
+    pub fn stop_all(&self) -> Vec<Command> {
+        self.stops(|_| true)
+    }
+
+    /// Whether a run is in progress or a row waits to be kept.
+    pub fn is_unsettled(&self) -> bool {
+        self.standing.fence.is_some() && (!self.runs.is_empty() || self.board.has_rows())
+    }
+
     /// Orders to stop the runs on an engine, so that they go on elsewhere, if other engines have places for them.
     pub fn clear(&self, target: &TargetId, now: Time) -> Vec<Command> {
         let stops = self.stops(|placed| placed.target.as_ref() == Some(target));
@@ -177,7 +195,7 @@
         let target = start.target.as_ref().and_then(|id| self.engines.get(id));
         let target = target.map(|engine| Arc::clone(&engine.target));
         self.next_run += 1;
-        let placed = Placed { job: start.job.clone(), target: start.target.clone() };
+        let placed = Placed { job: start.job.clone(), item: start.item, target: start.target.clone() };
         self.runs.insert(self.next_run, placed);
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
@@ -190,12 +208,44 @@
         })))
     }
 
-    /// Takes the end of a run.
-    pub fn ended(&mut self, report: Report, now: Time) {
-        if self.runs.remove(&report.run).is_none() {
-            return;
+    /// Takes what the traffic thread tells of a run.
+    pub fn report(&mut self, report: Report, now: Time) {
+        match report {
+            Report::Progress { run, progress } => {
+                let Some(placed) = self.runs.get(&run) else {
+                    return;
+                };
+                if let Some(job) = self.board.get_mut(&placed.job) {
+                    job.progress(placed.item, progress);
+                }
+            }
+            Report::Ended { run, outcome } => {
+                if self.runs.remove(&run).is_some() {
+                    self.board.ended(outcome, now, &mut self.engines);
+                }
+            }
         }
-        self.board.ended(report.outcome, now, &mut self.engines);
+    }
+
+    /// Unfinished texts to save now, by job.
+    pub fn saves(&mut self, now: Time) -> Vec<(JobId, Revision, Vec<Saved>)> {
+        if now < self.saved_at + SAVE_INTERVAL {
+            return Vec::new();
+        }
+        self.saves_now(now)
+    }
+
+    /// Unfinished texts by job, whenever they were saved last.
+    pub fn saves_now(&mut self, now: Time) -> Vec<(JobId, Revision, Vec<Saved>)> {
+        let Some(fence) = self.standing.fence else {
+            return Vec::new();
+        };
+        self.saved_at = now;
+        let of_job = |id: JobId| {
+            let saved = self.board.get(&id)?.texts(CHUNK_BYTES);
+            (!saved.is_empty()).then_some((id, fence, saved))
+        };
+        self.board.ids().into_iter().filter_map(of_job).collect()
     }
 
     /// Chunks to write now.
@@ -287,6 +337,15 @@
     }
 }
 
+/// A job as read from the store.
+#[derive(Debug)]
+pub struct Read {
+    pub spec: Spec,
+    pub record: Record,
+    pub chunks: Vec<Chunk>,
+    pub saved: Vec<Saved>,
+}
+
 /// Times and limits of a job by its route.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -13,14 +13,14 @@
     clock,
     config::Config,
     control::{
-        leader::{Leader, Times, Write},
+        leader::{Leader, Read, Times, Write},
         mirror::{Mirror, Update},
         orders::{Loaded, Orders},
         role::{Role, Seen, Standing},
     },
     dialect::{self, Fact},
     fleet::Fleet,
-    job::{self, Chunk, Key, Record, Spec},
+    job::{self, Chunk, Key, Record, Saved},
     prelude::*,
     settings::Settings,
     store::{self, Change, Error, Outcome, Put, Txn},
@@ -34,6 +34,13 @@
 /// Shortest time between two watches of registrations and of job heads.
 const PLATFORM_PACE: Duration = Duration::from_millis(40);
 const HEADS_PACE: Duration = Duration::from_millis(40);
+/// Longest time in which a stopping leader ends its runs and keeps what they made.
+const HAND_OVER_MAX: Duration = Duration::from_millis(800);
+/// Interval at which jobs that need not be kept any longer are looked for, and the margin on the time for which they are.
+const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
+const KEPT_MARGIN: Duration = Duration::from_secs(30);
+/// Keys removed by one transaction.
+const REMOVES_MAX: usize = 30;
 /// Pause before a write without an answer is sent again.
 const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
@@ -50,7 +57,7 @@
 
 /// What a task of the control thread brings back.
 enum Done {
-    Read { service: ServiceId, id: JobId, job: Option<Box<(Spec, Record, Vec<Chunk>)>> },
+    Read { service: ServiceId, id: JobId, job: Option<Box<Read>> },
     Wrote { service: ServiceId, id: JobId, written: Written },
     Loaded { service: ServiceId, target: TargetId, loaded: Loaded },
 }
@@ -82,6 +89,11 @@
     named: BTreeMap<ModelId, Version>,
     standings: mpsc::UnboundedSender<(ServiceId, Standing)>,
     stopping: watch::Receiver<bool>,
+    /// Tells the roles to give their leadership back.
+    step_down: watch::Sender<bool>,
+    /// Time at which leadership is given back at the latest, once the process was told to stop.
+    hand_over_by: Option<Time>,
+    cleaned_at: Time,
     /// Mirrors that were read whole.
     synced: Vec<bool>,
     changed: bool,
@@ -122,6 +134,9 @@
         named: BTreeMap::new(),
         standings,
         stopping: stopping.clone(),
+        step_down: watch::channel(false).0,
+        hand_over_by: None,
+        cleaned_at: Time::ZERO,
         synced: vec![false; mirrors.len()],
         changed: false,
     };
@@ -149,10 +164,8 @@
                 }
                 idle = 0;
             }
-            _ = stopping.wait_for(|stopping| *stopping) => {
+            _ = stopping.wait_for(|stopping| *stopping), if control.hand_over_by.is_none() => {
                 control.stop();
-                // Roles give their leases back; the traffic thread ends the process.
-                std::future::pending::<()>().await;
             }
         }
         control.act();
@@ -161,14 +174,45 @@
 
 impl Control {
     fn is_busy(&self) -> bool {
-        self.leaders.values().any(Leader::is_busy)
+        self.hand_over_by.is_some() || self.leaders.values().any(Leader::is_busy)
     }
 
+    /// Ends all runs; what they made is kept and saved before the leadership is given back. The traffic thread ends the
+    /// process.
     fn stop(&mut self) {
         info!("stopping");
+        let now = clock::now();
+        self.hand_over_by = Some(now + HAND_OVER_MAX);
+        for leader in self.leaders.values() {
+            send(&self.commands, leader.stop_all());
+        }
         self.publish();
     }
 
+    /// Gives the leadership back once nothing runs and nothing waits to be kept.
+    fn hand_over(&mut self, now: Time) {
+        let Some(by) = self.hand_over_by.filter(|by| *by < Time::MAX) else {
+            return;
+        };
+        if now < by && self.leaders.values().any(Leader::is_unsettled) {
+            return;
+        }
+        let mut saves = Vec::new();
+        for leader in self.leaders.values_mut() {
+            let service = leader.service.clone();
+            let of_service = leader.saves_now(now).into_iter();
+            saves.extend(of_service.map(|(id, fence, saved)| {
+                save_texts(Rc::clone(&self.store), service.clone(), id, fence, saved)
+            }));
+        }
+        let told = self.step_down.clone();
+        self.hand_over_by = Some(Time::MAX);
+        tokio::task::spawn_local(async move {
+            futures::future::join_all(saves).await;
+            told.send_replace(true);
+        });
+    }
+
     fn update(&mut self, update: Update) {
         match update {
             Update::Changed(change) => self.change(&change),
@@ -304,8 +348,9 @@
     fn report(&mut self, report: Report) {
         let now = clock::now();
         for leader in self.leaders.values_mut() {
-            if leader.runs(report.run) {
-                leader.ended(report, now);
+            let (Report::Progress { run, .. } | Report::Ended { run, .. }) = &report;
+            if leader.runs(*run) {
+                leader.report(report, now);
                 return;
             }
         }
@@ -316,15 +361,12 @@
         match done {
             Done::Read { service, id, job } => {
                 let ended = self.heads.get(&id).is_none_or(|record| record.ended);
-                let times = job.as_ref().map(|job| self.times(&job.1, now));
+                let times = job.as_ref().map(|job| self.times(&job.record, now));
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
                 match (job, times) {
-                    (Some(job), Some(times)) if !ended => {
-                        let (spec, record, chunks) = *job;
-                        leader.loaded(spec, record, &chunks, times);
-                    }
+                    (Some(job), Some(times)) if !ended => leader.loaded(*job, times),
                     _ => leader.not_loaded(&id),
                 }
             }
@@ -385,6 +427,7 @@
         for service in services {
             self.lead_service(&service, now);
         }
+        self.hand_over(now);
     }
 
     fn publish(&self) {
@@ -431,7 +474,7 @@
             store: Rc::clone(&self.store),
             seen: receiver,
             standings: self.standings.clone(),
-            stopping: self.stopping.clone(),
+            stopping: self.step_down.subscribe(),
         };
         tokio::task::spawn_local(role.run());
     }
@@ -458,11 +501,18 @@
                 tokio::task::spawn_local(read);
             }
         }
-        send(&self.commands, leader.starts(now));
         for write in leader.writes(now) {
             let (store, done) = (Rc::clone(&self.store), self.done.clone());
             tokio::task::spawn_local(write_chunk(store, service.clone(), write, done));
         }
+        if self.hand_over_by.is_some() {
+            return;
+        }
+        send(&self.commands, leader.starts(now));
+        for (id, fence, saved) in leader.saves(now) {
+            let store = Rc::clone(&self.store);
+            tokio::task::spawn_local(save_texts(store, service.clone(), id, fence, saved));
+        }
         for load in leader.loads(now, &self.settings.host) {
             let (orders, done) = (Rc::clone(&self.orders), self.done.clone());
             let (service, target) = (service.clone(), load.target.id.clone());
@@ -472,10 +522,76 @@
                 tell(&done, Done::Loaded { service, target, loaded });
             });
         }
-        debug_assert!(fence > 0);
+        if now >= self.cleaned_at + CLEAN_INTERVAL {
+            self.cleaned_at = now;
+            self.clean(service, fence);
+        }
+    }
+
+    /// Removes jobs of a service that need not be kept any longer.
+    fn clean(&self, service: &ServiceId, fence: Revision) {
+        let kept = self.settings.job_kept + KEPT_MARGIN;
+        let old = |record: &Record| {
+            let age = clock::unix_ms().saturating_sub(record.submitted_ms);
+            record.ended && record.service == *service && Duration::from_millis(age) > kept
+        };
+        let jobs: Vec<(JobId, usize)> = self
+            .heads
+            .iter()
+            .filter(|(_, record)| old(record))
+            .map(|(id, record)| (id.clone(), record.parts))
+            .collect();
+        if !jobs.is_empty() {
+            tokio::task::spawn_local(remove_jobs(
+                Rc::clone(&self.store),
+                service.clone(),
+                fence,
+                jobs,
+            ));
+        }
     }
 }
 
+/// Removes all keys of jobs, each job's head last, so that a job that is removed in part is found again.
+async fn remove_jobs(
+    store: store::Handle,
+    service: ServiceId,
+    fence: Revision,
+    jobs: Vec<(JobId, usize)>,
+) {
+    for (id, parts) in jobs {
+        if let Err(error) = remove_job(store.as_ref(), &service, fence, &id, parts).await {
+            info!(job = &*id, reason:% = error; "could not remove an old job");
+        }
+    }
+}
+
+async fn remove_job(
+    store: &dyn store::Store,
+    service: &str,
+    fence: Revision,
+    id: &str,
+    parts: usize,
+) -> Result<(), Error> {
+    let (rows, _) = store::read_all(store, &job::rows_prefix(id)).await?;
+    let mut keys: Vec<Box<str>> = rows.into_iter().map(|entry| entry.key).collect();
+    keys.extend((0..parts).map(|part| job::body_part(id, part)));
+    keys.push(job::texts(id));
+    keys.push(job::head(id));
+    for some in keys.chunks(REMOVES_MAX) {
+        let txn = Txn {
+            expected: vec![(job::lead(service), fence)],
+            puts: Vec::new(),
+            removes: some.to_vec(),
+        };
+        if let Outcome::Conflict(_) | Outcome::NoLease = store.commit(&txn).await? {
+            // Another host leads and cleans up.
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
 /// Hands orders to the traffic thread.
 fn send(commands: &mpsc::UnboundedSender<Command>, orders: Vec<Command>) {
     for order in orders {
@@ -491,7 +607,7 @@
     }
 }
 
-/// Reads a job's submission and rows.
+/// Reads a job's submission, rows and saved texts.
 async fn read_job(
     store: store::Handle,
     dialect: dialect::Handle,
@@ -503,10 +619,14 @@
     let read = async {
         let spec = traffic::read_spec(store.as_ref(), &dialect, &id, &record).await?;
         let (entries, _) = store::read_all(store.as_ref(), &job::rows_prefix(&id)).await?;
-        Ok::<_, traffic::JobError>((spec, entries))
+        let (saved, _) = store.get(&job::texts(&id)).await?;
+        Ok::<_, traffic::JobError>((spec, entries, saved))
     };
     let job = match read.await {
-        Ok((spec, entries)) => chunks(&entries).map(|chunks| Box::new((spec, record, chunks))),
+        Ok((spec, entries, saved)) => chunks(&entries).map(|chunks| {
+            let saved = saved.map(|entry| texts(&entry)).unwrap_or_default();
+            Box::new(Read { spec, record, chunks, saved })
+        }),
         Err(error) => {
             info!(job = &*id, reason:% = error; "could not read a job");
             None
@@ -518,6 +638,33 @@
     tell(&done, Done::Read { service, id, job });
 }
 
+/// Saved texts of an entry. Without them the items only run again.
+fn texts(entry: &store::Entry) -> Vec<Saved> {
+    serde_json::from_slice(&entry.value).unwrap_or_else(|error| {
+        warn!(key = &*entry.key, reason:% = error; "saved texts skipped");
+        Vec::new()
+    })
+}
+
+/// Saves unfinished texts. They are replaced soon, so a failed write is not repeated.
+async fn save_texts(
+    store: store::Handle,
+    service: ServiceId,
+    id: JobId,
+    fence: Revision,
+    saved: Vec<Saved>,
+) {
+    let value = serde_json::to_vec(&saved).unwrap_or_default().into();
+    let txn = Txn {
+        expected: vec![(job::lead(&service), fence)],
+        puts: vec![Put { key: job::texts(&id), value, lease: None }],
+        removes: Vec::new(),
+    };
+    if let Err(error) = store.commit(&txn).await {
+        info!(job = &*id, reason:% = error; "could not save unfinished texts");
+    }
+}
+
 fn chunks(entries: &[store::Entry]) -> Option<Vec<Chunk>> {
     let decoded: Result<Vec<Chunk>, _> =
         entries.iter().map(|entry| serde_json::from_slice(&entry.value)).collect();
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use bytes::{Buf, BytesMut};
+use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
 use crate::prelude::*;
@@ -83,7 +84,7 @@
 }
 
 /// Text of an item so far.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// Data of all events, separated by line feeds.
     pub text: String,
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -7,12 +7,14 @@
 
 use crate::{
     events::Progress,
-    job::{Engines, Record, Row, Spec},
+    job::{Engines, Record, Row, Saved, Spec},
     prelude::*,
 };
 
 /// Time for which the text of an ended job's items is remembered, as unfinished groups come back in a later job.
 const CARRY_MEMORY: Duration = Duration::from_secs(20);
+/// Shorter texts are generated again as fast as they are read from the store.
+const SAVED_EVENTS_MIN: u64 = 10;
 /// Time until an item whose judge could not be reached is tried again.
 const JUDGE_RETRY: Duration = Duration::from_millis(300);
 
@@ -161,6 +163,48 @@
         }
     }
 
+    /// Takes texts that an earlier leader saved, where they are longer than those known here.
+    pub fn resume(&mut self, saved: Vec<Saved>) {
+        for saved in saved {
+            let Some(slot) = self.slot_mut(&saved.item) else {
+                continue;
+            };
+            let waits = matches!(slot.state, State::Waiting { .. });
+            if waits && saved.progress.last_event > slot.progress.last_event {
+                (slot.progress, slot.whole) = (saved.progress, saved.whole);
+            }
+        }
+    }
+
+    /// Takes the text so far of an item that runs.
+    pub fn progress(&mut self, item: usize, progress: Progress) {
+        if let Some(slot) = self.slots.get_mut(item)
+            && matches!(slot.state, State::Running { .. })
+        {
+            slot.progress = progress;
+        }
+    }
+
+    /// Unfinished texts that are worth saving, up to a number of bytes.
+    pub fn texts(&self, bytes_max: usize) -> Vec<Saved> {
+        let mut bytes = 0;
+        let open = self.spec.items.iter().zip(&self.slots).filter(|(_, slot)| {
+            matches!(slot.state, State::Waiting { .. } | State::Running { .. })
+                && slot.progress.last_event >= SAVED_EVENTS_MIN
+        });
+        let saved = open.map(|(item, slot)| Saved {
+            item: item.id.clone(),
+            progress: slot.progress.clone(),
+            whole: slot.whole,
+        });
+        saved
+            .take_while(|saved| {
+                bytes += saved.progress.text.len();
+                bytes <= bytes_max
+            })
+            .collect()
+    }
+
     /// Whether every item is listed.
     pub fn is_complete(&self) -> bool {
         self.slots.iter().all(|slot| slot.state == State::Listed)
@@ -350,6 +394,12 @@
         self.jobs.values().map(|job| job.slots.iter().filter(running).count()).sum()
     }
 
+    /// Whether a row waits to be kept or is being written.
+    pub fn has_rows(&self) -> bool {
+        let open = |slot: &Slot| matches!(slot.state, State::Finished(_) | State::Writing(_));
+        self.jobs.values().any(|job| job.slots.iter().any(open))
+    }
+
     /// Whether an item waits for a place.
     pub fn waits(&self) -> bool {
         self.jobs.values().any(Job::waits)
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -5,6 +5,7 @@
 const HEADS: &str = "job/head/";
 const BODIES: &str = "job/body/";
 const ROWS: &str = "job/rows/";
+const TEXTS: &str = "job/texts/";
 const LEADS: &str = "lead/";
 
 /// What a key of this program holds.
@@ -47,6 +48,11 @@
     format!("{ROWS}{job}/{chunk:08}").into()
 }
 
+/// Unfinished texts of a job, as the leader last saved them.
+pub fn texts(job: &str) -> Box<str> {
+    format!("{TEXTS}{job}").into()
+}
+
 /// Leader of a service.
 pub fn lead(service: &str) -> Box<str> {
     format!("{LEADS}{service}").into()
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use log::info;
 use tokio::{
-    sync::oneshot,
+    sync::{mpsc, oneshot},
     time::{Instant, timeout},
 };
 
@@ -27,6 +27,8 @@
 const EVENT_GAP_MAX: Duration = Duration::from_millis(2000);
 /// Events after which the pace of a run is judged.
 const PACED_EVENTS: u64 = 6;
+/// Interval at which the text of a run is reported.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 /// Longest time for a judge's answer.
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
 
@@ -54,11 +56,12 @@
     pub pace_max: Duration,
 }
 
-/// End of a run.
+/// What the traffic thread tells of a run.
 #[derive(Debug)]
-pub struct Report {
-    pub run: u64,
-    pub outcome: Outcome,
+pub enum Report {
+    /// Text so far.
+    Progress { run: u64, progress: Progress },
+    Ended { run: u64, outcome: Outcome },
 }
 
 /// What a run has so far.
@@ -78,7 +81,12 @@
 }
 
 /// Makes a run to its end or until it is stopped.
-pub async fn run(traffic: Rc<Traffic>, run: Box<Run>, mut stop: oneshot::Receiver<()>) -> Report {
+pub async fn run(
+    traffic: Rc<Traffic>,
+    run: Box<Run>,
+    mut stop: oneshot::Receiver<()>,
+    reports: &mpsc::UnboundedSender<Report>,
+) -> Report {
     let mut state = Running {
         progress: run.start.progress.clone(),
         whole: run.target.is_none(),
@@ -88,7 +96,7 @@
     let mut pace = None;
     let ended = 'ended: {
         if let Some(target) = &run.target {
-            let stream = stream(&traffic, &run, target, &mut state);
+            let stream = stream(&traffic, &run, target, &mut state, reports);
             let ended = tokio::select! {
                 ended = stream => ended,
                 _ = &mut stop => Some(Ended::Stopped),
@@ -117,7 +125,7 @@
         whole: state.whole,
         pace,
     };
-    Report { run: run.id, outcome }
+    Report::Ended { run: run.id, outcome }
 }
 
 fn log_end(run: &Run, ended: &Ended, state: &Running) {
@@ -132,6 +140,7 @@
     run: &Run,
     target: &Arc<Target>,
     state: &mut Running,
+    reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<Ended> {
     let by = Instant::now() + EVENT_GAP_MAX;
     let Ok(mut channel) = connect(traffic, target, Duration::MAX, by).await else {
@@ -172,7 +181,7 @@
         return Some(Ended::NotRun);
     }
     let closes = closes(&parts.headers);
-    if let Some(ended) = read(traffic, run, state, body, answer.version).await {
+    if let Some(ended) = read(traffic, run, state, body, answer.version, reports).await {
         return Some(ended);
     }
     if !closes {
@@ -188,6 +197,7 @@
     state: &mut Running,
     mut body: Incoming,
     mut version: Option<Version>,
+    reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<Ended> {
     let broke = |reason: &dyn std::fmt::Display| {
         let item = &run.spec.items[run.start.item];
@@ -195,6 +205,7 @@
         Some(Ended::Broken)
     };
     let mut parser = Parser::new(traffic.dialect.version_line());
+    let mut told = Instant::now();
     loop {
         let data = match timeout(EVENT_GAP_MAX, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -222,6 +233,13 @@
                 return broke(&error);
             }
         }
+        if told.elapsed() >= PROGRESS_INTERVAL {
+            told = Instant::now();
+            let progress = state.progress.clone();
+            if reports.send(Report::Progress { run: run.id, progress }).is_err() {
+                return Some(Ended::Stopped);
+            }
+        }
         let made = state.progress.last_event - state.first;
         if made >= PACED_EVENTS && state.pace().is_some_and(|pace| pace > run.pace_max) {
             return Some(Ended::Slow);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -143,7 +143,7 @@
                 traffic.stops.borrow_mut().insert(id, stop);
                 let (traffic, reports) = (Rc::clone(&traffic), reports.clone());
                 tokio::task::spawn_local(async move {
-                    let report = run::run(Rc::clone(&traffic), order, stopped).await;
+                    let report = run::run(Rc::clone(&traffic), order, stopped, &reports).await;
                     traffic.stops.borrow_mut().remove(&id);
                     if reports.send(report).is_err() {
                         debug!(run = id; "control thread has ended");
