--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -195,7 +195,8 @@
         let target = start.target.as_ref().and_then(|id| self.engines.get(id));
         let target = target.map(|engine| Arc::clone(&engine.target));
         self.next_run += 1;
-        let placed = Placed { job: start.job.clone(), item: start.item, target: start.target.clone() };
+        let placed =
+            Placed { job: start.job.clone(), item: start.item, target: start.target.clone() };
         self.runs.insert(self.next_run, placed);
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -12,6 +12,6 @@
 pub use engines::{Engine, Engines};
 pub use keys::{Key, body_part, head, lead, rows, rows_prefix, texts};
 pub use record::Record;
-pub use saved::Saved;
 pub use row::{Chunk, Row};
+pub use saved::Saved;
 pub use spec::{Item, Judge, Spec};
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -89,7 +89,7 @@
 ) -> Result<Bytes, Error> {
     load(traffic, id).await?;
     if !traffic.cache.jobs.borrow().get(id).is_some_and(|job| job.end() > after) {
-        refresh(traffic, id, wait).await?;
+        refresh(traffic, id, after, wait).await?;
     }
     let jobs = traffic.cache.jobs.borrow();
     let job = jobs.get(id).ok_or(Error::Missing)?;
@@ -132,11 +132,16 @@
     Ok(())
 }
 
-/// Waits for further results. An empty watch is no proof that there are none, so the chunks are then read.
-async fn refresh(traffic: &Rc<Traffic>, id: &str, wait: Duration) -> Result<(), Error> {
+/// Waits for the result at a position. A watch without it is no proof that there is none, so the chunks are then read.
+async fn refresh(
+    traffic: &Rc<Traffic>,
+    id: &str,
+    position: u64,
+    wait: Duration,
+) -> Result<(), Error> {
     let prefix = job::rows_prefix(id);
-    let (revision, end, complete) = match traffic.cache.jobs.borrow().get(id) {
-        Some(job) => (job.revision, job.end(), job.end() >= job.total as u64),
+    let (revision, complete) = match traffic.cache.jobs.borrow().get(id) {
+        Some(job) => (job.revision, job.end() >= job.total as u64),
         None => return Ok(()),
     };
     if complete {
@@ -150,7 +155,7 @@
             Change::Put(entry) => Some(entry),
             Change::Removed { .. } => None,
         });
-        if add(traffic, id, written, revision) > end {
+        if add(traffic, id, written, revision) > position {
             return Ok(());
         }
     }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -60,8 +60,14 @@
 #[derive(Debug)]
 pub enum Report {
     /// Text so far.
-    Progress { run: u64, progress: Progress },
-    Ended { run: u64, outcome: Outcome },
+    Progress {
+        run: u64,
+        progress: Progress,
+    },
+    Ended {
+        run: u64,
+        outcome: Outcome,
+    },
 }
 
 /// What a run has so far.
