--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -259,7 +259,7 @@
         }
         let mut writes = Vec::new();
         for id in self.board.ids() {
-            let rows = self.board.take_rows(&id, CHUNK_BYTES);
+            let rows = self.board.take_rows(&id, fence, CHUNK_BYTES);
             let Some(job) = self.board.get(&id).filter(|_| !rows.is_empty()) else {
                 continue;
             };
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -58,7 +58,7 @@
 /// What a task of the control thread brings back.
 enum Done {
     Read { service: ServiceId, id: JobId, job: Option<Box<Read>> },
-    Wrote { service: ServiceId, id: JobId, written: Written },
+    Wrote { service: ServiceId, id: JobId, fence: Revision, number: u64, written: Written },
     Loaded { service: ServiceId, target: TargetId, loaded: Loaded },
 }
 
@@ -328,19 +328,10 @@
             return;
         };
         let before = std::mem::replace(&mut leader.standing, standing);
-        if standing.fence.is_some() && before.fence != standing.fence {
-            // Another host may have led meanwhile, so every job's rows are read again.
-            self.reload(service);
-        }
-    }
-
-    fn reload(&mut self, service: &ServiceId) {
-        let Some(leader) = self.leaders.get_mut(service) else {
-            return;
-        };
-        let ids = leader.board.ids();
-        for id in &ids {
-            let stops = leader.end(id, clock::now());
+        let (taken, lost) = (standing.fence.is_some(), self.leads.contains_key(service));
+        if before.fence != standing.fence && (taken || lost) {
+            // Another host leads or may have led meanwhile, so a job's rows are read again before it goes on.
+            let stops = leader.drop_all(clock::now());
             send(&self.commands, stops);
         }
     }
@@ -370,12 +361,12 @@
                     _ => leader.not_loaded(&id),
                 }
             }
-            Done::Wrote { service, id, written } => {
+            Done::Wrote { service, id, fence, number, written } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
-                leader.board.wrote(&id, written == Written::Kept);
-                if written == Written::Differs {
+                leader.board.wrote(&id, fence, number, written == Written::Kept);
+                if written == Written::Differs && leader.standing.fence == Some(fence) {
                     let stops = leader.end(&id, now);
                     send(&self.commands, stops);
                 }
@@ -665,16 +656,23 @@
     }
 }
 
+/// Decodes the chunks of a job; each must begin where the one before ends.
 fn chunks(entries: &[store::Entry]) -> Option<Vec<Chunk>> {
-    let decoded: Result<Vec<Chunk>, _> =
-        entries.iter().map(|entry| serde_json::from_slice(&entry.value)).collect();
-    match decoded {
-        Ok(chunks) => Some(chunks),
-        Err(error) => {
-            warn!(reason:% = error; "could not decode a chunk of results");
-            None
+    let mut chunks: Vec<Chunk> = Vec::with_capacity(entries.len());
+    for entry in entries {
+        match serde_json::from_slice::<Chunk>(&entry.value) {
+            Ok(chunk) if chunk.first == chunks.last().map_or(0, Chunk::end) => chunks.push(chunk),
+            Ok(chunk) => {
+                warn!(key = &*entry.key, first = chunk.first; "chunk does not follow the one before");
+                return None;
+            }
+            Err(error) => {
+                warn!(key = &*entry.key, reason:% = error; "could not decode a chunk of results");
+                return None;
+            }
         }
     }
+    Some(chunks)
 }
 
 /// Writes a chunk until its outcome is known. Only the present leader's write takes effect, and only once.
@@ -708,5 +706,6 @@
         }
     };
     log::debug!(job = &*write.job, chunk = write.number, rows = write.chunk.rows.len(), outcome:? = written; "results written");
-    tell(&done, Done::Wrote { service, id: write.job, written });
+    let Write { job: id, fence, number, .. } = write;
+    tell(&done, Done::Wrote { service, id, fence, number, written });
 }
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -66,7 +66,8 @@
     slots: Vec<Slot>,
     /// Items in the order in which they start.
     order: Vec<usize>,
-    writing: bool,
+    /// Fencing number of the write in progress.
+    writing: Option<Revision>,
 }
 
 /// How a run ended.
@@ -140,14 +141,14 @@
             chunks: 0,
             slots,
             order,
-            writing: false,
+            writing: None,
         }
     }
 
     /// Takes rows that are in the store already.
     pub fn restore(&mut self, rows: &[Row], chunks: u64) {
         self.chunks = chunks;
-        self.writing = false;
+        self.writing = None;
         self.listed = rows.len() as u64;
         let index: HashMap<&str, usize> =
             self.spec.items.iter().enumerate().map(|(at, item)| (&*item.id, at)).collect();
@@ -345,9 +346,10 @@
         }
     }
 
-    /// Rows of a job that wait to be kept, as many as fit. Until they are, no others are given.
-    pub fn take_rows(&mut self, id: &str, bytes_max: usize) -> Vec<Row> {
-        let Some(job) = self.jobs.get_mut(id).filter(|job| !job.writing) else {
+    /// Rows of a job that wait to be kept, as many as fit, to be written under a fencing number. Until the write has
+    /// ended, no others are given.
+    pub fn take_rows(&mut self, id: &str, fence: Revision, bytes_max: usize) -> Vec<Row> {
+        let Some(job) = self.jobs.get_mut(id).filter(|job| job.writing.is_none()) else {
             return Vec::new();
         };
         let (mut rows, mut bytes) = (Vec::new(), 0);
@@ -362,16 +364,18 @@
             rows.push((**row).clone());
             slot.state = State::Writing(row.clone());
         }
-        job.writing = !rows.is_empty();
+        job.writing = (!rows.is_empty()).then_some(fence);
         rows
     }
 
-    /// The rows that were given are in the store, or (`false`) certainly not.
-    pub fn wrote(&mut self, id: &str, kept: bool) {
-        let Some(job) = self.jobs.get_mut(id) else {
+    /// The rows that were given for chunk `number` are in the store, or (`false`) certainly not. The end of a write that
+    /// was begun before the job was read again does not count.
+    pub fn wrote(&mut self, id: &str, fence: Revision, number: u64, kept: bool) {
+        let begun = |job: &&mut Job| job.writing == Some(fence) && job.chunks == number;
+        let Some(job) = self.jobs.get_mut(id).filter(begun) else {
             return;
         };
-        job.writing = false;
+        job.writing = None;
         let mut count = 0;
         for slot in &mut job.slots {
             if let State::Writing(row) = &slot.state {
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -71,6 +71,8 @@
         let opening = async {
             let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
             guard(&stream).context(ConnectSnafu)?;
+            // A closed connection is reset: bytes that a cut holds up must not arrive after the request was given up.
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).context(ConnectSnafu)?;
             let (sender, connection) =
                 http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
             let driver = tokio::task::spawn_local(async move {
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -55,7 +55,10 @@
                 self.bytes += value.len();
                 self.chunks.push(Arc::new(chunk));
             }
-            Ok(_) => {}
+            Ok(chunk) if chunk.first < self.end() => {}
+            Ok(chunk) => {
+                warn!(first = chunk.first, end = self.end(); "chunk of results left out: one before it is missing");
+            }
             Err(error) => warn!(reason:% = error; "could not decode a chunk of results"),
         }
     }
