--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -705,7 +705,7 @@
             }
         }
     };
-    log::debug!(job = &*write.job, chunk = write.number, rows = write.chunk.rows.len(), outcome:? = written; "results written");
+    log::debug!(job = &*write.job, chunk = write.number, first = write.chunk.first, rows = write.chunk.rows.len(), outcome:? = written; "results written");
     let Write { job: id, fence, number, .. } = write;
     tell(&done, Done::Wrote { service, id, fence, number, written });
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -111,11 +111,20 @@
 
 /// Reads all keys under a prefix. The revision is that of the first page, as pages are not a snapshot.
 pub async fn read_all(store: &dyn Store, prefix: &str) -> Result<(Vec<Entry>, Revision), Error> {
+    read_after(store, prefix, None).await
+}
+
+/// Reads the keys under a prefix that follow a key.
+pub async fn read_after(
+    store: &dyn Store,
+    prefix: &str,
+    after: Option<&str>,
+) -> Result<(Vec<Entry>, Revision), Error> {
     let mut entries: Vec<Entry> = Vec::new();
     let mut revision = None;
     loop {
-        let after = entries.last().map(|entry| entry.key.clone());
-        let page = store.range(prefix, after.as_deref()).await?;
+        let after = entries.last().map(|entry| &*entry.key).or(after);
+        let page = store.range(prefix, after).await?;
         revision.get_or_insert(page.revision);
         let more = page.more && !page.entries.is_empty();
         entries.extend(page.entries);
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -55,9 +55,9 @@
                 self.bytes += value.len();
                 self.chunks.push(Arc::new(chunk));
             }
-            Ok(chunk) if chunk.first < self.end() => {}
+            Ok(chunk) if chunk.end() <= self.end() => {}
             Ok(chunk) => {
-                warn!(first = chunk.first, end = self.end(); "chunk of results left out: one before it is missing");
+                warn!(first = chunk.first, end = self.end(); "chunk of results left out: it does not follow the one before");
             }
             Err(error) => warn!(reason:% = error; "could not decode a chunk of results"),
         }
@@ -172,8 +172,10 @@
         Some(job) => Some(job::rows(id, job.chunks.len() as u64 - 1)),
         None => return Ok(()),
     };
-    let page = traffic.store.range(&job::rows_prefix(id), last.as_deref()).await?;
-    add(traffic, id, page.entries, page.revision);
+    let store = traffic.store.as_ref();
+    let (entries, revision) =
+        store::read_after(store, &job::rows_prefix(id), last.as_deref()).await?;
+    add(traffic, id, entries, revision);
     Ok(())
 }
 
