--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -21,8 +21,8 @@
 const SLOW_MIN: Duration = Duration::from_millis(70);
 /// Text bytes of one chunk.
 const CHUNK_BYTES: usize = 500 << 10;
-/// Longest time from the first finished row until it is kept, so that rows share a write.
-const KEEP_INTERVAL: Duration = Duration::from_millis(60);
+/// Shortest time between two writes of rows, so that rows share a write.
+const KEEP_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval at which unfinished texts are saved.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/node/src/control/role.rs
+++ b/crates/node/src/control/role.rs
@@ -19,7 +19,11 @@
 /// Part of the lease, as a divisor, after which a leader that could not renew gives no more orders.
 const ORDER_DIVISOR: u32 = 2;
 /// Longest random delay before a free leadership is taken.
-const JITTER_MAX: Duration = Duration::from_millis(250);
+const JITTER_MAX: Duration = Duration::from_millis(200);
+/// Delay of a host without processor time, so that larger hosts lead.
+const SMALL_HOST_DELAY: Duration = Duration::from_millis(300);
+/// Share of a core from which on a host takes part without that delay.
+const LARGE_HOST_SHARE: f64 = 0.5;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -47,6 +51,8 @@
     pub service: ServiceId,
     pub host: HostId,
     pub ttl: Duration,
+    /// Delay before a free leadership is taken.
+    pub delay: Duration,
     pub store: store::Handle,
     pub seen: watch::Receiver<Seen>,
     pub standings: mpsc::UnboundedSender<(ServiceId, Standing)>,
@@ -60,13 +66,18 @@
         lease_min * LEASE_FACTOR
     }
 
+    /// Delay of a host with a share of a core.
+    pub fn delay(cpu_share: f64) -> Duration {
+        SMALL_HOST_DELAY.mul_f64(1.0 - (cpu_share / LARGE_HOST_SHARE).clamp(0.0, 1.0))
+    }
+
     /// Takes the leadership whenever it is free, and holds it.
     pub async fn run(mut self) {
         while !*self.stopping.borrow() {
             if self.seen.wait_for(|seen| *seen == Seen::Absent).await.is_err() {
                 return;
             }
-            sleep(JITTER_MAX.mul_f64(rand::random())).await;
+            sleep(self.delay + JITTER_MAX.mul_f64(rand::random())).await;
             if *self.seen.borrow() != Seen::Absent || *self.stopping.borrow() {
                 continue;
             }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -6,6 +6,7 @@
 use log::{info, warn};
 use tokio::{
     sync::{mpsc, watch},
+    task::JoinHandle,
     time::{interval, sleep},
 };
 
@@ -18,7 +19,7 @@
         orders::{Loaded, Orders},
         role::{Role, Seen, Standing},
     },
-    dialect::{self, Fact},
+    dialect::{self, Fact, Subject},
     fleet::Fleet,
     job::{self, Chunk, Key, Record, Saved},
     prelude::*,
@@ -31,9 +32,10 @@
 /// Interval of the control loop while jobs are open, and while none is.
 const TICK: Duration = Duration::from_millis(20);
 const IDLE_TICKS: u32 = 10;
-/// Shortest time between two watches of registrations and of job heads.
-const PLATFORM_PACE: Duration = Duration::from_millis(40);
-const HEADS_PACE: Duration = Duration::from_millis(40);
+/// Shortest time between two watches of a prefix of this program.
+const OWN_PACE: Duration = Duration::from_millis(40);
+/// Part of the time in which a fact must be acted on that may pass between two watches, as a divisor.
+const PACE_DIVISOR: u32 = 2;
 /// Longest time in which a stopping leader ends its runs and keeps what they made.
 const HAND_OVER_MAX: Duration = Duration::from_millis(800);
 /// Interval at which jobs that need not be kept any longer are looked for, and the margin on the time for which they are.
@@ -84,6 +86,9 @@
     fleet: Fleet,
     heads: BTreeMap<JobId, Record>,
     leads: BTreeMap<ServiceId, Revision>,
+    /// Follows the heads of jobs while this host leads a service.
+    heads_mirror: Option<JoinHandle<()>>,
+    updates: mpsc::UnboundedSender<Update>,
     seen: BTreeMap<ServiceId, watch::Sender<Seen>>,
     leaders: BTreeMap<ServiceId, Leader>,
     named: BTreeMap<ModelId, Version>,
@@ -105,10 +110,15 @@
     let (done, mut finished) = mpsc::unbounded_channel();
     let (standings, mut standing) = mpsc::unbounded_channel();
     let Parts { settings, view, dialect, store, commands, mut reports, mut stopping } = parts;
-    let platform = dialect.prefixes().iter().map(|prefix| (*prefix, PLATFORM_PACE));
-    let own = Key::PREFIXES.iter().map(|prefix| (*prefix, HEADS_PACE));
+    let platform = dialect.prefixes().iter().map(|(prefix, fact)| {
+        let within = match fact {
+            Subject::Operator => settings.config_within / PACE_DIVISOR,
+            Subject::Targets => settings.drain_within,
+        };
+        (*prefix, within / PACE_DIVISOR)
+    });
     let mirrors: Vec<Mirror> = platform
-        .chain(own)
+        .chain([(job::LEADS, OWN_PACE)])
         .enumerate()
         .map(|(number, (prefix, pace))| Mirror::new(number, prefix, pace))
         .collect();
@@ -129,6 +139,8 @@
         fleet: Fleet::default(),
         heads: BTreeMap::new(),
         leads: BTreeMap::new(),
+        heads_mirror: None,
+        updates: updates.clone(),
         seen: BTreeMap::new(),
         leaders: BTreeMap::new(),
         named: BTreeMap::new(),
@@ -217,8 +229,10 @@
         match update {
             Update::Changed(change) => self.change(&change),
             Update::Synced { mirror } => {
-                self.synced[mirror] = true;
-                self.changed = true;
+                if let Some(synced) = self.synced.get_mut(mirror) {
+                    *synced = true;
+                    self.changed = true;
+                }
             }
             Update::Lost { .. } => {}
             Update::Regained { .. } => self.fleet.store_returned(clock::now()),
@@ -334,6 +348,20 @@
             let stops = leader.drop_all(clock::now());
             send(&self.commands, stops);
         }
+        self.follow_heads();
+    }
+
+    /// Only a leader has to know the jobs; any other host reads the one that it is asked for.
+    fn follow_heads(&mut self) {
+        let leads = self.leaders.values().any(|leader| leader.standing.fence.is_some());
+        if leads && self.heads_mirror.is_none() {
+            let mirror = Mirror::new(self.synced.len(), job::HEADS, OWN_PACE);
+            let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
+            self.heads_mirror = Some(tokio::task::spawn_local(follow));
+        } else if !leads && let Some(mirror) = self.heads_mirror.take() {
+            mirror.abort();
+            self.heads.clear();
+        }
     }
 
     fn report(&mut self, report: Report) {
@@ -462,6 +490,7 @@
             service: service.clone(),
             host: self.settings.host.clone(),
             ttl: Role::ttl(self.settings.lease_min),
+            delay: Role::delay(self.settings.cpu_share),
             store: Rc::clone(&self.store),
             seen: receiver,
             standings: self.standings.clone(),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -103,6 +103,15 @@
     Ignored,
 }
 
+/// What the facts under a prefix are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Subject {
+    /// Configuration, versions and hosts to be emptied.
+    Operator,
+    /// Registrations of targets.
+    Targets,
+}
+
 /// Why bytes could not be decoded.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 #[snafu(display("could not decode {what}: {reason}"))]
@@ -133,8 +142,8 @@
     fn order(&self, order: &Order) -> (&'static str, Bytes);
     fn report_path(&self) -> &'static str;
     fn report(&self, body: &[u8]) -> Result<Report, Malformed>;
-    /// Prefixes whose keys hold facts.
-    fn prefixes(&self) -> &[&'static str];
+    /// Prefixes whose keys hold facts, and what these are about.
+    fn prefixes(&self) -> &[(&'static str, Subject)];
     fn fact(&self, change: &Change) -> Result<Fact, Malformed>;
     /// Key and value that state that a host has been emptied.
     fn emptied(&self, host: &str) -> Entry;
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -2,11 +2,13 @@
 
 use crate::prelude::*;
 
-const HEADS: &str = "job/head/";
+/// Prefix of the heads of jobs.
+pub const HEADS: &str = "job/head/";
 const BODIES: &str = "job/body/";
 const ROWS: &str = "job/rows/";
 const TEXTS: &str = "job/texts/";
-const LEADS: &str = "lead/";
+/// Prefix of the leaders of services.
+pub const LEADS: &str = "lead/";
 
 /// What a key of this program holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,9 +18,6 @@
 }
 
 impl Key {
-    /// Prefixes that every node mirrors.
-    pub const PREFIXES: [&str; 2] = [HEADS, LEADS];
-
     /// What a mirrored key holds.
     pub fn parse(key: &str) -> Option<Self> {
         if let Some(id) = key.strip_prefix(HEADS) {
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -10,7 +10,7 @@
 
 pub use board::{Board, Ended, Job, Outcome, Start};
 pub use engines::{Engine, Engines};
-pub use keys::{Key, body_part, head, lead, rows, rows_prefix, texts};
+pub use keys::{HEADS, Key, LEADS, body_part, head, lead, rows, rows_prefix, texts};
 pub use record::Record;
 pub use row::{Chunk, Row};
 pub use saved::Saved;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -15,6 +15,12 @@
     pub ready: SocketAddr,
     /// Time between the signal to stop and the kill.
     pub stop_grace: Duration,
+    /// Time within which a configuration must be in force.
+    pub config_within: Duration,
+    /// Time within which a leaving target must get no more work.
+    pub drain_within: Duration,
+    /// Share of a core that the host has.
+    pub cpu_share: f64,
     /// Largest value of the store in bytes.
     pub value_bytes: usize,
     /// Shortest lease that the store grants.
