--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -12,7 +12,7 @@
     job::{Board, Chunk, Engines, Job, Record, Row, Saved, Spec, Start},
     prelude::*,
     traffic::{Command, Report, Run},
-    weights::{self, Candidate},
+    weights::{self, Candidate, Homes},
 };
 
 /// An item is moved from an engine that takes this many times the usual time per event.
@@ -52,6 +52,7 @@
     engines: Engines,
     /// Newest version that a trainer named, by model.
     named: BTreeMap<ModelId, Version>,
+    homes: Homes,
     runs: HashMap<u64, Placed>,
     /// Jobs that are being read from the store.
     loading: HashSet<JobId>,
@@ -72,6 +73,7 @@
             board: Board::default(),
             engines: Engines::default(),
             named: BTreeMap::new(),
+            homes: Homes::default(),
             runs: HashMap::new(),
             loading: HashSet::new(),
             orders: HashMap::new(),
@@ -263,7 +265,7 @@
             let Some(job) = self.board.get(&id).filter(|_| !rows.is_empty()) else {
                 continue;
             };
-            let chunk = Chunk { first: job.listed, rows };
+            let chunk = Chunk { total: job.spec.items.len(), first: job.listed, rows };
             writes.push(Write { job: id, fence, number: job.chunks, chunk });
             self.kept_at = now;
         }
@@ -275,13 +277,16 @@
         let Some(fence) = self.standing.fence.filter(|_| now < self.standing.orders_until) else {
             return Vec::new();
         };
+        let versions = self.engines.iter().filter(|engine| !engine.target.draining);
+        let versions = versions.map(|engine| (engine.target.id.clone(), engine.versions()));
+        self.homes.assign(&versions.collect(), &self.named);
         let mut loads = Vec::new();
         for (model, &version) in &self.named {
             let candidates = self.candidates(model, now);
             let room = weights::at_once(self.engines.iter().count());
             let free = room.saturating_sub(self.orders.len());
             let calm = !self.board.waits();
-            for id in weights::next(version, &candidates, calm).into_iter().take(free) {
+            for id in weights::next(version, &candidates, calm, free) {
                 let Some(engine) = self.engines.get_mut(&id) else {
                     continue;
                 };
@@ -302,7 +307,9 @@
     }
 
     fn candidates(&self, model: &ModelId, now: Time) -> Vec<Candidate> {
-        let engines = self.engines.iter().filter(|engine| !engine.target.draining);
+        let engines = self.engines.iter().filter(|engine| {
+            !engine.target.draining && self.homes.of(&engine.target.id) == Some(model)
+        });
         let candidate = |engine: &crate::job::Engine| {
             let id = &engine.target.id;
             let waits = self.order_after.get(id).is_some_and(|after| *after > now);
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -14,7 +14,7 @@
 };
 
 /// Longest wait of one watch. Silence of the connection is found by probes of the transport, not by this time.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -86,8 +86,8 @@
     fleet: Fleet,
     heads: BTreeMap<JobId, Record>,
     leads: BTreeMap<ServiceId, Revision>,
-    /// Follows the heads of jobs while this host leads a service.
-    heads_mirror: Option<JoinHandle<()>>,
+    /// Follow what only a leader acts on, while this host leads a service.
+    leader_mirrors: Vec<JoinHandle<()>>,
     updates: mpsc::UnboundedSender<Update>,
     seen: BTreeMap<ServiceId, watch::Sender<Seen>>,
     leaders: BTreeMap<ServiceId, Leader>,
@@ -110,12 +110,10 @@
     let (done, mut finished) = mpsc::unbounded_channel();
     let (standings, mut standing) = mpsc::unbounded_channel();
     let Parts { settings, view, dialect, store, commands, mut reports, mut stopping } = parts;
-    let platform = dialect.prefixes().iter().map(|(prefix, fact)| {
-        let within = match fact {
-            Subject::Operator => settings.config_within / PACE_DIVISOR,
-            Subject::Targets => settings.drain_within,
-        };
-        (*prefix, within / PACE_DIVISOR)
+    let platform = dialect.prefixes().iter().filter_map(|(prefix, subject)| match subject {
+        Subject::Config => Some((*prefix, settings.config_within / PACE_DIVISOR / PACE_DIVISOR)),
+        Subject::Targets => Some((*prefix, settings.drain_within / PACE_DIVISOR)),
+        Subject::Orders => None,
     });
     let mirrors: Vec<Mirror> = platform
         .chain([(job::LEADS, OWN_PACE)])
@@ -139,7 +137,7 @@
         fleet: Fleet::default(),
         heads: BTreeMap::new(),
         leads: BTreeMap::new(),
-        heads_mirror: None,
+        leader_mirrors: Vec::new(),
         updates: updates.clone(),
         seen: BTreeMap::new(),
         leaders: BTreeMap::new(),
@@ -348,18 +346,25 @@
             let stops = leader.drop_all(clock::now());
             send(&self.commands, stops);
         }
-        self.follow_heads();
+        self.follow();
     }
 
-    /// Only a leader has to know the jobs; any other host reads the one that it is asked for.
-    fn follow_heads(&mut self) {
+    /// Only a leader has to know jobs, versions and hosts to be emptied; any other host reads the job that it is asked
+    /// for.
+    fn follow(&mut self) {
         let leads = self.leaders.values().any(|leader| leader.standing.fence.is_some());
-        if leads && self.heads_mirror.is_none() {
-            let mirror = Mirror::new(self.synced.len(), job::HEADS, OWN_PACE);
-            let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
-            self.heads_mirror = Some(tokio::task::spawn_local(follow));
-        } else if !leads && let Some(mirror) = self.heads_mirror.take() {
-            mirror.abort();
+        if leads && self.leader_mirrors.is_empty() {
+            let prefixes = self.dialect.prefixes().iter();
+            let orders = prefixes.filter(|(_, subject)| *subject == Subject::Orders);
+            for prefix in orders.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
+                let mirror = Mirror::new(self.synced.len(), prefix, OWN_PACE);
+                let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
+                self.leader_mirrors.push(tokio::task::spawn_local(follow));
+            }
+        } else if !leads && !self.leader_mirrors.is_empty() {
+            for mirror in self.leader_mirrors.drain(..) {
+                mirror.abort();
+            }
             self.heads.clear();
         }
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -106,8 +106,10 @@
 /// What the facts under a prefix are about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Subject {
-    /// Configuration, versions and hosts to be emptied.
-    Operator,
+    /// Configuration.
+    Config,
+    /// Versions and hosts to be emptied, which only a leader acts on.
+    Orders,
     /// Registrations of targets.
     Targets,
 }
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -48,6 +48,12 @@
         registered.max(self.loaded.get(model).copied())
     }
 
+    /// Versions of all models on the engine.
+    pub fn versions(&self) -> BTreeMap<ModelId, Version> {
+        let models = self.target.versions.keys();
+        models.filter_map(|model| Some((model.clone(), self.version(model)?))).collect()
+    }
+
     /// A version was loaded.
     pub fn loaded(&mut self, model: ModelId, version: Version) {
         self.loaded.insert(model, version);
--- a/crates/node/src/job/row.rs
+++ b/crates/node/src/job/row.rs
@@ -19,6 +19,8 @@
 /// Rows that were written together.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
+    /// Number of items of the job.
+    pub total: usize,
     /// Position of the first row.
     pub first: u64,
     pub rows: Vec<Row>,
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -116,17 +116,17 @@
         job.used = Instant::now();
         return Ok(());
     }
-    let record = record(traffic, id).await?.0;
     let (entries, revision) =
         store::read_all(traffic.store.as_ref(), &job::rows_prefix(id)).await?;
-    let mut cached = Cached {
-        total: record.total,
-        chunks: Vec::new(),
-        revision,
-        spec: None,
-        bytes: 0,
-        used: Instant::now(),
+    // A job with results needs no look at its head.
+    let known =
+        entries.first().and_then(|entry| serde_json::from_slice::<Chunk>(&entry.value).ok());
+    let total = match known {
+        Some(chunk) => chunk.total,
+        None => record(traffic, id).await?.0.total,
     };
+    let mut cached =
+        Cached { total, chunks: Vec::new(), revision, spec: None, bytes: 0, used: Instant::now() };
     for entry in entries {
         cached.add(&entry.value);
     }
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -3,6 +3,11 @@
 //! A step that is asked for version `k` allows `k - 1`, so an engine may serve for one version after its own. Engines that
 //! are too old for the named version load first. The others load when no item waits for a place, so that a step finds
 //! all engines at its start and none is too old when the next version is named.
+//!
+//! Where several models are trained on the same engines, each has a share of them as its home, and only these are loaded
+//! with its new versions: all engines cannot load every version of every model in time.
+
+use std::collections::BTreeMap;
 
 use crate::prelude::*;
 
@@ -27,10 +32,8 @@
     total.div_ceil(LOADING_DIVISOR).max(1)
 }
 
-/// Engines to load `named` now, the most urgent first. `calm` means that no item waits for a place.
-pub fn next(named: Version, candidates: &[Candidate], calm: bool) -> Vec<TargetId> {
-    let loading = candidates.iter().filter(|it| it.loading).count();
-    let room = at_once(candidates.len()).saturating_sub(loading);
+/// Engines to load `named` now, at most `room`, the most urgent first. `calm` means that no item waits for a place.
+pub fn next(named: Version, candidates: &[Candidate], calm: bool, room: usize) -> Vec<TargetId> {
     let oldest_allowed = named.saturating_sub(1);
     let due =
         |it: &&Candidate| !it.loading && it.version < if calm { named } else { oldest_allowed };
@@ -38,3 +41,72 @@
     behind.sort_by_key(|it| (it.version, it.in_flight));
     behind.into_iter().take(room).map(|it| it.id.clone()).collect()
 }
+
+/// Versions of the models on an engine.
+pub type Versions = BTreeMap<ModelId, Version>;
+
+/// Model whose new versions an engine loads.
+#[derive(Clone, Debug, Default)]
+pub struct Homes {
+    by_engine: BTreeMap<TargetId, ModelId>,
+}
+
+impl Homes {
+    /// Brings the shares up to date: engines stay where they are unless the shares differ by more than one.
+    pub fn assign(&mut self, engines: &BTreeMap<TargetId, Versions>, named: &Versions) {
+        self.by_engine.retain(|id, model| engines.contains_key(id) && named.contains_key(model));
+        for (id, versions) in engines {
+            if !self.by_engine.contains_key(id)
+                && let Some(model) = self.neediest(versions, named)
+            {
+                self.by_engine.insert(id.clone(), model);
+            }
+        }
+        while let Some((id, model)) = self.transfer(engines, named) {
+            self.by_engine.insert(id, model);
+        }
+    }
+
+    /// Model at home on an engine.
+    pub fn of(&self, id: &str) -> Option<&ModelId> {
+        self.by_engine.get(id)
+    }
+
+    fn count(&self, model: &ModelId) -> usize {
+        self.by_engine.values().filter(|home| *home == model).count()
+    }
+
+    /// The model with the smallest share, and among equals the one whose version on the engine is least behind.
+    fn neediest(&self, versions: &Versions, named: &Versions) -> Option<ModelId> {
+        named
+            .keys()
+            .filter(|model| versions.contains_key(*model))
+            .min_by_key(|model| (self.count(model), behind(versions, named, model)))
+            .cloned()
+    }
+
+    /// An engine to be moved from the largest share to the smallest.
+    fn transfer(
+        &self,
+        engines: &BTreeMap<TargetId, Versions>,
+        named: &Versions,
+    ) -> Option<(TargetId, ModelId)> {
+        let largest = named.keys().max_by_key(|model| self.count(model))?;
+        let smallest = named.keys().min_by_key(|model| self.count(model))?;
+        if self.count(largest) <= self.count(smallest) + 1 {
+            return None;
+        }
+        let of_largest = self.by_engine.iter().filter(|(_, home)| *home == largest);
+        let movable = of_largest.filter_map(|(id, _)| {
+            let versions = engines.get(id)?;
+            versions.contains_key(smallest).then(|| (behind(versions, named, smallest), id))
+        });
+        movable.min().map(|(_, id)| (id.clone(), smallest.clone()))
+    }
+}
+
+/// Versions by which an engine is behind the named one.
+fn behind(versions: &Versions, named: &Versions, model: &ModelId) -> Version {
+    let has = versions.get(model).copied().unwrap_or_default();
+    named.get(model).copied().unwrap_or_default().saturating_sub(has)
+}
