--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -16,9 +16,9 @@
 };
 
 /// An item is moved from an engine that takes this many times the usual time per event.
-const SLOW_FACTOR: f64 = 2.2;
+const SLOW_FACTOR: f64 = 1.7;
 /// Shortest time per event that counts as slow.
-const SLOW_MIN: Duration = Duration::from_millis(70);
+const SLOW_MIN: Duration = Duration::from_millis(55);
 /// Text bytes of one chunk.
 const CHUNK_BYTES: usize = 500 << 10;
 /// Shortest time between two writes of rows, so that rows share a write.
@@ -130,6 +130,7 @@
         if self.board.get(&id).is_none() {
             let mut job = Job::new(Arc::new(spec), record, times.due, times.expires);
             job.max_attempts = times.max_attempts;
+            job.priority = times.priority;
             job.single_version = times.single_version;
             self.board.insert(job);
         }
@@ -204,10 +205,14 @@
             id: self.next_run,
             spec: Arc::clone(&job.spec),
             record: Arc::new(job.record.clone()),
-            start,
             target,
             single_version: job.single_version,
-            pace_max: self.engines.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN),
+            pace_max: if start.last_resort {
+                Duration::MAX
+            } else {
+                self.engines.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN)
+            },
+            start,
         })))
     }
 
@@ -360,6 +365,7 @@
     pub due: Time,
     pub expires: Time,
     pub max_attempts: u32,
+    pub priority: u32,
     pub single_version: bool,
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -434,6 +434,7 @@
             due: submitted + deadline,
             expires: submitted + ttl,
             max_attempts: route.map_or(1, |route| route.max_attempts),
+            priority: route.map_or(0, |route| route.priority),
             single_version: route.is_some_and(|route| route.single_version),
         }
     }
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -15,6 +15,8 @@
 const CARRY_MEMORY: Duration = Duration::from_secs(20);
 /// Shorter texts are generated again as fast as they are read from the store.
 const SAVED_EVENTS_MIN: u64 = 10;
+/// Time by which a job goes behind one that is a rank more urgent and due at the same time.
+const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
 /// Time until an item whose judge could not be reached is tried again.
 const JUDGE_RETRY: Duration = Duration::from_millis(300);
 
@@ -55,6 +57,8 @@
     pub record: Record,
     pub single_version: bool,
     pub max_attempts: u32,
+    /// Rank of the route, 0 is the most urgent.
+    pub priority: u32,
     /// Time at which the results are due.
     pub due: Time,
     /// Time at which items are given up.
@@ -115,6 +119,8 @@
     /// `None` if only the score is missing.
     pub target: Option<TargetId>,
     pub progress: Progress,
+    /// No other engine has a place, so the item stays however slow it is.
+    pub last_resort: bool,
 }
 
 impl Job {
@@ -135,6 +141,7 @@
             record,
             single_version: false,
             max_attempts: 1,
+            priority: 0,
             due,
             expires,
             listed: 0,
@@ -211,6 +218,11 @@
         self.slots.iter().all(|slot| slot.state == State::Listed)
     }
 
+    /// Due time, later for less urgent jobs.
+    fn rank(&self) -> Time {
+        self.due + PRIORITY_DELAY.saturating_mul(self.priority)
+    }
+
     fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
         let at = self.spec.items.iter().position(|item| &*item.id == id)?;
         self.slots.get_mut(at)
@@ -296,10 +308,10 @@
         }
     }
 
-    /// The next item to run: jobs that are due first go first, and in a job the longest item.
+    /// The next item to run: jobs go by their due time and priority, and in a job the longest item goes first.
     pub fn next(&mut self, now: Time, engines: &mut Engines) -> Option<Start> {
         let mut ids: Vec<(Time, JobId)> =
-            self.jobs.values().map(|job| (job.due, job.spec.id.clone())).collect();
+            self.jobs.values().map(|job| (job.rank(), job.spec.id.clone())).collect();
         ids.sort_unstable();
         ids.into_iter().find_map(|(_, id)| self.next_of(&id, now, engines))
     }
@@ -436,7 +448,8 @@
 
     fn order_of(&self, item: usize, target: Option<TargetId>) -> Start {
         let progress = self.slots[item].progress.clone();
-        Start { job: self.spec.id.clone(), item, target, progress }
+        let last_resort = target.is_some() && target == self.slots[item].avoid;
+        Start { job: self.spec.id.clone(), item, target, progress, last_resort }
     }
 
     fn ended(&mut self, outcome: Outcome, now: Time) {
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -8,8 +8,9 @@
 const PACE_WEIGHT: f64 = 0.3;
 /// Time per event before any run was seen.
 const PACE_INITIAL: Duration = Duration::from_millis(40);
-/// Time without new items after an engine refused or broke a run.
-const BACKOFF: Duration = Duration::from_millis(400);
+/// Time without new items after an engine refused or broke a run; doubles up to the maximum while it goes on.
+const BACKOFF: Duration = Duration::from_millis(300);
+const BACKOFF_MAX: Duration = Duration::from_millis(2400);
 /// Time after which a slow pace is forgotten, so that a recovered engine is tried again.
 const PACE_MEMORY: Duration = Duration::from_secs(4);
 
@@ -23,6 +24,8 @@
     pub pace: Duration,
     paced_at: Time,
     blocked_until: Time,
+    /// Refused or broken runs in a row.
+    failures: u32,
     /// Model of which a version is being loaded; none of its items starts meanwhile.
     pub loading: Option<ModelId>,
     /// Versions that were loaded here and may not yet stand in the registration.
@@ -37,6 +40,7 @@
             pace: PACE_INITIAL,
             paced_at: Time::ZERO,
             blocked_until: Time::ZERO,
+            failures: 0,
             loading: None,
             loaded: BTreeMap::new(),
         }
@@ -155,6 +159,7 @@
         };
         engine.in_flight = engine.in_flight.saturating_sub(1);
         if let Some(pace) = pace {
+            engine.failures = 0;
             let fresh = now <= engine.paced_at + PACE_MEMORY;
             engine.pace = if fresh {
                 engine.pace.mul_f64(1.0 - PACE_WEIGHT) + pace.mul_f64(PACE_WEIGHT)
@@ -168,7 +173,12 @@
     /// Keeps new items away for a moment.
     pub fn block(&mut self, id: &str, now: Time) {
         if let Some(engine) = self.by_id.get_mut(id) {
-            engine.blocked_until = now + BACKOFF;
+            // Runs that break together count once.
+            if now >= engine.blocked_until {
+                let pause = BACKOFF.saturating_mul(1 << engine.failures.min(8));
+                engine.blocked_until = now + pause.min(BACKOFF_MAX);
+                engine.failures += 1;
+            }
         }
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -25,7 +25,7 @@
 
 /// Longest time until a run's answer begins, and between two events.
 const EVENT_GAP_MAX: Duration = Duration::from_millis(2000);
-/// Events after which the pace of a run is judged.
+/// Events over which the pace of a run is judged.
 const PACED_EVENTS: u64 = 6;
 /// Interval at which the text of a run is reported.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
@@ -212,6 +212,7 @@
     };
     let mut parser = Parser::new(traffic.dialect.version_line());
     let mut told = Instant::now();
+    let (mut paced_at, mut paced_event) = (Instant::now(), state.first);
     loop {
         let data = match timeout(EVENT_GAP_MAX, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
@@ -246,9 +247,13 @@
                 return Some(Ended::Stopped);
             }
         }
-        let made = state.progress.last_event - state.first;
-        if made >= PACED_EVENTS && state.pace().is_some_and(|pace| pace > run.pace_max) {
-            return Some(Ended::Slow);
+        let events = state.progress.last_event - paced_event;
+        if events >= PACED_EVENTS {
+            let pace = paced_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
+            if pace > run.pace_max {
+                return Some(Ended::Slow);
+            }
+            (paced_at, paced_event) = (Instant::now(), state.progress.last_event);
         }
     }
 }
