--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -19,6 +19,18 @@
     Job,
 }
 
+impl Kind {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Stream { .. } => "stream",
+            Self::Job => "job",
+        }
+    }
+}
+
 /// A route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -15,10 +15,10 @@
     weights::{self, Candidate, Homes},
 };
 
-/// An item is moved from an engine that takes this many times the usual time per event.
-const SLOW_FACTOR: f64 = 1.7;
-/// Shortest time per event that counts as slow.
-const SLOW_MIN: Duration = Duration::from_millis(55);
+/// Events over which the pace of a run is judged.
+const PACED_EVENTS: u64 = 6;
+/// The same for an item that found a place only on the engine that slowed it before.
+const LAST_RESORT_EVENTS: u64 = 18;
 /// Text bytes of one chunk.
 const CHUNK_BYTES: usize = 500 << 10;
 /// Shortest time between two writes of rows, so that rows share a write.
@@ -207,11 +207,8 @@
             record: Arc::new(job.record.clone()),
             target,
             single_version: job.single_version,
-            pace_max: if start.last_resort {
-                Duration::MAX
-            } else {
-                self.engines.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN)
-            },
+            pace_max: self.engines.pace_max(),
+            paced_events: if start.last_resort { LAST_RESORT_EVENTS } else { PACED_EVENTS },
             start,
         })))
     }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -22,6 +22,7 @@
     dialect::{self, Fact, Subject},
     fleet::Fleet,
     job::{self, Chunk, Key, Record, Saved},
+    metrics::METERS,
     prelude::*,
     settings::Settings,
     store::{self, Change, Error, Outcome, Put, Txn},
@@ -59,9 +60,24 @@
 
 /// What a task of the control thread brings back.
 enum Done {
-    Read { service: ServiceId, id: JobId, job: Option<Box<Read>> },
-    Wrote { service: ServiceId, id: JobId, fence: Revision, number: u64, written: Written },
-    Loaded { service: ServiceId, target: TargetId, loaded: Loaded },
+    Read {
+        service: ServiceId,
+        id: JobId,
+        job: Option<Box<Read>>,
+    },
+    Wrote {
+        service: ServiceId,
+        id: JobId,
+        fence: Revision,
+        number: u64,
+        rows: usize,
+        written: Written,
+    },
+    Loaded {
+        service: ServiceId,
+        target: TargetId,
+        loaded: Loaded,
+    },
 }
 
 /// How a chunk was written.
@@ -340,6 +356,7 @@
             return;
         };
         let before = std::mem::replace(&mut leader.standing, standing);
+        METERS.leads(service, standing.fence.is_some());
         let (taken, lost) = (standing.fence.is_some(), self.leads.contains_key(service));
         if before.fence != standing.fence && (taken || lost) {
             // Another host leads or may have led meanwhile, so a job's rows are read again before it goes on.
@@ -394,10 +411,13 @@
                     _ => leader.not_loaded(&id),
                 }
             }
-            Done::Wrote { service, id, fence, number, written } => {
+            Done::Wrote { service, id, fence, number, rows, written } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
+                if written == Written::Kept {
+                    METERS.rows(rows);
+                }
                 leader.board.wrote(&id, fence, number, written == Written::Kept);
                 if written == Written::Differs && leader.standing.fence == Some(fence) {
                     let stops = leader.end(&id, now);
@@ -408,6 +428,11 @@
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
+                METERS.load(match loaded {
+                    Loaded::Version(_) => "done",
+                    Loaded::Open => "open",
+                    Loaded::Fenced => "fenced",
+                });
                 let version = match loaded {
                     Loaded::Version(version) => Some(version),
                     Loaded::Open => None,
@@ -456,6 +481,8 @@
     }
 
     fn publish(&self) {
+        let version = self.config.as_ref().map_or(0, |config| config.version);
+        METERS.view(self.fleet.targets().len(), version);
         let synced = self.synced.iter().all(|synced| *synced);
         self.view.store(Arc::new(View {
             config: self.config.clone().filter(|_| synced),
@@ -741,6 +768,7 @@
         }
     };
     log::debug!(job = &*write.job, chunk = write.number, first = write.chunk.first, rows = write.chunk.rows.len(), outcome:? = written; "results written");
-    let Write { job: id, fence, number, .. } = write;
-    tell(&done, Done::Wrote { service, id, fence, number, written });
+    let Write { job: id, fence, number, chunk } = write;
+    let rows = chunk.rows.len();
+    tell(&done, Done::Wrote { service, id, fence, number, rows, written });
 }
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -52,7 +52,7 @@
     }
 
     /// The next whole event.
-    pub fn next(&mut self) -> Result<Option<Event>, Fault> {
+    pub fn take(&mut self) -> Result<Option<Event>, Fault> {
         let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
             if self.buffer.len() > EVENT_BYTES_MAX {
                 return Err(Fault::Malformed { reason: "event too long" });
--- /dev/null
+++ b/crates/node/src/explain.rs
@@ -0,0 +1,115 @@
+//! Story of one request, job, item or target from the log lines of all hosts.
+
+use std::{collections::BTreeSet, fmt, io, io::BufRead};
+
+use serde_json::{Map, Value};
+use snafu::{ResultExt, Snafu};
+
+/// Fields that hold ids.
+const ID_FIELDS: [&str; 5] = ["request", "job", "item", "target_id", "target"];
+/// Fields that are printed in places of their own, or not at all.
+const FRAME_FIELDS: [&str; 6] = ["time_ms", "host", "message", "level", "module", "lines_left_out"];
+
+/// Why logs cannot be explained.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("could not read log lines: {source}"))]
+    Read { source: io::Error },
+    #[snafu(display("could not find {id} in the log lines given"))]
+    Unknown { id: Box<str> },
+}
+
+/// One log line.
+#[derive(Clone, Debug)]
+pub struct Line(Map<String, Value>);
+
+impl Line {
+    /// Takes a line; anything before the object, such as a time stamp of a collector, is ignored.
+    pub fn parse(text: &str) -> Option<Self> {
+        let object = &text[text.find('{')?..];
+        match serde_json::from_str(object.trim_end()) {
+            Ok(Value::Object(fields)) => Some(Self(fields)),
+            _ => None,
+        }
+    }
+
+    fn text(&self, field: &str) -> &str {
+        self.0.get(field).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn time_ms(&self) -> u64 {
+        self.0.get("time_ms").and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    fn left_out(&self) -> u64 {
+        self.0.get("lines_left_out").and_then(Value::as_u64).unwrap_or_default()
+    }
+
+    fn mentions(&self, id: &str) -> bool {
+        ID_FIELDS.iter().any(|field| self.text(field) == id)
+    }
+
+    /// The line as JSON.
+    pub fn json(&self) -> String {
+        Value::Object(self.0.clone()).to_string()
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:<18} {}", self.time_ms(), self.text("host"), self.text("message"))?;
+        for (name, value) in &self.0 {
+            if FRAME_FIELDS.contains(&name.as_str()) {
+                continue;
+            }
+            match value {
+                Value::String(text) => write!(f, " {name}={text}")?,
+                other => write!(f, " {name}={other}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What is known of an id.
+#[derive(Clone, Debug)]
+pub struct Story {
+    /// Lines that mention the id, in order of time.
+    pub lines: Vec<Line>,
+    /// Lines that the hosts in the story left out between its first and last line.
+    pub left_out: u64,
+    /// Input that is no log line.
+    pub unreadable: usize,
+}
+
+impl Story {
+    /// Reads log lines and keeps those about an id.
+    pub fn read(id: &str, inputs: Vec<Box<dyn BufRead>>) -> Result<Self, Error> {
+        let (mut lines, mut gaps, mut unreadable) = (Vec::new(), Vec::new(), 0);
+        for input in inputs {
+            for text in input.lines() {
+                let text = text.context(ReadSnafu)?;
+                let Some(line) = Line::parse(&text) else {
+                    unreadable += usize::from(!text.trim().is_empty());
+                    continue;
+                };
+                if line.left_out() > 0 {
+                    gaps.push((line.time_ms(), line.text("host").to_owned(), line.left_out()));
+                }
+                if line.mentions(id) {
+                    lines.push(line);
+                }
+            }
+        }
+        lines.sort_by_key(Line::time_ms);
+        let (Some(first), Some(last)) = (lines.first(), lines.last()) else {
+            return UnknownSnafu { id }.fail();
+        };
+        let (from, to) = (first.time_ms(), last.time_ms());
+        let hosts: BTreeSet<&str> = lines.iter().map(|line| line.text("host")).collect();
+        let within = |time: u64, host: &str| (from..=to).contains(&time) && hosts.contains(host);
+        let of_story = gaps.iter().filter(|(time, host, _)| within(*time, host));
+        let left_out = of_story.map(|(_, _, count)| count).sum();
+        Ok(Self { lines, left_out, unreadable })
+    }
+}
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     events::Progress,
-    job::{Engines, Record, Row, Saved, Spec},
+    job::{Engines, Record, Row, Saved, Spec, Wish},
     prelude::*,
 };
 
@@ -17,6 +17,8 @@
 const SAVED_EVENTS_MIN: u64 = 10;
 /// Time by which a job goes behind one that is a rank more urgent and due at the same time.
 const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
+/// Time for which an item waits for a place on an engine that is not slow.
+const PATIENCE: Duration = Duration::from_millis(700);
 /// Time until an item whose judge could not be reached is tried again.
 const JUDGE_RETRY: Duration = Duration::from_millis(300);
 
@@ -67,6 +69,8 @@
     pub listed: u64,
     /// Chunks in the store.
     pub chunks: u64,
+    /// Time at which its first item could start.
+    begun: Time,
     slots: Vec<Slot>,
     /// Items in the order in which they start.
     order: Vec<usize>,
@@ -97,6 +101,23 @@
     Stopped,
 }
 
+impl Ended {
+    /// Name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Scored(_) => "scored",
+            Self::Unjudged => "unjudged",
+            Self::JudgeFailed => "judge_failed",
+            Self::NotRun => "not_run",
+            Self::Broken => "broken",
+            Self::Slow => "slow",
+            Self::Failed => "failed",
+            Self::Rejected => "rejected",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
 /// End of a run.
 #[derive(Clone, Debug)]
 pub struct Outcome {
@@ -146,6 +167,7 @@
             expires,
             listed: 0,
             chunks: 0,
+            begun: Time::MAX,
             slots,
             order,
             writing: None,
@@ -318,6 +340,7 @@
 
     fn next_of(&mut self, id: &JobId, now: Time, engines: &mut Engines) -> Option<Start> {
         let job = self.jobs.get_mut(id)?;
+        job.begun = job.begun.min(now);
         job.give_up_expired(now);
         let order = std::mem::take(&mut job.order);
         let start = order.iter().find_map(|&item| job.start(item, now, engines));
@@ -425,17 +448,21 @@
 impl Job {
     fn start(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Start> {
         let slot = &mut self.slots[item];
-        if !matches!(slot.state, State::Waiting { not_before } if not_before <= now) {
-            return None;
-        }
+        let waiting_since = match slot.state {
+            State::Waiting { not_before } if not_before <= now => not_before.max(self.begun),
+            _ => return None,
+        };
         let (min, model) = (self.spec.min_version, &self.spec.model);
         if slot.whole && slot.progress.fits(min, min, false) {
             slot.state = State::Running { target: None };
             return Some(self.order_of(item, None));
         }
-        let engine = engines
-            .choose(now, model, min, slot.avoid.as_ref())
-            .or_else(|| engines.choose(now, model, min, None))?;
+        let avoid = slot.avoid.as_ref();
+        let wish = Wish { model, min_version: min, avoid, urgent: false };
+        let urgent = now >= waiting_since + PATIENCE;
+        let engine = engines.choose(now, &wish).or_else(|| {
+            engines.choose(now, &Wish { avoid: None, urgent: true, ..wish }).filter(|_| urgent)
+        })?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         if slot.whole || !slot.progress.fits(min, version, self.single_version) {
             slot.progress = Progress::default();
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -14,6 +14,23 @@
 /// Time after which a slow pace is forgotten, so that a recovered engine is tried again.
 const PACE_MEMORY: Duration = Duration::from_secs(4);
 
+/// An engine is slow that takes this many times the usual time per event.
+const SLOW_FACTOR: f64 = 1.7;
+/// Shortest time per event that counts as slow.
+const SLOW_MIN: Duration = Duration::from_millis(55);
+
+/// What an item wants of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    pub model: &'a str,
+    /// Oldest version that may generate its tokens.
+    pub min_version: Version,
+    /// Engine that broke or slowed the last run.
+    pub avoid: Option<&'a TargetId>,
+    /// The item has waited long enough to take any place.
+    pub urgent: bool,
+}
+
 /// What is known of an engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -105,22 +122,27 @@
         self.by_id.values()
     }
 
-    /// The open engine on which an item would finish first, with a version of `model` of at least `min`.
-    pub fn choose(
-        &self,
-        now: Time,
-        model: &str,
-        min: Version,
-        avoid: Option<&TargetId>,
-    ) -> Option<&Engine> {
+    /// The open engine on which an item would finish first. A slow engine gets one item at a time, to see whether it has
+    /// recovered, as long as the item can still wait for a place on another.
+    pub fn choose(&self, now: Time, wish: &Wish) -> Option<&Engine> {
         let fits = |engine: &&Engine| {
-            engine.open(model, now)
-                && engine.version(model).is_some_and(|version| version >= min)
-                && avoid != Some(&engine.target.id)
+            engine.open(wish.model, now)
+                && engine.version(wish.model).is_some_and(|version| version >= wish.min_version)
+                && wish.avoid != Some(&engine.target.id)
+                && (wish.urgent || engine.in_flight == 0 || !self.is_slow(engine, now))
         };
         self.by_id.values().filter(fits).min_by_key(|engine| self.cost(engine, now))
     }
 
+    fn is_slow(&self, engine: &Engine, now: Time) -> bool {
+        self.pace(engine, now) > self.pace_max()
+    }
+
+    /// Time per event above which an engine counts as slow.
+    pub fn pace_max(&self) -> Duration {
+        self.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN)
+    }
+
     /// Expected time per event, lengthened by the share of places taken.
     fn cost(&self, engine: &Engine, now: Time) -> Duration {
         let pace = self.pace(engine, now);
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -9,7 +9,7 @@
 mod spec;
 
 pub use board::{Board, Ended, Job, Outcome, Start};
-pub use engines::{Engine, Engines};
+pub use engines::{Engine, Engines, Wish};
 pub use keys::{HEADS, Key, LEADS, body_part, head, lead, rows, rows_prefix, texts};
 pub use record::Record;
 pub use row::{Chunk, Row};
--- a/crates/node/src/logging.rs
+++ b/crates/node/src/logging.rs
@@ -5,6 +5,7 @@
 use std::{
     io::{self, Write},
     sync::{
+        OnceLock,
         atomic::{AtomicU64, Ordering},
         mpsc::{SyncSender, TrySendError, sync_channel},
     },
@@ -18,6 +19,17 @@
 /// Lines a second of level info; warnings and errors are not counted.
 const INFO_LINES_PER_S: u64 = 200;
 
+/// Longest wait for the lines that are left when the process ends.
+const FLUSH_MAX: Duration = Duration::from_millis(100);
+
+/// What goes to the writer's thread.
+enum Message {
+    Line(Box<str>),
+    Flush(SyncSender<()>),
+}
+
+static WRITER: OnceLock<SyncSender<Message>> = OnceLock::new();
+
 /// Lines that were left out since the last one that was written.
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 static WINDOW: AtomicU64 = AtomicU64::new(0);
@@ -25,14 +37,18 @@
 
 /// Sends log lines to standard output.
 pub fn init(host: &str, level: log::LevelFilter) -> io::Result<()> {
-    let (sender, receiver) = sync_channel::<Box<str>>(QUEUE_LINES);
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
     std::thread::Builder::new().name("log".into()).spawn(move || {
         let mut out = io::stdout();
-        for line in receiver {
-            // A closed standard output must not end the process; the lines are lost.
-            let _ = out.write_all(line.as_bytes());
+        for message in receiver {
+            // A closed standard output must not end the process; the lines are lost. Nobody may wait for a flush.
+            let _ = match message {
+                Message::Line(line) => out.write_all(line.as_bytes()),
+                Message::Flush(done) => done.send(()).map_err(io::Error::other),
+            };
         }
     })?;
+    let _ = WRITER.set(sender.clone());
     let (host, start) = (Box::<str>::from(host), Instant::now());
     fern::Dispatch::new()
         .level(level)
@@ -61,8 +77,18 @@
     false
 }
 
-fn write(sender: &SyncSender<Box<str>>, line: &str) {
-    if let Err(TrySendError::Full(_)) = sender.try_send(line.into()) {
+/// Waits a moment until the lines so far are written, before the process ends.
+pub fn flush() {
+    let (done, written) = sync_channel(1);
+    let sent = WRITER.get().is_some_and(|writer| writer.try_send(Message::Flush(done)).is_ok());
+    if sent {
+        // Without a reader the lines are lost, as at any other time.
+        let _ = written.recv_timeout(FLUSH_MAX);
+    }
+}
+
+fn write(sender: &SyncSender<Message>, line: &str) {
+    if let Err(TrySendError::Full(_)) = sender.try_send(Message::Line(line.into())) {
         DROPPED.fetch_add(1, Ordering::Relaxed);
     }
 }
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,157 @@
+//! Counters and latency histograms of the process, served as Prometheus text.
+
+use std::sync::LazyLock;
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Registry, TextEncoder};
+
+use crate::prelude::*;
+
+/// Bounds of the latency histograms in seconds: answers of the store take milliseconds, generations seconds.
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
+/// Meters of this process.
+pub static METERS: LazyLock<Meters> = LazyLock::new(Meters::new);
+
+/// All meters.
+pub struct Meters {
+    registry: Registry,
+    // Dropping the provider stops its meters.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    attempts: Counter<u64>,
+    store_calls: Counter<u64>,
+    store_seconds: Histogram<f64>,
+    runs: Counter<u64>,
+    rows: Counter<u64>,
+    loads: Counter<u64>,
+    leads: Gauge<u64>,
+    targets: Gauge<u64>,
+    config_version: Gauge<u64>,
+    open_jobs: Gauge<u64>,
+    resident_bytes: Gauge<u64>,
+}
+
+impl Meters {
+    fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build();
+        let provider = match exporter {
+            Ok(exporter) => SdkMeterProvider::builder().with_reader(exporter).build(),
+            Err(error) => {
+                log::error!(reason:% = error; "could not export metrics");
+                SdkMeterProvider::default()
+            }
+        };
+        let meter = provider.meter("lagoonyard");
+        let counter = |name: &'static str, text: &'static str| {
+            meter.u64_counter(name).with_description(text).build()
+        };
+        let seconds = |name: &'static str, text: &'static str| {
+            let bounds = LATENCY_BOUNDS_S.to_vec();
+            meter.f64_histogram(name).with_description(text).with_boundaries(bounds).build()
+        };
+        let gauge = |name: &'static str, text: &'static str| {
+            meter.u64_gauge(name).with_description(text).build()
+        };
+        Self {
+            requests: counter("lagoonyard_requests", "Answered requests by kind and outcome"),
+            request_seconds: seconds("lagoonyard_request_seconds", "Time to an answer by kind"),
+            attempts: counter("lagoonyard_attempts", "Attempts on targets by outcome"),
+            store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
+            store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
+            runs: counter("lagoonyard_item_runs", "Ended runs of job items by outcome"),
+            rows: counter("lagoonyard_rows_kept", "Results written to the store"),
+            loads: counter("lagoonyard_loads", "Orders to load a version by outcome"),
+            leads: gauge("lagoonyard_leads", "Whether this host leads, by service"),
+            targets: gauge("lagoonyard_targets", "Registered targets"),
+            config_version: gauge("lagoonyard_config_version", "Version in force"),
+            open_jobs: gauge("lagoonyard_open_jobs", "Open jobs of this leader"),
+            resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// A request was answered.
+    pub fn request(&self, kind: &'static str, outcome: &'static str, took: Duration) {
+        let kind = KeyValue::new("kind", kind);
+        self.request_seconds.record(took.as_secs_f64(), std::slice::from_ref(&kind));
+        self.requests.add(1, &[kind, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// An attempt on a target ended.
+    pub fn attempt(&self, outcome: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A call of the store ended.
+    pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
+        let call = KeyValue::new("call", call);
+        self.store_seconds.record(took.as_secs_f64(), std::slice::from_ref(&call));
+        self.store_calls.add(1, &[call, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A run of an item ended.
+    pub fn run(&self, outcome: &'static str) {
+        self.runs.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Results were written.
+    pub fn rows(&self, count: usize) {
+        self.rows.add(count as u64, &[]);
+    }
+
+    /// An order to load a version ended.
+    pub fn load(&self, outcome: &'static str) {
+        self.loads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// This host took or lost the leadership of a service.
+    pub fn leads(&self, service: &str, leads: bool) {
+        self.leads.record(u64::from(leads), &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// What the control thread has published.
+    pub fn view(&self, targets: usize, config_version: u64) {
+        self.targets.record(targets as u64, &[]);
+        self.config_version.record(config_version, &[]);
+    }
+
+    /// Open jobs of a service that this host leads.
+    pub fn open_jobs(&self, service: &str, count: usize) {
+        self.open_jobs.record(count as u64, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// All meters as text.
+    pub fn text(&self) -> String {
+        if let Some(bytes) = resident_bytes() {
+            self.resident_bytes.record(bytes, &[]);
+        }
+        match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+            Ok(text) => text,
+            Err(error) => {
+                log::warn!(reason:% = error; "could not encode metrics");
+                String::new()
+            }
+        }
+    }
+}
+
+/// Resident memory by the kernel's page count; `None` where it cannot be read.
+fn resident_bytes() -> Option<u64> {
+    const PAGE_BYTES: u64 = 4096;
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -13,6 +13,8 @@
     pub entry: SocketAddr,
     /// Address at which readiness is asked for.
     pub ready: SocketAddr,
+    /// Address at which metrics are served, if there is a port for it.
+    pub metrics: Option<SocketAddr>,
     /// Time between the signal to stop and the kill.
     pub stop_grace: Duration,
     /// Time within which a configuration must be in force.
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -115,10 +115,13 @@
     socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
 }
 
+/// A kept connection and the time for which it may stay idle.
+type Kept = (Channel, Duration);
+
 /// Idle connections by target address.
 #[derive(Clone, Default)]
 pub struct Channels {
-    idle: Rc<RefCell<HashMap<SocketAddr, Vec<(Channel, Duration)>>>>,
+    idle: Rc<RefCell<HashMap<SocketAddr, Vec<Kept>>>>,
 }
 
 impl Channels {
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -16,6 +16,7 @@
     config::{Kind, Route},
     dialect::Answer,
     fleet::Target,
+    metrics::METERS,
     prelude::*,
     traffic::{channel::Channel, serve::Traffic},
 };
@@ -23,7 +24,7 @@
 /// Longest answer that is read whole.
 const ANSWER_BYTES_MAX: usize = 32 << 20;
 /// Longest time to open a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// A second attempt starts after this many average answer times, within the bounds below.
 const HEDGE_AVERAGES: u32 = 3;
 const HEDGE_MIN: Duration = Duration::from_millis(80);
@@ -253,6 +254,12 @@
             (if unsent { Attempt::NotRun } else { Attempt::Broken }, 0)
         }
     };
+    METERS.attempt(match &result {
+        Attempt::Answer(whole) if whole.status.is_success() => "success",
+        Attempt::Answer(_) => "failure",
+        Attempt::NotRun => "not_run",
+        Attempt::Broken => "broken",
+    });
     debug!(request = &*call.id, target = &*target.id, status = outcome, took_ms = crate::logging::ms(begun.elapsed()); "attempt ended");
     result
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -12,6 +12,7 @@
 use crate::{
     config::{Config, Kind, Route},
     dialect::Ask,
+    metrics::METERS,
     prelude::*,
     traffic::{
         dispatch::{Call, Failure, Whole, dispatch},
@@ -95,23 +96,28 @@
 
 async fn routed(traffic: &Rc<Traffic>, request: Request<Incoming>) -> Answer {
     let arrived = Instant::now();
-    let head = traffic.dialect.head(request.headers());
     let view = traffic.view.load_full();
+    let (parts, body) = request.into_parts();
+    // The body is read before any answer: a connection that closes with unread bytes is reset, and the answer lost.
+    let body = match read(view.config.as_deref(), body).await {
+        Ok(body) => body,
+        Err(answer) => return answer,
+    };
+    let head = traffic.dialect.head(&parts.headers);
     let Some(config) = &view.config else {
+        info!(request = &*head.id; "request refused: no configuration is known yet");
         return turned_away();
     };
-    let Some(route) = config.route(&head.host, request.uri().path()).cloned() else {
+    let Some(route) = config.route(&head.host, parts.uri.path()).cloned() else {
+        log::debug!(request = &*head.id, version = config.version; "request refused: no route");
         return status(StatusCode::NOT_FOUND);
     };
-    let (parts, body) = request.into_parts();
-    let body = match read(config, body).await {
-        Ok(body) => body,
-        Err(answer) => return answer,
-    };
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
     if route.kind == Kind::Job {
         let id = (&*head.id, &*head.host, parts.uri.path());
-        return submitted(submit(traffic, &route, id, body).await);
+        let result = submit(traffic, &route, id, body).await;
+        METERS.request(route.kind.name(), result.name(), arrived.elapsed());
+        return submitted(result);
     }
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let call = Call {
@@ -128,8 +134,8 @@
 }
 
 /// Reads a body within the limit.
-async fn read(config: &Config, body: Incoming) -> Result<Bytes, Answer> {
-    let limit = config.limits.body_bytes.max(BODY_BYTES_DEFAULT);
+async fn read(config: Option<&Config>, body: Incoming) -> Result<Bytes, Answer> {
+    let limit = config.map_or(BODY_BYTES_DEFAULT, |config| config.limits.body_bytes);
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(status(StatusCode::PAYLOAD_TOO_LARGE)),
@@ -171,6 +177,14 @@
 
 fn log_end(call: &Call, route: &Route, result: &Result<Whole, Failure>, arrived: Instant) {
     let took_ms = crate::logging::ms(arrived.elapsed());
+    let outcome = match result {
+        Ok(whole) if whole.status.is_success() => "success",
+        Ok(_) => "failure",
+        Err(Failure::NotRun) => "not_run",
+        Err(Failure::Unknown) => "unknown",
+        Err(Failure::Timeout) => "timeout",
+    };
+    METERS.request(route.kind.name(), outcome, arrived.elapsed());
     match result {
         Ok(whole) => {
             log::debug!(request = &*call.id, route = &*route.name, status = whole.status.as_u16(), took_ms; "request answered");
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -91,7 +91,7 @@
     wait: Duration,
 ) -> Result<Bytes, Error> {
     load(traffic, id).await?;
-    if !traffic.cache.jobs.borrow().get(id).is_some_and(|job| job.end() > after) {
+    if traffic.cache.jobs.borrow().get(id).is_none_or(|job| job.end() <= after) {
         refresh(traffic, id, after, wait).await?;
     }
     let jobs = traffic.cache.jobs.borrow();
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -16,6 +16,7 @@
     events::{Parser, Progress},
     fleet::Target,
     job::{Ended, Item, Outcome, Record, Spec, Start},
+    metrics::METERS,
     prelude::*,
     traffic::{
         dispatch::{Call, Failure, closes, connect, dispatch},
@@ -25,8 +26,6 @@
 
 /// Longest time until a run's answer begins, and between two events.
 const EVENT_GAP_MAX: Duration = Duration::from_millis(2000);
-/// Events over which the pace of a run is judged.
-const PACED_EVENTS: u64 = 6;
 /// Interval at which the text of a run is reported.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 /// Longest time for a judge's answer.
@@ -54,6 +53,8 @@
     pub single_version: bool,
     /// Time per event above which the item is moved to another engine.
     pub pace_max: Duration,
+    /// Events over which that time is measured.
+    pub paced_events: u64,
 }
 
 /// What the traffic thread tells of a run.
@@ -135,6 +136,7 @@
 }
 
 fn log_end(run: &Run, ended: &Ended, state: &Running) {
+    METERS.run(ended.name());
     let item = &run.spec.items[run.start.item];
     let target = run.start.target.as_deref().unwrap_or("");
     info!(job = &*run.spec.id, item = &*item.id, target_id = target, outcome:? = ended, events = state.progress.last_event, took_ms = crate::logging::ms(state.begun.elapsed()); "item run ended");
@@ -223,7 +225,7 @@
         };
         parser.push(&data);
         loop {
-            let event = match parser.next() {
+            let event = match parser.take() {
                 Ok(Some(event)) => event,
                 Ok(None) => break,
                 Err(error) => return broke(&error),
@@ -248,7 +250,7 @@
             }
         }
         let events = state.progress.last_event - paced_event;
-        if events >= PACED_EVENTS {
+        if events >= run.paced_events {
             let pace = paced_at.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
             if pace > run.pace_max {
                 return Some(Ended::Slow);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     dialect,
+    metrics::METERS,
     prelude::*,
     settings::Settings,
     store,
@@ -77,6 +78,7 @@
     let Parts { settings, view, dialect, store, commands, reports } = parts;
     let entry = listen(settings.entry)?;
     let ready = listen(settings.ready)?;
+    let metrics = settings.metrics.map(listen).transpose()?;
     let pool = RefCell::new(Pool::new(settings.zone.clone()));
     let traffic = Rc::new(Traffic {
         settings,
@@ -90,6 +92,10 @@
         stops: RefCell::default(),
     });
     let (close, closed) = watch::channel(false);
+    if let Some(metrics) = metrics {
+        let metrics = accept(Rc::clone(&traffic), metrics, Port::Metrics, closed.clone());
+        tokio::task::spawn_local(metrics);
+    }
     tokio::task::spawn_local(carry_out(Rc::clone(&traffic), commands, reports));
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
     tokio::task::spawn_local(accept(Rc::clone(&traffic), ready, Port::Ready, closed.clone()));
@@ -165,6 +171,7 @@
 enum Port {
     Entry,
     Ready,
+    Metrics,
 }
 
 async fn accept(
@@ -224,6 +231,7 @@
             Ok::<_, std::convert::Infallible>(match port {
                 Port::Entry => entry::handle(traffic, request).await,
                 Port::Ready => readiness(&traffic.view.load()),
+                Port::Metrics => Response::new(Full::new(METERS.text().into())),
             })
         }
     });
--- a/crates/node/src/traffic/submit.rs
+++ b/crates/node/src/traffic/submit.rs
@@ -37,6 +37,18 @@
     Unknown,
 }
 
+impl Submitted {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "success",
+            Self::Malformed => "refused",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Accepts a job once, however often and at however many hosts it is submitted.
 pub async fn submit(
     traffic: &Rc<Traffic>,
--- a/crates/node/tests/board.rs
+++ b/crates/node/tests/board.rs
@@ -166,3 +166,23 @@
     board.next(ms(40_000), &mut none);
     assert!(!board.take_rows("j", 1, BYTES_MAX)[0].done);
 }
+
+/// Guards against items that sit on a slowed engine while the others soon have places (Huon scale-1: 11 s for 148 events).
+#[test]
+fn a_slow_engine_gets_one_item_while_others_can_wait() {
+    let mut engines = engines(&[engine("fast", 1), engine("slow", 1), engine("usual", 1)]);
+    for (id, pace) in [("fast", 30), ("slow", 140), ("usual", 35)] {
+        engines.finished(id, ms(1_000), Some(ms(pace)));
+    }
+    let mut board = Board::default();
+    let items: Vec<(String, u64)> = (0..8).map(|at| (format!("i{at}"), 1)).collect();
+    let items: Vec<(&str, u64)> = items.iter().map(|(id, hint)| (&**id, *hint)).collect();
+    board.insert(job("j", 1, &items));
+    let starts = |board: &mut Board, engines: &mut lagoonyard_node::job::Engines, now| {
+        let starts = std::iter::from_fn(|| board.next(now, engines));
+        starts.filter(|start| start.target.as_deref() == Some("slow")).count()
+    };
+    assert_eq!(starts(&mut board, &mut engines, ms(1_001)), 1);
+    assert_eq!(starts(&mut board, &mut engines, ms(1_100)), 0, "the rest waits");
+    assert_eq!(starts(&mut board, &mut engines, ms(1_800)), 1, "but not for long");
+}
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -15,7 +15,7 @@
         let mut found = Vec::new();
         for part in [&stream[..cut], &stream[cut..]] {
             parser.push(part);
-            while let Some(event) = parser.next().unwrap() {
+            while let Some(event) = parser.take().unwrap() {
                 found.push(event);
             }
         }
@@ -30,8 +30,8 @@
 fn a_stream_that_ends_within_an_event_is_partial() {
     let mut parser = Parser::new("v");
     parser.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    assert!(parser.next().unwrap().is_some());
-    assert!(parser.next().unwrap().is_none());
+    assert!(parser.take().unwrap().is_some());
+    assert!(parser.take().unwrap().is_none());
     assert!(parser.is_partial());
 }
 
@@ -39,7 +39,7 @@
 fn an_event_without_an_id_is_refused() {
     let mut parser = Parser::new("v");
     parser.push(b"data: a\n\n");
-    assert_matches!(parser.next(), Err(Fault::Malformed { .. }));
+    assert_matches!(parser.take(), Err(Fault::Malformed { .. }));
 }
 
 #[test]
