--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,11 +1,14 @@
 //! Control thread: mirrors of the store, roles, job boards and orders to engines.
 
+mod known;
 mod leader;
 mod mirror;
 mod orders;
 mod role;
 mod state;
+mod tasks;
 
+pub use known::{Effect, Known};
 pub use mirror::{Mirror, Update};
 pub use role::{Role, Standing};
 pub use state::{Parts, run};
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -2,31 +2,32 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
-use bytes::Bytes;
 use log::{info, warn};
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::{interval, sleep},
+    time::interval,
 };
 
 use crate::{
     clock,
-    config::Config,
     control::{
-        leader::{Leader, Read, Times, Write},
+        known::{Effect, Known},
+        leader::{Leader, Times},
         mirror::{Mirror, Update},
         orders::{Loaded, Orders},
         role::{Role, Seen, Standing},
+        tasks::{
+            Done, Written, read_job, remove_jobs, report_emptied, save_texts, tell, write_chunk,
+        },
     },
-    dialect::{self, Fact, Subject},
-    fleet::Fleet,
-    job::{self, Chunk, Key, Record, Saved},
+    dialect::{self, Subject},
+    job::{self, Record},
     metrics::METERS,
     prelude::*,
     settings::Settings,
-    store::{self, Change, Error, Outcome, Put, Txn},
-    traffic::{self, Channels, Command, Report},
+    store::{self, Put, Txn},
+    traffic::{Channels, Command, Report},
     view::{Shared, View},
 };
 
@@ -42,10 +43,6 @@
 /// Interval at which jobs that need not be kept any longer are looked for, and the margin on the time for which they are.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
 const KEPT_MARGIN: Duration = Duration::from_secs(30);
-/// Keys removed by one transaction.
-const REMOVES_MAX: usize = 30;
-/// Pause before a write without an answer is sent again.
-const WRITE_PAUSE: Duration = Duration::from_millis(100);
 
 /// What the control thread gets from the process.
 pub struct Parts {
@@ -58,38 +55,6 @@
     pub stopping: watch::Receiver<bool>,
 }
 
-/// What a task of the control thread brings back.
-enum Done {
-    Read {
-        service: ServiceId,
-        id: JobId,
-        job: Option<Box<Read>>,
-    },
-    Wrote {
-        service: ServiceId,
-        id: JobId,
-        fence: Revision,
-        number: u64,
-        rows: usize,
-        written: Written,
-    },
-    Loaded {
-        service: ServiceId,
-        target: TargetId,
-        loaded: Loaded,
-    },
-}
-
-/// How a chunk was written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Written {
-    Kept,
-    /// Certainly not written.
-    Refused,
-    /// The job's chunks in the store are others than known here.
-    Differs,
-}
-
 struct Control {
     settings: Settings,
     view: Shared,
@@ -98,16 +63,12 @@
     commands: mpsc::UnboundedSender<Command>,
     done: mpsc::UnboundedSender<Done>,
     orders: Rc<Orders>,
-    config: Option<Arc<Config>>,
-    fleet: Fleet,
-    heads: BTreeMap<JobId, Record>,
-    leads: BTreeMap<ServiceId, Revision>,
+    known: Known,
     /// Follow what only a leader acts on, while this host leads a service.
     leader_mirrors: Vec<JoinHandle<()>>,
     updates: mpsc::UnboundedSender<Update>,
     seen: BTreeMap<ServiceId, watch::Sender<Seen>>,
     leaders: BTreeMap<ServiceId, Leader>,
-    named: BTreeMap<ModelId, Version>,
     standings: mpsc::UnboundedSender<(ServiceId, Standing)>,
     stopping: watch::Receiver<bool>,
     /// Tells the roles to give their leadership back.
@@ -115,9 +76,6 @@
     /// Time at which leadership is given back at the latest, once the process was told to stop.
     hand_over_by: Option<Time>,
     cleaned_at: Time,
-    /// Mirrors that were read whole.
-    synced: Vec<bool>,
-    changed: bool,
 }
 
 /// Runs until the process is told to stop.
@@ -149,22 +107,16 @@
         commands,
         done,
         orders,
-        config: None,
-        fleet: Fleet::default(),
-        heads: BTreeMap::new(),
-        leads: BTreeMap::new(),
+        known: Known::new(mirrors.len()),
         leader_mirrors: Vec::new(),
         updates: updates.clone(),
         seen: BTreeMap::new(),
         leaders: BTreeMap::new(),
-        named: BTreeMap::new(),
         standings,
         stopping: stopping.clone(),
         step_down: watch::channel(false).0,
         hand_over_by: None,
         cleaned_at: Time::ZERO,
-        synced: vec![false; mirrors.len()],
-        changed: false,
     };
     for mirror in mirrors {
         tokio::task::spawn_local(mirror.follow(Rc::clone(&control.store), updates.clone()));
@@ -240,98 +192,27 @@
     }
 
     fn update(&mut self, update: Update) {
-        match update {
-            Update::Changed(change) => self.change(&change),
-            Update::Synced { mirror } => {
-                if let Some(synced) = self.synced.get_mut(mirror) {
-                    *synced = true;
-                    self.changed = true;
-                }
-            }
-            Update::Lost { .. } => {}
-            Update::Regained { .. } => self.fleet.store_returned(clock::now()),
-        }
-    }
-
-    fn change(&mut self, change: &Change) {
-        let key = match change {
-            Change::Put(entry) => &entry.key,
-            Change::Removed { key, .. } => key,
-        };
-        match Key::parse(key) {
-            Some(Key::Head(id)) => self.head(id, change),
-            Some(Key::Lead(service)) => self.lead(service, change),
-            None => match self.dialect.fact(change) {
-                Ok(fact) => self.fact(fact),
-                Err(error) => warn!(key = &**key, reason:% = error; "entry skipped"),
-            },
-        }
-    }
-
-    fn head(&mut self, id: JobId, change: &Change) {
-        let record = match change {
-            Change::Put(entry) => serde_json::from_slice::<Record>(&entry.value),
-            Change::Removed { .. } => {
-                self.heads.remove(&id);
-                return;
-            }
-        };
-        match record {
-            Ok(record) => {
-                if record.ended
-                    && let Some(leader) = self.leaders.get_mut(&record.service)
-                {
-                    let stops = leader.end(&id, clock::now());
+        match self.known.update(update, self.dialect.as_ref()) {
+            Some(Effect::JobEnded { service, job }) => {
+                if let Some(leader) = self.leaders.get_mut(&service) {
+                    let stops = leader.end(&job, clock::now());
                     send(&self.commands, stops);
                 }
-                self.heads.insert(id, record);
             }
-            Err(error) => warn!(job = &*id, reason:% = error; "head of a job skipped"),
+            Some(Effect::Led { service }) => self.led(&service),
+            Some(Effect::Retire { host }) => self.retire(host),
+            None => {}
         }
     }
 
-    fn lead(&mut self, service: ServiceId, change: &Change) {
-        match change {
-            Change::Put(entry) => self.leads.insert(service.clone(), entry.revision),
-            Change::Removed { .. } => self.leads.remove(&service),
-        };
-        let fence = self.leaders.get(&service).and_then(|leader| leader.standing.fence);
-        let holder = self.leads.get(&service).copied();
-        if fence.is_none()
-            && holder.is_some()
-            && let Some(leader) = self.leaders.get_mut(&service)
+    /// A host leads a service; if it is another one, the jobs of this one are dropped.
+    fn led(&mut self, service: &ServiceId) {
+        if let Some(leader) = self.leaders.get_mut(service)
+            && leader.standing.fence.is_none()
         {
             let stops = leader.drop_all(clock::now());
             send(&self.commands, stops);
         }
-        self.changed = true;
-    }
-
-    fn fact(&mut self, fact: Fact) {
-        self.changed = true;
-        match fact {
-            Fact::Config(config) => {
-                if self.config.as_ref().is_some_and(|held| held.version >= config.version) {
-                    return;
-                }
-                info!(version = config.version; "configuration in force");
-                self.config = Some(config);
-            }
-            Fact::Target(target) => {
-                info!(target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.born, versions:? = target.versions; "target registered");
-                self.fleet.put(target);
-            }
-            Fact::TargetGone(id) => {
-                let gone = self.fleet.remove(&id, clock::now());
-                info!(target_id = &*id, held_back = !gone; "target's registration is gone");
-            }
-            Fact::Version { model, version } => {
-                info!(model = &*model, version; "version named");
-                self.named.insert(model, version);
-            }
-            Fact::Retire { host } => self.retire(host),
-            Fact::Ignored => {}
-        }
     }
 
     /// No host keeps anything on its disk, so a host is empty at once.
@@ -339,16 +220,7 @@
         let entry = self.dialect.emptied(&host);
         let put = Put { key: entry.key.clone(), value: entry.value, lease: None };
         let txn = Txn { expected: vec![(entry.key, 0)], puts: vec![put], removes: Vec::new() };
-        let store = Rc::clone(&self.store);
-        tokio::task::spawn_local(async move {
-            // One host's answer is enough; the delay is a spread over the hosts.
-            sleep(Duration::from_millis(400).mul_f64(rand::random())).await;
-            while let Err(error) = store.commit(&txn).await {
-                info!(retired = &*host, reason:% = error; "could not report an emptied host");
-                sleep(WRITE_PAUSE).await;
-            }
-            info!(retired = &*host; "host reported as emptied");
-        });
+        tokio::task::spawn_local(report_emptied(Rc::clone(&self.store), host, txn));
     }
 
     fn stands(&mut self, service: &ServiceId, standing: Standing) {
@@ -357,7 +229,7 @@
         };
         let before = std::mem::replace(&mut leader.standing, standing);
         METERS.leads(service, standing.fence.is_some());
-        let (taken, lost) = (standing.fence.is_some(), self.leads.contains_key(service));
+        let (taken, lost) = (standing.fence.is_some(), self.known.leads.contains_key(service));
         if before.fence != standing.fence && (taken || lost) {
             // Another host leads or may have led meanwhile, so a job's rows are read again before it goes on.
             let stops = leader.drop_all(clock::now());
@@ -374,7 +246,7 @@
             let prefixes = self.dialect.prefixes().iter();
             let orders = prefixes.filter(|(_, subject)| *subject == Subject::Orders);
             for prefix in orders.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
-                let mirror = Mirror::new(self.synced.len(), prefix, OWN_PACE);
+                let mirror = Mirror::new(usize::MAX, prefix, OWN_PACE);
                 let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
                 self.leader_mirrors.push(tokio::task::spawn_local(follow));
             }
@@ -382,7 +254,7 @@
             for mirror in self.leader_mirrors.drain(..) {
                 mirror.abort();
             }
-            self.heads.clear();
+            self.known.heads.clear();
         }
     }
 
@@ -401,7 +273,7 @@
         let now = clock::now();
         match done {
             Done::Read { service, id, job } => {
-                let ended = self.heads.get(&id).is_none_or(|record| record.ended);
+                let ended = self.known.heads.get(&id).is_none_or(|record| record.ended);
                 let times = job.as_ref().map(|job| self.times(&job.record, now));
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
@@ -449,7 +321,7 @@
 
     /// Times of a job by its route in the configuration in force.
     fn times(&self, record: &Record, now: Time) -> Times {
-        let route = self.config.as_ref().and_then(|it| it.route(&record.host, &record.path));
+        let route = self.known.config.as_ref().and_then(|it| it.route(&record.host, &record.path));
         let age = Duration::from_millis(clock::unix_ms().saturating_sub(record.submitted_ms));
         let submitted = now.saturating_sub(age);
         let (deadline, ttl) = route.map_or((Duration::ZERO, Duration::from_secs(600)), |route| {
@@ -467,9 +339,9 @@
     /// Publishes what has changed and starts whatever is due.
     fn act(&mut self) {
         let now = clock::now();
-        let expired = self.fleet.expire(now);
-        self.changed |= !expired.is_empty();
-        if std::mem::take(&mut self.changed) {
+        let expired = self.known.fleet.expire(now);
+        self.known.changed |= !expired.is_empty();
+        if std::mem::take(&mut self.known.changed) {
             self.publish();
             self.spread();
         }
@@ -481,33 +353,33 @@
     }
 
     fn publish(&self) {
-        let version = self.config.as_ref().map_or(0, |config| config.version);
-        METERS.view(self.fleet.targets().len(), version);
-        let synced = self.synced.iter().all(|synced| *synced);
+        let version = self.known.config.as_ref().map_or(0, |config| config.version);
+        METERS.view(self.known.fleet.targets().len(), version);
+        let synced = self.known.is_synced();
         self.view.store(Arc::new(View {
-            config: self.config.clone().filter(|_| synced),
-            targets: self.fleet.targets().clone(),
+            config: self.known.config.clone().filter(|_| synced),
+            targets: self.known.fleet.targets().clone(),
             stopping: *self.stopping.borrow(),
         }));
     }
 
     /// Brings roles and leaders up to date with the configuration, the targets and the versions.
     fn spread(&mut self) {
-        if !self.synced.iter().all(|synced| *synced) {
+        if !self.known.is_synced() {
             return;
         }
-        let Some(config) = self.config.clone() else {
+        let Some(config) = self.known.config.clone() else {
             return;
         };
         for service in config.services.iter().filter(|service| service.engines) {
             self.candidate(&service.name);
         }
         for (service, seen) in &self.seen {
-            let now = self.leads.get(service).map_or(Seen::Absent, |at| Seen::Present(*at));
+            let now = self.known.leads.get(service).map_or(Seen::Absent, |at| Seen::Present(*at));
             seen.send_if_modified(|seen| std::mem::replace(seen, now) != now);
         }
         for leader in self.leaders.values_mut() {
-            leader.sync(self.fleet.targets(), &self.named);
+            leader.sync(self.known.fleet.targets(), &self.known.named);
         }
     }
 
@@ -539,7 +411,7 @@
         let Some(fence) = leader.standing.fence else {
             return;
         };
-        let open = self.heads.iter().filter(|(_, record)| !record.ended);
+        let open = self.known.heads.iter().filter(|(_, record)| !record.ended);
         let of_service = open.filter(|(_, record)| record.service == *service);
         for (id, record) in of_service {
             if leader.wants(id) {
@@ -590,6 +462,7 @@
             record.ended && record.service == *service && Duration::from_millis(age) > kept
         };
         let jobs: Vec<(JobId, usize)> = self
+            .known
             .heads
             .iter()
             .filter(|(_, record)| old(record))
@@ -606,46 +479,6 @@
     }
 }
 
-/// Removes all keys of jobs, each job's head last, so that a job that is removed in part is found again.
-async fn remove_jobs(
-    store: store::Handle,
-    service: ServiceId,
-    fence: Revision,
-    jobs: Vec<(JobId, usize)>,
-) {
-    for (id, parts) in jobs {
-        if let Err(error) = remove_job(store.as_ref(), &service, fence, &id, parts).await {
-            info!(job = &*id, reason:% = error; "could not remove an old job");
-        }
-    }
-}
-
-async fn remove_job(
-    store: &dyn store::Store,
-    service: &str,
-    fence: Revision,
-    id: &str,
-    parts: usize,
-) -> Result<(), Error> {
-    let (rows, _) = store::read_all(store, &job::rows_prefix(id)).await?;
-    let mut keys: Vec<Box<str>> = rows.into_iter().map(|entry| entry.key).collect();
-    keys.extend((0..parts).map(|part| job::body_part(id, part)));
-    keys.push(job::texts(id));
-    keys.push(job::head(id));
-    for some in keys.chunks(REMOVES_MAX) {
-        let txn = Txn {
-            expected: vec![(job::lead(service), fence)],
-            puts: Vec::new(),
-            removes: some.to_vec(),
-        };
-        if let Outcome::Conflict(_) | Outcome::NoLease = store.commit(&txn).await? {
-            // Another host leads and cleans up.
-            return Ok(());
-        }
-    }
-    Ok(())
-}
-
 /// Hands orders to the traffic thread.
 fn send(commands: &mpsc::UnboundedSender<Command>, orders: Vec<Command>) {
     for order in orders {
@@ -654,122 +487,3 @@
         }
     }
 }
-
-fn tell(done: &mpsc::UnboundedSender<Done>, what: Done) {
-    if done.send(what).is_err() {
-        log::debug!("control loop has ended");
-    }
-}
-
-/// Reads a job's submission, rows and saved texts.
-async fn read_job(
-    store: store::Handle,
-    dialect: dialect::Handle,
-    service: ServiceId,
-    id: JobId,
-    record: Record,
-    done: mpsc::UnboundedSender<Done>,
-) {
-    let read = async {
-        let spec = traffic::read_spec(store.as_ref(), &dialect, &id, &record).await?;
-        let (entries, _) = store::read_all(store.as_ref(), &job::rows_prefix(&id)).await?;
-        let (saved, _) = store.get(&job::texts(&id)).await?;
-        Ok::<_, traffic::JobError>((spec, entries, saved))
-    };
-    let job = match read.await {
-        Ok((spec, entries, saved)) => chunks(&entries).map(|chunks| {
-            let saved = saved.map(|entry| texts(&entry)).unwrap_or_default();
-            Box::new(Read { spec, record, chunks, saved })
-        }),
-        Err(error) => {
-            info!(job = &*id, reason:% = error; "could not read a job");
-            None
-        }
-    };
-    if job.is_none() {
-        sleep(WRITE_PAUSE).await;
-    }
-    tell(&done, Done::Read { service, id, job });
-}
-
-/// Saved texts of an entry. Without them the items only run again.
-fn texts(entry: &store::Entry) -> Vec<Saved> {
-    serde_json::from_slice(&entry.value).unwrap_or_else(|error| {
-        warn!(key = &*entry.key, reason:% = error; "saved texts skipped");
-        Vec::new()
-    })
-}
-
-/// Saves unfinished texts. They are replaced soon, so a failed write is not repeated.
-async fn save_texts(
-    store: store::Handle,
-    service: ServiceId,
-    id: JobId,
-    fence: Revision,
-    saved: Vec<Saved>,
-) {
-    let value = serde_json::to_vec(&saved).unwrap_or_default().into();
-    let txn = Txn {
-        expected: vec![(job::lead(&service), fence)],
-        puts: vec![Put { key: job::texts(&id), value, lease: None }],
-        removes: Vec::new(),
-    };
-    if let Err(error) = store.commit(&txn).await {
-        info!(job = &*id, reason:% = error; "could not save unfinished texts");
-    }
-}
-
-/// Decodes the chunks of a job; each must begin where the one before ends.
-fn chunks(entries: &[store::Entry]) -> Option<Vec<Chunk>> {
-    let mut chunks: Vec<Chunk> = Vec::with_capacity(entries.len());
-    for entry in entries {
-        match serde_json::from_slice::<Chunk>(&entry.value) {
-            Ok(chunk) if chunk.first == chunks.last().map_or(0, Chunk::end) => chunks.push(chunk),
-            Ok(chunk) => {
-                warn!(key = &*entry.key, first = chunk.first; "chunk does not follow the one before");
-                return None;
-            }
-            Err(error) => {
-                warn!(key = &*entry.key, reason:% = error; "could not decode a chunk of results");
-                return None;
-            }
-        }
-    }
-    Some(chunks)
-}
-
-/// Writes a chunk until its outcome is known. Only the present leader's write takes effect, and only once.
-async fn write_chunk(
-    store: store::Handle,
-    service: ServiceId,
-    write: Write,
-    done: mpsc::UnboundedSender<Done>,
-) {
-    let value: Bytes = serde_json::to_vec(&write.chunk).unwrap_or_default().into();
-    let key = job::rows(&write.job, write.number);
-    let txn = Txn {
-        expected: vec![(job::lead(&service), write.fence), (key.clone(), 0)],
-        puts: vec![Put { key: key.clone(), value: value.clone(), lease: None }],
-        removes: Vec::new(),
-    };
-    let written = loop {
-        match store.commit(&txn).await {
-            Ok(Outcome::Committed(_)) => break Written::Kept,
-            Ok(Outcome::Conflict(found)) => match found.iter().find(|entry| entry.key == key) {
-                Some(entry) if entry.value == value => break Written::Kept,
-                Some(_) => break Written::Differs,
-                None => break Written::Refused,
-            },
-            Ok(Outcome::NoLease) => break Written::Refused,
-            Err(Error::Refused { .. }) => sleep(WRITE_PAUSE).await,
-            Err(error) => {
-                info!(job = &*write.job, reason:% = error; "write of results has no answer");
-                sleep(WRITE_PAUSE).await;
-            }
-        }
-    };
-    log::debug!(job = &*write.job, chunk = write.number, first = write.chunk.first, rows = write.chunk.rows.len(), outcome:? = written; "results written");
-    let Write { job: id, fence, number, chunk } = write;
-    let rows = chunk.rows.len();
-    tell(&done, Done::Wrote { service, id, fence, number, rows, written });
-}
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -3,14 +3,18 @@
 mod board;
 mod engines;
 mod keys;
+mod open;
+mod outcome;
 mod record;
 mod row;
 mod saved;
 mod spec;
 
-pub use board::{Board, Ended, Job, Outcome, Start};
+pub use board::Board;
 pub use engines::{Engine, Engines, Wish};
 pub use keys::{HEADS, Key, LEADS, body_part, head, lead, rows, rows_prefix, texts};
+pub use open::Job;
+pub use outcome::{Ended, Outcome, Start};
 pub use record::Record;
 pub use row::{Chunk, Row};
 pub use saved::Saved;
--- /dev/null
+++ b/crates/node/src/job/open.rs
@@ -0,0 +1,274 @@
+//! An open job: the states of its items and the rows that wait to be kept.
+
+use std::{collections::HashMap, sync::Arc};
+
+use crate::{
+    events::Progress,
+    job::{Ended, Engines, Outcome, Record, Row, Saved, Spec, Start, Wish},
+    prelude::*,
+};
+
+/// Shorter texts are generated again as fast as they are read from the store.
+const SAVED_EVENTS_MIN: u64 = 10;
+/// Time for which an item waits for a place on an engine that is not slow.
+const PATIENCE: Duration = Duration::from_millis(700);
+/// Time until an item whose judge could not be reached is tried again.
+const JUDGE_RETRY: Duration = Duration::from_millis(300);
+/// Time by which a job goes behind one that is a rank more urgent and due at the same time.
+const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
+
+/// State of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    Waiting {
+        not_before: Time,
+    },
+    Running {
+        target: Option<TargetId>,
+    },
+    /// Its row waits to be kept.
+    Finished(Box<Row>),
+    /// Its row is being written.
+    Writing(Box<Row>),
+    /// Its row is in the store.
+    Listed,
+}
+
+/// An item of an open job.
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    pub(super) state: State,
+    pub(super) progress: Progress,
+    /// The whole text was generated; only the score is missing.
+    pub(super) whole: bool,
+    /// Answers that count as failed attempts.
+    pub(super) failures: u32,
+    /// Target that broke or slowed the last run.
+    pub(super) avoid: Option<TargetId>,
+}
+
+/// An open job.
+#[derive(Debug)]
+pub struct Job {
+    pub spec: Arc<Spec>,
+    pub record: Record,
+    pub single_version: bool,
+    pub max_attempts: u32,
+    /// Rank of the route, 0 is the most urgent.
+    pub priority: u32,
+    /// Time at which the results are due.
+    pub due: Time,
+    /// Time at which items are given up.
+    pub expires: Time,
+    /// Rows in the store.
+    pub listed: u64,
+    /// Chunks in the store.
+    pub chunks: u64,
+    /// Time at which its first item could start.
+    pub(super) begun: Time,
+    pub(super) slots: Vec<Slot>,
+    /// Items in the order in which they start.
+    pub(super) order: Vec<usize>,
+    /// Fencing number of the write in progress.
+    pub(super) writing: Option<Revision>,
+}
+
+impl Job {
+    pub fn new(spec: Arc<Spec>, record: Record, due: Time, expires: Time) -> Self {
+        let slot = Slot {
+            state: State::Waiting { not_before: Time::ZERO },
+            progress: Progress::default(),
+            whole: false,
+            failures: 0,
+            avoid: None,
+        };
+        let slots = vec![slot; spec.items.len()];
+        let mut order: Vec<usize> = (0..spec.items.len()).collect();
+        // Long items decide when a group is whole, so they start first.
+        order.sort_by_key(|&item| std::cmp::Reverse(spec.items[item].length_hint));
+        Self {
+            spec,
+            record,
+            single_version: false,
+            max_attempts: 1,
+            priority: 0,
+            due,
+            expires,
+            listed: 0,
+            chunks: 0,
+            begun: Time::MAX,
+            slots,
+            order,
+            writing: None,
+        }
+    }
+
+    /// Takes rows that are in the store already.
+    pub fn restore(&mut self, rows: &[Row], chunks: u64) {
+        self.chunks = chunks;
+        self.writing = None;
+        self.listed = rows.len() as u64;
+        let index: HashMap<&str, usize> =
+            self.spec.items.iter().enumerate().map(|(at, item)| (&*item.id, at)).collect();
+        for slot in &mut self.slots {
+            if let State::Writing(row) = &slot.state {
+                slot.state = State::Finished(row.clone());
+            }
+        }
+        for row in rows {
+            if let Some(&at) = index.get(&*row.item) {
+                self.slots[at].state = State::Listed;
+            }
+        }
+    }
+
+    /// Takes texts that an earlier leader saved, where they are longer than those known here.
+    pub fn resume(&mut self, saved: Vec<Saved>) {
+        for saved in saved {
+            let Some(slot) = self.slot_mut(&saved.item) else {
+                continue;
+            };
+            let waits = matches!(slot.state, State::Waiting { .. });
+            if waits && saved.progress.last_event > slot.progress.last_event {
+                (slot.progress, slot.whole) = (saved.progress, saved.whole);
+            }
+        }
+    }
+
+    /// Takes the text so far of an item that runs.
+    pub fn progress(&mut self, item: usize, progress: Progress) {
+        if let Some(slot) = self.slots.get_mut(item)
+            && matches!(slot.state, State::Running { .. })
+        {
+            slot.progress = progress;
+        }
+    }
+
+    /// Unfinished texts that are worth saving, up to a number of bytes.
+    pub fn texts(&self, bytes_max: usize) -> Vec<Saved> {
+        let mut bytes = 0;
+        let open = self.spec.items.iter().zip(&self.slots).filter(|(_, slot)| {
+            matches!(slot.state, State::Waiting { .. } | State::Running { .. })
+                && slot.progress.last_event >= SAVED_EVENTS_MIN
+        });
+        let saved = open.map(|(item, slot)| Saved {
+            item: item.id.clone(),
+            progress: slot.progress.clone(),
+            whole: slot.whole,
+        });
+        saved
+            .take_while(|saved| {
+                bytes += saved.progress.text.len();
+                bytes <= bytes_max
+            })
+            .collect()
+    }
+
+    /// Whether every item is listed.
+    pub fn is_complete(&self) -> bool {
+        self.slots.iter().all(|slot| slot.state == State::Listed)
+    }
+
+    /// Due time, later for less urgent jobs.
+    pub(super) fn rank(&self) -> Time {
+        self.due + PRIORITY_DELAY.saturating_mul(self.priority)
+    }
+
+    pub(super) fn slot_mut(&mut self, id: &str) -> Option<&mut Slot> {
+        let at = self.spec.items.iter().position(|item| &*item.id == id)?;
+        self.slots.get_mut(at)
+    }
+
+    /// Whether an item waits for a place.
+    pub fn waits(&self) -> bool {
+        self.slots.iter().any(|slot| matches!(slot.state, State::Waiting { .. }))
+    }
+
+    fn row(&self, item: usize, done: bool, score: Option<Box<str>>) -> Box<Row> {
+        let progress = &self.slots[item].progress;
+        let (text, versions) = if done {
+            (progress.text.as_str().into(), progress.versions.iter().copied().collect())
+        } else {
+            ("".into(), Vec::new())
+        };
+        Box::new(Row { item: self.spec.items[item].id.clone(), done, text, versions, score })
+    }
+
+    pub(super) fn give_up_expired(&mut self, now: Time) {
+        if now < self.expires {
+            return;
+        }
+        for item in 0..self.slots.len() {
+            if matches!(self.slots[item].state, State::Waiting { .. }) {
+                self.slots[item].state = State::Finished(self.row(item, false, None));
+            }
+        }
+    }
+}
+
+impl Job {
+    pub(super) fn start(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Start> {
+        let slot = &mut self.slots[item];
+        let waiting_since = match slot.state {
+            State::Waiting { not_before } if not_before <= now => not_before.max(self.begun),
+            _ => return None,
+        };
+        let (min, model) = (self.spec.min_version, &self.spec.model);
+        if slot.whole && slot.progress.fits(min, min, false) {
+            slot.state = State::Running { target: None };
+            return Some(self.order_of(item, None));
+        }
+        let avoid = slot.avoid.as_ref();
+        let wish = Wish { model, min_version: min, avoid, urgent: false };
+        let urgent = now >= waiting_since + PATIENCE;
+        let engine = engines.choose(now, &wish).or_else(|| {
+            engines.choose(now, &Wish { avoid: None, urgent: true, ..wish }).filter(|_| urgent)
+        })?;
+        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
+        if slot.whole || !slot.progress.fits(min, version, self.single_version) {
+            slot.progress = Progress::default();
+            slot.whole = false;
+        }
+        slot.state = State::Running { target: Some(target.clone()) };
+        engines.started(&target);
+        Some(self.order_of(item, Some(target)))
+    }
+
+    fn order_of(&self, item: usize, target: Option<TargetId>) -> Start {
+        let progress = self.slots[item].progress.clone();
+        let last_resort = target.is_some() && target == self.slots[item].avoid;
+        Start { job: self.spec.id.clone(), item, target, progress, last_resort }
+    }
+
+    pub(super) fn ended(&mut self, outcome: Outcome, now: Time) {
+        let (item, max_attempts) = (outcome.item, self.max_attempts);
+        let Some(slot) = self.slots.get_mut(item) else {
+            return;
+        };
+        if !matches!(slot.state, State::Running { .. }) {
+            return;
+        }
+        slot.progress = outcome.progress;
+        slot.whole = outcome.whole;
+        slot.avoid = None;
+        slot.state = State::Waiting { not_before: now };
+        match outcome.ended {
+            Ended::Scored(score) => {
+                self.slots[item].state = State::Finished(self.row(item, true, score));
+            }
+            Ended::JudgeFailed | Ended::Rejected => {
+                self.slots[item].state = State::Finished(self.row(item, false, None));
+            }
+            Ended::Failed => {
+                slot.failures += 1;
+                slot.avoid = outcome.target;
+                if slot.failures >= max_attempts {
+                    self.slots[item].state = State::Finished(self.row(item, false, None));
+                }
+            }
+            Ended::Unjudged => slot.state = State::Waiting { not_before: now + JUDGE_RETRY },
+            Ended::Broken | Ended::Slow | Ended::NotRun => slot.avoid = outcome.target,
+            Ended::Stopped => {}
+        }
+    }
+}
