--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -23,7 +23,6 @@
 const CHUNK_BYTES: usize = 500 << 10;
 /// Shortest time between two writes of rows, so that rows share a write.
 const KEEP_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Shortest time between two moves, so that the effect of one is seen before the next.
 const MOVE_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for which a run stays where it began; shorter ones are over before a move pays.
@@ -65,6 +64,8 @@
     orders: HashMap<TargetId, ModelId>,
     /// Time before which no further order goes to an engine.
     order_after: HashMap<TargetId, Time>,
+    /// Fencing number under which an engine refused an order.
+    fenced_at: Option<Revision>,
     next_run: u64,
     kept_at: Time,
     saved_at: Time,
@@ -84,6 +85,7 @@
             loading: HashSet::new(),
             orders: HashMap::new(),
             order_after: HashMap::new(),
+            fenced_at: None,
             next_run: first_run,
             kept_at: Time::ZERO,
             saved_at: Time::ZERO,
@@ -318,7 +320,8 @@
 
     /// Loads to order now.
     pub fn loads(&mut self, now: Time, host: &HostId) -> Vec<Load> {
-        let Some(fence) = self.standing.fence.filter(|_| now < self.standing.orders_until) else {
+        let may_order = now < self.standing.orders_until && self.standing.fence != self.fenced_at;
+        let Some(fence) = self.standing.fence.filter(|_| may_order) else {
             return Vec::new();
         };
         let versions = self.engines.iter().filter(|engine| !engine.target.draining);
@@ -383,6 +386,11 @@
         }
     }
 
+    /// An engine has seen a newer leader, so no further order goes out under this fencing number.
+    pub fn fenced(&mut self) {
+        self.fenced_at = self.standing.fence;
+    }
+
     /// Whether anything is to be done soon.
     pub fn is_busy(&self) -> bool {
         !self.board.is_empty() || !self.orders.is_empty()
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -40,6 +40,8 @@
 const PACE_DIVISOR: u32 = 2;
 /// Longest time in which a stopping leader ends its runs and keeps what they made.
 const HAND_OVER_MAX: Duration = Duration::from_millis(800);
+/// Difference of the hosts' times of day that is allowed for before an item is given up.
+const CLOCK_MARGIN: Duration = Duration::from_secs(4);
 /// Interval at which jobs that need not be kept any longer are looked for, and the margin on the time for which they are.
 const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
 const KEPT_MARGIN: Duration = Duration::from_secs(30);
@@ -310,7 +312,7 @@
                     Loaded::Open => None,
                     Loaded::Fenced => {
                         warn!(service = &*service, target_id = &*target; "engine has seen a newer leader");
-                        leader.standing.orders_until = Time::ZERO;
+                        leader.fenced();
                         None
                     }
                 };
@@ -329,7 +331,7 @@
         });
         Times {
             due: submitted + deadline,
-            expires: submitted + ttl,
+            expires: submitted + ttl + CLOCK_MARGIN,
             max_attempts: route.map_or(1, |route| route.max_attempts),
             priority: route.map_or(0, |route| route.priority),
             single_version: route.is_some_and(|route| route.single_version),
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -52,6 +52,15 @@
     }
 }
 
+/// Who finds out that the peer of a connection is silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// The transport, for calls that wait long. It drops the connection without a reset.
+    Probed,
+    /// The caller's own time-outs, which reset the connection, so that a request that was given up never arrives.
+    TimedOut,
+}
+
 /// An open connection.
 pub struct Channel {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -67,10 +76,13 @@
 
 impl Channel {
     /// Opens a connection.
-    pub async fn open(address: SocketAddr, by: Instant) -> Result<Self, Error> {
+    pub async fn open(address: SocketAddr, silence: Silence, by: Instant) -> Result<Self, Error> {
         let opening = async {
             let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
-            guard(&stream).context(ConnectSnafu)?;
+            match silence {
+                Silence::Probed => guard(&stream).context(ConnectSnafu)?,
+                Silence::TimedOut => stream.set_nodelay(true).context(ConnectSnafu)?,
+            }
             // A closed connection is reset: bytes that a cut holds up must not arrive after the request was given up.
             SockRef::from(&stream).set_linger(Some(Duration::ZERO)).context(ConnectSnafu)?;
             let (sender, connection) =
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -18,7 +18,10 @@
     fleet::Target,
     metrics::METERS,
     prelude::*,
-    traffic::{channel::Channel, serve::Traffic},
+    traffic::{
+        channel::{Channel, Silence},
+        serve::Traffic,
+    },
 };
 
 /// Longest answer that is read whole.
@@ -318,7 +321,7 @@
         return Ok(channel);
     }
     let by = by.min(Instant::now() + CONNECT_TIMEOUT);
-    Channel::open(target.address, by).await.map_err(|error| {
+    Channel::open(target.address, Silence::TimedOut, by).await.map_err(|error| {
         info!(target_id = &*target.id, reason:% = error; "target unreachable");
         traffic.channels.forget(target.address);
         true
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -9,7 +9,7 @@
 mod serve;
 mod submit;
 
-pub use channel::{Channel, Channels, guard};
+pub use channel::{Channel, Channels, Silence, guard};
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
 pub use run::{Command, Report, Run};
