--- a/crates/node/src/control/role.rs
+++ b/crates/node/src/control/role.rs
@@ -120,6 +120,7 @@
     /// Renews the lease until it has ended or the key is another's.
     async fn hold(&self, lease: u64, fence: Revision) {
         let (mut seen, mut stopping) = (self.seen.clone(), self.stopping.clone());
+        let mut answered = clock::now();
         loop {
             let lost = |seen: &Seen| match seen {
                 Seen::Present(revision) => *revision > fence,
@@ -137,8 +138,18 @@
                 }
             }
             let begun = clock::now();
-            match self.store.renew(lease).await {
-                Ok(true) => self.tell(Some(fence), begun),
+            // Renewals whose answers are lost would keep the lease of a host that cannot lead, so once it should have
+            // ended, only a read asks whether the host still leads.
+            let held = if begun.saturating_sub(answered) > self.ttl {
+                self.still_leads(fence).await
+            } else {
+                self.store.renew(lease).await
+            };
+            match held {
+                Ok(true) => {
+                    answered = begun;
+                    self.tell(Some(fence), begun);
+                }
                 Ok(false) => {
                     warn!(service = &*self.service, fence; "lease of the leadership has ended");
                     break;
@@ -153,6 +164,11 @@
         sleep(RETRY_PAUSE).await;
     }
 
+    async fn still_leads(&self, fence: Revision) -> Result<bool, Error> {
+        let (entry, _) = self.store.get(&job::lead(&self.service)).await?;
+        Ok(entry.is_some_and(|entry| entry.revision == fence))
+    }
+
     /// Gives the leadership back, so that another host takes it at once.
     async fn step_down(&self, lease: u64) {
         self.tell(None, Time::ZERO);
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -39,6 +39,14 @@
 /// Time kept back from the deadline that a target gets, so that its answer still reaches the caller.
 const RETURN_MARGIN: Duration = Duration::from_millis(5);
 
+/// Statuses with which a caller is promised that its request has not run.
+const PROMISES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
 /// A request to a plain service.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -73,6 +81,15 @@
     Timeout,
 }
 
+/// Why an exchange has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lost {
+    /// Nothing was sent.
+    Unsent,
+    /// The target may have run the request.
+    MaybeRun,
+}
+
 /// How an attempt ended.
 enum Attempt {
     Answer(Whole),
@@ -252,9 +269,13 @@
             let status = whole.status.as_u16();
             (Attempt::Answer(whole), status)
         }
-        Err(unsent) => {
+        Err(Lost::Unsent) => {
             pool.failed(&target.id, now);
-            (if unsent { Attempt::NotRun } else { Attempt::Broken }, 0)
+            (Attempt::NotRun, 0)
+        }
+        Err(Lost::MaybeRun) => {
+            pool.failed(&target.id, now);
+            (Attempt::Broken, 0)
         }
     };
     METERS.attempt(match &result {
@@ -267,13 +288,13 @@
     result
 }
 
-/// Sends a request and reads the whole answer. An error says whether nothing was sent.
+/// Sends a request and reads the whole answer.
 async fn exchange(
     traffic: &Rc<Traffic>,
     target: &Arc<Target>,
     call: &Call,
     repeatable: bool,
-) -> Result<(Whole, Answer), bool> {
+) -> Result<(Whole, Answer), Lost> {
     let fresh = if repeatable { Duration::MAX } else { FRESH };
     let mut channel = connect(traffic, target, fresh, call.by).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
@@ -284,7 +305,7 @@
     traffic.dialect.attempt(request.headers_mut(), &call.id, &target.id, Some(remaining));
     let fail = |reason: &dyn std::fmt::Display| {
         info!(request = &*call.id, target = &*target.id, reason:% = reason; "attempt broke");
-        false
+        Lost::MaybeRun
     };
     let response = channel.send(request, call.by).await.map_err(|error| fail(&error))?;
     let (parts, body) = response.into_parts();
@@ -292,6 +313,9 @@
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
         return Err(fail(&"answer to another request"));
     }
+    if !answer.not_run && PROMISES.contains(&parts.status) {
+        return Err(fail(&"a refusal that does not say that nothing was run"));
+    }
     let closes = closes(&parts.headers);
     let body = Limited::new(body, ANSWER_BYTES_MAX).collect().await.map_err(|e| fail(&e))?;
     if parts.status.is_success() && answer.receipt.is_none() {
@@ -310,13 +334,13 @@
     Ok((whole, answer))
 }
 
-/// A kept connection or a new one. An error says whether nothing was sent, which holds here.
+/// A kept connection or a new one.
 pub async fn connect(
     traffic: &Traffic,
     target: &Target,
     fresh: Duration,
     by: Instant,
-) -> Result<Channel, bool> {
+) -> Result<Channel, Lost> {
     if let Some(channel) = traffic.channels.take(target.address, fresh, by).await {
         return Ok(channel);
     }
@@ -324,7 +348,7 @@
     Channel::open(target.address, Silence::TimedOut, by).await.map_err(|error| {
         info!(target_id = &*target.id, reason:% = error; "target unreachable");
         traffic.channels.forget(target.address);
-        true
+        Lost::Unsent
     })
 }
 
