--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -66,7 +66,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub receipt: Box<str>,
-    /// Attempts that a target answered with a failure of its own, this one included.
+    /// Attempts that a target answered with a failure (500), this one included. Other errors, such as a late 504, do not
+    /// count.
     pub failures: u32,
 }
 
@@ -231,7 +232,7 @@
             }
             Attempt::Answer(mut whole) => {
                 self.sent += 1;
-                self.failures += u32::from(whole.status.is_server_error());
+                self.failures += u32::from(whole.status == StatusCode::INTERNAL_SERVER_ERROR);
                 whole.failures = self.failures;
                 let again = whole.status.is_server_error()
                     && self.repeatable
