Record the open jobs of a leader; remove a count that nobody asked for

Cause (read-through): lagoonyard_open_jobs stood on the operations page and was never recorded; Board::running had no caller.

--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -198,6 +198,7 @@
             Some(Effect::JobEnded { service, job }) => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
                     let stops = leader.end(&job, clock::now());
+                    METERS.open_jobs(&service, leader.board.len());
                     send(&self.commands, stops);
                 }
             }
@@ -281,7 +282,10 @@
                     return;
                 };
                 match (job, times) {
-                    (Some(job), Some(times)) if !ended => leader.loaded(*job, times),
+                    (Some(job), Some(times)) if !ended => {
+                        leader.loaded(*job, times);
+                        METERS.open_jobs(&service, leader.board.len());
+                    }
                     _ => leader.not_loaded(&id),
                 }
             }
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -49,6 +49,10 @@
         self.jobs.keys().cloned().collect()
     }
 
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.jobs.is_empty()
     }
@@ -164,12 +168,6 @@
         }
     }
 
-    /// Items that run now and their jobs.
-    pub fn running(&self) -> usize {
-        let running = |slot: &&Slot| matches!(slot.state, State::Running { .. });
-        self.jobs.values().map(|job| job.slots.iter().filter(running).count()).sum()
-    }
-
     /// Whether a row waits to be kept or is being written.
     pub fn has_rows(&self) -> bool {
         let open = |slot: &Slot| matches!(slot.state, State::Finished(_) | State::Writing(_));
