Registrations of targets are read on demand

Change: a host reads the changes when a request is to be placed and what it knows is older than a quarter of the drain bound; a leader reads them at that interval. A request waits up to 30 ms for it, up to 400 ms if what is known cannot be relied on, and not at all while the store does not answer. The test a_host_that_serves_nothing_reads_no_changes_of_targets fails on the code before.

--- a/crates/node/src/control/known.rs
+++ b/crates/node/src/control/known.rs
@@ -73,7 +73,7 @@
                     self.changed = true;
                 }
             }
-            Update::Lost { .. } => {}
+            Update::Lost { .. } | Update::Current { .. } => {}
             Update::Regained { .. } => self.fleet.store_returned(clock::now()),
         }
         None
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -1,20 +1,20 @@
 //! Copy of a prefix of the store: read once, then kept up to date by a watch.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use log::{info, warn};
-use tokio::{
-    sync::mpsc,
-    time::{Instant, sleep},
-};
+use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
+    clock,
+    freshness::Freshness,
     prelude::*,
     store::{self, Change, Entry, Error, Watched},
 };
 
-/// Longest wait of one watch. Silence of the connection is found by probes of the transport, not by this time.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Longest wait of one watch, shorter than the history that the store keeps. Silence of the connection is found by probes of
+/// the transport, not by this time.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Pause before the store is asked again after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -34,20 +34,32 @@
     Regained {
         mirror: usize,
     },
+    /// The copy of a prefix that is read on demand was current at a time.
+    Current {
+        at: Time,
+    },
+}
+
+/// When a mirror asks the store for changes.
+#[derive(Clone, Debug)]
+pub enum Pace {
+    /// All the time, with a shortest time between two calls, so that many changes share a call.
+    Follow(Duration),
+    /// When somebody needs them.
+    OnDemand(Arc<Freshness>),
 }
 
 /// Copy of a prefix.
 pub struct Mirror {
     pub number: usize,
     pub prefix: Box<str>,
-    /// Shortest time between two watches, so that many changes share a call.
-    pub pace: Duration,
+    pub pace: Pace,
     known: BTreeMap<Box<str>, Revision>,
     lost: bool,
 }
 
 impl Mirror {
-    pub fn new(number: usize, prefix: &str, pace: Duration) -> Self {
+    pub fn new(number: usize, prefix: &str, pace: Pace) -> Self {
         Self { number, prefix: prefix.into(), pace, known: BTreeMap::new(), lost: false }
     }
 
@@ -55,19 +67,22 @@
     pub async fn follow(mut self, store: store::Handle, updates: mpsc::UnboundedSender<Update>) {
         let mut at = None;
         loop {
-            let begun = Instant::now();
+            let begun = clock::now();
             let result = self.step(store.as_ref(), at, &updates).await;
             match result {
                 Ok(next) => {
                     self.answers(&updates);
                     at = next;
                     if at.is_some() {
-                        sleep(self.pace.saturating_sub(begun.elapsed())).await;
+                        self.rest(begun, &updates).await;
                     }
                 }
                 Err(error) => {
                     self.fails(&error, &updates);
                     sleep(RETRY_PAUSE).await;
+                    if let Pace::OnDemand(freshness) = &self.pace {
+                        freshness.due().await;
+                    }
                 }
             }
             if updates.is_closed() {
@@ -76,6 +91,27 @@
         }
     }
 
+    /// Waits until the next call is due, after one that was begun at `begun` and answered.
+    async fn rest(&self, begun: Time, updates: &mpsc::UnboundedSender<Update>) {
+        match &self.pace {
+            Pace::Follow(pace) => {
+                sleep(pace.saturating_sub(clock::now().saturating_sub(begun))).await;
+            }
+            Pace::OnDemand(freshness) => {
+                let _ = updates.send(Update::Current { at: begun });
+                freshness.due().await;
+            }
+        }
+    }
+
+    /// Time for which a watch waits for the first change.
+    fn wait(&self) -> Duration {
+        match self.pace {
+            Pace::Follow(_) => WATCH_WAIT,
+            Pace::OnDemand(_) => Duration::ZERO,
+        }
+    }
+
     /// Reads the prefix if it was not read yet, or else waits for changes. Gives the revision to continue from.
     async fn step(
         &mut self,
@@ -92,7 +128,7 @@
             let _ = updates.send(Update::Synced { mirror: self.number });
             return Ok(Some(revision));
         };
-        match store.watch(&self.prefix, after, WATCH_WAIT).await? {
+        match store.watch(&self.prefix, after, self.wait()).await? {
             Watched::Changes { changes, revision } => {
                 for change in changes {
                     if self.note(&change) {
@@ -149,6 +185,9 @@
     }
 
     fn fails(&mut self, error: &Error, updates: &mpsc::UnboundedSender<Update>) {
+        if let Pace::OnDemand(freshness) = &self.pace {
+            freshness.failed();
+        }
         if !std::mem::replace(&mut self.lost, true) {
             warn!(prefix = &*self.prefix, reason:% = error; "store does not answer");
             let _ = updates.send(Update::Lost { mirror: self.number });
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -14,7 +14,7 @@
     control::{
         known::{Effect, Known},
         leader::{Leader, Times},
-        mirror::{Mirror, Update},
+        mirror::{Mirror, Pace, Update},
         orders::{Loaded, Orders},
         role::{Role, Seen, Standing},
         tasks::{
@@ -22,6 +22,7 @@
         },
     },
     dialect::{self, Subject},
+    freshness::Freshness,
     job::{self, Record},
     metrics::METERS,
     prelude::*,
@@ -36,8 +37,8 @@
 const IDLE_TICKS: u32 = 10;
 /// Shortest time between two watches of a prefix of this program.
 const OWN_PACE: Duration = Duration::from_millis(40);
-/// Part of the time in which a fact must be acted on that may pass between two watches, as a divisor.
-const PACE_DIVISOR: u32 = 2;
+/// Part of the time in which a configuration must be in force that may pass between two watches, as a divisor.
+const CONFIG_PACE_DIVISOR: u32 = 4;
 /// Longest time in which a stopping leader ends its runs and keeps what they made.
 const HAND_OVER_MAX: Duration = Duration::from_millis(800);
 /// Difference of the hosts' times of day that is allowed for before an item is given up.
@@ -52,6 +53,7 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    pub freshness: Arc<Freshness>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -62,6 +64,10 @@
     view: Shared,
     dialect: dialect::Handle,
     store: store::Handle,
+    /// Of the registrations of targets.
+    freshness: Arc<Freshness>,
+    /// Time at which the registrations that are to be published were current.
+    current_at: Option<Time>,
     commands: mpsc::UnboundedSender<Command>,
     done: mpsc::UnboundedSender<Done>,
     orders: Rc<Orders>,
@@ -85,14 +91,17 @@
     let (updates, mut updated) = mpsc::unbounded_channel();
     let (done, mut finished) = mpsc::unbounded_channel();
     let (standings, mut standing) = mpsc::unbounded_channel();
-    let Parts { settings, view, dialect, store, commands, mut reports, mut stopping } = parts;
+    let Parts { settings, view, dialect, store, freshness, commands, mut reports, mut stopping } =
+        parts;
     let platform = dialect.prefixes().iter().filter_map(|(prefix, subject)| match subject {
-        Subject::Config => Some((*prefix, settings.config_within / PACE_DIVISOR / PACE_DIVISOR)),
-        Subject::Targets => Some((*prefix, settings.drain_within / PACE_DIVISOR)),
+        Subject::Config => {
+            Some((*prefix, Pace::Follow(settings.config_within / CONFIG_PACE_DIVISOR)))
+        }
+        Subject::Targets => Some((*prefix, Pace::OnDemand(Arc::clone(&freshness)))),
         Subject::Orders => None,
     });
     let mirrors: Vec<Mirror> = platform
-        .chain([(job::LEADS, OWN_PACE)])
+        .chain([(job::LEADS, Pace::Follow(OWN_PACE))])
         .enumerate()
         .map(|(number, (prefix, pace))| Mirror::new(number, prefix, pace))
         .collect();
@@ -106,6 +115,8 @@
         view,
         dialect,
         store,
+        freshness,
+        current_at: None,
         commands,
         done,
         orders,
@@ -194,6 +205,9 @@
     }
 
     fn update(&mut self, update: Update) {
+        if let Update::Current { at } = update {
+            self.current_at = Some(at);
+        }
         match self.known.update(update, self.dialect.as_ref()) {
             Some(Effect::JobEnded { service, job }) => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
@@ -244,12 +258,12 @@
     /// Only a leader has to know jobs, versions and hosts to be emptied; any other host reads the job that it is asked
     /// for.
     fn follow(&mut self) {
-        let leads = self.leaders.values().any(|leader| leader.standing.fence.is_some());
+        let leads = self.leads();
         if leads && self.leader_mirrors.is_empty() {
             let prefixes = self.dialect.prefixes().iter();
             let orders = prefixes.filter(|(_, subject)| *subject == Subject::Orders);
             for prefix in orders.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
-                let mirror = Mirror::new(usize::MAX, prefix, OWN_PACE);
+                let mirror = Mirror::new(usize::MAX, prefix, Pace::Follow(OWN_PACE));
                 let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
                 self.leader_mirrors.push(tokio::task::spawn_local(follow));
             }
@@ -351,6 +365,7 @@
             self.publish();
             self.spread();
         }
+        self.keep_fresh();
         let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
         for service in services {
             self.lead_service(&service, now);
@@ -358,6 +373,20 @@
         self.hand_over(now);
     }
 
+    /// Tells since when the published registrations are current; they are kept current where a service is led.
+    fn keep_fresh(&mut self) {
+        if let Some(at) = self.current_at.take() {
+            self.freshness.refreshed(at);
+        }
+        if self.leads() {
+            self.freshness.ask();
+        }
+    }
+
+    fn leads(&self) -> bool {
+        self.leaders.values().any(|leader| leader.standing.fence.is_some())
+    }
+
     fn publish(&self) {
         let version = self.known.config.as_ref().map_or(0, |config| config.version);
         METERS.view(self.known.fleet.targets().len(), version);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod explain;
 pub mod fleet;
+pub mod freshness;
 pub mod job;
 pub mod logging;
 pub mod metrics;
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -161,6 +161,9 @@
         let mut next = Some(begun);
         loop {
             if next.is_some_and(|at| at <= Instant::now()) {
+                if running.is_empty() {
+                    self.traffic.freshness.wait().await;
+                }
                 next = match self.start() {
                     Some((attempt, hedge)) => {
                         running.push(attempt);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -6,6 +6,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
 };
 
 use http::{Request, Response, StatusCode};
@@ -21,6 +22,7 @@
 
 use crate::{
     dialect,
+    freshness::Freshness,
     metrics::METERS,
     prelude::*,
     settings::Settings,
@@ -56,6 +58,7 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    pub freshness: Arc<Freshness>,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
 }
@@ -66,6 +69,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// Of the targets in the view.
+    pub freshness: Arc<Freshness>,
     pub channels: Channels,
     pub pool: RefCell<Pool>,
     pub cache: Cache,
@@ -75,7 +80,7 @@
 
 /// Serves until the process was told to stop and the last request is answered.
 pub async fn run(parts: Parts) -> io::Result<()> {
-    let Parts { settings, view, dialect, store, commands, reports } = parts;
+    let Parts { settings, view, dialect, store, freshness, commands, reports } = parts;
     let entry = listen(settings.entry)?;
     let ready = listen(settings.ready)?;
     let metrics = settings.metrics.map(listen).transpose()?;
@@ -85,6 +90,7 @@
         view,
         dialect,
         store,
+        freshness,
         channels: Channels::default(),
         pool,
         cache: Cache::default(),
