Calls to the store go through another host when the store turns a host away

Change: hosts register an address (host/NAME). A call that the store refuses, or calls after two without an answer, go through another host as frames of protocol buffers until a probe of the direct way is answered. Mirrors pause 150 to 600 ms after failures (was 150 ms). The end of an outage is told before the removals that came with it, so registrations that lapsed meanwhile are held back as meant.

--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -15,8 +15,9 @@
 /// Longest wait of one watch, shorter than the history that the store keeps. Silence of the connection is found by probes of
 /// the transport, not by this time.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Pause before the store is asked again after a failure.
+/// Pause before the store is asked again after a failure; doubles up to the maximum while it goes on.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(600);
 
 /// What a mirror tells.
 #[derive(Clone, Debug)]
@@ -55,12 +56,13 @@
     pub prefix: Box<str>,
     pub pace: Pace,
     known: BTreeMap<Box<str>, Revision>,
-    lost: bool,
+    /// Failed calls in a row.
+    failures: u32,
 }
 
 impl Mirror {
     pub fn new(number: usize, prefix: &str, pace: Pace) -> Self {
-        Self { number, prefix: prefix.into(), pace, known: BTreeMap::new(), lost: false }
+        Self { number, prefix: prefix.into(), pace, known: BTreeMap::new(), failures: 0 }
     }
 
     /// Follows the prefix for as long as somebody listens.
@@ -71,7 +73,6 @@
             let result = self.step(store.as_ref(), at, &updates).await;
             match result {
                 Ok(next) => {
-                    self.answers(&updates);
                     at = next;
                     if at.is_some() {
                         self.rest(begun, &updates).await;
@@ -79,7 +80,8 @@
                 }
                 Err(error) => {
                     self.fails(&error, &updates);
-                    sleep(RETRY_PAUSE).await;
+                    let pause = RETRY_PAUSE.saturating_mul(1 << (self.failures - 1).min(8));
+                    sleep(pause.min(RETRY_PAUSE_MAX)).await;
                     if let Pace::OnDemand(freshness) = &self.pace {
                         freshness.due().await;
                     }
@@ -121,6 +123,7 @@
     ) -> Result<Option<Revision>, Error> {
         let Some(after) = at else {
             let (entries, revision) = store::read_all(store, &self.prefix).await?;
+            self.answers(updates);
             for change in self.compare(entries, revision) {
                 // The listener has ended with the process.
                 let _ = updates.send(Update::Changed(change));
@@ -128,7 +131,9 @@
             let _ = updates.send(Update::Synced { mirror: self.number });
             return Ok(Some(revision));
         };
-        match store.watch(&self.prefix, after, self.wait()).await? {
+        let watched = store.watch(&self.prefix, after, self.wait()).await?;
+        self.answers(updates);
+        match watched {
             Watched::Changes { changes, revision } => {
                 for change in changes {
                     if self.note(&change) {
@@ -177,8 +182,9 @@
         }
     }
 
+    /// Told before the changes, as entries that lapsed during an outage may come back shortly after it.
     fn answers(&mut self, updates: &mpsc::UnboundedSender<Update>) {
-        if std::mem::take(&mut self.lost) {
+        if std::mem::take(&mut self.failures) > 0 {
             info!(prefix = &*self.prefix; "store answers again");
             let _ = updates.send(Update::Regained { mirror: self.number });
         }
@@ -188,7 +194,8 @@
         if let Pace::OnDemand(freshness) = &self.pace {
             freshness.failed();
         }
-        if !std::mem::replace(&mut self.lost, true) {
+        self.failures += 1;
+        if self.failures == 1 {
             warn!(prefix = &*self.prefix, reason:% = error; "store does not answer");
             let _ = updates.send(Update::Lost { mirror: self.number });
         }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,6 +9,6 @@
 mod tasks;
 
 pub use known::{Effect, Known};
-pub use mirror::{Mirror, Update};
+pub use mirror::{Mirror, Pace, Update};
 pub use role::{Role, Standing};
 pub use state::{Parts, run};
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -26,6 +26,7 @@
     job::{self, Record},
     metrics::METERS,
     prelude::*,
+    relay::{self, Peer, Peers},
     settings::Settings,
     store::{self, Put, Txn},
     traffic::{Channels, Command, Report},
@@ -53,6 +54,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// Hosts through which the store can be called.
+    pub peers: Peers,
     pub freshness: Arc<Freshness>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
@@ -91,8 +94,17 @@
     let (updates, mut updated) = mpsc::unbounded_channel();
     let (done, mut finished) = mpsc::unbounded_channel();
     let (standings, mut standing) = mpsc::unbounded_channel();
-    let Parts { settings, view, dialect, store, freshness, commands, mut reports, mut stopping } =
-        parts;
+    let Parts {
+        settings,
+        view,
+        dialect,
+        store,
+        peers,
+        freshness,
+        commands,
+        mut reports,
+        mut stopping,
+    } = parts;
     let platform = dialect.prefixes().iter().filter_map(|(prefix, subject)| match subject {
         Subject::Config => {
             Some((*prefix, Pace::Follow(settings.config_within / CONFIG_PACE_DIVISOR)))
@@ -110,6 +122,11 @@
         dialect: Arc::clone(&dialect),
         channels: Channels::default(),
     });
+    if let Some(address) = settings.relay {
+        let own = Peer { zone: settings.zone.clone(), address };
+        let follow = relay::follow(Rc::clone(&store), settings.host.clone(), own, peers);
+        tokio::task::spawn_local(follow);
+    }
     let mut control = Control {
         settings,
         view,
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -9,6 +9,8 @@
 const TEXTS: &str = "job/texts/";
 /// Prefix of the leaders of services.
 pub const LEADS: &str = "lead/";
+/// Prefix of the hosts.
+pub const HOSTS: &str = "host/";
 
 /// What a key of this program holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,6 +54,11 @@
     format!("{TEXTS}{job}").into()
 }
 
+/// Address of a host for calls of other hosts.
+pub fn host(host: &str) -> Box<str> {
+    format!("{HOSTS}{host}").into()
+}
+
 /// Leader of a service.
 pub fn lead(service: &str) -> Box<str> {
     format!("{LEADS}{service}").into()
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -12,7 +12,7 @@
 
 pub use board::Board;
 pub use engines::{Engine, Engines, Wish};
-pub use keys::{HEADS, Key, LEADS, body_part, head, lead, rows, rows_prefix, texts};
+pub use keys::{HEADS, HOSTS, Key, LEADS, body_part, head, host, lead, rows, rows_prefix, texts};
 pub use open::Job;
 pub use outcome::{Ended, Outcome, Start};
 pub use record::Record;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod prelude;
+pub mod relay;
 pub mod settings;
 pub mod store;
 pub mod traffic;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -28,6 +28,7 @@
     attempts: Counter<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
+    relays: Counter<u64>,
     runs: Counter<u64>,
     rows: Counter<u64>,
     loads: Counter<u64>,
@@ -70,6 +71,7 @@
             attempts: counter("lagoonyard_attempts", "Attempts on targets by outcome"),
             store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
             store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
+            relays: counter("lagoonyard_relayed_calls", "Calls through other hosts by outcome"),
             runs: counter("lagoonyard_item_runs", "Ended runs of job items by outcome"),
             rows: counter("lagoonyard_rows_kept", "Results written to the store"),
             loads: counter("lagoonyard_loads", "Orders to load a version by outcome"),
@@ -102,6 +104,11 @@
         self.store_calls.add(1, &[call, KeyValue::new("outcome", outcome)]);
     }
 
+    /// A call of the store through another host.
+    pub fn relay(&self, outcome: &'static str) {
+        self.relays.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// A run of an item ended.
     pub fn run(&self, outcome: &'static str) {
         self.runs.add(1, &[KeyValue::new("outcome", outcome)]);
--- /dev/null
+++ b/crates/node/src/relay/frame.rs
@@ -0,0 +1,46 @@
+//! Messages between hosts: length-delimited frames of protocol buffers, one call at a time on a connection.
+
+use bytes::Bytes;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::prelude::*;
+
+/// Longest frame: an answer of the store with a page of a megabyte in base64.
+const FRAME_BYTES_MAX: usize = 8 << 20;
+
+/// A call to the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Call {
+    #[prost(string, tag = "1")]
+    pub method: String,
+    /// Path with query.
+    #[prost(string, tag = "2")]
+    pub path: String,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    #[prost(uint64, tag = "4")]
+    pub timeout_ms: u64,
+}
+
+impl Call {
+    /// Longest time for the answer.
+    pub fn timeout(&self) -> Duration {
+        Duration::from_millis(self.timeout_ms)
+    }
+}
+
+/// The store's answer.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Answer {
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+    /// The store did not take the call, so nothing was done.
+    #[prost(bool, tag = "3")]
+    pub refused: bool,
+}
+
+pub(super) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -15,6 +15,8 @@
     pub ready: SocketAddr,
     /// Address at which metrics are served, if there is a port for it.
     pub metrics: Option<SocketAddr>,
+    /// Address for calls of other hosts, if there is a port for it.
+    pub relay: Option<SocketAddr>,
     /// Time between the signal to stop and the kill.
     pub stop_grace: Duration,
     /// Time within which a configuration must be in force.
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -25,6 +25,7 @@
     freshness::Freshness,
     metrics::METERS,
     prelude::*,
+    relay::{self, Direct},
     settings::Settings,
     store,
     traffic::{
@@ -58,6 +59,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// Way to the store for calls of other hosts.
+    pub direct: Rc<dyn Direct>,
     pub freshness: Arc<Freshness>,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -80,10 +83,13 @@
 
 /// Serves until the process was told to stop and the last request is answered.
 pub async fn run(parts: Parts) -> io::Result<()> {
-    let Parts { settings, view, dialect, store, freshness, commands, reports } = parts;
+    let Parts { settings, view, dialect, store, direct, freshness, commands, reports } = parts;
     let entry = listen(settings.entry)?;
     let ready = listen(settings.ready)?;
     let metrics = settings.metrics.map(listen).transpose()?;
+    if let Some(address) = settings.relay {
+        tokio::task::spawn_local(relay::serve(listen(address)?, direct));
+    }
     let pool = RefCell::new(Pool::new(settings.zone.clone()));
     let traffic = Rc::new(Traffic {
         settings,
