Rows are listed by whole groups; texts of all jobs are saved at once; one proof of leadership for loads that begin together

Cause: rows were listed one by one, so nearly every read of a trainer was answered at once with a part of a group, and the rest waited for the trainer's pause between two reads (0.5 to 1 s from the last text of a step to its end); and each listing is a call to the store. Change: a row waits for the rest of its group, 1.5 s at most; a group that is whole is listed within 50 ms (was 150 ms). Unfinished texts of all jobs of a service go into one transaction a second. Loads that begin together read the store's word on the leadership once. The new test in board.rs covers the waiting.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -22,11 +22,16 @@
 /// Text bytes of one chunk.
 const CHUNK_BYTES: usize = 500 << 10;
 /// Shortest time between two writes of rows, so that rows share a write.
-const KEEP_INTERVAL: Duration = Duration::from_millis(150);
+const KEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time for which a row waits for the rest of its group. A trainer uses whole groups; while nothing is listed, its
+/// read waits and gets the next group at once.
+const GROUP_WAIT: Duration = Duration::from_millis(1500);
 /// Shortest time between two moves, so that the effect of one is seen before the next.
 const MOVE_INTERVAL: Duration = Duration::from_millis(60);
 /// Time for which a run stays where it began; shorter ones are over before a move pays.
 const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
+/// Jobs whose texts are saved at once; a transaction of the store takes 32 entries.
+const SAVED_JOBS_MAX: usize = 30;
 /// Interval at which unfinished texts are saved.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,6 +44,14 @@
     pub chunk: Chunk,
 }
 
+/// Unfinished texts to be saved.
+#[derive(Clone, Debug)]
+pub struct Save {
+    pub service: ServiceId,
+    pub fence: Revision,
+    pub texts: Vec<(JobId, Vec<Saved>)>,
+}
+
 /// A run in progress.
 #[derive(Clone, Debug)]
 struct Placed {
@@ -276,29 +289,36 @@
         }
     }
 
-    /// Unfinished texts to save now, by job.
-    pub fn saves(&mut self, now: Time) -> Vec<(JobId, Revision, Vec<Saved>)> {
-        if now < self.saved_at + SAVE_INTERVAL {
-            return Vec::new();
-        }
-        self.saves_now(now)
+    /// Unfinished texts to save now.
+    pub fn saves(&mut self, now: Time) -> Option<Save> {
+        (now >= self.saved_at + SAVE_INTERVAL).then(|| self.saves_now(now)).flatten()
     }
 
-    /// Unfinished texts by job, whenever they were saved last.
-    pub fn saves_now(&mut self, now: Time) -> Vec<(JobId, Revision, Vec<Saved>)> {
-        let Some(fence) = self.standing.fence else {
-            return Vec::new();
-        };
+    /// Unfinished texts, whenever they were saved last.
+    pub fn saves_now(&mut self, now: Time) -> Option<Save> {
+        let fence = self.standing.fence?;
         self.saved_at = now;
         let of_job = |id: JobId| {
             let saved = self.board.get(&id)?.texts(CHUNK_BYTES);
-            (!saved.is_empty()).then_some((id, fence, saved))
+            (!saved.is_empty()).then_some((id, saved))
         };
-        self.board.ids().into_iter().filter_map(of_job).collect()
+        let texts: Vec<(JobId, Vec<Saved>)> =
+            self.board.ids().into_iter().filter_map(of_job).take(SAVED_JOBS_MAX).collect();
+        let service = self.service.clone();
+        (!texts.is_empty()).then_some(Save { service, fence, texts })
     }
 
     /// Chunks to write now.
     pub fn writes(&mut self, now: Time) -> Vec<Write> {
+        self.writes_of(now, now.saturating_sub(GROUP_WAIT))
+    }
+
+    /// Chunks with all rows, whole groups or not.
+    pub fn last_writes(&mut self, now: Time) -> Vec<Write> {
+        self.writes_of(now, now)
+    }
+
+    fn writes_of(&mut self, now: Time, finished_by: Time) -> Vec<Write> {
         let Some(fence) = self.standing.fence else {
             return Vec::new();
         };
@@ -307,7 +327,7 @@
         }
         let mut writes = Vec::new();
         for id in self.board.ids() {
-            let rows = self.board.take_rows(&id, fence, CHUNK_BYTES);
+            let rows = self.board.take_rows(&id, fence, finished_by, CHUNK_BYTES);
             let Some(job) = self.board.get(&id).filter(|_| !rows.is_empty()) else {
                 continue;
             };
@@ -318,12 +338,10 @@
         writes
     }
 
-    /// Loads to order now.
-    pub fn loads(&mut self, now: Time, host: &HostId) -> Vec<Load> {
+    /// Loads to order now, with the fencing number under which they go.
+    pub fn loads(&mut self, now: Time, host: &HostId) -> Option<(Revision, Vec<Load>)> {
         let may_order = now < self.standing.orders_until && self.standing.fence != self.fenced_at;
-        let Some(fence) = self.standing.fence.filter(|_| may_order) else {
-            return Vec::new();
-        };
+        let fence = self.standing.fence.filter(|_| may_order)?;
         let versions = self.engines.iter().filter(|engine| !engine.target.draining);
         let versions = versions.map(|engine| (engine.target.id.clone(), engine.versions()));
         self.homes.assign(&versions.collect(), &self.named);
@@ -345,12 +363,11 @@
                     switch: self.board.switch(),
                     host: host.clone(),
                     fence,
-                    service: self.service.clone(),
                 });
                 self.orders.insert(id, model.clone());
             }
         }
-        loads
+        (!loads.is_empty()).then_some((fence, loads))
     }
 
     fn candidates(&self, model: &ModelId, now: Time) -> Vec<Candidate> {
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -3,13 +3,18 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
+use futures::future::join_all;
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use log::{info, warn};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
 
 use crate::{
     clock,
+    control::tasks::{Done, tell},
     dialect::{self, Order, Report, Switch},
     fleet::Target,
     job,
@@ -49,7 +54,12 @@
     pub switch: Switch,
     pub host: HostId,
     pub fence: Revision,
+}
+
+/// Leadership under which orders go.
+pub struct Proof {
     pub service: ServiceId,
+    pub fence: Revision,
 }
 
 /// What loads need.
@@ -60,17 +70,36 @@
 }
 
 impl Orders {
-    /// Carries out a load.
-    pub async fn load(self: Rc<Self>, load: Load) -> Loaded {
-        let Some(report) = self.report(&load.target).await else {
-            return Loaded::Open;
-        };
-        if let Some(version) = reached(&report, &load) {
-            return Loaded::Version(version);
-        }
-        if report.busy || !self.proves(&load).await {
-            return Loaded::Open;
+    /// Carries out loads that begin together: the engines' reports are read, then the leadership is proved once.
+    pub async fn load_all(
+        self: Rc<Self>,
+        proof: Proof,
+        loads: Vec<Load>,
+        done: mpsc::UnboundedSender<Done>,
+    ) {
+        let reports = join_all(loads.iter().map(|load| self.report(&load.target))).await;
+        let mut due = Vec::new();
+        for (load, report) in loads.into_iter().zip(reports) {
+            let reached = report.as_ref().and_then(|report| reached(report, &load));
+            match (reached, report.filter(|report| !report.busy)) {
+                (Some(version), _) => {
+                    ended(&done, &proof, load.target.id.clone(), Loaded::Version(version));
+                }
+                (None, Some(report)) => due.push((load, report)),
+                (None, None) => ended(&done, &proof, load.target.id.clone(), Loaded::Open),
+            }
         }
+        let proved = !due.is_empty() && self.proves(&proof).await;
+        let orders = due.into_iter().map(|(load, report)| async {
+            let target = load.target.id.clone();
+            let loaded = if proved { self.load(load, report).await } else { Loaded::Open };
+            ended(&done, &proof, target, loaded);
+        });
+        join_all(orders).await;
+    }
+
+    /// Carries out a load.
+    async fn load(&self, load: Load, report: Report) -> Loaded {
         let order = Order {
             model: load.model.clone(),
             version: load.version,
@@ -91,15 +120,15 @@
     }
 
     /// Whether this host still leads, by the store's word of this moment.
-    async fn proves(&self, load: &Load) -> bool {
+    async fn proves(&self, proof: &Proof) -> bool {
         let begun = clock::now();
-        match self.store.get(&job::lead(&load.service)).await {
+        match self.store.get(&job::lead(&proof.service)).await {
             Ok((Some(entry), _)) => {
-                entry.revision == load.fence && clock::now().saturating_sub(begun) < PROOF_MAX
+                entry.revision == proof.fence && clock::now().saturating_sub(begun) < PROOF_MAX
             }
             Ok((None, _)) => false,
             Err(error) => {
-                info!(service = &*load.service, reason:% = error; "could not prove the leadership, no order sent");
+                info!(service = &*proof.service, reason:% = error; "could not prove the leadership, no order sent");
                 false
             }
         }
@@ -168,6 +197,10 @@
     }
 }
 
+fn ended(done: &mpsc::UnboundedSender<Done>, proof: &Proof, target: TargetId, loaded: Loaded) {
+    tell(done, Done::Loaded { service: proof.service.clone(), target, loaded });
+}
+
 /// Version of the model on the engine, if it is the ordered one or newer and no order is in progress.
 fn reached(report: &Report, load: &Load) -> Option<Version> {
     let version = report.versions.iter().find(|(model, _)| *model == load.model)?.1;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -15,11 +15,9 @@
         known::{Effect, Known},
         leader::{Leader, Times},
         mirror::{Mirror, Pace, Update},
-        orders::{Loaded, Orders},
+        orders::{Loaded, Orders, Proof},
         role::{Role, Seen, Standing},
-        tasks::{
-            Done, Written, read_job, remove_jobs, report_emptied, save_texts, tell, write_chunk,
-        },
+        tasks::{Done, Written, read_job, remove_jobs, report_emptied, save_texts, write_chunk},
     },
     dialect::{self, Subject},
     freshness::Freshness,
@@ -205,14 +203,8 @@
         if now < by && self.leaders.values().any(Leader::is_unsettled) {
             return;
         }
-        let mut saves = Vec::new();
-        for leader in self.leaders.values_mut() {
-            let service = leader.service.clone();
-            let of_service = leader.saves_now(now).into_iter();
-            saves.extend(of_service.map(|(id, fence, saved)| {
-                save_texts(Rc::clone(&self.store), service.clone(), id, fence, saved)
-            }));
-        }
+        let saves = self.leaders.values_mut().filter_map(|leader| leader.saves_now(now));
+        let saves: Vec<_> = saves.map(|save| save_texts(Rc::clone(&self.store), save)).collect();
         let told = self.step_down.clone();
         self.hand_over_by = Some(Time::MAX);
         tokio::task::spawn_local(async move {
@@ -478,27 +470,26 @@
                 tokio::task::spawn_local(read);
             }
         }
-        for write in leader.writes(now) {
+        let stopping = self.hand_over_by.is_some();
+        for write in if stopping { leader.last_writes(now) } else { leader.writes(now) } {
             let (store, done) = (Rc::clone(&self.store), self.done.clone());
             tokio::task::spawn_local(write_chunk(store, service.clone(), write, done));
         }
-        if self.hand_over_by.is_some() {
+        if stopping {
             return;
         }
         send(&self.commands, leader.starts(now));
         send(&self.commands, leader.moves(now));
-        for (id, fence, saved) in leader.saves(now) {
-            let store = Rc::clone(&self.store);
-            tokio::task::spawn_local(save_texts(store, service.clone(), id, fence, saved));
+        if let Some(save) = leader.saves(now) {
+            tokio::task::spawn_local(save_texts(Rc::clone(&self.store), save));
         }
-        for load in leader.loads(now, &self.settings.host) {
-            let (orders, done) = (Rc::clone(&self.orders), self.done.clone());
-            let (service, target) = (service.clone(), load.target.id.clone());
-            send(&self.commands, leader.clear(&target, now));
-            tokio::task::spawn_local(async move {
-                let loaded = orders.load(load).await;
-                tell(&done, Done::Loaded { service, target, loaded });
-            });
+        if let Some((fence, loads)) = leader.loads(now, &self.settings.host) {
+            for load in &loads {
+                send(&self.commands, leader.clear(&load.target.id, now));
+            }
+            let proof = Proof { service: service.clone(), fence };
+            let orders = Rc::clone(&self.orders);
+            tokio::task::spawn_local(orders.load_all(proof, loads, self.done.clone()));
         }
         if now >= self.cleaned_at + CLEAN_INTERVAL {
             self.cleaned_at = now;
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     control::{
-        leader::{Read, Write},
+        leader::{Read, Save, Write},
         orders::Loaded,
     },
     dialect,
@@ -139,21 +139,18 @@
 }
 
 /// Saves unfinished texts. They are replaced soon, so a failed write is not repeated.
-pub async fn save_texts(
-    store: store::Handle,
-    service: ServiceId,
-    id: JobId,
-    fence: Revision,
-    saved: Vec<Saved>,
-) {
-    let value = serde_json::to_vec(&saved).unwrap_or_default().into();
+pub async fn save_texts(store: store::Handle, save: Save) {
+    let put = |(id, saved): &(JobId, Vec<Saved>)| {
+        let value = serde_json::to_vec(saved).unwrap_or_default().into();
+        Put { key: job::texts(id), value, lease: None }
+    };
     let txn = Txn {
-        expected: vec![(job::lead(&service), fence)],
-        puts: vec![Put { key: job::texts(&id), value, lease: None }],
+        expected: vec![(job::lead(&save.service), save.fence)],
+        puts: save.texts.iter().map(put).collect(),
         removes: Vec::new(),
     };
     if let Err(error) = store.commit(&txn).await {
-        info!(job = &*id, reason:% = error; "could not save unfinished texts");
+        info!(service = &*save.service, jobs = save.texts.len(), reason:% = error; "could not save unfinished texts");
     }
 }
 
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -122,14 +122,21 @@
         }
     }
 
-    /// Rows of a job that wait to be kept, as many as fit, to be written under a fencing number. Until the write has
-    /// ended, no others are given.
-    pub fn take_rows(&mut self, id: &str, fence: Revision, bytes_max: usize) -> Vec<Row> {
+    /// Rows of a job to be kept now, as many as fit, to be written under a fencing number: those of whole groups and those
+    /// that were finished by a time. Until the write has ended, no others are given.
+    pub fn take_rows(
+        &mut self,
+        id: &str,
+        fence: Revision,
+        finished_by: Time,
+        bytes_max: usize,
+    ) -> Vec<Row> {
         let Some(job) = self.jobs.get_mut(id).filter(|job| job.writing.is_none()) else {
             return Vec::new();
         };
         let (mut rows, mut bytes) = (Vec::new(), 0);
-        for slot in &mut job.slots {
+        for item in job.listable(finished_by) {
+            let slot = &mut job.slots[item];
             let State::Finished(row) = &slot.state else {
                 continue;
             };
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -45,6 +45,8 @@
     pub(super) failures: u32,
     /// Target that broke or slowed the last run.
     pub(super) avoid: Option<TargetId>,
+    /// Time at which its row was finished.
+    pub(super) finished_at: Time,
 }
 
 /// An open job.
@@ -67,6 +69,8 @@
     /// Time at which its first item could start.
     pub(super) begun: Time,
     pub(super) slots: Vec<Slot>,
+    /// Group of each item, by number.
+    groups: Vec<usize>,
     /// Items in the order in which they start.
     pub(super) order: Vec<usize>,
     /// Fencing number of the write in progress.
@@ -81,12 +85,14 @@
             whole: false,
             failures: 0,
             avoid: None,
+            finished_at: Time::ZERO,
         };
         let slots = vec![slot; spec.items.len()];
         let mut order: Vec<usize> = (0..spec.items.len()).collect();
         // Long items decide when a group is whole, so they start first.
         order.sort_by_key(|&item| std::cmp::Reverse(spec.items[item].length_hint));
         Self {
+            groups: group_numbers(&spec),
             spec,
             record,
             single_version: false,
@@ -184,6 +190,27 @@
         self.slots.iter().any(|slot| matches!(slot.state, State::Waiting { .. }))
     }
 
+    /// Items of which the row waits to be listed and may be: those of whole groups, and those that were finished by a time.
+    pub(super) fn listable(&self, finished_by: Time) -> Vec<usize> {
+        let mut whole = vec![true; self.slots.len()];
+        for (slot, &group) in self.slots.iter().zip(&self.groups) {
+            whole[group] &= !matches!(slot.state, State::Waiting { .. } | State::Running { .. });
+        }
+        let listable =
+            self.slots.iter().zip(&self.groups).enumerate().filter(|(_, (slot, group))| {
+                matches!(slot.state, State::Finished(_))
+                    && (whole[**group] || slot.finished_at <= finished_by)
+            });
+        listable.map(|(item, _)| item).collect()
+    }
+
+    fn finish(&mut self, item: usize, done: bool, score: Option<Box<str>>, now: Time) {
+        let row = self.row(item, done, score);
+        let slot = &mut self.slots[item];
+        slot.state = State::Finished(row);
+        slot.finished_at = now;
+    }
+
     fn row(&self, item: usize, done: bool, score: Option<Box<str>>) -> Box<Row> {
         let progress = &self.slots[item].progress;
         let (text, versions) = if done {
@@ -200,7 +227,7 @@
         }
         for item in 0..self.slots.len() {
             if matches!(self.slots[item].state, State::Waiting { .. }) {
-                self.slots[item].state = State::Finished(self.row(item, false, None));
+                self.finish(item, false, None, now);
             }
         }
     }
@@ -253,17 +280,13 @@
         slot.avoid = None;
         slot.state = State::Waiting { not_before: now };
         match outcome.ended {
-            Ended::Scored(score) => {
-                self.slots[item].state = State::Finished(self.row(item, true, score));
-            }
-            Ended::JudgeFailed | Ended::Rejected => {
-                self.slots[item].state = State::Finished(self.row(item, false, None));
-            }
+            Ended::Scored(score) => self.finish(item, true, score, now),
+            Ended::JudgeFailed | Ended::Rejected => self.finish(item, false, None, now),
             Ended::Failed => {
                 slot.failures += 1;
                 slot.avoid = outcome.target;
                 if slot.failures >= max_attempts {
-                    self.slots[item].state = State::Finished(self.row(item, false, None));
+                    self.finish(item, false, None, now);
                 }
             }
             Ended::Unjudged => slot.state = State::Waiting { not_before: now + JUDGE_RETRY },
@@ -272,3 +295,16 @@
         }
     }
 }
+
+/// Number of each item's group. An item without a group is one by itself.
+fn group_numbers(spec: &Spec) -> Vec<usize> {
+    let mut numbers: HashMap<&str, usize> = HashMap::new();
+    let mut of_items = Vec::with_capacity(spec.items.len());
+    for (at, item) in spec.items.iter().enumerate() {
+        of_items.push(match &*item.group {
+            "" => at,
+            group => *numbers.entry(group).or_insert(at),
+        });
+    }
+    of_items
+}
--- a/crates/node/tests/board.rs
+++ b/crates/node/tests/board.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::{engine, engines, job, ms, outcome, text};
-use lagoonyard_node::job::{Board, Ended, Row};
+use common::{engine, engines, grouped_job, job, ms, outcome, text};
+use lagoonyard_node::{
+    job::{Board, Ended, Row},
+    prelude::*,
+};
 
 const BYTES_MAX: usize = 1 << 20;
 
@@ -39,10 +42,10 @@
     board.insert(job("j", 1, &[("a", 2), ("b", 1)]));
     while board.next(ms(1), &mut engines).is_some() {}
     done(&mut board, 0, "a", &mut engines);
-    assert_eq!(board.take_rows("j", 7, BYTES_MAX).len(), 1);
+    assert_eq!(board.take_rows("j", 7, Time::MAX, BYTES_MAX).len(), 1);
     board.get_mut("j").unwrap().restore(&[], 0);
     done(&mut board, 1, "b", &mut engines);
-    assert_eq!(board.take_rows("j", 9, BYTES_MAX).len(), 2);
+    assert_eq!(board.take_rows("j", 9, Time::MAX, BYTES_MAX).len(), 2);
     board.wrote("j", 7, 0, true);
     let job = board.get("j").unwrap();
     assert_eq!((job.listed, job.chunks), (0, 0));
@@ -59,12 +62,12 @@
     board.insert(job("j", 1, &[("a", 1)]));
     board.next(ms(1), &mut engines).unwrap();
     done(&mut board, 0, "a", &mut engines);
-    assert_eq!(board.take_rows("j", 7, BYTES_MAX).len(), 1);
-    assert!(board.take_rows("j", 7, BYTES_MAX).is_empty(), "a write is in progress");
+    assert_eq!(board.take_rows("j", 7, Time::MAX, BYTES_MAX).len(), 1);
+    assert!(board.take_rows("j", 7, Time::MAX, BYTES_MAX).is_empty(), "a write is in progress");
     board.wrote("j", 7, 0, false);
-    assert_eq!(board.take_rows("j", 7, BYTES_MAX).len(), 1);
+    assert_eq!(board.take_rows("j", 7, Time::MAX, BYTES_MAX).len(), 1);
     board.wrote("j", 7, 0, true);
-    assert!(board.take_rows("j", 7, BYTES_MAX).is_empty());
+    assert!(board.take_rows("j", 7, Time::MAX, BYTES_MAX).is_empty());
 }
 
 #[test]
@@ -91,7 +94,7 @@
         let end = outcome(("j", 0, "a"), &target, Ended::Failed, text(0, 1));
         board.ended(end, ms(at), &mut engines);
     }
-    let rows = board.take_rows("j", 1, BYTES_MAX);
+    let rows = board.take_rows("j", 1, Time::MAX, BYTES_MAX);
     assert_eq!(rows.len(), 1);
     assert!(!rows[0].done && rows[0].text.is_empty());
 }
@@ -162,9 +165,9 @@
     let mut board = Board::default();
     board.insert(job("j", 1, &[("a", 1)]));
     board.next(ms(39_999), &mut none);
-    assert!(board.take_rows("j", 1, BYTES_MAX).is_empty());
+    assert!(board.take_rows("j", 1, Time::MAX, BYTES_MAX).is_empty());
     board.next(ms(40_000), &mut none);
-    assert!(!board.take_rows("j", 1, BYTES_MAX)[0].done);
+    assert!(!board.take_rows("j", 1, Time::MAX, BYTES_MAX)[0].done);
 }
 
 /// Guards against items that sit on a slowed engine while the others soon have places (Huon scale-1: 11 s for 148 events).
@@ -186,3 +189,26 @@
     assert_eq!(starts(&mut board, &mut engines, ms(1_100)), 0, "the rest waits");
     assert_eq!(starts(&mut board, &mut engines, ms(1_800)), 1, "but not for long");
 }
+
+/// Guards against a trainer whose reads are answered with parts of groups, so that each whole group reaches it a pause
+/// between two reads later.
+#[test]
+fn rows_wait_for_the_rest_of_their_group_for_a_while() {
+    let mut engine = engine("e1", 1);
+    engine.slots = 4;
+    let mut engines = engines(&[engine]);
+    let mut board = Board::default();
+    board.insert(grouped_job("j", &[("a1", "a"), ("b1", "b"), ("a2", "a"), ("single", "")]));
+    while board.next(ms(1), &mut engines).is_some() {}
+    let items = |rows: Vec<Row>| rows.into_iter().map(|row| row.item).collect::<Vec<_>>();
+    let nothing: Vec<ItemId> = Vec::new();
+    done(&mut board, 0, "a1", &mut engines);
+    assert_eq!(items(board.take_rows("j", 1, Time::ZERO, BYTES_MAX)), nothing);
+    done(&mut board, 3, "single", &mut engines);
+    assert_eq!(items(board.take_rows("j", 1, Time::ZERO, BYTES_MAX)), ["single".into()]);
+    board.wrote("j", 1, 0, true);
+    assert_eq!(items(board.take_rows("j", 1, ms(1), BYTES_MAX)), ["a1".into()]);
+    board.wrote("j", 1, 1, true);
+    done(&mut board, 2, "a2", &mut engines);
+    assert_eq!(items(board.take_rows("j", 1, Time::ZERO, BYTES_MAX)), ["a2".into()]);
+}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -36,7 +36,7 @@
     engines
 }
 
-fn item(id: &str, length_hint: u64) -> Item {
+fn item(id: &str, length_hint: u64, group: &str) -> Item {
     Item {
         id: id.into(),
         path: "/p/1".into(),
@@ -44,14 +44,22 @@
         body: bytes::Bytes::new(),
         tokens: 10,
         length_hint: Some(length_hint),
-        group: "g".into(),
+        group: group.into(),
         judge: None,
     }
 }
 
 /// A job of model `m` whose items have the given ids and length hints.
 pub fn job(id: &str, min_version: u64, items: &[(&str, u64)]) -> Job {
-    let items: Vec<Item> = items.iter().map(|(id, hint)| item(id, *hint)).collect();
+    job_of(id, min_version, items.iter().map(|(id, hint)| item(id, *hint, "g")).collect())
+}
+
+/// A job whose items have the given ids and groups.
+pub fn grouped_job(id: &str, items: &[(&str, &str)]) -> Job {
+    job_of(id, 1, items.iter().map(|(id, group)| item(id, 1, group)).collect())
+}
+
+fn job_of(id: &str, min_version: u64, items: Vec<Item>) -> Job {
     let record = Record {
         host: "h".into(),
         path: "/p/".into(),
