A lost answer is followed by a check of the direct way; engines with long items load later

Cause: the leader that lost the store found out only after two calls of 1.5 s, when its lease of 2 s had ended; and loads moved the longest items of a step up to three times, each time at the price of 0.1 s of 7. Change: after a call without an answer the direct way is probed for 250 ms and the answer decides whether calls go through another host; renewals of a lease time out after 0.4 s and are made six times a lease. An engine on which an item with 40 events or more runs loads after that item's end while half of the model's engines may serve. The relay's state and checks stand in ways.rs.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -32,6 +32,8 @@
 const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
 /// Jobs whose texts are saved at once; a transaction of the store takes 32 entries.
 const SAVED_JOBS_MAX: usize = 30;
+/// Events after which an item counts as one of the longest of its step.
+const LONG_EVENTS: u64 = 40;
 /// Interval at which unfinished texts are saved.
 const SAVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -382,11 +384,20 @@
                 version: engine.version(model)?,
                 loading: self.orders.contains_key(id) || waits,
                 in_flight: engine.in_flight,
+                has_long: self.has_long(id),
             })
         };
         engines.filter_map(candidate).collect()
     }
 
+    fn has_long(&self, target: &TargetId) -> bool {
+        let mut placed = self.runs.values().filter(|it| it.target.as_ref() == Some(target));
+        placed.any(|it| {
+            let job = self.board.get(&it.job);
+            job.is_some_and(|job| job.events(it.item) >= LONG_EVENTS)
+        })
+    }
+
     /// Takes the end of a load.
     pub fn load_ended(&mut self, id: &TargetId, version: Option<Version>, now: Time) {
         let Some(model) = self.orders.remove(id) else {
--- a/crates/node/src/control/role.rs
+++ b/crates/node/src/control/role.rs
@@ -15,7 +15,7 @@
 /// Lease of a leader, as many of the store's shortest leases.
 const LEASE_FACTOR: u32 = 2;
 /// Renewals within one lease.
-const RENEWALS: u32 = 4;
+const RENEWALS: u32 = 6;
 /// Part of the lease, as a divisor, after which a leader that could not renew gives no more orders.
 const ORDER_DIVISOR: u32 = 2;
 /// Longest random delay before a free leadership is taken.
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// Events of an item so far, as last told.
+    pub fn events(&self, item: usize) -> u64 {
+        self.slots.get(item).map_or(0, |slot| slot.progress.last_event)
+    }
+
     /// Takes the text so far of an item that runs.
     pub fn progress(&mut self, item: usize, progress: Progress) {
         if let Some(slot) = self.slots.get_mut(item)
--- a/crates/node/src/relay/path.rs
+++ b/crates/node/src/relay/path.rs
@@ -2,8 +2,6 @@
 
 use crate::prelude::*;
 
-/// Calls in a row without an answer after which the direct way counts as lost.
-const SILENT_MAX: u32 = 2;
 /// Time without calls through other hosts after the store refused those too; doubles up to the maximum.
 const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_MAX: Duration = Duration::from_secs(4);
@@ -13,7 +11,6 @@
 pub struct Path {
     /// Calls go through other hosts.
     relayed: bool,
-    silent: u32,
     paused_until: Time,
     /// Refusals through other hosts in a row.
     refusals: u32,
@@ -33,13 +30,11 @@
     /// The store answered a direct call.
     pub fn answered(&mut self) {
         self.relayed = false;
-        self.silent = 0;
     }
 
-    /// A direct call got no answer.
-    pub fn silent(&mut self) {
-        self.silent += 1;
-        self.relayed |= self.silent >= SILENT_MAX;
+    /// The direct way does not work.
+    pub fn lost(&mut self) {
+        self.relayed = true;
     }
 
     /// The store answered a call through another host after it had refused it directly.
@@ -51,7 +46,6 @@
     /// No other host got an answer either, so the store itself is away.
     pub fn relay_refused(&mut self, now: Time) {
         self.relayed = false;
-        self.silent = 0;
         self.paused_until = now + PAUSE.saturating_mul(1 << self.refusals.min(8)).min(PAUSE_MAX);
         self.refusals += 1;
     }
--- a/crates/node/src/relay/server.rs
+++ b/crates/node/src/relay/server.rs
@@ -16,8 +16,8 @@
 use crate::{
     prelude::*,
     relay::{
-        client::Direct,
         frame::{Answer, Call, codec},
+        ways::Direct,
     },
     store,
     traffic::guard,
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -2,7 +2,8 @@
 //!
 //! A step that is asked for version `k` allows `k - 1`, so an engine may serve for one version after its own. Engines that
 //! are too old for the named version load first. The others load when no item waits for a place, so that a step finds
-//! all engines at its start and none is too old when the next version is named.
+//! all engines at its start and none is too old when the next version is named. An engine on which a long item runs loads
+//! after that item's end, as long as half of the engines may serve.
 //!
 //! Where several models are trained on the same engines, each has a share of them as its home, and only these are loaded
 //! with its new versions: all engines cannot load every version of every model in time.
@@ -25,6 +26,8 @@
     pub loading: bool,
     /// Items that run on it.
     pub in_flight: u32,
+    /// One of them is among the longest of its step, so the step would wait for what a load costs it.
+    pub has_long: bool,
 }
 
 /// Engines that may load at once out of `total`.
@@ -38,7 +41,11 @@
     let due =
         |it: &&Candidate| !it.loading && it.version < if calm { named } else { oldest_allowed };
     let mut behind: Vec<&Candidate> = candidates.iter().filter(due).collect();
-    behind.sort_by_key(|it| (it.version, it.in_flight));
+    let usable = candidates.iter().filter(|it| !it.loading && it.version >= oldest_allowed);
+    if 2 * usable.count() >= candidates.len() {
+        behind.retain(|it| !it.has_long);
+    }
+    behind.sort_by_key(|it| (it.has_long, it.version, it.in_flight));
     behind.into_iter().take(room).map(|it| it.id.clone()).collect()
 }
 
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -12,11 +12,15 @@
 use bytes::Bytes;
 use common::ms;
 use lagoonyard_node::{
+    prelude::*,
     relay::{Answer, Call, Client, Direct, Path, Peer, Peers, serve},
     store::Error,
 };
 use tokio::{net::TcpListener, time::sleep};
 
+/// Time after a call without an answer in which the direct way is checked.
+const CHECKED: Duration = Duration::from_millis(350);
+
 /// What a direct way does with calls.
 #[derive(Clone, Copy, PartialEq)]
 enum Way {
@@ -105,9 +109,8 @@
     run(async {
         let (own, other) = (Line::new(Way::Silent), Line::new(Way::Open));
         let client = client(&own, &other).await;
-        for _ in 0..2 {
-            assert_matches!(client.call(&call("write", 50)).await, Err(Error::NoAnswer { .. }));
-        }
+        assert_matches!(client.call(&call("write", 50)).await, Err(Error::NoAnswer { .. }));
+        sleep(CHECKED).await;
         assert_eq!(other.count("write"), 0);
         assert_matches!(client.call(&call("write", 50)).await, Ok(_));
     });
@@ -140,10 +143,9 @@
         let watch =
             tokio::task::spawn_local(async move { watching.call(&call("watch", 10_000)).await });
         sleep(ms(20)).await;
-        for _ in 0..2 {
-            assert_matches!(client.call(&call("read", 50)).await, Err(_));
-        }
-        sleep(ms(50)).await;
+        assert_matches!(client.call(&call("read", 50)).await, Err(_));
+        assert!(!watch.is_finished());
+        sleep(CHECKED).await;
         assert!(watch.is_finished());
     });
 }
@@ -179,3 +181,17 @@
     path.relay_refused(ms(60_000));
     assert!(path.may_relay(ms(60_500)));
 }
+
+/// Guards against a detour for each answer that is lost while the direct way works.
+#[test]
+fn a_lost_answer_alone_does_not_change_the_way() {
+    run(async {
+        let (own, other) = (Line::new(Way::Silent), Line::new(Way::Open));
+        let client = client(&own, &other).await;
+        assert_matches!(client.call(&call("read", 50)).await, Err(_));
+        own.way.set(Way::Open);
+        sleep(CHECKED).await;
+        assert_matches!(client.call(&call("read", 50)).await, Ok(_));
+        assert_eq!(other.count("read"), 0);
+    });
+}
--- a/crates/node/tests/weights.rs
+++ b/crates/node/tests/weights.rs
@@ -5,7 +5,7 @@
 use lagoonyard_node::weights::{Candidate, Homes, Versions, at_once, next};
 
 fn candidate(id: usize, version: u64, loading: bool) -> Candidate {
-    Candidate { id: id.to_string().into(), version, loading, in_flight: 0 }
+    Candidate { id: id.to_string().into(), version, loading, in_flight: 0, has_long: false }
 }
 
 #[test]
@@ -44,6 +44,22 @@
     assert!(next(5, &all, true, 2).is_empty());
 }
 
+/// Guards against steps that last longer because a load moved their longest items.
+#[test]
+fn engines_with_long_items_load_later_while_half_may_serve() {
+    let mut all: Vec<Candidate> = (0..4).map(|id| candidate(id, 4, false)).collect();
+    all[0].has_long = true;
+    all[1].has_long = true;
+    let ids = |all: &[Candidate]| {
+        next(5, all, true, 4).iter().map(|id| id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(ids(&all), ["2", "3"]);
+    for it in &mut all {
+        it.version = 3;
+    }
+    assert_eq!(ids(&all), ["2", "3", "0", "1"], "none may serve, so all have to load");
+}
+
 fn fleet(count: usize, models: &[(&str, u64)]) -> BTreeMap<Box<str>, Versions> {
     let versions: Versions = models.iter().map(|(model, at)| ((*model).into(), *at)).collect();
     (0..count).map(|id| (format!("e{id:02}").into(), versions.clone())).collect()
