Models share engines by the work of their steps; no engine counts as slow before any was measured

Cause: on the grown sites each model had the same number of engines, though the steps of one bring half the work of another's and are less urgent: the larger ones waited for places (items that began 3 s after their step) and fell behind. Before a run was seen, slow means 100 ms an event.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -12,7 +12,7 @@
     job::{Board, Chunk, Engines, Job, Record, Row, Saved, Spec, Start, Wish},
     prelude::*,
     traffic::{Command, Report, Run},
-    weights::{self, Candidate, Homes},
+    weights::{self, Candidate, Demand, Homes},
 };
 
 /// Events over which the pace of a run is judged.
@@ -32,6 +32,10 @@
 const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
 /// Jobs whose texts are saved at once; a transaction of the store takes 32 entries.
 const SAVED_JOBS_MAX: usize = 30;
+/// Weight of the last step in a model's demand.
+const DEMAND_WEIGHT: f64 = 0.3;
+/// Part of its work by which a step counts for each rank that it is less urgent.
+const RANK_FACTOR: f64 = 0.8;
 /// Events after which an item counts as one of the longest of its step.
 const LONG_EVENTS: u64 = 40;
 /// Interval at which unfinished texts are saved.
@@ -72,6 +76,8 @@
     /// Newest version that a trainer named, by model.
     named: BTreeMap<ModelId, Version>,
     homes: Homes,
+    /// Work of the latest steps by model.
+    demand: Demand,
     runs: HashMap<u64, Placed>,
     /// Jobs that are being read from the store.
     loading: HashSet<JobId>,
@@ -96,6 +102,7 @@
             engines: Engines::default(),
             named: BTreeMap::new(),
             homes: Homes::default(),
+            demand: Demand::new(),
             runs: HashMap::new(),
             loading: HashSet::new(),
             orders: HashMap::new(),
@@ -156,6 +163,7 @@
             job.max_attempts = times.max_attempts;
             job.priority = times.priority;
             job.single_version = times.single_version;
+            self.note_demand(&job);
             self.board.insert(job);
         }
         if let Some(job) = self.board.get_mut(&id) {
@@ -164,6 +172,15 @@
         }
     }
 
+    /// Takes note of a step's work: the output tokens that its trainer expects, less for a less urgent one.
+    fn note_demand(&mut self, job: &Job) {
+        let tokens: u64 = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1)).sum();
+        let rank = i32::try_from(job.priority).unwrap_or(i32::MAX);
+        let work = tokens as f64 * RANK_FACTOR.powi(rank);
+        let known = self.demand.entry(job.spec.model.clone()).or_insert(work);
+        *known += (work - *known) * DEMAND_WEIGHT;
+    }
+
     /// A job could not be read; it is tried again.
     pub fn not_loaded(&mut self, id: &JobId) {
         self.loading.remove(id);
@@ -346,7 +363,7 @@
         let fence = self.standing.fence.filter(|_| may_order)?;
         let versions = self.engines.iter().filter(|engine| !engine.target.draining);
         let versions = versions.map(|engine| (engine.target.id.clone(), engine.versions()));
-        self.homes.assign(&versions.collect(), &self.named);
+        self.homes.assign(&versions.collect(), &self.named, &self.demand);
         let mut loads = Vec::new();
         for (model, &version) in &self.named {
             let candidates = self.candidates(model, now);
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -20,6 +20,8 @@
 
 /// An engine is slow that takes this many times the usual time per event.
 const SLOW_FACTOR: f64 = 1.7;
+/// The same before any run was seen.
+const UNKNOWN_SLOW_FACTOR: f64 = 2.5;
 /// Shortest time per event that counts as slow.
 const SLOW_MIN: Duration = Duration::from_millis(55);
 
@@ -153,9 +155,12 @@
         self.pace(engine, now) > self.pace_max()
     }
 
-    /// Time per event above which an engine counts as slow.
+    /// Time per event above which an engine counts as slow. Before any run was seen, only what no engine should take does.
     pub fn pace_max(&self) -> Duration {
-        self.usual_pace().mul_f64(SLOW_FACTOR).max(SLOW_MIN)
+        match self.median_pace() {
+            Some(usual) => usual.mul_f64(SLOW_FACTOR).max(SLOW_MIN),
+            None => PACE_INITIAL.mul_f64(UNKNOWN_SLOW_FACTOR),
+        }
     }
 
     /// Expected time per event, lengthened by the share of places taken.
@@ -171,10 +176,14 @@
 
     /// Median pace of the engines that were measured.
     pub fn usual_pace(&self) -> Duration {
+        self.median_pace().unwrap_or(PACE_INITIAL)
+    }
+
+    fn median_pace(&self) -> Option<Duration> {
         let measured = self.by_id.values().filter(|engine| engine.paced_at > Time::ZERO);
         let mut paces: Vec<Duration> = measured.map(|engine| engine.pace).collect();
         paces.sort_unstable();
-        paces.get(paces.len() / 2).copied().unwrap_or(PACE_INITIAL)
+        paces.get(paces.len() / 2).copied()
     }
 
     /// Places that are free for items of a model.
--- a/crates/node/tests/weights.rs
+++ b/crates/node/tests/weights.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use lagoonyard_node::weights::{Candidate, Homes, Versions, at_once, next};
+use lagoonyard_node::weights::{Candidate, Demand, Homes, Versions, at_once, next};
 
 fn candidate(id: usize, version: u64, loading: bool) -> Candidate {
     Candidate { id: id.to_string().into(), version, loading, in_flight: 0, has_long: false }
@@ -74,10 +74,10 @@
 fn models_share_the_engines_evenly() {
     let engines = fleet(38, &[("a", 1), ("b", 1), ("c", 1)]);
     let mut homes = Homes::default();
-    homes.assign(&engines, &Versions::from([("a".into(), 2)]));
+    homes.assign(&engines, &Versions::from([("a".into(), 2)]), &Demand::new());
     assert_eq!(shares(&homes, &engines, "a"), 38, "the only model in training has all engines");
     let named = Versions::from([("a".into(), 3), ("b".into(), 2), ("c".into(), 2)]);
-    homes.assign(&engines, &named);
+    homes.assign(&engines, &named, &Demand::new());
     let mut counts: Vec<usize> =
         ["a", "b", "c"].iter().map(|model| shares(&homes, &engines, model)).collect();
     counts.sort_unstable();
@@ -89,11 +89,11 @@
     let mut engines = fleet(9, &[("a", 1), ("b", 1)]);
     let named = Versions::from([("a".into(), 2), ("b".into(), 2)]);
     let mut homes = Homes::default();
-    homes.assign(&engines, &named);
+    homes.assign(&engines, &named, &Demand::new());
     let before: Vec<_> = engines.keys().map(|id| homes.of(id).cloned()).collect();
     let last = engines.keys().last().unwrap().clone();
     engines.remove(&last);
-    homes.assign(&engines, &named);
+    homes.assign(&engines, &named, &Demand::new());
     let after: Vec<_> = engines.keys().map(|id| homes.of(id).cloned()).collect();
     assert_eq!(before[..8], after[..]);
 }
@@ -105,7 +105,39 @@
     engines.get_mut("e00").unwrap().insert("b".into(), 7);
     engines.get_mut("e01").unwrap().insert("a".into(), 7);
     let mut homes = Homes::default();
-    homes.assign(&engines, &Versions::from([("a".into(), 7), ("b".into(), 7)]));
+    let named = Versions::from([("a".into(), 7), ("b".into(), 7)]);
+    homes.assign(&engines, &named, &Demand::new());
     assert_eq!(homes.of("e00").map(|home| &**home), Some("b"));
     assert_eq!(homes.of("e01").map(|home| &**home), Some("a"));
 }
+
+/// Guards against a model with twice the work of another that waits for places while the other's engines stand idle.
+#[test]
+fn shares_go_by_demand() {
+    let engines = fleet(40, &[("a", 1), ("b", 1), ("c", 1)]);
+    let named = Versions::from([("a".into(), 2), ("b".into(), 2), ("c".into(), 2)]);
+    let mut homes = Homes::default();
+    homes.assign(&engines, &named, &Demand::new());
+    let demand = Demand::from([("a".into(), 2000.0), ("b".into(), 1000.0), ("c".into(), 1000.0)]);
+    homes.assign(&engines, &named, &demand);
+    let counts = ["a", "b", "c"].map(|model| shares(&homes, &engines, model));
+    assert!((19..=21).contains(&counts[0]), "{counts:?}");
+    assert!(counts[1..].iter().all(|count| (9..=11).contains(count)), "{counts:?}");
+    let nearly = Demand::from([("a".into(), 2100.0), ("b".into(), 950.0), ("c".into(), 1000.0)]);
+    homes.assign(&engines, &named, &nearly);
+    let after = ["a", "b", "c"].map(|model| shares(&homes, &engines, model));
+    assert!(
+        after.iter().zip(counts).all(|(after, before)| after.abs_diff(before) <= 1),
+        "{after:?}"
+    );
+}
+
+/// Guards against a model that loses its last engine because its steps are small.
+#[test]
+fn a_model_with_little_work_keeps_an_engine() {
+    let engines = fleet(4, &[("a", 1), ("b", 1)]);
+    let named = Versions::from([("a".into(), 2), ("b".into(), 2)]);
+    let mut homes = Homes::default();
+    homes.assign(&engines, &named, &Demand::from([("a".into(), 1000.0), ("b".into(), 1.0)]));
+    assert!(shares(&homes, &engines, "b") >= 1);
+}
