Failures of a judge count over all calls for an item; a target's failure is passed on when a later attempt breaks

And a call whose last attempt broke gave up the 500 that another target had answered. Change: an item adds up its judge's failures over its calls; a request whose last attempt breaks ends with the failure that a target answered. Result: an_item_is_given_up_though_one_judge_is_silent fails before, passes after, twice; all tests of the two crates pass.

--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -43,6 +43,8 @@
     pub(super) whole: bool,
     /// Answers that count as failed attempts.
     pub(super) failures: u32,
+    /// Failures (500) that its judge answered.
+    judge_failures: u32,
     /// Target that broke or slowed the last run.
     pub(super) avoid: Option<TargetId>,
     /// Time at which its row was finished.
@@ -84,6 +86,7 @@
             progress: Progress::default(),
             whole: false,
             failures: 0,
+            judge_failures: 0,
             avoid: None,
             finished_at: Time::ZERO,
         };
@@ -268,8 +271,10 @@
 
     fn order_of(&self, item: usize, target: Option<TargetId>) -> Start {
         let progress = self.slots[item].progress.clone();
-        let last_resort = target.is_some() && target == self.slots[item].avoid;
-        Start { job: self.spec.id.clone(), item, target, progress, last_resort }
+        let slot = &self.slots[item];
+        let last_resort = target.is_some() && target == slot.avoid;
+        let judge_failures = slot.judge_failures;
+        Start { job: self.spec.id.clone(), item, target, progress, judge_failures, last_resort }
     }
 
     pub(super) fn ended(&mut self, outcome: Outcome, now: Time) {
@@ -282,6 +287,7 @@
         }
         slot.progress = outcome.progress;
         slot.whole = outcome.whole;
+        slot.judge_failures += outcome.judge_failures;
         slot.avoid = None;
         slot.state = State::Waiting { not_before: now };
         match outcome.ended {
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -54,6 +54,8 @@
     pub whole: bool,
     /// Time per event, if there was any.
     pub pace: Option<Duration>,
+    /// Failures (500) that the judge answered in this run.
+    pub judge_failures: u32,
 }
 
 /// Order to run an item.
@@ -64,6 +66,8 @@
     /// `None` if only the score is missing.
     pub target: Option<TargetId>,
     pub progress: Progress,
+    /// Failures (500) that the judge answered in earlier runs.
+    pub judge_failures: u32,
     /// No other engine has a place, so the item stays however slow it is.
     pub last_resort: bool,
 }
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -173,7 +173,11 @@
                         self.tried.clear();
                         Some(Instant::now() + OFFER_PAUSE)
                     }
-                    None if running.is_empty() => return Err(self.failure()),
+                    None if running.is_empty() => {
+                        let failure = self.failure();
+                        // A target's own failure says more to the caller than that a later attempt broke.
+                        return self.last_failure.ok_or(failure);
+                    }
                     None => None,
                 };
             }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -100,7 +100,7 @@
         begun: Instant::now(),
         first: run.start.progress.last_event,
     };
-    let mut pace = None;
+    let (mut pace, mut judge_failures) = (None, 0);
     let ended = 'ended: {
         if let Some(target) = &run.target {
             let stream = stream(&traffic, &run, target, &mut state, reports);
@@ -115,9 +115,12 @@
             state.whole = true;
         }
         let item = &run.spec.items[run.start.item];
-        let judge = judge(&traffic, item).fuse();
+        let judge = judge(&traffic, item, run.start.judge_failures).fuse();
         tokio::select! {
-            ended = judge => ended,
+            (ended, failures) = judge => {
+                judge_failures = failures;
+                ended
+            }
             _ = &mut stop => Ended::Stopped,
         }
     };
@@ -131,6 +134,7 @@
         progress: state.progress,
         whole: state.whole,
         pace,
+        judge_failures,
     };
     Report::Ended { run: run.id, outcome }
 }
@@ -280,17 +284,17 @@
     Some(request)
 }
 
-/// Has a whole text scored.
-async fn judge(traffic: &Rc<Traffic>, item: &Item) -> Ended {
+/// Has a whole text scored, after failures that the judge answered before. Gives the failures of this call beside its end.
+async fn judge(traffic: &Rc<Traffic>, item: &Item, failed_before: u32) -> (Ended, u32) {
     let Some(judge) = &item.judge else {
-        return Ended::Scored(None);
+        return (Ended::Scored(None), 0);
     };
     let view = traffic.view.load_full();
     let route = view.config.as_ref().and_then(|config| config.route(&judge.host, &judge.path));
     let (Some(route), Ok(uri), Ok(host)) =
         (route, judge.path.parse(), HeaderValue::from_str(&judge.host))
     else {
-        return Ended::Unjudged;
+        return (Ended::Unjudged, 0);
     };
     let call = Call {
         id: judge.id.clone(),
@@ -301,8 +305,12 @@
         by: Instant::now() + JUDGE_TIMEOUT.min(route.timeout),
     };
     match dispatch(traffic, route, &call).await {
-        Ok(whole) if whole.status.is_success() => Ended::Scored(Some(whole.receipt)),
-        Ok(whole) if whole.failures >= route.max_attempts => Ended::JudgeFailed,
-        Ok(_) | Err(Failure::NotRun | Failure::Unknown | Failure::Timeout) => Ended::Unjudged,
+        Ok(whole) if whole.status.is_success() => (Ended::Scored(Some(whole.receipt)), 0),
+        Ok(whole) if failed_before + whole.failures >= route.max_attempts => {
+            (Ended::JudgeFailed, whole.failures)
+        }
+        // Attempts that were still running do not count, so one call may not reach the limit.
+        Ok(whole) => (Ended::Unjudged, whole.failures),
+        Err(Failure::NotRun | Failure::Unknown | Failure::Timeout) => (Ended::Unjudged, 0),
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -102,5 +102,6 @@
         progress,
         whole: false,
         pace: None,
+        judge_failures: 0,
     }
 }
