Control state and leader split: lead.rs carries out, rollout.rs holds the loads of weights

Change: what a leading host does moves to lead.rs, the plan of loads with the models' shares to a type of its own in rollout.rs, the rule on switches to the board. No change of behaviour.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -6,13 +6,15 @@
 };
 
 use crate::{
-    control::{orders::Load, role::Standing},
-    dialect::Switch,
+    control::{
+        orders::Load,
+        role::Standing,
+        rollout::{self, Rollout},
+    },
     fleet::Target,
     job::{Board, Chunk, Engines, Job, Record, Row, Saved, Spec, Start, Wish},
     prelude::*,
     traffic::{Command, Report, Run},
-    weights::{self, Candidate, Demand, Homes},
 };
 
 /// Events over which the pace of a run is judged.
@@ -32,10 +34,6 @@
 const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
 /// Jobs whose texts are saved at once; a transaction of the store takes 32 entries.
 const SAVED_JOBS_MAX: usize = 30;
-/// Weight of the last step in a model's demand.
-const DEMAND_WEIGHT: f64 = 0.3;
-/// Part of its work by which a step counts for each rank that it is less urgent.
-const RANK_FACTOR: f64 = 0.8;
 /// Events after which an item counts as one of the longest of its step.
 const LONG_EVENTS: u64 = 40;
 /// Interval at which unfinished texts are saved.
@@ -73,18 +71,10 @@
     pub standing: Standing,
     pub board: Board,
     engines: Engines,
-    /// Newest version that a trainer named, by model.
-    named: BTreeMap<ModelId, Version>,
-    homes: Homes,
-    /// Work of the latest steps by model.
-    demand: Demand,
+    rollout: Rollout,
     runs: HashMap<u64, Placed>,
     /// Jobs that are being read from the store.
     loading: HashSet<JobId>,
-    /// Orders in progress.
-    orders: HashMap<TargetId, ModelId>,
-    /// Time before which no further order goes to an engine.
-    order_after: HashMap<TargetId, Time>,
     /// Fencing number under which an engine refused an order.
     fenced_at: Option<Revision>,
     next_run: u64,
@@ -100,13 +90,9 @@
             standing: Standing::default(),
             board: Board::default(),
             engines: Engines::default(),
-            named: BTreeMap::new(),
-            homes: Homes::default(),
-            demand: Demand::new(),
+            rollout: Rollout::default(),
             runs: HashMap::new(),
             loading: HashSet::new(),
-            orders: HashMap::new(),
-            order_after: HashMap::new(),
             fenced_at: None,
             next_run: first_run,
             kept_at: Time::ZERO,
@@ -134,10 +120,7 @@
         for id in gone {
             self.engines.remove(&id);
         }
-        for (model, version) in named {
-            let known = self.named.entry(model.clone()).or_default();
-            *known = (*known).max(*version);
-        }
+        self.rollout.name(named);
     }
 
     /// Whether a run is one of this leader's.
@@ -163,7 +146,7 @@
             job.max_attempts = times.max_attempts;
             job.priority = times.priority;
             job.single_version = times.single_version;
-            self.note_demand(&job);
+            self.rollout.note_work(&job);
             self.board.insert(job);
         }
         if let Some(job) = self.board.get_mut(&id) {
@@ -172,15 +155,6 @@
         }
     }
 
-    /// Takes note of a step's work: the output tokens that its trainer expects, less for a less urgent one.
-    fn note_demand(&mut self, job: &Job) {
-        let tokens: u64 = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1)).sum();
-        let rank = i32::try_from(job.priority).unwrap_or(i32::MAX);
-        let work = tokens as f64 * RANK_FACTOR.powi(rank);
-        let known = self.demand.entry(job.spec.model.clone()).or_insert(work);
-        *known += (work - *known) * DEMAND_WEIGHT;
-    }
-
     /// A job could not be read; it is tried again.
     pub fn not_loaded(&mut self, id: &JobId) {
         self.loading.remove(id);
@@ -210,7 +184,7 @@
     /// Orders to stop the runs on an engine, so that they go on elsewhere, if other engines have places for them.
     pub fn clear(&self, target: &TargetId, now: Time) -> Vec<Command> {
         let stops = self.stops(|placed| placed.target.as_ref() == Some(target));
-        let model = self.orders.get(target).map_or("", |model| &**model);
+        let model = self.rollout.loads_model(target).map_or("", |model| &**model);
         if self.engines.free(model, now) < stops.len() { Vec::new() } else { stops }
     }
 
@@ -361,74 +335,30 @@
     pub fn loads(&mut self, now: Time, host: &HostId) -> Option<(Revision, Vec<Load>)> {
         let may_order = now < self.standing.orders_until && self.standing.fence != self.fenced_at;
         let fence = self.standing.fence.filter(|_| may_order)?;
-        let versions = self.engines.iter().filter(|engine| !engine.target.draining);
-        let versions = versions.map(|engine| (engine.target.id.clone(), engine.versions()));
-        self.homes.assign(&versions.collect(), &self.named, &self.demand);
-        let mut loads = Vec::new();
-        for (model, &version) in &self.named {
-            let candidates = self.candidates(model, now);
-            let room = weights::at_once(self.engines.iter().count());
-            let free = room.saturating_sub(self.orders.len());
-            let calm = !self.board.waits();
-            for id in weights::next(version, &candidates, calm, free) {
-                let Some(engine) = self.engines.get_mut(&id) else {
-                    continue;
-                };
-                engine.loading = Some(model.clone());
-                loads.push(Load {
-                    target: Arc::clone(&engine.target),
-                    model: model.clone(),
-                    version,
-                    switch: self.board.switch(),
-                    host: host.clone(),
-                    fence,
-                });
-                self.orders.insert(id, model.clone());
-            }
-        }
-        (!loads.is_empty()).then_some((fence, loads))
-    }
-
-    fn candidates(&self, model: &ModelId, now: Time) -> Vec<Candidate> {
-        let engines = self.engines.iter().filter(|engine| {
-            !engine.target.draining && self.homes.of(&engine.target.id) == Some(model)
-        });
-        let candidate = |engine: &crate::job::Engine| {
-            let id = &engine.target.id;
-            let waits = self.order_after.get(id).is_some_and(|after| *after > now);
-            Some(Candidate {
-                id: id.clone(),
-                version: engine.version(model)?,
-                loading: self.orders.contains_key(id) || waits,
-                in_flight: engine.in_flight,
-                has_long: self.has_long(id),
-            })
+        let (calm, long) = (!self.board.waits(), self.with_long_items());
+        let steps = self.rollout.next(now, &mut self.engines, calm, &long);
+        let switch = self.board.switch();
+        let load = |step: rollout::Step| {
+            let target = Arc::clone(&self.engines.get(&step.target)?.target);
+            let (model, version) = (step.model, step.version);
+            Some(Load { target, model, version, switch, host: host.clone(), fence })
         };
-        engines.filter_map(candidate).collect()
+        let loads: Vec<Load> = steps.into_iter().filter_map(load).collect();
+        (!loads.is_empty()).then_some((fence, loads))
     }
 
-    fn has_long(&self, target: &TargetId) -> bool {
-        let mut placed = self.runs.values().filter(|it| it.target.as_ref() == Some(target));
-        placed.any(|it| {
+    /// Engines on which an item runs that is among the longest of its step.
+    fn with_long_items(&self) -> HashSet<TargetId> {
+        let long = self.runs.values().filter(|it| {
             let job = self.board.get(&it.job);
             job.is_some_and(|job| job.events(it.item) >= LONG_EVENTS)
-        })
+        });
+        long.filter_map(|it| it.target.clone()).collect()
     }
 
     /// Takes the end of a load.
     pub fn load_ended(&mut self, id: &TargetId, version: Option<Version>, now: Time) {
-        let Some(model) = self.orders.remove(id) else {
-            return;
-        };
-        if version.is_none() {
-            self.order_after.insert(id.clone(), now + weights::ORDER_RETRY);
-        }
-        if let Some(engine) = self.engines.get_mut(id) {
-            engine.loading = None;
-            if let Some(version) = version {
-                engine.loaded(model, version);
-            }
-        }
+        self.rollout.ended(id, version, now, &mut self.engines);
     }
 
     /// An engine has seen a newer leader, so no further order goes out under this fencing number.
@@ -438,7 +368,7 @@
 
     /// Whether anything is to be done soon.
     pub fn is_busy(&self) -> bool {
-        !self.board.is_empty() || !self.orders.is_empty()
+        !self.board.is_empty() || !self.rollout.is_idle()
     }
 }
 
@@ -460,11 +390,3 @@
     pub priority: u32,
     pub single_version: bool,
 }
-
-impl Board {
-    /// What engines do with their runs at a change of version.
-    pub fn switch(&self) -> Switch {
-        let single = |id: &JobId| self.get(id).is_some_and(|job| job.single_version);
-        if self.ids().iter().any(single) { Switch::Wait } else { Switch::Keep }
-    }
-}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! Control thread: mirrors of the store, roles, job boards and orders to engines.
 
 mod known;
+mod lead;
 mod leader;
 mod mirror;
 mod orders;
 mod role;
+mod rollout;
 mod state;
 mod tasks;
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, sync::Arc};
 
-use log::{info, warn};
+use log::info;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
@@ -13,15 +13,16 @@
     clock,
     control::{
         known::{Effect, Known},
-        leader::{Leader, Times},
+        lead::send,
+        leader::Leader,
         mirror::{Mirror, Pace, Update},
-        orders::{Loaded, Orders, Proof},
+        orders::Orders,
         role::{Role, Seen, Standing},
-        tasks::{Done, Written, read_job, remove_jobs, report_emptied, save_texts, write_chunk},
+        tasks::{Done, report_emptied, save_texts},
     },
     dialect::{self, Subject},
     freshness::Freshness,
-    job::{self, Record},
+    job,
     metrics::METERS,
     prelude::*,
     relay::{self, Peer, Peers},
@@ -40,11 +41,6 @@
 const CONFIG_PACE_DIVISOR: u32 = 4;
 /// Longest time in which a stopping leader ends its runs and keeps what they made.
 const HAND_OVER_MAX: Duration = Duration::from_millis(800);
-/// Difference of the hosts' times of day that is allowed for before an item is given up.
-const CLOCK_MARGIN: Duration = Duration::from_secs(4);
-/// Interval at which jobs that need not be kept any longer are looked for, and the margin on the time for which they are.
-const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
-const KEPT_MARGIN: Duration = Duration::from_secs(30);
 
 /// What the control thread gets from the process.
 pub struct Parts {
@@ -60,31 +56,31 @@
     pub stopping: watch::Receiver<bool>,
 }
 
-struct Control {
-    settings: Settings,
-    view: Shared,
-    dialect: dialect::Handle,
-    store: store::Handle,
+pub(super) struct Control {
+    pub(super) settings: Settings,
+    pub(super) view: Shared,
+    pub(super) dialect: dialect::Handle,
+    pub(super) store: store::Handle,
     /// Of the registrations of targets.
-    freshness: Arc<Freshness>,
+    pub(super) freshness: Arc<Freshness>,
     /// Time at which the registrations that are to be published were current.
-    current_at: Option<Time>,
-    commands: mpsc::UnboundedSender<Command>,
-    done: mpsc::UnboundedSender<Done>,
-    orders: Rc<Orders>,
-    known: Known,
+    pub(super) current_at: Option<Time>,
+    pub(super) commands: mpsc::UnboundedSender<Command>,
+    pub(super) done: mpsc::UnboundedSender<Done>,
+    pub(super) orders: Rc<Orders>,
+    pub(super) known: Known,
     /// Follow what only a leader acts on, while this host leads a service.
-    leader_mirrors: Vec<JoinHandle<()>>,
-    updates: mpsc::UnboundedSender<Update>,
-    seen: BTreeMap<ServiceId, watch::Sender<Seen>>,
-    leaders: BTreeMap<ServiceId, Leader>,
-    standings: mpsc::UnboundedSender<(ServiceId, Standing)>,
-    stopping: watch::Receiver<bool>,
+    pub(super) leader_mirrors: Vec<JoinHandle<()>>,
+    pub(super) updates: mpsc::UnboundedSender<Update>,
+    pub(super) seen: BTreeMap<ServiceId, watch::Sender<Seen>>,
+    pub(super) leaders: BTreeMap<ServiceId, Leader>,
+    pub(super) standings: mpsc::UnboundedSender<(ServiceId, Standing)>,
+    pub(super) stopping: watch::Receiver<bool>,
     /// Tells the roles to give their leadership back.
-    step_down: watch::Sender<bool>,
+    pub(super) step_down: watch::Sender<bool>,
     /// Time at which leadership is given back at the latest, once the process was told to stop.
-    hand_over_by: Option<Time>,
-    cleaned_at: Time,
+    pub(super) hand_over_by: Option<Time>,
+    pub(super) cleaned_at: Time,
 }
 
 /// Runs until the process is told to stop.
@@ -284,87 +280,6 @@
         }
     }
 
-    fn report(&mut self, report: Report) {
-        let now = clock::now();
-        for leader in self.leaders.values_mut() {
-            let (Report::Progress { run, .. } | Report::Ended { run, .. }) = &report;
-            if leader.runs(*run) {
-                leader.report(report, now);
-                return;
-            }
-        }
-    }
-
-    fn done(&mut self, done: Done) {
-        let now = clock::now();
-        match done {
-            Done::Read { service, id, job } => {
-                let ended = self.known.heads.get(&id).is_none_or(|record| record.ended);
-                let times = job.as_ref().map(|job| self.times(&job.record, now));
-                let Some(leader) = self.leaders.get_mut(&service) else {
-                    return;
-                };
-                match (job, times) {
-                    (Some(job), Some(times)) if !ended => {
-                        leader.loaded(*job, times);
-                        METERS.open_jobs(&service, leader.board.len());
-                    }
-                    _ => leader.not_loaded(&id),
-                }
-            }
-            Done::Wrote { service, id, fence, number, rows, written } => {
-                let Some(leader) = self.leaders.get_mut(&service) else {
-                    return;
-                };
-                if written == Written::Kept {
-                    METERS.rows(rows);
-                }
-                leader.board.wrote(&id, fence, number, written == Written::Kept);
-                if written == Written::Differs && leader.standing.fence == Some(fence) {
-                    let stops = leader.end(&id, now);
-                    send(&self.commands, stops);
-                }
-            }
-            Done::Loaded { service, target, loaded } => {
-                let Some(leader) = self.leaders.get_mut(&service) else {
-                    return;
-                };
-                METERS.load(match loaded {
-                    Loaded::Version(_) => "done",
-                    Loaded::Open => "open",
-                    Loaded::Fenced => "fenced",
-                });
-                let version = match loaded {
-                    Loaded::Version(version) => Some(version),
-                    Loaded::Open => None,
-                    Loaded::Fenced => {
-                        warn!(service = &*service, target_id = &*target; "engine has seen a newer leader");
-                        leader.fenced();
-                        None
-                    }
-                };
-                leader.load_ended(&target, version, now);
-            }
-        }
-    }
-
-    /// Times of a job by its route in the configuration in force.
-    fn times(&self, record: &Record, now: Time) -> Times {
-        let route = self.known.config.as_ref().and_then(|it| it.route(&record.host, &record.path));
-        let age = Duration::from_millis(clock::unix_ms().saturating_sub(record.submitted_ms));
-        let submitted = now.saturating_sub(age);
-        let (deadline, ttl) = route.map_or((Duration::ZERO, Duration::from_secs(600)), |route| {
-            (route.job_deadline, route.item_ttl)
-        });
-        Times {
-            due: submitted + deadline,
-            expires: submitted + ttl + CLOCK_MARGIN,
-            max_attempts: route.map_or(1, |route| route.max_attempts),
-            priority: route.map_or(0, |route| route.priority),
-            single_version: route.is_some_and(|route| route.single_version),
-        }
-    }
-
     /// Publishes what has changed and starts whatever is due.
     fn act(&mut self) {
         let now = clock::now();
@@ -447,86 +362,4 @@
         };
         tokio::task::spawn_local(role.run());
     }
-
-    fn lead_service(&mut self, service: &ServiceId, now: Time) {
-        let Some(leader) = self.leaders.get_mut(service) else {
-            return;
-        };
-        let Some(fence) = leader.standing.fence else {
-            return;
-        };
-        let open = self.known.heads.iter().filter(|(_, record)| !record.ended);
-        let of_service = open.filter(|(_, record)| record.service == *service);
-        for (id, record) in of_service {
-            if leader.wants(id) {
-                let read = read_job(
-                    Rc::clone(&self.store),
-                    Arc::clone(&self.dialect),
-                    service.clone(),
-                    id.clone(),
-                    record.clone(),
-                    self.done.clone(),
-                );
-                tokio::task::spawn_local(read);
-            }
-        }
-        let stopping = self.hand_over_by.is_some();
-        for write in if stopping { leader.last_writes(now) } else { leader.writes(now) } {
-            let (store, done) = (Rc::clone(&self.store), self.done.clone());
-            tokio::task::spawn_local(write_chunk(store, service.clone(), write, done));
-        }
-        if stopping {
-            return;
-        }
-        send(&self.commands, leader.starts(now));
-        send(&self.commands, leader.moves(now));
-        if let Some(save) = leader.saves(now) {
-            tokio::task::spawn_local(save_texts(Rc::clone(&self.store), save));
-        }
-        if let Some((fence, loads)) = leader.loads(now, &self.settings.host) {
-            for load in &loads {
-                send(&self.commands, leader.clear(&load.target.id, now));
-            }
-            let proof = Proof { service: service.clone(), fence };
-            let orders = Rc::clone(&self.orders);
-            tokio::task::spawn_local(orders.load_all(proof, loads, self.done.clone()));
-        }
-        if now >= self.cleaned_at + CLEAN_INTERVAL {
-            self.cleaned_at = now;
-            self.clean(service, fence);
-        }
-    }
-
-    /// Removes jobs of a service that need not be kept any longer.
-    fn clean(&self, service: &ServiceId, fence: Revision) {
-        let kept = self.settings.job_kept + KEPT_MARGIN;
-        let old = |record: &Record| {
-            let age = clock::unix_ms().saturating_sub(record.submitted_ms);
-            record.ended && record.service == *service && Duration::from_millis(age) > kept
-        };
-        let jobs: Vec<(JobId, usize)> = self
-            .known
-            .heads
-            .iter()
-            .filter(|(_, record)| old(record))
-            .map(|(id, record)| (id.clone(), record.parts))
-            .collect();
-        if !jobs.is_empty() {
-            tokio::task::spawn_local(remove_jobs(
-                Rc::clone(&self.store),
-                service.clone(),
-                fence,
-                jobs,
-            ));
-        }
-    }
-}
-
-/// Hands orders to the traffic thread.
-fn send(commands: &mpsc::UnboundedSender<Command>, orders: Vec<Command>) {
-    for order in orders {
-        if let Err(mpsc::error::SendError(Command::Run(run))) = commands.send(order) {
-            warn!(run = run.id; "traffic thread has ended");
-        }
-    }
 }
--- a/crates/node/src/job/board.rs
+++ b/crates/node/src/job/board.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use crate::{
+    dialect::Switch,
     events::Progress,
     job::{
         Ended, Engines, Job, Outcome, Row, Start,
@@ -185,4 +186,10 @@
     pub fn waits(&self) -> bool {
         self.jobs.values().any(Job::waits)
     }
+
+    /// What engines do with their runs at a change of version.
+    pub fn switch(&self) -> Switch {
+        let single = |id: &JobId| self.get(id).is_some_and(|job| job.single_version);
+        if self.ids().iter().any(single) { Switch::Wait } else { Switch::Keep }
+    }
 }
