--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -15,7 +15,7 @@
 /// Longest time that a request waits for a refresh; it is then placed by what is known.
 const WAIT: Duration = Duration::from_millis(30);
 /// The same if what is known is too old to be relied on.
-const WAIT_STALE: Duration = Duration::from_millis(400);
+const WAIT_STALE: Duration = Duration::from_millis(150);
 /// Refreshes within the time for which what is known may be relied on.
 const REFRESHES: u32 = 2;
 /// Time after a failed refresh in which no request waits for another.
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -153,6 +153,7 @@
 
 impl Dispatch<'_> {
     async fn run(mut self) -> Result<Whole, Failure> {
+        self.traffic.freshness.wait().await;
         let begun = Instant::now();
         // A request that no target takes is refused early enough for the caller to come back in time.
         let refuse_at = (begun + self.route.objective / 4).min(self.call.by);
