--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -120,7 +120,7 @@
         for id in gone {
             self.engines.remove(&id);
         }
-        self.rollout.name(named);
+        self.rollout.sync(named);
     }
 
     /// Whether a run is one of this leader's.
@@ -223,7 +223,7 @@
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
             spec: Arc::clone(&job.spec),
-            record: Arc::new(job.record.clone()),
+            record: Arc::clone(&job.record),
             target,
             single_version: job.single_version,
             pace_max: self.engines.pace_max(),
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -1,6 +1,6 @@
 //! Rollout of weights on the engines of a service: which engines load which version, and the loads in progress.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 
 use crate::{
     job::{Engine, Engines, Job},
@@ -27,6 +27,8 @@
     /// Newest version that a trainer named, by model.
     named: Versions,
     homes: Homes,
+    /// Engines, named versions or demand have changed since the homes were assigned.
+    homes_due: bool,
     /// Work of the latest steps by model.
     demand: Demand,
     /// Loads in progress.
@@ -36,12 +38,10 @@
 }
 
 impl Rollout {
-    /// Takes named versions; an older one never replaces a newer one.
-    pub fn name(&mut self, named: &BTreeMap<ModelId, Version>) {
-        for (model, version) in named {
-            let known = self.named.entry(model.clone()).or_default();
-            *known = (*known).max(*version);
-        }
+    /// The engines or the named versions may have changed.
+    pub fn sync(&mut self, named: &Versions) {
+        self.named.clone_from(named);
+        self.homes_due = true;
     }
 
     /// Takes note of a step's work: the output tokens that its trainer expects, less for a less urgent one.
@@ -51,6 +51,7 @@
         let work = tokens as f64 * RANK_FACTOR.powi(rank);
         let known = self.demand.entry(job.spec.model.clone()).or_insert(work);
         *known += (work - *known) * DEMAND_WEIGHT;
+        self.homes_due = true;
     }
 
     /// Model of which an engine is loading a version.
@@ -71,9 +72,11 @@
         calm: bool,
         long: &HashSet<TargetId>,
     ) -> Vec<Step> {
-        let staying = engines.iter().filter(|engine| !engine.target.draining);
-        let versions = staying.map(|engine| (engine.target.id.clone(), engine.versions()));
-        self.homes.assign(&versions.collect(), &self.named, &self.demand);
+        if std::mem::take(&mut self.homes_due) {
+            let staying = engines.iter().filter(|engine| !engine.target.draining);
+            let versions = staying.map(|engine| (engine.target.id.clone(), engine.versions()));
+            self.homes.assign(&versions.collect(), &self.named, &self.demand);
+        }
         let mut steps = Vec::new();
         for (model, &version) in &self.named {
             let candidates = self.candidates(model, now, engines, long);
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub struct Job {
     pub spec: Arc<Spec>,
-    pub record: Record,
+    pub record: Arc<Record>,
     pub single_version: bool,
     pub max_attempts: u32,
     /// Rank of the route, 0 is the most urgent.
@@ -97,7 +97,7 @@
         Self {
             groups: group_numbers(&spec),
             spec,
-            record,
+            record: Arc::new(record),
             single_version: false,
             max_attempts: 1,
             priority: 0,
--- a/crates/node/src/relay/client.rs
+++ b/crates/node/src/relay/client.rs
@@ -111,10 +111,9 @@
             match timeout(longest, exchange(&mut link.frames, call)).await {
                 Ok(Some(answer)) => {
                     METERS.relay(if answer.refused { "refused" } else { "answered" });
-                    let refused = answer.refused;
-                    link.used = Instant::now();
-                    self.idle.borrow_mut().push(link);
-                    if !refused {
+                    if !answer.refused {
+                        link.used = Instant::now();
+                        self.idle.borrow_mut().push(link);
                         return Some(Ok(answer));
                     }
                     self.forget(peer);
--- a/crates/node/src/relay/server.rs
+++ b/crates/node/src/relay/server.rs
@@ -4,28 +4,21 @@
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
-use log::{debug, warn};
+use log::debug;
 use prost::Message;
 use snafu::{ResultExt, Snafu};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    time::sleep,
-};
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::Framed;
 
 use crate::{
-    prelude::*,
     relay::{
         frame::{Answer, Call, codec},
         ways::Direct,
     },
     store,
-    traffic::guard,
+    traffic::{accept, guard},
 };
 
-/// Pause after a failed accept, so that descriptors can become free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Why a connection ends.
 #[derive(Debug, Snafu)]
 enum Error {
@@ -41,14 +34,7 @@
 /// Passes on calls of other hosts.
 pub async fn serve(listener: TcpListener, direct: Rc<dyn Direct>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(reason:% = error; "could not accept a connection of a host");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let direct = Rc::clone(&direct);
         tokio::task::spawn_local(async move {
             if let Err(error) = connection(stream, direct).await {
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -45,13 +45,6 @@
     Timeout,
 }
 
-impl Error {
-    /// Whether the target certainly did not read the request.
-    pub fn unsent(&self) -> bool {
-        matches!(self, Self::Connect { .. } | Self::ConnectTimeout)
-    }
-}
-
 /// Who finds out that the peer of a connection is silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Silence {
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -153,18 +153,19 @@
 
 impl Dispatch<'_> {
     async fn run(mut self) -> Result<Whole, Failure> {
-        self.traffic.freshness.wait().await;
-        let begun = Instant::now();
-        // A request that no target takes is refused early enough for the caller to come back in time.
-        let refuse_at = (begun + self.route.objective / 4).min(self.call.by);
+        let mut refuse_at = None;
         let mut running: FuturesUnordered<LocalBoxFuture<'static, Attempt>> =
             FuturesUnordered::new();
-        let mut next = Some(begun);
+        let mut next = Some(Instant::now());
         loop {
             if next.is_some_and(|at| at <= Instant::now()) {
                 if running.is_empty() {
                     self.traffic.freshness.wait().await;
                 }
+                // A request that no target takes is refused early enough for the caller to come back in time.
+                let refuse_at = *refuse_at.get_or_insert_with(|| {
+                    (Instant::now() + self.route.objective / 4).min(self.call.by)
+                });
                 next = match self.start() {
                     Some((attempt, hedge)) => {
                         running.push(attempt);
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,5 +1,6 @@
 //! Traffic thread: serves callers and trainers, and carries requests and items to targets.
 
+mod accept;
 mod channel;
 mod dispatch;
 mod entry;
@@ -9,6 +10,7 @@
 mod serve;
 mod submit;
 
+pub use accept::accept;
 pub use channel::{Channel, Channels, Silence, guard};
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -29,6 +29,7 @@
     settings::Settings,
     store,
     traffic::{
+        accept,
         channel::{Channels, guard},
         entry,
         jobs::Cache,
@@ -50,8 +51,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle time of a caller's connection while no configuration is known.
 const IDLE_DEFAULT: Duration = Duration::from_secs(15);
-/// Pause after a failed accept, so that descriptors can become free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Interval at which a stopping host looks whether callers are still connected.
+const STOP_POLL: Duration = Duration::from_millis(50);
 
 /// What the traffic thread gets from the process.
 pub struct Parts {
@@ -105,21 +106,21 @@
     });
     let (close, closed) = watch::channel(false);
     if let Some(metrics) = metrics {
-        let metrics = accept(Rc::clone(&traffic), metrics, Port::Metrics, closed.clone());
+        let metrics = listen_on(Rc::clone(&traffic), metrics, Port::Metrics, closed.clone());
         tokio::task::spawn_local(metrics);
     }
     tokio::task::spawn_local(carry_out(Rc::clone(&traffic), commands, reports));
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
-    tokio::task::spawn_local(accept(Rc::clone(&traffic), ready, Port::Ready, closed.clone()));
+    tokio::task::spawn_local(listen_on(Rc::clone(&traffic), ready, Port::Ready, closed.clone()));
     let accepting =
-        tokio::task::spawn_local(accept(Rc::clone(&traffic), entry, Port::Entry, closed));
+        tokio::task::spawn_local(listen_on(Rc::clone(&traffic), entry, Port::Entry, closed));
     stopped(&traffic).await;
     let end = Instant::now() + traffic.settings.stop_grace.saturating_sub(STOP_MARGIN);
     sleep(STOP_ACCEPT).await;
     accepting.abort();
     let _ = close.send(true);
     while traffic.connections.get() > 0 && Instant::now() < end {
-        sleep(ACCEPT_PAUSE).await;
+        sleep(STOP_POLL).await;
     }
     info!(connections_left = traffic.connections.get(); "traffic stopped");
     Ok(())
@@ -186,21 +187,14 @@
     Metrics,
 }
 
-async fn accept(
+async fn listen_on(
     traffic: Rc<Traffic>,
     listener: TcpListener,
     port: Port,
     closed: watch::Receiver<bool>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(reason:% = error; "could not accept a connection");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         if port == Port::Entry && traffic.connections.get() >= CONNECTIONS_MAX {
             warn!(connections = traffic.connections.get(); "connection refused: too many");
             continue;
