--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -30,9 +30,9 @@
     /// Routes a report of the traffic thread to the leader that started the run.
     pub(super) fn apply_report(&mut self, report: Report) {
         let now = clock::now();
+        let run = report.run();
         for leader in self.leaders.values_mut() {
-            let (Report::Progress { run, .. } | Report::Ended { run, .. }) = &report;
-            if leader.has_run(*run) {
+            if leader.has_run(run) {
                 leader.apply_report(report, now);
                 return;
             }
@@ -152,7 +152,7 @@
         }
         if let Some((fence, loads)) = leader.loads(now, &self.settings.host) {
             for load in &loads {
-                send(&self.commands, leader.clear_engine(&load.target.id, now));
+                send(&self.commands, leader.clear_engine(&load.target.id));
             }
             let term = Term { service: service.clone(), fence };
             let orders = Rc::clone(&self.orders);
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -37,6 +37,8 @@
 const CHECKPOINT_JOBS_MAX: usize = 30;
 /// Events from which an item counts as one of the longest of its step.
 const LONG_ITEM_EVENTS: u64 = 40;
+/// Minimum interval between decisions on loads.
+const PLAN_INTERVAL: Duration = Duration::from_millis(40);
 /// Interval at which checkpoints are written.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +84,8 @@
     written_at: Time,
     checkpointed_at: Time,
     moved_at: Time,
+    /// Time of the last decision on loads.
+    planned_at: Time,
 }
 
 impl Leader {
@@ -99,6 +103,7 @@
             written_at: Time::ZERO,
             checkpointed_at: Time::ZERO,
             moved_at: Time::ZERO,
+            planned_at: Time::ZERO,
         }
     }
 
@@ -185,10 +190,10 @@
 
     /// Commands to stop the runs on an engine that is about to load a version, so that they continue elsewhere. Empty
     /// if the other engines lack the slots.
-    pub fn clear_engine(&self, target: &TargetId, now: Time) -> Vec<Command> {
+    pub fn clear_engine(&self, target: &TargetId) -> Vec<Command> {
         let stops = self.stop_commands(|run| run.target.as_ref() == Some(target));
         let model = self.rollout.loading_model(target).map_or("", |model| &**model);
-        if self.engines.free_slots(model, now) < stops.len() { Vec::new() } else { stops }
+        if self.engines.free_slots(model) < stops.len() { Vec::new() } else { stops }
     }
 
     /// Drops all jobs, because another host leads or may have led. Returns commands to stop their runs.
@@ -241,19 +246,21 @@
         if self.queue.has_waiting() || now < self.moved_at + MOVE_INTERVAL {
             return Vec::new();
         }
+        self.moved_at = now;
+        self.engines.advance(now);
         let movable = self.runs.iter().filter(|(_, run)| self.is_movable(run, now));
         let length_hint = |run: &ActiveRun| {
             let job = self.queue.get(&run.job);
             job.and_then(|job| job.spec.items[run.item].length_hint)
         };
-        let Some((&run, _)) = movable.max_by_key(|(_, run)| length_hint(run)) else {
-            return Vec::new();
-        };
-        self.moved_at = now;
-        vec![Command::Stop { run }]
+        let longest = movable.max_by_key(|(_, run)| length_hint(run));
+        longest.map(|(&run, _)| Command::Stop { run }).into_iter().collect()
     }
 
     fn is_movable(&self, run: &ActiveRun, now: Time) -> bool {
+        if now < run.started_at + MOVE_AGE_MIN {
+            return false;
+        }
         let (Some(job), Some(target)) = (self.queue.get(&run.job), &run.target) else {
             return false;
         };
@@ -263,7 +270,7 @@
             avoid: Some(target),
             allow_slow: false,
         };
-        now >= run.started_at + MOVE_AGE_MIN && self.engines.has_faster(now, &requirement, target)
+        self.engines.has_faster(&requirement, target)
     }
 
     /// Applies a report of the traffic thread on a run.
@@ -277,6 +284,12 @@
                     job.set_progress(run.item, progress);
                 }
             }
+            Report::Generated { run, pace } => {
+                // The judge is called without a slot on the engine.
+                if let Some(target) = self.runs.get_mut(&run).and_then(|run| run.target.take()) {
+                    self.engines.finish_run(&target, now, pace);
+                }
+            }
             Report::Ended { run, outcome } => {
                 if self.runs.remove(&run).is_some() {
                     self.queue.finish_run(outcome, now, &mut self.engines);
@@ -322,7 +335,7 @@
             return Vec::new();
         }
         let mut writes = Vec::new();
-        for id in self.queue.ids() {
+        for id in self.queue.jobs_to_write() {
             let rows = self.queue.take_rows(&id, fence, finished_by, CHUNK_BYTES_MAX);
             let Some(job) = self.queue.get(&id).filter(|_| !rows.is_empty()) else {
                 continue;
@@ -339,6 +352,10 @@
         let may_order =
             now < self.leadership.orders_until && self.leadership.fence != self.refused_fence;
         let fence = self.leadership.fence.filter(|_| may_order)?;
+        if now < self.planned_at + PLAN_INTERVAL {
+            return None;
+        }
+        self.planned_at = now;
         let (queue_empty, long) = (!self.queue.has_waiting(), self.engines_with_long_items());
         let planned = self.rollout.plan(now, &mut self.engines, queue_empty, &long);
         let strategy = self.queue.strategy();
@@ -355,7 +372,7 @@
     fn engines_with_long_items(&self) -> HashSet<TargetId> {
         let long = self.runs.values().filter(|run| {
             let job = self.queue.get(&run.job);
-            job.is_some_and(|job| job.events(run.item) >= LONG_ITEM_EVENTS)
+            run.target.is_some() && job.is_some_and(|job| job.events(run.item) >= LONG_ITEM_EVENTS)
         });
         long.filter_map(|run| run.target.clone()).collect()
     }
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -1,10 +1,10 @@
 //! Rollout of weights to the engines of a service: which engines load which version, and the loads in progress. The
 //! policy itself is in [`crate::weights`].
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{
-    job::{Engine, Engines, Job},
+    job::{Engines, Job},
     prelude::*,
     weights::{self, Candidate, Demand, Partition, Versions},
 };
@@ -78,15 +78,14 @@
             let versions = available.map(|engine| (engine.target.id.clone(), engine.versions()));
             self.partition.rebalance(&versions.collect(), &self.requested, &self.demand);
         }
+        let mut candidates = self.candidates(now, engines, long);
+        let total = engines.len();
         let mut planned = Vec::new();
         for (model, &version) in &self.requested {
-            let candidates = self.candidates(model, now, engines, long);
-            let free = weights::parallel_loads_max(engines.iter().count())
-                .saturating_sub(self.loads.len());
+            let free = weights::parallel_loads_max(total).saturating_sub(self.loads.len());
+            let candidates = candidates.remove(model).unwrap_or_default();
             for target in weights::next_loads(version, &candidates, queue_empty, free) {
-                if let Some(engine) = engines.get_mut(&target) {
-                    engine.loading = Some(model.clone());
-                }
+                engines.begin_load(&target, model);
                 self.loads.insert(target.clone(), model.clone());
                 planned.push(PlannedLoad { target, model: model.clone(), version });
             }
@@ -94,28 +93,32 @@
         planned
     }
 
+    /// Engines that may load, by the model that they are assigned to.
     fn candidates(
         &self,
-        model: &ModelId,
         now: Time,
         engines: &Engines,
         long: &HashSet<TargetId>,
-    ) -> Vec<Candidate> {
-        let assigned = engines.iter().filter(|engine| {
-            !engine.target.draining && self.partition.model_of(&engine.target.id) == Some(model)
-        });
-        let candidate = |engine: &Engine| {
+    ) -> BTreeMap<ModelId, Vec<Candidate>> {
+        let mut candidates: BTreeMap<ModelId, Vec<Candidate>> = BTreeMap::new();
+        for engine in engines.iter().filter(|engine| !engine.target.draining) {
             let id = &engine.target.id;
+            let Some(model) = self.partition.model_of(id) else {
+                continue;
+            };
+            let Some(version) = engine.version(model) else {
+                continue;
+            };
             let backing_off = self.retry_after.get(id).is_some_and(|after| *after > now);
-            Some(Candidate {
+            candidates.entry(model.clone()).or_default().push(Candidate {
                 id: id.clone(),
-                version: engine.version(model)?,
+                version,
                 loading: self.loads.contains_key(id) || backing_off,
                 in_flight: engine.in_flight,
                 has_long_item: long.contains(id),
-            })
-        };
-        assigned.filter_map(candidate).collect()
+            });
+        }
+        candidates
     }
 
     /// Ends a load, with the engine's version if the load succeeded.
@@ -126,17 +129,12 @@
         now: Time,
         engines: &mut Engines,
     ) {
-        let Some(model) = self.loads.remove(id) else {
+        if self.loads.remove(id).is_none() {
             return;
-        };
+        }
         if version.is_none() {
             self.retry_after.insert(id.into(), now + weights::LOAD_RETRY_DELAY);
         }
-        if let Some(engine) = engines.get_mut(id) {
-            engine.loading = None;
-            if let Some(version) = version {
-                engine.set_loaded(model, version);
-            }
-        }
+        engines.end_load(id, version);
     }
 }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -160,7 +160,12 @@
                     control.apply_update(update);
                 }
             }
-            Some(report) = reports.recv() => control.apply_report(report),
+            Some(report) = reports.recv() => {
+                control.apply_report(report);
+                while let Ok(report) = reports.try_recv() {
+                    control.apply_report(report);
+                }
+            }
             Some(completion) = completion_receiver.recv() => control.complete(completion),
             Some((service, leadership)) = leadership_receiver.recv() => {
                 control.set_leadership(&service, leadership);
--- /dev/null
+++ b/crates/node/src/job/engine.rs
@@ -0,0 +1,122 @@
+//! State of one model engine, as its service's leader knows it.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use crate::{fleet::Target, prelude::*};
+
+/// Weight of the last run in an engine's moving average.
+const PACE_WEIGHT: f64 = 0.3;
+/// Assumed pace before any run was measured.
+pub(super) const PACE_INITIAL: Duration = Duration::from_millis(40);
+/// Backoff after an engine did not run a request or broke a run; doubles with each consecutive failure.
+const BACKOFF: Duration = Duration::from_millis(300);
+const BACKOFF_MAX: Duration = Duration::from_millis(2400);
+/// Time after which a measured pace expires, so that an engine that has recovered is tried again.
+const PACE_TTL: Duration = Duration::from_secs(10);
+
+/// State of an engine.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    pub target: Arc<Target>,
+    /// Items whose text it generates for this leader.
+    pub in_flight: u32,
+    /// Moving average of the time per event.
+    pace: Duration,
+    measured_at: Option<Time>,
+    backoff_until: Time,
+    /// Consecutive runs that were not executed or broke.
+    failures: u32,
+    /// Model whose version is being loaded; none of its items starts until the load ends.
+    loading: Option<ModelId>,
+    /// Versions loaded by this leader that the registration may not show yet.
+    loaded: BTreeMap<ModelId, Version>,
+}
+
+impl Engine {
+    pub(super) fn new(target: Arc<Target>) -> Self {
+        Self {
+            target,
+            in_flight: 0,
+            pace: PACE_INITIAL,
+            measured_at: None,
+            backoff_until: Time::ZERO,
+            failures: 0,
+            loading: None,
+            loaded: BTreeMap::new(),
+        }
+    }
+
+    /// Newest known version of a model on the engine.
+    pub fn version(&self, model: &str) -> Option<Version> {
+        let registered = self.target.versions.get(model).copied();
+        registered.max(self.loaded.get(model).copied())
+    }
+
+    /// Newest known versions of all models on the engine.
+    pub fn versions(&self) -> BTreeMap<ModelId, Version> {
+        let models = self.target.versions.keys();
+        models.filter_map(|model| Some((model.clone(), self.version(model)?))).collect()
+    }
+
+    /// Whether an item of a model may start.
+    pub fn is_open(&self, model: &str, now: Time) -> bool {
+        self.loading.as_deref() != Some(model)
+            && !self.target.draining
+            && now >= self.backoff_until
+            && self.in_flight < self.target.slots
+    }
+
+    /// Whether the engine takes items, now or once a slot is free.
+    pub(super) fn is_usable(&self, now: Time) -> bool {
+        self.loading.is_none() && !self.target.draining && now >= self.backoff_until
+    }
+
+    pub fn free_slots(&self) -> u32 {
+        self.target.slots.saturating_sub(self.in_flight)
+    }
+
+    /// Time per event; `None` if it was not measured lately.
+    pub(super) fn measured_pace(&self, now: Time) -> Option<Duration> {
+        self.measured_at.filter(|at| now <= *at + PACE_TTL).map(|_| self.pace)
+    }
+
+    /// Last measured time per event, however old.
+    pub(super) fn last_pace(&self) -> Option<Duration> {
+        self.measured_at.map(|_| self.pace)
+    }
+
+    /// Next time at which the engine's state changes by itself: its backoff ends or its pace expires.
+    pub(super) fn next_change(&self, now: Time) -> Option<Time> {
+        let expiry = self.measured_at.map(|at| at + PACE_TTL + Duration::from_nanos(1));
+        [Some(self.backoff_until), expiry].into_iter().flatten().filter(|at| *at > now).min()
+    }
+
+    pub(super) fn begin_load(&mut self, model: ModelId) {
+        self.loading = Some(model);
+    }
+
+    /// Ends a load, with the version that the engine has if the load succeeded.
+    pub(super) fn end_load(&mut self, version: Option<Version>) {
+        if let Some((model, version)) = self.loading.take().zip(version) {
+            self.loaded.insert(model, version);
+        }
+    }
+
+    pub(super) fn record_pace(&mut self, pace: Duration, now: Time) {
+        self.failures = 0;
+        self.pace = match self.measured_pace(now) {
+            Some(average) => average.mul_f64(1.0 - PACE_WEIGHT) + pace.mul_f64(PACE_WEIGHT),
+            None => pace,
+        };
+        self.measured_at = Some(now);
+    }
+
+    /// Starts a backoff. Runs that break together count as one failure.
+    pub(super) fn back_off(&mut self, now: Time) {
+        if now >= self.backoff_until {
+            let backoff = BACKOFF.saturating_mul(1 << self.failures.min(8));
+            self.backoff_until = now + backoff.min(BACKOFF_MAX);
+            self.failures += 1;
+        }
+    }
+}
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -1,25 +1,25 @@
 //! Placement of job items on model engines, by free slots, pace and loaded versions.
 //!
-//! The pace of an engine is its average time per event, so a lower pace is better.
+//! The pace of an engine is its average time per event, so a lower pace is better. Engines with a free slot are indexed
+//! by model in the order in which they are chosen. A change of an engine moves only its own entries, so the time for a
+//! decision does not grow with the number of engines.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
-use crate::{fleet::Target, prelude::*};
+use crate::{
+    fleet::Target,
+    job::engine::{Engine, PACE_INITIAL},
+    job::paces::Paces,
+    prelude::*,
+};
 
-/// Weight of the last run in an engine's moving average.
-const PACE_WEIGHT: f64 = 0.3;
-/// Assumed pace before any run was measured.
-const PACE_INITIAL: Duration = Duration::from_millis(40);
-/// Backoff after an engine did not run a request or broke a run; doubles with each consecutive failure.
-const BACKOFF: Duration = Duration::from_millis(300);
-const BACKOFF_MAX: Duration = Duration::from_millis(2400);
-/// Time after which a measured pace expires, so that an engine that has recovered is tried again.
-const PACE_TTL: Duration = Duration::from_secs(10);
 /// Relative increase of the pace on an engine whose slots are all taken.
 const FULL_ENGINE_COST: f64 = 0.15;
 /// Minimum speed-up for which an item is moved to another engine.
 const FASTER_FACTOR: f64 = 1.2;
-
 /// An engine is slow if its pace exceeds the median by this factor.
 const SLOW_FACTOR: f64 = 1.7;
 /// The same, relative to the assumed pace before any run was measured.
@@ -40,195 +40,286 @@
     pub allow_slow: bool,
 }
 
-/// State of an engine.
-#[derive(Clone, Debug)]
-pub struct Engine {
-    pub target: Arc<Target>,
-    /// Items that this leader runs on it.
-    pub in_flight: u32,
-    /// Moving average of the time per event.
-    pub pace: Duration,
-    measured_at: Time,
-    backoff_until: Time,
-    /// Consecutive runs that were not executed or broke.
-    failures: u32,
-    /// Model whose version is being loaded; none of its items starts until the load ends.
-    pub loading: Option<ModelId>,
-    /// Versions loaded by this leader that the registration may not show yet.
-    loaded: BTreeMap<ModelId, Version>,
-}
-
-impl Engine {
-    fn new(target: Arc<Target>) -> Self {
-        Self {
-            target,
-            in_flight: 0,
-            pace: PACE_INITIAL,
-            measured_at: Time::ZERO,
-            backoff_until: Time::ZERO,
-            failures: 0,
-            loading: None,
-            loaded: BTreeMap::new(),
-        }
-    }
-
-    /// Newest known version of a model on the engine.
-    pub fn version(&self, model: &str) -> Option<Version> {
-        let registered = self.target.versions.get(model).copied();
-        registered.max(self.loaded.get(model).copied())
-    }
+/// Expected time per event of an engine, and its id.
+type Rank = (Duration, TargetId);
 
-    /// Newest known versions of all models on the engine.
-    pub fn versions(&self) -> BTreeMap<ModelId, Version> {
-        let models = self.target.versions.keys();
-        models.filter_map(|model| Some((model.clone(), self.version(model)?))).collect()
-    }
-
-    pub fn set_loaded(&mut self, model: ModelId, version: Version) {
-        self.loaded.insert(model, version);
-    }
+/// Engines with a free slot for a model.
+#[derive(Debug, Default)]
+struct OpenEngines {
+    /// Oldest version that any open job of the model accepts.
+    min_version: Version,
+    /// The first one is chosen first.
+    ranks: BTreeSet<Rank>,
+}
 
-    /// Whether an item of a model may start.
-    pub fn is_open(&self, model: &str, now: Time) -> bool {
-        self.loading.as_deref() != Some(model)
-            && !self.target.draining
-            && now >= self.backoff_until
-            && self.in_flight < self.target.slots
-    }
+/// An engine and its entries in the indexes.
+#[derive(Debug)]
+struct Entry {
+    engine: Engine,
+    /// Models under which the engine is indexed, with its cost.
+    indexed: Vec<(ModelId, Duration)>,
+    /// Scheduled update of its index entries.
+    update_at: Option<Time>,
 }
 
 /// Engines of one service.
 #[derive(Debug, Default)]
 pub struct Engines {
-    by_id: BTreeMap<TargetId, Engine>,
+    by_id: BTreeMap<TargetId, Entry>,
+    open: BTreeMap<ModelId, OpenEngines>,
+    paces: Paces,
+    /// Engines whose state changes by itself, by time.
+    updates: BTreeSet<(Time, TargetId)>,
+    now: Time,
 }
 
 impl Engines {
     /// Adds or updates a registration. A new incarnation starts without history.
     pub fn put(&mut self, target: Arc<Target>) {
-        match self.by_id.get_mut(&target.id) {
-            Some(engine) if engine.target.started_ms == target.started_ms => engine.target = target,
+        let id = target.id.clone();
+        match self.by_id.get_mut(&id) {
+            Some(entry) if Arc::ptr_eq(&entry.engine.target, &target) => return,
+            Some(entry) if entry.engine.target.started_ms == target.started_ms => {
+                entry.engine.target = target;
+            }
             _ => {
-                self.by_id.insert(target.id.clone(), Engine::new(target));
+                self.remove(&id);
+                let entry =
+                    Entry { engine: Engine::new(target), indexed: Vec::new(), update_at: None };
+                self.by_id.insert(id.clone(), entry);
             }
         }
+        self.reindex(&id);
     }
 
     pub fn remove(&mut self, id: &str) {
-        self.by_id.remove(id);
+        let Some(mut entry) = self.by_id.remove(id) else {
+            return;
+        };
+        unindex(&mut self.open, &mut entry);
+        self.paces.replace(entry.engine.last_pace(), None);
+        if let Some(at) = entry.update_at {
+            self.updates.remove(&(at, id.into()));
+        }
     }
 
     pub fn get(&self, id: &str) -> Option<&Engine> {
-        self.by_id.get(id)
+        self.by_id.get(id).map(|entry| &entry.engine)
     }
 
-    pub fn get_mut(&mut self, id: &str) -> Option<&mut Engine> {
-        self.by_id.get_mut(id)
+    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
+        self.by_id.values().map(|entry| &entry.engine)
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = &Engine> {
-        self.by_id.values()
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Sets the models of the open jobs, each with the oldest version that a job accepts.
+    pub fn set_demand(&mut self, min_versions: &BTreeMap<ModelId, Version>) {
+        let is_current =
+            self.open.len() == min_versions.len()
+                && self.open.iter().zip(min_versions).all(|((model, open), (wanted, min))| {
+                    model == wanted && open.min_version == *min
+                });
+        if is_current {
+            return;
+        }
+        for entry in self.by_id.values_mut() {
+            entry.indexed.clear();
+        }
+        let open = |min: &Version| OpenEngines { min_version: *min, ranks: BTreeSet::new() };
+        self.open = min_versions.iter().map(|(model, min)| (model.clone(), open(min))).collect();
+        let ids: Vec<TargetId> = self.by_id.keys().cloned().collect();
+        for id in ids {
+            self.reindex(&id);
+        }
+    }
+
+    /// Applies the changes that are due by time: backoffs that end and measurements that expire.
+    pub fn advance(&mut self, now: Time) {
+        self.now = self.now.max(now);
+        while let Some((at, id)) = self.updates.pop_first() {
+            if at > self.now {
+                self.updates.insert((at, id));
+                return;
+            }
+            if let Some(entry) = self.by_id.get_mut(&id) {
+                entry.update_at = None;
+            }
+            self.reindex(&id);
+        }
+    }
+
+    /// Whether an engine with a suitable version has a free slot for a model.
+    pub fn has_open(&self, model: &str) -> bool {
+        self.open.get(model).is_some_and(|open| !open.ranks.is_empty())
     }
 
     /// Open engine on which an item would finish first. Unless the requirement allows slow engines, a slow engine runs
     /// one item at a time, as a probe of whether it has recovered.
-    pub fn choose(&self, now: Time, requirement: &Requirement) -> Option<&Engine> {
+    pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
         let qualifies = |engine: &&Engine| {
-            engine.is_open(requirement.model, now)
-                && engine
-                    .version(requirement.model)
-                    .is_some_and(|version| version >= requirement.min_version)
+            engine
+                .version(requirement.model)
+                .is_some_and(|version| version >= requirement.min_version)
                 && requirement.avoid != Some(&engine.target.id)
-                && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine, now))
+                && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
-        self.by_id.values().filter(qualifies).min_by_key(|engine| self.cost(engine, now))
+        let open = self.open.get(requirement.model)?;
+        open.ranks.iter().filter_map(|(_, id)| self.get(id)).find(qualifies)
     }
 
     /// Whether an open engine is so much faster than `current` that moving an item pays.
-    pub fn has_faster(&self, now: Time, requirement: &Requirement, current: &str) -> bool {
-        let Some(engine) = self.by_id.get(current) else {
+    pub fn has_faster(&self, requirement: &Requirement, current: &str) -> bool {
+        let Some(engine) = self.get(current) else {
             return false;
         };
-        let best = self.choose(now, requirement);
-        best.is_some_and(|best| {
-            self.pace(engine, now) > self.pace(best, now).mul_f64(FASTER_FACTOR)
-        })
+        let best = self.choose(requirement);
+        best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
     }
 
-    fn is_slow(&self, engine: &Engine, now: Time) -> bool {
-        self.pace(engine, now) > self.pace_max()
+    fn is_slow(&self, engine: &Engine) -> bool {
+        self.pace(engine) > self.pace_max()
     }
 
     /// Pace above which an engine is slow. The limit is loose until a run was measured.
     pub fn pace_max(&self) -> Duration {
-        match self.median_pace() {
+        match self.paces.median() {
             Some(median) => median.mul_f64(SLOW_FACTOR).max(SLOW_PACE_MIN),
             None => PACE_INITIAL.mul_f64(UNMEASURED_SLOW_FACTOR),
         }
     }
 
+    /// Median pace of the measured engines, or the assumed pace if none was measured.
+    pub fn typical_pace(&self) -> Duration {
+        self.paces.median().unwrap_or(PACE_INITIAL)
+    }
+
+    fn pace(&self, engine: &Engine) -> Duration {
+        engine.measured_pace(self.now).unwrap_or_else(|| self.typical_pace())
+    }
+
     /// Expected time per event, increased by the share of slots taken.
-    fn cost(&self, engine: &Engine, now: Time) -> Duration {
-        let pace = self.pace(engine, now);
+    fn cost(&self, engine: &Engine) -> Duration {
         let taken = f64::from(engine.in_flight) / f64::from(engine.target.slots.max(1));
-        pace.mul_f64(1.0 + FULL_ENGINE_COST * taken)
+        self.pace(engine).mul_f64(1.0 + FULL_ENGINE_COST * taken)
     }
 
-    fn pace(&self, engine: &Engine, now: Time) -> Duration {
-        if now > engine.measured_at + PACE_TTL { self.typical_pace() } else { engine.pace }
+    /// Free slots for items of a model.
+    pub fn free_slots(&self, model: &str) -> usize {
+        let free = |engine: &Engine| engine.free_slots() as usize;
+        match self.open.get(model) {
+            Some(open) => open.ranks.iter().filter_map(|(_, id)| self.get(id)).map(free).sum(),
+            None => self.iter().filter(|engine| engine.is_open(model, self.now)).map(free).sum(),
+        }
     }
 
-    /// Median pace of the measured engines, or the assumed pace if none was measured.
-    pub fn typical_pace(&self) -> Duration {
-        self.median_pace().unwrap_or(PACE_INITIAL)
+    /// Slots that each model can use. An engine that serves several models counts in equal parts for each.
+    pub fn slots_by_model(
+        &self,
+        min_versions: &BTreeMap<ModelId, Version>,
+    ) -> BTreeMap<ModelId, f64> {
+        let mut slots: BTreeMap<ModelId, f64> = BTreeMap::new();
+        for engine in self.iter().filter(|engine| engine.is_usable(self.now)) {
+            let serves = |(model, min): &(&ModelId, &Version)| {
+                engine.version(model).is_some_and(|version| version >= **min)
+            };
+            let models: Vec<&ModelId> =
+                min_versions.iter().filter(serves).map(|(model, _)| model).collect();
+            for model in &models {
+                *slots.entry((*model).clone()).or_default() +=
+                    f64::from(engine.target.slots) / models.len() as f64;
+            }
+        }
+        slots
     }
 
-    fn median_pace(&self) -> Option<Duration> {
-        let measured = self.by_id.values().filter(|engine| engine.measured_at > Time::ZERO);
-        let mut paces: Vec<Duration> = measured.map(|engine| engine.pace).collect();
-        paces.sort_unstable();
-        paces.get(paces.len() / 2).copied()
+    /// Takes a slot.
+    pub fn start_run(&mut self, id: &str) {
+        self.update(id, |engine| engine.in_flight += 1);
     }
 
-    /// Free slots for items of a model.
-    pub fn free_slots(&self, model: &str, now: Time) -> usize {
-        let open = self.by_id.values().filter(|engine| engine.is_open(model, now));
-        open.map(|engine| engine.target.slots.saturating_sub(engine.in_flight) as usize).sum()
+    /// Frees a slot. `pace` is the run's time per event, if any event arrived.
+    pub fn finish_run(&mut self, id: &str, now: Time, pace: Option<Duration>) {
+        self.now = self.now.max(now);
+        self.update(id, |engine| {
+            engine.in_flight = engine.in_flight.saturating_sub(1);
+            if let Some(pace) = pace {
+                engine.record_pace(pace, now);
+            }
+        });
     }
 
-    pub fn start_run(&mut self, id: &str) {
-        if let Some(engine) = self.by_id.get_mut(id) {
-            engine.in_flight += 1;
+    /// Starts the backoff of an engine, during which no item starts on it.
+    pub fn back_off(&mut self, id: &str, now: Time) {
+        self.now = self.now.max(now);
+        self.update(id, |engine| engine.back_off(now));
+    }
+
+    pub fn begin_load(&mut self, id: &str, model: &ModelId) {
+        self.update(id, |engine| engine.begin_load(model.clone()));
+    }
+
+    /// Ends a load, with the version that the engine has if the load succeeded.
+    pub fn end_load(&mut self, id: &str, version: Option<Version>) {
+        self.update(id, |engine| engine.end_load(version));
+    }
+
+    fn update(&mut self, id: &str, change: impl FnOnce(&mut Engine)) {
+        let Some(entry) = self.by_id.get_mut(id) else {
+            return;
+        };
+        let before = entry.engine.last_pace();
+        change(&mut entry.engine);
+        let after = entry.engine.last_pace();
+        if before != after {
+            self.paces.replace(before, after);
         }
+        self.reindex(id);
     }
 
-    /// Ends a run. `pace` is its time per event, if any event arrived.
-    pub fn finish_run(&mut self, id: &str, now: Time, pace: Option<Duration>) {
-        let Some(engine) = self.by_id.get_mut(id) else {
+    /// Replaces the index entries of an engine.
+    fn reindex(&mut self, id: &str) {
+        let Some(mut entry) = self.by_id.remove(id) else {
             return;
         };
-        engine.in_flight = engine.in_flight.saturating_sub(1);
-        if let Some(pace) = pace {
-            engine.failures = 0;
-            let valid = now <= engine.measured_at + PACE_TTL;
-            engine.pace = if valid {
-                engine.pace.mul_f64(1.0 - PACE_WEIGHT) + pace.mul_f64(PACE_WEIGHT)
-            } else {
-                pace
-            };
-            engine.measured_at = now;
+        unindex(&mut self.open, &mut entry);
+        let engine = &entry.engine;
+        let cost = self.cost(engine);
+        for (model, open) in &mut self.open {
+            let suits = engine.version(model).is_some_and(|version| version >= open.min_version);
+            if suits && engine.is_open(model, self.now) {
+                open.ranks.insert((cost, id.into()));
+                entry.indexed.push((model.clone(), cost));
+            }
         }
+        self.schedule_update(id, &mut entry);
+        self.by_id.insert(id.into(), entry);
     }
 
-    /// Starts the backoff of an engine, during which no item starts on it.
-    pub fn back_off(&mut self, id: &str, now: Time) {
-        if let Some(engine) = self.by_id.get_mut(id) {
-            // Runs that break together count as one failure.
-            if now >= engine.backoff_until {
-                let backoff = BACKOFF.saturating_mul(1 << engine.failures.min(8));
-                engine.backoff_until = now + backoff.min(BACKOFF_MAX);
-                engine.failures += 1;
+    fn schedule_update(&mut self, id: &str, entry: &mut Entry) {
+        let Some(at) = entry.engine.next_change(self.now) else {
+            return;
+        };
+        // An update that comes too early schedules the next one.
+        if entry.update_at.is_none_or(|scheduled| at < scheduled) {
+            if let Some(scheduled) = entry.update_at.replace(at) {
+                self.updates.remove(&(scheduled, id.into()));
             }
+            self.updates.insert((at, id.into()));
+        }
+    }
+}
+
+fn unindex(open: &mut BTreeMap<ModelId, OpenEngines>, entry: &mut Entry) {
+    for (model, cost) in entry.indexed.drain(..) {
+        if let Some(open) = open.get_mut(&model) {
+            open.ranks.remove(&(cost, entry.engine.target.id.clone()));
         }
     }
 }
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -1,17 +1,22 @@
 //! Batch jobs: the submission, the state that is persisted in the store, and the choice of the next item to run.
 
 mod checkpoint;
+mod engine;
 mod engines;
 mod keys;
+mod length;
 mod open;
 mod outcome;
+mod paces;
 mod queue;
 mod record;
 mod row;
 mod spec;
+pub mod triage;
 
 pub use checkpoint::Checkpoint;
-pub use engines::{Engine, Engines, Requirement};
+pub use engine::Engine;
+pub use engines::{Engines, Requirement};
 pub use keys::{
     HEADS, HOSTS, Key, LEADERS, body_key, checkpoints_key, chunk_key, chunks_prefix, head_key,
     host_key, leader_key,
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -1,10 +1,15 @@
 //! An open job: the state of its items and the rows that are not persisted yet.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use crate::{
     events::Progress,
-    job::{Assignment, Checkpoint, End, Engines, Outcome, Record, Requirement, Row, Spec},
+    job::{
+        Assignment, Checkpoint, End, Engines, Outcome, Record, Requirement, Row, Spec, triage::Load,
+    },
     prelude::*,
 };
 
@@ -16,6 +21,10 @@
 const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay of a job's due time for each rank of lower priority.
 const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
+/// Items of a job that are tried in one pass while none of them finds an engine.
+const BLOCKED_ITEMS_MAX: usize = 8;
+/// Expected rest of a text that is longer than estimated, as a share of its length so far.
+const OVERRUN_SHARE: f64 = 0.25;
 
 /// State of an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +43,13 @@
     Listed,
 }
 
+impl State {
+    /// Whether the item has no result yet.
+    fn is_open(&self) -> bool {
+        matches!(self, Self::Waiting { .. } | Self::Running { .. })
+    }
+}
+
 /// Status of an item of an open job.
 #[derive(Clone, Debug)]
 pub(super) struct ItemStatus {
@@ -50,6 +66,23 @@
     pub(super) finished_at: Time,
 }
 
+/// Waiting items, indexed by what they wait for.
+#[derive(Debug, Default)]
+struct Waiting {
+    /// Items that may not start before a time.
+    delayed: BTreeSet<(Time, usize)>,
+    /// Positions in the start order of items that need an engine.
+    ready: BTreeSet<usize>,
+    /// Items that need only their score.
+    unjudged: BTreeSet<usize>,
+}
+
+impl Waiting {
+    fn len(&self) -> usize {
+        self.delayed.len() + self.ready.len() + self.unjudged.len()
+    }
+}
+
 /// An open job.
 #[derive(Debug)]
 pub struct Job {
@@ -67,13 +100,26 @@
     pub listed: u64,
     /// Chunks in the store.
     pub chunks: u64,
+    /// It cannot be complete in time, so it gets only slots that no other job can use.
+    pub(super) deferred: bool,
     /// Time at which its first item could start.
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
     /// Group number of each item.
     groups: Vec<usize>,
+    /// Items without a result, by group number.
+    open_in_group: BTreeMap<usize, usize>,
+    /// Items that an earlier job of the trainer did not complete.
+    resubmitted: BTreeSet<usize>,
     /// Items in start order.
-    pub(super) order: Vec<usize>,
+    order: Vec<usize>,
+    /// Position of each item in the start order.
+    positions: Vec<usize>,
+    waiting: Waiting,
+    /// Items whose rows are not being written yet.
+    finished: BTreeSet<usize>,
+    /// Items whose rows are being written.
+    in_write: Vec<usize>,
     /// Fencing token of the write in progress.
     pub(super) writing: Option<Revision>,
 }
@@ -90,11 +136,15 @@
             finished_at: Time::ZERO,
         };
         let statuses = vec![status; spec.items.len()];
-        let mut order: Vec<usize> = (0..spec.items.len()).collect();
-        // Long items determine when a group is complete, so they start first.
-        order.sort_by_key(|&item| std::cmp::Reverse(spec.items[item].length_hint));
-        Self {
-            groups: group_numbers(&spec),
+        let groups = group_numbers(&spec);
+        let mut open_in_group = BTreeMap::new();
+        for group in &groups {
+            *open_in_group.entry(*group).or_default() += 1;
+        }
+        let delayed = (0..spec.items.len()).map(|item| (Time::ZERO, item)).collect();
+        let mut job = Self {
+            groups,
+            open_in_group,
             spec,
             record: Arc::new(record),
             single_version: false,
@@ -104,11 +154,19 @@
             expires,
             listed: 0,
             chunks: 0,
+            deferred: false,
             started_at: Time::MAX,
             statuses,
-            order,
+            resubmitted: BTreeSet::new(),
+            order: Vec::new(),
+            positions: Vec::new(),
+            waiting: Waiting { delayed, ..Waiting::default() },
+            finished: BTreeSet::new(),
+            in_write: Vec::new(),
             writing: None,
-        }
+        };
+        job.sort();
+        job
     }
 
     /// Marks the items of persisted rows as listed. A write in progress no longer counts.
@@ -116,31 +174,54 @@
         self.chunks = chunks;
         self.writing = None;
         self.listed = rows.len() as u64;
+        self.finish_write(false);
         let index: HashMap<&str, usize> =
             self.spec.items.iter().enumerate().map(|(at, item)| (&*item.id, at)).collect();
-        for status in &mut self.statuses {
-            if let State::Writing(row) = &status.state {
-                status.state = State::Finished(row.clone());
-            }
-        }
-        for row in rows {
-            if let Some(&at) = index.get(&*row.item) {
-                self.statuses[at].state = State::Listed;
-            }
+        let listed: Vec<usize> =
+            rows.iter().filter_map(|row| index.get(&*row.item).copied()).collect();
+        for item in listed {
+            self.set_state(item, State::Listed);
         }
     }
 
     /// Applies checkpoints of an earlier leader to waiting items whose own text is shorter.
     pub fn resume(&mut self, checkpoints: Vec<Checkpoint>) {
         for checkpoint in checkpoints {
-            let Some(status) = self.status_mut(&checkpoint.item) else {
-                continue;
-            };
-            let waiting = matches!(status.state, State::Waiting { .. });
-            if waiting && checkpoint.progress.last_event > status.progress.last_event {
-                (status.progress, status.text_complete) =
-                    (checkpoint.progress, checkpoint.text_complete);
-            }
+            self.resume_item(&checkpoint.item, checkpoint.progress, checkpoint.text_complete);
+        }
+    }
+
+    /// Continues a waiting item from a text, if that is longer than its own. Returns whether the job has the item.
+    pub(super) fn resume_item(
+        &mut self,
+        id: &str,
+        progress: Progress,
+        text_complete: bool,
+    ) -> bool {
+        let Some(item) = self.spec.items.iter().position(|item| &*item.id == id) else {
+            return false;
+        };
+        let status = &mut self.statuses[item];
+        if let State::Waiting { not_before } = status.state
+            && progress.last_event > status.progress.last_event
+        {
+            (status.progress, status.text_complete) = (progress, text_complete);
+            self.set_state(item, State::Waiting { not_before });
+        }
+        true
+    }
+
+    /// Starts the items of an earlier job that was not completed before all others: the trainer waits for their groups,
+    /// and they have proved to be long.
+    pub(super) fn set_resubmitted(&mut self, items: BTreeSet<usize>) {
+        self.resubmitted = items;
+        self.sort();
+    }
+
+    /// Defers the job or takes the deferral back.
+    pub(super) fn set_deferred(&mut self, deferred: bool) {
+        if std::mem::replace(&mut self.deferred, deferred) != deferred {
+            self.sort();
         }
     }
 
@@ -162,8 +243,7 @@
     pub fn checkpoints(&self, bytes_max: usize) -> Vec<Checkpoint> {
         let mut bytes = 0;
         let open = self.spec.items.iter().zip(&self.statuses).filter(|(_, status)| {
-            matches!(status.state, State::Waiting { .. } | State::Running { .. })
-                && status.progress.last_event >= CHECKPOINT_EVENTS_MIN
+            status.state.is_open() && status.progress.last_event >= CHECKPOINT_EVENTS_MIN
         });
         let checkpoints = open.map(|(item, status)| Checkpoint {
             item: item.id.clone(),
@@ -183,41 +263,63 @@
         self.statuses.iter().all(|status| status.state == State::Listed)
     }
 
-    /// Due time, delayed by priority. Jobs with a lower rank start first.
-    pub(super) fn rank(&self) -> Time {
-        self.due + PRIORITY_DELAY.saturating_mul(self.priority)
-    }
-
-    pub(super) fn status_mut(&mut self, id: &str) -> Option<&mut ItemStatus> {
-        let at = self.spec.items.iter().position(|item| &*item.id == id)?;
-        self.statuses.get_mut(at)
+    /// Order among jobs: those with a lower rank start first. A job's due time is delayed by its priority.
+    pub(super) fn rank(&self) -> (bool, Time) {
+        (self.deferred, self.due + PRIORITY_DELAY.saturating_mul(self.priority))
     }
 
     /// Whether an item is waiting for a slot.
     pub fn has_waiting(&self) -> bool {
-        self.statuses.iter().any(|status| matches!(status.state, State::Waiting { .. }))
+        self.waiting.len() > 0
+    }
+
+    /// Whether a finished row is not persisted yet.
+    pub(super) fn has_unpersisted_rows(&self) -> bool {
+        !self.finished.is_empty() || !self.in_write.is_empty()
     }
 
     /// Finished items whose rows may be written: those of complete groups and those finished by `finished_by`.
     pub(super) fn listable(&self, finished_by: Time) -> Vec<usize> {
-        let mut complete = vec![true; self.statuses.len()];
-        for (status, &group) in self.statuses.iter().zip(&self.groups) {
-            complete[group] &=
-                !matches!(status.state, State::Waiting { .. } | State::Running { .. });
+        let is_listable = |item: &usize| {
+            self.open_in_group.get(&self.groups[*item]) == Some(&0)
+                || self.statuses[*item].finished_at <= finished_by
+        };
+        self.finished.iter().copied().filter(is_listable).collect()
+    }
+
+    /// Begins to write an item's row under a fencing token, and returns the row.
+    pub(super) fn begin_write(&mut self, item: usize, fence: Revision) -> Option<Row> {
+        let State::Finished(row) = &self.statuses[item].state else {
+            return None;
+        };
+        let row = row.clone();
+        self.writing = Some(fence);
+        self.set_state(item, State::Writing(row.clone()));
+        Some(*row)
+    }
+
+    /// Ends the write of rows, which were persisted or certainly not. Returns their number.
+    pub(super) fn finish_write(&mut self, persisted: bool) -> u64 {
+        let items = std::mem::take(&mut self.in_write);
+        let count = items.len() as u64;
+        for item in items {
+            let status = &mut self.statuses[item];
+            let State::Writing(row) = &status.state else {
+                continue;
+            };
+            let state = if persisted { State::Listed } else { State::Finished(row.clone()) };
+            if persisted {
+                status.progress = Progress::default();
+            }
+            self.set_state(item, state);
         }
-        let listable =
-            self.statuses.iter().zip(&self.groups).enumerate().filter(|(_, (status, group))| {
-                matches!(status.state, State::Finished(_))
-                    && (complete[**group] || status.finished_at <= finished_by)
-            });
-        listable.map(|(item, _)| item).collect()
+        count
     }
 
     fn finish(&mut self, item: usize, done: bool, score: Option<Box<str>>, now: Time) {
         let row = self.row(item, done, score);
-        let status = &mut self.statuses[item];
-        status.state = State::Finished(row);
-        status.finished_at = now;
+        self.statuses[item].finished_at = now;
+        self.set_state(item, State::Finished(row));
     }
 
     fn row(&self, item: usize, done: bool, score: Option<Box<str>>) -> Box<Row> {
@@ -240,41 +342,189 @@
             }
         }
     }
+
+    /// Changes the state of an item and the indexes that depend on it.
+    fn set_state(&mut self, item: usize, state: State) {
+        let before = std::mem::replace(&mut self.statuses[item].state, state);
+        match &before {
+            State::Waiting { not_before } => {
+                self.waiting.delayed.remove(&(*not_before, item));
+                self.waiting.ready.remove(&self.positions[item]);
+                self.waiting.unjudged.remove(&item);
+            }
+            State::Finished(_) => {
+                self.finished.remove(&item);
+            }
+            State::Running { .. } | State::Writing(_) | State::Listed => {}
+        }
+        let after = &self.statuses[item].state;
+        let open = self.open_in_group.entry(self.groups[item]).or_default();
+        match (before.is_open(), after.is_open()) {
+            (true, false) => *open = open.saturating_sub(1),
+            (false, true) => *open += 1,
+            _ => {}
+        }
+        match after {
+            State::Waiting { not_before } => {
+                self.waiting.delayed.insert((*not_before, item));
+            }
+            State::Finished(_) => {
+                self.finished.insert(item);
+            }
+            State::Writing(_) => self.in_write.push(item),
+            State::Running { .. } | State::Listed => {}
+        }
+    }
 }
 
+/// Start order and estimates.
 impl Job {
-    /// Assigns an item to an engine if it is due and an engine qualifies.
-    pub(super) fn assign(
+    /// Sorts the items into their start order. Long items determine when a group is complete, so they start first; the
+    /// largest groups beyond those that the trainer waits for start last. Of a job that cannot be complete in time, the
+    /// smallest groups start first, as they may still be.
+    fn sort(&mut self) {
+        let hint = |item: usize| self.spec.items[item].length_hint.unwrap_or_default();
+        let mut sizes: BTreeMap<usize, u64> = BTreeMap::new();
+        for (item, group) in self.groups.iter().enumerate() {
+            *sizes.entry(*group).or_default() += hint(item);
+        }
+        let mut by_size: Vec<(u64, usize)> =
+            sizes.iter().map(|(group, size)| (*size, *group)).collect();
+        by_size.sort_unstable();
+        let needed =
+            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
+        let surplus: BTreeSet<usize> =
+            by_size.iter().skip(needed).map(|(_, group)| *group).collect();
+        let mut order: Vec<usize> = (0..self.spec.items.len()).collect();
+        order.sort_by_key(|&item| {
+            let group = self.groups[item];
+            let size = if self.deferred { sizes[&group] } else { 0 };
+            let resubmitted = self.resubmitted.contains(&item);
+            let last = !resubmitted && surplus.contains(&group);
+            (!resubmitted && !self.deferred, last, size, std::cmp::Reverse(hint(item)))
+        });
+        self.positions = vec![0; order.len()];
+        for (position, &item) in order.iter().enumerate() {
+            self.positions[item] = position;
+        }
+        let ready = std::mem::take(&mut self.waiting.ready);
+        let before = std::mem::replace(&mut self.order, order);
+        self.waiting.ready =
+            ready.into_iter().map(|position| self.positions[before[position]]).collect();
+    }
+
+    /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
+    /// hints and each takes `pace`.
+    pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
+        let mut groups: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for (item, status) in self.statuses.iter().enumerate() {
+            let (sum, longest) = groups.entry(self.groups[item]).or_default();
+            let rest = self.rest_events(item, status, events_per_hint);
+            *sum += rest;
+            *longest = longest.max(rest);
+        }
+        let mut groups: Vec<(f64, f64)> = groups.into_values().collect();
+        groups.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let needed =
+            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
+        let needed = groups.iter().take(needed);
+        let (sum, longest) =
+            needed.fold((0.0, 0.0_f64), |all, group| (all.0 + group.0, all.1.max(group.1)));
+        Load {
+            job: self.spec.id.clone(),
+            due: self.due,
+            priority: self.priority,
+            work: pace.mul_f64(sum),
+            longest: pace.mul_f64(longest),
+        }
+    }
+
+    /// Events that an item's text is expected to lack.
+    fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
+        if !status.state.is_open() || status.text_complete {
+            return 0.0;
+        }
+        let length = self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint;
+        let done = status.progress.last_event as f64;
+        (length - done).max(done * OVERRUN_SHARE).max(1.0)
+    }
+}
+
+impl Job {
+    /// Makes the items ready whose delay is over.
+    fn promote(&mut self, now: Time) {
+        while let Some(&(not_before, item)) = self.waiting.delayed.first() {
+            if not_before > now {
+                return;
+            }
+            self.waiting.delayed.pop_first();
+            if self.statuses[item].text_complete {
+                self.waiting.unjudged.insert(item);
+            } else {
+                self.waiting.ready.insert(self.positions[item]);
+            }
+        }
+    }
+
+    /// Assigns the next item: one that needs only its score, or one for which an engine qualifies.
+    pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
+        self.started_at = self.started_at.min(now);
+        self.expire_items(now);
+        self.promote(now);
+        while let Some(&item) = self.waiting.unjudged.first() {
+            if let Some(assignment) = self.assign_unjudged(item, now, engines) {
+                return Some(assignment);
+            }
+        }
+        if self.waiting.ready.is_empty() || !engines.has_open(&self.spec.model) {
+            return None;
+        }
+        let first: Vec<usize> =
+            self.waiting.ready.iter().copied().take(BLOCKED_ITEMS_MAX).collect();
+        first.into_iter().find_map(|position| self.assign(self.order[position], now, engines))
+    }
+
+    /// Assigns an item whose text is complete: without an engine, unless the text is too old.
+    fn assign_unjudged(
         &mut self,
         item: usize,
         now: Time,
         engines: &mut Engines,
     ) -> Option<Assignment> {
+        let min = self.spec.min_version;
         let status = &mut self.statuses[item];
-        let waiting_since = match status.state {
-            State::Waiting { not_before } if not_before <= now => not_before.max(self.started_at),
-            _ => return None,
-        };
-        let (min, model) = (self.spec.min_version, &self.spec.model);
-        if status.text_complete && status.progress.can_continue(min, min, false) {
-            status.state = State::Running { target: None };
+        if status.progress.can_continue(min, min, false) {
+            self.set_state(item, State::Running { target: None });
             return Some(self.assignment(item, None));
         }
+        status.progress = Progress::default();
+        status.text_complete = false;
+        self.waiting.unjudged.remove(&item);
+        self.waiting.ready.insert(self.positions[item]);
+        self.assign(item, now, engines)
+    }
+
+    /// Assigns a ready item to an engine if one qualifies.
+    fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
+        let status = &mut self.statuses[item];
+        let State::Waiting { not_before } = status.state else {
+            return None;
+        };
+        let waiting_since = not_before.max(self.started_at);
+        let (min, model) = (self.spec.min_version, &self.spec.model);
         let avoid = status.avoid.as_ref();
         let requirement = Requirement { model, min_version: min, avoid, allow_slow: false };
         let allow_slow = now >= waiting_since + SLOT_WAIT_MAX;
-        let engine = engines.choose(now, &requirement).or_else(|| {
+        let engine = engines.choose(&requirement).or_else(|| {
             engines
-                .choose(now, &Requirement { avoid: None, allow_slow: true, ..requirement })
+                .choose(&Requirement { avoid: None, allow_slow: true, ..requirement })
                 .filter(|_| allow_slow)
         })?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
-        if status.text_complete || !status.progress.can_continue(min, version, self.single_version)
-        {
+        if !status.progress.can_continue(min, version, self.single_version) {
             status.progress = Progress::default();
-            status.text_complete = false;
         }
-        status.state = State::Running { target: Some(target.clone()) };
+        self.set_state(item, State::Running { target: Some(target.clone()) });
         engines.start_run(&target);
         Some(self.assignment(item, Some(target)))
     }
@@ -307,21 +557,22 @@
         status.text_complete = outcome.text_complete;
         status.judge_failures += outcome.judge_failures;
         status.avoid = None;
-        status.state = State::Waiting { not_before: now };
+        let mut not_before = now;
         match outcome.end {
-            End::Scored(score) => self.finish(item, true, score, now),
-            End::JudgeFailed | End::Rejected => self.finish(item, false, None, now),
+            End::Scored(score) => return self.finish(item, true, score, now),
+            End::JudgeFailed | End::Rejected => return self.finish(item, false, None, now),
             End::Failed => {
                 status.failures += 1;
                 status.avoid = outcome.target;
                 if status.failures >= max_attempts {
-                    self.finish(item, false, None, now);
+                    return self.finish(item, false, None, now);
                 }
             }
-            End::Unjudged => status.state = State::Waiting { not_before: now + JUDGE_RETRY_DELAY },
+            End::Unjudged => not_before += JUDGE_RETRY_DELAY,
             End::Broken | End::Slow | End::NotRun => status.avoid = outcome.target,
             End::Stopped => {}
         }
+        self.set_state(item, State::Waiting { not_before });
     }
 }
 
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -57,6 +57,8 @@
     pub pace: Option<Duration>,
     /// Status 500 responses of the judge in this run.
     pub judge_failures: u32,
+    /// The run still held its slot on the engine when it ended.
+    pub holds_slot: bool,
 }
 
 /// Assignment of an item to an engine.
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -1,13 +1,15 @@
 //! Open jobs of a leader and the order in which their items start.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
     dialect::Strategy,
     events::Progress,
     job::{
         Assignment, End, Engines, Job, Outcome, Row,
-        open::{ItemStatus, State},
+        length::LengthEstimate,
+        open::State,
+        triage::{self, Load},
     },
     prelude::*,
 };
@@ -15,28 +17,37 @@
 /// Time for which the partial texts of an ended job are retained, because its unfinished groups come back in a later
 /// job.
 const TEXT_RETENTION: Duration = Duration::from_secs(20);
+/// Interval at which it is decided anew which jobs are deferred.
+const TRIAGE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Open jobs.
 #[derive(Debug, Default)]
 pub struct Queue {
     jobs: BTreeMap<JobId, Job>,
+    /// Jobs in the order in which their items start.
+    order: Vec<JobId>,
+    /// The jobs have changed since the order was determined.
+    order_outdated: bool,
+    triaged_at: Time,
+    lengths: LengthEstimate,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
 }
 
 impl Queue {
     pub fn insert(&mut self, mut job: Job) {
-        let mut resumed = Vec::new();
-        for (at, item) in job.spec.items.iter().enumerate() {
+        let mut resubmitted = BTreeSet::new();
+        for (at, item) in job.spec.clone().items.iter().enumerate() {
             if let Some((_, progress, text_complete)) = self.retained.remove(&item.id) {
-                job.statuses[at].progress = progress;
-                job.statuses[at].text_complete = text_complete;
-                resumed.push(at);
+                job.resume_item(&item.id, progress, text_complete);
+                resubmitted.insert(at);
             }
         }
-        // Resubmitted items go first: the trainer waits for their groups, and they have proved to be long.
-        job.order.sort_by_key(|at| !resumed.contains(at));
+        if !resubmitted.is_empty() {
+            job.set_resubmitted(resubmitted);
+        }
         self.jobs.insert(job.spec.id.clone(), job);
+        self.order_outdated = true;
     }
 
     pub fn get(&self, id: &str) -> Option<&Job> {
@@ -65,6 +76,7 @@
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
+        self.order_outdated = true;
         for (item, status) in job.spec.items.iter().zip(job.statuses) {
             if status.state != State::Listed && status.progress.last_event > 0 {
                 self.retained.insert(
@@ -77,37 +89,75 @@
 
     /// Assigns the next item to an engine: jobs by due time and priority, and within a job the longest item first.
     pub fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
-        let mut ids: Vec<(Time, JobId)> =
-            self.jobs.values().map(|job| (job.rank(), job.spec.id.clone())).collect();
-        ids.sort_unstable();
-        ids.into_iter().find_map(|(_, id)| self.assign_next_of(&id, now, engines))
+        engines.advance(now);
+        if self.order_outdated || now >= self.triaged_at + TRIAGE_INTERVAL {
+            self.update_order(now, engines);
+        }
+        for id in &self.order {
+            let job = self.jobs.get_mut(id)?;
+            if let Some(assignment) = job.assign_next(now, engines) {
+                return Some(assignment);
+            }
+        }
+        None
     }
 
-    fn assign_next_of(
-        &mut self,
-        id: &JobId,
+    /// Decides which jobs are deferred, and sorts all jobs.
+    fn update_order(&mut self, now: Time, engines: &mut Engines) {
+        let mut min_versions: BTreeMap<ModelId, Version> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let min = min_versions.entry(job.spec.model.clone()).or_insert(job.spec.min_version);
+            *min = job.spec.min_version.min(*min);
+        }
+        engines.set_demand(&min_versions);
+        let deferred = self.deferred(now, engines, &min_versions);
+        for (id, job) in &mut self.jobs {
+            job.set_deferred(deferred.contains(id));
+        }
+        self.order = self.jobs.keys().cloned().collect();
+        self.order.sort_by_key(|id| self.jobs[id].rank());
+        self.order_outdated = false;
+        self.triaged_at = now;
+    }
+
+    /// Jobs that cannot be complete in time. The slots of an engine count in equal parts for the models that it serves.
+    fn deferred(
+        &self,
         now: Time,
-        engines: &mut Engines,
-    ) -> Option<Assignment> {
-        let job = self.jobs.get_mut(id)?;
-        job.started_at = job.started_at.min(now);
-        job.expire_items(now);
-        let order = std::mem::take(&mut job.order);
-        let assignment = order.iter().find_map(|&item| job.assign(item, now, engines));
-        job.order = order;
-        assignment
+        engines: &Engines,
+        min_versions: &BTreeMap<ModelId, Version>,
+    ) -> BTreeSet<JobId> {
+        let Some(events_per_hint) = self.lengths.events_per_hint() else {
+            return BTreeSet::new();
+        };
+        let slots = engines.slots_by_model(min_versions);
+        let pace = engines.typical_pace();
+        let mut loads: BTreeMap<&str, Vec<Load>> = BTreeMap::new();
+        for job in self.jobs.values() {
+            loads.entry(&job.spec.model).or_default().push(job.load(pace, events_per_hint));
+        }
+        let of_model = |(model, loads): (&str, Vec<Load>)| {
+            triage::deferred(now, slots.get(model).copied().unwrap_or_default(), loads)
+        };
+        loads.into_iter().flat_map(of_model).collect()
     }
 
     /// Applies the outcome of a run to its engine and its item.
     pub fn finish_run(&mut self, outcome: Outcome, now: Time, engines: &mut Engines) {
-        if let Some(target) = &outcome.target {
+        if let Some(target) = outcome.target.as_ref().filter(|_| outcome.holds_slot) {
             engines.finish_run(target, now, outcome.pace);
             if matches!(outcome.end, End::NotRun | End::Broken) {
                 engines.back_off(target, now);
             }
         }
         match self.jobs.get_mut(&outcome.job) {
-            Some(job) => job.finish_run(outcome, now),
+            Some(job) => {
+                if matches!(outcome.end, End::Scored(_)) {
+                    let hint = job.spec.items.get(outcome.item).and_then(|item| item.length_hint);
+                    self.lengths.record(hint, outcome.progress.last_event);
+                }
+                job.finish_run(outcome, now);
+            }
             None => self.retain_text(outcome, now),
         }
     }
@@ -117,17 +167,11 @@
         if outcome.progress.last_event == 0 {
             return;
         }
-        let text = (now + TEXT_RETENTION, outcome.progress, outcome.text_complete);
-        let open = self.jobs.values_mut().find_map(|job| job.status_mut(&outcome.item_id));
-        match open {
-            // The item was resubmitted before its run had stopped.
-            Some(status) if matches!(status.state, State::Waiting { .. }) => {
-                (status.progress, status.text_complete) = (text.1, text.2);
-            }
-            Some(_) => {}
-            None => {
-                self.retained.insert(outcome.item_id, text);
-            }
+        let (progress, complete) = (outcome.progress, outcome.text_complete);
+        let resumed = |job: &mut Job| job.resume_item(&outcome.item_id, progress.clone(), complete);
+        // The item may have been resubmitted before its run had stopped.
+        if !self.jobs.values_mut().any(resumed) {
+            self.retained.insert(outcome.item_id, (now + TEXT_RETENTION, progress, complete));
         }
     }
 
@@ -146,18 +190,15 @@
         };
         let (mut rows, mut bytes) = (Vec::new(), 0);
         for item in job.listable(finished_by) {
-            let status = &mut job.statuses[item];
-            let State::Finished(row) = &status.state else {
+            let State::Finished(row) = &job.statuses[item].state else {
                 continue;
             };
             bytes += row.text.len();
             if bytes > bytes_max && !rows.is_empty() {
                 break;
             }
-            rows.push((**row).clone());
-            status.state = State::Writing(row.clone());
+            rows.extend(job.begin_write(item, fence));
         }
-        job.writing = (!rows.is_empty()).then_some(fence);
         rows
     }
 
@@ -169,16 +210,7 @@
             return;
         };
         job.writing = None;
-        let mut count = 0;
-        for status in &mut job.statuses {
-            if let State::Writing(row) = &status.state {
-                status.state = if persisted { State::Listed } else { State::Finished(row.clone()) };
-                if persisted {
-                    status.progress = Progress::default();
-                    count += 1;
-                }
-            }
-        }
+        let count = job.finish_write(persisted);
         if persisted {
             job.listed += count;
             job.chunks += 1;
@@ -187,9 +219,14 @@
 
     /// Whether a finished row is not persisted yet.
     pub fn has_unpersisted_rows(&self) -> bool {
-        let unlisted =
-            |status: &ItemStatus| matches!(status.state, State::Finished(_) | State::Writing(_));
-        self.jobs.values().any(|job| job.statuses.iter().any(unlisted))
+        self.jobs.values().any(Job::has_unpersisted_rows)
+    }
+
+    /// Jobs with a finished row that no write in progress may precede.
+    pub fn jobs_to_write(&self) -> Vec<JobId> {
+        let is_due =
+            |(_, job): &(&JobId, &Job)| job.writing.is_none() && job.has_unpersisted_rows();
+        self.jobs.iter().filter(is_due).map(|(id, _)| id.clone()).collect()
     }
 
     /// Whether an item is waiting for a slot.
@@ -199,7 +236,7 @@
 
     /// How engines treat their runs when a new version is loaded.
     pub fn strategy(&self) -> Strategy {
-        let single = |id: &JobId| self.get(id).is_some_and(|job| job.single_version);
-        if self.ids().iter().any(single) { Strategy::Wait } else { Strategy::Keep }
+        let single = self.jobs.values().any(|job| job.single_version);
+        if single { Strategy::Wait } else { Strategy::Keep }
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -65,12 +65,27 @@
         run: u64,
         progress: Progress,
     },
+    /// The text is complete, so the run holds no slot any more; its judge is called next.
+    Generated {
+        run: u64,
+        /// Average time per event; `None` if no event arrived.
+        pace: Option<Duration>,
+    },
     Ended {
         run: u64,
         outcome: Outcome,
     },
 }
 
+impl Report {
+    /// Run to which the report applies.
+    pub fn run(&self) -> u64 {
+        let (Self::Progress { run, .. } | Self::Generated { run, .. } | Self::Ended { run, .. }) =
+            self;
+        *run
+    }
+}
+
 /// State of a run.
 struct RunState {
     progress: Progress,
@@ -102,6 +117,7 @@
         resumed_after: run.assignment.progress.last_event,
     };
     let (mut pace, mut judge_failures) = (None, 0);
+    let mut holds_slot = run.target.is_some();
     let end = 'end: {
         if let Some(target) = &run.target {
             let stream = stream(&traffic, &run, target, &mut state, reports);
@@ -114,6 +130,9 @@
                 break 'end end;
             }
             state.text_complete = true;
+            // A closed channel means that the process ends.
+            let _ = reports.send(Report::Generated { run: run.id, pace });
+            holds_slot = false;
         }
         let item = &run.spec.items[run.assignment.item];
         let judge = judge(&traffic, item, run.assignment.judge_failures).fuse();
@@ -136,6 +155,7 @@
         text_complete: state.text_complete,
         pace,
         judge_failures,
+        holds_slot,
     };
     Report::Ended { run: run.id, outcome }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -70,7 +70,7 @@
         ended: false,
     };
     let spec =
-        Spec { id: id.into(), step: 0, model: "m".into(), min_version, groups_needed: 1, items };
+        Spec { id: id.into(), step: 0, model: "m".into(), min_version, groups_needed: 0, items };
     let mut job = Job::new(Arc::new(spec), record, ms(7_500), ms(40_000));
     job.max_attempts = 2;
     job
@@ -103,5 +103,6 @@
         text_complete: false,
         pace: None,
         judge_failures: 0,
+        holds_slot: true,
     }
 }
