--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -3,20 +3,25 @@
 use std::{rc::Rc, sync::Arc};
 
 use log::warn;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     clock,
     control::{
-        leader::Policy,
+        leader::{Policy, StoredJob},
+        mirror::Update,
         orders::{LoadResult, Term},
         state::Control,
-        tasks::{Completion, WriteResult, read_job, remove_jobs, write_checkpoints, write_chunk},
+        store_state::Head,
+        tasks::{
+            Completion, WriteResult, end_job, read_job, remove_jobs, write_checkpoints,
+            write_chunks,
+        },
     },
     job::Record,
     metrics::METERS,
     prelude::*,
-    traffic::{Command, Report},
+    traffic::{Command, Report, RunReport, Submission},
 };
 
 /// Tolerated clock skew between hosts when items expire.
@@ -27,8 +32,17 @@
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
 impl Control {
-    /// Routes a report of the traffic thread to the leader that started the run.
+    /// Applies a report of the traffic thread.
     pub(super) fn apply_report(&mut self, report: Report) {
+        match report {
+            Report::Run(report) => self.apply_run_report(report),
+            Report::Submitted(submission) => self.open_submitted(*submission),
+            Report::EndRequested { job, reply } => self.end_job(&job, reply),
+        }
+    }
+
+    /// Routes a report on a run to the leader that started the run.
+    fn apply_run_report(&mut self, report: RunReport) {
         let now = clock::now();
         let run = report.run();
         for leader in self.leaders.values_mut() {
@@ -44,25 +58,35 @@
         let now = clock::now();
         match completion {
             Completion::JobRead { service, id, job } => {
-                let ended = self.store_state.job_heads.get(&id).is_none_or(|record| record.ended);
+                let head = self.store_state.job_heads.get(&id);
+                let ended = head.is_none_or(|head| head.record.ended);
                 let policy = job.as_ref().map(|job| self.policy(&job.record, now));
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
                 match (job, policy) {
                     (Some(job), Some(policy)) if !ended => {
-                        leader.finish_read(*job, policy);
+                        let opened = leader.finish_read(*job, policy);
                         METERS.open_jobs(&service, leader.queue.len());
+                        send(&self.commands, vec![opened]);
+                    }
+                    _ => {
+                        leader.fail_read(&id);
+                        self.store_state.heads_changed = true;
                     }
-                    _ => leader.fail_read(&id),
                 }
             }
-            Completion::ChunkWritten { service, id, fence, number, rows, result } => {
+            Completion::ChunkWritten { service, id, fence, number, chunk, result } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
                 if result == WriteResult::Kept {
-                    METERS.rows_written(rows);
+                    METERS.rows_written(chunk.rows.len());
+                }
+                if leader.leadership.fence == Some(fence) {
+                    let chunk = (result == WriteResult::Kept).then_some(chunk);
+                    let written = Command::ChunkWritten { job: id.clone(), chunk };
+                    send(&self.commands, vec![written]);
                 }
                 leader.queue.finish_write(&id, fence, number, result == WriteResult::Kept);
                 if result == WriteResult::Differs && leader.leadership.fence == Some(fence) {
@@ -122,25 +146,12 @@
         let Some(fence) = leader.leadership.fence else {
             return;
         };
-        let open = self.store_state.job_heads.iter().filter(|(_, record)| !record.ended);
-        let of_service = open.filter(|(_, record)| record.service == *service);
-        for (id, record) in of_service {
-            if leader.begin_read(id) {
-                let read = read_job(
-                    Rc::clone(&self.store),
-                    Arc::clone(&self.dialect),
-                    service.clone(),
-                    id.clone(),
-                    record.clone(),
-                    self.completions.clone(),
-                );
-                tokio::task::spawn_local(read);
-            }
-        }
         let stopping = self.hand_over_deadline.is_some();
-        for write in if stopping { leader.final_writes(now) } else { leader.writes(now) } {
+        for batch in if stopping { leader.final_writes(now) } else { leader.writes(now) } {
+            let begun = batch.iter().map(|write| Command::ChunkBegun { job: write.job.clone() });
+            send(&self.commands, begun.collect());
             let (store, completions) = (Rc::clone(&self.store), self.completions.clone());
-            tokio::task::spawn_local(write_chunk(store, service.clone(), write, completions));
+            tokio::task::spawn_local(write_chunks(store, service.clone(), batch, completions));
         }
         if stopping {
             return;
@@ -164,6 +175,79 @@
         }
     }
 
+    /// Reads the open jobs of a service that this host leads, unless they are known already.
+    pub(super) fn read_new_jobs(&mut self, service: &ServiceId) {
+        let Some(leader) = self.leaders.get_mut(service) else {
+            return;
+        };
+        let is_open = |head: &Head| !head.record.ended && head.record.service == *service;
+        let open = self.store_state.job_heads.iter().filter(|(_, head)| is_open(head));
+        for (id, head) in open {
+            if leader.begin_read(id) {
+                let read = read_job(
+                    Rc::clone(&self.store),
+                    Arc::clone(&self.dialect),
+                    service.clone(),
+                    id.clone(),
+                    head.record.clone(),
+                    self.completions.clone(),
+                );
+                tokio::task::spawn_local(read);
+            }
+        }
+    }
+
+    /// Opens a job that was just submitted. A job that was written before this leadership may have results already, so
+    /// that is read from the store instead.
+    fn open_submitted(&mut self, submission: Submission) {
+        let Submission { record, revision, spec } = submission;
+        let (service, id) = (record.service.clone(), spec.id.clone());
+        let policy = self.policy(&record, clock::now());
+        let Some(leader) = self.leaders.get_mut(&service) else {
+            return;
+        };
+        let is_new = leader.leadership.fence.is_some_and(|fence| revision > fence)
+            && !self.store_state.job_heads.contains_key(&id);
+        if !is_new || !leader.begin_read(&id) {
+            return;
+        }
+        self.store_state.put_head(id, Head { record: record.clone(), revision });
+        let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
+        let opened = leader.finish_read(stored, policy);
+        METERS.open_jobs(&service, leader.queue.len());
+        send(&self.commands, vec![opened]);
+    }
+
+    /// Ends a job of a service that this host leads, on request of its trainer. Replies `false` if the requester has to
+    /// end it in the store.
+    fn end_job(&mut self, id: &JobId, reply: oneshot::Sender<bool>) {
+        let head = self.store_state.job_heads.get(id);
+        let led = head.filter(|head| {
+            let leader = self.leaders.get(&head.record.service);
+            leader.is_some_and(|leader| leader.leadership.fence.is_some())
+        });
+        match led {
+            // A dropped receiver means that the requester has given up.
+            Some(head) if head.record.ended => {
+                let _ = reply.send(true);
+            }
+            Some(head) => {
+                let end = end_job(Rc::clone(&self.store), id.clone(), head.clone());
+                let updates = self.updates.clone();
+                tokio::task::spawn_local(async move {
+                    let ended = end.await;
+                    let _ = reply.send(ended.is_some());
+                    if let Some(change) = ended {
+                        let _ = updates.send(Update::Changed(change));
+                    }
+                });
+            }
+            None => {
+                let _ = reply.send(false);
+            }
+        }
+    }
+
     /// Removes ended jobs of a service whose retention has passed.
     fn remove_expired_jobs(&self, service: &ServiceId, fence: Revision) {
         let retention = self.settings.job_retention + RETENTION_MARGIN;
@@ -175,8 +259,8 @@
             .store_state
             .job_heads
             .iter()
-            .filter(|(_, record)| is_expired(record))
-            .map(|(id, record)| (id.clone(), record.parts))
+            .filter(|(_, head)| is_expired(&head.record))
+            .map(|(id, head)| (id.clone(), head.record.parts))
             .collect();
         if !jobs.is_empty() {
             tokio::task::spawn_local(remove_jobs(
--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -8,7 +8,9 @@
 };
 
 use crate::{
-    clock, job,
+    clock,
+    holder::Holder,
+    job,
     prelude::*,
     store::{self, Error, Outcome, Put, Txn},
 };
@@ -25,6 +27,8 @@
 const SMALL_HOST_DELAY: Duration = Duration::from_millis(300);
 /// Share of a core from which a host has no such delay.
 const LARGE_HOST_SHARE: f64 = 0.5;
+/// Subtracted from the end of a lease, for clocks that run at different rates.
+const LEASE_MARGIN: Duration = Duration::from_millis(50);
 /// Delay after a failed attempt or the end of a leadership.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -35,6 +39,8 @@
     pub fence: Option<Revision>,
     /// Time until which orders may be sent without another renewal.
     pub orders_until: Time,
+    /// Time until which no other host can lead.
+    pub exclusive_until: Time,
 }
 
 /// Leader key as last read from the store.
@@ -50,7 +56,8 @@
 /// Competes for the leadership of one service.
 pub struct Election {
     pub service: ServiceId,
-    pub host: HostId,
+    /// Value of the leader key.
+    pub holder: Holder,
     pub ttl: Duration,
     /// Delay before a free leadership is acquired.
     pub delay: Duration,
@@ -97,7 +104,7 @@
         let begun = clock::now();
         let lease = self.store.grant(self.ttl).await?;
         let key = job::leader_key(&self.service);
-        let value = self.host.as_bytes().to_vec().into();
+        let value = self.holder.encode().into();
         let put = Put { key: key.clone(), value, lease: Some(lease) };
         let txn = Txn { expected: vec![(key, 0)], puts: vec![put], removes: Vec::new() };
         match self.store.commit(&txn).await? {
@@ -112,7 +119,8 @@
 
     fn publish(&self, fence: Option<Revision>, renewed: Time) {
         let orders_until = renewed + self.ttl - self.ttl / ORDER_STOP_DIVISOR;
-        let leadership = Leadership { fence, orders_until };
+        let exclusive_until = (renewed + self.ttl).saturating_sub(LEASE_MARGIN);
+        let leadership = Leadership { fence, orders_until, exclusive_until };
         if self.leaderships.send((self.service.clone(), leadership)).is_err() {
             log::debug!(service = &*self.service; "control loop has ended");
         }
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -15,7 +15,7 @@
     fleet::Target,
     job::{Assignment, Checkpoint, Chunk, Engines, Job, Queue, Record, Requirement, Row, Spec},
     prelude::*,
-    traffic::{Command, Report, Run},
+    traffic::{Command, Run, RunReport},
 };
 
 /// Events over which the pace of a run is measured.
@@ -25,7 +25,7 @@
 /// Maximum text bytes of a chunk of rows, and of a job's checkpoints.
 const CHUNK_BYTES_MAX: usize = 500 << 10;
 /// Minimum interval between writes of rows, so that rows share a write.
-const WRITE_INTERVAL: Duration = Duration::from_millis(50);
+const WRITE_INTERVAL: Duration = Duration::from_millis(120);
 /// Maximum time for which a row waits for the rest of its group. A trainer uses complete groups; its read blocks while
 /// nothing is listed, and so returns the next group at once.
 const GROUP_WAIT_MAX: Duration = Duration::from_millis(1500);
@@ -42,6 +42,9 @@
 /// Interval at which checkpoints are written.
 const CHECKPOINT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum chunks in one write; a transaction of the store takes 32 entries, two for each chunk.
+const WRITE_CHUNKS_MAX: usize = 15;
+
 /// A chunk to write.
 #[derive(Clone, Debug)]
 pub struct ChunkWrite {
@@ -141,14 +144,14 @@
             && self.reading.insert(id.clone())
     }
 
-    /// Adds a job that was read from the store.
-    pub fn finish_read(&mut self, stored: StoredJob, policy: Policy) {
+    /// Adds a job that was read from the store. Returns the command that makes its results available.
+    pub fn finish_read(&mut self, stored: StoredJob, policy: Policy) -> Command {
         let StoredJob { spec, record, chunks, checkpoints } = stored;
         self.reading.remove(&spec.id);
         let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
         let rows: Vec<Row> = rows.cloned().collect();
         if self.queue.get(&id).is_none() {
-            let mut job = Job::new(Arc::new(spec), record, policy.due, policy.expires);
+            let mut job = Job::new(Arc::clone(&spec), record, policy.due, policy.expires);
             job.max_attempts = policy.max_attempts;
             job.priority = policy.priority;
             job.single_version = policy.single_version;
@@ -159,6 +162,7 @@
             job.restore(&rows, chunks.len() as u64);
             job.resume(checkpoints);
         }
+        Command::JobOpened { service: self.service.clone(), spec, chunks }
     }
 
     /// Marks a job as unread after a failure, so that the read is retried.
@@ -274,9 +278,9 @@
     }
 
     /// Applies a report of the traffic thread on a run.
-    pub fn apply_report(&mut self, report: Report, now: Time) {
+    pub fn apply_report(&mut self, report: RunReport, now: Time) {
         match report {
-            Report::Progress { run, progress } => {
+            RunReport::Progress { run, progress } => {
                 let Some(run) = self.runs.get(&run) else {
                     return;
                 };
@@ -284,13 +288,13 @@
                     job.set_progress(run.item, progress);
                 }
             }
-            Report::Generated { run, pace } => {
+            RunReport::Generated { run, pace } => {
                 // The judge is called without a slot on the engine.
                 if let Some(target) = self.runs.get_mut(&run).and_then(|run| run.target.take()) {
                     self.engines.finish_run(&target, now, pace);
                 }
             }
-            Report::Ended { run, outcome } => {
+            RunReport::Ended { run, outcome } => {
                 if self.runs.remove(&run).is_some() {
                     self.queue.finish_run(outcome, now, &mut self.engines);
                 }
@@ -317,14 +321,14 @@
         (!jobs.is_empty()).then_some(CheckpointWrite { service, fence, jobs })
     }
 
-    /// Chunks to write now.
-    pub fn writes(&mut self, now: Time) -> Vec<ChunkWrite> {
-        self.writes_finished_by(now, now.saturating_sub(GROUP_WAIT_MAX))
+    /// Chunks to write now, in batches that are written together.
+    pub fn writes(&mut self, now: Time) -> Vec<Vec<ChunkWrite>> {
+        batches(self.writes_finished_by(now, now.saturating_sub(GROUP_WAIT_MAX)))
     }
 
     /// Chunks of all finished rows, including those of incomplete groups.
-    pub fn final_writes(&mut self, now: Time) -> Vec<ChunkWrite> {
-        self.writes_finished_by(now, now)
+    pub fn final_writes(&mut self, now: Time) -> Vec<Vec<ChunkWrite>> {
+        batches(self.writes_finished_by(now, now))
     }
 
     fn writes_finished_by(&mut self, now: Time, finished_by: Time) -> Vec<ChunkWrite> {
@@ -394,10 +398,29 @@
     }
 }
 
+/// Splits chunks into batches of limited number and size.
+fn batches(writes: Vec<ChunkWrite>) -> Vec<Vec<ChunkWrite>> {
+    let (mut batches, mut bytes): (Vec<Vec<ChunkWrite>>, usize) = (Vec::new(), 0);
+    for write in writes {
+        let size: usize = write.chunk.rows.iter().map(|row| row.text.len()).sum();
+        match batches.last_mut() {
+            Some(batch) if batch.len() < WRITE_CHUNKS_MAX && bytes + size <= CHUNK_BYTES_MAX => {
+                batch.push(write);
+                bytes += size;
+            }
+            _ => {
+                batches.push(vec![write]);
+                bytes = size;
+            }
+        }
+    }
+    batches
+}
+
 /// A job as read from the store.
 #[derive(Debug)]
 pub struct StoredJob {
-    pub spec: Spec,
+    pub spec: Arc<Spec>,
     pub record: Record,
     pub chunks: Vec<Chunk>,
     pub checkpoints: Vec<Checkpoint>,
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -23,6 +23,7 @@
     },
     dialect::{self, Subject},
     freshness::Freshness,
+    holder::Holder,
     job,
     metrics::METERS,
     prelude::*,
@@ -37,8 +38,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Ticks per iteration while no job is open.
 const IDLE_TICKS: u32 = 10;
-/// Minimum interval between watches of a prefix that this program writes.
-const WATCH_INTERVAL: Duration = Duration::from_millis(40);
+/// Minimum interval between watches of a prefix that this program writes. Changes that matter sooner are also announced
+/// by other hosts.
+const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Watches of the configuration within the time in which a new one must be in force.
 const CONFIG_WATCHES_PER_DEADLINE: u32 = 4;
 /// Maximum time for which a stopping leader ends its runs and persists their results.
@@ -271,6 +273,14 @@
             let stops = leader.drop_jobs(clock::now());
             send(&self.commands, stops);
         }
+        let mut commands = Vec::new();
+        if before.fence != leadership.fence {
+            commands.push(Command::JobsClosed { service: service.clone() });
+            self.store_state.heads_changed = true;
+        }
+        let until = if acquired { leadership.exclusive_until } else { Time::ZERO };
+        commands.push(Command::LeadershipRenewed { service: service.clone(), until });
+        send(&self.commands, commands);
         self.update_leader_mirrors();
     }
 
@@ -304,6 +314,12 @@
             self.sync_leaders();
         }
         self.update_freshness();
+        if std::mem::take(&mut self.store_state.heads_changed) {
+            let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
+            for service in services {
+                self.read_new_jobs(&service);
+            }
+        }
         let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
         for service in services {
             self.drive_leader(&service, now);
@@ -331,7 +347,8 @@
         let synced = self.store_state.is_synced();
         self.view.store(Arc::new(View {
             config: self.store_state.config.clone().filter(|_| synced),
-            targets: self.store_state.fleet.targets().clone(),
+            targets: Arc::clone(self.store_state.fleet.targets()),
+            leaders: Arc::clone(&self.store_state.leader_addresses),
             stopping: *self.stopping.borrow(),
         }));
     }
@@ -352,7 +369,7 @@
                 .store_state
                 .leader_keys
                 .get(service)
-                .map_or(LeaderKey::Absent, |at| LeaderKey::Present(*at));
+                .map_or(LeaderKey::Absent, |key| LeaderKey::Present(key.revision));
             leader_key.send_if_modified(|key| std::mem::replace(key, now) != now);
         }
         for leader in self.leaders.values_mut() {
@@ -371,7 +388,7 @@
         self.leaders.insert(service.clone(), Leader::new(service.clone(), first_run));
         let election = Election {
             service: service.clone(),
-            host: self.settings.host.clone(),
+            holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
             ttl: Election::ttl(self.settings.lease_min),
             delay: Election::delay(self.settings.cpu_share),
             store: Rc::clone(&self.store),
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -1,6 +1,6 @@
 //! State mirrored from the store, and the immediate effects of its changes.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use log::{info, warn};
 
@@ -10,6 +10,7 @@
     control::mirror::Update,
     dialect::{Dialect, PlatformChange},
     fleet::Fleet,
+    holder::Holder,
     job::{Key, Record},
     prelude::*,
     store::Change,
@@ -26,6 +27,22 @@
     RetireHost { host: HostId },
 }
 
+/// Head of a job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Head {
+    pub record: Record,
+    /// Revision of its last change.
+    pub revision: Revision,
+}
+
+/// Key of a leader.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaderEntry {
+    pub revision: Revision,
+    /// Address for requests of other hosts.
+    pub peer: Option<SocketAddr>,
+}
+
 /// State mirrored from the store.
 #[derive(Debug)]
 pub struct StoreState {
@@ -33,9 +50,13 @@
     pub config: Option<Arc<Config>>,
     pub fleet: Fleet,
     /// Heads of jobs, followed only while this host leads a service.
-    pub job_heads: BTreeMap<JobId, Record>,
-    /// Revision of each service's leader key.
-    pub leader_keys: BTreeMap<ServiceId, Revision>,
+    pub job_heads: BTreeMap<JobId, Head>,
+    /// A head was added or changed.
+    pub heads_changed: bool,
+    /// Leader key of each service.
+    pub leader_keys: BTreeMap<ServiceId, LeaderEntry>,
+    /// Addresses of the leaders, from their keys.
+    pub leader_addresses: Arc<BTreeMap<ServiceId, SocketAddr>>,
     /// Newest version that a trainer requested, by model.
     pub requested: BTreeMap<ModelId, Version>,
     /// State that is published to other threads, elections or leaders has changed.
@@ -51,7 +72,9 @@
             config: None,
             fleet: Fleet::default(),
             job_heads: BTreeMap::new(),
+            heads_changed: false,
             leader_keys: BTreeMap::new(),
+            leader_addresses: Arc::default(),
             requested: BTreeMap::new(),
             changed: false,
             synced: vec![false; mirrors],
@@ -104,9 +127,8 @@
         };
         match serde_json::from_slice::<Record>(&entry.value) {
             Ok(record) => {
-                let service = record.service.clone();
-                let ended = record.ended;
-                self.job_heads.insert(id.clone(), record);
+                let (service, ended) = (record.service.clone(), record.ended);
+                self.put_head(id.clone(), Head { record, revision: entry.revision });
                 ended.then_some(Effect::JobEnded { service, job: id })
             }
             Err(error) => {
@@ -116,20 +138,39 @@
         }
     }
 
+    /// Adds a head, unless a newer one is known.
+    pub fn put_head(&mut self, id: JobId, head: Head) {
+        let known = self.job_heads.get(&id).map_or(0, |known| known.revision);
+        if head.revision >= known {
+            self.job_heads.insert(id, head);
+            self.heads_changed = true;
+        }
+    }
+
     fn apply_leader_key(&mut self, service: ServiceId, change: &Change) -> Option<Effect> {
         self.changed = true;
         match change {
             Change::Put(entry) => {
-                self.leader_keys.insert(service.clone(), entry.revision);
+                let peer = Holder::decode(&entry.value).and_then(|holder| holder.peer);
+                let leader = LeaderEntry { revision: entry.revision, peer };
+                self.leader_keys.insert(service.clone(), leader);
+                self.update_leader_addresses();
                 Some(Effect::LeaderElected { service })
             }
             Change::Removed { .. } => {
                 self.leader_keys.remove(&service);
+                self.update_leader_addresses();
                 None
             }
         }
     }
 
+    fn update_leader_addresses(&mut self) {
+        let addresses = self.leader_keys.iter();
+        let addresses = addresses.filter_map(|(service, key)| Some((service.clone(), key.peer?)));
+        self.leader_addresses = Arc::new(addresses.collect());
+    }
+
     fn apply_platform_change(&mut self, change: PlatformChange) -> Option<Effect> {
         self.changed = true;
         match change {
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -1,6 +1,9 @@
 //! Tasks of the control thread that call the store, and their results.
 
+use std::{rc::Rc, sync::Arc};
+
 use bytes::Bytes;
+use futures::future::join_all;
 use log::{info, warn};
 use tokio::{sync::mpsc, time::sleep};
 
@@ -8,11 +11,12 @@
     control::{
         leader::{CheckpointWrite, ChunkWrite, StoredJob},
         orders::LoadResult,
+        store_state::Head,
     },
     dialect,
     job::{self, Checkpoint, Chunk, Record},
     prelude::*,
-    store::{self, Error, Outcome, Put, Txn},
+    store::{self, Change, Entry, Error, Outcome, Put, Txn},
     traffic,
 };
 
@@ -33,7 +37,7 @@
         id: JobId,
         fence: Revision,
         number: u64,
-        rows: usize,
+        chunk: Chunk,
         result: WriteResult,
     },
     LoadEnded {
@@ -119,7 +123,7 @@
         Ok((spec, entries, checkpoints)) => decode_chunks(&entries).map(|chunks| {
             let checkpoints =
                 checkpoints.map(|entry| decode_checkpoints(&entry)).unwrap_or_default();
-            Box::new(StoredJob { spec, record, chunks, checkpoints })
+            Box::new(StoredJob { spec: Arc::new(spec), record, chunks, checkpoints })
         }),
         Err(error) => {
             info!(job = &*id, reason:% = error; "could not read a job");
@@ -133,7 +137,7 @@
 }
 
 /// Decodes checkpoints. If that fails, the items merely run from their beginning.
-fn decode_checkpoints(entry: &store::Entry) -> Vec<Checkpoint> {
+fn decode_checkpoints(entry: &Entry) -> Vec<Checkpoint> {
     serde_json::from_slice(&entry.value).unwrap_or_else(|error| {
         warn!(key = &*entry.key, reason:% = error; "checkpoints ignored");
         Vec::new()
@@ -157,7 +161,7 @@
 }
 
 /// Decodes the chunks of a job. Each must begin where the previous one ends.
-fn decode_chunks(entries: &[store::Entry]) -> Option<Vec<Chunk>> {
+fn decode_chunks(entries: &[Entry]) -> Option<Vec<Chunk>> {
     let mut chunks: Vec<Chunk> = Vec::with_capacity(entries.len());
     for entry in entries {
         match serde_json::from_slice::<Chunk>(&entry.value) {
@@ -207,14 +211,88 @@
         }
     };
     log::debug!(job = &*write.job, chunk = write.number, first = write.chunk.first, rows = write.chunk.rows.len(), outcome:? = result; "results written");
+    send_written(&completions, &service, write, result);
+}
+
+fn send_written(
+    completions: &mpsc::UnboundedSender<Completion>,
+    service: &ServiceId,
+    write: ChunkWrite,
+    result: WriteResult,
+) {
     let ChunkWrite { job: id, fence, number, chunk } = write;
-    let rows = chunk.rows.len();
+    let service = service.clone();
     send_completion(
-        &completions,
-        Completion::ChunkWritten { service, id, fence, number, rows, result },
+        completions,
+        Completion::ChunkWritten { service, id, fence, number, chunk, result },
     );
 }
 
+/// Writes chunks of several jobs in one transaction. If it fails or its outcome is unknown, each chunk is written by
+/// itself.
+pub async fn write_chunks(
+    store: store::Handle,
+    service: ServiceId,
+    writes: Vec<ChunkWrite>,
+    completions: mpsc::UnboundedSender<Completion>,
+) {
+    if let [_] = writes.as_slice() {
+        for write in writes {
+            write_chunk(Rc::clone(&store), service.clone(), write, completions.clone()).await;
+        }
+        return;
+    }
+    let Some(fence) = writes.first().map(|write| write.fence) else {
+        return;
+    };
+    let mut txn = Txn { expected: vec![(job::leader_key(&service), fence)], ..Txn::default() };
+    for write in &writes {
+        let key = job::chunk_key(&write.job, write.number);
+        let value = serde_json::to_vec(&write.chunk).unwrap_or_default().into();
+        txn.expected.push((key.clone(), 0));
+        txn.puts.push(Put { key, value, lease: None });
+    }
+    match store.commit(&txn).await {
+        Ok(Outcome::Committed(_)) => {
+            for write in writes {
+                send_written(&completions, &service, write, WriteResult::Kept);
+            }
+        }
+        result => {
+            log::debug!(service = &*service, chunks = writes.len(), outcome:? = result; "results not written together");
+            let single =
+                |write| write_chunk(Rc::clone(&store), service.clone(), write, completions.clone());
+            join_all(writes.into_iter().map(single)).await;
+        }
+    }
+}
+
+/// Marks a job as ended in the store. Returns the change of its head if that took effect.
+pub async fn end_job(store: store::Handle, id: JobId, head: Head) -> Option<Change> {
+    let key = job::head_key(&id);
+    let record = Record { ended: true, ..head.record };
+    let value: Bytes = serde_json::to_vec(&record).unwrap_or_default().into();
+    let txn = Txn {
+        expected: vec![(key.clone(), head.revision)],
+        puts: vec![Put { key: key.clone(), value: value.clone(), lease: None }],
+        removes: Vec::new(),
+    };
+    match store.commit(&txn).await {
+        Ok(Outcome::Committed(revision)) => {
+            info!(job = &*id; "job ended by its trainer");
+            Some(Change::Put(Entry { key, value, revision }))
+        }
+        Ok(outcome) => {
+            log::debug!(job = &*id, outcome:? = outcome; "head of a job changed before its end was written");
+            None
+        }
+        Err(error) => {
+            info!(job = &*id, reason:% = error; "could not write the end of a job");
+            None
+        }
+    }
+}
+
 /// Reports that a host is retired.
 pub async fn report_retired(store: store::Handle, host: HostId, txn: Txn) {
     while let Err(error) = store.commit(&txn).await {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -30,7 +30,7 @@
 /// All registered targets.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    targets: BTreeMap<TargetId, Arc<Target>>,
+    targets: Arc<BTreeMap<TargetId, Arc<Target>>>,
     /// Targets whose registration is missing since an outage, with the time at which they are removed.
     missing: BTreeMap<TargetId, Time>,
     /// End of the grace period.
@@ -41,7 +41,7 @@
     /// Adds or updates a target.
     pub fn register(&mut self, target: Target) {
         self.missing.remove(&target.id);
-        self.targets.insert(target.id.clone(), Arc::new(target));
+        Arc::make_mut(&mut self.targets).insert(target.id.clone(), Arc::new(target));
     }
 
     /// Removes a target, or marks it as missing during the grace period. Returns whether it was removed.
@@ -53,7 +53,7 @@
             self.missing.insert(id.into(), self.grace_until);
             return false;
         }
-        self.targets.remove(id).is_some()
+        Arc::make_mut(&mut self.targets).remove(id).is_some()
     }
 
     /// Starts the grace period, as the store answers again after an outage.
@@ -67,7 +67,7 @@
             self.missing.iter().filter(|(_, end)| **end <= now).map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.missing.remove(id);
-            self.targets.remove(id);
+            Arc::make_mut(&mut self.targets).remove(id);
         }
         expired
     }
@@ -77,8 +77,8 @@
         self.targets.keys()
     }
 
-    /// All targets by id.
-    pub fn targets(&self) -> &BTreeMap<TargetId, Arc<Target>> {
+    /// All targets by id. Shared with other threads, so a change copies the map once.
+    pub fn targets(&self) -> &Arc<BTreeMap<TargetId, Arc<Target>>> {
         &self.targets
     }
 }
--- /dev/null
+++ b/crates/node/src/peer/frame.rs
@@ -0,0 +1,102 @@
+//! Messages between hosts: length-delimited Protocol Buffers frames.
+
+use bytes::Bytes;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::prelude::*;
+
+/// Largest frame; it leaves room for the largest submission that a caller may send.
+const FRAME_BYTES_MAX: usize = 40 << 20;
+
+/// A request of another host. One request at a time is in progress on a connection.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Request {
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
+    pub kind: Option<Kind>,
+}
+
+/// Kind of a request.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Kind {
+    #[prost(message, tag = "1")]
+    Results(Results),
+    #[prost(message, tag = "2")]
+    Body(Body),
+    #[prost(message, tag = "3")]
+    Submitted(Submitted),
+    #[prost(message, tag = "4")]
+    End(End),
+}
+
+/// Requests the results of a job from position `after` on.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Results {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(uint64, tag = "2")]
+    pub after: u64,
+    /// Time for which the response may wait for a new result.
+    #[prost(uint64, tag = "3")]
+    pub wait_ms: u64,
+}
+
+/// Requests the body of an item.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Body {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(string, tag = "2")]
+    pub item: String,
+}
+
+/// Tells the leader of a service about a job that was just written to the store.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Submitted {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// Head of the job as stored.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub record: Bytes,
+    /// Body of the submission as received.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+    /// Revision at which the head was written.
+    #[prost(uint64, tag = "4")]
+    pub revision: u64,
+}
+
+/// Requests that a job be ended.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct End {
+    #[prost(string, tag = "1")]
+    pub job: String,
+}
+
+/// Response to a request.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Response {
+    /// The host could serve the request. If not, the requester has to turn to the store.
+    #[prost(bool, tag = "1")]
+    pub served: bool,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+}
+
+impl Response {
+    pub fn served(body: Bytes) -> Self {
+        Self { served: true, body }
+    }
+
+    pub fn not_served() -> Self {
+        Self::default()
+    }
+}
+
+pub(super) fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
+}
+
+/// Milliseconds of a duration in a message.
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/peer/server.rs
@@ -0,0 +1,54 @@
+//! Server for requests of other hosts.
+
+use std::{io, rc::Rc};
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use log::debug;
+use prost::Message;
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::Framed;
+
+use crate::{
+    peer::frame::{Request, Response, codec},
+    traffic::{accept, set_keepalive},
+};
+
+/// Why a connection ends.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("could not use the connection: {source}"), context(false))]
+    Io { source: io::Error },
+    #[snafu(display("could not decode a request: {source}"))]
+    Decode { source: prost::DecodeError },
+}
+
+/// Serves the requests of other hosts.
+pub trait Handler {
+    fn handle(&self, request: Request) -> impl Future<Output = Response>;
+}
+
+/// Accepts connections of other hosts and serves their requests.
+pub async fn serve<H: Handler + 'static>(listener: TcpListener, handler: Rc<H>) {
+    loop {
+        let stream = accept(&listener).await;
+        let handler = Rc::clone(&handler);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = connection(stream, handler.as_ref()).await {
+                debug!(reason:% = error; "connection of another host failed");
+            }
+        });
+    }
+}
+
+async fn connection<H: Handler>(stream: TcpStream, handler: &H) -> Result<(), Error> {
+    set_keepalive(&stream)?;
+    let mut frames = Framed::new(stream, codec());
+    while let Some(frame) = frames.next().await {
+        let request = Request::decode(frame?).context(DecodeSnafu)?;
+        let response = handler.handle(request).await;
+        frames.send(Bytes::from(response.encode_to_vec())).await?;
+    }
+    Ok(())
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,8 @@
     pub metrics: Option<SocketAddr>,
     /// Address at which store calls of other hosts are relayed, if a port is configured.
     pub relay: Option<SocketAddr>,
+    /// Address for requests of other hosts about jobs, if a port is configured.
+    pub peer: Option<SocketAddr>,
     /// Time between the stop signal and the kill.
     pub stop_grace: Duration,
     /// Time within which a new configuration must be in force.
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -1,25 +1,21 @@
 //! Requests of trainers about existing jobs: results, bodies of items and the end of a job.
 //!
-//! Any host serves them, as it reads the jobs from the store. Chunks of results never change once they are written, so
-//! each host caches those that it has read.
+//! Any host serves them: it asks the leader, which has its jobs in memory, and without an answer reads the job from the
+//! store.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Instant};
+use std::{rc::Rc, sync::Arc, time::Instant};
 
 use bytes::{Bytes, BytesMut};
-use log::{info, warn};
+use log::info;
 use snafu::Snafu;
 
 use crate::{
-    job::{self, Chunk, Record, Row, Spec},
+    job::{self, Chunk, Record, Spec},
     prelude::*,
     store::{self, Change, Outcome, Put, Txn, WatchResponse},
-    traffic::serve::Traffic,
+    traffic::{cache::CachedJob, peers, serve::Traffic},
 };
 
-/// Largest total size of cached results and submissions; the job used last stays even if it is larger.
-const CACHE_BYTES_MAX: usize = 12 << 20;
-/// Largest total size of the texts in one response, unless it holds a single larger text.
-const RESPONSE_TEXT_BYTES_MAX: usize = 600 << 10;
 /// Attempts to mark a job as ended while others change its head.
 const END_ATTEMPTS_MAX: u32 = 8;
 
@@ -34,91 +30,29 @@
     Malformed { reason: Box<str> },
 }
 
-#[derive(Debug)]
-struct CachedJob {
-    /// Number of items in the job.
-    total: usize,
-    chunks: Vec<Arc<Chunk>>,
-    /// Revision of the store up to which the chunks are known.
-    revision: Revision,
-    spec: Option<Arc<Spec>>,
-    bytes: usize,
-    last_used: Instant,
-}
-
-impl CachedJob {
-    /// Position after the last cached result.
-    fn end(&self) -> u64 {
-        self.chunks.last().map_or(0, |chunk| chunk.end())
-    }
-
-    /// Adds a chunk if it directly follows the last one.
-    fn add(&mut self, value: &[u8]) {
-        match serde_json::from_slice::<Chunk>(value) {
-            Ok(chunk) if chunk.first == self.end() => {
-                self.bytes += value.len();
-                self.chunks.push(Arc::new(chunk));
-            }
-            Ok(chunk) if chunk.end() <= self.end() => {}
-            Ok(chunk) => {
-                warn!(first = chunk.first, end = self.end(); "chunk of results skipped: it does not follow the one before");
-            }
-            Err(error) => warn!(reason:% = error; "could not decode a chunk of results"),
-        }
-    }
-}
-
-/// Recently used jobs.
-#[derive(Debug, Default)]
-pub struct Cache {
-    jobs: RefCell<HashMap<JobId, CachedJob>>,
-}
-
-impl Cache {
-    /// Evicts the least recently used jobs until the rest fits.
-    fn evict(&self) {
-        let mut jobs = self.jobs.borrow_mut();
-        while jobs.len() > 1 && jobs.values().map(|job| job.bytes).sum::<usize>() > CACHE_BYTES_MAX
-        {
-            let oldest = jobs.iter().min_by_key(|(_, job)| job.last_used).map(|(id, _)| id.clone());
-            if let Some(oldest) = oldest {
-                jobs.remove(&oldest);
-            }
-        }
-    }
-}
-
 /// Returns the results of a job from position `after` on, encoded as the body of a response. If there are none yet,
-/// waits up to `wait` for new ones.
+/// waits up to `wait` for new ones. The leader answers for its jobs; without one the results are read from the store.
 pub async fn results(
     traffic: &Rc<Traffic>,
     id: &str,
     after: u64,
     wait: Duration,
 ) -> Result<Bytes, Error> {
-    load(traffic, id).await?;
-    if traffic.cache.jobs.borrow().get(id).is_none_or(|job| job.end() <= after) {
-        refresh(traffic, id, after, wait).await?;
+    let begun = Instant::now();
+    if let Some(body) = peers::results(traffic, id, after, wait).await {
+        return Ok(body);
     }
-    let jobs = traffic.cache.jobs.borrow();
-    let job = jobs.get(id).ok_or(Error::NotFound)?;
-    let rows = job.chunks.iter().flat_map(|chunk| {
-        chunk.rows.iter().enumerate().map(|(at, row)| (chunk.first + at as u64, row))
-    });
-    let (mut taken, mut bytes): (Vec<&Row>, usize) = (Vec::new(), 0);
-    for (_, row) in rows.filter(|(position, _)| *position >= after) {
-        bytes += row.text.len();
-        if bytes > RESPONSE_TEXT_BYTES_MAX && !taken.is_empty() {
-            break;
-        }
-        taken.push(row);
+    load(traffic, id).await?;
+    if traffic.cache.get(id).is_none_or(|job| job.end() <= after) {
+        refresh(traffic, id, after, wait.saturating_sub(begun.elapsed())).await?;
     }
-    Ok(traffic.dialect.results(job.total, after + taken.len() as u64, &taken))
+    let job = traffic.cache.get(id).ok_or(Error::NotFound)?;
+    Ok(job.page(traffic.dialect.as_ref(), after))
 }
 
 /// Reads the results of a job into the cache, and its head if needed, unless the job is cached.
 async fn load(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
-    if let Some(job) = traffic.cache.jobs.borrow_mut().get_mut(id) {
+    if let Some(mut job) = traffic.cache.get_mut(id) {
         job.last_used = Instant::now();
         return Ok(());
     }
@@ -131,19 +65,11 @@
         Some(chunk) => chunk.total,
         None => record(traffic, id).await?.0.total,
     };
-    let mut cached = CachedJob {
-        total,
-        chunks: Vec::new(),
-        revision,
-        spec: None,
-        bytes: 0,
-        last_used: Instant::now(),
-    };
+    let mut cached = CachedJob::new(total, revision);
     for entry in entries {
-        cached.add(&entry.value);
+        cached.add_encoded(&entry.value);
     }
-    traffic.cache.jobs.borrow_mut().entry(id.into()).or_insert(cached);
-    traffic.cache.evict();
+    traffic.cache.insert(id, cached);
     Ok(())
 }
 
@@ -156,8 +82,8 @@
     wait: Duration,
 ) -> Result<(), Error> {
     let prefix = job::chunks_prefix(id);
-    let (revision, complete) = match traffic.cache.jobs.borrow().get(id) {
-        Some(job) => (job.revision, job.end() >= job.total as u64),
+    let (revision, complete) = match traffic.cache.get(id) {
+        Some(job) => (job.revision, job.is_complete()),
         None => return Ok(()),
     };
     if complete {
@@ -180,9 +106,8 @@
 
 /// Reads the chunks after the cached ones.
 async fn read_rest(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
-    let last = match traffic.cache.jobs.borrow().get(id) {
-        Some(job) if job.chunks.is_empty() => None,
-        Some(job) => Some(job::chunk_key(id, job.chunks.len() as u64 - 1)),
+    let last = match traffic.cache.get(id) {
+        Some(job) => job.chunk_count().checked_sub(1).map(|last| job::chunk_key(id, last as u64)),
         None => return Ok(()),
     };
     let store = traffic.store.as_ref();
@@ -199,12 +124,11 @@
     entries: impl IntoIterator<Item = store::Entry>,
     revision: Revision,
 ) -> u64 {
-    let mut jobs = traffic.cache.jobs.borrow_mut();
-    let Some(job) = jobs.get_mut(id) else {
+    let Some(mut job) = traffic.cache.get_mut(id) else {
         return 0;
     };
     for entry in entries {
-        job.add(&entry.value);
+        job.add_encoded(&entry.value);
     }
     job.revision = job.revision.max(revision);
     job.end()
@@ -220,17 +144,19 @@
 
 /// Returns the request body of an item.
 pub async fn body(traffic: &Rc<Traffic>, id: &str, item: &str) -> Result<Bytes, Error> {
+    if let Some(body) = peers::body(traffic, id, item).await {
+        return Ok(body);
+    }
     load(traffic, id).await?;
-    let cached = traffic.cache.jobs.borrow().get(id).and_then(|job| job.spec.clone());
+    let cached = traffic.cache.get(id).and_then(|job| job.spec.clone());
     let spec = match cached {
         Some(spec) => spec,
         None => {
             let record = record(traffic, id).await?.0;
             let spec =
                 Arc::new(read_spec(traffic.store.as_ref(), &traffic.dialect, id, &record).await?);
-            if let Some(job) = traffic.cache.jobs.borrow_mut().get_mut(id) {
-                job.bytes += spec.items.iter().map(|item| 2 * item.body.len()).sum::<usize>();
-                job.spec = Some(Arc::clone(&spec));
+            if let Some(mut job) = traffic.cache.get_mut(id) {
+                job.set_spec(&spec);
             }
             traffic.cache.evict();
             spec
@@ -259,6 +185,9 @@
 
 /// Marks a job as ended; has no effect if it is already.
 pub async fn end(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
+    if peers::end(traffic, id).await {
+        return Ok(());
+    }
     let mut last_error = None;
     for _ in 0..END_ATTEMPTS_MAX {
         match try_end(traffic, id).await {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,15 +1,18 @@
 //! The traffic thread: serves callers and trainers, and sends their requests and the items of jobs to targets.
 //!
 //! `entry` handles requests at the entry address: `dispatch` forwards them to plain services over targets that `pool`
-//! chooses, `submit` and `jobs` write and read batch jobs in the store. `run` executes job items on engines as the
+//! chooses, `submit` and `jobs` write and read batch jobs, through their leader (`peers`) or in the store. `run` executes job items on engines as the
 //! control thread commands.
 
 mod accept;
+mod cache;
 mod channel;
 mod dispatch;
 mod entry;
 mod jobs;
+mod peers;
 mod pool;
+mod report;
 mod run;
 mod serve;
 mod submit;
@@ -18,5 +21,6 @@
 pub use channel::{Channel, Channels, Liveness, set_keepalive};
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
-pub use run::{Command, Report, Run};
+pub use report::{Command, Report, Submission};
+pub use run::{Run, RunReport};
 pub use serve::{Parts, run};
--- /dev/null
+++ b/crates/node/src/traffic/peers.rs
@@ -0,0 +1,152 @@
+//! Requests about jobs to the leaders of services, and those that other hosts make to this one.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use log::info;
+use tokio::{
+    sync::oneshot,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    job::Record,
+    peer::{self, Body, End, Handler, Kind, Request, Response, Results, Submitted},
+    prelude::*,
+    traffic::{Report, Submission, serve::Traffic},
+};
+
+/// Time for a response, in addition to the time for which it may wait for results.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for a response to a request that makes the leader call the store.
+const END_TIMEOUT: Duration = Duration::from_millis(700);
+/// Longest wait for results before it is checked whether this host still leads.
+const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Returns the results of a job from its leader; `None` if no leader answers for the job.
+pub async fn results(traffic: &Rc<Traffic>, id: &str, after: u64, wait: Duration) -> Option<Bytes> {
+    if let Some(body) = held_results(traffic, id, after, wait).await {
+        return Some(body);
+    }
+    let kind = Kind::Results(Results { job: id.into(), after, wait_ms: peer::millis(wait) });
+    ask(traffic, kind, wait + RESPONSE_TIMEOUT).await
+}
+
+/// Returns the body of an item from its job's leader.
+pub async fn body(traffic: &Rc<Traffic>, id: &str, item: &str) -> Option<Bytes> {
+    if let Some(body) = held_body(traffic, id, item) {
+        return Some(body);
+    }
+    ask(traffic, Kind::Body(Body { job: id.into(), item: item.into() }), RESPONSE_TIMEOUT).await
+}
+
+/// Lets the leader of a job end it. Returns whether the job is ended.
+pub async fn end(traffic: &Rc<Traffic>, id: &str) -> bool {
+    end_here(traffic, id).await
+        || ask(traffic, Kind::End(End { job: id.into() }), END_TIMEOUT).await.is_some()
+}
+
+/// Tells the leader of a service about a job that was just written to the store. A leader that does not learn of it
+/// this way reads it from the store.
+pub async fn announce(traffic: Rc<Traffic>, submission: Submission, body: Bytes) {
+    let (id, service) = (submission.spec.id.clone(), submission.record.service.clone());
+    let leader = traffic.view.load().leaders.get(&service).copied();
+    let Some(leader) = leader else {
+        return;
+    };
+    if Some(leader) == traffic.settings.peer {
+        report(&traffic, Report::Submitted(Box::new(submission)));
+        return;
+    }
+    let submitted = Submitted {
+        job: id.to_string(),
+        record: serde_json::to_vec(&submission.record).unwrap_or_default().into(),
+        body,
+        revision: submission.revision,
+    };
+    if traffic.peers.call(leader, Kind::Submitted(submitted), RESPONSE_TIMEOUT).await.is_none() {
+        info!(job = &*id, service = &*service; "leader did not answer the announcement of a job");
+    }
+}
+
+/// Asks the leaders of all services until one serves the request.
+async fn ask(traffic: &Rc<Traffic>, kind: Kind, limit: Duration) -> Option<Bytes> {
+    let leaders = Arc::clone(&traffic.view.load().leaders);
+    for leader in leaders.values().filter(|leader| Some(**leader) != traffic.settings.peer) {
+        let response = traffic.peers.call(*leader, kind.clone(), limit).await;
+        if let Some(response) = response.filter(|response| response.served) {
+            return Some(response.body);
+        }
+    }
+    None
+}
+
+/// Results of a job that this host holds, from position `after` on. Waits for new ones if there are none yet.
+async fn held_results(traffic: &Traffic, id: &str, after: u64, wait: Duration) -> Option<Bytes> {
+    let deadline = Instant::now() + wait;
+    loop {
+        let changed = traffic.cache.changed(id)?;
+        let notified = changed.notified();
+        {
+            let job = traffic.cache.held(id)?;
+            if job.end() > after || job.is_complete() || Instant::now() >= deadline {
+                return Some(job.page(traffic.dialect.as_ref(), after));
+            }
+        }
+        let until = deadline.min(Instant::now() + LEADERSHIP_CHECK_INTERVAL);
+        // After a timeout the state is checked in the same way as after a change.
+        let _ = timeout_at(until, notified).await;
+    }
+}
+
+fn held_body(traffic: &Traffic, id: &str, item: &str) -> Option<Bytes> {
+    let job = traffic.cache.held(id)?;
+    let spec = job.spec.as_ref()?;
+    spec.items.iter().find(|it| &*it.id == item).map(|item| item.body.clone())
+}
+
+async fn end_here(traffic: &Traffic, id: &str) -> bool {
+    if traffic.cache.held(id).is_none() {
+        return false;
+    }
+    let (reply, replied) = oneshot::channel();
+    report(traffic, Report::EndRequested { job: id.into(), reply });
+    timeout_at(Instant::now() + END_TIMEOUT, replied).await.is_ok_and(|ended| ended == Ok(true))
+}
+
+fn report(traffic: &Traffic, report: Report) {
+    if traffic.reports.send(report).is_err() {
+        log::debug!("control thread has ended");
+    }
+}
+
+/// Serves the requests of other hosts.
+pub struct PeerHandler(pub Rc<Traffic>);
+
+impl PeerHandler {
+    fn submitted(&self, submitted: Submitted) -> Option<Submission> {
+        let record: Record = serde_json::from_slice(&submitted.record).ok()?;
+        let spec = self.0.dialect.submission(&submitted.job, &submitted.body).ok()?;
+        Some(Submission { record, revision: submitted.revision, spec: Arc::new(spec) })
+    }
+}
+
+impl Handler for PeerHandler {
+    async fn handle(&self, request: Request) -> Response {
+        let traffic = &self.0;
+        let body = match request.kind {
+            Some(Kind::Results(request)) => {
+                let wait = Duration::from_millis(request.wait_ms);
+                held_results(traffic, &request.job, request.after, wait).await
+            }
+            Some(Kind::Body(request)) => held_body(traffic, &request.job, &request.item),
+            Some(Kind::End(request)) => end_here(traffic, &request.job).await.then(Bytes::new),
+            Some(Kind::Submitted(submitted)) => self.submitted(submitted).map(|submission| {
+                report(traffic, Report::Submitted(Box::new(submission)));
+                Bytes::new()
+            }),
+            None => None,
+        };
+        body.map_or_else(Response::not_served, Response::served)
+    }
+}
--- /dev/null
+++ b/crates/node/src/traffic/report.rs
@@ -0,0 +1,67 @@
+//! Messages between the control thread and the traffic thread.
+
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use crate::{
+    job::{Chunk, Record, Spec},
+    prelude::*,
+    traffic::run::{Run, RunReport},
+};
+
+/// Command from the control thread.
+#[derive(Debug)]
+pub enum Command {
+    Run(Box<Run>),
+    /// Stops a run, which then reports its end and the text so far.
+    Stop {
+        run: u64,
+    },
+    /// This host leads a service, and no other host can until a time.
+    LeadershipRenewed {
+        service: ServiceId,
+        until: Time,
+    },
+    /// This host runs a job and knows all its results.
+    JobOpened {
+        service: ServiceId,
+        spec: Arc<Spec>,
+        chunks: Vec<Chunk>,
+    },
+    /// Another host may lead a service and write results.
+    JobsClosed {
+        service: ServiceId,
+    },
+    /// The write of a chunk has begun.
+    ChunkBegun {
+        job: JobId,
+    },
+    /// The write of a chunk has ended; `None` if it certainly had no effect.
+    ChunkWritten {
+        job: JobId,
+        chunk: Option<Chunk>,
+    },
+}
+
+/// A job that was just written to the store.
+#[derive(Debug)]
+pub struct Submission {
+    pub record: Record,
+    /// Revision at which the head was written.
+    pub revision: Revision,
+    pub spec: Arc<Spec>,
+}
+
+/// Report to the control thread.
+#[derive(Debug)]
+pub enum Report {
+    Run(RunReport),
+    /// A job was submitted whose service this host may lead.
+    Submitted(Box<Submission>),
+    /// A trainer ends a job. The reply is `false` if this host does not lead the job's service or could not end it.
+    EndRequested {
+        job: JobId,
+        reply: oneshot::Sender<bool>,
+    },
+}
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -20,6 +20,7 @@
     prelude::*,
     traffic::{
         dispatch::{Call, Failure, closes_connection, connect, dispatch},
+        report::Report,
         serve::Traffic,
     },
 };
@@ -30,16 +31,6 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
 
-/// Command from the control thread.
-#[derive(Debug)]
-pub enum Command {
-    Run(Box<Run>),
-    /// Stops a run, which then reports its end and the text so far.
-    Stop {
-        run: u64,
-    },
-}
-
 /// An item to run, as commanded by the control thread.
 #[derive(Debug)]
 pub struct Run {
@@ -57,9 +48,9 @@
     pub pace_window: u64,
 }
 
-/// Report on a run to the control thread.
+/// Report on a run.
 #[derive(Debug)]
-pub enum Report {
+pub enum RunReport {
     /// Text so far.
     Progress {
         run: u64,
@@ -77,7 +68,7 @@
     },
 }
 
-impl Report {
+impl RunReport {
     /// Run to which the report applies.
     pub fn run(&self) -> u64 {
         let (Self::Progress { run, .. } | Self::Generated { run, .. } | Self::Ended { run, .. }) =
@@ -109,7 +100,7 @@
     run: Box<Run>,
     mut stop: oneshot::Receiver<()>,
     reports: &mpsc::UnboundedSender<Report>,
-) -> Report {
+) -> RunReport {
     let mut state = RunState {
         progress: run.assignment.progress.clone(),
         text_complete: run.target.is_none(),
@@ -131,7 +122,7 @@
             }
             state.text_complete = true;
             // A closed channel means that the process ends.
-            let _ = reports.send(Report::Generated { run: run.id, pace });
+            let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
             holds_slot = false;
         }
         let item = &run.spec.items[run.assignment.item];
@@ -157,7 +148,7 @@
         judge_failures,
         holds_slot,
     };
-    Report::Ended { run: run.id, outcome }
+    RunReport::Ended { run: run.id, outcome }
 }
 
 fn log_end(run: &Run, end: &End, state: &RunState) {
@@ -271,7 +262,8 @@
         if reported_at.elapsed() >= PROGRESS_INTERVAL {
             reported_at = Instant::now();
             let progress = state.progress.clone();
-            if reports.send(Report::Progress { run: run.id, progress }).is_err() {
+            let report = RunReport::Progress { run: run.id, progress };
+            if reports.send(Report::Run(report)).is_err() {
                 return Some(End::Stopped);
             }
         }
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -24,17 +24,20 @@
     dialect,
     freshness::Freshness,
     metrics::METERS,
+    peer,
     prelude::*,
     relay::{self, Transport},
     settings::Settings,
     store,
     traffic::{
         accept,
+        cache::Cache,
         channel::{Channels, set_keepalive},
         entry,
-        jobs::Cache,
+        peers::PeerHandler,
         pool::Pool,
-        run::{self, Command, Report},
+        report::{Command, Report},
+        run as item_run,
     },
     view::{Shared, View},
 };
@@ -79,6 +82,9 @@
     pub channels: Channels,
     pub pool: RefCell<Pool>,
     pub cache: Cache,
+    /// Client for requests to other hosts.
+    pub peers: peer::Client,
+    pub reports: mpsc::UnboundedSender<Report>,
     connections: Cell<usize>,
     /// Senders that stop runs, by id of the run.
     stops: RefCell<HashMap<u64, oneshot::Sender<()>>>,
@@ -103,9 +109,15 @@
         channels: Channels::default(),
         pool,
         cache: Cache::default(),
+        peers: peer::Client::default(),
+        reports: reports.clone(),
         connections: Cell::new(0),
         stops: RefCell::default(),
     });
+    if let Some(address) = traffic.settings.peer {
+        let handler = Rc::new(PeerHandler(Rc::clone(&traffic)));
+        tokio::task::spawn_local(peer::serve(listen(address)?, handler));
+    }
     let (shutdown, shutting_down) = watch::channel(false);
     if let Some(metrics) = metrics {
         let metrics =
@@ -175,9 +187,9 @@
                 traffic.stops.borrow_mut().insert(id, stop);
                 let (traffic, reports) = (Rc::clone(&traffic), reports.clone());
                 tokio::task::spawn_local(async move {
-                    let report = run::run(Rc::clone(&traffic), run, stopped, &reports).await;
+                    let report = item_run::run(Rc::clone(&traffic), run, stopped, &reports).await;
                     traffic.stops.borrow_mut().remove(&id);
-                    if reports.send(report).is_err() {
+                    if reports.send(Report::Run(report)).is_err() {
                         debug!(run = id; "control thread has ended");
                     }
                 });
@@ -188,6 +200,13 @@
                     let _ = stop.send(());
                 }
             }
+            Command::LeadershipRenewed { service, until } => traffic.cache.renew(service, until),
+            Command::JobOpened { service, spec, chunks } => {
+                traffic.cache.open(service, &spec, chunks);
+            }
+            Command::JobsClosed { service } => traffic.cache.close(&service),
+            Command::ChunkBegun { job } => traffic.cache.begin_write(&job),
+            Command::ChunkWritten { job, chunk } => traffic.cache.finish_write(&job, chunk),
         }
     }
 }
--- a/crates/node/src/traffic/submit.rs
+++ b/crates/node/src/traffic/submit.rs
@@ -1,6 +1,6 @@
 //! Submission of jobs: a job is accepted once its head and body are in the store.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use log::{info, warn};
@@ -12,7 +12,7 @@
     job::{self, Record},
     prelude::*,
     store::{Error, Outcome, Put, Txn},
-    traffic::serve::Traffic,
+    traffic::{Submission, peers, serve::Traffic},
 };
 
 /// The store's limit on the size of a value, divided by this, bounds each part of a body.
@@ -77,8 +77,12 @@
         ended: false,
     };
     let txn = transaction(id, &record, parts);
-    let outcome = write(traffic, id, &txn).await;
+    let (outcome, revision) = write(traffic, id, &txn).await;
     info!(job = id, step = spec.step, items = spec.items.len(), min_version = spec.min_version, outcome:?; "job submitted");
+    if let Some(revision) = revision {
+        let submission = Submission { record, revision, spec: Arc::new(spec) };
+        tokio::task::spawn_local(peers::announce(Rc::clone(traffic), submission, body));
+    }
     outcome
 }
 
@@ -99,12 +103,13 @@
 }
 
 /// Retries the write until its outcome is known or the time is up. All copies expect that the head does not exist, so
-/// only one can take effect.
-async fn write(traffic: &Traffic, id: &str, txn: &Txn) -> SubmitOutcome {
+/// only one can take effect. Returns the revision if the write is known to have created the job.
+async fn write(traffic: &Traffic, id: &str, txn: &Txn) -> (SubmitOutcome, Option<Revision>) {
     let (deadline, mut refusals, mut unknown) = (Instant::now() + SUBMIT_TIMEOUT, 0, false);
     loop {
         match traffic.store.commit(txn).await {
-            Ok(Outcome::Committed(_) | Outcome::Conflict(_)) => return SubmitOutcome::Accepted,
+            Ok(Outcome::Committed(revision)) => return (SubmitOutcome::Accepted, Some(revision)),
+            Ok(Outcome::Conflict(_)) => return (SubmitOutcome::Accepted, None),
             Ok(Outcome::NoLease) | Err(Error::Refused { .. }) => refusals += 1,
             Err(error) => {
                 info!(job = id, reason:% = error; "store did not answer the write of a job");
@@ -112,10 +117,11 @@
             }
         }
         if !unknown && refusals >= REFUSALS_MAX {
-            return SubmitOutcome::NotRun;
+            return (SubmitOutcome::NotRun, None);
         }
         if Instant::now() >= deadline {
-            return if unknown { SubmitOutcome::Unknown } else { SubmitOutcome::NotRun };
+            let outcome = if unknown { SubmitOutcome::Unknown } else { SubmitOutcome::NotRun };
+            return (outcome, None);
         }
         sleep(RETRY_BACKOFF).await;
     }
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -1,6 +1,6 @@
 //! State that the control thread publishes to the traffic thread.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use arc_swap::ArcSwap;
 
@@ -11,7 +11,9 @@
 pub struct View {
     /// `None` until the first configuration is read.
     pub config: Option<Arc<Config>>,
-    pub targets: BTreeMap<TargetId, Arc<Target>>,
+    pub targets: Arc<BTreeMap<TargetId, Arc<Target>>>,
+    /// Addresses at which the leaders of services serve requests of other hosts.
+    pub leaders: Arc<BTreeMap<ServiceId, SocketAddr>>,
     /// The process is stopping.
     pub stopping: bool,
 }
