--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -1,9 +1,9 @@
 //! Executes the decisions of leaders and reports the results back to them.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use log::warn;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::oneshot;
 
 use crate::{
     clock,
@@ -11,6 +11,7 @@
         leader::{Policy, StoredJob},
         mirror::Update,
         orders::{LoadResult, Term},
+        sessions::Event,
         state::Control,
         store_state::Head,
         tasks::{
@@ -18,7 +19,7 @@
             write_chunks,
         },
     },
-    job::Record,
+    job::{Record, homes::Runner},
     metrics::METERS,
     prelude::*,
     traffic::{Command, Report, RunReport, Submission},
@@ -28,6 +29,9 @@
 const CLOCK_SKEW_MAX: Duration = Duration::from_secs(4);
 /// Interval at which expired jobs are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which a host gets no items after its connection has ended, and after it has begun to stop.
+const LOST_RUNNER_DELAY: Duration = Duration::from_secs(3);
+const LEAVING_RUNNER_DELAY: Duration = Duration::from_secs(10);
 /// Margin on the retention of ended jobs.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
@@ -41,6 +45,66 @@
         }
     }
 
+    /// Applies what has happened at a runner.
+    pub(super) fn apply_runner_event(&mut self, event: Event) {
+        let now = clock::now();
+        match event {
+            Event::Run(report) => self.apply_run_report(report),
+            Event::Connected((service, address)) => {
+                if let Some(leader) = self.leaders.get_mut(&service) {
+                    leader.add_runner(address);
+                }
+            }
+            Event::Leaving((service, address)) => {
+                self.avoid_runner(&service, address, now + LEAVING_RUNNER_DELAY);
+            }
+            Event::Lost(runner) => {
+                self.outbox.disconnect(&runner);
+                self.avoid_runner(&runner.0, runner.1, now + LOST_RUNNER_DELAY);
+            }
+            Event::Retained { service, item, progress, text_complete } => {
+                if let Some(leader) = self.leaders.get_mut(&service) {
+                    leader.queue.resume_item(item, progress, text_complete, now);
+                }
+            }
+        }
+    }
+
+    fn avoid_runner(&mut self, service: &ServiceId, address: SocketAddr, until: Time) {
+        self.avoided_runners.insert(address, until);
+        self.runners_due = true;
+        if let Some(leader) = self.leaders.get_mut(service) {
+            leader.remove_runner(address);
+        }
+    }
+
+    /// Assigns the engines of each led service to hosts, and connects to these.
+    pub(super) fn update_runners(&mut self, now: Time) {
+        let Some(own) = self.settings.peer else {
+            return;
+        };
+        self.avoided_runners.retain(|_, until| *until > now);
+        let peers = self.peers.all();
+        let others = peers.iter().filter_map(|peer| {
+            let address = peer.peer.filter(|peer| !self.avoided_runners.contains_key(peer))?;
+            let (zone, cpu_share) = (peer.zone.clone(), peer.cpu_share);
+            Some(Runner { address, zone, cpu_share, leads: false })
+        });
+        let (zone, cpu_share) = (self.settings.zone.clone(), self.settings.cpu_share);
+        let this = Runner { address: own, zone, cpu_share, leads: true };
+        let hosts: Vec<Runner> = others.chain([this]).collect();
+        for (service, leader) in &mut self.leaders {
+            let Some(fence) = leader.leadership.fence else {
+                continue;
+            };
+            for address in leader.update_homes(&hosts) {
+                if address != own {
+                    self.outbox.connect((service.clone(), address), fence);
+                }
+            }
+        }
+    }
+
     /// Routes a report on a run to the leader that started the run.
     fn apply_run_report(&mut self, report: RunReport) {
         let now = clock::now();
@@ -68,7 +132,7 @@
                     (Some(job), Some(policy)) if !ended => {
                         let opened = leader.finish_read(*job, policy);
                         METERS.open_jobs(&service, leader.queue.len());
-                        send(&self.commands, vec![opened]);
+                        self.outbox.send(&service, vec![opened]);
                     }
                     _ => {
                         leader.fail_read(&id);
@@ -86,12 +150,12 @@
                 if leader.leadership.fence == Some(fence) {
                     let chunk = (result == WriteResult::Kept).then_some(chunk);
                     let written = Command::ChunkWritten { job: id.clone(), chunk };
-                    send(&self.commands, vec![written]);
+                    self.outbox.send(&service, vec![written]);
                 }
                 leader.queue.finish_write(&id, fence, number, result == WriteResult::Kept);
                 if result == WriteResult::Differs && leader.leadership.fence == Some(fence) {
                     let stops = leader.drop_job(&id, now);
-                    send(&self.commands, stops);
+                    self.outbox.send(&service, stops);
                 }
             }
             Completion::LoadEnded { service, target, result } => {
@@ -149,21 +213,21 @@
         let stopping = self.hand_over_deadline.is_some();
         for batch in if stopping { leader.final_writes(now) } else { leader.writes(now) } {
             let begun = batch.iter().map(|write| Command::ChunkBegun { job: write.job.clone() });
-            send(&self.commands, begun.collect());
+            self.outbox.send(service, begun.collect());
             let (store, completions) = (Rc::clone(&self.store), self.completions.clone());
             tokio::task::spawn_local(write_chunks(store, service.clone(), batch, completions));
         }
         if stopping {
             return;
         }
-        send(&self.commands, leader.start_items(now));
-        send(&self.commands, leader.move_item(now));
+        self.outbox.send(service, leader.start_items(now));
+        self.outbox.send(service, leader.move_item(now));
         if let Some(write) = leader.checkpoints_if_due(now) {
             tokio::task::spawn_local(write_checkpoints(Rc::clone(&self.store), write));
         }
         if let Some((fence, loads)) = leader.loads(now, &self.settings.host) {
             for load in &loads {
-                send(&self.commands, leader.clear_engine(&load.target.id));
+                self.outbox.send(service, leader.clear_engine(&load.target.id));
             }
             let term = Term { service: service.clone(), fence };
             let orders = Rc::clone(&self.orders);
@@ -215,7 +279,7 @@
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
         let opened = leader.finish_read(stored, policy);
         METERS.open_jobs(&service, leader.queue.len());
-        send(&self.commands, vec![opened]);
+        self.outbox.send(&service, vec![opened]);
     }
 
     /// Ends a job of a service that this host leads, on request of its trainer. Replies `false` if the requester has to
@@ -272,12 +336,3 @@
         }
     }
 }
-
-/// Sends commands to the traffic thread.
-pub(super) fn send(sender: &mpsc::UnboundedSender<Command>, commands: Vec<Command>) {
-    for command in commands {
-        if let Err(mpsc::error::SendError(Command::Run(run))) = sender.send(command) {
-            warn!(run = run.id; "run not started: traffic thread has ended");
-        }
-    }
-}
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -2,7 +2,8 @@
 //! engines load which version. Does no input or output; `control::actions` executes the decisions.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
 };
 
@@ -13,9 +14,12 @@
         rollout::{self, Rollout},
     },
     fleet::Target,
-    job::{Assignment, Checkpoint, Chunk, Engines, Job, Queue, Record, Requirement, Row, Spec},
+    job::{
+        Assignment, Checkpoint, Chunk, Engine, Engines, Job, Queue, Record, Requirement, Row, Spec,
+        homes::{Homes, Runner, Streams},
+    },
     prelude::*,
-    traffic::{Command, Run, RunReport},
+    traffic::{Command, Endpoint, Run, RunReport},
 };
 
 /// Events over which the pace of a run is measured.
@@ -69,6 +73,8 @@
     item: usize,
     target: Option<TargetId>,
     started_at: Time,
+    /// Host that runs it; `None` for this one.
+    runner: Option<SocketAddr>,
 }
 
 /// State of a service that this host leads.
@@ -79,6 +85,9 @@
     engines: Engines,
     rollout: Rollout,
     runs: HashMap<u64, ActiveRun>,
+    homes: Homes,
+    /// Hosts that take items.
+    runners: BTreeSet<SocketAddr>,
     /// Jobs being read from the store.
     reading: HashSet<JobId>,
     /// Fencing token that an engine refused as outdated.
@@ -100,6 +109,8 @@
             engines: Engines::default(),
             rollout: Rollout::default(),
             runs: HashMap::new(),
+            homes: Homes::default(),
+            runners: BTreeSet::new(),
             reading: HashSet::new(),
             refused_fence: None,
             next_run: first_run,
@@ -178,7 +189,7 @@
 
     fn stop_commands(&self, predicate: impl Fn(&ActiveRun) -> bool) -> Vec<Command> {
         let chosen = self.runs.iter().filter(|(_, run)| predicate(run));
-        chosen.map(|(run, _)| Command::Stop { run: *run }).collect()
+        chosen.map(|(id, run)| Command::Stop { run: *id, runner: run.runner }).collect()
     }
 
     /// Commands to stop all runs.
@@ -222,21 +233,25 @@
 
     fn run_command(&mut self, assignment: Assignment, now: Time) -> Option<Command> {
         let job = self.queue.get(&assignment.job)?;
-        let target = assignment.target.as_ref().and_then(|id| self.engines.get(id));
-        let target = target.map(|engine| Arc::clone(&engine.target));
+        let engine = assignment.target.as_ref().and_then(|id| self.engines.get(id));
+        let target = engine.map(|engine| Endpoint::from(engine.target.as_ref()));
         self.next_run += 1;
+        let runner = self.runner_of(assignment.target.as_deref());
         let run = ActiveRun {
             job: assignment.job.clone(),
             item: assignment.item,
             target: assignment.target.clone(),
             started_at: now,
+            runner,
         };
         self.runs.insert(self.next_run, run);
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
-            spec: Arc::clone(&job.spec),
-            record: Arc::clone(&job.record),
+            item: Arc::clone(&job.spec.items[assignment.item]),
+            host: job.record.host.clone(),
+            min_version: job.spec.min_version,
             target,
+            runner,
             single_version: job.single_version,
             pace_max: self.engines.pace_max(),
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
@@ -244,6 +259,45 @@
         })))
     }
 
+    /// Host that runs an item on an engine; `None` for this one. Items without an engine go to all hosts in turn.
+    fn runner_of(&self, engine: Option<&str>) -> Option<SocketAddr> {
+        let home = match engine {
+            Some(engine) => self.homes.of(engine),
+            None => {
+                let turn = self.next_run as usize % self.runners.len().max(1);
+                self.runners.iter().nth(turn).copied()
+            }
+        };
+        home.filter(|host| self.runners.contains(host))
+    }
+
+    /// Assigns the engines to the hosts at hand. Returns the hosts that have engines.
+    pub fn update_homes(&mut self, hosts: &[Runner]) -> BTreeSet<SocketAddr> {
+        let streams = |engine: &Engine| Streams {
+            engine: engine.target.id.clone(),
+            zone: engine.target.zone.clone(),
+            slots: engine.target.slots,
+        };
+        let engines: Vec<Streams> = self.engines.iter().map(streams).collect();
+        self.homes.update(&engines, hosts);
+        self.homes.hosts()
+    }
+
+    /// Records that a host takes items.
+    pub fn add_runner(&mut self, host: SocketAddr) {
+        self.runners.insert(host);
+    }
+
+    /// Records that a host takes no more items.
+    pub fn remove_runner(&mut self, host: SocketAddr) {
+        self.runners.remove(&host);
+    }
+
+    /// Records that no other host takes items.
+    pub fn clear_runners(&mut self) {
+        self.runners.clear();
+    }
+
     /// Command to stop the longest run that would finish sooner on an engine with a free slot, where its item then
     /// continues. Nothing is moved while an item is waiting for a slot.
     pub fn move_item(&mut self, now: Time) -> Vec<Command> {
@@ -258,7 +312,8 @@
             job.and_then(|job| job.spec.items[run.item].length_hint)
         };
         let longest = movable.max_by_key(|(_, run)| length_hint(run));
-        longest.map(|(&run, _)| Command::Stop { run }).into_iter().collect()
+        let stop = |(&id, run): (&u64, &ActiveRun)| Command::Stop { run: id, runner: run.runner };
+        longest.map(stop).into_iter().collect()
     }
 
     fn is_movable(&self, run: &ActiveRun, now: Time) -> bool {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod mirror;
 mod orders;
 mod rollout;
+mod sessions;
 mod state;
 mod store_state;
 mod tasks;
--- /dev/null
+++ b/crates/node/src/control/sessions.rs
@@ -0,0 +1,348 @@
+//! Connections of a leader to the hosts that run its items.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use futures::StreamExt;
+use log::{info, warn};
+use prost::Message;
+use tokio::{
+    sync::mpsc,
+    time::{Instant, interval, timeout},
+};
+
+use crate::{
+    events::Progress,
+    job::{Assignment, End, Outcome},
+    peer::{self, Frames, FromRunner, Kind, Lead, News, Order, Request, RunItem, ToRunner},
+    prelude::*,
+    traffic::{Command, Run, RunReport},
+};
+
+/// Interval of heartbeats.
+const PING_INTERVAL: Duration = Duration::from_millis(250);
+/// Silence of a runner after which it counts as lost; by then it has stopped its runs.
+const RUNNER_TIMEOUT: Duration = Duration::from_millis(1600);
+/// Time for a runner to accept the leader.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A runner of a service.
+pub type RunnerId = (ServiceId, SocketAddr);
+
+/// What happens at a runner.
+#[derive(Debug)]
+pub enum Event {
+    /// The runner takes items.
+    Connected(RunnerId),
+    Run(RunReport),
+    /// The runner stops and takes no more items.
+    Leaving(RunnerId),
+    /// The connection has ended. The ends of its runs were reported before.
+    Lost(RunnerId),
+    /// Text of an item that ran for an earlier leader.
+    Retained {
+        service: ServiceId,
+        item: ItemId,
+        progress: Progress,
+        text_complete: bool,
+    },
+}
+
+/// Sends commands to the runs' hosts.
+pub struct Outbox {
+    local: mpsc::UnboundedSender<Command>,
+    sessions: BTreeMap<RunnerId, mpsc::UnboundedSender<Command>>,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl Outbox {
+    pub fn new(
+        local: mpsc::UnboundedSender<Command>,
+        events: mpsc::UnboundedSender<Event>,
+    ) -> Self {
+        Self { local, sessions: BTreeMap::new(), events }
+    }
+
+    /// Connects to a runner unless a connection exists or is being opened.
+    pub fn connect(&mut self, runner: RunnerId, fence: Revision) {
+        if self.sessions.contains_key(&runner) {
+            return;
+        }
+        let (sender, commands) = mpsc::unbounded_channel();
+        self.sessions.insert(runner.clone(), sender);
+        let session = Session { runner, fence, runs: HashMap::new(), events: self.events.clone() };
+        tokio::task::spawn_local(session.run(commands));
+    }
+
+    /// Closes the connection to a runner, which then stops its runs.
+    pub fn disconnect(&mut self, runner: &RunnerId) {
+        self.sessions.remove(runner);
+    }
+
+    /// Closes the connections of a service.
+    pub fn disconnect_all(&mut self, service: &str) {
+        self.sessions.retain(|(of, _), _| &**of != service);
+    }
+
+    /// Sends commands of a service's leader: those on runs to the runs' hosts, the others to the local traffic thread.
+    pub fn send(&self, service: &ServiceId, commands: Vec<Command>) {
+        for command in commands {
+            let runner = match &command {
+                Command::Run(run) => run.runner,
+                Command::Stop { runner, .. } => *runner,
+                _ => None,
+            };
+            match runner {
+                Some(address) => self.send_to((service.clone(), address), command),
+                None => {
+                    if let Err(mpsc::error::SendError(Command::Run(run))) = self.local.send(command)
+                    {
+                        warn!(run = run.id; "run not started: traffic thread has ended");
+                    }
+                }
+            }
+        }
+    }
+
+    fn send_to(&self, runner: RunnerId, command: Command) {
+        let unsent = match self.sessions.get(&runner) {
+            Some(session) => session.send(command).err().map(|error| error.0),
+            None => Some(command),
+        };
+        if let Some(Command::Run(run)) = unsent {
+            report_unrun(&self.events, &run);
+        }
+    }
+}
+
+/// Reports the end of a run that no host has started.
+fn report_unrun(events: &mpsc::UnboundedSender<Event>, run: &Run) {
+    let tracked = Tracked::new(run);
+    report(events, Event::Run(RunReport::Ended { run: run.id, outcome: tracked.stopped() }));
+}
+
+fn report(events: &mpsc::UnboundedSender<Event>, event: Event) {
+    if events.send(event).is_err() {
+        log::debug!("control loop has ended");
+    }
+}
+
+/// A run at a runner, with the text received so far.
+struct Tracked {
+    item: ItemId,
+    assignment: Assignment,
+    /// The text is complete, so the slot on the engine is free.
+    generated: bool,
+}
+
+impl Tracked {
+    fn new(run: &Run) -> Self {
+        let assignment = run.assignment.clone();
+        Self { item: run.item.id.clone(), generated: run.target.is_none(), assignment }
+    }
+
+    fn outcome(&self, end: End) -> Outcome {
+        Outcome {
+            job: self.assignment.job.clone(),
+            item: self.assignment.item,
+            item_id: self.item.clone(),
+            target: self.assignment.target.clone(),
+            end,
+            progress: self.assignment.progress.clone(),
+            text_complete: self.assignment.target.is_none(),
+            pace: None,
+            judge_failures: 0,
+            holds_slot: !self.generated,
+        }
+    }
+
+    fn stopped(&self) -> Outcome {
+        self.outcome(End::Stopped)
+    }
+}
+
+/// A connection to a runner.
+struct Session {
+    runner: RunnerId,
+    fence: Revision,
+    runs: HashMap<u64, Tracked>,
+    events: mpsc::UnboundedSender<Event>,
+}
+
+impl Session {
+    async fn run(mut self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        let reason = match self.open().await {
+            Some(frames) => self.serve(frames, &mut commands).await,
+            None => "not reached",
+        };
+        commands.close();
+        while let Ok(command) = commands.try_recv() {
+            if let Command::Run(run) = command {
+                report_unrun(&self.events, &run);
+            }
+        }
+        let (service, address) = &self.runner;
+        info!(service = &**service, runner:% = address, runs = self.runs.len(), reason; "runner disconnected");
+        for (run, tracked) in self.runs.drain() {
+            let outcome = tracked.stopped();
+            report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
+        }
+        report(&self.events, Event::Lost(self.runner));
+    }
+
+    /// Connects, and waits until the runner has answered a heartbeat.
+    async fn open(&mut self) -> Option<Frames> {
+        let mut frames = peer::connect(self.runner.1).await?;
+        let lead = Lead { service: self.runner.0.to_string(), fence: self.fence };
+        let request = Request { kind: Some(Kind::Lead(lead)) };
+        peer::feed(&mut frames, &request).await?;
+        feed(&mut frames, Order::Ping(0)).await?;
+        peer::flush(&mut frames).await?;
+        let accepted = async {
+            loop {
+                let message = FromRunner::decode(frames.next().await?.ok()?).ok()?;
+                if matches!(message.news, Some(News::Pong(_))) {
+                    return Some(());
+                }
+                self.apply(message);
+            }
+        };
+        timeout(ACCEPT_TIMEOUT, accepted).await.ok()??;
+        report(&self.events, Event::Connected(self.runner.clone()));
+        Some(frames)
+    }
+
+    async fn serve(
+        &mut self,
+        mut frames: Frames,
+        commands: &mut mpsc::UnboundedReceiver<Command>,
+    ) -> &'static str {
+        let mut pings = interval(PING_INTERVAL);
+        pings.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let (mut heard_at, mut number) = (Instant::now(), 0);
+        loop {
+            tokio::select! {
+                command = commands.recv() => {
+                    let Some(command) = command else {
+                        return "closed by the leader";
+                    };
+                    if self.order(&mut frames, command).await.is_none() {
+                        return "connection broke";
+                    }
+                    while let Ok(command) = commands.try_recv() {
+                        if self.order(&mut frames, command).await.is_none() {
+                            return "connection broke";
+                        }
+                    }
+                    if peer::flush(&mut frames).await.is_none() {
+                        return "connection broke";
+                    }
+                }
+                frame = frames.next() => {
+                    heard_at = Instant::now();
+                    let Some(Ok(frame)) = frame else {
+                        return "closed by the runner";
+                    };
+                    let Ok(message) = FromRunner::decode(frame) else {
+                        return "message could not be decoded";
+                    };
+                    if !self.apply(message) {
+                        return "text does not follow the one before";
+                    }
+                }
+                _ = pings.tick() => {
+                    if heard_at.elapsed() > RUNNER_TIMEOUT {
+                        return "runner is silent";
+                    }
+                    number += 1;
+                    let sent = feed(&mut frames, Order::Ping(number)).await;
+                    if sent.is_none() || peer::flush(&mut frames).await.is_none() {
+                        return "connection broke";
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a command on a run.
+    async fn order(&mut self, frames: &mut Frames, command: Command) -> Option<()> {
+        match command {
+            Command::Run(run) => {
+                self.runs.insert(run.id, Tracked::new(&run));
+                feed(frames, Order::Run(Box::new(RunItem::from(run.as_ref())))).await
+            }
+            Command::Stop { run, .. } => feed(frames, Order::Stop(run)).await,
+            _ => Some(()),
+        }
+    }
+
+    /// Applies a message of the runner. Returns `false` if it does not follow the one before.
+    fn apply(&mut self, message: FromRunner) -> bool {
+        match message.news {
+            Some(News::Progress(part)) => {
+                let run = part.run;
+                let Some(tracked) = self.runs.get_mut(&run) else {
+                    return true;
+                };
+                if !part.apply(&mut tracked.assignment.progress) {
+                    return false;
+                }
+                let progress = tracked.assignment.progress.clone();
+                report(&self.events, Event::Run(RunReport::Progress { run, progress }));
+            }
+            Some(News::Generated(generated)) => {
+                if let Some(tracked) = self.runs.get_mut(&generated.run) {
+                    tracked.generated = true;
+                }
+                report(&self.events, Event::Run(generated.into()));
+            }
+            Some(News::Ended(ended)) => return self.apply_end(*ended),
+            Some(News::Leaving(_)) => report(&self.events, Event::Leaving(self.runner.clone())),
+            Some(News::Retained(retained)) => {
+                let mut progress = Progress::default();
+                if retained.part.is_some_and(|part| part.apply(&mut progress)) {
+                    report(
+                        &self.events,
+                        Event::Retained {
+                            service: self.runner.0.clone(),
+                            item: retained.item.into(),
+                            progress,
+                            text_complete: retained.text_complete,
+                        },
+                    );
+                }
+            }
+            Some(News::Pong(_)) | None => {}
+        }
+        true
+    }
+
+    fn apply_end(&mut self, mut ended: peer::Ended) -> bool {
+        let Some(part) = ended.part.take() else {
+            return false;
+        };
+        let run = part.run;
+        let Some(mut tracked) = self.runs.remove(&run) else {
+            return true;
+        };
+        if !part.apply(&mut tracked.assignment.progress) {
+            self.runs.insert(run, tracked);
+            return false;
+        }
+        let outcome = Outcome {
+            text_complete: ended.text_complete,
+            pace: ended.pace_us.map(Duration::from_micros),
+            judge_failures: ended.judge_failures,
+            holds_slot: ended.holds_slot,
+            ..tracked.outcome(ended.decoded_end())
+        };
+        report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
+        true
+    }
+}
+
+async fn feed(frames: &mut Frames, order: Order) -> Option<()> {
+    peer::feed(frames, &ToRunner { order: Some(order) }).await
+}
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,7 +1,7 @@
 //! The control loop: applies updates of the store, reports of the traffic thread and results of tasks, then starts
 //! whatever is due.
 
-use std::{collections::BTreeMap, rc::Rc, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use log::info;
 use tokio::{
@@ -13,11 +13,11 @@
 use crate::{
     clock,
     control::{
-        actions::send,
         election::{Election, LeaderKey, Leadership},
         leader::Leader,
         mirror::{Mirror, Schedule, Update},
         orders,
+        sessions::Outbox,
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired, write_checkpoints},
     },
@@ -43,6 +43,8 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Watches of the configuration within the time in which a new one must be in force.
 const CONFIG_WATCHES_PER_DEADLINE: u32 = 4;
+/// Interval at which the engines are assigned to hosts anew.
+const RUNNERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum time for which a stopping leader ends its runs and persists their results.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -70,7 +72,13 @@
     pub(super) freshness: Arc<Freshness>,
     /// Time at which registrations that are not published yet were current.
     pub(super) refreshed_at: Option<Time>,
-    pub(super) commands: mpsc::UnboundedSender<Command>,
+    pub(super) outbox: Outbox,
+    pub(super) peers: Peers,
+    /// Hosts that get no items until a time.
+    pub(super) avoided_runners: BTreeMap<SocketAddr, Time>,
+    /// The engines have to be assigned to hosts anew.
+    pub(super) runners_due: bool,
+    pub(super) runners_updated_at: Time,
     pub(super) completions: mpsc::UnboundedSender<Completion>,
     pub(super) orders: Rc<orders::Client>,
     pub(super) store_state: StoreState,
@@ -93,6 +101,7 @@
     let (updates, mut update_receiver) = mpsc::unbounded_channel();
     let (completions, mut completion_receiver) = mpsc::unbounded_channel();
     let (leaderships, mut leadership_receiver) = mpsc::unbounded_channel();
+    let (runner_events, mut runner_event_receiver) = mpsc::unbounded_channel();
     let Parts {
         settings,
         view,
@@ -123,8 +132,14 @@
         channels: Channels::default(),
     });
     if let Some(address) = settings.relay {
-        let own = Peer { zone: settings.zone.clone(), address };
-        let discovery = relay::discover(Rc::clone(&store), settings.host.clone(), own, peers);
+        let own = Peer {
+            zone: settings.zone.clone(),
+            address,
+            peer: settings.peer,
+            cpu_share: settings.cpu_share,
+        };
+        let discovery =
+            relay::discover(Rc::clone(&store), settings.host.clone(), own, peers.clone());
         tokio::task::spawn_local(discovery);
     }
     let mut control = Control {
@@ -134,7 +149,11 @@
         store,
         freshness,
         refreshed_at: None,
-        commands,
+        outbox: Outbox::new(commands, runner_events),
+        peers: peers.clone(),
+        avoided_runners: BTreeMap::new(),
+        runners_due: false,
+        runners_updated_at: Time::ZERO,
         completions,
         orders,
         store_state: StoreState::new(mirrors.len()),
@@ -168,6 +187,12 @@
                     control.apply_report(report);
                 }
             }
+            Some(event) = runner_event_receiver.recv() => {
+                control.apply_runner_event(event);
+                while let Ok(event) = runner_event_receiver.try_recv() {
+                    control.apply_runner_event(event);
+                }
+            }
             Some(completion) = completion_receiver.recv() => control.complete(completion),
             Some((service, leadership)) = leadership_receiver.recv() => {
                 control.set_leadership(&service, leadership);
@@ -198,8 +223,8 @@
         info!("stopping");
         let now = clock::now();
         self.hand_over_deadline = Some(now + HAND_OVER_TIMEOUT);
-        for leader in self.leaders.values() {
-            send(&self.commands, leader.stop_all());
+        for (service, leader) in &self.leaders {
+            self.outbox.send(service, leader.stop_all());
         }
         self.publish();
     }
@@ -233,7 +258,7 @@
                 if let Some(leader) = self.leaders.get_mut(&service) {
                     let stops = leader.drop_job(&job, clock::now());
                     METERS.open_jobs(&service, leader.queue.len());
-                    send(&self.commands, stops);
+                    self.outbox.send(&service, stops);
                 }
             }
             Some(Effect::LeaderElected { service }) => self.leader_elected(&service),
@@ -248,7 +273,7 @@
             && leader.leadership.fence.is_none()
         {
             let stops = leader.drop_jobs(clock::now());
-            send(&self.commands, stops);
+            self.outbox.send(service, stops);
         }
     }
 
@@ -271,16 +296,23 @@
         if before.fence != leadership.fence && (acquired || has_leader) {
             // Another host leads or may have led in between, so a job's rows are read again before it continues.
             let stops = leader.drop_jobs(clock::now());
-            send(&self.commands, stops);
+            self.outbox.send(service, stops);
         }
         let mut commands = Vec::new();
         if before.fence != leadership.fence {
             commands.push(Command::JobsClosed { service: service.clone() });
             self.store_state.heads_changed = true;
+            // The runners learn of the new fencing token by new connections.
+            self.outbox.disconnect_all(service);
+            leader.clear_runners();
+            if acquired {
+                self.runners_due = true;
+                self.peers.request_refresh();
+            }
         }
         let until = if acquired { leadership.exclusive_until } else { Time::ZERO };
         commands.push(Command::LeadershipRenewed { service: service.clone(), until });
-        send(&self.commands, commands);
+        self.outbox.send(service, commands);
         self.update_leader_mirrors();
     }
 
@@ -320,6 +352,13 @@
                 self.read_new_jobs(&service);
             }
         }
+        if self.leads_any()
+            && (self.runners_due || now >= self.runners_updated_at + RUNNERS_INTERVAL)
+        {
+            self.runners_due = false;
+            self.runners_updated_at = now;
+            self.update_runners(now);
+        }
         let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
         for service in services {
             self.drive_leader(&service, now);
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use log::{info, warn};
+use log::{Level, info, warn};
 
 use crate::{
     clock,
@@ -181,7 +181,13 @@
                 }
             }
             PlatformChange::Target(target) => {
-                info!(target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.started_ms, versions:? = target.versions; "target registered");
+                // Versions change with each load; only what decides about requests is logged by default.
+                let known = self.fleet.targets().get(&target.id);
+                let is_news = known.is_none_or(|known| {
+                    known.draining != target.draining || known.started_ms != target.started_ms
+                });
+                let level = if is_news { Level::Info } else { Level::Debug };
+                log::log!(level, target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.started_ms, versions:? = target.versions; "target registered");
                 self.fleet.register(target);
             }
             PlatformChange::TargetRemoved(id) => {
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -3,6 +3,7 @@
 mod checkpoint;
 mod engine;
 mod engines;
+pub mod homes;
 mod keys;
 mod length;
 mod open;
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -164,14 +164,17 @@
 
     /// Retains the text of a run that was stopped because its job ended.
     fn retain_text(&mut self, outcome: Outcome, now: Time) {
-        if outcome.progress.last_event == 0 {
-            return;
+        if outcome.progress.last_event > 0 {
+            self.resume_item(outcome.item_id, outcome.progress, outcome.text_complete, now);
         }
-        let (progress, complete) = (outcome.progress, outcome.text_complete);
-        let resumed = |job: &mut Job| job.resume_item(&outcome.item_id, progress.clone(), complete);
+    }
+
+    /// Continues an item from a text. If no open job has the item, the text is retained for a later one.
+    pub fn resume_item(&mut self, item: ItemId, progress: Progress, complete: bool, now: Time) {
+        let resumed = |job: &mut Job| job.resume_item(&item, progress.clone(), complete);
         // The item may have been resubmitted before its run had stopped.
         if !self.jobs.values_mut().any(resumed) {
-            self.retained.insert(outcome.item_id, (now + TEXT_RETENTION, progress, complete));
+            self.retained.insert(item, (now + TEXT_RETENTION, progress, complete));
         }
     }
 
--- a/crates/node/src/job/spec.rs
+++ b/crates/node/src/job/spec.rs
@@ -1,5 +1,7 @@
 //! A batch job as submitted.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 
 use crate::prelude::*;
@@ -39,5 +41,5 @@
     pub min_version: Version,
     /// Number of complete groups that the trainer needs.
     pub groups_needed: usize,
-    pub items: Vec<Item>,
+    pub items: Vec<Arc<Item>>,
 }
--- a/crates/node/src/peer/client.rs
+++ b/crates/node/src/peer/client.rs
@@ -6,11 +6,11 @@
 use futures::{SinkExt, StreamExt};
 use prost::Message;
 use tokio::{net::TcpStream, time::timeout};
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 use crate::{
     metrics::METERS,
-    peer::frame::{Kind, Request, Response, codec},
+    peer::frame::{Frames, Kind, Request, Response, codec},
     prelude::*,
     traffic::set_keepalive,
 };
@@ -23,8 +23,6 @@
 /// Time for which a host that did not answer gets no further requests.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
-
 /// An idle connection and the time of its last use.
 type IdleConnection = (Frames, Instant);
 
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -1,17 +1,26 @@
 //! Messages between hosts: length-delimited Protocol Buffers frames.
 
 use bytes::Bytes;
-use tokio_util::codec::LengthDelimitedCodec;
+use futures::SinkExt;
+use prost::Message;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::prelude::*;
+use crate::{peer::run::Lead, prelude::*};
 
 /// Largest frame; it leaves room for the largest submission that a caller may send.
 const FRAME_BYTES_MAX: usize = 40 << 20;
 
+/// Time for a message of a leader or a runner to be written.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Framed connection to a host.
+pub type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5")]
     pub kind: Option<Kind>,
 }
 
@@ -26,6 +35,9 @@
     Submitted(Submitted),
     #[prost(message, tag = "4")]
     End(End),
+    /// From here on the connection carries messages of a leader and its runner.
+    #[prost(message, tag = "5")]
+    Lead(Lead),
 }
 
 /// Requests the results of a job from position `after` on.
@@ -96,6 +108,17 @@
     LengthDelimitedCodec::builder().max_frame_length(FRAME_BYTES_MAX).new_codec()
 }
 
+/// Queues a message; `None` if the connection has failed or is blocked.
+pub async fn feed(frames: &mut Frames, message: &impl Message) -> Option<()> {
+    let frame = Bytes::from(message.encode_to_vec());
+    timeout(WRITE_TIMEOUT, frames.feed(frame)).await.ok()?.ok()
+}
+
+/// Writes the queued messages; `None` if the connection has failed or is blocked.
+pub async fn flush(frames: &mut Frames) -> Option<()> {
+    timeout(WRITE_TIMEOUT, SinkExt::<Bytes>::flush(frames)).await.ok()?.ok()
+}
+
 /// Milliseconds of a duration in a message.
 pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -1,12 +1,19 @@
-//! Requests between hosts about jobs.
+//! Protocol between hosts, for jobs and their items.
 //!
 //! The leader of a service has its jobs in memory, so other hosts ask it instead of the store. A host that gets no
-//! answer turns to the store itself; no request relies on the leader.
+//! answer turns to the store itself; no request relies on the leader. The leader has its items run by other hosts, over
+//! one connection to each.
 
 mod client;
 mod frame;
+mod run;
 mod server;
 
-pub use client::Client;
-pub use frame::{Body, End, Kind, Request, Response, Results, Submitted, millis};
+pub use client::{Client, connect};
+pub use frame::{
+    Body, End, Frames, Kind, Request, Response, Results, Submitted, feed, flush, millis,
+};
+pub use run::{
+    Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, TextPart, ToRunner,
+};
 pub use server::{Handler, serve};
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -11,7 +11,10 @@
 use tokio_util::codec::Framed;
 
 use crate::{
-    peer::frame::{Request, Response, codec},
+    peer::{
+        frame::{Frames, Kind, Request, Response, codec},
+        run::Lead,
+    },
     traffic::{accept, set_keepalive},
 };
 
@@ -27,6 +30,8 @@
 /// Serves the requests of other hosts.
 pub trait Handler {
     fn handle(&self, request: Request) -> impl Future<Output = Response>;
+    /// Runs items for a leader until the connection ends.
+    fn serve_leader(&self, lead: Lead, frames: Frames) -> impl Future<Output = ()>;
 }
 
 /// Accepts connections of other hosts and serves their requests.
@@ -47,6 +52,10 @@
     let mut frames = Framed::new(stream, codec());
     while let Some(frame) = frames.next().await {
         let request = Request::decode(frame?).context(DecodeSnafu)?;
+        if let Some(Kind::Lead(lead)) = request.kind {
+            handler.serve_leader(lead, frames).await;
+            return Ok(());
+        }
         let response = handler.handle(request).await;
         frames.send(Bytes::from(response.encode_to_vec())).await?;
     }
--- a/crates/node/src/relay/peers.rs
+++ b/crates/node/src/relay/peers.rs
@@ -6,7 +6,10 @@
 use log::{info, warn};
 use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     job,
@@ -21,16 +24,24 @@
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
 /// A host that relays calls of others.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
     pub zone: ZoneId,
+    /// Address for relayed calls to the store.
     pub address: SocketAddr,
+    /// Address for requests about jobs, if the host has one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
+    /// Share of a CPU core.
+    #[serde(default)]
+    pub cpu_share: f64,
 }
 
 /// List of the other hosts, shared between threads.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     all: Arc<ArcSwap<Vec<Peer>>>,
+    refresh: Arc<Notify>,
 }
 
 impl Peers {
@@ -38,6 +49,16 @@
         self.all.store(Arc::new(peers));
     }
 
+    /// All other hosts, as last read.
+    pub fn all(&self) -> Arc<Vec<Peer>> {
+        self.all.load_full()
+    }
+
+    /// Has the list read again soon.
+    pub fn request_refresh(&self) {
+        self.refresh.notify_one();
+    }
+
     /// Up to `count` random hosts, those of an availability zone first.
     pub fn sample(&self, zone: &str, count: usize) -> Vec<SocketAddr> {
         let mut peers = self.all.load().as_ref().clone();
@@ -53,8 +74,11 @@
     loop {
         match refresh(store.as_ref(), &host, &own, &peers).await {
             Ok(()) => {
-                sleep(interval.mul_f64(0.75 + 0.5 * rand::random::<f64>())).await;
-                interval = REFRESH_INTERVAL;
+                let pause = interval.mul_f64(0.75 + 0.5 * rand::random::<f64>());
+                // A refresh on request may come before the other hosts have registered, so the short interval stays.
+                if timeout(pause, peers.refresh.notified()).await.is_err() {
+                    interval = REFRESH_INTERVAL;
+                }
             }
             Err(error) => {
                 info!(reason:% = error; "could not refresh the list of hosts");
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -4,7 +4,7 @@
 //! on another target. Any other request is retried only if nothing was sent or if the target stated that it did not run
 //! the request.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
@@ -315,7 +315,7 @@
     idempotent: bool,
 ) -> Result<(Response, Answer), ExchangeError> {
     let idle_max = if idempotent { Duration::MAX } else { NON_IDEMPOTENT_IDLE_MAX };
-    let mut channel = connect(traffic, target, idle_max, call.deadline).await?;
+    let mut channel = connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
@@ -362,17 +362,18 @@
 /// Takes an idle connection to a target, or opens a new one.
 pub async fn connect(
     traffic: &Traffic,
-    target: &Target,
+    id: &TargetId,
+    address: SocketAddr,
     idle_max: Duration,
     deadline: Instant,
 ) -> Result<Channel, ExchangeError> {
-    if let Some(channel) = traffic.channels.take(target.address, idle_max, deadline).await {
+    if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
         return Ok(channel);
     }
     let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    Channel::open(target.address, Liveness::Deadline, deadline).await.map_err(|error| {
-        info!(target_id = &*target.id, reason:% = error; "target unreachable");
-        traffic.channels.close_idle(target.address);
+    Channel::open(address, Liveness::Deadline, deadline).await.map_err(|error| {
+        info!(target_id = &**id, reason:% = error; "target unreachable");
+        traffic.channels.close_idle(address);
         ExchangeError::Unsent
     })
 }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod report;
 mod run;
+mod runner;
 mod serve;
 mod submit;
 
@@ -22,5 +23,5 @@
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
 pub use report::{Command, Report, Submission};
-pub use run::{Run, RunReport};
+pub use run::{Endpoint, Run, RunReport};
 pub use serve::{Parts, run};
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -11,9 +11,9 @@
 
 use crate::{
     job::Record,
-    peer::{self, Body, End, Handler, Kind, Request, Response, Results, Submitted},
+    peer::{self, Body, End, Frames, Handler, Kind, Lead, Request, Response, Results, Submitted},
     prelude::*,
-    traffic::{Report, Submission, serve::Traffic},
+    traffic::{Report, Submission, runner, serve::Traffic},
 };
 
 /// Time for a response, in addition to the time for which it may wait for results.
@@ -132,6 +132,10 @@
 }
 
 impl Handler for PeerHandler {
+    async fn serve_leader(&self, lead: Lead, frames: Frames) {
+        runner::serve_leader(Rc::clone(&self.0), lead, frames).await;
+    }
+
     async fn handle(&self, request: Request) -> Response {
         let traffic = &self.0;
         let body = match request.kind {
@@ -145,7 +149,7 @@
                 report(traffic, Report::Submitted(Box::new(submission)));
                 Bytes::new()
             }),
-            None => None,
+            Some(Kind::Lead(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
     }
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -1,6 +1,6 @@
 //! Messages between the control thread and the traffic thread.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::sync::oneshot;
 
@@ -17,6 +17,8 @@
     /// Stops a run, which then reports its end and the text so far.
     Stop {
         run: u64,
+        /// Host that runs the item; `None` for this one.
+        runner: Option<SocketAddr>,
     },
     /// This host leads a service, and no other host can until a time.
     LeadershipRenewed {
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -1,6 +1,6 @@
 //! Runs of job items: an engine generates the text of an item, then the item's judge scores it.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use futures::FutureExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
@@ -15,7 +15,7 @@
 use crate::{
     events::{Parser, Progress},
     fleet::Target,
-    job::{Assignment, End, Item, Outcome, Record, Spec},
+    job::{Assignment, End, Item, Outcome},
     metrics::METERS,
     prelude::*,
     traffic::{
@@ -31,15 +31,33 @@
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
 
-/// An item to run, as commanded by the control thread.
+/// Id and address of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    pub id: TargetId,
+    pub address: SocketAddr,
+}
+
+impl From<&Target> for Endpoint {
+    fn from(target: &Target) -> Self {
+        Self { id: target.id.clone(), address: target.address }
+    }
+}
+
+/// An item to run, as commanded by the leader.
 #[derive(Debug)]
 pub struct Run {
     pub id: u64,
-    pub spec: Arc<Spec>,
-    pub record: Arc<Record>,
     pub assignment: Assignment,
+    pub item: Arc<Item>,
+    /// Host name of the job's route.
+    pub host: Box<str>,
+    /// Oldest version that may generate the text.
+    pub min_version: Version,
     /// Engine that generates the text; `None` if only the score is missing.
-    pub target: Option<Arc<Target>>,
+    pub target: Option<Endpoint>,
+    /// Host that runs the item; `None` for this one.
+    pub runner: Option<SocketAddr>,
     /// The whole text has to come from one version of the weights.
     pub single_version: bool,
     /// Time per event above which the run ends as slow, so that another engine can take the item.
@@ -125,8 +143,7 @@
             let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
             holds_slot = false;
         }
-        let item = &run.spec.items[run.assignment.item];
-        let judge = judge(&traffic, item, run.assignment.judge_failures).fuse();
+        let judge = judge(&traffic, &run.item, run.assignment.judge_failures).fuse();
         tokio::select! {
             (end, failures) = judge => {
                 judge_failures = failures;
@@ -139,7 +156,7 @@
     let outcome = Outcome {
         job: run.assignment.job.clone(),
         item: run.assignment.item,
-        item_id: run.spec.items[run.assignment.item].id.clone(),
+        item_id: run.item.id.clone(),
         target: run.assignment.target.clone(),
         end,
         progress: state.progress,
@@ -153,21 +170,23 @@
 
 fn log_end(run: &Run, end: &End, state: &RunState) {
     METERS.run(end.name());
-    let item = &run.spec.items[run.assignment.item];
+    let item = &run.item;
     let target = run.assignment.target.as_deref().unwrap_or("");
-    info!(job = &*run.spec.id, item = &*item.id, target_id = target, outcome:? = end, events = state.progress.last_event, took_ms = crate::logging::ms(state.started.elapsed()); "item run ended");
+    info!(job = &*run.assignment.job, item = &*item.id, target_id = target, outcome:? = end, events = state.progress.last_event, took_ms = crate::logging::ms(state.started.elapsed()); "item run ended");
 }
 
 /// Streams the text from an engine. Returns `None` if the text is complete.
 async fn stream(
     traffic: &Rc<Traffic>,
     run: &Run,
-    target: &Arc<Target>,
+    target: &Endpoint,
     state: &mut RunState,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
     let deadline = Instant::now() + EVENT_TIMEOUT;
-    let Ok(mut channel) = connect(traffic, target, Duration::MAX, deadline).await else {
+    let Ok(mut channel) =
+        connect(traffic, &target.id, target.address, Duration::MAX, deadline).await
+    else {
         return Some(End::NotRun);
     };
     let Some(request) = request(traffic, run, target) else {
@@ -177,15 +196,14 @@
     let response = match channel.send(request, deadline).await {
         Ok(response) => response,
         Err(error) => {
-            info!(job = &*run.spec.id, target_id = &*target.id, reason:% = error; "run broke");
+            info!(job = &*run.assignment.job, target_id = &*target.id, reason:% = error; "run broke");
             return Some(End::Broken);
         }
     };
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
-    log::debug!(job = &*run.spec.id, target_id = &*target.id, status = parts.status.as_u16(), after = state.resumed_after, answer:? = answer; "run began");
-    let item = &run.spec.items[run.assignment.item];
-    if answer.id.as_ref().is_some_and(|id| *id != item.id) {
+    log::debug!(job = &*run.assignment.job, target_id = &*target.id, status = parts.status.as_u16(), after = state.resumed_after, answer:? = answer; "run began");
+    if answer.id.as_ref().is_some_and(|id| *id != run.item.id) {
         return Some(End::Broken);
     }
     if answer.not_run {
@@ -201,7 +219,7 @@
         }
         _ => return Some(End::Broken),
     }
-    if answer.version.is_some_and(|version| version < run.spec.min_version) {
+    if answer.version.is_some_and(|version| version < run.min_version) {
         return Some(End::NotRun);
     }
     let closes = closes_connection(&parts.headers);
@@ -225,8 +243,8 @@
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
     let fail = |reason: &dyn std::fmt::Display| {
-        let item = &run.spec.items[run.assignment.item];
-        info!(job = &*run.spec.id, item = &*item.id, reason:% = reason; "stream broke");
+        let item = &run.item;
+        info!(job = &*run.assignment.job, item = &*item.id, reason:% = reason; "stream broke");
         Some(End::Broken)
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
@@ -279,14 +297,14 @@
 }
 
 /// Builds the request of an item; `None` if its path or headers are not valid in HTTP.
-fn request(traffic: &Traffic, run: &Run, target: &Target) -> Option<Request<Full<bytes::Bytes>>> {
-    let item = &run.spec.items[run.assignment.item];
+fn request(traffic: &Traffic, run: &Run, target: &Endpoint) -> Option<Request<Full<bytes::Bytes>>> {
+    let item = &run.item;
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
         headers.append(name, HeaderValue::from_str(value).ok()?);
     }
-    headers.insert(header::HOST, HeaderValue::from_str(&run.record.host).ok()?);
+    headers.insert(header::HOST, HeaderValue::from_str(&run.host).ok()?);
     traffic.dialect.set_attempt_headers(&mut headers, &item.id, &target.id, None);
     if run.assignment.progress.last_event > 0 {
         traffic.dialect.set_resume_header(&mut headers, run.assignment.progress.last_event);
--- /dev/null
+++ b/crates/node/src/traffic/runner.rs
@@ -0,0 +1,285 @@
+//! Runs items for the leader of a service on another host.
+//!
+//! The leader gives the items and gets their texts over one connection. A runner that hears nothing from the leader
+//! stops its runs before the leader may give them to another host. It keeps their texts for the next leader.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use futures::StreamExt;
+use log::{info, warn};
+use prost::Message;
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    events::Progress,
+    peer::{
+        self, Ended, Frames, FromRunner, Generated, Lead, News, Order, Retained, RunItem, TextPart,
+        ToRunner,
+    },
+    prelude::*,
+    traffic::{Report, Run, RunReport, run, serve::Traffic},
+};
+
+/// Silence of the leader after which its runs are stopped. A leader waits longer before it counts a runner as lost.
+pub const LEADER_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for which the texts of stopped runs are kept for the next leader.
+const TEXT_RETENTION: Duration = Duration::from_secs(15);
+/// Largest total size of the kept texts.
+const TEXT_BYTES_MAX: usize = 8 << 20;
+
+/// An unfinished text.
+#[derive(Clone, Debug)]
+struct Text {
+    progress: Progress,
+    complete: bool,
+    stopped_at: Instant,
+}
+
+/// What a host keeps between the connections of leaders.
+#[derive(Debug, Default)]
+pub struct Runner {
+    /// Newest fencing token of each service, which ends the connections of earlier leaders.
+    fences: RefCell<HashMap<ServiceId, watch::Sender<Revision>>>,
+    texts: RefCell<HashMap<ItemId, Text>>,
+}
+
+impl Runner {
+    /// Accepts a leader unless a newer one is known. Returns a receiver of the newest fencing token.
+    fn accept(&self, service: &str, fence: Revision) -> Option<watch::Receiver<Revision>> {
+        let mut fences = self.fences.borrow_mut();
+        let newest = fences.entry(service.into()).or_insert_with(|| watch::Sender::new(fence));
+        if *newest.borrow() > fence {
+            return None;
+        }
+        newest.send_replace(fence);
+        Some(newest.subscribe())
+    }
+
+    fn keep_text(&self, item: ItemId, progress: Progress, complete: bool) {
+        if progress.last_event == 0 {
+            return;
+        }
+        let mut texts = self.texts.borrow_mut();
+        texts.retain(|_, text| text.stopped_at.elapsed() < TEXT_RETENTION);
+        let bytes: usize = texts.values().map(|text| text.progress.text.len()).sum();
+        if bytes + progress.text.len() <= TEXT_BYTES_MAX {
+            texts.insert(item, Text { progress, complete, stopped_at: Instant::now() });
+        }
+    }
+
+    fn take_texts(&self) -> Vec<(ItemId, Text)> {
+        let texts = self.texts.borrow_mut().drain().collect::<Vec<_>>();
+        texts.into_iter().filter(|(_, text)| text.stopped_at.elapsed() < TEXT_RETENTION).collect()
+    }
+}
+
+/// A run of this connection.
+struct ActiveRun {
+    /// `None` once the run was told to stop.
+    stop: Option<oneshot::Sender<()>>,
+    /// Bytes of the text that the leader has.
+    sent: usize,
+}
+
+/// A connection of a leader.
+struct Session {
+    traffic: Rc<Traffic>,
+    frames: Frames,
+    runs: HashMap<u64, ActiveRun>,
+    /// Reports of the runs.
+    sender: mpsc::UnboundedSender<Report>,
+}
+
+/// Serves the connection of a leader until it ends.
+pub async fn serve_leader(traffic: Rc<Traffic>, lead: Lead, frames: Frames) {
+    let Some(newest) = traffic.runner.accept(&lead.service, lead.fence) else {
+        warn!(service = lead.service, fence = lead.fence; "leader refused: a newer one is known");
+        return;
+    };
+    info!(service = lead.service, fence = lead.fence; "running items for a leader");
+    let (sender, reports) = mpsc::unbounded_channel();
+    let mut session = Session { traffic, frames, runs: HashMap::new(), sender };
+    session.serve(reports, newest, &lead).await;
+}
+
+impl Session {
+    async fn serve(
+        &mut self,
+        mut reports: mpsc::UnboundedReceiver<Report>,
+        mut newest: watch::Receiver<Revision>,
+        lead: &Lead,
+    ) {
+        if self.send_texts().await.is_none() {
+            return;
+        }
+        let mut heard_at = Instant::now();
+        let stopping = stopping(Rc::clone(&self.traffic));
+        let mut stopping = std::pin::pin!(stopping);
+        let mut leaving = false;
+        let reason = loop {
+            tokio::select! {
+                frame = self.frames.next() => {
+                    heard_at = Instant::now();
+                    let Some(Ok(frame)) = frame else {
+                        break "connection closed";
+                    };
+                    let Ok(message) = ToRunner::decode(frame) else {
+                        break "message could not be decoded";
+                    };
+                    if self.apply(message, leaving).await.is_none() {
+                        break "connection broke";
+                    }
+                }
+                Some(report) = reports.recv() => {
+                    if self.report(report).await.is_none() {
+                        break "connection broke";
+                    }
+                    while let Ok(report) = reports.try_recv() {
+                        if self.report(report).await.is_none() {
+                            break;
+                        }
+                    }
+                    if self.flush().await.is_none() {
+                        break "connection broke";
+                    }
+                    if leaving && self.runs.is_empty() {
+                        break "stopping";
+                    }
+                }
+                () = sleep_until(heard_at + LEADER_TIMEOUT) => break "leader is silent",
+                _ = newest.wait_for(|newest| *newest > lead.fence) => break "a newer leader has connected",
+                () = &mut stopping, if !leaving => {
+                    leaving = true;
+                    self.stop_all();
+                    let sent = self.feed(News::Leaving(true)).await;
+                    if sent.is_none() || self.flush().await.is_none() {
+                        break "connection broke";
+                    }
+                    if self.runs.is_empty() {
+                        break "stopping";
+                    }
+                }
+            }
+        };
+        info!(service = lead.service, fence = lead.fence, runs = self.runs.len(), reason; "no longer running items for a leader");
+        self.keep_texts(reports).await;
+    }
+
+    /// Stops the runs and keeps their texts for the next leader.
+    async fn keep_texts(&mut self, mut reports: mpsc::UnboundedReceiver<Report>) {
+        self.stop_all();
+        while !self.runs.is_empty() {
+            match reports.recv().await {
+                Some(Report::Run(RunReport::Ended { run, outcome })) => {
+                    self.runs.remove(&run);
+                    let text = (outcome.progress, outcome.text_complete);
+                    self.traffic.runner.keep_text(outcome.item_id, text.0, text.1);
+                }
+                Some(_) => {}
+                None => return,
+            }
+        }
+    }
+
+    fn stop_all(&mut self) {
+        for stop in self.runs.values_mut().filter_map(|run| run.stop.take()) {
+            // The send fails only if the run has just ended.
+            let _ = stop.send(());
+        }
+    }
+
+    async fn send_texts(&mut self) -> Option<()> {
+        for (item, text) in self.traffic.runner.take_texts() {
+            self.feed(News::Retained(Retained {
+                item: item.to_string(),
+                part: Some(TextPart::new(0, &text.progress, 0)),
+                text_complete: text.complete,
+            }))
+            .await?;
+        }
+        self.flush().await
+    }
+
+    async fn apply(&mut self, message: ToRunner, leaving: bool) -> Option<()> {
+        match message.order {
+            Some(Order::Run(item)) => self.start(*item, leaving),
+            Some(Order::Stop(run)) => {
+                if let Some(stop) = self.runs.get_mut(&run).and_then(|run| run.stop.take()) {
+                    let _ = stop.send(());
+                }
+            }
+            Some(Order::Ping(number)) => {
+                self.feed(News::Pong(number)).await?;
+                self.flush().await?;
+            }
+            None => {}
+        }
+        Some(())
+    }
+
+    fn start(&mut self, item: RunItem, leaving: bool) {
+        let id = item.run;
+        let run = match Run::try_from(item) {
+            Ok(run) => run,
+            Err(error) => {
+                warn!(run = id, reason:% = error; "item not run: its engine's address is malformed");
+                return;
+            }
+        };
+        let (stop, stopped) = oneshot::channel();
+        let sent = run.assignment.progress.text.len();
+        self.runs.insert(id, ActiveRun { stop: Some(stop), sent });
+        let (traffic, reports) = (Rc::clone(&self.traffic), self.sender.clone());
+        tokio::task::spawn_local(async move {
+            let report = run::run(traffic, Box::new(run), stopped, &reports).await;
+            // The send fails only if the connection has ended without its runs.
+            let _ = reports.send(Report::Run(report));
+        });
+        if leaving {
+            // It reports its end like any other run, and the leader gives the item to another host.
+            self.stop_all();
+        }
+    }
+
+    async fn report(&mut self, report: Report) -> Option<()> {
+        let Report::Run(report) = report else {
+            return Some(());
+        };
+        let id = report.run();
+        let Some(run) = self.runs.get_mut(&id) else {
+            return Some(());
+        };
+        let news = match report {
+            RunReport::Progress { progress, .. } => {
+                let part = TextPart::new(id, &progress, run.sent);
+                run.sent = progress.text.len();
+                News::Progress(part)
+            }
+            RunReport::Generated { pace, .. } => News::Generated(Generated::new(id, pace)),
+            RunReport::Ended { outcome, .. } => {
+                let ended = Ended::new(id, &outcome, run.sent);
+                self.runs.remove(&id);
+                News::Ended(Box::new(ended))
+            }
+        };
+        self.feed(news).await
+    }
+
+    async fn feed(&mut self, news: News) -> Option<()> {
+        peer::feed(&mut self.frames, &FromRunner { news: Some(news) }).await
+    }
+
+    async fn flush(&mut self) -> Option<()> {
+        peer::flush(&mut self.frames).await
+    }
+}
+
+/// Returns once the process is stopping.
+async fn stopping(traffic: Rc<Traffic>) {
+    while !traffic.view.load().stopping {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -38,6 +38,7 @@
         pool::Pool,
         report::{Command, Report},
         run as item_run,
+        runner::Runner,
     },
     view::{Shared, View},
 };
@@ -82,6 +83,8 @@
     pub channels: Channels,
     pub pool: RefCell<Pool>,
     pub cache: Cache,
+    /// State of the runs for leaders on other hosts.
+    pub runner: Runner,
     /// Client for requests to other hosts.
     pub peers: peer::Client,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -109,6 +112,7 @@
         channels: Channels::default(),
         pool,
         cache: Cache::default(),
+        runner: Runner::default(),
         peers: peer::Client::default(),
         reports: reports.clone(),
         connections: Cell::new(0),
@@ -194,7 +198,7 @@
                     }
                 });
             }
-            Command::Stop { run } => {
+            Command::Stop { run, .. } => {
                 if let Some(stop) = traffic.stops.borrow_mut().remove(&run) {
                     // The send fails only if the run has just ended.
                     let _ = stop.send(());
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -69,8 +69,14 @@
         parts: 1,
         ended: false,
     };
-    let spec =
-        Spec { id: id.into(), step: 0, model: "m".into(), min_version, groups_needed: 0, items };
+    let spec = Spec {
+        id: id.into(),
+        step: 0,
+        model: "m".into(),
+        min_version,
+        groups_needed: 0,
+        items: items.into_iter().map(Arc::new).collect(),
+    };
     let mut job = Job::new(Arc::new(spec), record, ms(7_500), ms(40_000));
     job.max_attempts = 2;
     job
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -80,7 +80,7 @@
     let address = listener.local_addr().unwrap();
     tokio::task::spawn_local(serve(listener, Rc::clone(other) as Rc<dyn Transport>));
     let peers = Peers::default();
-    peers.set(vec![Peer { zone: "z".into(), address }]);
+    peers.set(vec![Peer { zone: "z".into(), address, peer: None, cpu_share: 1.0 }]);
     Client::new(Rc::clone(own) as Rc<dyn Transport>, peers, "z".into())
 }
 
