One host of each zone reads the store for the others

Change: each zone has a reader, elected by a leased key (lead/zone/NAME), that keeps copies of the followed prefixes and answers the others by revision, with the age of what it knows (feed).

--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -59,6 +59,8 @@
     /// Value of the leader key.
     pub holder: Holder,
     pub ttl: Duration,
+    /// Interval at which the lease is renewed.
+    pub renewal_interval: Duration,
     /// Delay before a free leadership is acquired.
     pub delay: Duration,
     pub store: store::Handle,
@@ -74,6 +76,11 @@
         lease_min * LEASE_FACTOR
     }
 
+    /// Renewal interval of a leader.
+    pub fn renewal_interval(lease_min: Duration) -> Duration {
+        Self::ttl(lease_min) / RENEWALS_PER_LEASE
+    }
+
     /// Delay for a share of a core.
     pub fn delay(cpu_share: f64) -> Duration {
         SMALL_HOST_DELAY.mul_f64(1.0 - (cpu_share / LARGE_HOST_SHARE).clamp(0.0, 1.0))
@@ -136,7 +143,7 @@
                 LeaderKey::Absent | LeaderKey::Unknown => false,
             };
             tokio::select! {
-                () = sleep(self.ttl / RENEWALS_PER_LEASE) => {}
+                () = sleep(self.renewal_interval) => {}
                 _ = leader_key.wait_for(lost) => {
                     warn!(service = &*self.service, fence; "leadership lost: another host has acquired it");
                     break;
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -7,9 +7,10 @@
 
 use crate::{
     clock,
+    feed::{self, Feed, Source, Watched},
     freshness::Freshness,
     prelude::*,
-    store::{self, Change, Entry, Error, WatchResponse},
+    store::{Change, Entry, Error},
 };
 
 /// Maximum duration of a watch; shorter than the history that the store retains. A dead connection is detected by
@@ -68,23 +69,38 @@
     }
 
     /// Follows the prefix until the receiver of updates is closed.
-    pub async fn follow(mut self, store: store::Handle, updates: mpsc::UnboundedSender<Update>) {
-        let mut at = None;
+    pub async fn follow(
+        mut self,
+        source: feed::Handle,
+        feed: Arc<Feed>,
+        updates: mpsc::UnboundedSender<Update>,
+    ) {
+        let (mut at, prefix) = (None, self.prefix.clone());
         loop {
             let begun = clock::now();
-            let result = self.step(store.as_ref(), at, &updates).await;
+            if feed.lacks(&self.prefix) {
+                at = None;
+            }
+            let result = tokio::select! {
+                result = self.step(source.as_ref(), &feed, at, &updates) => result,
+                // What this host has to read for its zone, it reads at once.
+                () = feed.wait_until_lacking(&prefix), if at.is_some() => Ok(None),
+            };
             match result {
-                Ok(next) => {
-                    at = next;
-                    if at.is_some() {
-                        self.wait_until_due(begun, &updates).await;
-                    }
+                Ok(Some((revision, current_at))) => {
+                    at = Some(revision);
+                    self.wait_until_due(begun, current_at, &feed, &updates).await;
                 }
+                Ok(None) => at = None,
                 Err(error) => {
+                    feed.fail(&self.prefix);
                     self.record_failure(&error, &updates);
                     let delay = RETRY_DELAY.saturating_mul(1 << (self.failures - 1).min(8));
                     sleep(delay.min(RETRY_DELAY_MAX)).await;
-                    if let Schedule::OnDemand(freshness) = &self.schedule {
+                    // Without a first read this host serves nothing, so nothing would request one.
+                    if let Schedule::OnDemand(freshness) = &self.schedule
+                        && at.is_some()
+                    {
                         freshness.refresh_requested().await;
                     }
                 }
@@ -96,18 +112,32 @@
     }
 
     /// Waits until the next call is due, after a successful call that began at `begun`.
-    async fn wait_until_due(&self, begun: Time, updates: &mpsc::UnboundedSender<Update>) {
+    async fn wait_until_due(
+        &self,
+        begun: Time,
+        current_at: Time,
+        feed: &Feed,
+        updates: &mpsc::UnboundedSender<Update>,
+    ) {
         match &self.schedule {
             Schedule::Follow(interval) => {
                 sleep(interval.saturating_sub(clock::now().saturating_sub(begun))).await;
             }
             Schedule::OnDemand(freshness) => {
-                let _ = updates.send(Update::Refreshed { at: begun });
-                freshness.refresh_requested().await;
+                let _ = updates.send(Update::Refreshed { at: current_at });
+                tokio::select! {
+                    () = freshness.refresh_requested() => {}
+                    () = feed.refresh_requested() => {}
+                }
             }
         }
     }
 
+    /// Time from which the age of the mirror counts; `None` if it follows the prefix.
+    fn age_base(&self, current_at: Time) -> Option<Time> {
+        matches!(self.schedule, Schedule::OnDemand(_)).then_some(current_at)
+    }
+
     /// Time for which a watch waits for the first change.
     fn watch_timeout(&self) -> Duration {
         match self.schedule {
@@ -117,35 +147,42 @@
     }
 
     /// Reads the whole prefix if there is no revision to continue from, or else watches for changes. Returns the
-    /// revision to continue from.
+    /// revision to continue from, and the time at which the mirror was current.
     async fn step(
         &mut self,
-        store: &dyn store::Store,
+        source: &dyn Source,
+        feed: &Feed,
         at: Option<Revision>,
         updates: &mpsc::UnboundedSender<Update>,
-    ) -> Result<Option<Revision>, Error> {
+    ) -> Result<Option<(Revision, Time)>, Error> {
         let Some(after) = at else {
-            let (entries, revision) = store::read_all(store, &self.prefix).await?;
-            self.record_success(updates);
-            for change in self.compare(entries, revision) {
+            let snapshot = source.read(&self.prefix).await?;
+            self.record_success(feed, updates);
+            feed.reset(&self.prefix, &snapshot, self.age_base(snapshot.current_at));
+            let (revision, current_at) = (snapshot.revision, snapshot.current_at);
+            for change in self.compare(snapshot.entries, revision) {
                 // Fails only while the process ends.
                 let _ = updates.send(Update::Changed(change));
             }
             let _ = updates.send(Update::Synced { mirror: self.number });
-            return Ok(Some(revision));
+            return Ok(Some((revision, current_at)));
         };
-        let watched = store.watch(&self.prefix, after, self.watch_timeout()).await?;
-        self.record_success(updates);
+        let watched = source.watch(&self.prefix, after, self.watch_timeout()).await?;
+        self.record_success(feed, updates);
         match watched {
-            WatchResponse::Changes { changes, revision } => {
+            Watched::Changes { changes, revision, current_at, recovered } => {
+                if recovered {
+                    let _ = updates.send(Update::StoreRecovered { mirror: self.number });
+                }
+                feed.extend(&self.prefix, &changes, revision, self.age_base(current_at));
                 for change in changes {
                     if self.record(&change) {
                         let _ = updates.send(Update::Changed(change));
                     }
                 }
-                Ok(Some(revision.max(after)))
+                Ok(Some((revision.max(after), current_at)))
             }
-            WatchResponse::Compacted => {
+            Watched::Compacted => {
                 info!(prefix = &*self.prefix; "watch history compacted; reading the prefix again");
                 Ok(None)
             }
@@ -187,9 +224,10 @@
 
     /// Must be called before the changes of a response are sent: entries whose leases expired during an outage may come
     /// back shortly after it.
-    fn record_success(&mut self, updates: &mpsc::UnboundedSender<Update>) {
+    fn record_success(&mut self, feed: &Feed, updates: &mpsc::UnboundedSender<Update>) {
         if std::mem::take(&mut self.failures) > 0 {
             info!(prefix = &*self.prefix; "store answers again");
+            feed.recover();
             let _ = updates.send(Update::StoreRecovered { mirror: self.number });
         }
     }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -18,10 +18,11 @@
         mirror::{Mirror, Schedule, Update},
         orders,
         sessions::Outbox,
-        store_state::{Effect, StoreState},
+        store_state::{Effect, LeaderEntry, StoreState},
         tasks::{Completion, report_retired, write_checkpoints},
     },
     dialect::{self, Subject},
+    feed::{self, Direct, Feed},
     freshness::Freshness,
     holder::Holder,
     job,
@@ -43,6 +44,15 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Watches of the configuration within the time in which a new one must be in force.
 const CONFIG_WATCHES_PER_DEADLINE: u32 = 4;
+/// Index of the mirror of the leader keys.
+const LEADERS_MIRROR: usize = 0;
+/// Share of the age at which registrations are refreshed up to which those of the zone's reader serve.
+const FEED_AGE_SHARE: f64 = 0.75;
+/// Lease of a reader in leases of a leader: other hosts do without a reader, so a slow succession costs little.
+const READER_LEASE_FACTOR: u32 = 2;
+const READER_RENEWALS_PER_LEASE: u32 = 4;
+/// Minimum interval between watches of the registered hosts.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the engines are assigned to hosts anew.
 const RUNNERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum time for which a stopping leader ends its runs and persists their results.
@@ -57,6 +67,7 @@
     /// Hosts that relay calls to the store.
     pub peers: Peers,
     pub freshness: Arc<Freshness>,
+    pub feed: Arc<Feed>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -72,6 +83,16 @@
     pub(super) freshness: Arc<Freshness>,
     /// Time at which registrations that are not published yet were current.
     pub(super) refreshed_at: Option<Time>,
+    /// What this host reads for the other hosts of its zone.
+    pub(super) feed: Arc<Feed>,
+    /// Source of the prefixes that this host reads for its zone.
+    pub(super) direct: feed::Handle,
+    /// Address of the host that reads for the zone, if it is another one.
+    pub(super) reader: watch::Sender<Option<SocketAddr>>,
+    /// Leader key of the reader, for its election.
+    pub(super) reader_key: watch::Sender<LeaderKey>,
+    /// Mirror of the hosts, which only a reader needs.
+    pub(super) hosts_mirror: Option<JoinHandle<()>>,
     pub(super) outbox: Outbox,
     pub(super) peers: Peers,
     /// Hosts that get no items until a time.
@@ -109,6 +130,7 @@
         store,
         peers,
         freshness,
+        feed,
         commands,
         mut reports,
         mut stopping,
@@ -121,11 +143,21 @@
         Subject::Targets => Some((*prefix, Schedule::OnDemand(Arc::clone(&freshness)))),
         Subject::Operations => None,
     });
-    let mirrors: Vec<Mirror> = platform
-        .chain([(job::LEADERS, Schedule::Follow(WATCH_INTERVAL))])
+    let leaders = [(job::LEADERS, Schedule::Follow(WATCH_INTERVAL))];
+    let mirrors: Vec<Mirror> = leaders
+        .into_iter()
+        .chain(platform)
         .enumerate()
         .map(|(number, (prefix, schedule))| Mirror::new(number, prefix, schedule))
         .collect();
+    let direct: feed::Handle = Rc::new(Direct(Rc::clone(&store)));
+    let (reader, reader_receiver) = watch::channel(None);
+    let source: feed::Handle = feed::Client::new(
+        Direct(Rc::clone(&store)),
+        reader_receiver,
+        settings.config_deadline / CONFIG_WATCHES_PER_DEADLINE,
+        freshness.refresh_age().mul_f64(FEED_AGE_SHARE),
+    );
     let orders = Rc::new(orders::Client {
         store: Rc::clone(&store),
         dialect: Arc::clone(&dialect),
@@ -138,10 +170,16 @@
             peer: settings.peer,
             cpu_share: settings.cpu_share,
         };
-        let discovery =
-            relay::discover(Rc::clone(&store), settings.host.clone(), own, peers.clone());
+        let discovery = relay::discover(
+            Rc::clone(&source),
+            Rc::clone(&store),
+            settings.host.clone(),
+            own,
+            peers.clone(),
+        );
         tokio::task::spawn_local(discovery);
     }
+    let store_state = StoreState::new(mirrors.len(), settings.zone.clone());
     let mut control = Control {
         settings,
         view,
@@ -149,6 +187,11 @@
         store,
         freshness,
         refreshed_at: None,
+        feed,
+        direct,
+        reader,
+        reader_key: watch::Sender::new(LeaderKey::Unknown),
+        hosts_mirror: None,
         outbox: Outbox::new(commands, runner_events),
         peers: peers.clone(),
         avoided_runners: BTreeMap::new(),
@@ -156,7 +199,7 @@
         runners_updated_at: Time::ZERO,
         completions,
         orders,
-        store_state: StoreState::new(mirrors.len()),
+        store_state,
         leader_mirrors: Vec::new(),
         updates: updates.clone(),
         leader_keys: BTreeMap::new(),
@@ -168,8 +211,10 @@
         cleaned_up_at: Time::ZERO,
     };
     for mirror in mirrors {
-        tokio::task::spawn_local(mirror.follow(Rc::clone(&control.store), updates.clone()));
+        let feed = Arc::clone(&control.feed);
+        tokio::task::spawn_local(mirror.follow(Rc::clone(&source), feed, updates.clone()));
     }
+    control.join_reader_election();
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut idle_ticks = 0;
@@ -286,6 +331,10 @@
     }
 
     fn set_leadership(&mut self, service: &ServiceId, leadership: Leadership) {
+        if *service == feed::reader_name(&self.settings.zone) {
+            self.set_reading(leadership.fence.is_some());
+            return;
+        }
         let Some(leader) = self.leaders.get_mut(service) else {
             return;
         };
@@ -316,6 +365,61 @@
         self.update_leader_mirrors();
     }
 
+    /// Starts or stops to read for the zone.
+    fn set_reading(&mut self, reading: bool) {
+        if reading == self.hosts_mirror.is_some() {
+            return;
+        }
+        self.feed.set_serving(reading);
+        if let Some(mirror) = self.hosts_mirror.take() {
+            mirror.abort();
+        } else {
+            let mirror = Mirror::new(usize::MAX, job::HOSTS, Schedule::Follow(HOSTS_INTERVAL));
+            let follow = mirror.follow(
+                Rc::clone(&self.direct),
+                Arc::clone(&self.feed),
+                self.updates.clone(),
+            );
+            self.hosts_mirror = Some(tokio::task::spawn_local(follow));
+        }
+    }
+
+    /// Competes to read for the zone, if this host can serve others.
+    fn join_reader_election(&self) {
+        if self.settings.peer.is_none() {
+            return;
+        }
+        let ttl = Election::ttl(self.settings.lease_min) * READER_LEASE_FACTOR;
+        let election = Election {
+            service: feed::reader_name(&self.settings.zone),
+            holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
+            ttl,
+            renewal_interval: ttl / READER_RENEWALS_PER_LEASE,
+            delay: Election::delay(self.settings.cpu_share),
+            store: Rc::clone(&self.store),
+            leader_key: self.reader_key.subscribe(),
+            leaderships: self.leaderships.clone(),
+            stopping: self.step_down.subscribe(),
+        };
+        tokio::task::spawn_local(election.run());
+    }
+
+    /// Tells the elections and the source of this host's mirrors about the leader keys.
+    fn update_leader_keys(&mut self) {
+        if !self.store_state.is_mirror_synced(LEADERS_MIRROR) {
+            return;
+        }
+        let state = |key: Option<&LeaderEntry>| {
+            key.map_or(LeaderKey::Absent, |key| LeaderKey::Present(key.revision))
+        };
+        for (service, sender) in &self.leader_keys {
+            set(sender, state(self.store_state.leader_keys.get(service)));
+        }
+        set(&self.reader_key, state(self.store_state.reader.as_ref()));
+        let reader = self.store_state.reader.as_ref().and_then(|reader| reader.peer);
+        set(&self.reader, reader.filter(|reader| Some(*reader) != self.settings.peer));
+    }
+
     /// Starts or stops the mirrors of job heads, requested versions and retired hosts, which only a leader needs. Any
     /// other host reads single jobs on request.
     fn update_leader_mirrors(&mut self) {
@@ -325,7 +429,8 @@
             let operations = prefixes.filter(|(_, subject)| *subject == Subject::Operations);
             for prefix in operations.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
                 let mirror = Mirror::new(usize::MAX, prefix, Schedule::Follow(WATCH_INTERVAL));
-                let follow = mirror.follow(Rc::clone(&self.store), self.updates.clone());
+                let (source, feed) = (Rc::clone(&self.direct), Arc::default());
+                let follow = mirror.follow(source, feed, self.updates.clone());
                 self.leader_mirrors.push(tokio::task::spawn_local(follow));
             }
         } else if !leads && !self.leader_mirrors.is_empty() {
@@ -344,6 +449,7 @@
         if std::mem::take(&mut self.store_state.changed) {
             self.publish();
             self.sync_leaders();
+            self.update_leader_keys();
         }
         self.update_freshness();
         if std::mem::take(&mut self.store_state.heads_changed) {
@@ -403,14 +509,6 @@
         for service in config.services.iter().filter(|service| service.engines) {
             self.join_election(&service.name);
         }
-        for (service, leader_key) in &self.leader_keys {
-            let now = self
-                .store_state
-                .leader_keys
-                .get(service)
-                .map_or(LeaderKey::Absent, |key| LeaderKey::Present(key.revision));
-            leader_key.send_if_modified(|key| std::mem::replace(key, now) != now);
-        }
         for leader in self.leaders.values_mut() {
             leader.sync(self.store_state.fleet.targets(), &self.store_state.requested);
         }
@@ -429,6 +527,7 @@
             service: service.clone(),
             holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
             ttl: Election::ttl(self.settings.lease_min),
+            renewal_interval: Election::renewal_interval(self.settings.lease_min),
             delay: Election::delay(self.settings.cpu_share),
             store: Rc::clone(&self.store),
             leader_key: receiver,
@@ -438,3 +537,12 @@
         tokio::task::spawn_local(election.run());
     }
 }
+
+/// Sets a watched value, and wakes its receivers only if it has changed.
+fn set<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|current| {
+        let is_new = *current != value;
+        *current = value;
+        is_new
+    });
+}
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -43,6 +43,17 @@
     pub peer: Option<SocketAddr>,
 }
 
+impl LeaderEntry {
+    /// Key after a change; `None` if it was removed.
+    fn of(change: &Change) -> Option<Self> {
+        let Change::Put(entry) = change else {
+            return None;
+        };
+        let peer = Holder::decode(&entry.value).and_then(|holder| holder.peer);
+        Some(Self { revision: entry.revision, peer })
+    }
+}
+
 /// State mirrored from the store.
 #[derive(Debug)]
 pub struct StoreState {
@@ -55,25 +66,30 @@
     pub heads_changed: bool,
     /// Leader key of each service.
     pub leader_keys: BTreeMap<ServiceId, LeaderEntry>,
+    /// Host that reads for this host's zone.
+    pub reader: Option<LeaderEntry>,
     /// Addresses of the leaders, from their keys.
     pub leader_addresses: Arc<BTreeMap<ServiceId, SocketAddr>>,
     /// Newest version that a trainer requested, by model.
     pub requested: BTreeMap<ModelId, Version>,
     /// State that is published to other threads, elections or leaders has changed.
     pub changed: bool,
+    zone: ZoneId,
     /// Whether each mirror has completed its first read.
     synced: Vec<bool>,
 }
 
 impl StoreState {
-    /// Empty state that counts as synced after the first read of `mirrors` mirrors.
-    pub fn new(mirrors: usize) -> Self {
+    /// Empty state of a host in a zone. It counts as synced after the first read of `mirrors` mirrors.
+    pub fn new(mirrors: usize, zone: ZoneId) -> Self {
         Self {
             config: None,
             fleet: Fleet::default(),
             job_heads: BTreeMap::new(),
             heads_changed: false,
             leader_keys: BTreeMap::new(),
+            reader: None,
+            zone,
             leader_addresses: Arc::default(),
             requested: BTreeMap::new(),
             changed: false,
@@ -81,6 +97,11 @@
         }
     }
 
+    /// Whether a mirror has completed its first read.
+    pub fn is_mirror_synced(&self, mirror: usize) -> bool {
+        self.synced.get(mirror).copied().unwrap_or_default()
+    }
+
     /// Whether every mirror has completed its first read.
     pub fn is_synced(&self) -> bool {
         self.synced.iter().all(|synced| *synced)
@@ -110,6 +131,13 @@
         match Key::parse(key) {
             Some(Key::Head(id)) => self.apply_head(id, change),
             Some(Key::Leader(service)) => self.apply_leader_key(service, change),
+            Some(Key::Reader(zone)) => {
+                if zone == self.zone {
+                    self.changed = true;
+                    self.reader = LeaderEntry::of(change);
+                }
+                None
+            }
             None => match dialect.decode_change(change) {
                 Ok(change) => self.apply_platform_change(change),
                 Err(error) => {
@@ -150,10 +178,10 @@
     fn apply_leader_key(&mut self, service: ServiceId, change: &Change) -> Option<Effect> {
         self.changed = true;
         match change {
-            Change::Put(entry) => {
-                let peer = Holder::decode(&entry.value).and_then(|holder| holder.peer);
-                let leader = LeaderEntry { revision: entry.revision, peer };
-                self.leader_keys.insert(service.clone(), leader);
+            Change::Put(_) => {
+                if let Some(leader) = LeaderEntry::of(change) {
+                    self.leader_keys.insert(service.clone(), leader);
+                }
                 self.update_leader_addresses();
                 Some(Effect::LeaderElected { service })
             }
--- /dev/null
+++ b/crates/node/src/feed/copy.rs
@@ -0,0 +1,216 @@
+//! Copies of prefixes that the reader of a zone keeps for the other hosts.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+use crate::{
+    clock,
+    feed::{ChangesRequest, Page, Snapshot},
+    prelude::*,
+    store::{Change, Entry},
+};
+
+/// Largest number of removed keys of a prefix that are remembered.
+const REMOVED_MAX: usize = 2000;
+/// Time for which an outage of the store is reported after its end.
+const RECOVERY_PERIOD: Duration = Duration::from_millis(2500);
+/// Time for which a request waits until the reader's knowledge is young enough.
+const REFRESH_WAIT: Duration = Duration::from_millis(150);
+
+/// Copy of a prefix.
+#[derive(Debug)]
+struct Copy {
+    entries: BTreeMap<Box<str>, Entry>,
+    /// Removed keys by the revision of their removal.
+    removed: VecDeque<(Revision, Box<str>)>,
+    /// Revision from which on all removed keys are known.
+    complete_from: Revision,
+    revision: Revision,
+    /// Time at which the copy was current; `None` if the prefix is followed.
+    current_at: Option<Time>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// This host reads for its zone.
+    serving: bool,
+    /// Copies of the prefixes that the store has answered for last.
+    copies: BTreeMap<Box<str>, Copy>,
+    recovered_at: Option<Time>,
+}
+
+/// Copies shared by the control thread, which fills them, and the traffic thread, which serves them.
+#[derive(Debug, Default)]
+pub struct Feed {
+    state: Mutex<State>,
+    changed: Notify,
+    refresh: Notify,
+}
+
+impl Feed {
+    fn state(&self) -> MutexGuard<'_, State> {
+        // No code panics while it holds the lock.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts or stops to read for the zone.
+    pub fn set_serving(&self, serving: bool) {
+        let mut state = self.state();
+        state.serving = serving;
+        state.copies.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether this host reads for its zone and has no copy of a prefix yet.
+    pub fn lacks(&self, prefix: &str) -> bool {
+        let state = self.state();
+        state.serving && !state.copies.contains_key(prefix)
+    }
+
+    /// Returns once this host has to read a prefix for its zone.
+    pub async fn wait_until_lacking(&self, prefix: &str) {
+        loop {
+            let changed = self.changed.notified();
+            if self.lacks(prefix) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Replaces the copy of a prefix. `current_at` is the time at which a prefix that is not followed was current.
+    pub fn reset(&self, prefix: &str, snapshot: &Snapshot, current_at: Option<Time>) {
+        let mut state = self.state();
+        if !state.serving {
+            return;
+        }
+        let entries = snapshot.entries.iter().map(|entry| (entry.key.clone(), entry.clone()));
+        let copy = Copy {
+            entries: entries.collect(),
+            removed: VecDeque::new(),
+            complete_from: snapshot.revision,
+            revision: snapshot.revision,
+            current_at,
+        };
+        state.copies.insert(prefix.into(), copy);
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Adds changes to the copy of a prefix.
+    pub fn extend(
+        &self,
+        prefix: &str,
+        changes: &[Change],
+        revision: Revision,
+        current_at: Option<Time>,
+    ) {
+        let mut state = self.state();
+        if let Some(copy) = state.copies.get_mut(prefix) {
+            changes.iter().for_each(|change| copy.apply(change));
+            copy.revision = copy.revision.max(revision);
+            copy.current_at = copy.current_at.max(current_at);
+            drop(state);
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Drops the copy of a prefix, because the store does not answer for it.
+    pub fn fail(&self, prefix: &str) {
+        self.state().copies.remove(prefix);
+        self.changed.notify_waiters();
+    }
+
+    /// Records that the store answers again.
+    pub fn recover(&self) {
+        self.state().recovered_at = Some(clock::now());
+    }
+
+    /// Returns once a request needs younger copies of prefixes that are read on demand.
+    pub async fn refresh_requested(&self) {
+        self.refresh.notified().await;
+    }
+
+    /// Serves a request; `None` if this host does not read for its zone or has lost the store.
+    pub async fn serve(&self, request: &ChangesRequest) -> Option<Page> {
+        let deadline = Instant::now() + Duration::from_millis(request.wait_ms);
+        let refresh_by = Instant::now() + REFRESH_WAIT;
+        let max_age = request.max_age_ms.map(Duration::from_millis);
+        loop {
+            let changed = self.changed.notified();
+            let page = self.page(request)?;
+            let is_young = max_age.is_none_or(|max_age| page.age() <= max_age);
+            let has_news = request.after.is_none() || page.compacted || !page.changes.is_empty();
+            let until = match (is_young, has_news) {
+                (true, true) => return Some(page),
+                (true, false) if Instant::now() >= deadline => return Some(page),
+                (true, false) => deadline,
+                (false, _) if Instant::now() >= refresh_by => return Some(page),
+                (false, _) => {
+                    self.refresh.notify_one();
+                    refresh_by
+                }
+            };
+            // After a timeout the state is checked in the same way as after a change.
+            let _ = timeout_at(until, changed).await;
+        }
+    }
+
+    fn page(&self, request: &ChangesRequest) -> Option<Page> {
+        let state = self.state();
+        let copy = state.copies.get(&*request.prefix).filter(|_| state.serving)?;
+        let mut page = copy.page(request.after);
+        let now = clock::now();
+        let recovered_at = state.recovered_at.filter(|at| now < *at + RECOVERY_PERIOD);
+        page.set_times(now, copy.current_at.unwrap_or(now), recovered_at);
+        Some(page)
+    }
+}
+
+impl Copy {
+    fn apply(&mut self, change: &Change) {
+        match change {
+            Change::Put(entry) => {
+                let known = self.entries.get(&entry.key).map_or(0, |known| known.revision);
+                if entry.revision > known {
+                    self.entries.insert(entry.key.clone(), entry.clone());
+                }
+            }
+            Change::Removed { key, revision } => {
+                let known = self.entries.get(key).map_or(0, |known| known.revision);
+                if *revision >= known && self.entries.remove(key).is_some() {
+                    self.removed.push_back((*revision, key.clone()));
+                }
+                if self.removed.len() > REMOVED_MAX
+                    && let Some((revision, _)) = self.removed.pop_front()
+                {
+                    self.complete_from = revision;
+                }
+            }
+        }
+    }
+
+    /// Changes after a revision, or all entries.
+    fn page(&self, after: Option<Revision>) -> Page {
+        if after.is_some_and(|after| after < self.complete_from) {
+            return Page { compacted: true, ..Page::default() };
+        }
+        let after = after.unwrap_or_default();
+        let puts = self.entries.values().filter(|entry| entry.revision > after);
+        let removed = self.removed.iter().filter(|(revision, _)| *revision > after);
+        let puts = puts.map(|entry| Change::Put(entry.clone()));
+        let removed = removed
+            .filter(|(_, key)| !self.entries.contains_key(key))
+            .map(|(revision, key)| Change::Removed { key: key.clone(), revision: *revision });
+        let changes = removed.chain(puts).map(|change| (&change).into()).collect();
+        Page { changes, revision: self.revision.max(after), ..Page::default() }
+    }
+}
--- /dev/null
+++ b/crates/node/src/feed/source.rs
@@ -0,0 +1,69 @@
+//! Where a mirror reads a prefix from: the store, or a host that reads it for others.
+
+use std::rc::Rc;
+
+use async_trait::async_trait;
+
+use crate::{
+    clock,
+    prelude::*,
+    store::{self, Change, Entry, Error, WatchResponse},
+};
+
+/// All entries of a prefix.
+#[derive(Clone, Debug)]
+pub struct Snapshot {
+    pub entries: Vec<Entry>,
+    /// Revision of the store from which changes follow.
+    pub revision: Revision,
+    /// Time at which the entries were current.
+    pub current_at: Time,
+}
+
+/// Result of waiting for changes.
+#[derive(Clone, Debug)]
+pub enum Watched {
+    Changes {
+        changes: Vec<Change>,
+        revision: Revision,
+        /// Time up to which the changes are complete.
+        current_at: Time,
+        /// The source has lost the store for a time and reads it again since then.
+        recovered: bool,
+    },
+    /// The changes are not available any more; the prefix has to be read again.
+    Compacted,
+}
+
+/// Source of a prefix of the store.
+#[async_trait(?Send)]
+pub trait Source {
+    async fn read(&self, prefix: &str) -> Result<Snapshot, Error>;
+    /// Waits up to `wait` for changes under a prefix after a revision.
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error>;
+}
+
+/// The store itself.
+pub struct Direct(pub store::Handle);
+
+#[async_trait(?Send)]
+impl Source for Direct {
+    async fn read(&self, prefix: &str) -> Result<Snapshot, Error> {
+        let current_at = clock::now();
+        let (entries, revision) = store::read_all(self.0.as_ref(), prefix).await?;
+        Ok(Snapshot { entries, revision, current_at })
+    }
+
+    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error> {
+        let current_at = clock::now();
+        Ok(match self.0.watch(prefix, after, wait).await? {
+            WatchResponse::Changes { changes, revision } => {
+                Watched::Changes { changes, revision, current_at, recovered: false }
+            }
+            WatchResponse::Compacted => Watched::Compacted,
+        })
+    }
+}
+
+/// Handle of a source, for one thread.
+pub type Handle = Rc<dyn Source>;
--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -55,8 +55,13 @@
         Self { max_age, requested: Notify::new(), status: watch::Sender::new(Status::default()) }
     }
 
+    /// Age at which registrations are refreshed.
+    pub fn refresh_age(&self) -> Duration {
+        self.max_age / REFRESHES_PER_MAX_AGE
+    }
+
     fn is_fresh(&self) -> bool {
-        self.status.borrow().is_within(self.max_age / REFRESHES_PER_MAX_AGE)
+        self.status.borrow().is_within(self.refresh_age())
     }
 
     /// Requests a refresh if one is due.
@@ -75,7 +80,7 @@
         let mut status = self.status.subscribe();
         let reliable = status.borrow().is_within(self.max_age);
         let wait_max = if reliable { REFRESH_WAIT } else { STALE_REFRESH_WAIT };
-        let refresh_age = self.max_age / REFRESHES_PER_MAX_AGE;
+        let refresh_age = self.refresh_age();
         let done =
             status.wait_for(|status| status.failed_recently() || status.is_within(refresh_age));
         if timeout(wait_max, done).await.is_err() && !reliable {
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -9,6 +9,8 @@
 const CHECKPOINTS: &str = "job/texts/";
 /// Prefix of the leader key of each service.
 pub const LEADERS: &str = "lead/";
+/// Name before the zone in the leader keys of the hosts that read for their zones.
+pub const READERS: &str = "zone/";
 /// Prefix of the relay addresses of hosts.
 pub const HOSTS: &str = "host/";
 
@@ -17,15 +19,21 @@
 pub enum Key {
     Head(JobId),
     Leader(ServiceId),
+    /// Host that reads for its zone.
+    Reader(ZoneId),
 }
 
 impl Key {
-    /// Parses a job head or leader key; `None` for any other key.
+    /// Parses a key of a job head, a leader or a reader; `None` for any other key.
     pub fn parse(key: &str) -> Option<Self> {
         if let Some(id) = key.strip_prefix(HEADS) {
             return Some(Self::Head(id.into()));
         }
-        key.strip_prefix(LEADERS).map(|service| Self::Leader(service.into()))
+        let name = key.strip_prefix(LEADERS)?;
+        Some(match name.strip_prefix(READERS) {
+            Some(zone) => Self::Reader(zone.into()),
+            None => Self::Leader(name.into()),
+        })
     }
 }
 
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -19,8 +19,8 @@
 pub use engine::Engine;
 pub use engines::{Engines, Requirement};
 pub use keys::{
-    HEADS, HOSTS, Key, LEADERS, body_key, checkpoints_key, chunk_key, chunks_prefix, head_key,
-    host_key, leader_key,
+    HEADS, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
+    head_key, host_key, leader_key,
 };
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 pub mod events;
 pub mod explain;
+pub mod feed;
 pub mod fleet;
 pub mod freshness;
 pub mod holder;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -30,6 +30,7 @@
     store_seconds: Histogram<f64>,
     relays: Counter<u64>,
     peer_calls: Counter<u64>,
+    feed_answers: Counter<u64>,
     runs: Counter<u64>,
     rows: Counter<u64>,
     loads: Counter<u64>,
@@ -73,6 +74,10 @@
             store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
             store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
             relays: counter("lagoonyard_relayed_calls", "Calls through other hosts by outcome"),
+            feed_answers: counter(
+                "lagoonyard_feed_answers",
+                "Answers of the zone's reader by outcome",
+            ),
             peer_calls: counter("lagoonyard_peer_calls", "Requests to other hosts by outcome"),
             runs: counter("lagoonyard_item_runs", "Ended runs of job items by outcome"),
             rows: counter("lagoonyard_rows_kept", "Results written to the store"),
@@ -116,6 +121,11 @@
         self.peer_calls.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records an answer of the zone's reader.
+    pub fn feed(&self, outcome: &'static str) {
+        self.feed_answers.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the outcome of a run of a job item.
     pub fn run(&self, outcome: &'static str) {
         self.runs.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -6,7 +6,7 @@
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::{peer::run::Lead, prelude::*};
+use crate::{feed::ChangesRequest, peer::run::Lead, prelude::*};
 
 /// Largest frame; it leaves room for the largest submission that a caller may send.
 const FRAME_BYTES_MAX: usize = 40 << 20;
@@ -20,7 +20,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6")]
     pub kind: Option<Kind>,
 }
 
@@ -38,6 +38,9 @@
     /// From here on the connection carries messages of a leader and its runner.
     #[prost(message, tag = "5")]
     Lead(Lead),
+    /// Changes of a prefix of the store, from the host that reads it for its zone.
+    #[prost(message, tag = "6")]
+    Changes(ChangesRequest),
 }
 
 /// Requests the results of a job from position `after` on.
--- a/crates/node/src/relay/peers.rs
+++ b/crates/node/src/relay/peers.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    job,
+    feed, job,
     prelude::*,
     store::{self, Entry, Error, Put, Txn},
 };
@@ -69,10 +69,16 @@
 }
 
 /// Registers this host in the store and refreshes the list of the others, with jitter of a quarter of the interval.
-pub async fn discover(store: store::Handle, host: HostId, own: Peer, peers: Peers) {
+pub async fn discover(
+    source: feed::Handle,
+    store: store::Handle,
+    host: HostId,
+    own: Peer,
+    peers: Peers,
+) {
     let mut interval = FIRST_REFRESH_INTERVAL;
     loop {
-        match refresh(store.as_ref(), &host, &own, &peers).await {
+        match refresh(source.as_ref(), store.as_ref(), &host, &own, &peers).await {
             Ok(()) => {
                 let pause = interval.mul_f64(0.75 + 0.5 * rand::random::<f64>());
                 // A refresh on request may come before the other hosts have registered, so the short interval stays.
@@ -89,12 +95,13 @@
 }
 
 async fn refresh(
+    source: &dyn feed::Source,
     store: &dyn store::Store,
     host: &HostId,
     own: &Peer,
     peers: &Peers,
 ) -> Result<(), Error> {
-    let (entries, _) = store::read_all(store, job::HOSTS).await?;
+    let entries = source.read(job::HOSTS).await?.entries;
     let key = job::host_key(host);
     let registered = entries.iter().find(|entry| entry.key == key);
     if registered.and_then(peer).as_ref() != Some(own) {
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use log::info;
+use prost::Message;
 use tokio::{
     sync::oneshot,
     time::{Instant, timeout_at},
@@ -149,6 +150,10 @@
                 report(traffic, Report::Submitted(Box::new(submission)));
                 Bytes::new()
             }),
+            Some(Kind::Changes(request)) => {
+                let page = traffic.feed.serve(&request).await;
+                page.map(|page| Bytes::from(page.encode_to_vec()))
+            }
             Some(Kind::Lead(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -95,6 +95,10 @@
 
 /// Serves the connection of a leader until it ends.
 pub async fn serve_leader(traffic: Rc<Traffic>, lead: Lead, frames: Frames) {
+    if traffic.view.load().config.is_none() {
+        info!(service = lead.service, fence = lead.fence; "leader refused: no configuration is known yet");
+        return;
+    }
     let Some(newest) = traffic.runner.accept(&lead.service, lead.fence) else {
         warn!(service = lead.service, fence = lead.fence; "leader refused: a newer one is known");
         return;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     dialect,
+    feed::Feed,
     freshness::Freshness,
     metrics::METERS,
     peer,
@@ -68,6 +69,7 @@
     /// Carries calls to the store that other hosts relay through this one.
     pub direct: Rc<dyn Transport>,
     pub freshness: Arc<Freshness>,
+    pub feed: Arc<Feed>,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
 }
@@ -83,6 +85,8 @@
     pub channels: Channels,
     pub pool: RefCell<Pool>,
     pub cache: Cache,
+    /// What this host reads for the other hosts of its zone.
+    pub feed: Arc<Feed>,
     /// State of the runs for leaders on other hosts.
     pub runner: Runner,
     /// Client for requests to other hosts.
@@ -95,7 +99,8 @@
 
 /// Serves until the process is stopping and all callers' connections are closed or the grace period is over.
 pub async fn run(parts: Parts) -> io::Result<()> {
-    let Parts { settings, view, dialect, store, direct, freshness, commands, reports } = parts;
+    let Parts { settings, view, dialect, store, direct, freshness, feed, commands, reports } =
+        parts;
     let entry = listen(settings.entry)?;
     let ready = listen(settings.ready)?;
     let metrics = settings.metrics.map(listen).transpose()?;
@@ -112,6 +117,7 @@
         channels: Channels::default(),
         pool,
         cache: Cache::default(),
+        feed,
         runner: Runner::default(),
         peers: peer::Client::default(),
         reports: reports.clone(),
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
-use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    rc::Rc,
+    sync::Arc,
+};
 
 use assert_matches::assert_matches;
 use async_trait::async_trait;
@@ -10,11 +15,53 @@
 use common::ms;
 use lagoonyard_node::{
     control::{Mirror, Schedule, Update},
+    feed::Direct,
+    freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
 };
 use tokio::sync::mpsc;
 
+/// Store without entries whose first read fails.
+struct FailingOnce {
+    failed: Cell<bool>,
+}
+
+#[async_trait(?Send)]
+impl Store for FailingOnce {
+    async fn get(&self, _: &str) -> Result<(Option<Entry>, Revision), Error> {
+        Ok((None, 0))
+    }
+
+    async fn range(&self, _: &str, _: Option<&str>) -> Result<Page, Error> {
+        if self.failed.replace(true) {
+            Ok(Page::default())
+        } else {
+            Err(Error::Refused { status: 503 })
+        }
+    }
+
+    async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, Error> {
+        std::future::pending().await
+    }
+
+    async fn commit(&self, _: &Txn) -> Result<Outcome, Error> {
+        Err(Error::Refused { status: 503 })
+    }
+
+    async fn grant(&self, _: Duration) -> Result<u64, Error> {
+        Err(Error::Refused { status: 503 })
+    }
+
+    async fn renew(&self, _: u64) -> Result<bool, Error> {
+        Ok(false)
+    }
+
+    async fn revoke(&self, _: u64) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
 /// Store with one entry. Watches return the scripted responses in order, then block.
 struct ScriptedStore {
     watches: RefCell<VecDeque<Result<WatchResponse, Error>>>,
@@ -69,7 +116,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mirror = Mirror::new(0, "a/", Schedule::Follow(ms(1)));
-        tokio::task::spawn_local(mirror.follow(Rc::new(ScriptedStore { watches }), updates));
+        let source = Rc::new(Direct(Rc::new(ScriptedStore { watches })));
+        tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         assert_matches!(receiver.recv().await, Some(Update::Changed(Change::Put(_))));
         assert_matches!(receiver.recv().await, Some(Update::Synced { mirror: 0 }));
         assert_matches!(receiver.recv().await, Some(Update::StoreUnavailable { mirror: 0 }));
@@ -77,3 +125,26 @@
         assert_matches!(receiver.recv().await, Some(Update::Changed(Change::Removed { .. })));
     });
 }
+
+/// Guards against a host that never becomes ready: nothing requests a refresh of its registrations before it has read
+/// them once.
+#[test]
+fn a_first_read_that_fails_is_repeated_without_a_request() {
+    let store = FailingOnce { failed: Cell::new(false) };
+    let (updates, mut receiver) = mpsc::unbounded_channel();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let freshness = Arc::new(Freshness::new(ms(1_000)));
+        let mirror = Mirror::new(0, "a/", Schedule::OnDemand(freshness));
+        let source = Rc::new(Direct(Rc::new(store)));
+        tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
+        let synced = async {
+            while let Some(update) = receiver.recv().await {
+                if matches!(update, Update::Synced { .. }) {
+                    return;
+                }
+            }
+        };
+        assert!(tokio::time::timeout(ms(2_000), synced).await.is_ok());
+    });
+}
