--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -362,12 +362,19 @@
         (now >= self.checkpointed_at + CHECKPOINT_INTERVAL).then(|| self.checkpoints(now)).flatten()
     }
 
-    /// Checkpoints of all open jobs.
+    /// Checkpoints of all open jobs. Runners keep the texts of their runs for the next leader.
     pub fn checkpoints(&mut self, now: Time) -> Option<CheckpointWrite> {
         let fence = self.leadership.fence?;
         self.checkpointed_at = now;
+        let on_runners: HashSet<(&JobId, usize)> = self
+            .runs
+            .values()
+            .filter(|run| run.runner.is_some())
+            .map(|run| (&run.job, run.item))
+            .collect();
         let of_job = |id: JobId| {
-            let checkpoints = self.queue.get(&id)?.checkpoints(CHUNK_BYTES_MAX);
+            let has_copy = |item| on_runners.contains(&(&id, item));
+            let checkpoints = self.queue.get(&id)?.checkpoints(has_copy, CHUNK_BYTES_MAX);
             (!checkpoints.is_empty()).then_some((id, checkpoints))
         };
         let jobs: Vec<(JobId, Vec<Checkpoint>)> =
--- a/crates/node/src/job/homes.rs
+++ b/crates/node/src/job/homes.rs
@@ -12,7 +12,7 @@
 use crate::prelude::*;
 
 /// A host in another zone counts as loaded by this factor, because the streams then cross zones.
-const OTHER_ZONE_FACTOR: f64 = 2.0;
+const OTHER_ZONE_FACTOR: f64 = 4.0;
 /// An engine moves if its host is loaded by more than this factor of the best one.
 const MOVE_FACTOR: f64 = 2.0;
 /// Load of leading a service, as a share of the service's slots.
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -239,13 +239,20 @@
         }
     }
 
-    /// Checkpoints of unfinished items, up to `bytes_max` of text.
-    pub fn checkpoints(&self, bytes_max: usize) -> Vec<Checkpoint> {
+    /// Checkpoints of unfinished items, except those whose text another host has, up to `bytes_max` of text.
+    pub fn checkpoints(
+        &self,
+        has_copy: impl Fn(usize) -> bool,
+        bytes_max: usize,
+    ) -> Vec<Checkpoint> {
         let mut bytes = 0;
-        let open = self.spec.items.iter().zip(&self.statuses).filter(|(_, status)| {
-            status.state.is_open() && status.progress.last_event >= CHECKPOINT_EVENTS_MIN
+        let open = self.statuses.iter().enumerate().filter(|(item, status)| {
+            status.state.is_open()
+                && status.progress.last_event >= CHECKPOINT_EVENTS_MIN
+                && !has_copy(*item)
         });
-        let checkpoints = open.map(|(item, status)| Checkpoint {
+        let with_item = open.map(|(item, status)| (&self.spec.items[item], status));
+        let checkpoints = with_item.map(|(item, status)| Checkpoint {
             item: item.id.clone(),
             progress: status.progress.clone(),
             text_complete: status.text_complete,
--- /dev/null
+++ b/crates/node/src/traffic/body.rs
@@ -0,0 +1,77 @@
+//! Bodies of requests and responses, read with a limit for each and for all of them together.
+
+use std::{cell::Cell, rc::Rc};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::{body::Body, body::Incoming};
+use snafu::Snafu;
+
+/// Why a body could not be read.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    #[snafu(display("could not read the body: it has more than {limit} bytes"))]
+    TooLarge { limit: usize },
+    #[snafu(display("could not read the body: too many bytes of others are being read"))]
+    NoBudget,
+    #[snafu(display("could not read the body: {source}"))]
+    Broken { source: hyper::Error },
+}
+
+/// Bytes that all bodies of a kind may take while they are read.
+#[derive(Debug)]
+pub struct Budget {
+    free: Cell<usize>,
+}
+
+impl Budget {
+    pub fn new(bytes: usize) -> Rc<Self> {
+        Rc::new(Self { free: Cell::new(bytes) })
+    }
+}
+
+/// Bytes taken from a budget until dropped.
+struct Taken<'a> {
+    budget: &'a Budget,
+    bytes: usize,
+}
+
+impl Taken<'_> {
+    fn add(&mut self, bytes: usize) -> bool {
+        let free = self.budget.free.get();
+        if bytes > free {
+            return false;
+        }
+        self.budget.free.set(free - bytes);
+        self.bytes += bytes;
+        true
+    }
+}
+
+impl Drop for Taken<'_> {
+    fn drop(&mut self) {
+        self.budget.free.set(self.budget.free.get() + self.bytes);
+    }
+}
+
+/// Reads a body of at most `limit` bytes.
+pub async fn read(mut body: Incoming, limit: usize, budget: &Budget) -> Result<Bytes, Error> {
+    if body.size_hint().lower() > limit as u64 {
+        return TooLargeSnafu { limit }.fail();
+    }
+    let (mut bytes, mut taken) = (BytesMut::new(), Taken { budget, bytes: 0 });
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|source| Error::Broken { source })?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if bytes.len() + data.len() > limit {
+            return TooLargeSnafu { limit }.fail();
+        }
+        if !taken.add(data.len()) {
+            return NoBudgetSnafu.fail();
+        }
+        bytes.extend_from_slice(data);
+    }
+    Ok(bytes.freeze())
+}
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use log::{debug, info};
 use tokio::time::{Instant, sleep_until};
 
@@ -20,6 +20,7 @@
     metrics::METERS,
     prelude::*,
     traffic::{
+        body,
         channel::{Channel, Liveness},
         serve::Traffic,
     },
@@ -342,7 +343,8 @@
         return Err(fail(&"refusal does not state that the request was not run"));
     }
     let closes = closes_connection(&parts.headers);
-    let body = Limited::new(body, RESPONSE_BYTES_MAX).collect().await.map_err(|e| fail(&e))?;
+    let body = body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes);
+    let body = body.await.map_err(|error| fail(&error))?;
     if parts.status.is_success() && answer.receipt.is_none() {
         return Err(fail(&"successful response has no receipt"));
     }
@@ -352,7 +354,7 @@
     let response = Response {
         status: parts.status,
         headers: parts.headers,
-        body: body.to_bytes(),
+        body,
         receipt: answer.receipt.clone().unwrap_or_default(),
         failures: 0,
     };
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use log::{info, warn};
 use tokio::time::Instant;
@@ -15,6 +15,7 @@
     metrics::METERS,
     prelude::*,
     traffic::{
+        body,
         dispatch::{self, Call, Failure, dispatch},
         jobs,
         serve::Traffic,
@@ -102,7 +103,7 @@
     let (parts, body) = request.into_parts();
     // The body is read before any response is sent: a connection that is closed with unread bytes is reset, and the
     // response is lost.
-    let body = match read_body(view.config.as_deref(), body).await {
+    let body = match read_body(traffic, view.config.as_deref(), body).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -137,13 +138,17 @@
 }
 
 /// Reads a body of limited size; otherwise returns the error response.
-async fn read_body(config: Option<&Config>, body: Incoming) -> Result<Bytes, HttpResponse> {
+async fn read_body(
+    traffic: &Traffic,
+    config: Option<&Config>,
+    body: Incoming,
+) -> Result<Bytes, HttpResponse> {
     let limit = config.map_or(BODY_BYTES_DEFAULT, |config| config.limits.body_bytes);
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(status(StatusCode::PAYLOAD_TOO_LARGE)),
-        Err(_) => Err(status(StatusCode::BAD_REQUEST)),
-    }
+    body::read(body, limit, &traffic.request_bytes).await.map_err(|error| match error {
+        body::Error::TooLarge { .. } => status(StatusCode::PAYLOAD_TOO_LARGE),
+        body::Error::NoBudget => not_run_response(),
+        body::Error::Broken { .. } => status(StatusCode::BAD_REQUEST),
+    })
 }
 
 fn submit_response(outcome: SubmitOutcome) -> HttpResponse {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -5,6 +5,7 @@
 //! control thread commands.
 
 mod accept;
+mod body;
 mod cache;
 mod channel;
 mod dispatch;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -9,7 +9,7 @@
 use log::info;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, timeout},
+    time::{Instant, timeout_at},
 };
 
 use crate::{
@@ -25,8 +25,12 @@
     },
 };
 
-/// Timeout for the start of an engine's response, and for each event after that.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Timeout for the start of an engine's response, and longest time without a byte after that.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Longest time without a complete event. A slow engine may send an event in many small parts.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest text of an item.
+const TEXT_BYTES_MAX: usize = 4 << 20;
 /// Interval at which the control thread receives the text of a run.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
@@ -183,7 +187,7 @@
     state: &mut RunState,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
-    let deadline = Instant::now() + EVENT_TIMEOUT;
+    let deadline = Instant::now() + SILENCE_TIMEOUT;
     let Ok(mut channel) =
         connect(traffic, &target.id, target.address, Duration::MAX, deadline).await
     else {
@@ -248,10 +252,11 @@
         Some(End::Broken)
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
-    let mut reported_at = Instant::now();
+    let (mut reported_at, mut event_at) = (Instant::now(), Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
     loop {
-        let data = match timeout(EVENT_TIMEOUT, body.frame()).await {
+        let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
+        let data = match timeout_at(by, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
@@ -265,6 +270,7 @@
                 Ok(None) => break,
                 Err(error) => return fail(&error),
             };
+            event_at = Instant::now();
             version = event.version.or(version);
             let Some(version) = version else {
                 return fail(&"event has no version");
@@ -277,6 +283,9 @@
                 return fail(&error);
             }
         }
+        if state.progress.text.len() > TEXT_BYTES_MAX {
+            return fail(&"text too long");
+        }
         if reported_at.elapsed() >= PROGRESS_INTERVAL {
             reported_at = Instant::now();
             let progress = state.progress.clone();
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -32,6 +32,7 @@
     store,
     traffic::{
         accept,
+        body::Budget,
         cache::Cache,
         channel::{Channels, set_keepalive},
         entry,
@@ -46,6 +47,9 @@
 
 /// Largest number of open connections at the entry address.
 const CONNECTIONS_MAX: usize = 2000;
+/// Largest total size of the bodies that are being read from callers, and from targets.
+const REQUEST_BYTES_TOTAL: usize = 40 << 20;
+const RESPONSE_BYTES_TOTAL: usize = 40 << 20;
 /// Length of a listener's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
 /// Time after the signal to stop in which new connections are still accepted: readiness is checked once a second, so
@@ -84,6 +88,9 @@
     pub freshness: Arc<Freshness>,
     pub channels: Channels,
     pub pool: RefCell<Pool>,
+    /// Bytes of callers' bodies and of targets' bodies that may be held at the same time.
+    pub request_bytes: Rc<Budget>,
+    pub response_bytes: Rc<Budget>,
     pub cache: Cache,
     /// What this host reads for the other hosts of its zone.
     pub feed: Arc<Feed>,
@@ -116,6 +123,8 @@
         freshness,
         channels: Channels::default(),
         pool,
+        request_bytes: Budget::new(REQUEST_BYTES_TOTAL),
+        response_bytes: Budget::new(RESPONSE_BYTES_TOTAL),
         cache: Cache::default(),
         feed,
         runner: Runner::default(),
--- /dev/null
+++ b/crates/node/tests/feed.rs
@@ -0,0 +1,225 @@
+//! Guards against outdated, lost or repeated changes when a host reads the store through the reader of its zone.
+
+mod common;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, sync::Arc};
+
+use assert_matches::assert_matches;
+use async_trait::async_trait;
+use bytes::Bytes;
+use common::ms;
+use lagoonyard_node::{
+    clock,
+    feed::{ChangesRequest, Client, Direct, Feed, Snapshot, Source, Watched},
+    peer::{self, Frames, Handler, Kind, Lead, Request, Response},
+    prelude::*,
+    store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
+};
+use prost::Message;
+use tokio::{net::TcpListener, sync::watch};
+
+const PREFIX: &str = "a/";
+
+/// Store that counts its reads and watches.
+#[derive(Default)]
+struct Counter {
+    calls: Cell<u32>,
+    last_wait: Cell<Duration>,
+}
+
+#[async_trait(?Send)]
+impl Store for Counter {
+    async fn get(&self, _: &str) -> Result<(Option<Entry>, Revision), Error> {
+        Ok((None, 0))
+    }
+
+    async fn range(&self, _: &str, _: Option<&str>) -> Result<Page, Error> {
+        self.calls.set(self.calls.get() + 1);
+        Ok(Page::default())
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<WatchResponse, Error> {
+        self.calls.set(self.calls.get() + 1);
+        self.last_wait.set(wait);
+        Ok(WatchResponse::Changes { changes: Vec::new(), revision: after })
+    }
+
+    async fn commit(&self, _: &Txn) -> Result<Outcome, Error> {
+        Err(Error::Refused { status: 503 })
+    }
+
+    async fn grant(&self, _: Duration) -> Result<u64, Error> {
+        Err(Error::Refused { status: 503 })
+    }
+
+    async fn renew(&self, _: u64) -> Result<bool, Error> {
+        Ok(false)
+    }
+
+    async fn revoke(&self, _: u64) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Host that serves a feed.
+struct Reader(Arc<Feed>);
+
+impl Handler for Reader {
+    async fn handle(&self, request: Request) -> Response {
+        let Some(Kind::Changes(request)) = request.kind else {
+            return Response::not_served();
+        };
+        let page = self.0.serve(&request).await;
+        page.map_or_else(Response::not_served, |page| Response::served(page.encode_to_vec().into()))
+    }
+
+    async fn serve_leader(&self, _: Lead, _: Frames) {}
+}
+
+fn entry(key: &str, revision: Revision) -> Entry {
+    Entry { key: key.into(), value: Bytes::from_static(b"v"), revision }
+}
+
+/// Feed of a reader that has read two entries at revision 5.
+fn feed(current_at: Option<Time>) -> Arc<Feed> {
+    let feed = Arc::new(Feed::default());
+    feed.set_serving(true);
+    let entries = vec![entry("a/1", 3), entry("a/2", 5)];
+    feed.reset(PREFIX, &Snapshot { entries, revision: 5, current_at: clock::now() }, current_at);
+    feed
+}
+
+async fn client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    tokio::task::spawn_local(peer::serve(listener, Rc::new(Reader(Arc::clone(feed)))));
+    let (_, reader) = watch::channel(Some(address));
+    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), reader, ms(200), ms(300))
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, test);
+}
+
+fn keys(changes: &[Change]) -> Vec<String> {
+    let key = |change: &Change| match change {
+        Change::Put(entry) => format!("+{}", entry.key),
+        Change::Removed { key, .. } => format!("-{key}"),
+    };
+    changes.iter().map(key).collect()
+}
+
+#[test]
+fn changes_come_from_the_reader_without_a_call_of_the_store() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let snapshot = client.read(PREFIX).await.unwrap();
+        assert_eq!((snapshot.entries.len(), snapshot.revision), (2, 5));
+        let removed = Change::Removed { key: "a/1".into(), revision: 7 };
+        feed.extend(PREFIX, &[removed, Change::Put(entry("a/3", 8))], 8, None);
+        let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
+        assert_matches!(watched, Watched::Changes { changes, revision: 8, .. } => {
+            assert_eq!(keys(&changes), ["-a/1", "+a/3"]);
+        });
+        assert_eq!(store.calls.get(), 0);
+    });
+}
+
+/// Guards against removals that are lost, because they came before the reader's copy.
+#[test]
+fn changes_before_the_readers_copy_are_not_made_up() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        assert_matches!(client.watch(PREFIX, 4, ms(100)).await, Ok(Watched::Compacted));
+    });
+}
+
+#[test]
+fn a_waiting_request_gets_a_change_at_once() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let changed = Arc::clone(&feed);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(ms(50)).await;
+            changed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, None);
+        });
+        let begun = std::time::Instant::now();
+        let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
+        assert_matches!(watched, Watched::Changes { changes, .. } => assert_eq!(changes.len(), 1));
+        assert!(begun.elapsed() < ms(150), "{:?}", begun.elapsed());
+    });
+}
+
+/// Guards against a target that counts as up to date although its reader has not read it for too long.
+#[test]
+fn what_a_reader_knew_too_long_ago_is_read_from_the_store() {
+    run(async {
+        let store = Rc::new(Counter::default());
+        let old = feed(Some(clock::now().saturating_sub(ms(400))));
+        let client = client(&old, &store).await;
+        client.watch(PREFIX, 5, Duration::ZERO).await.unwrap();
+        assert_eq!(store.calls.get(), 1);
+    });
+}
+
+#[test]
+fn the_age_of_the_readers_knowledge_is_passed_on() {
+    run(async {
+        let store = Rc::new(Counter::default());
+        let young = feed(Some(clock::now().saturating_sub(ms(200))));
+        let client = client(&young, &store).await;
+        let watched = client.watch(PREFIX, 5, Duration::ZERO).await.unwrap();
+        assert_matches!(watched, Watched::Changes { current_at, .. } => {
+            assert!(clock::now().saturating_sub(current_at) >= ms(200));
+        });
+    });
+}
+
+/// Guards against a change that a host misses for the length of a watch at the store, which it began in the moment in
+/// which its reader had lost the store.
+#[test]
+fn a_reader_that_has_lost_the_store_is_replaced_by_short_watches() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        feed.fail(PREFIX);
+        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        assert_eq!((store.calls.get(), store.last_wait.get()), (1, ms(100)));
+    });
+}
+
+/// Guards against targets that are removed because their registrations expired while only the reader saw the outage.
+#[test]
+fn an_outage_of_the_store_is_reported_once() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        feed.recover();
+        let mut reported = Vec::new();
+        for revision in [6, 7] {
+            feed.extend(PREFIX, &[Change::Put(entry("a/1", revision))], revision, None);
+            let watched = client.watch(PREFIX, revision - 1, ms(100)).await.unwrap();
+            assert_matches!(watched, Watched::Changes { recovered, .. } => reported.push(recovered));
+        }
+        assert_eq!(reported, [true, false]);
+    });
+}
+
+#[test]
+fn a_host_that_is_not_the_reader_serves_nothing() {
+    run(async {
+        let feed = feed(None);
+        feed.set_serving(false);
+        let request = ChangesRequest { prefix: PREFIX.into(), ..ChangesRequest::default() };
+        assert_eq!(feed.serve(&request).await, None);
+    });
+}
--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -156,7 +156,7 @@
     queue.insert(job("j", 1, &[("a", 1)]));
     queue.assign_next(ms(1), &mut engines).unwrap();
     queue.get_mut("j").unwrap().set_progress(0, text(12, 1));
-    let checkpoints = queue.get("j").unwrap().checkpoints(BYTES_MAX);
+    let checkpoints = queue.get("j").unwrap().checkpoints(|_| false, BYTES_MAX);
     assert_eq!(checkpoints.len(), 1);
     let mut next = Queue::default();
     next.insert(job("j", 1, &[("a", 1)]));
