Requests run at most as often as their route allows; engines that break runs back off longer

Cause, read in the code before and now shown: when all targets had failed, an idempotent request tried them anew until a quarter of its objective had passed (18 runs where 3 are allowed); a run that broke after its first event ended the series of failures, so its engine kept a backoff of 0.3 s. Jobs whose news came after the leader's watch were read from the store; small hosts read the leader keys before any reader was elected. Change: attempts that a target may have run count over all tries; a failed run's pace does not count. A leader waits 0.1 s for the announcement of a new job; hosts below half a core read 0.6 s later, in proportion.

--- a/crates/lab/src/bin/mutations.rs
+++ b/crates/lab/src/bin/mutations.rs
@@ -58,7 +58,7 @@
 
 fn run(wanted: &str) -> io::Result<u32> {
     let list: Vec<Mutation> = serde_json::from_str(&fs::read_to_string(LIST)?)?;
-    for part in ["src", "crates", "Cargo.toml", "Cargo.lock"] {
+    for part in ["src", "crates", "platform", "Cargo.toml", "Cargo.lock"] {
         copy(Path::new(part), &Path::new(COPY).join(part))?;
     }
     let (mut caught, mut missed) = (0, 0);
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -270,8 +270,9 @@
         let Some(leader) = self.leaders.get_mut(&service) else {
             return;
         };
+        let head = self.store_state.job_heads.get(&id);
         let is_new = leader.leadership.fence.is_some_and(|fence| revision > fence)
-            && !self.store_state.job_heads.contains_key(&id);
+            && head.is_none_or(|head| head.revision == revision && !head.record.ended);
         if !is_new || !leader.begin_read(&id) {
             return;
         }
--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -83,7 +83,12 @@
 
     /// Delay for a share of a core.
     pub fn delay(cpu_share: f64) -> Duration {
-        SMALL_HOST_DELAY.mul_f64(1.0 - (cpu_share / LARGE_HOST_SHARE).clamp(0.0, 1.0))
+        SMALL_HOST_DELAY.mul_f64(Self::small_host_share(cpu_share))
+    }
+
+    /// Share of the delays of small hosts that applies to a share of a core: none on large hosts.
+    pub fn small_host_share(cpu_share: f64) -> f64 {
+        1.0 - (cpu_share / LARGE_HOST_SHARE).clamp(0.0, 1.0)
     }
 
     /// Acquires the leadership whenever it is free, and holds it.
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -7,7 +7,7 @@
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
-    time::interval,
+    time::{interval, sleep},
 };
 
 use crate::{
@@ -44,6 +44,11 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(250);
 /// Watches of the configuration within the time in which a new one must be in force.
 const CONFIG_WATCHES_PER_DEADLINE: u32 = 4;
+/// Time for which a new job may still be announced by the host that wrote it, instead of being read from the store.
+const ANNOUNCEMENT_WAIT: Duration = Duration::from_millis(100);
+/// Delay of the first read on the smallest hosts. Larger hosts, which become readers, start at once, so that the others
+/// find a reader.
+const SMALL_HOST_START_DELAY: Duration = Duration::from_millis(600);
 /// Index of the mirror of the leader keys.
 const LEADERS_MIRROR: usize = 0;
 /// Share of the age at which registrations are refreshed up to which those of the zone's reader serve.
@@ -97,6 +102,8 @@
     pub(super) peers: Peers,
     /// Hosts that get no items until a time.
     pub(super) avoided_runners: BTreeMap<SocketAddr, Time>,
+    /// Time at which open jobs that were not announced are read from the store.
+    pub(super) heads_due: Option<Time>,
     /// The engines have to be assigned to hosts anew.
     pub(super) runners_due: bool,
     pub(super) runners_updated_at: Time,
@@ -195,6 +202,7 @@
         outbox: Outbox::new(commands, runner_events),
         peers: peers.clone(),
         avoided_runners: BTreeMap::new(),
+        heads_due: None,
         runners_due: false,
         runners_updated_at: Time::ZERO,
         completions,
@@ -210,9 +218,15 @@
         hand_over_deadline: None,
         cleaned_up_at: Time::ZERO,
     };
+    let start_delay = Election::small_host_share(control.settings.cpu_share);
+    let start_delay = SMALL_HOST_START_DELAY.mul_f64(start_delay);
     for mirror in mirrors {
         let feed = Arc::clone(&control.feed);
-        tokio::task::spawn_local(mirror.follow(Rc::clone(&source), feed, updates.clone()));
+        let follow = mirror.follow(Rc::clone(&source), feed, updates.clone());
+        tokio::task::spawn_local(async move {
+            sleep(start_delay).await;
+            follow.await;
+        });
     }
     control.join_reader_election();
     let mut ticks = interval(TICK);
@@ -453,6 +467,9 @@
         }
         self.update_freshness();
         if std::mem::take(&mut self.store_state.heads_changed) {
+            self.heads_due.get_or_insert(now + ANNOUNCEMENT_WAIT);
+        }
+        if self.heads_due.take_if(|due| now >= *due).is_some() {
             let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
             for service in services {
                 self.read_new_jobs(&service);
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -145,8 +145,10 @@
     /// Applies the outcome of a run to its engine and its item.
     pub fn finish_run(&mut self, outcome: Outcome, now: Time, engines: &mut Engines) {
         if let Some(target) = outcome.target.as_ref().filter(|_| outcome.holds_slot) {
-            engines.finish_run(target, now, outcome.pace);
-            if matches!(outcome.end, End::NotRun | End::Broken) {
+            let failed = matches!(outcome.end, End::NotRun | End::Broken);
+            // The pace of a run that failed would end the series of failures by which the backoff grows.
+            engines.finish_run(target, now, outcome.pace.filter(|_| !failed));
+            if failed {
                 engines.back_off(target, now);
             }
         }
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -130,6 +130,8 @@
     idempotent: bool,
     /// Targets tried so far; cleared when none is left to try.
     tried: Vec<TargetId>,
+    /// Attempts that a target may have run before the targets tried were cleared.
+    ran_before: u32,
     /// Attempts that a target may have run.
     maybe_run: u32,
     /// Attempts that a target answered with status 500.
@@ -151,6 +153,7 @@
         service,
         idempotent: route.kind == Kind::Idempotent,
         tried: Vec::new(),
+        ran_before: 0,
         maybe_run: 0,
         failures: 0,
         last_failure: None,
@@ -179,7 +182,11 @@
                         in_flight.push(attempt);
                         self.may_hedge().then(|| Instant::now() + hedge_delay)
                     }
-                    None if in_flight.is_empty() && Instant::now() < refuse_at => {
+                    None if in_flight.is_empty()
+                        && self.maybe_run < self.route.max_attempts
+                        && Instant::now() < refuse_at =>
+                    {
+                        self.ran_before = self.maybe_run;
                         self.tried.clear();
                         Some(Instant::now() + REFUSED_BACKOFF)
                     }
@@ -216,7 +223,12 @@
     }
 
     fn may_hedge(&self) -> bool {
-        self.idempotent && (self.tried.len() as u32) < self.route.max_attempts
+        self.idempotent && self.may_attempt()
+    }
+
+    /// Whether the route allows another attempt.
+    fn may_attempt(&self) -> bool {
+        self.ran_before + (self.tried.len() as u32) < self.route.max_attempts
     }
 
     fn failure(&self) -> Failure {
@@ -225,7 +237,7 @@
 
     /// Starts an attempt. Returns it and the delay after which a hedge may start.
     fn start_attempt(&mut self) -> Option<(LocalBoxFuture<'static, Outcome>, Duration)> {
-        if self.tried.len() as u32 >= self.route.max_attempts {
+        if !self.may_attempt() {
             return None;
         }
         let view = self.traffic.view.load();
@@ -253,9 +265,7 @@
                 self.maybe_run += 1;
                 self.failures += u32::from(response.status == StatusCode::INTERNAL_SERVER_ERROR);
                 response.failures = self.failures;
-                let retry = response.status.is_server_error()
-                    && self.idempotent
-                    && (self.tried.len() as u32) < self.route.max_attempts;
+                let retry = response.status.is_server_error() && self.may_hedge();
                 if retry {
                     self.last_failure = Some(response);
                     return None;
--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -219,3 +219,27 @@
     score_item(&mut queue, 2, "a2", &mut engines);
     assert_eq!(items(queue.take_rows("j", 1, Time::ZERO, BYTES_MAX)), ["a2".into()]);
 }
+
+/// Guards against an engine that breaks each run after its first event and is tried again at the shortest interval.
+#[test]
+fn the_backoff_of_an_engine_that_breaks_each_run_grows() {
+    let mut engines = engines(&[engine("e1", 1)]);
+    let mut queue = Queue::default();
+    queue.insert(job("j", 1, &[("a", 1)]));
+    let mut now = ms(1_000);
+    let mut waits = Vec::new();
+    for _ in 0..3 {
+        while queue.assign_next(now, &mut engines).is_none() {
+            now += ms(100);
+        }
+        let mut broken = outcome(("j", 0, "a"), "e1", End::Broken, text(1, 1));
+        broken.pace = Some(ms(50));
+        queue.finish_run(broken, now, &mut engines);
+        let failed_at = now;
+        while !engines.get("e1").unwrap().is_open("m", now) {
+            now += ms(100);
+        }
+        waits.push(now - failed_at);
+    }
+    assert_eq!(waits, [ms(300), ms(600), ms(1_200)]);
+}
--- a/src/code.rs
+++ b/src/code.rs
@@ -68,7 +68,7 @@
     UnknownName = 212, Refused, 404, "unknown model, service or route";
     KeyReused = 213, Refused, 422, "key belongs to another request";
     UnknownTrainer = 301, Refused, 404, "unknown trainer";
-    NoBatch = 302, NotRun, 503, "no batch is whole yet";
+    NoBatch = 302, NotRun, 503, "no batch is complete yet";
     CursorInvalid = 303, Refused, 400, "cursor is not valid";
     TokenRequired = 401, Refused, 401, "operator token required";
     OtherDeployment = 402, Refused, 403, "peer belongs to another deployment";
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -226,7 +226,12 @@
             return Ok(settings);
         }
         // The connect timeout is checked twice, as two parts of the daemon use it.
-        check.faults.dedup();
-        Err(Error::Invalid { faults: std::mem::take(&mut check.faults) })
+        let mut faults: Vec<Fault> = Vec::new();
+        for fault in std::mem::take(&mut check.faults) {
+            if !faults.contains(&fault) {
+                faults.push(fault);
+            }
+        }
+        Err(Error::Invalid { faults })
     }
 }
