--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -9,11 +9,13 @@
 mod leader;
 mod mirror;
 mod orders;
+mod roles;
 mod rollout;
 mod sessions;
 mod state;
 mod store_state;
 mod tasks;
+mod writes;
 
 pub use election::{Election, Leadership};
 pub use mirror::{Mirror, Schedule, Update};
--- /dev/null
+++ b/crates/node/src/control/roles.rs
@@ -0,0 +1,192 @@
+//! Roles of this host: leader of services, and reader of its zone.
+
+use std::{rc::Rc, sync::Arc};
+
+use tokio::sync::watch;
+
+use crate::{
+    clock,
+    control::{
+        election::{Election, LeaderKey, Leadership},
+        leader::Leader,
+        mirror::{Mirror, Schedule},
+        state::{Control, WATCH_INTERVAL},
+        store_state::LeaderEntry,
+    },
+    dialect::Subject,
+    feed,
+    holder::Holder,
+    job,
+    metrics::METERS,
+    prelude::*,
+    traffic::Command,
+};
+
+/// Index of the mirror of the leader keys.
+const LEADERS_MIRROR: usize = 0;
+/// Lease of a reader in leases of a leader: other hosts do without a reader, so a slow succession costs little.
+const READER_LEASE_FACTOR: u32 = 2;
+const READER_RENEWALS_PER_LEASE: u32 = 4;
+/// Minimum interval between watches of the registered hosts.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Control {
+    pub(super) fn set_leadership(&mut self, service: &ServiceId, leadership: Leadership) {
+        if *service == feed::reader_name(&self.settings.zone) {
+            self.set_reading(leadership.fence.is_some());
+            return;
+        }
+        let Some(leader) = self.leaders.get_mut(service) else {
+            return;
+        };
+        let before = std::mem::replace(&mut leader.leadership, leadership);
+        METERS.leads(service, leadership.fence.is_some());
+        let (acquired, has_leader) =
+            (leadership.fence.is_some(), self.store_state.leader_keys.contains_key(service));
+        if before.fence != leadership.fence && (acquired || has_leader) {
+            // Another host leads or may have led in between, so a job's rows are read again before it continues.
+            let stops = leader.drop_jobs(clock::now());
+            self.outbox.send(service, stops);
+        }
+        let mut commands = Vec::new();
+        if before.fence != leadership.fence {
+            commands.push(Command::JobsClosed { service: service.clone() });
+            self.store_state.heads_changed = true;
+            // The runners learn of the new fencing token by new connections.
+            self.outbox.disconnect_all(service);
+            leader.clear_runners();
+            if acquired {
+                self.runners_due = true;
+                self.peers.request_refresh();
+            }
+        }
+        let until = if acquired { leadership.exclusive_until } else { Time::ZERO };
+        commands.push(Command::LeadershipRenewed { service: service.clone(), until });
+        self.outbox.send(service, commands);
+        self.update_leader_mirrors();
+    }
+
+    /// Starts or stops to read for the zone.
+    fn set_reading(&mut self, reading: bool) {
+        if reading == self.hosts_mirror.is_some() {
+            return;
+        }
+        self.feed.set_serving(reading);
+        if let Some(mirror) = self.hosts_mirror.take() {
+            mirror.abort();
+        } else {
+            let mirror = Mirror::new(usize::MAX, job::HOSTS, Schedule::Follow(HOSTS_INTERVAL));
+            let follow = mirror.follow(
+                Rc::clone(&self.direct),
+                Arc::clone(&self.feed),
+                self.updates.clone(),
+            );
+            self.hosts_mirror = Some(tokio::task::spawn_local(follow));
+        }
+    }
+
+    /// Competes to read for the zone, if this host can serve others.
+    pub(super) fn join_reader_election(&self) {
+        if self.settings.peer.is_none() {
+            return;
+        }
+        let ttl = Election::ttl(self.settings.lease_min) * READER_LEASE_FACTOR;
+        let election = Election {
+            service: feed::reader_name(&self.settings.zone),
+            holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
+            ttl,
+            renewal_interval: ttl / READER_RENEWALS_PER_LEASE,
+            delay: Election::delay(self.settings.cpu_share),
+            store: Rc::clone(&self.store),
+            leader_key: self.reader_key.subscribe(),
+            leaderships: self.leaderships.clone(),
+            stopping: self.step_down.subscribe(),
+        };
+        tokio::task::spawn_local(election.run());
+    }
+
+    /// Tells the elections and the source of this host's mirrors about the leader keys.
+    pub(super) fn update_leader_keys(&mut self) {
+        if !self.store_state.is_mirror_synced(LEADERS_MIRROR) {
+            return;
+        }
+        let state = |key: Option<&LeaderEntry>| {
+            key.map_or(LeaderKey::Absent, |key| LeaderKey::Present(key.revision))
+        };
+        for (service, sender) in &self.leader_keys {
+            set(sender, state(self.store_state.leader_keys.get(service)));
+        }
+        set(&self.reader_key, state(self.store_state.reader.as_ref()));
+        let reader = self.store_state.reader.as_ref().and_then(|reader| reader.peer);
+        set(&self.reader, reader.filter(|reader| Some(*reader) != self.settings.peer));
+    }
+
+    /// Starts or stops the mirrors of job heads, requested versions and retired hosts, which only a leader needs. Any
+    /// other host reads single jobs on request.
+    fn update_leader_mirrors(&mut self) {
+        let leads = self.leads_any();
+        if leads && self.leader_mirrors.is_empty() {
+            let prefixes = self.dialect.prefixes().iter();
+            let operations = prefixes.filter(|(_, subject)| *subject == Subject::Operations);
+            for prefix in operations.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
+                let mirror = Mirror::new(usize::MAX, prefix, Schedule::Follow(WATCH_INTERVAL));
+                let (source, feed) = (Rc::clone(&self.direct), Arc::default());
+                let follow = mirror.follow(source, feed, self.updates.clone());
+                self.leader_mirrors.push(tokio::task::spawn_local(follow));
+            }
+        } else if !leads && !self.leader_mirrors.is_empty() {
+            for mirror in self.leader_mirrors.drain(..) {
+                mirror.abort();
+            }
+            self.store_state.job_heads.clear();
+        }
+    }
+
+    /// Updates elections and leaders with the configuration, the leader keys, the targets and the requested versions.
+    pub(super) fn sync_leaders(&mut self) {
+        if !self.store_state.is_synced() {
+            return;
+        }
+        let Some(config) = self.store_state.config.clone() else {
+            return;
+        };
+        for service in config.services.iter().filter(|service| service.engines) {
+            self.join_election(&service.name);
+        }
+        for leader in self.leaders.values_mut() {
+            leader.sync(self.store_state.fleet.targets(), &self.store_state.requested);
+        }
+    }
+
+    /// Starts the election of a service unless it runs already.
+    fn join_election(&mut self, service: &ServiceId) {
+        if self.leader_keys.contains_key(service) {
+            return;
+        }
+        let (leader_key, receiver) = watch::channel(LeaderKey::Unknown);
+        self.leader_keys.insert(service.clone(), leader_key);
+        let first_run = (self.leaders.len() as u64) << 48;
+        self.leaders.insert(service.clone(), Leader::new(service.clone(), first_run));
+        let election = Election {
+            service: service.clone(),
+            holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
+            ttl: Election::ttl(self.settings.lease_min),
+            renewal_interval: Election::renewal_interval(self.settings.lease_min),
+            delay: Election::delay(self.settings.cpu_share),
+            store: Rc::clone(&self.store),
+            leader_key: receiver,
+            leaderships: self.leaderships.clone(),
+            stopping: self.step_down.subscribe(),
+        };
+        tokio::task::spawn_local(election.run());
+    }
+}
+
+/// Sets a watched value, and wakes its receivers only if it has changed.
+fn set<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|current| {
+        let is_new = *current != value;
+        *current = value;
+        is_new
+    });
+}
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -9,9 +9,10 @@
 
 use crate::{
     control::{
-        leader::{CheckpointWrite, ChunkWrite, StoredJob},
+        leader::StoredJob,
         orders::LoadResult,
         store_state::Head,
+        writes::{CheckpointWrite, ChunkWrite},
     },
     dialect,
     job::{self, Checkpoint, Chunk, Record},
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -116,8 +116,7 @@
         if prefix != job::LEADERS {
             self.wait_for_reader().await;
         }
-        let Some((page, current_at)) =
-            self.ask(prefix, None, READ_WAIT, Some(self.max_age)).await
+        let Some((page, current_at)) = self.ask(prefix, None, READ_WAIT, Some(self.max_age)).await
         else {
             return self.direct.read(prefix).await;
         };
--- /dev/null
+++ b/crates/node/src/job/assign.rs
@@ -0,0 +1,140 @@
+//! Assignment of a job's items to engines, and the outcomes of their runs.
+
+use crate::{
+    events::Progress,
+    job::{Assignment, End, Engines, Job, Outcome, Requirement, open::State},
+    prelude::*,
+};
+
+/// Time for which an item waits for a slot on an engine that is not slow.
+const SLOT_WAIT_MAX: Duration = Duration::from_millis(700);
+/// Time until an item whose judge returned no score is retried.
+const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Items of a job that are tried in one pass while none of them finds an engine.
+const BLOCKED_ITEMS_MAX: usize = 8;
+
+impl Job {
+    /// Makes the items ready whose delay is over.
+    fn promote(&mut self, now: Time) {
+        while let Some(&(not_before, item)) = self.waiting.delayed.first() {
+            if not_before > now {
+                return;
+            }
+            self.waiting.delayed.pop_first();
+            if self.statuses[item].text_complete {
+                self.waiting.unjudged.insert(item);
+            } else {
+                self.waiting.ready.insert(self.positions[item]);
+            }
+        }
+    }
+
+    /// Assigns the next item: one that needs only its score, or one for which an engine qualifies.
+    pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
+        self.started_at = self.started_at.min(now);
+        self.expire_items(now);
+        self.promote(now);
+        while let Some(&item) = self.waiting.unjudged.first() {
+            if let Some(assignment) = self.assign_unjudged(item, now, engines) {
+                return Some(assignment);
+            }
+        }
+        if self.waiting.ready.is_empty() || !engines.has_open(&self.spec.model) {
+            return None;
+        }
+        let first: Vec<usize> =
+            self.waiting.ready.iter().copied().take(BLOCKED_ITEMS_MAX).collect();
+        first.into_iter().find_map(|position| self.assign(self.order[position], now, engines))
+    }
+
+    /// Assigns an item whose text is complete: without an engine, unless the text is too old.
+    fn assign_unjudged(
+        &mut self,
+        item: usize,
+        now: Time,
+        engines: &mut Engines,
+    ) -> Option<Assignment> {
+        let min = self.spec.min_version;
+        let status = &mut self.statuses[item];
+        if status.progress.can_continue(min, min, false) {
+            self.set_state(item, State::Running { target: None });
+            return Some(self.assignment(item, None));
+        }
+        status.progress = Progress::default();
+        status.text_complete = false;
+        self.waiting.unjudged.remove(&item);
+        self.waiting.ready.insert(self.positions[item]);
+        self.assign(item, now, engines)
+    }
+
+    /// Assigns a ready item to an engine if one qualifies.
+    fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
+        let status = &mut self.statuses[item];
+        let State::Waiting { not_before } = status.state else {
+            return None;
+        };
+        let waiting_since = not_before.max(self.started_at);
+        let (min, model) = (self.spec.min_version, &self.spec.model);
+        let avoid = status.avoid.as_ref();
+        let requirement = Requirement { model, min_version: min, avoid, allow_slow: false };
+        let allow_slow = now >= waiting_since + SLOT_WAIT_MAX;
+        let engine = engines.choose(&requirement).or_else(|| {
+            engines
+                .choose(&Requirement { avoid: None, allow_slow: true, ..requirement })
+                .filter(|_| allow_slow)
+        })?;
+        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
+        if !status.progress.can_continue(min, version, self.single_version) {
+            status.progress = Progress::default();
+        }
+        self.set_state(item, State::Running { target: Some(target.clone()) });
+        engines.start_run(&target);
+        Some(self.assignment(item, Some(target)))
+    }
+
+    fn assignment(&self, item: usize, target: Option<TargetId>) -> Assignment {
+        let progress = self.statuses[item].progress.clone();
+        let status = &self.statuses[item];
+        let last_resort = target.is_some() && target == status.avoid;
+        let judge_failures = status.judge_failures;
+        Assignment {
+            job: self.spec.id.clone(),
+            item,
+            target,
+            progress,
+            judge_failures,
+            last_resort,
+        }
+    }
+
+    /// Applies the outcome of a run to its item.
+    pub(super) fn finish_run(&mut self, outcome: Outcome, now: Time) {
+        let (item, max_attempts) = (outcome.item, self.max_attempts);
+        let Some(status) = self.statuses.get_mut(item) else {
+            return;
+        };
+        if !matches!(status.state, State::Running { .. }) {
+            return;
+        }
+        status.progress = outcome.progress;
+        status.text_complete = outcome.text_complete;
+        status.judge_failures += outcome.judge_failures;
+        status.avoid = None;
+        let mut not_before = now;
+        match outcome.end {
+            End::Scored(score) => return self.finish(item, true, score, now),
+            End::JudgeFailed | End::Rejected => return self.finish(item, false, None, now),
+            End::Failed => {
+                status.failures += 1;
+                status.avoid = outcome.target;
+                if status.failures >= max_attempts {
+                    return self.finish(item, false, None, now);
+                }
+            }
+            End::Unjudged => not_before += JUDGE_RETRY_DELAY,
+            End::Broken | End::Slow | End::NotRun => status.avoid = outcome.target,
+            End::Stopped => {}
+        }
+        self.set_state(item, State::Waiting { not_before });
+    }
+}
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: the submission, the state that is persisted in the store, and the choice of the next item to run.
 
+mod assign;
 mod checkpoint;
 mod engine;
 mod engines;
@@ -7,6 +8,7 @@
 mod keys;
 mod length;
 mod open;
+mod order;
 mod outcome;
 mod paces;
 mod queue;
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -7,24 +7,14 @@
 
 use crate::{
     events::Progress,
-    job::{
-        Assignment, Checkpoint, End, Engines, Outcome, Record, Requirement, Row, Spec, triage::Load,
-    },
+    job::{Checkpoint, Record, Row, Spec},
     prelude::*,
 };
 
 /// Minimum length of a checkpoint; a shorter text is generated again as fast as it is read from the store.
 const CHECKPOINT_EVENTS_MIN: u64 = 10;
-/// Time for which an item waits for a slot on an engine that is not slow.
-const SLOT_WAIT_MAX: Duration = Duration::from_millis(700);
-/// Time until an item whose judge returned no score is retried.
-const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay of a job's due time for each rank of lower priority.
 const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
-/// Items of a job that are tried in one pass while none of them finds an engine.
-const BLOCKED_ITEMS_MAX: usize = 8;
-/// Expected rest of a text that is longer than estimated, as a share of its length so far.
-const OVERRUN_SHARE: f64 = 0.25;
 
 /// State of an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,7 +35,7 @@
 
 impl State {
     /// Whether the item has no result yet.
-    fn is_open(&self) -> bool {
+    pub(super) fn is_open(&self) -> bool {
         matches!(self, Self::Waiting { .. } | Self::Running { .. })
     }
 }
@@ -60,7 +50,7 @@
     /// Failed attempts on engines.
     pub(super) failures: u32,
     /// Status 500 responses of its judge.
-    judge_failures: u32,
+    pub(super) judge_failures: u32,
     /// Target of the last run, if that failed, broke, was slow or was not executed.
     pub(super) avoid: Option<TargetId>,
     pub(super) finished_at: Time,
@@ -68,13 +58,13 @@
 
 /// Waiting items, indexed by what they wait for.
 #[derive(Debug, Default)]
-struct Waiting {
+pub(super) struct Waiting {
     /// Items that may not start before a time.
-    delayed: BTreeSet<(Time, usize)>,
+    pub(super) delayed: BTreeSet<(Time, usize)>,
     /// Positions in the start order of items that need an engine.
-    ready: BTreeSet<usize>,
+    pub(super) ready: BTreeSet<usize>,
     /// Items that need only their score.
-    unjudged: BTreeSet<usize>,
+    pub(super) unjudged: BTreeSet<usize>,
 }
 
 impl Waiting {
@@ -106,16 +96,16 @@
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
     /// Group number of each item.
-    groups: Vec<usize>,
+    pub(super) groups: Vec<usize>,
     /// Items without a result, by group number.
     open_in_group: BTreeMap<usize, usize>,
     /// Items that an earlier job of the trainer did not complete.
-    resubmitted: BTreeSet<usize>,
+    pub(super) resubmitted: BTreeSet<usize>,
     /// Items in start order.
-    order: Vec<usize>,
+    pub(super) order: Vec<usize>,
     /// Position of each item in the start order.
-    positions: Vec<usize>,
-    waiting: Waiting,
+    pub(super) positions: Vec<usize>,
+    pub(super) waiting: Waiting,
     /// Items whose rows are not being written yet.
     finished: BTreeSet<usize>,
     /// Items whose rows are being written.
@@ -323,7 +313,7 @@
         count
     }
 
-    fn finish(&mut self, item: usize, done: bool, score: Option<Box<str>>, now: Time) {
+    pub(super) fn finish(&mut self, item: usize, done: bool, score: Option<Box<str>>, now: Time) {
         let row = self.row(item, done, score);
         self.statuses[item].finished_at = now;
         self.set_state(item, State::Finished(row));
@@ -351,7 +341,7 @@
     }
 
     /// Changes the state of an item and the indexes that depend on it.
-    fn set_state(&mut self, item: usize, state: State) {
+    pub(super) fn set_state(&mut self, item: usize, state: State) {
         let before = std::mem::replace(&mut self.statuses[item].state, state);
         match &before {
             State::Waiting { not_before } => {
@@ -384,205 +374,6 @@
     }
 }
 
-/// Start order and estimates.
-impl Job {
-    /// Sorts the items into their start order. Long items determine when a group is complete, so they start first; the
-    /// largest groups beyond those that the trainer waits for start last. Of a job that cannot be complete in time, the
-    /// smallest groups start first, as they may still be.
-    fn sort(&mut self) {
-        let hint = |item: usize| self.spec.items[item].length_hint.unwrap_or_default();
-        let mut sizes: BTreeMap<usize, u64> = BTreeMap::new();
-        for (item, group) in self.groups.iter().enumerate() {
-            *sizes.entry(*group).or_default() += hint(item);
-        }
-        let mut by_size: Vec<(u64, usize)> =
-            sizes.iter().map(|(group, size)| (*size, *group)).collect();
-        by_size.sort_unstable();
-        let needed =
-            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
-        let surplus: BTreeSet<usize> =
-            by_size.iter().skip(needed).map(|(_, group)| *group).collect();
-        let mut order: Vec<usize> = (0..self.spec.items.len()).collect();
-        order.sort_by_key(|&item| {
-            let group = self.groups[item];
-            let size = if self.deferred { sizes[&group] } else { 0 };
-            let resubmitted = self.resubmitted.contains(&item);
-            let last = !resubmitted && surplus.contains(&group);
-            (!resubmitted && !self.deferred, last, size, std::cmp::Reverse(hint(item)))
-        });
-        self.positions = vec![0; order.len()];
-        for (position, &item) in order.iter().enumerate() {
-            self.positions[item] = position;
-        }
-        let ready = std::mem::take(&mut self.waiting.ready);
-        let before = std::mem::replace(&mut self.order, order);
-        self.waiting.ready =
-            ready.into_iter().map(|position| self.positions[before[position]]).collect();
-    }
-
-    /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
-    /// hints and each takes `pace`.
-    pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
-        let mut groups: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for (item, status) in self.statuses.iter().enumerate() {
-            let (sum, longest) = groups.entry(self.groups[item]).or_default();
-            let rest = self.rest_events(item, status, events_per_hint);
-            *sum += rest;
-            *longest = longest.max(rest);
-        }
-        let mut groups: Vec<(f64, f64)> = groups.into_values().collect();
-        groups.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let needed =
-            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
-        let needed = groups.iter().take(needed);
-        let (sum, longest) =
-            needed.fold((0.0, 0.0_f64), |all, group| (all.0 + group.0, all.1.max(group.1)));
-        Load {
-            job: self.spec.id.clone(),
-            due: self.due,
-            priority: self.priority,
-            work: pace.mul_f64(sum),
-            longest: pace.mul_f64(longest),
-        }
-    }
-
-    /// Events that an item's text is expected to lack.
-    fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
-        if !status.state.is_open() || status.text_complete {
-            return 0.0;
-        }
-        let length = self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint;
-        let done = status.progress.last_event as f64;
-        (length - done).max(done * OVERRUN_SHARE).max(1.0)
-    }
-}
-
-impl Job {
-    /// Makes the items ready whose delay is over.
-    fn promote(&mut self, now: Time) {
-        while let Some(&(not_before, item)) = self.waiting.delayed.first() {
-            if not_before > now {
-                return;
-            }
-            self.waiting.delayed.pop_first();
-            if self.statuses[item].text_complete {
-                self.waiting.unjudged.insert(item);
-            } else {
-                self.waiting.ready.insert(self.positions[item]);
-            }
-        }
-    }
-
-    /// Assigns the next item: one that needs only its score, or one for which an engine qualifies.
-    pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
-        self.started_at = self.started_at.min(now);
-        self.expire_items(now);
-        self.promote(now);
-        while let Some(&item) = self.waiting.unjudged.first() {
-            if let Some(assignment) = self.assign_unjudged(item, now, engines) {
-                return Some(assignment);
-            }
-        }
-        if self.waiting.ready.is_empty() || !engines.has_open(&self.spec.model) {
-            return None;
-        }
-        let first: Vec<usize> =
-            self.waiting.ready.iter().copied().take(BLOCKED_ITEMS_MAX).collect();
-        first.into_iter().find_map(|position| self.assign(self.order[position], now, engines))
-    }
-
-    /// Assigns an item whose text is complete: without an engine, unless the text is too old.
-    fn assign_unjudged(
-        &mut self,
-        item: usize,
-        now: Time,
-        engines: &mut Engines,
-    ) -> Option<Assignment> {
-        let min = self.spec.min_version;
-        let status = &mut self.statuses[item];
-        if status.progress.can_continue(min, min, false) {
-            self.set_state(item, State::Running { target: None });
-            return Some(self.assignment(item, None));
-        }
-        status.progress = Progress::default();
-        status.text_complete = false;
-        self.waiting.unjudged.remove(&item);
-        self.waiting.ready.insert(self.positions[item]);
-        self.assign(item, now, engines)
-    }
-
-    /// Assigns a ready item to an engine if one qualifies.
-    fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
-        let status = &mut self.statuses[item];
-        let State::Waiting { not_before } = status.state else {
-            return None;
-        };
-        let waiting_since = not_before.max(self.started_at);
-        let (min, model) = (self.spec.min_version, &self.spec.model);
-        let avoid = status.avoid.as_ref();
-        let requirement = Requirement { model, min_version: min, avoid, allow_slow: false };
-        let allow_slow = now >= waiting_since + SLOT_WAIT_MAX;
-        let engine = engines.choose(&requirement).or_else(|| {
-            engines
-                .choose(&Requirement { avoid: None, allow_slow: true, ..requirement })
-                .filter(|_| allow_slow)
-        })?;
-        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
-        if !status.progress.can_continue(min, version, self.single_version) {
-            status.progress = Progress::default();
-        }
-        self.set_state(item, State::Running { target: Some(target.clone()) });
-        engines.start_run(&target);
-        Some(self.assignment(item, Some(target)))
-    }
-
-    fn assignment(&self, item: usize, target: Option<TargetId>) -> Assignment {
-        let progress = self.statuses[item].progress.clone();
-        let status = &self.statuses[item];
-        let last_resort = target.is_some() && target == status.avoid;
-        let judge_failures = status.judge_failures;
-        Assignment {
-            job: self.spec.id.clone(),
-            item,
-            target,
-            progress,
-            judge_failures,
-            last_resort,
-        }
-    }
-
-    /// Applies the outcome of a run to its item.
-    pub(super) fn finish_run(&mut self, outcome: Outcome, now: Time) {
-        let (item, max_attempts) = (outcome.item, self.max_attempts);
-        let Some(status) = self.statuses.get_mut(item) else {
-            return;
-        };
-        if !matches!(status.state, State::Running { .. }) {
-            return;
-        }
-        status.progress = outcome.progress;
-        status.text_complete = outcome.text_complete;
-        status.judge_failures += outcome.judge_failures;
-        status.avoid = None;
-        let mut not_before = now;
-        match outcome.end {
-            End::Scored(score) => return self.finish(item, true, score, now),
-            End::JudgeFailed | End::Rejected => return self.finish(item, false, None, now),
-            End::Failed => {
-                status.failures += 1;
-                status.avoid = outcome.target;
-                if status.failures >= max_attempts {
-                    return self.finish(item, false, None, now);
-                }
-            }
-            End::Unjudged => not_before += JUDGE_RETRY_DELAY,
-            End::Broken | End::Slow | End::NotRun => status.avoid = outcome.target,
-            End::Stopped => {}
-        }
-        self.set_state(item, State::Waiting { not_before });
-    }
-}
-
 /// Group number of each item. An item without a group forms its own.
 fn group_numbers(spec: &Spec) -> Vec<usize> {
     let mut numbers: HashMap<&str, usize> = HashMap::new();
--- /dev/null
+++ b/crates/node/src/job/order.rs
@@ -0,0 +1,83 @@
+//! Start order of a job's items, and the work that the job still needs.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    job::{Job, open::ItemStatus, triage::Load},
+    prelude::*,
+};
+
+/// Expected rest of a text that is longer than estimated, as a share of its length so far.
+const OVERRUN_SHARE: f64 = 0.25;
+
+impl Job {
+    /// Sorts the items into their start order. Long items determine when a group is complete, so they start first; the
+    /// largest groups beyond those that the trainer waits for start last. Of a job that cannot be complete in time, the
+    /// smallest groups start first, as they may still be.
+    pub(super) fn sort(&mut self) {
+        let hint = |item: usize| self.spec.items[item].length_hint.unwrap_or_default();
+        let mut sizes: BTreeMap<usize, u64> = BTreeMap::new();
+        for (item, group) in self.groups.iter().enumerate() {
+            *sizes.entry(*group).or_default() += hint(item);
+        }
+        let mut by_size: Vec<(u64, usize)> =
+            sizes.iter().map(|(group, size)| (*size, *group)).collect();
+        by_size.sort_unstable();
+        let needed =
+            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
+        let surplus: BTreeSet<usize> =
+            by_size.iter().skip(needed).map(|(_, group)| *group).collect();
+        let mut order: Vec<usize> = (0..self.spec.items.len()).collect();
+        order.sort_by_key(|&item| {
+            let group = self.groups[item];
+            let size = if self.deferred { sizes[&group] } else { 0 };
+            let resubmitted = self.resubmitted.contains(&item);
+            let last = !resubmitted && surplus.contains(&group);
+            (!resubmitted && !self.deferred, last, size, std::cmp::Reverse(hint(item)))
+        });
+        self.positions = vec![0; order.len()];
+        for (position, &item) in order.iter().enumerate() {
+            self.positions[item] = position;
+        }
+        let ready = std::mem::take(&mut self.waiting.ready);
+        let before = std::mem::replace(&mut self.order, order);
+        self.waiting.ready =
+            ready.into_iter().map(|position| self.positions[before[position]]).collect();
+    }
+
+    /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
+    /// hints and each takes `pace`.
+    pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
+        let mut groups: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
+        for (item, status) in self.statuses.iter().enumerate() {
+            let (sum, longest) = groups.entry(self.groups[item]).or_default();
+            let rest = self.rest_events(item, status, events_per_hint);
+            *sum += rest;
+            *longest = longest.max(rest);
+        }
+        let mut groups: Vec<(f64, f64)> = groups.into_values().collect();
+        groups.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let needed =
+            if self.spec.groups_needed == 0 { usize::MAX } else { self.spec.groups_needed };
+        let needed = groups.iter().take(needed);
+        let (sum, longest) =
+            needed.fold((0.0, 0.0_f64), |all, group| (all.0 + group.0, all.1.max(group.1)));
+        Load {
+            job: self.spec.id.clone(),
+            due: self.due,
+            priority: self.priority,
+            work: pace.mul_f64(sum),
+            longest: pace.mul_f64(longest),
+        }
+    }
+
+    /// Events that an item's text is expected to lack.
+    fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
+        if !status.state.is_open() || status.text_complete {
+            return 0.0;
+        }
+        let length = self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint;
+        let done = status.progress.last_event as f64;
+        (length - done).max(done * OVERRUN_SHARE).max(1.0)
+    }
+}
