Runners' texts stay in the connection until a run ends

Cause: each partial text was copied once more for the leader's queue, which needs only its length while a runner keeps it. Change: the connection reports the number of the last event (RunReport::Advanced). No separate measurement.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -312,6 +312,14 @@
                     job.set_progress(run.item, progress);
                 }
             }
+            RunReport::Advanced { run, last_event } => {
+                let Some(run) = self.runs.get(&run) else {
+                    return;
+                };
+                if let Some(job) = self.queue.get_mut(&run.job) {
+                    job.set_events(run.item, last_event);
+                }
+            }
             RunReport::Generated { run, pace } => {
                 // The judge is called without a slot on the engine.
                 if let Some(target) = self.runs.get_mut(&run).and_then(|run| run.target.take()) {
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -289,8 +289,8 @@
                 if !part.apply(&mut tracked.assignment.progress) {
                     return false;
                 }
-                let progress = tracked.assignment.progress.clone();
-                report(&self.events, Event::Run(RunReport::Progress { run, progress }));
+                let last_event = tracked.assignment.progress.last_event;
+                report(&self.events, Event::Run(RunReport::Advanced { run, last_event }));
             }
             Some(News::Generated(generated)) => {
                 if let Some(tracked) = self.runs.get_mut(&generated.run) {
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -45,6 +45,8 @@
 pub(super) struct ItemStatus {
     pub(super) state: State,
     pub(super) progress: Progress,
+    /// Events of the text that a runner keeps, as last reported.
+    events_at_runner: u64,
     /// The text is complete; only its score is missing.
     pub(super) text_complete: bool,
     /// Failed attempts on engines.
@@ -56,6 +58,16 @@
     pub(super) finished_at: Time,
 }
 
+impl ItemStatus {
+    /// Events of the text, as last reported.
+    pub(super) fn events(&self) -> u64 {
+        match self.state {
+            State::Running { .. } => self.events_at_runner.max(self.progress.last_event),
+            _ => self.progress.last_event,
+        }
+    }
+}
+
 /// Waiting items, indexed by what they wait for.
 #[derive(Debug, Default)]
 pub(super) struct Waiting {
@@ -119,6 +131,7 @@
         let status = ItemStatus {
             state: State::Waiting { not_before: Time::ZERO },
             progress: Progress::default(),
+            events_at_runner: 0,
             text_complete: false,
             failures: 0,
             judge_failures: 0,
@@ -217,7 +230,14 @@
 
     /// Events of an item's text, as last reported.
     pub fn events(&self, item: usize) -> u64 {
-        self.statuses.get(item).map_or(0, |status| status.progress.last_event)
+        self.statuses.get(item).map_or(0, ItemStatus::events)
+    }
+
+    /// Records the number of events of a running item whose text a runner keeps.
+    pub fn set_events(&mut self, item: usize, events: u64) {
+        if let Some(status) = self.statuses.get_mut(item) {
+            status.events_at_runner = events;
+        }
     }
 
     /// Replaces the text of a running item.
@@ -342,6 +362,7 @@
 
     /// Changes the state of an item and the indexes that depend on it.
     pub(super) fn set_state(&mut self, item: usize, state: State) {
+        self.statuses[item].events_at_runner = 0;
         let before = std::mem::replace(&mut self.statuses[item].state, state);
         match &before {
             State::Waiting { not_before } => {
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -77,7 +77,7 @@
             return 0.0;
         }
         let length = self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint;
-        let done = status.progress.last_event as f64;
+        let done = status.events() as f64;
         (length - done).max(done * OVERRUN_SHARE).max(1.0)
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -78,6 +78,11 @@
         run: u64,
         progress: Progress,
     },
+    /// Number of the last event, of a run whose text another host keeps.
+    Advanced {
+        run: u64,
+        last_event: u64,
+    },
     /// The text is complete, so the run holds no slot any more; its judge is called next.
     Generated {
         run: u64,
@@ -93,8 +98,10 @@
 impl RunReport {
     /// Run to which the report applies.
     pub fn run(&self) -> u64 {
-        let (Self::Progress { run, .. } | Self::Generated { run, .. } | Self::Ended { run, .. }) =
-            self;
+        let (Self::Progress { run, .. }
+        | Self::Advanced { run, .. }
+        | Self::Generated { run, .. }
+        | Self::Ended { run, .. }) = self;
         *run
     }
 }
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -262,6 +262,8 @@
                 run.sent = progress.text.len();
                 News::Progress(part)
             }
+            // Only the connection to a runner makes this report.
+            RunReport::Advanced { .. } => return Some(()),
             RunReport::Generated { pace, .. } => News::Generated(Generated::new(id, pace)),
             RunReport::Ended { outcome, .. } => {
                 let ended = Ended::new(id, &outcome, run.sent);
