Hosts that are added run items; a leader without a successor keeps its runners

Cause: the list of hosts was read once a minute, and an engine stayed with the leader's own host, the first one known, as that was not twice as loaded as another; so a leader could carry all streams itself. When a lease had ended in an outage and no other host led, the leader closed the connections to its runners although it kept its jobs.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -32,6 +32,10 @@
 /// Time for which a host gets no items after its connection has ended, and after it has begun to stop.
 const LOST_RUNNER_DELAY: Duration = Duration::from_secs(3);
 const LEAVING_RUNNER_DELAY: Duration = Duration::from_secs(10);
+/// Interval at which the engines are assigned to hosts anew.
+const RUNNERS_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which a leader reads the list of hosts, so that hosts that were added run items.
+const PEERS_INTERVAL: Duration = Duration::from_secs(3);
 /// Margin on the retention of ended jobs.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
@@ -78,8 +82,22 @@
         }
     }
 
+    /// Assigns the engines to hosts if hosts were lost or the interval has passed, and has the list of hosts read again.
+    pub(super) fn update_runners_if_due(&mut self, now: Time) {
+        if !self.runners_due && now < self.runners_updated_at + RUNNERS_INTERVAL {
+            return;
+        }
+        self.runners_due = false;
+        self.runners_updated_at = now;
+        self.update_runners(now);
+        if now >= self.peers_requested_at + PEERS_INTERVAL {
+            self.peers_requested_at = now;
+            self.peers.request_refresh();
+        }
+    }
+
     /// Assigns the engines of each led service to hosts, and connects to these.
-    pub(super) fn update_runners(&mut self, now: Time) {
+    fn update_runners(&mut self, now: Time) {
         let Some(own) = self.settings.peer else {
             return;
         };
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -47,14 +47,14 @@
             // Another host leads or may have led in between, so a job's rows are read again before it continues.
             let stops = leader.drop_jobs(clock::now());
             self.outbox.send(service, stops);
+            // The runners learn of a new fencing token by new connections.
+            self.outbox.disconnect_all(service);
+            leader.clear_runners();
         }
         let mut commands = Vec::new();
         if before.fence != leadership.fence {
             commands.push(Command::JobsClosed { service: service.clone() });
             self.store_state.heads_changed = true;
-            // The runners learn of the new fencing token by new connections.
-            self.outbox.disconnect_all(service);
-            leader.clear_runners();
             if acquired {
                 self.runners_due = true;
                 self.peers.request_refresh();
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -50,8 +50,6 @@
 const SMALL_HOST_START_DELAY: Duration = Duration::from_millis(600);
 /// Share of the age at which registrations are refreshed up to which those of the zone's reader serve.
 const FEED_AGE_SHARE: f64 = 0.75;
-/// Interval at which the engines are assigned to hosts anew.
-const RUNNERS_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum time for which a stopping leader ends its runs and persists their results.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -99,6 +97,8 @@
     /// The engines have to be assigned to hosts anew.
     pub(super) runners_due: bool,
     pub(super) runners_updated_at: Time,
+    /// Time of the last request for a new list of hosts.
+    pub(super) peers_requested_at: Time,
     pub(super) completions: mpsc::UnboundedSender<Completion>,
     pub(super) orders: Rc<orders::Client>,
     pub(super) store_state: StoreState,
@@ -197,6 +197,7 @@
         heads_due: None,
         runners_due: false,
         runners_updated_at: Time::ZERO,
+        peers_requested_at: Time::ZERO,
         completions,
         orders,
         store_state,
@@ -325,6 +326,8 @@
         {
             let stops = leader.drop_jobs(clock::now());
             self.outbox.send(service, stops);
+            self.outbox.disconnect_all(service);
+            leader.clear_runners();
         }
     }
 
@@ -356,12 +359,8 @@
                 self.read_new_jobs(&service);
             }
         }
-        if self.leads_any()
-            && (self.runners_due || now >= self.runners_updated_at + RUNNERS_INTERVAL)
-        {
-            self.runners_due = false;
-            self.runners_updated_at = now;
-            self.update_runners(now);
+        if self.leads_any() {
+            self.update_runners_if_due(now);
         }
         let services: Vec<ServiceId> = self.leaders.keys().cloned().collect();
         for service in services {
--- a/crates/node/src/feed/mod.rs
+++ b/crates/node/src/feed/mod.rs
@@ -6,13 +6,13 @@
 //! Revisions are those of the store, so a host can change between a reader and the store at any time.
 
 mod client;
-mod copy;
 mod page;
+mod replica;
 mod source;
 
 pub use client::Client;
-pub use copy::Feed;
 pub use page::{ChangesRequest, Page};
+pub use replica::Feed;
 pub use source::{Direct, Handle, Snapshot, Source, Watched};
 
 use crate::{job, prelude::*};
--- a/crates/node/src/feed/copy.rs
+++ b/crates/node/src/feed/replica.rs
@@ -24,9 +24,9 @@
 /// Time for which a request waits until the reader's knowledge is young enough.
 const REFRESH_WAIT: Duration = Duration::from_millis(40);
 
-/// Copy of a prefix.
+/// Replica of a prefix.
 #[derive(Debug)]
-struct Copy {
+struct Replica {
     entries: BTreeMap<Box<str>, Entry>,
     /// Removed keys by the revision of their removal.
     removed: VecDeque<(Revision, Box<str>)>,
@@ -42,7 +42,7 @@
     /// This host reads for its zone.
     serving: bool,
     /// Copies of the prefixes that the store has answered for last.
-    copies: BTreeMap<Box<str>, Copy>,
+    copies: BTreeMap<Box<str>, Replica>,
     recovered_at: Option<Time>,
 }
 
@@ -93,7 +93,7 @@
             return;
         }
         let entries = snapshot.entries.iter().map(|entry| (entry.key.clone(), entry.clone()));
-        let copy = Copy {
+        let copy = Replica {
             entries: entries.collect(),
             removed: VecDeque::new(),
             complete_from: snapshot.revision,
@@ -175,7 +175,7 @@
     }
 }
 
-impl Copy {
+impl Replica {
     fn apply(&mut self, change: &Change) {
         match change {
             Change::Put(entry) => {
--- a/crates/node/src/job/homes.rs
+++ b/crates/node/src/job/homes.rs
@@ -81,7 +81,8 @@
     }
 }
 
-/// Host with the lowest load for its size, unless the current one is not much worse.
+/// Host with the lowest load for its size, unless the current one is not much worse. The leader keeps no engine that
+/// another host would carry better.
 fn choose(
     engine: &Streams,
     runners: &[Runner],
@@ -96,7 +97,7 @@
     let best = runners.iter().min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
     let kept = runners.iter().find(|runner| Some(runner.address) == current);
     match kept {
-        Some(kept) if cost(kept) <= cost(best) * MOVE_FACTOR => Some(kept.address),
+        Some(kept) if !kept.leads && cost(kept) <= cost(best) * MOVE_FACTOR => Some(kept.address),
         _ => Some(best.address),
     }
 }
--- a/crates/node/src/job/length.rs
+++ b/crates/node/src/job/length.rs
@@ -5,12 +5,12 @@
 
 /// Running ratio of events to hints.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct LengthEstimate {
+pub struct Estimate {
     events: f64,
     hints: f64,
 }
 
-impl LengthEstimate {
+impl Estimate {
     /// Records the length of a finished text.
     pub fn record(&mut self, hint: Option<u64>, events: u64) {
         let Some(hint) = hint.filter(|hint| *hint > 0) else {
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -7,7 +7,7 @@
     events::Progress,
     job::{
         Assignment, End, Engines, Job, Outcome, Row,
-        length::LengthEstimate,
+        length::Estimate,
         open::State,
         triage::{self, Load},
     },
@@ -29,7 +29,7 @@
     /// The jobs have changed since the order was determined.
     order_outdated: bool,
     triaged_at: Time,
-    lengths: LengthEstimate,
+    lengths: Estimate,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
 }
--- a/crates/node/tests/homes.rs
+++ b/crates/node/tests/homes.rs
@@ -80,3 +80,14 @@
     let counts = counts(&homes, &engines);
     assert!(counts.get(&address(2)).is_some_and(|count| *count >= 2), "{counts:?}");
 }
+
+/// Guards against a leader that keeps all engines because it was the first host that was known.
+#[test]
+fn an_engine_leaves_the_leader_for_a_host_that_was_added() {
+    let engines = engines(1, "a");
+    let leader = Runner { leads: true, ..runner(1, "a", 0.2) };
+    let mut homes = Homes::default();
+    homes.update(&engines, &[leader.clone()]);
+    homes.update(&engines, &[leader, runner(2, "a", 0.2)]);
+    assert_eq!(homes.of(&engines[0].engine), Some(address(2)));
+}
