--- a/crates/node/tests/homes.rs
+++ b/crates/node/tests/homes.rs
@@ -87,7 +87,7 @@
     let engines = engines(1, "a");
     let leader = Runner { leads: true, ..runner(1, "a", 0.2) };
     let mut homes = Homes::default();
-    homes.update(&engines, &[leader.clone()]);
+    homes.update(&engines, std::slice::from_ref(&leader));
     homes.update(&engines, &[leader, runner(2, "a", 0.2)]);
     assert_eq!(homes.of(&engines[0].engine), Some(address(2)));
 }
