Hosts whose reader has lost the store call it less and less

Change: the reader is asked again every 0.2 s; a host's own calls wait half of the reader's longest wait and then twice as long after each failure, up to 4 s. An answer of the store ends the pauses. feed::hosts_whose_reader_has_lost_the_store_call_it_less_and_less failed first (59 calls in 3 s, bound 5).

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -1,12 +1,17 @@
 //! Source that asks the reader of the zone, and the store if there is no reader or no good answer.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use async_trait::async_trait;
 use prost::Message;
 use tokio::{
     sync::watch,
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
@@ -30,6 +35,29 @@
 /// Two recoveries that are closer than this are the same one, reported twice.
 const SAME_RECOVERY: Duration = Duration::from_millis(500);
 
+/// Interval at which a reader that has lost the store is asked again.
+const LOST_POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest pause between calls of the store while its reader and this host get no answer from it.
+const LOST_PAUSE_MAX: Duration = Duration::from_secs(4);
+
+/// Answer of the reader of the zone.
+enum Answer {
+    /// Changes, and the time up to which they are complete.
+    Page(Page, Time),
+    /// The reader does not get answers from the store.
+    Lost,
+    /// There is no reader, or no young enough answer in time.
+    None,
+}
+
+/// Pause of this host's own calls of the store while its reader has lost it: the store is probably down for all hosts of
+/// the zone, and their calls would be many.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    next_call: Time,
+    length: Duration,
+}
+
 /// Client of the reader of a zone, for one thread.
 pub struct Client {
     direct: Direct,
@@ -42,6 +70,8 @@
     /// Age up to which what the reader knows serves a request without a wait.
     max_age: Duration,
     recovered_at: Cell<Option<Time>>,
+    /// Pauses by prefix.
+    pauses: RefCell<HashMap<Box<str>, Pause>>,
 }
 
 impl Client {
@@ -59,18 +89,21 @@
             wait_max,
             max_age,
             recovered_at: Cell::default(),
+            pauses: RefCell::default(),
         })
     }
 
-    /// Asks the reader; `None` if there is none or it has no young enough answer.
+    /// Asks the reader.
     async fn ask(
         &self,
         prefix: &str,
         after: Option<Revision>,
         wait: Duration,
         max_age: Option<Duration>,
-    ) -> Option<(Page, Time)> {
-        let reader = (*self.reader.borrow())?;
+    ) -> Answer {
+        let Some(reader) = *self.reader.borrow() else {
+            return Answer::None;
+        };
         let request = ChangesRequest {
             prefix: prefix.to_owned(),
             after,
@@ -79,13 +112,66 @@
         };
         let asked_at = clock::now();
         let limit = if wait.is_zero() { ON_DEMAND_TIMEOUT } else { wait + RESPONSE_TIMEOUT };
-        let response = self.peers.call(reader, Kind::Changes(request), limit).await?;
-        let page = Page::decode(response.body).ok().filter(|_| response.served)?;
+        let Some(response) = self.peers.call(reader, Kind::Changes(request), limit).await else {
+            return Answer::None;
+        };
+        if !response.served {
+            METERS.feed("lost");
+            return Answer::Lost;
+        }
+        let Ok(page) = Page::decode(response.body) else {
+            return Answer::None;
+        };
         let is_young = max_age.is_none_or(|max_age| page.age() <= max_age);
         METERS.feed(if is_young { "served" } else { "outdated" });
         // The reader has answered after the request was sent, so its knowledge is at least as young as this.
         let current_at = asked_at.saturating_sub(page.age());
-        is_young.then_some((page, current_at))
+        if is_young { Answer::Page(page, current_at) } else { Answer::None }
+    }
+
+    /// Whether the store may be called for a prefix whose reader has lost it. The first call comes after a short time in
+    /// which the reader may recover.
+    fn may_call(&self, prefix: &str) -> bool {
+        let now = clock::now();
+        let mut pauses = self.pauses.borrow_mut();
+        let pause = pauses.entry(prefix.into()).or_insert_with(|| {
+            let length = self.wait_max / 2;
+            Pause { next_call: now + length.mul_f64(0.5 + rand::random::<f64>()), length }
+        });
+        now >= pause.next_call
+    }
+
+    /// Records the result of a call of the store: the pause ends with an answer and doubles without one.
+    fn record_call(&self, prefix: &str, answered: bool) {
+        let mut pauses = self.pauses.borrow_mut();
+        if let Some(pause) = pauses.get_mut(prefix) {
+            let now = clock::now();
+            if answered {
+                pause.next_call = now;
+                return;
+            }
+            pause.length = (pause.length * 2).min(LOST_PAUSE_MAX);
+            pause.next_call = now + pause.length.mul_f64(0.5 + 0.5 * rand::random::<f64>());
+        }
+    }
+
+    /// Asks the reader for changes. While it has lost the store it is asked again until this host may call the store.
+    async fn ask_for_changes(&self, prefix: &str, after: Revision, wait: Duration) -> Answer {
+        // A prefix that is read on demand needs young answers; for one that is followed, the reader passes changes on.
+        let max_age = wait.is_zero().then_some(self.max_age);
+        loop {
+            let answer = self.ask(prefix, Some(after), wait.min(self.wait_max), max_age).await;
+            match answer {
+                Answer::Lost if !wait.is_zero() && !self.may_call(prefix) => {
+                    sleep(LOST_POLL_INTERVAL).await;
+                }
+                Answer::Page(..) => {
+                    self.pauses.borrow_mut().remove(prefix);
+                    return answer;
+                }
+                Answer::Lost | Answer::None => return answer,
+            }
+        }
     }
 
     /// Waits for a reader for a limited time after the start, when all hosts would read at once.
@@ -116,8 +202,8 @@
         if prefix != job::LEADERS {
             self.wait_for_reader().await;
         }
-        let Some((page, current_at)) = self.ask(prefix, None, READ_WAIT, Some(self.max_age)).await
-        else {
+        let asked = self.ask(prefix, None, READ_WAIT, Some(self.max_age)).await;
+        let Answer::Page(page, current_at) = asked else {
             return self.direct.read(prefix).await;
         };
         let entries = page.changes.into_iter().filter_map(|raw| match Change::from(raw) {
@@ -129,15 +215,14 @@
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error> {
-        // A prefix that is read on demand needs young answers; for one that is followed, the reader passes changes on.
-        let max_age = wait.is_zero().then_some(self.max_age);
-        let asked = self.ask(prefix, Some(after), wait.min(self.wait_max), max_age).await;
-        let Some((page, current_at)) = asked else {
+        let Answer::Page(page, current_at) = self.ask_for_changes(prefix, after, wait).await else {
             // The reader may have lost the store just now, and a watch that begins in that moment can be lost without
             // notice. So it is a short one, after which the reader is asked again.
             let has_reader = self.reader.borrow().is_some();
             let wait = if has_reader { wait.min(self.wait_max / 2) } else { wait };
-            return self.direct.watch(prefix, after, wait).await;
+            let result = self.direct.watch(prefix, after, wait).await;
+            self.record_call(prefix, result.is_ok());
+            return result;
         };
         if page.compacted {
             return Ok(Watched::Compacted);
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct Counter {
     calls: Cell<u32>,
+    /// Watches are refused.
+    is_down: Cell<bool>,
     last_wait: Cell<Duration>,
 }
 
@@ -46,6 +48,9 @@
     ) -> Result<WatchResponse, Error> {
         self.calls.set(self.calls.get() + 1);
         self.last_wait.set(wait);
+        if self.is_down.get() {
+            return Err(Error::Refused { status: 503 });
+        }
         Ok(WatchResponse::Changes { changes: Vec::new(), revision: after })
     }
 
@@ -241,3 +246,28 @@
         assert!(begun.elapsed() < ms(100), "{:?}", begun.elapsed());
     });
 }
+
+/// Guards against an outage of the store in which each host of a zone calls it several times a second.
+#[test]
+fn hosts_whose_reader_has_lost_the_store_call_it_less_and_less() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        feed.fail(PREFIX);
+        store.is_down.set(true);
+        let watches = async {
+            loop {
+                let _ = client.watch(PREFIX, 5, ms(15_000)).await;
+                tokio::time::sleep(ms(50)).await;
+            }
+        };
+        let _ = tokio::time::timeout(ms(3_000), watches).await;
+        assert!((1..=5).contains(&store.calls.get()), "{} calls in 3 s", store.calls.get());
+        // An answer of the store ends the pauses.
+        store.is_down.set(false);
+        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        let begun = std::time::Instant::now();
+        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        assert!(begun.elapsed() < ms(100), "{:?}", begun.elapsed());
+    });
+}
