--- /dev/null
+++ b/crates/node/benches/decisions.rs
@@ -0,0 +1,113 @@
+//! Time of a leader's decisions by the number of engines and of waiting items.
+//!
+//! `assign_full`: an attempt to start items while all slots are taken. `finish_and_start`: a run ends and the next item
+//! starts in its slot.
+
+use std::{collections::BTreeMap, hint::black_box, sync::Arc, time::Duration};
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use lagoonyard_node::{
+    events::Progress,
+    fleet::Target,
+    job::{Assignment, End, Engines, Item, Job, Outcome, Queue, Record, Spec},
+};
+
+const SLOTS: u32 = 6;
+const GROUP_SIZE: usize = 8;
+/// Far enough for no item to be late.
+const DUE: Duration = Duration::from_secs(10_000);
+
+/// Engines, models with a job each, and items of each job.
+const SIZES: [(usize, usize, usize); 4] =
+    [(10, 1, 140), (77, 8, 150), (650, 20, 450), (6_500, 20, 4_000)];
+
+fn item(id: String, at: usize) -> Arc<Item> {
+    Arc::new(Item {
+        id: id.into(),
+        path: "/p/1".into(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+        max_total_tokens: 10,
+        length_hint: Some(1 + at as u64 % 90),
+        group: format!("g{}", at / GROUP_SIZE).into(),
+        judge: None,
+    })
+}
+
+fn job(number: usize, items: usize) -> Job {
+    let id: Box<str> = format!("j{number}").into();
+    let items: Vec<_> = (0..items).map(|at| item(format!("{id}-{at}"), at)).collect();
+    let record = Record {
+        host: "h".into(),
+        path: "/p/".into(),
+        service: "llm".into(),
+        submitted_ms: 0,
+        total: items.len(),
+        parts: 1,
+        ended: false,
+    };
+    let (model, groups_needed) = (format!("m{number}").into(), items.len() / GROUP_SIZE);
+    let spec = Spec { id, step: 0, model, min_version: 1, groups_needed, items };
+    Job::new(Arc::new(spec), record, DUE, DUE)
+}
+
+/// Engines with all slots taken, each with the current version of one model, and a queue with the rest of the items.
+fn full(engines: usize, models: usize, items: usize) -> (Queue, Engines, Vec<Assignment>) {
+    let (mut queue, mut all) = (Queue::default(), Engines::default());
+    for number in 0..engines {
+        let model = |at: usize| (format!("m{at}").into(), u64::from(at == number % models));
+        all.put(Arc::new(Target {
+            id: format!("e{number}").into(),
+            service: "llm".into(),
+            address: "127.0.0.1:1".parse().expect("address"),
+            zone: "z".into(),
+            slots: SLOTS,
+            draining: false,
+            started_ms: 1,
+            versions: (0..models).map(model).collect::<BTreeMap<_, _>>(),
+        }));
+    }
+    for number in 0..models {
+        queue.insert(job(number, items));
+    }
+    let now = Duration::from_secs(1);
+    let running = std::iter::from_fn(|| queue.assign_next(now, &mut all)).collect();
+    (queue, all, running)
+}
+
+fn stopped(run: &Assignment) -> Outcome {
+    Outcome {
+        job: run.job.clone(),
+        item: run.item,
+        item_id: format!("{}-{}", run.job, run.item).into(),
+        target: run.target.clone(),
+        end: End::Stopped,
+        progress: Progress::default(),
+        text_complete: false,
+        pace: Some(Duration::from_millis(80)),
+        judge_failures: 0,
+        holds_slot: true,
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let now = Duration::from_secs(1);
+    for (engines, models, items) in SIZES {
+        let (mut queue, mut all, mut running) = full(engines, models, items);
+        let size = format!("{engines} engines, {} waiting", models * items - running.len());
+        criterion.bench_function(&format!("assign_full {size}"), |bench| {
+            bench.iter(|| black_box(queue.assign_next(now, &mut all)));
+        });
+        let mut at = 0;
+        criterion.bench_function(&format!("finish_and_start {size}"), |bench| {
+            bench.iter(|| {
+                at = (at + 1) % running.len();
+                queue.finish_run(stopped(&running[at]), now, &mut all);
+                running[at] = queue.assign_next(now, &mut all).expect("an item is waiting");
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
