A job whose results another host has written is read again; connections to runners are numbered

Besides, the late end of a closed connection removed the new one to the same runner. Change: dropping such a job has the heads looked through; ends and starts of connections count by their number. path::a_job_with_results_of_another_host_is_read_again_and_completed failed first (not complete in 10 s).

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -54,17 +54,21 @@
         let now = clock::now();
         match event {
             Event::Run(report) => self.apply_run_report(report),
-            Event::Connected((service, address)) => {
-                if let Some(leader) = self.leaders.get_mut(&service) {
+            Event::Connected { runner: (service, address), connection } => {
+                if self.outbox.is_current(&(service.clone(), address), connection)
+                    && let Some(leader) = self.leaders.get_mut(&service)
+                {
                     leader.add_runner(address);
                 }
             }
             Event::Leaving((service, address)) => {
                 self.avoid_runner(&service, address, now + LEAVING_RUNNER_DELAY);
             }
-            Event::Lost(runner) => {
-                self.outbox.disconnect(&runner);
-                self.avoid_runner(&runner.0, runner.1, now + LOST_RUNNER_DELAY);
+            Event::Lost { runner, connection } => {
+                // The connection may have been replaced by a new one, under another fencing token.
+                if self.outbox.remove(&runner, connection) {
+                    self.avoid_runner(&runner.0, runner.1, now + LOST_RUNNER_DELAY);
+                }
             }
             Event::Retained { service, item, progress, text_complete } => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
@@ -173,6 +177,8 @@
                 leader.queue.finish_write(&id, fence, number, result == WriteResult::Kept);
                 if result == WriteResult::Differs && leader.leadership.fence == Some(fence) {
                     let stops = leader.drop_job(&id, now);
+                    // The job is read again, with the results that it really has.
+                    self.store_state.heads_changed = true;
                     self.outbox.send(&service, stops);
                 }
             }
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -35,12 +35,18 @@
 #[derive(Debug)]
 pub enum Event {
     /// The runner takes items.
-    Connected(RunnerId),
+    Connected {
+        runner: RunnerId,
+        connection: u64,
+    },
     Run(RunReport),
     /// The runner stops and takes no more items.
     Leaving(RunnerId),
     /// The connection has ended. The ends of its runs were reported before.
-    Lost(RunnerId),
+    Lost {
+        runner: RunnerId,
+        connection: u64,
+    },
     /// Text of an item that ran for an earlier leader.
     Retained {
         service: ServiceId,
@@ -53,16 +59,24 @@
 /// Sends commands to the runs' hosts.
 pub struct Outbox {
     local: mpsc::UnboundedSender<Command>,
-    sessions: BTreeMap<RunnerId, mpsc::UnboundedSender<Command>>,
+    sessions: BTreeMap<RunnerId, Connection>,
+    /// Number of the last connection.
+    last_connection: u64,
     events: mpsc::UnboundedSender<Event>,
 }
 
+/// A connection to a runner.
+struct Connection {
+    number: u64,
+    commands: mpsc::UnboundedSender<Command>,
+}
+
 impl Outbox {
     pub fn new(
         local: mpsc::UnboundedSender<Command>,
         events: mpsc::UnboundedSender<Event>,
     ) -> Self {
-        Self { local, sessions: BTreeMap::new(), events }
+        Self { local, sessions: BTreeMap::new(), last_connection: 0, events }
     }
 
     /// Connects to a runner unless a connection exists or is being opened.
@@ -71,14 +85,22 @@
             return;
         }
         let (sender, commands) = mpsc::unbounded_channel();
-        self.sessions.insert(runner.clone(), sender);
-        let session = Session { runner, fence, runs: HashMap::new(), events: self.events.clone() };
+        self.last_connection += 1;
+        let number = self.last_connection;
+        self.sessions.insert(runner.clone(), Connection { number, commands: sender });
+        let (runs, events) = (HashMap::new(), self.events.clone());
+        let session = Session { runner, number, fence, runs, events };
         tokio::task::spawn_local(session.run(commands));
     }
 
-    /// Closes the connection to a runner, which then stops its runs.
-    pub fn disconnect(&mut self, runner: &RunnerId) {
-        self.sessions.remove(runner);
+    /// Whether a connection is the one in use.
+    pub fn is_current(&self, runner: &RunnerId, connection: u64) -> bool {
+        self.sessions.get(runner).is_some_and(|current| current.number == connection)
+    }
+
+    /// Removes a connection that has ended; `false` if another one has replaced it.
+    pub fn remove(&mut self, runner: &RunnerId, connection: u64) -> bool {
+        self.is_current(runner, connection) && self.sessions.remove(runner).is_some()
     }
 
     /// Closes the connections of a service.
@@ -108,7 +130,7 @@
 
     fn send_to(&self, runner: RunnerId, command: Command) {
         let unsent = match self.sessions.get(&runner) {
-            Some(session) => session.send(command).err().map(|error| error.0),
+            Some(session) => session.commands.send(command).err().map(|error| error.0),
             None => Some(command),
         };
         if let Some(Command::Run(run)) = unsent {
@@ -166,6 +188,8 @@
 /// A connection to a runner.
 struct Session {
     runner: RunnerId,
+    /// Number of the connection.
+    number: u64,
     fence: Revision,
     runs: HashMap<u64, Tracked>,
     events: mpsc::UnboundedSender<Event>,
@@ -189,7 +213,7 @@
             let outcome = tracked.stopped();
             report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
         }
-        report(&self.events, Event::Lost(self.runner));
+        report(&self.events, Event::Lost { runner: self.runner, connection: self.number });
     }
 
     /// Connects, and waits until the runner has answered a heartbeat.
@@ -210,7 +234,8 @@
             }
         };
         timeout(ACCEPT_TIMEOUT, accepted).await.ok()??;
-        report(&self.events, Event::Connected(self.runner.clone()));
+        let (runner, connection) = (self.runner.clone(), self.number);
+        report(&self.events, Event::Connected { runner, connection });
         Some(frames)
     }
 
