One election and one wait for the stop where there were two

The elections of a service and of a zone's reader are started by one function; a runner waits for the stop with the function of the listeners. No behaviour changes.

--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -91,14 +91,26 @@
             return;
         }
         let ttl = Election::ttl(self.settings.lease_min) * READER_LEASE_FACTOR;
+        let service = feed::reader_name(&self.settings.zone);
+        self.compete(service, ttl, ttl / READER_RENEWALS_PER_LEASE, self.reader_key.subscribe());
+    }
+
+    /// Starts the election of a service or of the zone's reader.
+    fn compete(
+        &self,
+        service: ServiceId,
+        ttl: Duration,
+        renewal_interval: Duration,
+        leader_key: watch::Receiver<LeaderKey>,
+    ) {
         let election = Election {
-            service: feed::reader_name(&self.settings.zone),
+            service,
             holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
             ttl,
-            renewal_interval: ttl / READER_RENEWALS_PER_LEASE,
+            renewal_interval,
             delay: Election::delay(self.settings.cpu_share),
             store: Rc::clone(&self.store),
-            leader_key: self.reader_key.subscribe(),
+            leader_key,
             leaderships: self.leaderships.clone(),
             stopping: self.step_down.subscribe(),
         };
@@ -167,18 +179,9 @@
         self.leader_keys.insert(service.clone(), leader_key);
         let first_run = (self.leaders.len() as u64) << 48;
         self.leaders.insert(service.clone(), Leader::new(service.clone(), first_run));
-        let election = Election {
-            service: service.clone(),
-            holder: Holder { host: self.settings.host.clone(), peer: self.settings.peer },
-            ttl: Election::ttl(self.settings.lease_min),
-            renewal_interval: Election::renewal_interval(self.settings.lease_min),
-            delay: Election::delay(self.settings.cpu_share),
-            store: Rc::clone(&self.store),
-            leader_key: receiver,
-            leaderships: self.leaderships.clone(),
-            stopping: self.step_down.subscribe(),
-        };
-        tokio::task::spawn_local(election.run());
+        let lease_min = self.settings.lease_min;
+        let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
+        self.compete(service.clone(), ttl, interval, receiver);
     }
 }
 
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -20,7 +20,10 @@
         ToRunner,
     },
     prelude::*,
-    traffic::{Report, Run, RunReport, run, serve::Traffic},
+    traffic::{
+        Report, Run, RunReport, run,
+        serve::{Traffic, stop_requested},
+    },
 };
 
 /// Silence of the leader after which its runs are stopped. A leader waits longer before it counts a runner as lost.
@@ -120,7 +123,8 @@
             return;
         }
         let mut heard_at = Instant::now();
-        let stopping = stopping(Rc::clone(&self.traffic));
+        let traffic = Rc::clone(&self.traffic);
+        let stopping = stop_requested(&traffic);
         let mut stopping = std::pin::pin!(stopping);
         let mut leaving = false;
         let reason = loop {
@@ -282,10 +286,3 @@
         peer::flush(&mut self.frames).await
     }
 }
-
-/// Returns once the process is stopping.
-async fn stopping(traffic: Rc<Traffic>) {
-    while !traffic.view.load().stopping {
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-}
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -170,7 +170,7 @@
 }
 
 /// Returns once the process is stopping.
-async fn stop_requested(traffic: &Traffic) {
+pub(super) async fn stop_requested(traffic: &Traffic) {
     while !traffic.view.load().stopping {
         sleep(Duration::from_millis(100)).await;
     }
