Limits that targets name are decoded, logged and counted

Change: the adapter decodes the limit into rate::Limit; rate::Table keeps it by target and logs each change; the counter lagoonyard_limited_requests counts what is sent to a target that names one. No decision uses it yet.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -11,6 +11,7 @@
     fleet::Target,
     job::{Row, Spec},
     prelude::*,
+    rate::Limit,
     store::{Change, Entry},
 };
 
@@ -37,7 +38,7 @@
 }
 
 /// Headers of a target's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answer {
     /// Receipt of the target; a response without one was not made by the target.
     pub receipt: Option<Box<str>>,
@@ -49,6 +50,8 @@
     pub version: Option<Version>,
     /// Time after which the target closes an idle connection.
     pub idle: Option<Duration>,
+    /// Requests that the target takes from all hosts together.
+    pub limit: Option<Limit>,
 }
 
 /// Load report of an engine.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod prelude;
+pub mod rate;
 pub mod relay;
 pub mod settings;
 pub mod store;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -26,6 +26,7 @@
     requests: Counter<u64>,
     request_seconds: Histogram<f64>,
     attempts: Counter<u64>,
+    limited_requests: Counter<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
     relays: Counter<u64>,
@@ -71,6 +72,10 @@
             requests: counter("lagoonyard_requests", "Answered requests by kind and outcome"),
             request_seconds: seconds("lagoonyard_request_seconds", "Time to an answer by kind"),
             attempts: counter("lagoonyard_attempts", "Attempts on targets by outcome"),
+            limited_requests: counter(
+                "lagoonyard_limited_requests",
+                "Requests for targets that name a limit, by outcome",
+            ),
             store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
             store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
             relays: counter("lagoonyard_relayed_calls", "Calls through other hosts by outcome"),
@@ -104,6 +109,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records whether a request was sent to a target that names a limit.
+    pub fn limited_request(&self, outcome: &'static str) {
+        self.limited_requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records the outcome of a call to the store.
     pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
         let call = KeyValue::new("call", call);
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use crate::{
+    clock,
     config::{Kind, Route},
     dialect::Answer,
     fleet::Target,
@@ -343,12 +344,19 @@
         info!(request = &*call.id, target = &*target.id, reason:% = reason; "attempt broke");
         ExchangeError::MaybeRun
     };
+    let sent_at = clock::now();
+    if traffic.limits.limit(&target.id).is_some() {
+        METERS.limited_request("sent");
+    }
     let response = channel.send(request, call.deadline).await.map_err(|error| fail(&error))?;
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
         return Err(fail(&"response carries the id of another request"));
     }
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        traffic.limits.record(&target.id, answer.limit, sent_at, clock::now());
+    }
     if !answer.not_run && NOT_RUN_STATUSES.contains(&parts.status) {
         return Err(fail(&"refusal does not state that the request was not run"));
     }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    clock,
     events::{Parser, Progress},
     fleet::Target,
     job::{Assignment, End, Item, Outcome},
@@ -204,6 +205,10 @@
         return Some(End::Rejected);
     };
     state.started = Instant::now();
+    let sent_at = clock::now();
+    if traffic.limits.limit(&target.id).is_some() {
+        METERS.limited_request("sent");
+    }
     let response = match channel.send(request, deadline).await {
         Ok(response) => response,
         Err(error) => {
@@ -217,6 +222,9 @@
     if answer.id.as_ref().is_some_and(|id| *id != run.item.id) {
         return Some(End::Broken);
     }
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        traffic.limits.record(&target.id, answer.limit, sent_at, clock::now());
+    }
     if answer.not_run {
         return Some(End::NotRun);
     }
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -27,6 +27,7 @@
     metrics::METERS,
     peer,
     prelude::*,
+    rate,
     relay::{self, Transport},
     settings::Settings,
     store,
@@ -88,6 +89,8 @@
     pub freshness: Arc<Freshness>,
     pub channels: Channels,
     pub pool: RefCell<Pool>,
+    /// Limits that targets name.
+    pub limits: Arc<rate::Table>,
     /// Bytes of callers' bodies and of targets' bodies that may be held at the same time.
     pub request_bytes: Rc<Budget>,
     pub response_bytes: Rc<Budget>,
@@ -123,6 +126,7 @@
         freshness,
         channels: Channels::default(),
         pool,
+        limits: Arc::default(),
         request_bytes: Budget::new(REQUEST_BYTES_TOTAL),
         response_bytes: Budget::new(RESPONSE_BYTES_TOTAL),
         cache: Cache::default(),
@@ -188,7 +192,9 @@
     loop {
         ticks.tick().await;
         traffic.channels.sweep();
-        traffic.pool.borrow_mut().sweep(&traffic.view.load());
+        let view = traffic.view.load();
+        traffic.pool.borrow_mut().sweep(&view);
+        traffic.limits.retain(|target| view.targets.contains_key(target));
     }
 }
 
