--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -64,6 +64,7 @@
             slots: SLOTS,
             draining: false,
             started_ms: 1,
+            software: "v1".into(),
             versions: (0..models).map(model).collect::<BTreeMap<_, _>>(),
         }));
     }
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -224,10 +224,12 @@
                 // Versions change with each load; only what decides about requests is logged by default.
                 let known = self.fleet.targets().get(&target.id);
                 let is_news = known.is_none_or(|known| {
-                    known.draining != target.draining || known.started_ms != target.started_ms
+                    known.draining != target.draining
+                        || known.started_ms != target.started_ms
+                        || known.software != target.software
                 });
                 let level = if is_news { Level::Info } else { Level::Debug };
-                log::log!(level, target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.started_ms, versions:? = target.versions; "target registered");
+                log::log!(level, target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.started_ms, software = &*target.software, versions:? = target.versions; "target registered");
                 self.fleet.register(target);
             }
             PlatformChange::TargetRemoved(id) => {
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -23,6 +23,7 @@
     pub draining: bool,
     /// Start time in Unix milliseconds; a restart under the same id has a later one.
     pub started_ms: u64,
+    pub software: Software,
     /// Versions of the models on it.
     pub versions: BTreeMap<ModelId, Version>,
 }
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -139,6 +139,9 @@
     pub versions: Vec<u64>,
     #[prost(bool, tag = "20")]
     pub last_resort: bool,
+    /// Version of the engine's software.
+    #[prost(string, tag = "21")]
+    pub software: String,
 }
 
 /// Part of the text of a run.
@@ -253,6 +256,11 @@
             last_event: assignment.progress.last_event,
             versions: assignment.progress.versions.iter().copied().collect(),
             last_resort: assignment.last_resort,
+            software: run
+                .target
+                .as_ref()
+                .map(|target| target.software.to_string())
+                .unwrap_or_default(),
         }
     }
 }
@@ -263,7 +271,11 @@
     fn try_from(raw: RunItem) -> Result<Self, Self::Error> {
         let target = match raw.target.as_str() {
             "" => None,
-            id => Some(Endpoint { id: id.into(), address: raw.address.parse()? }),
+            id => Some(Endpoint {
+                id: id.into(),
+                address: raw.address.parse()?,
+                software: raw.software.into(),
+            }),
         };
         let headers = raw.headers.into_iter();
         let judge = raw.judge.map(|judge| Judge {
--- a/crates/node/src/prelude.rs
+++ b/crates/node/src/prelude.rs
@@ -18,6 +18,8 @@
 pub type ItemId = Box<str>;
 /// Version of a model's weights.
 pub type Version = u64;
+/// Version of a target's software; what two of them generate does not fit together.
+pub type Software = Box<str>;
 /// Revision of the store.
 pub type Revision = u64;
 /// Time since the host's boot, including suspension.
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -42,11 +42,12 @@
 pub struct Endpoint {
     pub id: TargetId,
     pub address: SocketAddr,
+    pub software: Software,
 }
 
 impl From<&Target> for Endpoint {
     fn from(target: &Target) -> Self {
-        Self { id: target.id.clone(), address: target.address }
+        Self { id: target.id.clone(), address: target.address, software: target.software.clone() }
     }
 }
 
@@ -185,7 +186,7 @@
     METERS.run(end.name());
     let item = &run.item;
     let target = run.assignment.target.as_deref().unwrap_or("");
-    info!(job = &*run.assignment.job, item = &*item.id, target_id = target, outcome:? = end, events = state.progress.last_event, took_ms = crate::logging::ms(state.started.elapsed()); "item run ended");
+    info!(job = &*run.assignment.job, item = &*item.id, target_id = target, software = run.target.as_ref().map_or("", |target| &*target.software), outcome:? = end, events = state.progress.last_event, took_ms = crate::logging::ms(state.started.elapsed()); "item run ended");
 }
 
 /// Streams the text from an engine. Returns `None` if the text is complete.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -24,6 +24,7 @@
         slots: 2,
         draining: false,
         started_ms: 1,
+        software: "v1".into(),
         versions: BTreeMap::from([("m".into(), version)]),
     }
 }
