A text goes on only at the software version that began it

Seen: nothing by callers yet; shown by tests. An item that was cut went on at an engine of any software version, also from checkpoints, from texts that runners kept and from texts of an earlier job. Cause: the version was not kept with the text. Class: state that is handed on without the identity of what made it. Change: Progress carries the software version, also between hosts and in the store. Items are not moved to a faster engine of another version.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -297,6 +297,8 @@
             model: &job.spec.model,
             min_version: job.spec.min_version,
             avoid: Some(target),
+            // A text goes on only at the version that began it.
+            software: self.engines.get(target).map(|engine| &*engine.target.software),
             allow_slow: false,
         };
         self.engines.has_faster(&requirement, target)
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -92,6 +92,9 @@
     pub last_event: u64,
     /// Versions that generated the events.
     pub versions: BTreeSet<Version>,
+    /// Software version of the engines; `None` before the first event, and in texts stored before it was recorded.
+    #[serde(default)]
+    pub software: Option<Software>,
 }
 
 impl Progress {
@@ -109,6 +112,11 @@
         Ok(())
     }
 
+    /// Whether an engine of a software version may continue the text.
+    pub fn fits(&self, software: &str) -> bool {
+        self.last_event == 0 || self.software.as_deref() == Some(software)
+    }
+
     /// Whether `next` may continue the text for a job that accepts versions from `min` on and, with `single`, only one
     /// version per text.
     pub fn can_continue(&self, min: Version, next: Version, single: bool) -> bool {
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -76,15 +76,21 @@
         let waiting_since = not_before.max(self.started_at);
         let (min, model) = (self.spec.min_version, &self.spec.model);
         let avoid = status.avoid.as_ref();
-        let requirement = Requirement { model, min_version: min, avoid, allow_slow: false };
-        let allow_slow = now >= waiting_since + SLOT_WAIT_MAX;
-        let engine = engines.choose(&requirement).or_else(|| {
-            engines
-                .choose(&Requirement { avoid: None, allow_slow: true, ..requirement })
-                .filter(|_| allow_slow)
-        })?;
+        let has_waited = now >= waiting_since + SLOT_WAIT_MAX;
+        let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
+        let software = known.filter(|_| status.progress.last_event > 0);
+        let requirement =
+            Requirement { model, min_version: min, avoid, software, allow_slow: false };
+        let any_pace = Requirement { avoid: None, allow_slow: true, ..requirement };
+        let any = Requirement { software: None, ..any_pace };
+        let waited = [any_pace, any].into_iter().filter(|_| has_waited);
+        let engine =
+            std::iter::once(requirement).chain(waited).find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
-        if !status.progress.can_continue(min, version, self.single_version) {
+        let progress = &status.progress;
+        if !progress.can_continue(min, version, self.single_version)
+            || !progress.fits(&engine.target.software)
+        {
             status.progress = Progress::default();
         }
         self.set_state(item, State::Running { target: Some(target.clone()) });
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -40,6 +40,8 @@
     /// Engine that must not run the item: the one of its last run, if that did not succeed, or the one that it is to
     /// leave for a faster one.
     pub avoid: Option<&'a TargetId>,
+    /// Software version that has to continue the item's text.
+    pub software: Option<&'a str>,
     /// The item has waited long enough to run on a slow engine.
     pub allow_slow: bool,
 }
@@ -71,6 +73,8 @@
 pub struct Engines {
     by_id: BTreeMap<TargetId, Entry>,
     open: BTreeMap<ModelId, OpenEngines>,
+    /// Number of engines by software version.
+    software: BTreeMap<Software, usize>,
     paces: Paces,
     /// Engines whose state changes by itself, by time.
     updates: BTreeSet<(Time, TargetId)>,
@@ -83,11 +87,15 @@
         let id = target.id.clone();
         match self.by_id.get_mut(&id) {
             Some(entry) if Arc::ptr_eq(&entry.engine.target, &target) => return,
-            Some(entry) if entry.engine.target.started_ms == target.started_ms => {
+            Some(entry)
+                if entry.engine.target.started_ms == target.started_ms
+                    && entry.engine.target.software == target.software =>
+            {
                 entry.engine.target = target;
             }
             _ => {
                 self.remove(&id);
+                *self.software.entry(target.software.clone()).or_default() += 1;
                 let entry =
                     Entry { engine: Engine::new(target), indexed: Vec::new(), update_at: None };
                 self.by_id.insert(id.clone(), entry);
@@ -101,6 +109,10 @@
             return;
         };
         unindex(&mut self.open, &mut entry);
+        if let Some(count) = self.software.get_mut(&entry.engine.target.software) {
+            *count -= 1;
+        }
+        self.software.retain(|_, count| *count > 0);
         self.paces.replace(entry.engine.last_pace(), None);
         if let Some(at) = entry.update_at {
             self.updates.remove(&(at, id.into()));
@@ -164,6 +176,11 @@
         self.open.get(model).is_some_and(|open| !open.ranks.is_empty())
     }
 
+    /// Whether an engine of a software version is registered.
+    pub fn has_software(&self, software: &str) -> bool {
+        self.software.contains_key(software)
+    }
+
     /// Open engine on which an item would finish first. Unless the requirement allows slow engines, a slow engine runs
     /// one item at a time, as a probe of whether it has recovered.
     pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
@@ -172,6 +189,7 @@
                 .version(requirement.model)
                 .is_some_and(|version| version >= requirement.min_version)
                 && requirement.avoid != Some(&engine.target.id)
+                && requirement.software.is_none_or(|software| *software == *engine.target.software)
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
         let open = self.open.get(requirement.model)?;
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -142,6 +142,9 @@
     /// Version of the engine's software.
     #[prost(string, tag = "21")]
     pub software: String,
+    /// Software version of the text so far, if it is known.
+    #[prost(string, optional, tag = "22")]
+    pub text_software: Option<String>,
 }
 
 /// Part of the text of a run.
@@ -159,6 +162,9 @@
     /// Versions that generated the whole text.
     #[prost(uint64, repeated, tag = "5")]
     pub versions: Vec<u64>,
+    /// Software version of the whole text, if it is known.
+    #[prost(string, optional, tag = "6")]
+    pub software: Option<String>,
 }
 
 /// The text of a run is complete.
@@ -261,6 +267,7 @@
                 .as_ref()
                 .map(|target| target.software.to_string())
                 .unwrap_or_default(),
+            text_software: assignment.progress.software.as_deref().map(str::to_owned),
         }
     }
 }
@@ -298,6 +305,7 @@
             text: raw.text,
             last_event: raw.last_event,
             versions: raw.versions.into_iter().collect(),
+            software: raw.text_software.map(Into::into),
         };
         Ok(Self {
             id: raw.run,
@@ -331,6 +339,7 @@
             text: progress.text[after..].to_owned(),
             last_event: progress.last_event,
             versions: progress.versions.iter().copied().collect(),
+            software: progress.software.as_deref().map(str::to_owned),
         }
     }
 
@@ -344,6 +353,7 @@
         progress.text.push_str(&self.text);
         progress.last_event = self.last_event;
         progress.versions = self.versions.into_iter().collect();
+        progress.software = self.software.map(Into::into);
         true
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -294,6 +294,9 @@
             if let Err(error) = state.progress.append(&event, version) {
                 return fail(&error);
             }
+            if state.progress.software.is_none() {
+                state.progress.software = run.target.as_ref().map(|target| target.software.clone());
+            }
         }
         if state.progress.text.len() > TEXT_BYTES_MAX {
             return fail(&"text too long");
