Streams of callers pass through, and go on only at the software version that began them

Seen: a caller got nothing of a stream before the target had sent all of it; one that took a stream up got it from any target, whatever its software version. Cause: streams were dispatched like plain calls, whole and with retries, and Last-Event-Id was forwarded unread. Class: state handed on without the identity of what made it, as for items. Change: traffic/stream.rs forwards whole events as they arrive, with two events queued at most; a stream that breaks on a resumable route goes on inside the answer at another target of its version, else the answer breaks off and never looks complete.

--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -35,6 +35,10 @@
     pub host: Box<str>,
     /// Time for which the caller waits for the response.
     pub timeout: Option<Duration>,
+    /// Last event of a stream that the caller has already.
+    pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of that stream.
+    pub resumes: Option<Box<str>>,
 }
 
 /// Headers of a target's response.
@@ -141,6 +145,8 @@
     );
     /// Sets the header that resumes a stream after an event.
     fn set_resume_header(&self, headers: &mut HeaderMap, event: u64);
+    /// Sets the header with the priority of a request among those of other callers; 0 is the most urgent.
+    fn set_priority_header(&self, headers: &mut HeaderMap, priority: u32);
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer;
     /// Name of the event field that announces a change of version.
     fn version_field(&self) -> &str;
--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use bytes::{Buf, BytesMut};
+use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
@@ -51,17 +51,36 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether the buffer holds a complete event.
+    pub fn has_event(&self) -> bool {
+        self.event_end().is_some()
+    }
+
+    /// Whether the event in the buffer is longer than any engine sends.
+    pub fn is_too_long(&self) -> bool {
+        self.buffer.len() > EVENT_BYTES_MAX && !self.has_event()
+    }
+
     /// Next complete event, if any.
     pub fn next_event(&mut self) -> Result<Option<Event>, Error> {
-        let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") else {
-            if self.buffer.len() > EVENT_BYTES_MAX {
+        Ok(self.next_raw()?.map(|(event, _)| event))
+    }
+
+    /// Next complete event with its bytes, if any.
+    pub fn next_raw(&mut self) -> Result<Option<(Event, Bytes)>, Error> {
+        let Some(end) = self.event_end() else {
+            if self.is_too_long() {
                 return Err(Error::Malformed { reason: "event too long" });
             }
             return Ok(None);
         };
-        let event = self.event(end);
-        self.buffer.advance(end + 2);
-        event.map(Some)
+        let event = self.event(end)?;
+        Ok(Some((event, self.buffer.split_to(end + 2).freeze())))
+    }
+
+    /// Position of the line feeds that end the first event.
+    fn event_end(&self) -> Option<usize> {
+        self.buffer.windows(2).position(|pair| pair == b"\n\n")
     }
 
     fn event(&self, end: usize) -> Result<Event, Error> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,7 @@
     request_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     limited_requests: Counter<u64>,
+    stream_breaks: Counter<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
     relays: Counter<u64>,
@@ -76,6 +77,10 @@
                 "lagoonyard_limited_requests",
                 "Requests for targets that name a limit, by outcome",
             ),
+            stream_breaks: counter(
+                "lagoonyard_stream_breaks",
+                "Callers' streams that broke at a target, by what followed",
+            ),
             store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
             store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
             relays: counter("lagoonyard_relayed_calls", "Calls through other hosts by outcome"),
@@ -109,6 +114,11 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records what followed when a caller's stream broke at a target.
+    pub fn stream_break(&self, outcome: &'static str) {
+        self.stream_breaks.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
     /// Records whether a request was sent to a target that names a limit.
     pub fn limited_request(&self, outcome: &'static str) {
         self.limited_requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -29,22 +29,22 @@
 };
 
 /// Largest response body that is accepted from a target.
-const RESPONSE_BYTES_MAX: usize = 32 << 20;
+pub(super) const RESPONSE_BYTES_MAX: usize = 32 << 20;
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// A hedge starts after this multiple of the target's average response time, within the bounds below.
 const HEDGE_DELAY_AVERAGES: u32 = 3;
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(80);
 const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
 /// Delay before all targets are tried again when none is left to try.
-const REFUSED_BACKOFF: Duration = Duration::from_millis(20);
+pub(super) const REFUSED_BACKOFF: Duration = Duration::from_millis(20);
 /// Longest idle time of a reused connection that carries a non-idempotent request, which cannot be retried if the
 /// connection breaks.
 const NON_IDEMPOTENT_IDLE_MAX: Duration = Duration::from_millis(500);
 /// Subtracted from the deadline that a target receives, so that its response still reaches the caller in time.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
+pub(super) const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
 
 /// Statuses that tell a caller that its request has not run.
-const NOT_RUN_STATUSES: [StatusCode; 4] = [
+pub(super) const NOT_RUN_STATUSES: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
@@ -64,7 +64,7 @@
 }
 
 /// A target's response, with its complete body.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Response {
     pub status: StatusCode,
     pub headers: HeaderMap,
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use log::{info, warn};
 use tokio::time::Instant;
@@ -17,8 +17,10 @@
     traffic::{
         body,
         dispatch::{self, Call, Failure, dispatch},
+        event_body::EventBody,
         jobs,
         serve::Traffic,
+        stream::{self, Answered},
         submit::{SubmitOutcome, submit},
     },
 };
@@ -42,7 +44,9 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-pub type HttpResponse = Response<Full<Bytes>>;
+/// Body of a response: complete, or a stream of events.
+pub type ResponseBody = Either<Full<Bytes>, EventBody>;
+pub type HttpResponse = Response<ResponseBody>;
 
 pub async fn handle(traffic: Rc<Traffic>, request: Request<Incoming>) -> HttpResponse {
     let operation = traffic.dialect.operation(request.method(), request.uri(), request.headers());
@@ -68,7 +72,7 @@
 fn job_response(result: Result<Bytes, jobs::Error>, json: bool) -> HttpResponse {
     match result {
         Ok(body) => {
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(Either::Left(Full::new(body)));
             if json {
                 let value = HeaderValue::from_static("application/json");
                 response.headers_mut().insert(header::CONTENT_TYPE, value);
@@ -84,7 +88,7 @@
 }
 
 fn status(status: StatusCode) -> HttpResponse {
-    let mut response = Response::new(Full::default());
+    let mut response = Response::new(Either::Left(Full::default()));
     *response.status_mut() = status;
     response
 }
@@ -134,11 +138,51 @@
         body,
         deadline: arrived + timeout,
     };
+    if matches!(route.kind, Kind::Stream { .. }) {
+        let broken_off = head.last_event.map(|last_event| (head.resumes, last_event));
+        return stream_response(traffic, &route, call, broken_off, arrived).await;
+    }
     let result = dispatch(traffic, &route, &call).await;
-    log_end(&call, &route, &result, arrived);
+    log_end(&call.id, &route, &result, arrived);
     response(result)
 }
 
+/// Serves a stream, or goes on with one that the caller takes up after an event.
+async fn stream_response(
+    traffic: &Rc<Traffic>,
+    route: &Route,
+    call: Call,
+    broken_off: Option<(Option<Box<str>>, u64)>,
+    arrived: Instant,
+) -> HttpResponse {
+    let id = call.id.clone();
+    if let Some((stream, last_event)) = broken_off {
+        info!(request = &*id, stream = stream.as_deref().unwrap_or(""), last_event; "stream not taken up: the software version that began it is unknown");
+        METERS.request(route.kind.name(), "unknown_origin", arrived.elapsed());
+        return not_run_response(RETRY_AFTER);
+    }
+    let result = stream::serve(traffic, route, call, None).await;
+    let took_ms = crate::logging::ms(arrived.elapsed());
+    match result {
+        Ok(Answered::Begun(head, body)) => {
+            log::debug!(request = &*id, route = &*route.name, took_ms; "stream began");
+            METERS.request(route.kind.name(), "begun", arrived.elapsed());
+            let mut response = Response::new(Either::Right(body));
+            *response.status_mut() = head.status;
+            *response.headers_mut() = end_to_end(head.headers);
+            response
+        }
+        Ok(Answered::Whole(whole)) => {
+            log_end(&id, route, &Ok(whole.clone()), arrived);
+            response(Ok(whole))
+        }
+        Err(failure) => {
+            log_end(&id, route, &Err(failure), arrived);
+            response(Err(failure))
+        }
+    }
+}
+
 /// Reads a body of limited size; otherwise returns the error response.
 async fn read_body(
     traffic: &Traffic,
@@ -174,7 +218,7 @@
 fn response(result: Result<dispatch::Response, Failure>) -> HttpResponse {
     match result {
         Ok(received) => {
-            let mut response = Response::new(Full::new(received.body));
+            let mut response = Response::new(Either::Left(Full::new(received.body)));
             *response.status_mut() = received.status;
             *response.headers_mut() = end_to_end(received.headers);
             response
@@ -190,7 +234,7 @@
 }
 
 fn log_end(
-    call: &Call,
+    id: &str,
     route: &Route,
     result: &Result<dispatch::Response, Failure>,
     arrived: Instant,
@@ -207,10 +251,10 @@
     METERS.request(route.kind.name(), outcome, arrived.elapsed());
     match result {
         Ok(response) => {
-            log::debug!(request = &*call.id, route = &*route.name, status = response.status.as_u16(), took_ms; "request answered");
+            log::debug!(request = id, route = &*route.name, status = response.status.as_u16(), took_ms; "request answered");
         }
         Err(failure) => {
-            info!(request = &*call.id, route = &*route.name, outcome:? = failure, took_ms; "request failed");
+            info!(request = id, route = &*route.name, outcome:? = failure, took_ms; "request failed");
         }
     }
 }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod channel;
 mod dispatch;
 mod entry;
+mod event_body;
 mod jobs;
 mod peers;
 mod permit;
@@ -20,6 +21,7 @@
 mod run;
 mod runner;
 mod serve;
+mod stream;
 mod submit;
 
 pub use accept::accept;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -10,7 +10,7 @@
 };
 
 use http::{Request, Response, StatusCode};
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, info, warn};
@@ -327,7 +327,7 @@
             Ok::<_, std::convert::Infallible>(match port {
                 Port::Entry => entry::handle(traffic, request).await,
                 Port::Ready => readiness(&traffic.view.load()),
-                Port::Metrics => Response::new(Full::new(METERS.text().into())),
+                Port::Metrics => Response::new(Either::Left(Full::new(METERS.text().into()))),
             })
         }
     });
@@ -350,8 +350,8 @@
 }
 
 /// Ready once a configuration has been read, until the process is stopping.
-fn readiness(view: &View) -> Response<Full<bytes::Bytes>> {
-    let mut response = Response::new(Full::default());
+fn readiness(view: &View) -> entry::HttpResponse {
+    let mut response = Response::new(Either::Left(Full::default()));
     if view.config.is_none() || view.stopping {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
--- /dev/null
+++ b/crates/node/src/traffic/stream.rs
@@ -0,0 +1,429 @@
+//! Streams of callers: events pass through as they arrive.
+//!
+//! The response begins with the first event. Whole events are forwarded, one at a time, so a caller that reads slowly
+//! slows its target down, and no part of an event is sent twice. If the stream of a resumable route breaks, it goes on
+//! inside the same response at another target of the same software version. A response that cannot go on is broken
+//! off, so that it never looks complete.
+
+use std::{fmt::Display, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, response::Parts};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use log::{debug, info};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    clock,
+    config::{Kind, Route},
+    dialect::Answer,
+    events::Parser,
+    fleet::Target,
+    metrics::METERS,
+    prelude::*,
+    traffic::{
+        announce, body,
+        channel::Channel,
+        dispatch::{
+            Call, ExchangeError, Failure, InFlight, NOT_RUN_STATUSES, REFUSED_BACKOFF,
+            RESPONSE_BYTES_MAX, RESPONSE_MARGIN, Response, closes_connection, connect,
+        },
+        event_body::{EventBody, Part},
+        permit,
+        serve::Traffic,
+    },
+};
+
+/// Time for a target of a resumable route to send its first event, and longest time without a byte after that.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Longest time without a complete event. A slow target may send an event in many small parts.
+const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Events that are read from a target before the caller takes the first of them.
+const QUEUED_EVENTS: usize = 2;
+
+/// Part of a stream that a caller has already.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakeUp {
+    /// Service that began the stream.
+    pub service: ServiceId,
+    pub last_event: u64,
+    /// Version that began the stream.
+    pub software: Software,
+}
+
+/// Head and body of a stream that has begun, or the complete response of a target that made none.
+pub enum Answered {
+    Begun(Parts, EventBody),
+    Whole(Response),
+}
+
+/// How a target responded.
+enum Outcome {
+    Begun(Box<Open>),
+    Whole(Response),
+    NotRun,
+    Broken,
+}
+
+/// A stream at a target, from its first event on.
+struct Open {
+    target: Arc<Target>,
+    head: Parts,
+    channel: Channel,
+    body: Incoming,
+    parser: Parser,
+    /// The target has sent everything.
+    ended: bool,
+    closes: bool,
+    answer: Answer,
+    _in_flight: InFlight,
+}
+
+/// Why a stream does not go on at its target.
+enum Break {
+    Complete,
+    Target(Box<str>),
+    CallerLeft,
+    Deadline,
+}
+
+/// State of a caller's stream.
+struct Stream {
+    traffic: Rc<Traffic>,
+    route: Route,
+    call: Call,
+    service: ServiceId,
+    resumable: bool,
+    /// Version that began the stream, once it has.
+    software: Option<Software>,
+    last_event: Option<u64>,
+    /// Targets that may have run the request.
+    maybe_run: u32,
+    /// Targets tried since the stream last broke; cleared when none is left to try.
+    tried: Vec<TargetId>,
+    /// Targets at which the stream broke. One of them may have started anew with other software, which its registration
+    /// does not show yet.
+    broken_at: Vec<TargetId>,
+    retry_after: Option<Duration>,
+    last_failure: Option<Response>,
+}
+
+/// Serves a stream. Returns once it has begun or cannot begin.
+pub async fn serve(
+    traffic: &Rc<Traffic>,
+    route: &Route,
+    call: Call,
+    take_up: Option<TakeUp>,
+) -> Result<Answered, Failure> {
+    let service = match &take_up {
+        Some(take_up) => take_up.service.clone(),
+        None => route.service(&call.id).cloned().ok_or(Failure::NotRun)?,
+    };
+    let mut stream = Stream {
+        traffic: Rc::clone(traffic),
+        route: route.clone(),
+        service,
+        resumable: route.kind == Kind::Stream { resumable: true },
+        last_event: take_up.as_ref().map(|take_up| take_up.last_event),
+        software: take_up.map(|take_up| take_up.software),
+        maybe_run: 0,
+        tried: Vec::new(),
+        broken_at: Vec::new(),
+        retry_after: None,
+        last_failure: None,
+        call,
+    };
+    let open = match stream.open().await? {
+        Outcome::Begun(open) => *open,
+        Outcome::Whole(response) => return Ok(Answered::Whole(response)),
+        Outcome::NotRun | Outcome::Broken => return Err(stream.failure()),
+    };
+    stream.software = Some(open.target.software.clone());
+    let (parts, receiver) = mpsc::channel(QUEUED_EVENTS);
+    let head = open.head.clone();
+    tokio::task::spawn_local(stream.forward(open, parts));
+    Ok(Answered::Begun(head, EventBody::new(receiver)))
+}
+
+impl Stream {
+    fn failure(&self) -> Failure {
+        match self.retry_after {
+            _ if self.maybe_run > 0 => Failure::Unknown,
+            Some(retry_after) => Failure::Limited(retry_after),
+            None => Failure::NotRun,
+        }
+    }
+
+    /// Tries targets until one has sent an event or a complete response.
+    async fn open(&mut self) -> Result<Outcome, Failure> {
+        self.traffic.freshness.wait_for_refresh().await;
+        let refuse_at = (Instant::now() + self.route.objective / 4).min(self.call.deadline);
+        loop {
+            if Instant::now() >= self.call.deadline {
+                return Err(if self.maybe_run == 0 { Failure::NotRun } else { Failure::Timeout });
+            }
+            let may_run = self.maybe_run < self.route.max_attempts;
+            let Some(target) = self.choose().filter(|_| may_run) else {
+                if may_run && self.retry_after.is_none() && Instant::now() < refuse_at {
+                    self.tried.clear();
+                    sleep(REFUSED_BACKOFF).await;
+                    continue;
+                }
+                return self.last_failure.take().map(Outcome::Whole).ok_or_else(|| self.failure());
+            };
+            self.tried.push(target.id.clone());
+            let priority = self.route.priority;
+            if let Err(left) = permit::acquire(&self.traffic, &target, priority).await {
+                self.retry_after = Some(self.retry_after.unwrap_or(left).min(left));
+                continue;
+            }
+            match self.begin(&target).await {
+                Outcome::NotRun => {}
+                Outcome::Broken => {
+                    self.maybe_run += 1;
+                    if !self.resumable {
+                        return Err(Failure::Unknown);
+                    }
+                }
+                Outcome::Whole(response) if self.resumable && response.status.is_server_error() => {
+                    self.maybe_run += 1;
+                    self.last_failure = Some(response);
+                }
+                outcome => {
+                    self.maybe_run += 1;
+                    return Ok(outcome);
+                }
+            }
+        }
+    }
+
+    /// Target that would begin first, of the version that began the stream.
+    fn choose(&mut self) -> Option<Arc<Target>> {
+        let view = self.traffic.view.load();
+        let fits = |target: &Target| {
+            self.software.as_ref().is_none_or(|software| *software == target.software)
+        };
+        let unfit = view.targets.values().filter(|target| !fits(target));
+        let mut excluded = self.tried.clone();
+        excluded.extend(self.broken_at.iter().cloned());
+        excluded.extend(unfit.map(|target| target.id.clone()));
+        let now = std::time::Instant::now();
+        self.traffic.pool.borrow_mut().choose(&view, &self.service, &excluded, now)
+    }
+
+    /// Sends the request to a target and waits for its first event.
+    async fn begin(&self, target: &Arc<Target>) -> Outcome {
+        let in_flight = InFlight::new(&self.traffic, target);
+        let started = Instant::now();
+        let result = self.exchange(target, in_flight).await;
+        let now = std::time::Instant::now();
+        let mut pool = self.traffic.pool.borrow_mut();
+        let (outcome, name) = match result {
+            Ok(Outcome::NotRun) => {
+                pool.record_refusal(&target.id, now);
+                (Outcome::NotRun, "not_run")
+            }
+            Ok(outcome) => {
+                pool.record_response(&target.id, started.elapsed(), now);
+                (outcome, "success")
+            }
+            Err(error) => {
+                pool.record_failure(&target.id, now);
+                let unsent = error == ExchangeError::Unsent;
+                if unsent { (Outcome::NotRun, "not_run") } else { (Outcome::Broken, "broken") }
+            }
+        };
+        METERS.attempt(name);
+        debug!(request = &*self.call.id, target = &*target.id, software = &*target.software, after = self.last_event.unwrap_or(0), outcome = name; "stream attempt");
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        target: &Arc<Target>,
+        in_flight: InFlight,
+    ) -> Result<Outcome, ExchangeError> {
+        let (traffic, call) = (&self.traffic, &self.call);
+        let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
+        let mut channel =
+            connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
+        let fail = |reason: &dyn Display| {
+            info!(request = &*call.id, target = &*target.id, reason:% = reason; "stream did not begin");
+            ExchangeError::MaybeRun
+        };
+        let by = match self.resumable {
+            true => call.deadline.min(Instant::now() + SILENCE_TIMEOUT),
+            false => call.deadline,
+        };
+        let sent_at = clock::now();
+        let response =
+            channel.send(self.request(target), by).await.map_err(|error| fail(&error))?;
+        let (head, mut body) = response.into_parts();
+        let answer = traffic.dialect.answer(head.status, &head.headers);
+        if answer.id.as_ref().is_some_and(|id| *id != call.id) {
+            return Err(fail(&"response carries the id of another request"));
+        }
+        announce::record(traffic, &target.id, head.status, &answer, sent_at);
+        if answer.not_run {
+            return Ok(Outcome::NotRun);
+        }
+        if NOT_RUN_STATUSES.contains(&head.status) {
+            return Err(fail(&"refusal does not state that the request was not run"));
+        }
+        if !head.status.is_success() {
+            let body = body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes);
+            let body = timeout_at(by, body).await.map_err(|_| fail(&"body not in time"))?;
+            let failures = u32::from(head.status == StatusCode::INTERNAL_SERVER_ERROR);
+            return Ok(Outcome::Whole(Response {
+                status: head.status,
+                headers: head.headers,
+                body: body.map_err(|error| fail(&error))?,
+                receipt: answer.receipt.unwrap_or_default(),
+                failures,
+            }));
+        }
+        if answer.receipt.is_none() {
+            return Err(fail(&"successful response has no receipt"));
+        }
+        let mut parser = Parser::new(traffic.dialect.version_field());
+        let mut ended = false;
+        while !ended && !parser.has_event() {
+            match timeout_at(by, body.frame()).await {
+                Ok(Some(Ok(frame))) => parser.push(&frame.into_data().unwrap_or_default()),
+                Ok(Some(Err(error))) => return Err(fail(&error)),
+                Ok(None) => ended = true,
+                Err(_) => return Err(fail(&"no event in time")),
+            }
+            if parser.is_too_long() {
+                return Err(fail(&"event too long"));
+            }
+        }
+        let closes = closes_connection(&head.headers);
+        let target = Arc::clone(target);
+        Ok(Outcome::Begun(Box::new(Open {
+            target,
+            head,
+            channel,
+            body,
+            parser,
+            ended,
+            closes,
+            answer,
+            _in_flight: in_flight,
+        })))
+    }
+
+    fn request(&self, target: &Target) -> Request<Full<Bytes>> {
+        let call = &self.call;
+        let remaining =
+            call.deadline.saturating_duration_since(Instant::now()).saturating_sub(RESPONSE_MARGIN);
+        let mut headers: HeaderMap = call.headers.clone();
+        let dialect = &self.traffic.dialect;
+        dialect.set_attempt_headers(&mut headers, &call.id, &target.id, Some(remaining));
+        dialect.set_priority_header(&mut headers, self.route.priority);
+        if let Some(last_event) = self.last_event {
+            dialect.set_resume_header(&mut headers, last_event);
+        }
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.method.clone();
+        *request.uri_mut() = call.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Forwards the events until the stream is complete or cannot go on.
+    async fn forward(mut self, mut open: Open, parts: mpsc::Sender<Part>) {
+        loop {
+            let reason = match self.forward_from(&mut open, &parts).await {
+                Break::Complete => {
+                    // The caller may have left meanwhile.
+                    let _ = parts.send(Part::End).await;
+                    if !open.closes {
+                        let idle = open.answer.idle;
+                        self.traffic.channels.put(open.target.address, open.channel, idle);
+                    }
+                    return;
+                }
+                Break::CallerLeft => {
+                    debug!(request = &*self.call.id, last_event = self.last_event.unwrap_or(0); "caller left its stream");
+                    return;
+                }
+                Break::Deadline => "deadline passed".into(),
+                Break::Target(reason) => reason,
+            };
+            let broken_at = open.target.id.clone();
+            drop(open);
+            let next = self.go_on(&broken_at).await;
+            info!(request = &*self.call.id, target = &*broken_at, software = self.software.as_deref().unwrap_or(""), last_event = self.last_event.unwrap_or(0), reason = &*reason, next = next.as_ref().map_or("", |open| &*open.target.id); "stream broke");
+            METERS.stream_break(if next.is_some() { "gone_on" } else { "broken_off" });
+            match next {
+                Some(next) => open = *next,
+                // The body ends with an error, as its sender is dropped without an end.
+                None => return,
+            }
+        }
+    }
+
+    /// Goes on after the last event at another target.
+    async fn go_on(&mut self, broken_at: &TargetId) -> Option<Box<Open>> {
+        if !self.resumable || Instant::now() >= self.call.deadline {
+            return None;
+        }
+        self.broken_at.push(broken_at.clone());
+        self.tried.clear();
+        match self.open().await {
+            Ok(Outcome::Begun(open)) => Some(open),
+            _ => None,
+        }
+    }
+
+    async fn forward_from(&mut self, open: &mut Open, parts: &mpsc::Sender<Part>) -> Break {
+        let mut event_at = Instant::now();
+        loop {
+            loop {
+                let (event, bytes) = match open.parser.next_raw() {
+                    Ok(Some(next)) => next,
+                    Ok(None) => break,
+                    Err(error) => return Break::Target(error.to_string().into()),
+                };
+                if self.last_event.is_some_and(|last| event.id != last + 1) {
+                    return Break::Target("events do not follow each other".into());
+                }
+                match timeout_at(self.call.deadline, parts.send(Part::Data(bytes))).await {
+                    Ok(Ok(())) => self.last_event = Some(event.id),
+                    Ok(Err(_)) => return Break::CallerLeft,
+                    Err(_) => return Break::Deadline,
+                }
+                event_at = Instant::now();
+            }
+            if open.ended && open.parser.is_partial() {
+                return Break::Target("stream ended within an event".into());
+            }
+            if open.ended {
+                return Break::Complete;
+            }
+            let silent_at = match self.resumable {
+                true => (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT),
+                // Another target cannot go on, so silence is no reason to end the stream sooner.
+                false => self.call.deadline,
+            };
+            let by = silent_at.min(self.call.deadline);
+            tokio::select! {
+                frame = timeout_at(by, open.body.frame()) => match frame {
+                    Ok(Some(Ok(frame))) => {
+                        open.parser.push(&frame.into_data().unwrap_or_default());
+                    }
+                    Ok(Some(Err(error))) => return Break::Target(error.to_string().into()),
+                    Ok(None) => open.ended = true,
+                    Err(_) if by >= self.call.deadline => return Break::Deadline,
+                    Err(_) => return Break::Target("no event within the timeout".into()),
+                },
+                () = parts.closed() => return Break::CallerLeft,
+            }
+        }
+    }
+}
