A stream is taken up at the software version that began it, or refused at once

Seen: a take-up was refused always, and before that answered 200 from any version. Cause: no host knew which version began a stream. Change: the host that passes on the first event keeps the version and tells two hosts that the stream's id selects (traffic/origins.rs); a host that is asked to take a stream up asks those. One reader keeps the versions of services with stream routes in the store, with the time at which each left (software.rs, control/software.rs), so that after a restart of all hosts a stream goes on if only one version can have begun it; otherwise it is refused as not run. No call of the store for each stream.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -117,6 +117,11 @@
         Self { version, services, limits, by_host }
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.by_host.values().flatten()
+    }
+
     /// Route of a request: the one with the longest matching prefix for its host name.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.by_host.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod roles;
 mod rollout;
 mod sessions;
+mod software;
 mod state;
 mod store_state;
 mod tasks;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -18,6 +18,7 @@
         mirror::{Mirror, Schedule, Update},
         orders,
         sessions::Outbox,
+        software,
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired, write_checkpoints},
     },
@@ -118,6 +119,8 @@
     /// Deadline for releasing leadership; set when the process has to stop, `Time::MAX` once the release has begun.
     pub(super) hand_over_deadline: Option<Time>,
     pub(super) cleaned_up_at: Time,
+    /// Software versions that this host keeps in the store.
+    pub(super) software: software::Writer,
 }
 
 /// Runs the control loop until the process ends.
@@ -216,6 +219,7 @@
         step_down: watch::channel(false).0,
         hand_over_deadline: None,
         cleaned_up_at: Time::ZERO,
+        software: software::Writer::default(),
     };
     let start_delay = Election::small_host_share(control.settings.cpu_share);
     let start_delay = SMALL_HOST_START_DELAY.mul_f64(start_delay);
@@ -372,6 +376,7 @@
         for service in services {
             self.drive_leader(&service, now);
         }
+        self.update_software(now);
         self.hand_over(now);
     }
 
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -14,6 +14,9 @@
 /// Prefix of the relay addresses of hosts.
 pub const HOSTS: &str = "host/";
 
+/// Prefix of the software versions of each service.
+const SOFTWARE: &str = "software/";
+
 /// A parsed key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Key {
@@ -71,3 +74,8 @@
 pub fn leader_key(service: &str) -> Box<str> {
     format!("{LEADERS}{service}").into()
 }
+
+/// Key of the software versions of a service.
+pub fn software_key(service: &str) -> Box<str> {
+    format!("{SOFTWARE}{service}").into()
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rate;
 pub mod relay;
 pub mod settings;
+pub mod software;
 pub mod store;
 pub mod traffic;
 pub mod view;
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -27,7 +27,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<Kind>,
 }
 
@@ -54,6 +54,9 @@
     /// Tells of limits that have changed.
     #[prost(message, tag = "8")]
     Limits(Limits),
+    /// Tells or asks which software version began a stream.
+    #[prost(message, tag = "9")]
+    Origin(Origin),
 }
 
 /// Requests the results of a job from position `after` on.
@@ -100,6 +103,17 @@
     pub job: String,
 }
 
+/// Version that began a caller's stream.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Origin {
+    /// Id of the request that brought the first event.
+    #[prost(string, tag = "1")]
+    pub stream: String,
+    /// Absent in a question, whose answer has the version as its body.
+    #[prost(string, optional, tag = "2")]
+    pub software: Option<String>,
+}
+
 /// Response to a request.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Response {
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -12,7 +12,7 @@
 
 pub use client::{Client, connect};
 pub use frame::{
-    Body, End, Frames, Kind, Request, Response, Results, Submitted, feed, flush, millis,
+    Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, feed, flush, millis,
 };
 pub use limit::{Limit, Limits, Permit, PermitReply};
 pub use run::{
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -18,9 +18,9 @@
         body,
         dispatch::{self, Call, Failure, dispatch},
         event_body::EventBody,
-        jobs,
+        jobs, origins,
         serve::Traffic,
-        stream::{self, Answered},
+        stream::{self, Answered, TakeUp},
         submit::{SubmitOutcome, submit},
     },
 };
@@ -156,12 +156,22 @@
     arrived: Instant,
 ) -> HttpResponse {
     let id = call.id.clone();
-    if let Some((stream, last_event)) = broken_off {
-        info!(request = &*id, stream = stream.as_deref().unwrap_or(""), last_event; "stream not taken up: the software version that began it is unknown");
-        METERS.request(route.kind.name(), "unknown_origin", arrived.elapsed());
-        return not_run_response(RETRY_AFTER);
-    }
-    let result = stream::serve(traffic, route, call, None).await;
+    let take_up = match broken_off {
+        None => None,
+        Some((resumes, last_event)) => {
+            let stream = resumes.unwrap_or_default();
+            let service = route.service(&stream).cloned().unwrap_or_default();
+            match origins::find(traffic, &stream, &service).await {
+                Some(software) => Some(TakeUp { service, last_event, software }),
+                None => {
+                    info!(request = &*id, stream = &*stream, last_event; "stream not taken up: the software version that began it is unknown");
+                    METERS.request(route.kind.name(), "unknown_origin", arrived.elapsed());
+                    return not_run_response(RETRY_AFTER);
+                }
+            }
+        }
+    };
+    let result = stream::serve(traffic, route, call, take_up).await;
     let took_ms = crate::logging::ms(arrived.elapsed());
     match result {
         Ok(Answered::Begun(head, body)) => {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -14,6 +14,7 @@
 mod entry;
 mod event_body;
 mod jobs;
+mod origins;
 mod peers;
 mod permit;
 mod pool;
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -12,7 +12,9 @@
 
 use crate::{
     job::Record,
-    peer::{self, Body, End, Frames, Handler, Kind, Lead, Request, Response, Results, Submitted},
+    peer::{
+        self, Body, End, Frames, Handler, Kind, Lead, Origin, Request, Response, Results, Submitted,
+    },
     prelude::*,
     traffic::{Report, Submission, announce, permit, runner, serve::Traffic},
 };
@@ -162,6 +164,14 @@
                 announce::apply(traffic, limits);
                 Some(Bytes::new())
             }
+            Some(Kind::Origin(Origin { stream, software: Some(software) })) => {
+                traffic.origins.insert(&stream, &software);
+                Some(Bytes::new())
+            }
+            Some(Kind::Origin(Origin { stream, software: None })) => {
+                let software = traffic.origins.get(&stream);
+                software.map(|software| Bytes::from(software.into_string()))
+            }
             Some(Kind::Lead(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -37,6 +37,7 @@
         cache::Cache,
         channel::{Channels, set_keepalive},
         entry,
+        origins::Origins,
         peers::PeerHandler,
         permit::Permits,
         pool::Pool,
@@ -95,6 +96,7 @@
     /// Limits that targets name.
     pub limits: Arc<rate::Table>,
     pub permits: Permits,
+    pub origins: Origins,
     /// Limits that other hosts are to be told of.
     pub limit_changes: announce::Changes,
     /// The other hosts.
@@ -147,6 +149,7 @@
         pool,
         limits,
         permits: Permits::default(),
+        origins: Origins::default(),
         limit_changes: announce::Changes::default(),
         hosts,
         request_bytes: Budget::new(REQUEST_BYTES_TOTAL),
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -33,7 +33,7 @@
             RESPONSE_BYTES_MAX, RESPONSE_MARGIN, Response, closes_connection, connect,
         },
         event_body::{EventBody, Part},
-        permit,
+        origins, permit,
         serve::Traffic,
     },
 };
@@ -119,6 +119,7 @@
     call: Call,
     take_up: Option<TakeUp>,
 ) -> Result<Answered, Failure> {
+    let is_new = take_up.is_none();
     let service = match &take_up {
         Some(take_up) => take_up.service.clone(),
         None => route.service(&call.id).cloned().ok_or(Failure::NotRun)?,
@@ -142,6 +143,9 @@
         Outcome::Whole(response) => return Ok(Answered::Whole(response)),
         Outcome::NotRun | Outcome::Broken => return Err(stream.failure()),
     };
+    if is_new {
+        origins::record(traffic, &stream.call.id, &open.target.software);
+    }
     stream.software = Some(open.target.software.clone());
     let (parts, receiver) = mpsc::channel(QUEUED_EVENTS);
     let head = open.head.clone();
