A sample under which targets crashed is still placed

Cause: samples got strikes like callers' requests, although their trainer is owed them. Class: a guard against one kind of work that is applied to another. Change: bulk requests get no strikes, are never refused for those of others, and do not get callers refused. Measured: two tests in tests/strike.rs fail on the code before (no attempt after the crashes), pass now; queue::an_item_under_which_engines_crashed_is_still_placed passes on both.

--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -243,3 +243,18 @@
     }
     assert_eq!(waits, [ms(300), ms(600), ms(1_200)]);
 }
+
+/// Guards against an item that is given up or never placed again because engines crashed while they ran it.
+#[test]
+fn an_item_under_which_engines_crashed_is_still_placed() {
+    let mut engines = engines(&[engine("e1", 1), engine("e2", 1), engine("e3", 1)]);
+    let mut queue = Queue::default();
+    queue.insert(job("j", 1, &[("a", 10)]));
+    for round in 0..30 {
+        let now = ms(round * 1_000);
+        let started = queue.assign_next(now, &mut engines).expect("the item is not placed");
+        let target = started.target.expect("the item needs an engine");
+        let broken = outcome(("j", 0, "a"), &target, End::Broken, started.progress);
+        queue.finish_run(broken, now, &mut engines);
+    }
+}
--- a/src/core/admit.rs
+++ b/src/core/admit.rs
@@ -94,7 +94,7 @@
         return Err(Code::KeyRequired);
     }
     let limits = lane.limits(&snapshot).ok_or(Code::UnknownName)?;
-    if world.strikes.count(content) >= limits.crash_limit {
+    if class == Class::Caller && world.strikes.count(content) >= limits.crash_limit {
         return Err(Code::CrashesTargets);
     }
     if !dispatch::has_usable_target(world, &snapshot, &lane) {
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -13,6 +13,7 @@
         Action, World, finish, forward,
         lane::Lane,
         probe,
+        queue::Class,
         request::{Attempt, Origin, Stage},
         retry,
         route::{self, Candidate},
@@ -128,7 +129,8 @@
     let content = row.submission.work.content();
     let prefix = row.submission.work.prefix();
     let count = world.strikes.count(content);
-    if count >= limits.crash_limit {
+    // Bulk requests are owed to a trainer, so they run isolated instead.
+    if count >= limits.crash_limit && row.class() == Class::Caller {
         return Choice::Refused;
     }
     let isolated = world.strikes.is_isolated(content);
--- a/src/core/retry.rs
+++ b/src/core/retry.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     core::{
-        World, dispatch, finish, key,
+        World, dispatch, finish, health, key,
+        queue::Class,
         request::{Answer, Failure, Output, Row, Stage, Text, Work},
         strike, target,
     },
@@ -79,6 +80,7 @@
     }
     let content = row.submission.work.content();
     let limit = limit(world, &row, |limits| limits.crash_limit);
+    let class = row.class();
     world.requests.rows.insert(id, row);
     if let Some(target) = target {
         match failure {
@@ -86,7 +88,11 @@
             Failure::Leaving => target::record_leaving(world, &target),
             Failure::Broken => {
                 target::request_failed(world, &target);
-                strike::connection_broken(world, &target, id, content, limit);
+                match class {
+                    Class::Caller => strike::connection_broken(world, &target, id, content, limit),
+                    // A sample is no suspect: it is owed whatever crashed under it.
+                    Class::Bulk => health::probe(world, &target),
+                }
             }
             Failure::Timeout | Failure::Status(_) => target::request_failed(world, &target),
         }
@@ -211,7 +217,9 @@
         return finish::end(world, id, Err(Code::RequestMalformed));
     }
     let content = row.submission.work.content();
-    if world.strikes.count(content) >= limit(world, row, |limits| limits.crash_limit) {
+    if row.class() == Class::Caller
+        && world.strikes.count(content) >= limit(world, row, |limits| limits.crash_limit)
+    {
         return finish::end(world, id, Err(Code::CrashesTargets));
     }
     let percent = limit(world, row, |limits| limits.retry_budget_percent);
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -260,3 +260,41 @@
     driver.advance(Duration::from_secs(11));
     assert_eq!(strikes(&driver), 0);
 }
+
+/// Guards against a sample that is owed to a trainer and never placed again because targets crashed under it.
+#[test]
+fn a_sample_under_which_targets_crashed_is_still_placed() {
+    let mut driver = Driver::with(settings(), 4, 0, limits(|it| it.attempts = 100));
+    driver.submit_bulk("sample", &[]);
+    driver.tick();
+    for _ in 0..6 {
+        let attempt = driver.single_attempt();
+        driver.unreachable.insert(attempt.target.clone());
+        driver.fail(&attempt, Failure::Broken);
+        driver.advance(ms(3000));
+        driver.unreachable.clear();
+        driver.advance(ms(3000));
+    }
+    let attempt = driver.single_attempt();
+    driver.complete(&attempt);
+    assert_eq!(driver.core.world().strikes.count(prompt("sample").content()), 0);
+}
+
+/// Guards against a caller's request that is refused because a sample with the same content met crashing targets.
+#[test]
+fn crashes_under_samples_do_not_refuse_callers() {
+    let mut driver = Driver::with(settings(), 4, 0, limits(|it| it.attempts = 100));
+    driver.submit_bulk("same", &[]);
+    driver.tick();
+    for _ in 0..4 {
+        let attempt = driver.single_attempt();
+        driver.unreachable.insert(attempt.target.clone());
+        driver.fail(&attempt, Failure::Broken);
+        driver.advance(ms(3000));
+        driver.unreachable.clear();
+        driver.advance(ms(3000));
+    }
+    driver.take_attempts();
+    driver.submit(1, prompt("same"), None, LONG_DEADLINE);
+    assert!(!driver.is_answered(1));
+}
