A refusal ends with the limit; a taken-up stream is known to other hosts

Change: refusals count only while the limit is known; take-ups record the origin too. The counter lagoonyard_streams tells how streams ended. Measured: tests stream and limit of the platform and all of the node pass; no test of its own fails before.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,7 +27,7 @@
     request_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     limited_requests: Counter<u64>,
-    stream_breaks: Counter<u64>,
+    streams: Counter<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
     relays: Counter<u64>,
@@ -77,9 +77,9 @@
                 "lagoonyard_limited_requests",
                 "Requests for targets that name a limit, by outcome",
             ),
-            stream_breaks: counter(
-                "lagoonyard_stream_breaks",
-                "Callers' streams that broke at a target, by what followed",
+            streams: counter(
+                "lagoonyard_streams",
+                "Callers' streams by how they ended, and those that went on at another target",
             ),
             store_calls: counter("lagoonyard_store_calls", "Calls of the store by outcome"),
             store_seconds: seconds("lagoonyard_store_seconds", "Time of a store call"),
@@ -114,9 +114,9 @@
         self.attempts.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
-    /// Records what followed when a caller's stream broke at a target.
-    pub fn stream_break(&self, outcome: &'static str) {
-        self.stream_breaks.add(1, &[KeyValue::new("outcome", outcome)]);
+    /// Records how a caller's stream ended, or that it went on at another target.
+    pub fn stream(&self, outcome: &'static str) {
+        self.streams.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
     /// Records whether a request was sent to a target that names a limit.
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -262,7 +262,6 @@
         let view = self.traffic.view.load();
         let now = std::time::Instant::now();
         let mut pool = self.traffic.pool.borrow_mut();
-        let permits = &self.traffic.permits;
         let mut excluded = self.tried.clone();
         excluded.append(&mut self.limited.clone());
         let mut refused_for = None;
@@ -272,7 +271,8 @@
                 refused_for.into_iter().for_each(|left| self.refuse_until(left));
                 return None;
             };
-            let Some(left) = permits.refused_for(&target.id, self.route.priority) else {
+            let Some(left) = permit::refused_for(self.traffic, &target.id, self.route.priority)
+            else {
                 break target;
             };
             refused_for = refused_for.map_or(Some(left), |known: Duration| Some(known.min(left)));
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -162,7 +162,7 @@
             let stream = resumes.unwrap_or_default();
             let service = route.service(&stream).cloned().unwrap_or_default();
             match origins::find(traffic, &stream, &service).await {
-                Some(software) => Some(TakeUp { service, last_event, software }),
+                Some(software) => Some(TakeUp { stream, service, last_event, software }),
                 None => {
                     info!(request = &*id, stream = &*stream, last_event; "stream not taken up: the software version that began it is unknown");
                     METERS.request(route.kind.name(), "unknown_origin", arrived.elapsed());
--- a/crates/node/src/traffic/permit.rs
+++ b/crates/node/src/traffic/permit.rs
@@ -49,8 +49,7 @@
 }
 
 impl Permits {
-    /// Time until a target takes requests of a priority; `None` if it may take one now.
-    pub fn refused_for(&self, target: &str, priority: u32) -> Option<Duration> {
+    fn refused_for(&self, target: &str, priority: u32) -> Option<Duration> {
         let refusals = self.refusals.borrow();
         let refusal = refusals.get(target).filter(|refusal| priority >= refusal.priority)?;
         refusal.until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())
@@ -68,6 +67,12 @@
     }
 }
 
+/// Time for which a target is known to take no requests of a priority; `None` if it may take one now.
+pub fn refused_for(traffic: &Traffic, target: &str, priority: u32) -> Option<Duration> {
+    traffic.limits.limit(target)?;
+    traffic.permits.refused_for(target, priority)
+}
+
 /// Waits for the permit to send a request to a target, or returns the time after which to try again. A target without
 /// a limit needs none.
 pub async fn acquire(
@@ -78,7 +83,7 @@
     if traffic.limits.limit(&target.id).is_none() {
         return Ok(());
     }
-    if let Some(left) = traffic.permits.refused_for(&target.id, priority) {
+    if let Some(left) = refused_for(traffic, &target.id, priority) {
         return Err(left);
     }
     let granted = ask(traffic, target, priority).await.unwrap_or(Err(UNANSWERED_RETRY));
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -48,6 +48,8 @@
 /// Part of a stream that a caller has already.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TakeUp {
+    /// Id of the request that brought the first event.
+    pub stream: Box<str>,
     /// Service that began the stream.
     pub service: ServiceId,
     pub last_event: u64,
@@ -119,7 +121,7 @@
     call: Call,
     take_up: Option<TakeUp>,
 ) -> Result<Answered, Failure> {
-    let is_new = take_up.is_none();
+    let id = take_up.as_ref().map_or(&call.id, |take_up| &take_up.stream).clone();
     let service = match &take_up {
         Some(take_up) => take_up.service.clone(),
         None => route.service(&call.id).cloned().ok_or(Failure::NotRun)?,
@@ -143,9 +145,7 @@
         Outcome::Whole(response) => return Ok(Answered::Whole(response)),
         Outcome::NotRun | Outcome::Broken => return Err(stream.failure()),
     };
-    if is_new {
-        origins::record(traffic, &stream.call.id, &open.target.software);
-    }
+    origins::record(traffic, &id, &open.target.software);
     stream.software = Some(open.target.software.clone());
     let (parts, receiver) = mpsc::channel(QUEUED_EVENTS);
     let head = open.head.clone();
@@ -344,6 +344,7 @@
         loop {
             let reason = match self.forward_from(&mut open, &parts).await {
                 Break::Complete => {
+                    METERS.stream("complete");
                     // The caller may have left meanwhile.
                     let _ = parts.send(Part::End).await;
                     if !open.closes {
@@ -353,6 +354,7 @@
                     return;
                 }
                 Break::CallerLeft => {
+                    METERS.stream("caller_left");
                     debug!(request = &*self.call.id, last_event = self.last_event.unwrap_or(0); "caller left its stream");
                     return;
                 }
@@ -363,7 +365,7 @@
             drop(open);
             let next = self.go_on(&broken_at).await;
             info!(request = &*self.call.id, target = &*broken_at, software = self.software.as_deref().unwrap_or(""), last_event = self.last_event.unwrap_or(0), reason = &*reason, next = next.as_ref().map_or("", |open| &*open.target.id); "stream broke");
-            METERS.stream_break(if next.is_some() { "gone_on" } else { "broken_off" });
+            METERS.stream(if next.is_some() { "gone_on" } else { "broken_off" });
             match next {
                 Some(next) => open = *next,
                 // The body ends with an error, as its sender is dropped without an end.
