Bytes of an event are searched for its end once

Cause: the parser searched its whole buffer for the end of the event at each read, so an endless event cost time by the square of its length. Class: input of a target that makes a host work without bound. Change: the parser keeps how far it has searched.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -33,17 +33,44 @@
 #[derive(Debug)]
 pub struct Parser {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of an event, so that each byte is searched once.
+    searched: usize,
+    /// Position of the line feeds that end the first event in the buffer.
+    event_end: Option<usize>,
     version_field: Box<str>,
 }
 
 impl Parser {
     pub fn new(version_field: &str) -> Self {
-        Self { buffer: BytesMut::new(), version_field: version_field.into() }
+        Self {
+            buffer: BytesMut::new(),
+            searched: 0,
+            event_end: None,
+            version_field: version_field.into(),
+        }
     }
 
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.find_end();
+    }
+
+    fn find_end(&mut self) {
+        if self.event_end.is_some() {
+            return;
+        }
+        let rest = &self.buffer[self.searched..];
+        match rest.windows(2).position(|pair| pair == b"\n\n") {
+            Some(end) => self.event_end = Some(self.searched + end),
+            // The last byte may be the first of the two line feeds.
+            None => self.searched = self.buffer.len().saturating_sub(1),
+        }
+    }
+
+    /// Bytes in the buffer.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
     }
 
     /// Whether the buffer holds an incomplete event.
@@ -53,7 +80,7 @@
 
     /// Whether the buffer holds a complete event.
     pub fn has_event(&self) -> bool {
-        self.event_end().is_some()
+        self.event_end.is_some()
     }
 
     /// Whether the event in the buffer is longer than any engine sends.
@@ -68,19 +95,17 @@
 
     /// Next complete event with its bytes, if any.
     pub fn next_raw(&mut self) -> Result<Option<(Event, Bytes)>, Error> {
-        let Some(end) = self.event_end() else {
+        let Some(end) = self.event_end else {
             if self.is_too_long() {
                 return Err(Error::Malformed { reason: "event too long" });
             }
             return Ok(None);
         };
         let event = self.event(end)?;
-        Ok(Some((event, self.buffer.split_to(end + 2).freeze())))
-    }
-
-    /// Position of the line feeds that end the first event.
-    fn event_end(&self) -> Option<usize> {
-        self.buffer.windows(2).position(|pair| pair == b"\n\n")
+        let bytes = self.buffer.split_to(end + 2).freeze();
+        (self.searched, self.event_end) = (0, None);
+        self.find_end();
+        Ok(Some((event, bytes)))
     }
 
     fn event(&self, end: usize) -> Result<Event, Error> {
