Slow streams are whole, endless ones bounded, whatever the caller reads

Cause, read in the code: a target had 1.5 s for its first event, so a sound one that sends a byte each 0.4 s was cut; streams held bytes outside of the budget for targets' bodies. Change: silence counts from the last byte, an event has 10 s; what a stream holds is taken from that budget, and a stream waits for it.

--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -31,35 +31,41 @@
 }
 
 /// Bytes taken from a budget until dropped.
-struct Taken<'a> {
-    budget: &'a Budget,
+#[derive(Debug)]
+pub struct Taken {
+    budget: Rc<Budget>,
     bytes: usize,
 }
 
-impl Taken<'_> {
-    fn add(&mut self, bytes: usize) -> bool {
-        let free = self.budget.free.get();
+impl Taken {
+    pub fn new(budget: &Rc<Budget>) -> Self {
+        Self { budget: Rc::clone(budget), bytes: 0 }
+    }
+
+    /// Changes the number of bytes taken. Returns `false`, without a change, if the budget has not so many.
+    pub fn set(&mut self, bytes: usize) -> bool {
+        let free = self.budget.free.get() + self.bytes;
         if bytes > free {
             return false;
         }
         self.budget.free.set(free - bytes);
-        self.bytes += bytes;
+        self.bytes = bytes;
         true
     }
 }
 
-impl Drop for Taken<'_> {
+impl Drop for Taken {
     fn drop(&mut self) {
         self.budget.free.set(self.budget.free.get() + self.bytes);
     }
 }
 
 /// Reads a body of at most `limit` bytes.
-pub async fn read(mut body: Incoming, limit: usize, budget: &Budget) -> Result<Bytes, Error> {
+pub async fn read(mut body: Incoming, limit: usize, budget: &Rc<Budget>) -> Result<Bytes, Error> {
     if body.size_hint().lower() > limit as u64 {
         return TooLargeSnafu { limit }.fail();
     }
-    let (mut bytes, mut taken) = (BytesMut::new(), Taken { budget, bytes: 0 });
+    let (mut bytes, mut taken) = (BytesMut::new(), Taken::new(budget));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|source| Error::Broken { source })?;
         let Some(data) = frame.data_ref() else {
@@ -68,7 +74,7 @@
         if bytes.len() + data.len() > limit {
             return TooLargeSnafu { limit }.fail();
         }
-        if !taken.add(data.len()) {
+        if !taken.set(bytes.len() + data.len()) {
             return NoBudgetSnafu.fail();
         }
         bytes.extend_from_slice(data);
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -26,7 +26,8 @@
     metrics::METERS,
     prelude::*,
     traffic::{
-        announce, body,
+        announce,
+        body::{self, Taken},
         channel::Channel,
         dispatch::{
             Call, ExchangeError, Failure, InFlight, NOT_RUN_STATUSES, REFUSED_BACKOFF,
@@ -43,7 +44,9 @@
 /// Longest time without a complete event. A slow target may send an event in many small parts.
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Events that are read from a target before the caller takes the first of them.
-const QUEUED_EVENTS: usize = 2;
+const QUEUED_EVENTS: usize = 1;
+/// Delay before a stream tries again to read when the streams of all callers together hold too many bytes.
+const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Part of a stream that a caller has already.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -78,6 +81,8 @@
     channel: Channel,
     body: Incoming,
     parser: Parser,
+    /// Bytes held for the caller.
+    held: Taken,
     /// The target has sent everything.
     ended: bool,
     closes: bool,
@@ -259,10 +264,7 @@
             info!(request = &*call.id, target = &*target.id, reason:% = reason; "stream did not begin");
             ExchangeError::MaybeRun
         };
-        let by = match self.resumable {
-            true => call.deadline.min(Instant::now() + SILENCE_TIMEOUT),
-            false => call.deadline,
-        };
+        let by = self.silent_at(call.deadline);
         let sent_at = clock::now();
         let response =
             channel.send(self.request(target), by).await.map_err(|error| fail(&error))?;
@@ -294,15 +296,16 @@
             return Err(fail(&"successful response has no receipt"));
         }
         let mut parser = Parser::new(traffic.dialect.version_field());
-        let mut ended = false;
+        let (mut ended, mut held) = (false, Taken::new(&traffic.response_bytes));
+        let event_by = Instant::now() + EVENT_TIMEOUT;
         while !ended && !parser.has_event() {
-            match timeout_at(by, body.frame()).await {
+            match timeout_at(self.silent_at(event_by), body.frame()).await {
                 Ok(Some(Ok(frame))) => parser.push(&frame.into_data().unwrap_or_default()),
                 Ok(Some(Err(error))) => return Err(fail(&error)),
                 Ok(None) => ended = true,
                 Err(_) => return Err(fail(&"no event in time")),
             }
-            if parser.is_too_long() {
+            if parser.is_too_long() || !held.set(parser.buffered()) {
                 return Err(fail(&"event too long"));
             }
         }
@@ -314,6 +317,7 @@
             channel,
             body,
             parser,
+            held,
             ended,
             closes,
             answer,
@@ -321,6 +325,15 @@
         })))
     }
 
+    /// Time at which a target counts as silent that sends nothing more, and no event by `event_by`. Silence is no reason
+    /// to end a stream sooner with which no other target may go on.
+    fn silent_at(&self, event_by: Instant) -> Instant {
+        match self.resumable {
+            true => (Instant::now() + SILENCE_TIMEOUT).min(event_by).min(self.call.deadline),
+            false => self.call.deadline,
+        }
+    }
+
     fn request(&self, target: &Target) -> Request<Full<Bytes>> {
         let call = &self.call;
         let remaining =
@@ -399,6 +412,14 @@
                 if self.last_event.is_some_and(|last| event.id != last + 1) {
                     return Break::Target("events do not follow each other".into());
                 }
+                // Beside the buffer, one event waits for the caller and one is being sent.
+                let held = open.parser.buffered() + 2 * bytes.len();
+                while !open.held.set(held) {
+                    if Instant::now() >= self.call.deadline {
+                        return Break::Deadline;
+                    }
+                    sleep(BUDGET_RETRY_DELAY).await;
+                }
                 match timeout_at(self.call.deadline, parts.send(Part::Data(bytes))).await {
                     Ok(Ok(())) => self.last_event = Some(event.id),
                     Ok(Err(_)) => return Break::CallerLeft,
@@ -412,12 +433,7 @@
             if open.ended {
                 return Break::Complete;
             }
-            let silent_at = match self.resumable {
-                true => (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT),
-                // Another target cannot go on, so silence is no reason to end the stream sooner.
-                false => self.call.deadline,
-            };
-            let by = silent_at.min(self.call.deadline);
+            let by = self.silent_at(event_at + EVENT_TIMEOUT);
             tokio::select! {
                 frame = timeout_at(by, open.body.frame()) => match frame {
                     Ok(Some(Ok(frame))) => {
