--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -8,12 +8,12 @@
 use crate::{
     clock,
     control::{
-        leader::{Policy, StoredJob},
         mirror::Update,
         orders::{LoadResult, Term},
         sessions::Event,
         state::Control,
         store_state::Head,
+        stored::{Policy, StoredJob},
         tasks::{
             Completion, WriteResult, end_job, read_job, remove_jobs, write_checkpoints,
             write_chunks,
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -12,10 +12,11 @@
         election::Leadership,
         orders::Load,
         rollout::{self, Rollout},
+        stored::{Policy, StoredJob},
     },
     fleet::Target,
     job::{
-        Assignment, Checkpoint, Chunk, Engine, Engines, Job, Queue, Record, Requirement, Row, Spec,
+        Assignment, Engine, Engines, Job, Queue, Requirement, Row,
         homes::{Homes, Runner, Streams},
     },
     prelude::*,
@@ -400,22 +401,3 @@
         !self.queue.is_empty() || !self.rollout.is_idle()
     }
 }
-
-/// A job as read from the store.
-#[derive(Debug)]
-pub struct StoredJob {
-    pub spec: Arc<Spec>,
-    pub record: Record,
-    pub chunks: Vec<Chunk>,
-    pub checkpoints: Vec<Checkpoint>,
-}
-
-/// Deadlines and limits of a job, from its route.
-#[derive(Clone, Copy, Debug)]
-pub struct Policy {
-    pub due: Time,
-    pub expires: Time,
-    pub max_attempts: u32,
-    pub priority: u32,
-    pub single_version: bool,
-}
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,7 +14,9 @@
 mod sessions;
 mod software;
 mod state;
+mod stop;
 mod store_state;
+mod stored;
 mod tasks;
 mod writes;
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -3,7 +3,6 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
 
-use log::info;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinHandle,
@@ -20,7 +19,7 @@
         sessions::Outbox,
         software,
         store_state::{Effect, StoreState},
-        tasks::{Completion, report_retired, write_checkpoints},
+        tasks::{Completion, report_retired},
     },
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
@@ -52,9 +51,6 @@
 const SMALL_HOST_START_DELAY: Duration = Duration::from_millis(600);
 /// Share of the age at which registrations are refreshed up to which those of the zone's reader serve.
 const FEED_AGE_SHARE: f64 = 0.75;
-/// Maximum time for which a stopping leader ends its runs and persists their results.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
-
 /// Resources of the control thread that the process provides.
 pub struct Parts {
     pub settings: Settings,
@@ -279,38 +275,6 @@
         self.hand_over_deadline.is_some() || self.leaders.values().any(Leader::is_busy)
     }
 
-    /// Begins to stop: ends all runs, whose results and checkpoints are persisted before the leadership is released.
-    /// The traffic thread ends the process.
-    fn stop(&mut self) {
-        info!("stopping");
-        let now = clock::now();
-        self.hand_over_deadline = Some(now + HAND_OVER_TIMEOUT);
-        for (service, leader) in &self.leaders {
-            self.outbox.send(service, leader.stop_all());
-        }
-        self.publish();
-    }
-
-    /// Releases the leadership once no run is in progress and all rows are persisted, or at the deadline.
-    fn hand_over(&mut self, now: Time) {
-        let Some(deadline) = self.hand_over_deadline.filter(|deadline| *deadline < Time::MAX)
-        else {
-            return;
-        };
-        if now < deadline && self.leaders.values().any(Leader::has_pending_work) {
-            return;
-        }
-        let writes = self.leaders.values_mut().filter_map(|leader| leader.checkpoints(now));
-        let writes: Vec<_> =
-            writes.map(|write| write_checkpoints(Rc::clone(&self.store), write)).collect();
-        let step_down = self.step_down.clone();
-        self.hand_over_deadline = Some(Time::MAX);
-        tokio::task::spawn_local(async move {
-            futures::future::join_all(writes).await;
-            step_down.send_replace(true);
-        });
-    }
-
     fn apply_update(&mut self, update: Update) {
         if let Update::Refreshed { at } = update {
             self.refreshed_at = Some(at);
@@ -394,7 +358,7 @@
         self.leaders.values().any(|leader| leader.leadership.fence.is_some())
     }
 
-    fn publish(&self) {
+    pub(super) fn publish(&self) {
         let version = self.store_state.config.as_ref().map_or(0, |config| config.version);
         METERS.view(self.store_state.fleet.targets().len(), version);
         let synced = self.store_state.is_synced();
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -9,9 +9,9 @@
 
 use crate::{
     control::{
-        leader::StoredJob,
         orders::LoadResult,
         store_state::Head,
+        stored::StoredJob,
         writes::{CheckpointWrite, ChunkWrite},
     },
     dialect,
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     events::Progress,
-    job::{Assignment, End, Engines, Job, Outcome, Requirement, open::State},
+    job::{Assignment, End, Engines, Job, Outcome, Requirement, status::State},
     prelude::*,
 };
 
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod record;
 mod row;
 mod spec;
+mod status;
 pub mod triage;
 
 pub use checkpoint::Checkpoint;
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    job::{Job, open::ItemStatus, triage::Load},
+    job::{Job, status::ItemStatus, triage::Load},
     prelude::*,
 };
 
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -8,7 +8,7 @@
     job::{
         Assignment, End, Engines, Job, Outcome, Row,
         length::Estimate,
-        open::State,
+        status::State,
         triage::{self, Load},
     },
     prelude::*,
--- /dev/null
+++ b/crates/node/src/job/status.rs
@@ -0,0 +1,55 @@
+//! State of one item of an open job.
+
+use crate::{events::Progress, job::Row, prelude::*};
+
+/// State of an item.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum State {
+    Waiting {
+        not_before: Time,
+    },
+    Running {
+        target: Option<TargetId>,
+    },
+    /// Its row is not written yet.
+    Finished(Box<Row>),
+    /// Its row is being written.
+    Writing(Box<Row>),
+    /// Its row is in the store.
+    Listed,
+}
+
+impl State {
+    /// Whether the item has no result yet.
+    pub(super) fn is_open(&self) -> bool {
+        matches!(self, Self::Waiting { .. } | Self::Running { .. })
+    }
+}
+
+/// Status of an item of an open job.
+#[derive(Clone, Debug)]
+pub(super) struct ItemStatus {
+    pub(super) state: State,
+    pub(super) progress: Progress,
+    /// Events of the text that a runner keeps, as last reported.
+    pub(super) events_at_runner: u64,
+    /// The text is complete; only its score is missing.
+    pub(super) text_complete: bool,
+    /// Failed attempts on engines.
+    pub(super) failures: u32,
+    /// Status 500 responses of its judge.
+    pub(super) judge_failures: u32,
+    /// Target of the last run, if that failed, broke, was slow or was not executed.
+    pub(super) avoid: Option<TargetId>,
+    pub(super) finished_at: Time,
+}
+
+impl ItemStatus {
+    /// Events of the text, as last reported.
+    pub(super) fn events(&self) -> u64 {
+        match self.state {
+            State::Running { .. } => self.events_at_runner.max(self.progress.last_event),
+            _ => self.progress.last_event,
+        }
+    }
+}
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -9,13 +9,13 @@
 mod limit;
 mod run;
 mod server;
+mod text;
 
 pub use client::{Client, connect};
 pub use frame::{
     Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, feed, flush, millis,
 };
 pub use limit::{Limit, Limits, Permit, PermitReply};
-pub use run::{
-    Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, TextPart, ToRunner,
-};
+pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
 pub use server::{Handler, serve};
+pub use text::TextPart;
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -16,8 +16,9 @@
     prelude::*,
     traffic::{
         body,
-        dispatch::{self, Call, Failure, dispatch},
+        dispatch::{Failure, dispatch},
         event_body::EventBody,
+        exchange::{self, Call},
         jobs, origins,
         serve::Traffic,
         stream::{self, Answered, TakeUp},
@@ -225,7 +226,7 @@
     headers
 }
 
-fn response(result: Result<dispatch::Response, Failure>) -> HttpResponse {
+fn response(result: Result<exchange::Response, Failure>) -> HttpResponse {
     match result {
         Ok(received) => {
             let mut response = Response::new(Either::Left(Full::new(received.body)));
@@ -246,7 +247,7 @@
 fn log_end(
     id: &str,
     route: &Route,
-    result: &Result<dispatch::Response, Failure>,
+    result: &Result<exchange::Response, Failure>,
     arrived: Instant,
 ) {
     let took_ms = crate::logging::ms(arrived.elapsed());
--- /dev/null
+++ b/crates/node/src/traffic/exchange.rs
@@ -0,0 +1,172 @@
+//! One exchange with a target: a request, and its response with the complete body.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http_body_util::Full;
+use log::info;
+use tokio::time::Instant;
+
+use crate::{
+    clock,
+    dialect::Answer,
+    fleet::Target,
+    prelude::*,
+    traffic::{
+        announce, body,
+        channel::{Channel, Liveness},
+        serve::Traffic,
+    },
+};
+
+/// Largest response body that is accepted from a target.
+pub const RESPONSE_BYTES_MAX: usize = 32 << 20;
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest idle time of a reused connection that carries a non-idempotent request, which cannot be retried if the
+/// connection breaks.
+const NON_IDEMPOTENT_IDLE_MAX: Duration = Duration::from_millis(500);
+/// Subtracted from the deadline that a target receives, so that its response still reaches the caller in time.
+pub const RESPONSE_MARGIN: Duration = Duration::from_millis(5);
+
+/// Statuses that tell a caller that its request has not run.
+pub const NOT_RUN_STATUSES: [StatusCode; 4] = [
+    StatusCode::REQUEST_TIMEOUT,
+    StatusCode::MISDIRECTED_REQUEST,
+    StatusCode::TOO_MANY_REQUESTS,
+    StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// A request to a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: Box<str>,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// Time at which the request fails if there is no response yet.
+    pub deadline: Instant,
+}
+
+/// A target's response, with its complete body.
+#[derive(Clone, Debug)]
+pub struct Response {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    pub receipt: Box<str>,
+    /// Attempts of this request that a target answered with status 500, including this one. Other errors, such as a
+    /// late 504, do not count.
+    pub failures: u32,
+}
+
+/// Why an exchange with a target has no response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// No connection could be opened, so nothing was sent.
+    Unsent,
+    /// The target may have run the request.
+    MaybeRun,
+}
+
+/// Counts a request as in flight on a target until dropped.
+pub struct InFlight {
+    traffic: Rc<Traffic>,
+    target: Arc<Target>,
+}
+
+impl InFlight {
+    pub fn new(traffic: &Rc<Traffic>, target: &Arc<Target>) -> Self {
+        traffic.pool.borrow_mut().start_request(target);
+        Self { traffic: Rc::clone(traffic), target: Arc::clone(target) }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.traffic.pool.borrow_mut().end_request(&self.target.id);
+    }
+}
+
+/// Sends a request and reads the response.
+pub async fn exchange(
+    traffic: &Rc<Traffic>,
+    target: &Arc<Target>,
+    call: &Call,
+    idempotent: bool,
+) -> Result<(Response, Answer), ExchangeError> {
+    let idle_max = if idempotent { Duration::MAX } else { NON_IDEMPOTENT_IDLE_MAX };
+    let mut channel = connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let remaining =
+        call.deadline.saturating_duration_since(Instant::now()).saturating_sub(RESPONSE_MARGIN);
+    traffic.dialect.set_attempt_headers(
+        request.headers_mut(),
+        &call.id,
+        &target.id,
+        Some(remaining),
+    );
+    let fail = |reason: &dyn std::fmt::Display| {
+        info!(request = &*call.id, target = &*target.id, reason:% = reason; "attempt broke");
+        ExchangeError::MaybeRun
+    };
+    let sent_at = clock::now();
+    let response = channel.send(request, call.deadline).await.map_err(|error| fail(&error))?;
+    let (parts, body) = response.into_parts();
+    let answer = traffic.dialect.answer(parts.status, &parts.headers);
+    if answer.id.as_ref().is_some_and(|id| *id != call.id) {
+        return Err(fail(&"response carries the id of another request"));
+    }
+    announce::record(traffic, &target.id, parts.status, &answer, sent_at);
+    if !answer.not_run && NOT_RUN_STATUSES.contains(&parts.status) {
+        return Err(fail(&"refusal does not state that the request was not run"));
+    }
+    let closes = closes_connection(&parts.headers);
+    let body = body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes);
+    let body = body.await.map_err(|error| fail(&error))?;
+    if parts.status.is_success() && answer.receipt.is_none() {
+        return Err(fail(&"successful response has no receipt"));
+    }
+    if !closes {
+        traffic.channels.put(target.address, channel, answer.idle);
+    }
+    let response = Response {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+        receipt: answer.receipt.clone().unwrap_or_default(),
+        failures: 0,
+    };
+    Ok((response, answer))
+}
+
+/// Takes an idle connection to a target, or opens a new one.
+pub async fn connect(
+    traffic: &Traffic,
+    id: &TargetId,
+    address: SocketAddr,
+    idle_max: Duration,
+    deadline: Instant,
+) -> Result<Channel, ExchangeError> {
+    if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
+        return Ok(channel);
+    }
+    let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
+    Channel::open(address, Liveness::Deadline, deadline).await.map_err(|error| {
+        info!(target_id = &**id, reason:% = error; "target unreachable");
+        traffic.channels.close_idle(address);
+        ExchangeError::Unsent
+    })
+}
+
+/// Whether a response announces that the target closes the connection.
+pub fn closes_connection(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONNECTION)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"))
+}
--- /dev/null
+++ b/crates/node/src/traffic/forward.rs
@@ -0,0 +1,125 @@
+//! Forwarding of a stream that has begun, to its end or to where it breaks off.
+
+use http_body_util::BodyExt;
+use log::{debug, info};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    metrics::METERS,
+    prelude::*,
+    traffic::{
+        event_body::Part,
+        stream::{EVENT_TIMEOUT, Open, Outcome, Stream},
+    },
+};
+
+/// Delay before a stream tries again to read when the streams of all callers together hold too many bytes.
+const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(20);
+
+/// Why a stream does not go on at its target.
+enum Break {
+    Complete,
+    Target(Box<str>),
+    CallerLeft,
+    Deadline,
+}
+
+/// Forwards the events until the stream is complete or cannot go on.
+pub(super) async fn forward(mut stream: Stream, mut open: Open, parts: mpsc::Sender<Part>) {
+    loop {
+        let reason = match forward_from(&mut stream, &mut open, &parts).await {
+            Break::Complete => {
+                METERS.stream("complete");
+                // The caller may have left meanwhile.
+                let _ = parts.send(Part::End).await;
+                if !open.closes {
+                    let idle = open.answer.idle;
+                    stream.traffic.channels.put(open.target.address, open.channel, idle);
+                }
+                return;
+            }
+            Break::CallerLeft => {
+                METERS.stream("caller_left");
+                debug!(request = &*stream.call.id, last_event = stream.last_event.unwrap_or(0); "caller left its stream");
+                return;
+            }
+            Break::Deadline => "deadline passed".into(),
+            Break::Target(reason) => reason,
+        };
+        let broken_at = open.target.id.clone();
+        drop(open);
+        let next = go_on(&mut stream, &broken_at).await;
+        info!(request = &*stream.call.id, target = &*broken_at, software = stream.software.as_deref().unwrap_or(""), last_event = stream.last_event.unwrap_or(0), reason = &*reason, next = next.as_ref().map_or("", |open| &*open.target.id); "stream broke");
+        METERS.stream(if next.is_some() { "gone_on" } else { "broken_off" });
+        match next {
+            Some(next) => open = *next,
+            // The body ends with an error, as its sender is dropped without an end.
+            None => return,
+        }
+    }
+}
+
+/// Goes on after the last event at another target.
+async fn go_on(stream: &mut Stream, broken_at: &TargetId) -> Option<Box<Open>> {
+    if !stream.resumable || Instant::now() >= stream.call.deadline {
+        return None;
+    }
+    stream.broken_at.push(broken_at.clone());
+    stream.tried.clear();
+    match stream.open().await {
+        Ok(Outcome::Begun(open)) => Some(open),
+        _ => None,
+    }
+}
+
+async fn forward_from(stream: &mut Stream, open: &mut Open, parts: &mpsc::Sender<Part>) -> Break {
+    let mut event_at = Instant::now();
+    loop {
+        loop {
+            let (event, bytes) = match open.parser.next_raw() {
+                Ok(Some(next)) => next,
+                Ok(None) => break,
+                Err(error) => return Break::Target(error.to_string().into()),
+            };
+            if stream.last_event.is_some_and(|last| event.id != last + 1) {
+                return Break::Target("events do not follow each other".into());
+            }
+            // Beside the buffer, one event waits for the caller and one is being sent.
+            let held = open.parser.buffered() + 2 * bytes.len();
+            while !open.held.set(held) {
+                if Instant::now() >= stream.call.deadline {
+                    return Break::Deadline;
+                }
+                sleep(BUDGET_RETRY_DELAY).await;
+            }
+            match timeout_at(stream.call.deadline, parts.send(Part::Data(bytes))).await {
+                Ok(Ok(())) => stream.last_event = Some(event.id),
+                Ok(Err(_)) => return Break::CallerLeft,
+                Err(_) => return Break::Deadline,
+            }
+            event_at = Instant::now();
+        }
+        if open.ended && open.parser.is_partial() {
+            return Break::Target("stream ended within an event".into());
+        }
+        if open.ended {
+            return Break::Complete;
+        }
+        let by = stream.silent_at(event_at + EVENT_TIMEOUT);
+        tokio::select! {
+            frame = timeout_at(by, open.body.frame()) => match frame {
+                Ok(Some(Ok(frame))) => {
+                    open.parser.push(&frame.into_data().unwrap_or_default());
+                }
+                Ok(Some(Err(error))) => return Break::Target(error.to_string().into()),
+                Ok(None) => open.ended = true,
+                Err(_) if by >= stream.call.deadline => return Break::Deadline,
+                Err(_) => return Break::Target("no event within the timeout".into()),
+            },
+            () = parts.closed() => return Break::CallerLeft,
+        }
+    }
+}
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -13,6 +13,8 @@
 mod dispatch;
 mod entry;
 mod event_body;
+mod exchange;
+mod forward;
 mod jobs;
 mod origins;
 mod peers;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -21,7 +21,8 @@
     prelude::*,
     traffic::{
         announce,
-        dispatch::{Call, Failure, closes_connection, connect, dispatch},
+        dispatch::{Failure, dispatch},
+        exchange::{Call, closes_connection, connect},
         report::Report,
         serve::Traffic,
     },
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -29,11 +29,13 @@
         announce,
         body::{self, Taken},
         channel::Channel,
-        dispatch::{
-            Call, ExchangeError, Failure, InFlight, NOT_RUN_STATUSES, REFUSED_BACKOFF,
-            RESPONSE_BYTES_MAX, RESPONSE_MARGIN, Response, closes_connection, connect,
+        dispatch::{Failure, REFUSED_BACKOFF},
+        event_body::EventBody,
+        exchange::{
+            Call, ExchangeError, InFlight, NOT_RUN_STATUSES, RESPONSE_BYTES_MAX, RESPONSE_MARGIN,
+            Response, closes_connection, connect,
         },
-        event_body::{EventBody, Part},
+        forward::forward,
         origins, permit,
         serve::Traffic,
     },
@@ -42,12 +44,9 @@
 /// Time for a target of a resumable route to send its first event, and longest time without a byte after that.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest time without a complete event. A slow target may send an event in many small parts.
-const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Events that are read from a target before the caller takes the first of them.
 const QUEUED_EVENTS: usize = 1;
-/// Delay before a stream tries again to read when the streams of all callers together hold too many bytes.
-const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 /// Part of a stream that a caller has already.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TakeUp {
@@ -67,7 +66,7 @@
 }
 
 /// How a target responded.
-enum Outcome {
+pub(super) enum Outcome {
     Begun(Box<Open>),
     Whole(Response),
     NotRun,
@@ -75,48 +74,40 @@
 }
 
 /// A stream at a target, from its first event on.
-struct Open {
-    target: Arc<Target>,
-    head: Parts,
-    channel: Channel,
-    body: Incoming,
-    parser: Parser,
+pub(super) struct Open {
+    pub(super) target: Arc<Target>,
+    pub(super) head: Parts,
+    pub(super) channel: Channel,
+    pub(super) body: Incoming,
+    pub(super) parser: Parser,
     /// Bytes held for the caller.
-    held: Taken,
+    pub(super) held: Taken,
     /// The target has sent everything.
-    ended: bool,
-    closes: bool,
-    answer: Answer,
-    _in_flight: InFlight,
-}
-
-/// Why a stream does not go on at its target.
-enum Break {
-    Complete,
-    Target(Box<str>),
-    CallerLeft,
-    Deadline,
+    pub(super) ended: bool,
+    pub(super) closes: bool,
+    pub(super) answer: Answer,
+    pub(super) _in_flight: InFlight,
 }
 
 /// State of a caller's stream.
-struct Stream {
-    traffic: Rc<Traffic>,
-    route: Route,
-    call: Call,
-    service: ServiceId,
-    resumable: bool,
+pub(super) struct Stream {
+    pub(super) traffic: Rc<Traffic>,
+    pub(super) route: Route,
+    pub(super) call: Call,
+    pub(super) service: ServiceId,
+    pub(super) resumable: bool,
     /// Version that began the stream, once it has.
-    software: Option<Software>,
-    last_event: Option<u64>,
+    pub(super) software: Option<Software>,
+    pub(super) last_event: Option<u64>,
     /// Targets that may have run the request.
-    maybe_run: u32,
+    pub(super) maybe_run: u32,
     /// Targets tried since the stream last broke; cleared when none is left to try.
-    tried: Vec<TargetId>,
+    pub(super) tried: Vec<TargetId>,
     /// Targets at which the stream broke. One of them may have started anew with other software, which its registration
     /// does not show yet.
-    broken_at: Vec<TargetId>,
-    retry_after: Option<Duration>,
-    last_failure: Option<Response>,
+    pub(super) broken_at: Vec<TargetId>,
+    pub(super) retry_after: Option<Duration>,
+    pub(super) last_failure: Option<Response>,
 }
 
 /// Serves a stream. Returns once it has begun or cannot begin.
@@ -154,7 +145,7 @@
     stream.software = Some(open.target.software.clone());
     let (parts, receiver) = mpsc::channel(QUEUED_EVENTS);
     let head = open.head.clone();
-    tokio::task::spawn_local(stream.forward(open, parts));
+    tokio::task::spawn_local(forward(stream, open, parts));
     Ok(Answered::Begun(head, EventBody::new(receiver)))
 }
 
@@ -168,7 +159,7 @@
     }
 
     /// Tries targets until one has sent an event or a complete response.
-    async fn open(&mut self) -> Result<Outcome, Failure> {
+    pub(super) async fn open(&mut self) -> Result<Outcome, Failure> {
         self.traffic.freshness.wait_for_refresh().await;
         let refuse_at = (Instant::now() + self.route.objective / 4).min(self.call.deadline);
         loop {
@@ -327,7 +318,7 @@
 
     /// Time at which a target counts as silent that sends nothing more, and no event by `event_by`. Silence is no reason
     /// to end a stream sooner with which no other target may go on.
-    fn silent_at(&self, event_by: Instant) -> Instant {
+    pub(super) fn silent_at(&self, event_by: Instant) -> Instant {
         match self.resumable {
             true => (Instant::now() + SILENCE_TIMEOUT).min(event_by).min(self.call.deadline),
             false => self.call.deadline,
@@ -351,101 +342,4 @@
         *request.headers_mut() = headers;
         request
     }
-
-    /// Forwards the events until the stream is complete or cannot go on.
-    async fn forward(mut self, mut open: Open, parts: mpsc::Sender<Part>) {
-        loop {
-            let reason = match self.forward_from(&mut open, &parts).await {
-                Break::Complete => {
-                    METERS.stream("complete");
-                    // The caller may have left meanwhile.
-                    let _ = parts.send(Part::End).await;
-                    if !open.closes {
-                        let idle = open.answer.idle;
-                        self.traffic.channels.put(open.target.address, open.channel, idle);
-                    }
-                    return;
-                }
-                Break::CallerLeft => {
-                    METERS.stream("caller_left");
-                    debug!(request = &*self.call.id, last_event = self.last_event.unwrap_or(0); "caller left its stream");
-                    return;
-                }
-                Break::Deadline => "deadline passed".into(),
-                Break::Target(reason) => reason,
-            };
-            let broken_at = open.target.id.clone();
-            drop(open);
-            let next = self.go_on(&broken_at).await;
-            info!(request = &*self.call.id, target = &*broken_at, software = self.software.as_deref().unwrap_or(""), last_event = self.last_event.unwrap_or(0), reason = &*reason, next = next.as_ref().map_or("", |open| &*open.target.id); "stream broke");
-            METERS.stream(if next.is_some() { "gone_on" } else { "broken_off" });
-            match next {
-                Some(next) => open = *next,
-                // The body ends with an error, as its sender is dropped without an end.
-                None => return,
-            }
-        }
-    }
-
-    /// Goes on after the last event at another target.
-    async fn go_on(&mut self, broken_at: &TargetId) -> Option<Box<Open>> {
-        if !self.resumable || Instant::now() >= self.call.deadline {
-            return None;
-        }
-        self.broken_at.push(broken_at.clone());
-        self.tried.clear();
-        match self.open().await {
-            Ok(Outcome::Begun(open)) => Some(open),
-            _ => None,
-        }
-    }
-
-    async fn forward_from(&mut self, open: &mut Open, parts: &mpsc::Sender<Part>) -> Break {
-        let mut event_at = Instant::now();
-        loop {
-            loop {
-                let (event, bytes) = match open.parser.next_raw() {
-                    Ok(Some(next)) => next,
-                    Ok(None) => break,
-                    Err(error) => return Break::Target(error.to_string().into()),
-                };
-                if self.last_event.is_some_and(|last| event.id != last + 1) {
-                    return Break::Target("events do not follow each other".into());
-                }
-                // Beside the buffer, one event waits for the caller and one is being sent.
-                let held = open.parser.buffered() + 2 * bytes.len();
-                while !open.held.set(held) {
-                    if Instant::now() >= self.call.deadline {
-                        return Break::Deadline;
-                    }
-                    sleep(BUDGET_RETRY_DELAY).await;
-                }
-                match timeout_at(self.call.deadline, parts.send(Part::Data(bytes))).await {
-                    Ok(Ok(())) => self.last_event = Some(event.id),
-                    Ok(Err(_)) => return Break::CallerLeft,
-                    Err(_) => return Break::Deadline,
-                }
-                event_at = Instant::now();
-            }
-            if open.ended && open.parser.is_partial() {
-                return Break::Target("stream ended within an event".into());
-            }
-            if open.ended {
-                return Break::Complete;
-            }
-            let by = self.silent_at(event_at + EVENT_TIMEOUT);
-            tokio::select! {
-                frame = timeout_at(by, open.body.frame()) => match frame {
-                    Ok(Some(Ok(frame))) => {
-                        open.parser.push(&frame.into_data().unwrap_or_default());
-                    }
-                    Ok(Some(Err(error))) => return Break::Target(error.to_string().into()),
-                    Ok(None) => open.ended = true,
-                    Err(_) if by >= self.call.deadline => return Break::Deadline,
-                    Err(_) => return Break::Target("no event within the timeout".into()),
-                },
-                () = parts.closed() => return Break::CallerLeft,
-            }
-        }
-    }
 }
