A host that has lost its links reaches targets through other hosts

Cause: a host connects to a target by itself or not at all.

Change: peer/tunnel.rs carries the bytes of one connection as frames between two hosts; traffic/tunnel.rs asks another host to connect, which does so by itself or refuses, so nothing is passed on twice. Choice of targets, attempts, time left, limits and answers stay with the host that took the request. The end of a target's bytes has a frame of its own, so an answer whose carrier ends never looks complete; connections are reset when given up. links.rs decides by new connections whether a host is cut off: two targets in a row that cannot be reached; one that others do not reach either does not count. A target that stays silent has its link checked after 250 ms, and requests that may be made again are given up if it is lost. While cut off, a host probes one target after the other, each 0.5 s. A gauge, a counter and log lines tell of cuts and tunnels.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod freshness;
 pub mod holder;
 pub mod job;
+pub mod links;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,156 @@
+//! Links from this host to targets, as its new connections show them.
+//!
+//! A host may lose its links to targets while callers, the store and the other hosts still reach it. A connection that
+//! cannot be opened says little by itself, as the target may have ended. Failures at several targets, with no success in
+//! between, mean that this host is cut off; a probe that succeeds ends the cut.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use log::{info, warn};
+use tokio::sync::watch;
+
+use crate::{metrics::METERS, prelude::*};
+
+/// Targets that cannot be reached, one after the other, from which on the host counts as cut off.
+const CUT_TARGETS: usize = 2;
+/// Time for which a failed connection counts.
+const LOSS_TTL: Duration = Duration::from_millis(1000);
+/// Time for which a sign of life of a target makes a check of its link needless.
+const HEARD_TTL: Duration = Duration::from_millis(500);
+
+/// How a connection could not be opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The connection was refused.
+    Refused,
+    /// Nothing came back in time; open connections are silent as well.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lost: HashMap<TargetId, (Failure, Time)>,
+    heard_at: HashMap<TargetId, Time>,
+    /// Targets that could not be reached since a connection was last opened.
+    in_a_row: HashMap<TargetId, Time>,
+    cut_since: Option<Time>,
+}
+
+/// State of the links, shared by the threads of a host.
+#[derive(Debug)]
+pub struct Links {
+    state: Mutex<State>,
+    /// Counts the losses, to wake those that wait for one.
+    losses: watch::Sender<u64>,
+}
+
+impl Default for Links {
+    fn default() -> Self {
+        Self { state: Mutex::default(), losses: watch::Sender::new(0) }
+    }
+}
+
+impl Links {
+    /// Whether a connection to a target is worth an attempt.
+    pub fn has_link(&self, target: &str, now: Time) -> bool {
+        let state = self.lock();
+        let lost = state.lost.get(target);
+        state.cut_since.is_none() && lost.is_none_or(|(_, at)| now >= *at + LOSS_TTL)
+    }
+
+    /// Time since which the host has been cut off from all targets.
+    pub fn cut_since(&self) -> Option<Time> {
+        self.lock().cut_since
+    }
+
+    /// Whether nothing was heard from a target lately.
+    pub fn is_silent(&self, target: &str, now: Time) -> bool {
+        self.lock().heard_at.get(target).is_none_or(|at| now >= *at + HEARD_TTL)
+    }
+
+    /// Records a sign of life of a target.
+    pub fn heard(&self, target: &str, now: Time) {
+        let mut state = self.lock();
+        match state.heard_at.get_mut(target) {
+            Some(heard_at) => *heard_at = now,
+            None => {
+                state.heard_at.insert(target.into(), now);
+            }
+        }
+    }
+
+    /// Records that a connection to a target was opened.
+    pub fn opened(&self, target: &str, now: Time) {
+        let mut state = self.lock();
+        state.lost.remove(target);
+        state.in_a_row.clear();
+        state.heard_at.insert(target.into(), now);
+        state.end_cut(now, "a target is reached");
+    }
+
+    /// Records that a connection to one of `known` targets could not be opened.
+    pub fn failed(&self, target: &str, failure: Failure, known: usize, now: Time) {
+        {
+            let mut state = self.lock();
+            state.lost.insert(target.into(), (failure, now));
+            state.in_a_row.insert(target.into(), now);
+            state.in_a_row.retain(|_, at| now < *at + 2 * LOSS_TTL);
+            if state.cut_since.is_none() && state.in_a_row.len() >= CUT_TARGETS.min(known.max(1)) {
+                warn!(targets = state.in_a_row.len(), failure:? = failure; "cut off from targets: requests go through other hosts");
+                state.cut_since = Some(now);
+                METERS.cut_off(true);
+            }
+        }
+        self.losses.send_modify(|count| *count += 1);
+    }
+
+    /// Records that other hosts do not reach a target either, so that its failure says nothing about this host.
+    pub fn is_down(&self, target: &str, now: Time) {
+        let mut state = self.lock();
+        state.lost.remove(target);
+        state.in_a_row.remove(target);
+        if state.in_a_row.len() < CUT_TARGETS {
+            state.end_cut(now, "other hosts do not reach the target either");
+        }
+    }
+
+    /// Returns once a target is known to be silent.
+    pub async fn lost(&self, target: &str) {
+        let mut losses = self.losses.subscribe();
+        let is_lost = |_: &u64| matches!(self.lock().lost.get(target), Some((Failure::Silent, _)));
+        // The sender lives as long as `self`.
+        let _ = losses.wait_for(is_lost).await;
+    }
+
+    /// Returns once the host is cut off.
+    pub async fn cut(&self) {
+        let mut losses = self.losses.subscribe();
+        let _ = losses.wait_for(|_| self.cut_since().is_some()).await;
+    }
+
+    /// Forgets the targets that are not to be kept.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        let mut state = self.lock();
+        state.lost.retain(|target, _| keep(target));
+        state.heard_at.retain(|target, _| keep(target));
+        state.in_a_row.retain(|target, _| keep(target));
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // The state is consistent between any two statements that change it.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn end_cut(&mut self, now: Time, reason: &'static str) {
+        if let Some(since) = self.cut_since.take() {
+            let after_ms = crate::logging::ms(now.saturating_sub(since));
+            info!(after_ms, reason; "targets are reached directly again");
+            METERS.cut_off(false);
+        }
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,8 @@
     targets: Gauge<u64>,
     config_version: Gauge<u64>,
     open_jobs: Gauge<u64>,
+    cut_off: Gauge<u64>,
+    tunnels: Counter<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -96,6 +98,11 @@
             targets: gauge("lagoonyard_targets", "Registered targets"),
             config_version: gauge("lagoonyard_config_version", "Version in force"),
             open_jobs: gauge("lagoonyard_open_jobs", "Open jobs of this leader"),
+            cut_off: gauge("lagoonyard_cut_off", "Whether this host reaches no target directly"),
+            tunnels: counter(
+                "lagoonyard_tunnels",
+                "Connections to targets through other hosts, by role of this host and outcome",
+            ),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -177,6 +184,16 @@
         self.open_jobs.record(count as u64, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Records whether this host is cut off from all targets.
+    pub fn cut_off(&self, cut_off: bool) {
+        self.cut_off.record(u64::from(cut_off), &[]);
+    }
+
+    /// Records a connection to a target through another host, or for one.
+    pub fn tunnel(&self, role: &'static str, outcome: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("role", role), KeyValue::new("outcome", outcome)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -11,6 +11,7 @@
     peer::{
         limit::{Limits, Permit},
         run::Lead,
+        tunnel::Tunnel,
     },
     prelude::*,
 };
@@ -27,7 +28,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub kind: Option<Kind>,
 }
 
@@ -57,6 +58,9 @@
     /// Tells or asks which software version began a stream.
     #[prost(message, tag = "9")]
     Origin(Origin),
+    /// From here on the connection carries the bytes from and to a target.
+    #[prost(message, tag = "10")]
+    Tunnel(Tunnel),
 }
 
 /// Requests the results of a job from position `after` on.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The leader of a service has its jobs in memory, so other hosts ask it instead of the store. A host that gets no
 //! answer turns to the store itself; no request relies on the leader. The leader has its items run by other hosts, over
-//! one connection to each.
+//! one connection to each. A host that has lost its links to targets has its connections opened by other hosts.
 
 mod client;
 mod frame;
@@ -10,6 +10,7 @@
 mod run;
 mod server;
 mod text;
+pub mod tunnel;
 
 pub use client::{Client, connect};
 pub use frame::{
@@ -19,3 +20,4 @@
 pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
 pub use server::{Handler, serve};
 pub use text::TextPart;
+pub use tunnel::Tunnel;
--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -14,6 +14,7 @@
     peer::{
         frame::{Frames, Kind, Request, Response, codec},
         run::Lead,
+        tunnel::Tunnel,
     },
     traffic::{accept, set_keepalive},
 };
@@ -32,6 +33,8 @@
     fn handle(&self, request: Request) -> impl Future<Output = Response>;
     /// Runs items for a leader until the connection ends.
     fn serve_leader(&self, lead: Lead, frames: Frames) -> impl Future<Output = ()>;
+    /// Connects another host to a target until either closes.
+    fn serve_tunnel(&self, tunnel: Tunnel, frames: Frames) -> impl Future<Output = ()>;
 }
 
 /// Accepts connections of other hosts and serves their requests.
@@ -52,9 +55,16 @@
     let mut frames = Framed::new(stream, codec());
     while let Some(frame) = frames.next().await {
         let request = Request::decode(frame?).context(DecodeSnafu)?;
-        if let Some(Kind::Lead(lead)) = request.kind {
-            handler.serve_leader(lead, frames).await;
-            return Ok(());
+        match request.kind {
+            Some(Kind::Lead(lead)) => {
+                handler.serve_leader(lead, frames).await;
+                return Ok(());
+            }
+            Some(Kind::Tunnel(tunnel)) => {
+                handler.serve_tunnel(tunnel, frames).await;
+                return Ok(());
+            }
+            _ => {}
         }
         let response = handler.handle(request).await;
         frames.send(Bytes::from(response.encode_to_vec())).await?;
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -10,12 +10,13 @@
 use snafu::{ResultExt, Snafu};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     task::JoinHandle,
     time::{Instant, timeout_at},
 };
 
-use crate::prelude::*;
+use crate::{peer::tunnel::Stream, prelude::*};
 
 /// Idle time after which TCP keep-alive probes start, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -43,6 +44,8 @@
     Broken { source: hyper::Error },
     #[snafu(display("could not get a response in time"))]
     Timeout,
+    #[snafu(display("could not get a response: the link to the target is lost"))]
+    LinkLost,
 }
 
 /// How a dead peer of a connection is detected.
@@ -60,6 +63,15 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     last_used: Instant,
+    route: Route,
+}
+
+/// How a connection reaches its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    Direct,
+    /// Through another host; for one request.
+    Tunnel,
 }
 
 impl Drop for Channel {
@@ -83,18 +95,34 @@
             // Resets the connection on close: bytes buffered during a network partition must not deliver an abandoned
             // request.
             SockRef::from(&stream).set_linger(Some(Duration::ZERO)).context(ConnectSnafu)?;
-            let (sender, connection) =
-                http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
-            let driver = tokio::task::spawn_local(async move {
-                if let Err(error) = connection.await {
-                    log::trace!("connection to {address} ended: {error}");
-                }
-            });
-            Ok(Self { sender, driver, last_used: Instant::now() })
+            Self::over(address, stream, Route::Direct).await
         };
         timeout_at(deadline, opening).await.unwrap_or(ConnectTimeoutSnafu.fail())
     }
 
+    /// Uses a tunnel that another host has opened; `None` if it broke.
+    pub async fn through(host: SocketAddr, stream: Stream) -> Option<Self> {
+        Self::over(host, stream, Route::Tunnel).await.ok()
+    }
+
+    async fn over<S>(address: SocketAddr, stream: S, route: Route) -> Result<Self, Error>
+    where
+        S: AsyncRead + AsyncWrite + Unpin + 'static,
+    {
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
+        let driver = tokio::task::spawn_local(async move {
+            if let Err(error) = connection.await {
+                log::trace!("connection to {address} ended: {error}");
+            }
+        });
+        Ok(Self { sender, driver, last_used: Instant::now(), route })
+    }
+
+    pub fn route(&self) -> Route {
+        self.route
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
@@ -152,9 +180,12 @@
         }
     }
 
-    /// Puts a connection back for reuse, with the idle timeout that its target states, if any. Its last response must
+    /// Puts a connection back for reuse unless it is a tunnel, with the idle timeout that its target states, if any. Its last response must
     /// have been read to the end.
     pub fn put(&self, address: SocketAddr, mut channel: Channel, idle: Option<Duration>) {
+        if channel.route == Route::Tunnel {
+            return;
+        }
         let timeout = idle.map_or(IDLE_TIMEOUT_DEFAULT, |idle| idle - idle / IDLE_MARGIN_DIVISOR);
         channel.last_used = Instant::now();
         let mut all = self.idle.borrow_mut();
@@ -169,6 +200,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes connections that are past their idle timeout or closed by the peer.
     pub fn sweep(&self) {
         let mut all = self.idle.borrow_mut();
--- /dev/null
+++ b/crates/node/src/traffic/connect.rs
@@ -0,0 +1,161 @@
+//! Connections to targets: kept ones, new ones, or through another host while the links of this one are lost.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use log::info;
+use rand::seq::IteratorRandom;
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    clock, links,
+    prelude::*,
+    traffic::{
+        channel::{self, Channel, Liveness, Route},
+        exchange::ExchangeError,
+        serve::Traffic,
+        tunnel,
+    },
+};
+
+/// Time for a target to accept a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time without a byte of a response after which the link to the target is checked.
+const CHECK_DELAY: Duration = Duration::from_millis(250);
+/// Pause between the probes of a host that is cut off.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What follows if the link to a target turns out to be lost while a response is due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnLoss {
+    /// The request is given up, as it may be made again.
+    GiveUp,
+    /// The response is waited for, as the request must not be made again.
+    Wait,
+}
+
+/// Takes an idle connection to a target, opens a new one, or has another host open one.
+pub async fn connect(
+    traffic: &Traffic,
+    id: &TargetId,
+    address: SocketAddr,
+    idle_max: Duration,
+    deadline: Instant,
+) -> Result<Channel, ExchangeError> {
+    if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
+        return Ok(channel);
+    }
+    if traffic.links.has_link(id, clock::now()) {
+        let direct = open(traffic, id, address, deadline).await;
+        if direct.is_some() || traffic.links.cut_since().is_none() {
+            return direct.ok_or(ExchangeError::Unsent);
+        }
+    }
+    tunnel::open(traffic, id, deadline).await.ok_or(ExchangeError::Unsent)
+}
+
+/// Opens a connection to a target and records whether there is a link.
+async fn open(
+    traffic: &Traffic,
+    id: &TargetId,
+    address: SocketAddr,
+    deadline: Instant,
+) -> Option<Channel> {
+    let connect_by = Instant::now() + CONNECT_TIMEOUT;
+    let result = Channel::open(address, Liveness::Deadline, deadline.min(connect_by)).await;
+    let now = clock::now();
+    let error = match result {
+        Ok(channel) => {
+            traffic.links.opened(id, now);
+            return Some(channel);
+        }
+        Err(error) => error,
+    };
+    info!(target_id = &**id, reason:% = error; "target unreachable");
+    // A time-out that the caller's deadline has cut short says nothing about the link.
+    let failure = match error {
+        channel::Error::ConnectTimeout if deadline < connect_by => return None,
+        channel::Error::ConnectTimeout => links::Failure::Silent,
+        _ => links::Failure::Refused,
+    };
+    traffic.links.failed(id, failure, known_targets(traffic), now);
+    match failure {
+        links::Failure::Silent if traffic.links.cut_since().is_some() => {
+            traffic.channels.close_all_idle();
+        }
+        links::Failure::Silent => traffic.channels.close_idle(address),
+        // Open connections may live on while new ones are refused.
+        links::Failure::Refused => {}
+    }
+    None
+}
+
+/// Number of targets to which this host may connect.
+pub fn known_targets(traffic: &Traffic) -> usize {
+    traffic.view.load().targets.values().filter(|target| !target.draining).count()
+}
+
+/// Sends a request and waits for the head of its response, or until the link turns out to be lost.
+pub async fn send(
+    traffic: &Rc<Traffic>,
+    (id, address): (&TargetId, SocketAddr),
+    channel: &mut Channel,
+    request: Request<Full<Bytes>>,
+    deadline: Instant,
+    on_loss: OnLoss,
+) -> Result<Response<Incoming>, channel::Error> {
+    let route = channel.route();
+    let sending = channel.send(request, deadline);
+    let mut sending = std::pin::pin!(sending);
+    let response = tokio::select! {
+        response = &mut sending => response,
+        () = link_lost(traffic, route, id, address) => match on_loss {
+            OnLoss::GiveUp => Err(channel::Error::LinkLost),
+            OnLoss::Wait => sending.await,
+        }
+    };
+    if response.is_ok() {
+        traffic.links.heard(id, clock::now());
+    }
+    response
+}
+
+/// Returns once the link to a target is known to be lost that has a response, or the next part of one, to send. After a
+/// time without a sign of life the link is checked. A tunnel does not use the link.
+pub async fn link_lost(traffic: &Rc<Traffic>, route: Route, id: &TargetId, address: SocketAddr) {
+    if route == Route::Tunnel {
+        std::future::pending::<()>().await;
+    }
+    sleep(CHECK_DELAY).await;
+    if traffic.links.is_silent(id, clock::now()) {
+        tokio::task::spawn_local(check(Rc::clone(traffic), id.clone(), address));
+    }
+    traffic.links.lost(id).await;
+}
+
+/// Opens a connection to a target, which is kept for a later request.
+async fn check(traffic: Rc<Traffic>, id: TargetId, address: SocketAddr) {
+    traffic.links.heard(&id, clock::now());
+    if let Some(channel) = open(&traffic, &id, address, Instant::now() + 2 * CONNECT_TIMEOUT).await
+    {
+        traffic.channels.put(address, channel, None);
+    }
+}
+
+/// While the host is cut off, tries to connect to one target after the other.
+pub async fn probe(traffic: Rc<Traffic>) {
+    loop {
+        traffic.links.cut().await;
+        let view = traffic.view.load_full();
+        let targets = view.targets.values().filter(|target| !target.draining);
+        if let Some(target) = targets.choose(&mut rand::rng()) {
+            check(Rc::clone(&traffic), target.id.clone(), target.address).await;
+        }
+        if traffic.links.cut_since().is_some() {
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+}
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -1,6 +1,6 @@
 //! One exchange with a target: a request, and its response with the complete body.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
@@ -15,14 +15,13 @@
     prelude::*,
     traffic::{
         announce, body,
-        channel::{Channel, Liveness},
+        connect::{OnLoss, connect, send},
         serve::Traffic,
     },
 };
 
 /// Largest response body that is accepted from a target.
 pub const RESPONSE_BYTES_MAX: usize = 32 << 20;
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest idle time of a reused connection that carries a non-idempotent request, which cannot be retried if the
 /// connection breaks.
 const NON_IDEMPOTENT_IDLE_MAX: Duration = Duration::from_millis(500);
@@ -115,7 +114,10 @@
         ExchangeError::MaybeRun
     };
     let sent_at = clock::now();
-    let response = channel.send(request, call.deadline).await.map_err(|error| fail(&error))?;
+    let on_loss = if idempotent { OnLoss::GiveUp } else { OnLoss::Wait };
+    let to = (&target.id, target.address);
+    let response = send(traffic, to, &mut channel, request, call.deadline, on_loss).await;
+    let response = response.map_err(|error| fail(&error))?;
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
@@ -144,25 +146,6 @@
     Ok((response, answer))
 }
 
-/// Takes an idle connection to a target, or opens a new one.
-pub async fn connect(
-    traffic: &Traffic,
-    id: &TargetId,
-    address: SocketAddr,
-    idle_max: Duration,
-    deadline: Instant,
-) -> Result<Channel, ExchangeError> {
-    if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
-        return Ok(channel);
-    }
-    let deadline = deadline.min(Instant::now() + CONNECT_TIMEOUT);
-    Channel::open(address, Liveness::Deadline, deadline).await.map_err(|error| {
-        info!(target_id = &**id, reason:% = error; "target unreachable");
-        traffic.channels.close_idle(address);
-        ExchangeError::Unsent
-    })
-}
-
 /// Whether a response announces that the target closes the connection.
 pub fn closes_connection(headers: &HeaderMap) -> bool {
     headers
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -8,9 +8,11 @@
 };
 
 use crate::{
+    clock,
     metrics::METERS,
     prelude::*,
     traffic::{
+        connect::link_lost,
         event_body::Part,
         stream::{EVENT_TIMEOUT, Open, Start, Stream},
     },
@@ -96,9 +98,12 @@
             };
         }
         let by = stream.silent_at(event_at + EVENT_TIMEOUT);
+        let (traffic, target) = (&stream.traffic, &open.target);
+        let route = open.channel.route();
         tokio::select! {
             frame = timeout_at(by, open.body.frame()) => match frame {
                 Ok(Some(Ok(frame))) => {
+                    traffic.links.heard(&target.id, clock::now());
                     open.parser.push(&frame.into_data().unwrap_or_default());
                 }
                 Ok(Some(Err(error))) => return Break::Target(error.to_string().into()),
@@ -107,6 +112,9 @@
                 Err(_) => return Break::Target("no event within the timeout".into()),
             },
             () = parts.closed() => return Break::CallerLeft,
+            () = link_lost(traffic, route, &target.id, target.address), if stream.resumable => {
+                return Break::Target("the link to the target is lost".into());
+            }
         }
     }
 }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,15 +1,16 @@
 //! The traffic thread: serves callers and trainers, and sends their requests and the items of jobs to targets.
 //!
 //! `entry` handles requests at the entry address: `dispatch` forwards them to plain services over targets that `pool`
-//! chooses, `permit` asks for requests to targets with
-//! a limit, `submit` and `jobs` write and read batch jobs, through their leader (`peers`) or in the store. `run` executes job items on engines as the
-//! control thread commands.
+//! chooses, `permit` asks for requests to targets with a limit, `submit` and `jobs` write and read batch jobs, through
+//! their leader (`peers`) or in the store. `run` executes job items on engines as the control thread commands. `connect`
+//! opens the connections to targets, through another host (`tunnel`) while the links of this one are lost.
 
 mod accept;
 mod announce;
 mod body;
 mod cache;
 mod channel;
+mod connect;
 mod dispatch;
 mod entry;
 mod event_body;
@@ -26,6 +27,7 @@
 mod serve;
 mod stream;
 mod submit;
+mod tunnel;
 
 pub use accept::accept;
 pub use channel::{Channel, Channels, Liveness, set_keepalive};
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -13,10 +13,11 @@
 use crate::{
     job::Record,
     peer::{
-        self, Body, End, Frames, Handler, Kind, Lead, Origin, Request, Response, Results, Submitted,
+        self, Body, End, Frames, Handler, Kind, Lead, Origin, Request, Response, Results,
+        Submitted, Tunnel,
     },
     prelude::*,
-    traffic::{Report, Submission, announce, permit, runner, serve::Traffic},
+    traffic::{Report, Submission, announce, permit, runner, serve::Traffic, tunnel},
 };
 
 /// Time for a response, in addition to the time for which it may wait for results.
@@ -139,6 +140,10 @@
         runner::serve_leader(Rc::clone(&self.0), lead, frames).await;
     }
 
+    async fn serve_tunnel(&self, tunnel: Tunnel, frames: Frames) {
+        tunnel::serve(&self.0, &tunnel.target, frames).await;
+    }
+
     async fn handle(&self, request: Request) -> Response {
         let traffic = &self.0;
         let body = match request.kind {
@@ -172,7 +177,7 @@
                 let software = traffic.origins.get(&stream);
                 software.map(|software| Bytes::from(software.into_string()))
             }
-            Some(Kind::Lead(_)) | None => None,
+            Some(Kind::Lead(_) | Kind::Tunnel(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
     }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -21,8 +21,10 @@
     prelude::*,
     traffic::{
         announce,
+        channel::Route,
+        connect::{OnLoss, connect, link_lost, send},
         dispatch::{Failure, dispatch},
-        exchange::{Call, closes_connection, connect},
+        exchange::{Call, closes_connection},
         report::Report,
         serve::Traffic,
     },
@@ -209,7 +211,9 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let response = match channel.send(request, deadline).await {
+    let to = (&target.id, target.address);
+    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp).await;
+    let response = match response {
         Ok(response) => response,
         Err(error) => {
             info!(job = &*run.assignment.job, target_id = &*target.id, reason:% = error; "run broke");
@@ -240,7 +244,10 @@
         return Some(End::NotRun);
     }
     let closes = closes_connection(&parts.headers);
-    if let Some(end) = read(traffic, run, state, body, answer.version, reports).await {
+    let route = channel.route();
+    if let Some(end) =
+        read(traffic, run, target, state, (route, body), answer.version, reports).await
+    {
         return Some(end);
     }
     if !closes {
@@ -252,10 +259,11 @@
 /// Reads events up to the end of the stream, and returns `None` if the text is then complete. A stream that is resumed
 /// after its last event is empty and states no version.
 async fn read(
-    traffic: &Traffic,
+    traffic: &Rc<Traffic>,
     run: &Run,
+    target: &Endpoint,
     state: &mut RunState,
-    mut body: Incoming,
+    (route, mut body): (Route, Incoming),
     mut version: Option<Version>,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
@@ -269,8 +277,17 @@
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
-        let data = match timeout_at(by, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+        let frame = tokio::select! {
+            frame = timeout_at(by, body.frame()) => frame,
+            () = link_lost(traffic, route, &target.id, target.address) => {
+                return fail(&"the link to the engine is lost");
+            }
+        };
+        let data = match frame {
+            Ok(Some(Ok(frame))) => {
+                traffic.links.heard(&target.id, clock::now());
+                frame.into_data().unwrap_or_default()
+            }
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
             Ok(Some(Err(error))) => return fail(&error),
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -24,6 +24,7 @@
     dialect,
     feed::Feed,
     freshness::Freshness,
+    links::Links,
     metrics::METERS,
     peer,
     prelude::*,
@@ -36,7 +37,7 @@
         body::Budget,
         cache::Cache,
         channel::{Channels, set_keepalive},
-        entry,
+        connect, entry,
         origins::Origins,
         peers::PeerHandler,
         permit::Permits,
@@ -44,6 +45,7 @@
         report::{Command, Report},
         run as item_run,
         runner::Runner,
+        tunnel::Tunnels,
     },
     view::{Shared, View},
 };
@@ -78,6 +80,7 @@
     pub freshness: Arc<Freshness>,
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
+    pub links: Arc<Links>,
     pub hosts: relay::Peers,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -96,6 +99,9 @@
     /// Limits that targets name.
     pub limits: Arc<rate::Table>,
     pub permits: Permits,
+    /// Links from this host to targets.
+    pub links: Arc<Links>,
+    pub tunnels: Tunnels,
     pub origins: Origins,
     /// Limits that other hosts are to be told of.
     pub limit_changes: announce::Changes,
@@ -128,6 +134,7 @@
         freshness,
         feed,
         limits,
+        links,
         hosts,
         commands,
         reports,
@@ -149,6 +156,8 @@
         pool,
         limits,
         permits: Permits::default(),
+        links,
+        tunnels: Tunnels::default(),
         origins: Origins::default(),
         limit_changes: announce::Changes::default(),
         hosts,
@@ -175,6 +184,7 @@
     tokio::task::spawn_local(execute_commands(Rc::clone(&traffic), commands, reports));
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
     tokio::task::spawn_local(announce::run(Rc::clone(&traffic)));
+    tokio::task::spawn_local(connect::probe(Rc::clone(&traffic)));
     tokio::task::spawn_local(accept_loop(
         Rc::clone(&traffic),
         ready,
@@ -192,10 +202,12 @@
     sleep(STOP_ACCEPT_PERIOD).await;
     accepting.abort();
     let _ = shutdown.send(true);
-    while traffic.connections.get() > 0 && Instant::now() < deadline {
+    let in_use = || traffic.connections.get() + traffic.tunnels.carried() > 0;
+    while in_use() && Instant::now() < deadline {
         sleep(STOP_POLL_INTERVAL).await;
     }
-    info!(connections_left = traffic.connections.get(); "traffic stopped");
+    let (connections_left, tunnels_left) = (traffic.connections.get(), traffic.tunnels.carried());
+    info!(connections_left, tunnels_left; "traffic stopped");
     Ok(())
 }
 
@@ -221,6 +233,8 @@
         let view = traffic.view.load();
         traffic.pool.borrow_mut().sweep(&view);
         traffic.limits.retain(|target| view.targets.contains_key(target));
+        traffic.links.retain(|target| view.targets.contains_key(target));
+        traffic.tunnels.sweep();
         traffic.permits.retain(|target| traffic.limits.limit(target).is_some());
     }
 }
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -29,11 +29,12 @@
         announce,
         body::{self, Taken},
         channel::Channel,
+        connect::{OnLoss, connect, send},
         dispatch::{Failure, REFUSED_BACKOFF},
         event_body::EventBody,
         exchange::{
             Call, ExchangeError, InFlight, NOT_RUN_STATUSES, RESPONSE_BYTES_MAX, RESPONSE_MARGIN,
-            Response, closes_connection, connect,
+            Response, closes_connection,
         },
         forward::forward,
         origins, permit,
@@ -166,7 +167,7 @@
     /// Tries targets until one has sent an event or a complete response.
     pub(super) async fn open(&mut self) -> Result<Start, Failure> {
         self.traffic.freshness.wait_for_refresh().await;
-        let refuse_at = (Instant::now() + self.route.objective / 4).min(self.call.deadline);
+        let refuse_at = (Instant::now() + self.patience()).min(self.call.deadline);
         loop {
             if Instant::now() >= self.call.deadline {
                 return Err(if self.maybe_run == 0 { Failure::NotRun } else { Failure::Timeout });
@@ -209,6 +210,12 @@
         }
     }
 
+    /// Time for which targets are tried again after none has taken the request. One that is refused is refused early, so that
+    /// the caller has time to retry; a stream that has begun can only go on here.
+    fn patience(&self) -> Duration {
+        if self.maybe_run > 0 { SILENCE_TIMEOUT } else { self.route.objective / 4 }
+    }
+
     /// Target that would begin first, of the version that began the stream.
     fn choose(&mut self) -> Option<Arc<Target>> {
         let view = self.traffic.view.load();
@@ -265,8 +272,10 @@
         };
         let by = self.silent_at(call.deadline);
         let sent_at = clock::now();
-        let response =
-            channel.send(self.request(target), by).await.map_err(|error| fail(&error))?;
+        let on_loss = if self.resumable { OnLoss::GiveUp } else { OnLoss::Wait };
+        let (to, request) = ((&target.id, target.address), self.request(target));
+        let response = send(traffic, to, &mut channel, request, by, on_loss).await;
+        let response = response.map_err(|error| fail(&error))?;
         let (head, mut body) = response.into_parts();
         let answer = traffic.dialect.answer(head.status, &head.headers);
         if answer.id.as_ref().is_some_and(|id| *id != call.id) {
--- /dev/null
+++ b/crates/node/src/traffic/tunnel.rs
@@ -0,0 +1,217 @@
+//! Connections to targets through other hosts, for a host that has lost its links.
+//!
+//! Another host only carries bytes: the choice of the target, the attempts, the time left and the answer stay with the host
+//! that took the request. It connects to the target by itself or refuses, so nothing is passed on twice. A tunnel carries
+//! one request, as the host between cannot tell whether it may carry another.
+
+use std::{
+    cell::{Cell, RefCell},
+    cmp::Reverse,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use log::{debug, info};
+use prost::Message;
+use rand::seq::SliceRandom;
+use socket2::SockRef;
+use tokio::{
+    io::copy_bidirectional,
+    net::TcpStream,
+    time::{Instant, timeout, timeout_at},
+};
+
+use crate::{
+    clock,
+    links::{self, Links},
+    metrics::METERS,
+    peer::{
+        self, Frames, Kind, Request, Tunnel,
+        tunnel::{self, Reply, Stream},
+    },
+    prelude::*,
+    traffic::{
+        channel::Channel,
+        connect::{CONNECT_TIMEOUT, known_targets},
+        serve::Traffic,
+    },
+};
+
+/// Time for another host to connect to the target and answer.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
+/// Other hosts that are asked for a tunnel.
+const HOSTS_MAX: usize = 4;
+/// Hosts that cannot connect to a target either, from which on the target counts as down.
+const HOSTS_FOR_DOWN: usize = 2;
+/// Tunnels that this host carries at the same time for each core it has.
+const TUNNELS_PER_CORE: f64 = 400.0;
+const TUNNELS_MIN: usize = 16;
+/// Time for which a host is asked last after it was cut off or did not answer, and after it took no tunnel.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(1000);
+const REFUSAL_BACKOFF: Duration = Duration::from_millis(200);
+
+/// What this host knows of tunnels.
+#[derive(Debug, Default)]
+pub struct Tunnels {
+    /// Tunnels that this host carries for others.
+    carried: Cell<usize>,
+    /// Hosts to ask last, until a time.
+    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl Tunnels {
+    pub fn carried(&self) -> usize {
+        self.carried.get()
+    }
+
+    fn avoid(&self, host: SocketAddr, time: Duration) {
+        self.avoided.borrow_mut().insert(host, Instant::now() + time);
+    }
+
+    fn is_avoided(&self, host: SocketAddr) -> bool {
+        self.avoided.borrow().get(&host).is_some_and(|until| *until > Instant::now())
+    }
+
+    /// Drops what has run out.
+    pub fn sweep(&self) {
+        self.avoided.borrow_mut().retain(|_, until| *until > Instant::now());
+    }
+}
+
+/// Connects to a target through another host; `None` if no host does so.
+pub async fn open(traffic: &Traffic, target: &TargetId, deadline: Instant) -> Option<Channel> {
+    let request = Request { kind: Some(Kind::Tunnel(Tunnel { target: target.to_string() })) };
+    let request = Bytes::from(request.encode_to_vec());
+    let mut unreachable = 0;
+    for host in hosts(traffic, target) {
+        let by = deadline.min(Instant::now() + OPEN_TIMEOUT);
+        let answer = timeout_at(by, ask(host, request.clone())).await.ok().flatten();
+        let (reply, channel) = match answer {
+            Some((Reply::Opened, frames)) => {
+                (Some(Reply::Opened), Channel::through(host, Stream::new(frames)).await)
+            }
+            Some((reply, _)) => (Some(reply), None),
+            None => (None, None),
+        };
+        METERS.tunnel("opener", name(reply));
+        debug!(target_id = &**target, host:% = host, reply = name(reply); "tunnel asked for");
+        match reply {
+            Some(Reply::Opened) if channel.is_some() => return channel,
+            Some(Reply::Unreachable) => {
+                unreachable += 1;
+                if unreachable == HOSTS_FOR_DOWN {
+                    traffic.links.is_down(target, clock::now());
+                    break;
+                }
+            }
+            Some(Reply::Refused) => traffic.tunnels.avoid(host, REFUSAL_BACKOFF),
+            _ => traffic.tunnels.avoid(host, FAILURE_BACKOFF),
+        }
+        if Instant::now() >= deadline {
+            break;
+        }
+    }
+    info!(target_id = &**target; "target unreachable through other hosts");
+    None
+}
+
+fn name(reply: Option<Reply>) -> &'static str {
+    match reply {
+        Some(Reply::Opened) => "opened",
+        Some(Reply::Refused) => "refused",
+        Some(Reply::CutOff) => "cut_off",
+        Some(Reply::Unreachable) => "unreachable",
+        None => "no_answer",
+    }
+}
+
+async fn ask(host: SocketAddr, request: Bytes) -> Option<(Reply, Frames)> {
+    let mut frames = peer::connect(host).await?;
+    // A connection that is given up is reset: bytes that a partition holds up must not reach the target later.
+    SockRef::from(frames.get_ref()).set_linger(Some(Duration::ZERO)).ok()?;
+    let reply = tunnel::ask(&mut frames, request).await?;
+    Some((reply, frames))
+}
+
+/// Hosts to ask in turn, in random order. Those of the own zone come last, as they may have lost their links as well, those
+/// of the target's zone first.
+fn hosts(traffic: &Traffic, target: &str) -> Vec<SocketAddr> {
+    let own_zone = &traffic.settings.zone;
+    let view = traffic.view.load();
+    let zone = view.targets.get(target).map(|target| &target.zone);
+    let all = traffic.hosts.all();
+    let mut hosts: Vec<_> = all.iter().filter_map(|host| Some((&host.zone, host.peer?))).collect();
+    hosts.shuffle(&mut rand::rng());
+    hosts.sort_by_key(|(host_zone, host)| {
+        let is_near = Some(*host_zone) == zone;
+        (traffic.tunnels.is_avoided(*host), *host_zone == own_zone, Reverse(is_near))
+    });
+    hosts.into_iter().map(|(_, host)| host).take(HOSTS_MAX).collect()
+}
+
+/// Counts a tunnel that this host carries until dropped.
+struct Carried<'a>(&'a Tunnels);
+
+impl<'a> Carried<'a> {
+    fn new(tunnels: &'a Tunnels) -> Self {
+        tunnels.carried.set(tunnels.carried.get() + 1);
+        Self(tunnels)
+    }
+}
+
+impl Drop for Carried<'_> {
+    fn drop(&mut self) {
+        self.0.carried.set(self.0.carried.get() - 1);
+    }
+}
+
+/// Connects another host to a target, and carries the bytes until either side closes.
+pub async fn serve(traffic: &Rc<Traffic>, target: &str, mut frames: Frames) {
+    let _carried = Carried::new(&traffic.tunnels);
+    let connected = connect(traffic, target).await;
+    let reply = connected.as_ref().err().copied().unwrap_or(Reply::Opened);
+    METERS.tunnel("carrier", name(Some(reply)));
+    if tunnel::answer(&mut frames, reply).await.is_err() {
+        return;
+    }
+    let Ok(mut stream) = connected else {
+        return;
+    };
+    let started = Instant::now();
+    let result = copy_bidirectional(&mut Stream::new(frames), &mut stream).await;
+    let broke = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
+    debug!(target_id = target, took_ms = crate::logging::ms(started.elapsed()), broke = &*broke; "tunnel ended");
+}
+
+async fn connect(traffic: &Rc<Traffic>, target: &str) -> Result<TcpStream, Reply> {
+    if traffic.links.cut_since().is_some() {
+        return Err(Reply::CutOff);
+    }
+    let limit = (TUNNELS_PER_CORE * traffic.settings.cpu_share) as usize;
+    if traffic.tunnels.carried() > limit.max(TUNNELS_MIN) {
+        return Err(Reply::Refused);
+    }
+    traffic.freshness.wait_for_refresh().await;
+    let view = traffic.view.load_full();
+    let target = view.targets.get(target).filter(|target| !target.draining && !view.stopping);
+    let target = target.ok_or(Reply::Refused)?;
+    let links: &Links = &traffic.links;
+    let result = match timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(_)) => Err(links::Failure::Refused),
+        Err(_) => Err(links::Failure::Silent),
+    };
+    let stream = result.map_err(|failure| {
+        links.failed(&target.id, failure, known_targets(traffic), clock::now());
+        let cut_off = links.cut_since().is_some();
+        if cut_off { Reply::CutOff } else { Reply::Unreachable }
+    })?;
+    links.opened(&target.id, clock::now());
+    // The target is to hear at once that its caller has left.
+    let options =
+        stream.set_nodelay(true).and(SockRef::from(&stream).set_linger(Some(Duration::ZERO)));
+    options.map_err(|_| Reply::Refused)?;
+    Ok(stream)
+}
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -11,7 +11,7 @@
 use lagoonyard_node::{
     clock,
     feed::{ChangesRequest, Client, Direct, Feed, Snapshot, Source, Watched},
-    peer::{self, Frames, Handler, Kind, Lead, Request, Response},
+    peer::{self, Frames, Handler, Kind, Lead, Request, Response, Tunnel},
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
 };
@@ -84,6 +84,8 @@
     }
 
     async fn serve_leader(&self, _: Lead, _: Frames) {}
+
+    async fn serve_tunnel(&self, _: Tunnel, _: Frames) {}
 }
 
 fn entry(key: &str, revision: Revision) -> Entry {
