A leader that reaches no engine hands its leadership over

Versions that trainers named during a cut were not loaded until it ended, if the leader was among the hosts that were cut off: orders must come from the leader's own host, so they cannot go through another one.

Change: a leader whose load stays unconfirmed while it is cut off, and for which other hosts have opened tunnels lately, ends its runs, writes its rows and releases its lease, as on a planned stop; not within 3 s of its last order, so that holders do not take turns. A host that is cut off waits 1.5 s longer before it takes a free leadership. Connections for orders count as links.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -235,6 +235,9 @@
                     }
                 };
                 leader.finish_load(&target, version, now);
+                if result == LoadResult::Unconfirmed {
+                    self.resign_if_alone(&service, now);
+                }
             }
         }
     }
@@ -268,7 +271,7 @@
         let Some(fence) = leader.leadership.fence else {
             return;
         };
-        let stopping = self.hand_over_deadline.is_some();
+        let stopping = self.hand_over_deadline.is_some() || self.resigning.contains_key(service);
         for batch in if stopping { leader.final_writes(now) } else { leader.writes(now) } {
             let begun = batch.iter().map(|write| Command::ChunkBegun { job: write.job.clone() });
             self.outbox.send(service, begun.collect());
--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -1,6 +1,8 @@
 //! Leader election of a service. The leader holds a key bound to a lease; the revision at which the key was written is
 //! the fencing token of its leadership.
 
+use std::sync::Arc;
+
 use log::{info, warn};
 use tokio::{
     sync::{mpsc, watch},
@@ -11,6 +13,7 @@
     clock,
     holder::Holder,
     job,
+    links::Links,
     prelude::*,
     store::{self, Error, Outcome, Put, Txn},
 };
@@ -27,6 +30,8 @@
 const SMALL_HOST_DELAY: Duration = Duration::from_millis(300);
 /// Share of a core from which a host has no such delay.
 const LARGE_HOST_SHARE: f64 = 0.5;
+/// Delay of a host that reaches no target, so that others lead.
+const CUT_OFF_DELAY: Duration = Duration::from_millis(1500);
 /// Subtracted from the end of a lease, for clocks that run at different rates.
 const LEASE_MARGIN: Duration = Duration::from_millis(50);
 /// Delay after a failed attempt or the end of a leadership.
@@ -66,8 +71,11 @@
     pub store: store::Handle,
     pub leader_key: watch::Receiver<LeaderKey>,
     pub leaderships: mpsc::UnboundedSender<(ServiceId, Leadership)>,
-    /// Set when the leadership is to be released.
+    /// Set when all leaderships of this host are to be released.
     pub stopping: watch::Receiver<bool>,
+    /// Fencing token of a leadership that is to be released.
+    pub released: watch::Receiver<Revision>,
+    pub links: Arc<Links>,
 }
 
 impl Election {
@@ -97,7 +105,8 @@
             if self.leader_key.wait_for(|key| *key == LeaderKey::Absent).await.is_err() {
                 return;
             }
-            sleep(self.delay + JITTER_MAX.mul_f64(rand::random())).await;
+            let cut_off = self.links.cut_since().map_or(Duration::ZERO, |_| CUT_OFF_DELAY);
+            sleep(self.delay + cut_off + JITTER_MAX.mul_f64(rand::random())).await;
             if *self.leader_key.borrow() != LeaderKey::Absent || *self.stopping.borrow() {
                 continue;
             }
@@ -141,6 +150,7 @@
     /// Renews the lease until it has ended or another host holds the key.
     async fn hold(&self, lease: u64, fence: Revision) {
         let (mut leader_key, mut stopping) = (self.leader_key.clone(), self.stopping.clone());
+        let mut released = self.released.clone();
         let mut renewed_at = clock::now();
         loop {
             let lost = |key: &LeaderKey| match key {
@@ -157,6 +167,10 @@
                     self.step_down(lease).await;
                     break;
                 }
+                Ok(_) = released.wait_for(|released| *released == fence) => {
+                    self.step_down(lease).await;
+                    break;
+                }
             }
             let begun = clock::now();
             // A renewal whose response is lost would extend the lease of a host that cannot lead. Once the lease should
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -1,7 +1,7 @@
 //! Orders to engines to load a version: checks the engine's report, sends the order with the leader's fencing token and
 //! polls until the load has ended.
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use bytes::Bytes;
 use futures::future::join_all;
@@ -19,10 +19,11 @@
     dialect::{self, Order, Report, Strategy},
     fleet::Target,
     job,
+    links::Links,
     prelude::*,
     rate::Limit,
     store,
-    traffic::{Channel, Channels, Liveness},
+    traffic::{CONNECT_TIMEOUT, Channel, Channels, Liveness},
 };
 
 /// Timeout of a report or an order.
@@ -82,6 +83,9 @@
     pub store: store::Handle,
     pub dialect: dialect::Handle,
     pub channels: Channels,
+    pub links: Arc<Links>,
+    /// Time at which an order was last sent.
+    pub ordered_at: Cell<Option<Time>>,
 }
 
 impl Client {
@@ -135,6 +139,7 @@
             expected_orders: report.accepted_orders,
         };
         let (path, body) = self.dialect.order(&order);
+        self.ordered_at.set(Some(clock::now()));
         let status =
             self.call(&load.target, Method::POST, path, body).await.map(|(status, _)| status);
         info!(target_id = &*load.target.id, model = &*load.model, version = load.version, fence = load.fence, status:? = status; "order to load sent");
@@ -200,7 +205,7 @@
         let by = Instant::now() + CALL_TIMEOUT;
         let mut channel = match self.channels.take(target.address, Duration::MAX, by).await {
             Some(channel) => channel,
-            None => Channel::open(target.address, Liveness::Deadline, by).await.ok()?,
+            None => self.open(target, by).await?,
         };
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
@@ -215,6 +220,22 @@
         Some((parts.status, body))
     }
 
+    async fn open(&self, target: &Target, by: Instant) -> Option<Channel> {
+        let connect_by = by.min(Instant::now() + CONNECT_TIMEOUT);
+        match Channel::open(target.address, Liveness::Deadline, connect_by).await {
+            Ok(channel) => {
+                self.links.opened(&target.id, clock::now());
+                Some(channel)
+            }
+            Err(error) => {
+                info!(target_id = &*target.id, reason:% = error; "engine unreachable for an order");
+                self.links.failed(&target.id, error.failure(), clock::now());
+                self.channels.close_idle(target.address);
+                None
+            }
+        }
+    }
+
     fn headers(&self, target: &Target) -> Option<HeaderMap> {
         let mut headers = HeaderMap::new();
         headers.insert(header::HOST, target.address.to_string().parse().ok()?);
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -56,6 +56,7 @@
         }
         let mut commands = Vec::new();
         if before.fence != leadership.fence {
+            self.resigning.remove(service);
             commands.push(Command::JobsClosed { service: service.clone() });
             self.store_state.heads_changed = true;
             if acquired {
@@ -98,7 +99,10 @@
         }
         let ttl = Election::ttl(self.settings.lease_min) * READER_LEASE_FACTOR;
         let service = feed::reader_name(&self.settings.zone);
-        self.compete(service, ttl, ttl / READER_RENEWALS_PER_LEASE, self.reader_key.subscribe());
+        let interval = ttl / READER_RENEWALS_PER_LEASE;
+        // A reader needs no links to targets, so it is never asked to release its role.
+        let (_, released) = watch::channel(Revision::default());
+        self.compete(service, ttl, interval, (self.reader_key.subscribe(), released));
     }
 
     /// Starts the election of a service or of the zone's reader.
@@ -107,7 +111,7 @@
         service: ServiceId,
         ttl: Duration,
         renewal_interval: Duration,
-        leader_key: watch::Receiver<LeaderKey>,
+        (leader_key, released): (watch::Receiver<LeaderKey>, watch::Receiver<Revision>),
     ) {
         let election = Election {
             service,
@@ -119,6 +123,8 @@
             leader_key,
             leaderships: self.leaderships.clone(),
             stopping: self.step_down.subscribe(),
+            released,
+            links: Arc::clone(&self.links),
         };
         tokio::task::spawn_local(election.run());
     }
@@ -187,7 +193,9 @@
         self.leaders.insert(service.clone(), Leader::new(service.clone(), first_run));
         let lease_min = self.settings.lease_min;
         let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
-        self.compete(service.clone(), ttl, interval, receiver);
+        let (release, released) = watch::channel(Revision::default());
+        self.releases.insert(service.clone(), release);
+        self.compete(service.clone(), ttl, interval, (receiver, released));
     }
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -1,7 +1,7 @@
 //! The control loop: applies updates of the store, reports of the traffic thread and results of tasks, then starts
 //! whatever is due.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{cell::Cell, collections::BTreeMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -25,6 +25,7 @@
     feed::{self, Direct, Feed},
     freshness::Freshness,
     job,
+    links::Links,
     metrics::METERS,
     prelude::*,
     rate,
@@ -62,6 +63,7 @@
     pub freshness: Arc<Freshness>,
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
+    pub links: Arc<Links>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -81,6 +83,8 @@
     pub(super) feed: Arc<Feed>,
     /// Limits that targets name.
     pub(super) limits: Arc<rate::Table>,
+    /// Links from this host to targets.
+    pub(super) links: Arc<Links>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -108,6 +112,10 @@
     pub(super) updates: mpsc::UnboundedSender<Update>,
     pub(super) leader_keys: BTreeMap<ServiceId, watch::Sender<LeaderKey>>,
     pub(super) leaders: BTreeMap<ServiceId, Leader>,
+    /// Make an election release the leadership with a fencing token.
+    pub(super) releases: BTreeMap<ServiceId, watch::Sender<Revision>>,
+    /// Leaderships that are being handed over, with the time by which they are released.
+    pub(super) resigning: BTreeMap<ServiceId, Time>,
     pub(super) leaderships: mpsc::UnboundedSender<(ServiceId, Leadership)>,
     pub(super) stopping: watch::Receiver<bool>,
     /// Makes the elections release their leadership.
@@ -134,6 +142,7 @@
         freshness,
         feed,
         limits,
+        links,
         commands,
         mut reports,
         mut stopping,
@@ -165,6 +174,8 @@
         store: Rc::clone(&store),
         dialect: Arc::clone(&dialect),
         channels: Channels::default(),
+        links: Arc::clone(&links),
+        ordered_at: Cell::default(),
     });
     if let Some(address) = settings.relay {
         let own = Peer {
@@ -192,6 +203,7 @@
         refreshed_at: None,
         feed,
         limits,
+        links,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
@@ -210,6 +222,8 @@
         updates: updates.clone(),
         leader_keys: BTreeMap::new(),
         leaders: BTreeMap::new(),
+        releases: BTreeMap::new(),
+        resigning: BTreeMap::new(),
         leaderships,
         stopping: stopping.clone(),
         step_down: watch::channel(false).0,
@@ -341,6 +355,7 @@
             self.drive_leader(&service, now);
         }
         self.update_software(now);
+        self.finish_resignations(now);
         self.hand_over(now);
     }
 
@@ -361,6 +376,8 @@
     pub(super) fn publish(&self) {
         let version = self.store_state.config.as_ref().map_or(0, |config| config.version);
         METERS.view(self.store_state.fleet.targets().len(), version);
+        let targets = self.store_state.fleet.targets().values();
+        self.links.set_known(targets.filter(|target| !target.draining).count());
         let synced = self.store_state.is_synced();
         self.view.store(Arc::new(View {
             config: self.store_state.config.clone().filter(|_| synced),
--- a/crates/node/src/control/stop.rs
+++ b/crates/node/src/control/stop.rs
@@ -1,8 +1,9 @@
-//! Planned stop of a host: its leaderships are released once their runs have ended and their rows are persisted.
+//! Leaderships that are given up, because the host is stopped or reaches no engine: they are released once their runs have
+//! ended and their rows are persisted.
 
 use std::rc::Rc;
 
-use log::info;
+use log::{info, warn};
 
 use crate::{
     clock,
@@ -12,6 +13,10 @@
 
 /// Maximum time for which a stopping leader ends its runs and persists their results.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time for which a leader that reaches no engine waits for its links to come back.
+const CUT_OFF_PATIENCE: Duration = Duration::from_millis(500);
+/// Time since the last order of a leader in which another host must send none.
+const ORDER_PAUSE: Duration = Duration::from_secs(3);
 
 impl Control {
     /// Begins to stop: ends all runs, whose results and checkpoints are persisted before the leadership is released.
@@ -45,4 +50,46 @@
             step_down.send_replace(true);
         });
     }
+
+    /// Begins to give up a leadership whose orders do not arrive, if another host may do better. Orders come from the
+    /// leader's own host alone, so they cannot go through another one.
+    pub(super) fn resign_if_alone(&mut self, service: &ServiceId, now: Time) {
+        let ordered_lately = self.orders.ordered_at.get().is_some_and(|at| now < at + ORDER_PAUSE);
+        let Some(leader) = self.leaders.get(service) else {
+            return;
+        };
+        let leads = leader.leadership.fence.is_some() && !self.resigning.contains_key(service);
+        if !leads || ordered_lately || !self.links.is_alone(CUT_OFF_PATIENCE, now) {
+            return;
+        }
+        warn!(service = &**service; "giving up the leadership: this host reaches no engine, others do");
+        self.outbox.send(service, leader.stop_all());
+        self.resigning.insert(service.clone(), now + HAND_OVER_TIMEOUT);
+    }
+
+    /// Releases the leaderships that were given up and have no work left, or at their deadline.
+    pub(super) fn finish_resignations(&mut self, now: Time) {
+        let (leaders, store) = (&mut self.leaders, &self.store);
+        for (service, deadline) in &mut self.resigning {
+            let Some(leader) = leaders.get_mut(service) else {
+                continue;
+            };
+            let (Some(fence), Some(release)) =
+                (leader.leadership.fence, self.releases.get(service))
+            else {
+                continue;
+            };
+            if now < *deadline && leader.has_pending_work() || *deadline == Time::MAX {
+                continue;
+            }
+            *deadline = Time::MAX;
+            let write =
+                leader.checkpoints(now).map(|write| write_checkpoints(Rc::clone(store), write));
+            let release = release.clone();
+            tokio::task::spawn_local(async move {
+                futures::future::OptionFuture::from(write).await;
+                release.send_replace(fence);
+            });
+        }
+    }
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -18,6 +18,8 @@
 const CUT_TARGETS: usize = 2;
 /// Time for which a failed connection counts.
 const LOSS_TTL: Duration = Duration::from_millis(1000);
+/// Time for which a connection through another host shows that others reach targets.
+const TUNNEL_TTL: Duration = Duration::from_millis(2000);
 /// Time for which a sign of life of a target makes a check of its link needless.
 const HEARD_TTL: Duration = Duration::from_millis(500);
 
@@ -37,6 +39,10 @@
     /// Targets that could not be reached since a connection was last opened.
     in_a_row: HashMap<TargetId, Time>,
     cut_since: Option<Time>,
+    /// Number of targets to which this host may connect.
+    known: usize,
+    /// Time at which another host last opened a connection to a target for this one.
+    tunnelled_at: Option<Time>,
 }
 
 /// State of the links, shared by the threads of a host.
@@ -66,6 +72,23 @@
         self.lock().cut_since
     }
 
+    /// Whether the host has been cut off for a time while other hosts still reach targets.
+    pub fn is_alone(&self, time: Duration, now: Time) -> bool {
+        let state = self.lock();
+        state.cut_since.is_some_and(|since| now >= since + time)
+            && state.tunnelled_at.is_some_and(|at| now < at + TUNNEL_TTL)
+    }
+
+    /// Sets the number of targets to which this host may connect.
+    pub fn set_known(&self, count: usize) {
+        self.lock().known = count;
+    }
+
+    /// Records that another host has opened a connection to a target.
+    pub fn tunnelled(&self, now: Time) {
+        self.lock().tunnelled_at = Some(now);
+    }
+
     /// Whether nothing was heard from a target lately.
     pub fn is_silent(&self, target: &str, now: Time) -> bool {
         self.lock().heard_at.get(target).is_none_or(|at| now >= *at + HEARD_TTL)
@@ -91,14 +114,16 @@
         state.end_cut(now, "a target is reached");
     }
 
-    /// Records that a connection to one of `known` targets could not be opened.
-    pub fn failed(&self, target: &str, failure: Failure, known: usize, now: Time) {
+    /// Records that a connection to a target could not be opened.
+    pub fn failed(&self, target: &str, failure: Failure, now: Time) {
         {
             let mut state = self.lock();
             state.lost.insert(target.into(), (failure, now));
             state.in_a_row.insert(target.into(), now);
             state.in_a_row.retain(|_, at| now < *at + 2 * LOSS_TTL);
-            if state.cut_since.is_none() && state.in_a_row.len() >= CUT_TARGETS.min(known.max(1)) {
+            if state.cut_since.is_none()
+                && state.in_a_row.len() >= CUT_TARGETS.min(state.known.max(1))
+            {
                 warn!(targets = state.in_a_row.len(), failure:? = failure; "cut off from targets: requests go through other hosts");
                 state.cut_since = Some(now);
                 METERS.cut_off(true);
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -16,7 +16,7 @@
     time::{Instant, timeout_at},
 };
 
-use crate::{peer::tunnel::Stream, prelude::*};
+use crate::{links, peer::tunnel::Stream, prelude::*};
 
 /// Idle time after which TCP keep-alive probes start, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -48,6 +48,16 @@
     LinkLost,
 }
 
+impl Error {
+    /// What a connection that could not be opened says of the link.
+    pub fn failure(&self) -> links::Failure {
+        match self {
+            Self::ConnectTimeout | Self::Timeout | Self::LinkLost => links::Failure::Silent,
+            Self::Connect { .. } | Self::Broken { .. } => links::Failure::Refused,
+        }
+    }
+}
+
 /// How a dead peer of a connection is detected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
--- a/crates/node/src/traffic/connect.rs
+++ b/crates/node/src/traffic/connect.rs
@@ -76,12 +76,11 @@
     };
     info!(target_id = &**id, reason:% = error; "target unreachable");
     // A time-out that the caller's deadline has cut short says nothing about the link.
-    let failure = match error {
-        channel::Error::ConnectTimeout if deadline < connect_by => return None,
-        channel::Error::ConnectTimeout => links::Failure::Silent,
-        _ => links::Failure::Refused,
-    };
-    traffic.links.failed(id, failure, known_targets(traffic), now);
+    if matches!(error, channel::Error::ConnectTimeout) && deadline < connect_by {
+        return None;
+    }
+    let failure = error.failure();
+    traffic.links.failed(id, failure, now);
     match failure {
         links::Failure::Silent if traffic.links.cut_since().is_some() => {
             traffic.channels.close_all_idle();
@@ -93,11 +92,6 @@
     None
 }
 
-/// Number of targets to which this host may connect.
-pub fn known_targets(traffic: &Traffic) -> usize {
-    traffic.view.load().targets.values().filter(|target| !target.draining).count()
-}
-
 /// Sends a request and waits for the head of its response, or until the link turns out to be lost.
 pub async fn send(
     traffic: &Rc<Traffic>,
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -31,6 +31,7 @@
 
 pub use accept::accept;
 pub use channel::{Channel, Channels, Liveness, set_keepalive};
+pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
 pub use report::{Command, Report, Submission};
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -32,11 +32,7 @@
         tunnel::{self, Reply, Stream},
     },
     prelude::*,
-    traffic::{
-        channel::Channel,
-        connect::{CONNECT_TIMEOUT, known_targets},
-        serve::Traffic,
-    },
+    traffic::{channel::Channel, connect::CONNECT_TIMEOUT, serve::Traffic},
 };
 
 /// Time for another host to connect to the target and answer.
@@ -98,7 +94,10 @@
         METERS.tunnel("opener", name(reply));
         debug!(target_id = &**target, host:% = host, reply = name(reply); "tunnel asked for");
         match reply {
-            Some(Reply::Opened) if channel.is_some() => return channel,
+            Some(Reply::Opened) if channel.is_some() => {
+                traffic.links.tunnelled(clock::now());
+                return channel;
+            }
             Some(Reply::Unreachable) => {
                 unreachable += 1;
                 if unreachable == HOSTS_FOR_DOWN {
@@ -204,7 +203,7 @@
         Err(_) => Err(links::Failure::Silent),
     };
     let stream = result.map_err(|failure| {
-        links.failed(&target.id, failure, known_targets(traffic), clock::now());
+        links.failed(&target.id, failure, clock::now());
         let cut_off = links.cut_since().is_some();
         if cut_off { Reply::CutOff } else { Reply::Unreachable }
     })?;
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -7,6 +7,12 @@
 const T0: Duration = Duration::from_secs(100);
 const KNOWN: usize = 5;
 
+fn links() -> Links {
+    let links = Links::default();
+    links.set_known(KNOWN);
+    links
+}
+
 fn after(ms: u64) -> Duration {
     T0 + Duration::from_millis(ms)
 }
@@ -14,9 +20,9 @@
 /// Guards against a host that takes one target that has ended for the loss of its links.
 #[test]
 fn one_target_that_cannot_be_reached_is_no_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Silent, KNOWN, T0);
-    links.failed("a", Failure::Silent, KNOWN, after(100));
+    let links = links();
+    links.failed("a", Failure::Silent, T0);
+    links.failed("a", Failure::Silent, after(100));
     assert_eq!(links.cut_since(), None);
     assert!(!links.has_link("a", after(200)));
     assert!(links.has_link("b", after(200)));
@@ -24,9 +30,9 @@
 
 #[test]
 fn two_targets_in_a_row_are_a_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Silent, KNOWN, T0);
-    links.failed("b", Failure::Refused, KNOWN, after(100));
+    let links = links();
+    links.failed("a", Failure::Silent, T0);
+    links.failed("b", Failure::Refused, after(100));
     assert_eq!(links.cut_since(), Some(after(100)));
     assert!(!links.has_link("c", after(100)));
 }
@@ -34,34 +40,35 @@
 /// Guards against failures of different times that add up to a cut.
 #[test]
 fn a_success_in_between_is_no_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Refused, KNOWN, T0);
+    let links = links();
+    links.failed("a", Failure::Refused, T0);
     links.opened("c", after(50));
-    links.failed("b", Failure::Refused, KNOWN, after(100));
+    links.failed("b", Failure::Refused, after(100));
     assert_eq!(links.cut_since(), None);
 }
 
 #[test]
 fn failures_long_apart_are_no_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Refused, KNOWN, T0);
-    links.failed("b", Failure::Refused, KNOWN, after(2500));
+    let links = links();
+    links.failed("a", Failure::Refused, T0);
+    links.failed("b", Failure::Refused, after(2500));
     assert_eq!(links.cut_since(), None);
 }
 
 #[test]
 fn the_only_target_is_a_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Silent, 1, T0);
+    let links = links();
+    links.set_known(1);
+    links.failed("a", Failure::Silent, T0);
     assert!(links.cut_since().is_some());
 }
 
 /// Guards against a cut that outlives its end.
 #[test]
 fn a_connection_ends_the_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Silent, KNOWN, T0);
-    links.failed("b", Failure::Silent, KNOWN, T0);
+    let links = links();
+    links.failed("a", Failure::Silent, T0);
+    links.failed("b", Failure::Silent, T0);
     links.opened("b", after(500));
     assert_eq!(links.cut_since(), None);
     assert!(links.has_link("b", after(500)));
@@ -70,9 +77,9 @@
 /// Guards against targets that ended together and are taken for a cut of this host.
 #[test]
 fn targets_that_others_do_not_reach_either_are_no_cut() {
-    let links = Links::default();
-    links.failed("a", Failure::Refused, KNOWN, T0);
-    links.failed("b", Failure::Refused, KNOWN, T0);
+    let links = links();
+    links.failed("a", Failure::Refused, T0);
+    links.failed("b", Failure::Refused, T0);
     links.is_down("b", after(10));
     assert_eq!(links.cut_since(), None);
     assert!(links.has_link("b", after(10)));
@@ -81,9 +88,25 @@
 /// Guards against links that are checked although the target has just answered.
 #[test]
 fn a_target_that_was_heard_lately_is_not_silent() {
-    let links = Links::default();
+    let links = links();
     assert!(links.is_silent("a", T0));
     links.heard("a", T0);
     assert!(!links.is_silent("a", after(400)));
     assert!(links.is_silent("a", after(600)));
 }
+
+/// Guards against a leader that gives its leadership away although no other host could use it better.
+#[test]
+fn a_host_is_alone_only_while_others_reach_targets() {
+    let links = links();
+    let time = Duration::from_millis(500);
+    links.failed("a", Failure::Silent, T0);
+    links.failed("b", Failure::Silent, T0);
+    assert!(!links.is_alone(time, after(600)));
+    links.tunnelled(after(600));
+    assert!(links.is_alone(time, after(600)));
+    assert!(!links.is_alone(time, after(2700)));
+    links.tunnelled(after(2700));
+    links.opened("a", after(2700));
+    assert!(!links.is_alone(time, after(2700)));
+}
