Callers that read slowly are not cut by the acknowledgement timeout

A caller that read nothing for more than 3 s lost its stream: 0 of 12 events after a pause of 5 s, broken off.

Cause: TCP_USER_TIMEOUT, set on the connections of callers and between hosts to find dead peers, also counts the time for which a peer's receive window is closed.

Change: these connections have keep-alive probes only. A caller that takes no byte for the idle timeout of the configuration is closed, by tokio-io-timeout; so is a peer of a tunnel; responses to other hosts have 5 s to be written. Calls of the store, direct or through another host, keep the timeout: both ends read at once.

--- a/crates/node/src/peer/server.rs
+++ b/crates/node/src/peer/server.rs
@@ -7,7 +7,10 @@
 use log::debug;
 use prost::Message;
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
 use tokio_util::codec::Framed;
 
 use crate::{
@@ -16,9 +19,13 @@
         run::Lead,
         tunnel::Tunnel,
     },
+    prelude::*,
     traffic::{accept, set_keepalive},
 };
 
+/// Time for a response to be written.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Why a connection ends.
 #[derive(Debug, Snafu)]
 enum Error {
@@ -67,7 +74,8 @@
             _ => {}
         }
         let response = handler.handle(request).await;
-        frames.send(Bytes::from(response.encode_to_vec())).await?;
+        let sending = frames.send(Bytes::from(response.encode_to_vec()));
+        timeout(WRITE_TIMEOUT, sending).await.map_err(io::Error::from)??;
     }
     Ok(())
 }
--- a/crates/node/src/relay/client.rs
+++ b/crates/node/src/relay/client.rs
@@ -19,7 +19,7 @@
         peers::Peers,
     },
     store::Error,
-    traffic::set_keepalive,
+    traffic::set_ack_timeout,
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -150,7 +150,7 @@
             return idle_connection;
         }
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(peer)).await.ok()?.ok()?;
-        set_keepalive(&stream).ok()?;
+        set_ack_timeout(&stream).ok()?;
         Some(Connection { peer, frames: Framed::new(stream, codec()), last_used: Instant::now() })
     }
 
--- a/crates/node/src/relay/server.rs
+++ b/crates/node/src/relay/server.rs
@@ -16,7 +16,7 @@
         frame::{Call, Response, codec},
     },
     store,
-    traffic::{accept, set_keepalive},
+    traffic::{accept, set_ack_timeout},
 };
 
 /// Why a connection ends.
@@ -45,7 +45,7 @@
 }
 
 async fn connection(stream: TcpStream, direct: Rc<dyn Transport>) -> Result<(), Error> {
-    set_keepalive(&stream)?;
+    set_ack_timeout(&stream)?;
     let mut frames = Framed::new(stream, codec());
     while let Some(frame) = frames.next().await {
         let call = Call::decode(frame?).context(DecodeSnafu)?;
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -99,7 +99,7 @@
         let opening = async {
             let stream = TcpStream::connect(address).await.context(ConnectSnafu)?;
             match liveness {
-                Liveness::Keepalive => set_keepalive(&stream).context(ConnectSnafu)?,
+                Liveness::Keepalive => set_ack_timeout(&stream).context(ConnectSnafu)?,
                 Liveness::Deadline => stream.set_nodelay(true).context(ConnectSnafu)?,
             }
             // Resets the connection on close: bytes buffered during a network partition must not deliver an abandoned
@@ -155,13 +155,18 @@
 /// Enables the detection of dead peers: without it, a connection would stay open for hours after a network partition.
 pub fn set_keepalive(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
     let probe = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&probe)?;
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))
+    SockRef::from(stream).set_tcp_keepalive(&probe)
+}
+
+/// The same, also for bytes that a peer does not acknowledge. Not for a peer that may read slowly: the kernel counts the
+/// time for which it takes no bytes as well.
+pub fn set_ack_timeout(stream: &TcpStream) -> io::Result<()> {
+    set_keepalive(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(ACK_TIMEOUT))
 }
 
 /// An idle connection and its idle timeout.
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -19,6 +19,7 @@
     sync::{mpsc, oneshot, watch},
     time::{Instant, interval, sleep},
 };
+use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     dialect,
@@ -123,6 +124,14 @@
     stops: RefCell<HashMap<u64, oneshot::Sender<()>>>,
 }
 
+impl Traffic {
+    /// Longest time for which a caller may send nothing, or take nothing of what is sent to it.
+    pub fn idle_timeout(&self) -> Duration {
+        let view = self.view.load();
+        view.config.as_ref().map_or(IDLE_TIMEOUT_DEFAULT, |config| config.limits.idle_timeout)
+    }
+}
+
 /// Serves until the process is stopping and all callers' connections are closed or the grace period is over.
 pub async fn run(parts: Parts) -> io::Result<()> {
     let Parts {
@@ -332,12 +341,7 @@
     mut shutting_down: watch::Receiver<bool>,
 ) {
     let _count = (port == Port::Entry).then(|| ConnectionCount::new(&traffic));
-    let idle_timeout = traffic
-        .view
-        .load()
-        .config
-        .as_ref()
-        .map_or(IDLE_TIMEOUT_DEFAULT, |config| config.limits.idle_timeout);
+    let idle_timeout = traffic.idle_timeout();
     let service = service_fn(|request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         async move {
@@ -348,11 +352,14 @@
             })
         }
     });
+    // A caller may read slowly, but one that takes no bytes at all is gone.
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(idle_timeout));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
         .max_buf_size(64 << 10)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -9,6 +9,7 @@
     cmp::Reverse,
     collections::HashMap,
     net::SocketAddr,
+    pin::Pin,
     rc::Rc,
 };
 
@@ -18,10 +19,11 @@
 use rand::seq::SliceRandom;
 use socket2::SockRef;
 use tokio::{
-    io::copy_bidirectional,
+    io::{AsyncRead, AsyncWrite, copy_bidirectional},
     net::TcpStream,
     time::{Instant, timeout, timeout_at},
 };
+use tokio_io_timeout::TimeoutStream;
 
 use crate::{
     clock,
@@ -175,15 +177,28 @@
     if tunnel::answer(&mut frames, reply).await.is_err() {
         return;
     }
-    let Ok(mut stream) = connected else {
+    let Ok(stream) = connected else {
         return;
     };
     let started = Instant::now();
-    let result = copy_bidirectional(&mut Stream::new(frames), &mut stream).await;
+    let idle_timeout = traffic.idle_timeout();
+    let mut here = with_write_timeout(Stream::new(frames), idle_timeout);
+    let mut there = with_write_timeout(stream, idle_timeout);
+    let result = copy_bidirectional(&mut here, &mut there).await;
     let broke = result.as_ref().err().map(ToString::to_string).unwrap_or_default();
     debug!(target_id = target, took_ms = crate::logging::ms(started.elapsed()), broke = &*broke; "tunnel ended");
 }
 
+/// Ends a stream whose peer takes no bytes for a time.
+fn with_write_timeout<S>(stream: S, timeout: Duration) -> Pin<Box<TimeoutStream<S>>>
+where
+    S: AsyncRead + AsyncWrite,
+{
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(timeout));
+    Box::pin(stream)
+}
+
 async fn connect(traffic: &Rc<Traffic>, target: &str) -> Result<TcpStream, Reply> {
     if traffic.links.cut_since().is_some() {
         return Err(Reply::CutOff);
