A target that says in an answer that it leaves gets no new requests

Change: the header of any answer (callers, refusals, errors, streams, runs, judges, orders; direct or through another host) makes its target count as draining in the fleet, until a registration with a later start time. Hosts tell each other with the news of limits; a runner tells a new leader, and refuses items for an engine that it knows to leave.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use log::warn;
+use log::{info, warn};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -19,11 +19,12 @@
             write_chunks,
         },
     },
+    fleet::Departure,
     job::{Record, homes::Runner},
     metrics::METERS,
     prelude::*,
     rate,
-    traffic::{Command, Report, RunReport, Submission},
+    traffic::{Command, Report, RunReport, Source, Submission},
 };
 
 /// Tolerated clock skew between hosts when items expire.
@@ -48,6 +49,7 @@
             Report::Submitted(submission) => self.open_submitted(*submission),
             Report::EndRequested { job, reply } => self.end_job(&job, reply),
             Report::Limit { target, news } => self.apply_limit(&target, news),
+            Report::Departure { departure, source } => self.apply_departure(&departure, source),
             Report::PermitRequested { service, target, priority, reply } => {
                 // A dropped receiver means that the requester has given up.
                 let _ = reply.send(self.grant(&service, &target, priority));
@@ -77,6 +79,7 @@
                 }
             }
             Event::Limit { target, news } => self.apply_limit(&target, news),
+            Event::Departure(departure) => self.apply_departure(&departure, Source::Host),
             Event::Retained { service, item, progress, text_complete } => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
                     leader.queue.resume_item(item, progress, text_complete, now);
@@ -94,6 +97,14 @@
         }
     }
 
+    /// Has a target that leaves count as draining.
+    fn apply_departure(&mut self, departure: &Departure, source: Source) {
+        if self.store_state.fleet.depart(departure) {
+            info!(target_id = &*departure.target, born = departure.started_ms, source:? = source; "target has said that it leaves");
+            self.store_state.changed = true;
+        }
+    }
+
     /// Grants a request for an engine of a service that this host leads, or tells after which time to ask again. `None`
     /// if another host may lead.
     fn grant(
@@ -216,6 +227,7 @@
                     self.outbox.send(&service, stops);
                 }
             }
+            Completion::Departure(departure) => self.apply_departure(&departure, Source::Answer),
             Completion::LoadEnded { service, target, result } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
@@ -292,7 +304,7 @@
             }
             let term = Term { service: service.clone(), fence };
             let orders = Rc::clone(&self.orders);
-            tokio::task::spawn_local(orders.load_all(term, loads, self.completions.clone()));
+            tokio::task::spawn_local(orders.load_all(term, loads));
         }
         if now >= self.cleaned_up_at + CLEANUP_INTERVAL {
             self.cleaned_up_at = now;
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -17,7 +17,7 @@
     clock,
     control::tasks::{Completion, send_completion},
     dialect::{self, Order, Report, Strategy},
-    fleet::Target,
+    fleet::{Departure, Target},
     job,
     links::Links,
     prelude::*,
@@ -84,18 +84,15 @@
     pub dialect: dialect::Handle,
     pub channels: Channels,
     pub links: Arc<Links>,
+    pub completions: mpsc::UnboundedSender<Completion>,
     /// Time at which an order was last sent.
     pub ordered_at: Cell<Option<Time>>,
 }
 
 impl Client {
     /// Runs loads that begin together: reads the engines' reports, then confirms the leadership once for all orders.
-    pub async fn load_all(
-        self: Rc<Self>,
-        term: Term,
-        loads: Vec<Load>,
-        completions: mpsc::UnboundedSender<Completion>,
-    ) {
+    pub async fn load_all(self: Rc<Self>, term: Term, loads: Vec<Load>) {
+        let completions = self.completions.clone();
         let reports = join_all(loads.iter().map(|load| self.report(&load.target))).await;
         let mut due = Vec::new();
         for (load, report) in loads.into_iter().zip(reports) {
@@ -215,8 +212,12 @@
         let (parts, body) = response.into_parts();
         let body = http_body_util::Limited::new(body, REPORT_BYTES_MAX).collect();
         let body = timeout_at(by, body).await.ok()?.ok()?.to_bytes();
-        let idle = self.dialect.answer(parts.status, &parts.headers).idle;
-        self.channels.put(target.address, channel, idle);
+        let answer = self.dialect.answer(parts.status, &parts.headers);
+        if answer.leaving && parts.status != StatusCode::MISDIRECTED_REQUEST {
+            let departure = Departure { target: target.id.clone(), started_ms: target.started_ms };
+            send_completion(&self.completions, Completion::Departure(departure));
+        }
+        self.channels.put(target.address, channel, answer.idle);
         Some((parts.status, body))
     }
 
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     events::Progress,
+    fleet::Departure,
     job::{Assignment, End, Outcome},
     peer::{self, Frames, FromRunner, Kind, Lead, News, Order, Request, RunItem, ToRunner},
     prelude::*,
@@ -53,6 +54,8 @@
         target: TargetId,
         news: rate::News,
     },
+    /// The runner knows that a target leaves.
+    Departure(Departure),
     /// Text of an item that ran for an earlier leader.
     Retained {
         service: ServiceId,
@@ -349,6 +352,9 @@
                 let (target, news) = limit.into();
                 report(&self.events, Event::Limit { target, news });
             }
+            Some(News::Departure(departure)) => {
+                report(&self.events, Event::Departure(departure.into()));
+            }
             Some(News::Pong(_)) | None => {}
         }
         true
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -175,6 +175,7 @@
         dialect: Arc::clone(&dialect),
         channels: Channels::default(),
         links: Arc::clone(&links),
+        completions: completions.clone(),
         ordered_at: Cell::default(),
     });
     if let Some(address) = settings.relay {
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -222,7 +222,8 @@
             }
             PlatformChange::Target(target) => {
                 // Versions change with each load; only what decides about requests is logged by default.
-                let known = self.fleet.targets().get(&target.id);
+                let known = self.fleet.targets().get(&target.id).cloned();
+                let target = self.fleet.register(target);
                 let is_news = known.is_none_or(|known| {
                     known.draining != target.draining
                         || known.started_ms != target.started_ms
@@ -230,7 +231,6 @@
                 });
                 let level = if is_news { Level::Info } else { Level::Debug };
                 log::log!(level, target_id = &*target.id, service = &*target.service, draining = target.draining, born = target.started_ms, software = &*target.software, versions:? = target.versions; "target registered");
-                self.fleet.register(target);
             }
             PlatformChange::TargetRemoved(id) => {
                 let removed = self.fleet.deregister(&id, clock::now());
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -15,6 +15,7 @@
         writes::{CheckpointWrite, ChunkWrite},
     },
     dialect,
+    fleet::Departure,
     job::{self, Checkpoint, Chunk, Record},
     prelude::*,
     store::{self, Change, Entry, Error, Outcome, Put, Txn},
@@ -46,6 +47,8 @@
         target: TargetId,
         result: LoadResult,
     },
+    /// An engine has said that it leaves.
+    Departure(Departure),
 }
 
 /// Result of writing a chunk.
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -56,6 +56,8 @@
     pub idle: Option<Duration>,
     /// Requests that the target takes from all hosts together.
     pub limit: Option<Limit>,
+    /// The target leaves, and takes no new requests for long.
+    pub leaving: bool,
 }
 
 /// Load report of an engine.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -10,6 +10,9 @@
 /// Grace period after an outage of the store in which a missing registration may still come back.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2200);
 
+/// Departures that are kept, beside those of registered targets.
+const DEPARTURES_MAX: usize = 4096;
+
 /// A registered target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -28,6 +31,14 @@
     pub versions: BTreeMap<ModelId, Version>,
 }
 
+/// A target's word that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Departure {
+    pub target: TargetId,
+    /// Start time of the instance that leaves.
+    pub started_ms: u64,
+}
+
 /// All registered targets.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -36,13 +47,45 @@
     missing: BTreeMap<TargetId, Time>,
     /// End of the grace period.
     grace_until: Time,
+    /// Targets that have said in an answer that they leave, with the start time of the instance that said so.
+    departures: BTreeMap<TargetId, u64>,
 }
 
 impl Fleet {
-    /// Adds or updates a target.
-    pub fn register(&mut self, target: Target) {
+    /// Adds or updates a target, and returns it as it counts from now on.
+    pub fn register(&mut self, mut target: Target) -> Arc<Target> {
         self.missing.remove(&target.id);
-        Arc::make_mut(&mut self.targets).insert(target.id.clone(), Arc::new(target));
+        match self.departures.get(&target.id) {
+            Some(started_ms) if target.started_ms > *started_ms => {
+                self.departures.remove(&target.id);
+            }
+            Some(_) => target.draining = true,
+            None => {}
+        }
+        let target = Arc::new(target);
+        Arc::make_mut(&mut self.targets).insert(target.id.clone(), Arc::clone(&target));
+        target
+    }
+
+    /// Records that a target has said in an answer that it leaves. It counts as draining until another instance
+    /// registers, as a registration may be older than the answer. Returns whether that is news.
+    pub fn depart(&mut self, departure: &Departure) -> bool {
+        let known = self.targets.get(&departure.target);
+        let is_other = known.is_some_and(|target| target.started_ms > departure.started_ms);
+        let is_known = self.departures.get(&departure.target) >= Some(&departure.started_ms);
+        if is_other || is_known {
+            return false;
+        }
+        if let Some(target) = known.filter(|target| !target.draining) {
+            let target = Target { draining: true, ..target.as_ref().clone() };
+            Arc::make_mut(&mut self.targets).insert(target.id.clone(), Arc::new(target));
+        }
+        if self.departures.len() >= DEPARTURES_MAX {
+            let targets = &self.targets;
+            self.departures.retain(|id, _| targets.contains_key(id));
+        }
+        self.departures.insert(departure.target.clone(), departure.started_ms);
+        true
     }
 
     /// Removes a target, or marks it as missing during the grace period. Returns whether it was removed.
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -9,7 +9,7 @@
 use crate::{
     feed::ChangesRequest,
     peer::{
-        limit::{Limits, Permit},
+        limit::{Notice, Permit},
         run::Lead,
         tunnel::Tunnel,
     },
@@ -52,9 +52,9 @@
     /// Asks for the permit to send a request to a target with a limit.
     #[prost(message, tag = "7")]
     Permit(Permit),
-    /// Tells of limits that have changed.
+    /// Tells what targets have said of themselves.
     #[prost(message, tag = "8")]
-    Limits(Limits),
+    Notice(Notice),
     /// Tells or asks which software version began a stream.
     #[prost(message, tag = "9")]
     Origin(Origin),
--- a/crates/node/src/peer/limit.rs
+++ b/crates/node/src/peer/limit.rs
@@ -1,6 +1,11 @@
 //! Messages about limits that targets name.
 
-use crate::{clock, peer::millis, prelude::*, rate};
+use crate::{
+    clock,
+    peer::{departure::Departure, millis},
+    prelude::*,
+    rate,
+};
 
 /// What a host knows of the limit of a target.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -15,14 +20,16 @@
     pub age_ms: u64,
 }
 
-/// Limits that have changed.
+/// What targets have said of themselves in answers: limits that have changed, and targets that leave.
 #[derive(Clone, PartialEq, prost::Message)]
-pub struct Limits {
+pub struct Notice {
     #[prost(message, repeated, tag = "1")]
     pub limits: Vec<Limit>,
     /// The receiver tells all other hosts.
     #[prost(bool, tag = "2")]
     pub forward: bool,
+    #[prost(message, repeated, tag = "3")]
+    pub departures: Vec<Departure>,
 }
 
 /// Asks for the permit to send one request to a target.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -5,6 +5,7 @@
 //! one connection to each. A host that has lost its links to targets has its connections opened by other hosts.
 
 mod client;
+mod departure;
 mod frame;
 mod limit;
 mod run;
@@ -13,10 +14,11 @@
 pub mod tunnel;
 
 pub use client::{Client, connect};
+pub use departure::Departure;
 pub use frame::{
     Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, feed, flush, millis,
 };
-pub use limit::{Limit, Limits, Permit, PermitReply};
+pub use limit::{Limit, Notice, Permit, PermitReply};
 pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
 pub use server::{Handler, serve};
 pub use text::TextPart;
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -9,7 +9,7 @@
 use crate::{
     events::Progress,
     job::{Assignment, End, Item, Judge, Outcome},
-    peer::{limit::Limit, text::TextPart},
+    peer::{departure::Departure, limit::Limit, text::TextPart},
     prelude::*,
     traffic::{Endpoint, Run, RunReport},
 };
@@ -47,7 +47,7 @@
 /// Message from a runner.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct FromRunner {
-    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
     pub news: Option<News>,
 }
 
@@ -71,6 +71,9 @@
     /// Limit of a target.
     #[prost(message, tag = "7")]
     Limit(Limit),
+    /// A target leaves.
+    #[prost(message, tag = "8")]
+    Departure(Departure),
 }
 
 /// A header.
@@ -145,6 +148,9 @@
     /// Software version of the text so far, if it is known.
     #[prost(string, optional, tag = "22")]
     pub text_software: Option<String>,
+    /// Start time of the engine in Unix milliseconds.
+    #[prost(uint64, tag = "23")]
+    pub started_ms: u64,
 }
 
 /// The text of a run is complete.
@@ -248,6 +254,7 @@
                 .map(|target| target.software.to_string())
                 .unwrap_or_default(),
             text_software: assignment.progress.software.as_deref().map(str::to_owned),
+            started_ms: run.target.as_ref().map(|target| target.started_ms).unwrap_or_default(),
         }
     }
 }
@@ -262,6 +269,7 @@
                 id: id.into(),
                 address: raw.address.parse()?,
                 software: raw.software.into(),
+                started_ms: raw.started_ms,
             }),
         };
         let headers = raw.headers.into_iter();
--- a/crates/node/src/traffic/announce.rs
+++ b/crates/node/src/traffic/announce.rs
@@ -1,10 +1,16 @@
-//! Tells other hosts of limits that targets begin, change or end.
+//! Tells other hosts what targets say of themselves in their answers: limits that begin, change or end, and that they
+//! leave.
 //!
-//! A host hears of a limit from answers to its own requests. In a large deployment it sends few requests to each target,
-//! so without the others it would learn of most limits too late. What one host hears goes to the holder of the target's
-//! quota, and from there to all hosts.
+//! A host hears it from answers to its own requests. In a large deployment it sends few requests to each target, so without
+//! the others it would learn of most too late. What one host hears goes to the holder of the target's quota, and from there
+//! to all hosts.
 
-use std::{cell::RefCell, collections::BTreeMap, collections::BTreeSet, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use futures::StreamExt;
 use http::StatusCode;
@@ -13,9 +19,10 @@
 use crate::{
     clock,
     dialect::Answer,
-    peer::{Kind, Limit, Limits},
+    fleet::Departure,
+    peer::{self, Kind, Limit, Notice},
     prelude::*,
-    traffic::{Report, permit, serve::Traffic},
+    traffic::{Report, Source, permit, serve::Traffic},
 };
 
 /// Interval at which changes are sent.
@@ -25,14 +32,20 @@
 /// Hosts that are told at the same time.
 const CONCURRENT_HOSTS: usize = 16;
 
-/// Targets whose limits have changed since the last announcement.
+/// What has changed since the last announcement.
 #[derive(Debug, Default)]
-pub struct Changes(RefCell<BTreeSet<TargetId>>);
+pub struct Changes {
+    /// Targets whose limits have changed.
+    limits: RefCell<BTreeSet<TargetId>>,
+    /// Targets that leave, with the start time of the instance.
+    departures: RefCell<BTreeMap<TargetId, u64>>,
+}
 
-/// Records what an answer of a target says of its limit. A misdirected request was answered by another target.
+/// Records what an answer of a target, an instance with a start time, says of it. A misdirected request was answered by
+/// another one.
 pub fn record(
     traffic: &Traffic,
-    target: &TargetId,
+    (target, started_ms): (&TargetId, u64),
     status: StatusCode,
     answer: &Answer,
     sent_at: Time,
@@ -40,29 +53,58 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return;
     }
+    if answer.leaving && !is_leaving(traffic, target, started_ms) {
+        traffic.changes.departures.borrow_mut().insert(target.clone(), started_ms);
+        depart(traffic, Departure { target: target.clone(), started_ms }, Source::Answer);
+    }
     let changed = traffic.limits.record(target, answer.limit, sent_at, clock::now());
     if changed {
-        traffic.limit_changes.0.borrow_mut().insert(target.clone());
+        traffic.changes.limits.borrow_mut().insert(target.clone());
     }
     if changed || answer.limit.is_some() {
         report(traffic, target);
     }
 }
 
-/// Adopts limits that another host knows, and tells the other hosts if it is for this one to do so.
-pub fn apply(traffic: &Traffic, limits: Limits) {
-    for limit in limits.limits {
+/// Whether an instance of a target is known to leave, by its registration or by an answer.
+pub fn is_leaving(traffic: &Traffic, target: &TargetId, started_ms: u64) -> bool {
+    let view = traffic.view.load();
+    let known = view.targets.get(target);
+    known.is_some_and(|known| known.draining && known.started_ms == started_ms)
+}
+
+/// Adopts what another host has heard, and tells the other hosts if it is for this one to do so.
+pub fn apply(traffic: &Traffic, notice: Notice) {
+    for departure in notice.departures {
+        let departure = Departure::from(departure);
+        if is_leaving(traffic, &departure.target, departure.started_ms) {
+            continue;
+        }
+        if notice.forward {
+            let mut departures = traffic.changes.departures.borrow_mut();
+            departures.insert(departure.target.clone(), departure.started_ms);
+        }
+        depart(traffic, departure, Source::Host);
+    }
+    for limit in notice.limits {
         let (target, news) = limit.into();
         if !traffic.limits.merge(&target, news) {
             continue;
         }
         report(traffic, &target);
-        if limits.forward {
-            traffic.limit_changes.0.borrow_mut().insert(target);
+        if notice.forward {
+            traffic.changes.limits.borrow_mut().insert(target);
         }
     }
 }
 
+/// Tells the control thread, which has the target count as draining.
+fn depart(traffic: &Traffic, departure: Departure, source: Source) {
+    if traffic.reports.send(Report::Departure { departure, source }).is_err() {
+        log::debug!("control thread has ended");
+    }
+}
+
 /// Tells the control thread, which starts items on engines.
 fn report(traffic: &Traffic, target: &TargetId) {
     if let Some(news) = traffic.limits.news(target)
@@ -77,39 +119,53 @@
     let mut ticks = interval(INTERVAL);
     loop {
         ticks.tick().await;
-        let changed = std::mem::take(&mut *traffic.limit_changes.0.borrow_mut());
-        if !changed.is_empty() {
-            send(&traffic, &changed).await;
+        send(&traffic, notices(&traffic)).await;
+    }
+}
+
+/// Takes the changes, and returns what each host is to be told.
+fn notices(traffic: &Traffic) -> BTreeMap<SocketAddr, Notice> {
+    let mut notices: BTreeMap<SocketAddr, Notice> = BTreeMap::new();
+    for target in traffic.changes.limits.take() {
+        if let Some(news) = traffic.limits.news(&target) {
+            let limit = Limit::new(&target, news);
+            tell(traffic, &mut notices, &target, |notice| notice.limits.push(limit.clone()));
         }
     }
+    for (target, started_ms) in traffic.changes.departures.take() {
+        let departure = peer::Departure::new(&target, started_ms);
+        tell(traffic, &mut notices, &target, |notice| notice.departures.push(departure.clone()));
+    }
+    notices
 }
 
-async fn send(traffic: &Rc<Traffic>, changed: &BTreeSet<TargetId>) {
-    let mut messages: BTreeMap<SocketAddr, Limits> = BTreeMap::new();
-    let own = traffic.settings.peer;
-    for target in changed {
-        let Some(news) = traffic.limits.news(target) else {
-            continue;
-        };
-        let known = traffic.view.load().targets.get(target).cloned();
-        let holder = known.and_then(|target| permit::holder(traffic, &target).1);
-        match holder.filter(|holder| Some(*holder) != own) {
-            Some(holder) => {
-                let message = messages.entry(holder).or_default();
-                message.forward = true;
-                message.limits.push(Limit::new(target, news));
-            }
-            None => {
-                for host in traffic.hosts.all().iter().filter_map(|host| host.peer) {
-                    let message = messages.entry(host).or_default();
-                    message.limits.push(Limit::new(target, news));
-                }
+/// Adds news of a target to the notice for the holder of its quota, or, at the holder, to those for all hosts.
+fn tell(
+    traffic: &Traffic,
+    notices: &mut BTreeMap<SocketAddr, Notice>,
+    target: &TargetId,
+    add: impl Fn(&mut Notice),
+) {
+    let known = traffic.view.load().targets.get(target).cloned();
+    let holder = known.and_then(|target| permit::holder(traffic, &target).1);
+    match holder.filter(|holder| Some(*holder) != traffic.settings.peer) {
+        Some(holder) => {
+            let notice = notices.entry(holder).or_default();
+            notice.forward = true;
+            add(notice);
+        }
+        None => {
+            for host in traffic.hosts.all().iter().filter_map(|host| host.peer) {
+                add(notices.entry(host).or_default());
             }
         }
     }
-    let calls = messages.into_iter().map(|(host, message)| async move {
-        // A host that misses the news learns of the limit by the answer to its next request.
-        let _ = traffic.peers.call(host, Kind::Limits(message), TIMEOUT).await;
+}
+
+async fn send(traffic: &Rc<Traffic>, notices: BTreeMap<SocketAddr, Notice>) {
+    let calls = notices.into_iter().map(|(host, notice)| async move {
+        // A host that misses the news hears it by the answer to its next request.
+        let _ = traffic.peers.call(host, Kind::Notice(notice), TIMEOUT).await;
     });
     futures::stream::iter(calls).buffer_unordered(CONCURRENT_HOSTS).collect::<Vec<()>>().await;
 }
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -123,7 +123,8 @@
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
         return Err(fail(&"response carries the id of another request"));
     }
-    announce::record(traffic, &target.id, parts.status, &answer, sent_at);
+    let instance = (&target.id, target.started_ms);
+    announce::record(traffic, instance, parts.status, &answer, sent_at);
     if !answer.not_run && NOT_RUN_STATUSES.contains(&parts.status) {
         return Err(fail(&"refusal does not state that the request was not run"));
     }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -34,6 +34,6 @@
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
-pub use report::{Command, Report, Submission};
+pub use report::{Command, Report, Source, Submission};
 pub use run::{Endpoint, Run, RunReport};
 pub use serve::{Parts, run};
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -165,8 +165,8 @@
                 let reply = permit::grant(traffic, &permit).await;
                 reply.map(|reply| Bytes::from(reply.encode_to_vec()))
             }
-            Some(Kind::Limits(limits)) => {
-                announce::apply(traffic, limits);
+            Some(Kind::Notice(notice)) => {
+                announce::apply(traffic, notice);
                 Some(Bytes::new())
             }
             Some(Kind::Origin(Origin { stream, software: Some(software) })) => {
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    fleet::Departure,
     job::{Chunk, Record, Spec},
     prelude::*,
     rate,
@@ -56,6 +57,13 @@
     pub spec: Arc<Spec>,
 }
 
+/// Where news of a target come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    Answer,
+    Host,
+}
+
 /// Report to the control thread.
 #[derive(Debug)]
 pub enum Report {
@@ -72,6 +80,11 @@
         target: TargetId,
         news: rate::News,
     },
+    /// A target has said that it leaves.
+    Departure {
+        departure: Departure,
+        source: Source,
+    },
     /// A request for an engine with a limit needs to be granted. The reply is `None` if this host may not lead the
     /// service, and otherwise the time after which to ask again if the request is refused.
     PermitRequested {
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -46,11 +46,18 @@
     pub id: TargetId,
     pub address: SocketAddr,
     pub software: Software,
+    /// Start time in Unix milliseconds.
+    pub started_ms: u64,
 }
 
 impl From<&Target> for Endpoint {
     fn from(target: &Target) -> Self {
-        Self { id: target.id.clone(), address: target.address, software: target.software.clone() }
+        Self {
+            id: target.id.clone(),
+            address: target.address,
+            software: target.software.clone(),
+            started_ms: target.started_ms,
+        }
     }
 }
 
@@ -200,6 +207,10 @@
     state: &mut RunState,
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
+    // The leader may not know yet that the engine leaves.
+    if announce::is_leaving(traffic, &target.id, target.started_ms) {
+        return Some(End::NotRun);
+    }
     let deadline = Instant::now() + SILENCE_TIMEOUT;
     let Ok(mut channel) =
         connect(traffic, &target.id, target.address, Duration::MAX, deadline).await
@@ -226,7 +237,8 @@
     if answer.id.as_ref().is_some_and(|id| *id != run.item.id) {
         return Some(End::Broken);
     }
-    announce::record(traffic, &target.id, parts.status, &answer, sent_at);
+    let instance = (&target.id, target.started_ms);
+    announce::record(traffic, instance, parts.status, &answer, sent_at);
     if answer.not_run {
         return Some(End::NotRun);
     }
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -16,8 +16,8 @@
 use crate::{
     events::Progress,
     peer::{
-        self, Ended, Frames, FromRunner, Generated, Lead, Limit, News, Order, Retained, RunItem,
-        TextPart, ToRunner,
+        self, Departure, Ended, Frames, FromRunner, Generated, Lead, Limit, News, Order, Retained,
+        RunItem, TextPart, ToRunner,
     },
     prelude::*,
     traffic::{
@@ -199,11 +199,15 @@
         }
     }
 
-    /// Sends what a new leader has to know before items start: the limits of the engines, and the texts kept.
+    /// Sends what a new leader has to know before items start: the limits of the engines, those that leave, and the texts kept.
     async fn send_state(&mut self) -> Option<()> {
         for (target, news) in self.traffic.limits.all() {
             self.feed(News::Limit(Limit::new(&target, news))).await?;
         }
+        let view = self.traffic.view.load_full();
+        for target in view.targets.values().filter(|target| target.draining) {
+            self.feed(News::Departure(Departure::new(&target.id, target.started_ms))).await?;
+        }
         for (item, text) in self.traffic.runner.take_texts() {
             self.feed(News::Retained(Retained {
                 item: item.to_string(),
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -104,8 +104,8 @@
     pub links: Arc<Links>,
     pub tunnels: Tunnels,
     pub origins: Origins,
-    /// Limits that other hosts are to be told of.
-    pub limit_changes: announce::Changes,
+    /// What other hosts are to be told of targets.
+    pub changes: announce::Changes,
     /// The other hosts.
     pub hosts: relay::Peers,
     /// Bytes of callers' bodies and of targets' bodies that may be held at the same time.
@@ -168,7 +168,7 @@
         links,
         tunnels: Tunnels::default(),
         origins: Origins::default(),
-        limit_changes: announce::Changes::default(),
+        changes: announce::Changes::default(),
         hosts,
         request_bytes: Budget::new(REQUEST_BYTES_TOTAL),
         response_bytes: Budget::new(RESPONSE_BYTES_TOTAL),
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -281,7 +281,8 @@
         if answer.id.as_ref().is_some_and(|id| *id != call.id) {
             return Err(fail(&"response carries the id of another request"));
         }
-        announce::record(traffic, &target.id, head.status, &answer, sent_at);
+        let instance = (&target.id, target.started_ms);
+        announce::record(traffic, instance, head.status, &answer, sent_at);
         if answer.not_run {
             return Ok(Outcome::NotRun);
         }
