A stream that cannot go on is broken off after 0.5 s

A caller whose stream broke at all targets that may go on with it waited 1.5 s for the break since streams go on through other hosts; a caller of a resumable route loses that time for its own take-up. 0.5 s is enough for a connection that hangs (150 ms) and one through another host. Test: cut_off::streams_begin_and_go_on_through_other_hosts still passes.

--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -46,6 +46,8 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest time without a complete event. A slow target may send an event in many small parts.
 pub(super) const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time for which a stream that has begun looks for a target at which it goes on.
+const GO_ON_PATIENCE: Duration = Duration::from_millis(500);
 /// Events that are read from a target before the caller takes the first of them.
 const QUEUED_EVENTS: usize = 1;
 
@@ -213,7 +215,7 @@
     /// Time for which targets are tried again after none has taken the request. One that is refused is refused early, so that
     /// the caller has time to retry; a stream that has begun can only go on here.
     fn patience(&self) -> Duration {
-        if self.maybe_run > 0 { SILENCE_TIMEOUT } else { self.route.objective / 4 }
+        if self.maybe_run > 0 { GO_ON_PATIENCE } else { self.route.objective / 4 }
     }
 
     /// Target that would begin first, of the version that began the stream.
