Requests late in the grace of a planned stop are refused as not run

Cause: a graceful shutdown serves what has begun whenever it is complete, and the process ends at a fixed time whatever is open.

Change: once new connections are refused (2.6 s after the signal), requests are refused with 503 and Retry-After; 0.3 s before the process ends those in progress get 504, which promises nothing.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -20,7 +20,7 @@
         event_body::EventBody,
         exchange::{self, Call},
         jobs, origins,
-        serve::Traffic,
+        serve::{Phase, Traffic},
         stream::{self, Answered, TakeUp},
         submit::{SubmitOutcome, submit},
     },
@@ -50,24 +50,32 @@
 pub type HttpResponse = Response<ResponseBody>;
 
 pub async fn handle(traffic: Rc<Traffic>, request: Request<Incoming>) -> HttpResponse {
+    let mut phase = traffic.phase.subscribe();
+    let mut response = tokio::select! {
+        response = serve(&traffic, request) => response,
+        _ = phase.wait_for(|phase| *phase == Phase::Ending) => status(StatusCode::GATEWAY_TIMEOUT),
+    };
+    if traffic.view.load().stopping {
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> HttpResponse {
     let operation = traffic.dialect.operation(request.method(), request.uri(), request.headers());
-    let mut response = match operation {
+    match operation {
         Operation::Results { job, after, wait } => job_response(
-            jobs::results(&traffic, &job, after, wait.min(RESULTS_WAIT_MAX)).await,
+            jobs::results(traffic, &job, after, wait.min(RESULTS_WAIT_MAX)).await,
             true,
         ),
         Operation::Body { job, item } => {
-            job_response(jobs::body(&traffic, &job, &item).await, false)
+            job_response(jobs::body(traffic, &job, &item).await, false)
         }
         Operation::End { job } => {
-            job_response(jobs::end(&traffic, &job).await.map(|()| Bytes::new()), false)
+            job_response(jobs::end(traffic, &job).await.map(|()| Bytes::new()), false)
         }
-        Operation::Routed => handle_routed(&traffic, request).await,
-    };
-    if traffic.view.load().stopping {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        Operation::Routed => handle_routed(traffic, request).await,
     }
-    response
 }
 
 fn job_response(result: Result<Bytes, jobs::Error>, json: bool) -> HttpResponse {
@@ -115,6 +123,10 @@
         Err(response) => return response,
     };
     let head = traffic.dialect.head(&parts.headers);
+    if *traffic.phase.borrow() >= Phase::Refusing {
+        info!(request = &*head.id; "request refused: the process is about to end");
+        return not_run_response(RETRY_AFTER);
+    }
     let Some(config) = &view.config else {
         info!(request = &*head.id; "request refused: no configuration is known yet");
         return not_run_response(RETRY_AFTER);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -67,6 +67,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of callers' connections before a configuration has been read.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
+/// Subtracted from that end, for the answers to requests that are still in progress.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which a stopping host checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -87,6 +89,17 @@
     pub reports: mpsc::UnboundedSender<Report>,
 }
 
+/// Phase of a planned stop, as callers' requests see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Requests are taken.
+    Open,
+    /// A new request could be cut off by the end of the process, so it is refused.
+    Refusing,
+    /// The process ends; what is in progress is answered as unknown.
+    Ending,
+}
+
 /// State of the traffic thread.
 pub struct Traffic {
     pub settings: Settings,
@@ -119,6 +132,7 @@
     /// Client for requests to other hosts.
     pub peers: peer::Client,
     pub reports: mpsc::UnboundedSender<Report>,
+    pub phase: watch::Sender<Phase>,
     connections: Cell<usize>,
     /// Senders that stop runs, by id of the run.
     stops: RefCell<HashMap<u64, oneshot::Sender<()>>>,
@@ -177,6 +191,7 @@
         runner: Runner::default(),
         peers: peer::Client::default(),
         reports: reports.clone(),
+        phase: watch::Sender::new(Phase::Open),
         connections: Cell::new(0),
         stops: RefCell::default(),
     });
@@ -210,16 +225,23 @@
     let deadline = Instant::now() + traffic.settings.stop_grace.saturating_sub(STOP_MARGIN);
     sleep(STOP_ACCEPT_PERIOD).await;
     accepting.abort();
+    traffic.phase.send_replace(Phase::Refusing);
     let _ = shutdown.send(true);
-    let in_use = || traffic.connections.get() + traffic.tunnels.carried() > 0;
-    while in_use() && Instant::now() < deadline {
-        sleep(STOP_POLL_INTERVAL).await;
-    }
+    wait_until_unused(&traffic, deadline - ANSWER_MARGIN).await;
+    traffic.phase.send_replace(Phase::Ending);
+    wait_until_unused(&traffic, deadline).await;
     let (connections_left, tunnels_left) = (traffic.connections.get(), traffic.tunnels.carried());
     info!(connections_left, tunnels_left; "traffic stopped");
     Ok(())
 }
 
+/// Waits until no caller and no other host uses this one.
+async fn wait_until_unused(traffic: &Traffic, deadline: Instant) {
+    while traffic.connections.get() + traffic.tunnels.carried() > 0 && Instant::now() < deadline {
+        sleep(STOP_POLL_INTERVAL).await;
+    }
+}
+
 /// Returns once the process is stopping.
 pub(super) async fn stop_requested(traffic: &Traffic) {
     while !traffic.view.load().stopping {
