A short failure of the store holds no removal back

Cause: any failed call counted as an outage in which registrations may have expired. They outlast several renewals, so a failure of less than a second lets none expire.

Change: the mirror tells of an outage, to its own host and to those that it reads for, only after 1 s without an answer.

Tests: mirror::a_short_failure_is_no_outage fails before. mirror::recovery_of_the_store_is_sent_before_removals asserts the same order of updates as before, for a failure that lasts over a second instead of 0.15 s, which is now no outage.

--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -18,6 +18,8 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 /// Backoff after a failed call; doubles with each consecutive failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// Time without an answer from which registrations may have expired; targets renew them several times within their lease.
+const OUTAGE_MIN: Duration = Duration::from_millis(1000);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(600);
 
 /// Update sent by a mirror.
@@ -61,11 +63,20 @@
     revisions: BTreeMap<Box<str>, Revision>,
     /// Consecutive failed calls.
     failures: u32,
+    /// Time of the first of them.
+    failed_at: Time,
 }
 
 impl Mirror {
     pub fn new(number: usize, prefix: &str, schedule: Schedule) -> Self {
-        Self { number, prefix: prefix.into(), schedule, revisions: BTreeMap::new(), failures: 0 }
+        Self {
+            number,
+            prefix: prefix.into(),
+            schedule,
+            revisions: BTreeMap::new(),
+            failures: 0,
+            failed_at: Time::ZERO,
+        }
     }
 
     /// Follows the prefix until the receiver of updates is closed.
@@ -223,10 +234,15 @@
     }
 
     /// Must be called before the changes of a response are sent: entries whose leases expired during an outage may come
-    /// back shortly after it.
+    /// back shortly after it. A shorter failure, such as a change of the way to the store, has let no lease expire.
     fn record_success(&mut self, feed: &Feed, updates: &mpsc::UnboundedSender<Update>) {
-        if std::mem::take(&mut self.failures) > 0 {
-            info!(prefix = &*self.prefix; "store answers again");
+        if std::mem::take(&mut self.failures) == 0 {
+            return;
+        }
+        let outage = clock::now().saturating_sub(self.failed_at);
+        let after_ms = crate::logging::ms(outage);
+        info!(prefix = &*self.prefix, after_ms; "store answers again");
+        if outage >= OUTAGE_MIN {
             feed.recover();
             let _ = updates.send(Update::StoreRecovered { mirror: self.number });
         }
@@ -238,6 +254,7 @@
         }
         self.failures += 1;
         if self.failures == 1 {
+            self.failed_at = clock::now();
             warn!(prefix = &*self.prefix, reason:% = error; "store does not answer");
             let _ = updates.send(Update::StoreUnavailable { mirror: self.number });
         }
