A host without requests finds out that it is cut off, and others that they are not

A leader without requests of its own noticed no cut: an order failed at one engine every 3 s, which is never two targets in a row, and nothing told it that other hosts reach targets. It kept its leadership, and versions were not loaded.

Change: a target that cannot be reached while nothing is heard from the others has another one tried; a host that is cut off asks another one each 0.5 s whether it is cut off as well. Where no host opens a tunnel, the host connects by itself, as targets that ended together look like a cut to all hosts and come back one by one.

Test: cut_off::a_leader_without_requests_finds_out_that_it_is_cut_off fails on the commit before (no order in 10 s).

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -12,14 +12,14 @@
 use log::{info, warn};
 use tokio::sync::watch;
 
-use crate::{metrics::METERS, prelude::*};
+use crate::{clock, metrics::METERS, prelude::*};
 
 /// Targets that cannot be reached, one after the other, from which on the host counts as cut off.
 const CUT_TARGETS: usize = 2;
 /// Time for which a failed connection counts.
 const LOSS_TTL: Duration = Duration::from_millis(1000);
-/// Time for which a connection through another host shows that others reach targets.
-const TUNNEL_TTL: Duration = Duration::from_millis(2000);
+/// Time for which the word of another host counts that it reaches targets.
+const OTHERS_TTL: Duration = Duration::from_millis(2000);
 /// Time for which a sign of life of a target makes a check of its link needless.
 const HEARD_TTL: Duration = Duration::from_millis(500);
 
@@ -45,8 +45,10 @@
     cut_since: Option<Time>,
     /// Number of targets to which this host may connect.
     known: usize,
-    /// Time at which another host last opened a connection to a target for this one.
-    tunnelled_at: Option<Time>,
+    /// Time at which another host was last known to reach targets.
+    others_reach_at: Option<Time>,
+    /// Time of the last sign of life of any target.
+    any_heard_at: Option<Time>,
 }
 
 /// State of the links, shared by the threads of a host.
@@ -80,7 +82,7 @@
     pub fn is_alone(&self, time: Duration, now: Time) -> bool {
         let state = self.lock();
         state.cut_since.is_some_and(|since| now >= since + time)
-            && state.tunnelled_at.is_some_and(|at| now < at + TUNNEL_TTL)
+            && state.others_reach_at.is_some_and(|at| now < at + OTHERS_TTL)
     }
 
     /// Sets the number of targets to which this host may connect.
@@ -88,9 +90,9 @@
         self.lock().known = count;
     }
 
-    /// Records that another host has opened a connection to a target.
-    pub fn tunnelled(&self, now: Time) {
-        self.lock().tunnelled_at = Some(now);
+    /// Records that another host is not cut off.
+    pub fn others_reach(&self, now: Time) {
+        self.lock().others_reach_at = Some(now);
     }
 
     /// Whether the link to a target is to be checked now, as nothing was heard from it lately. If so, it counts as checked.
@@ -109,6 +111,7 @@
     /// Records a sign of life of a target.
     pub fn heard(&self, target: &str, now: Time) {
         let mut state = self.lock();
+        state.any_heard_at = Some(now);
         match state.heard_at.get_mut(target) {
             Some(heard_at) => *heard_at = now,
             None => {
@@ -123,6 +126,7 @@
         state.lost.remove(target);
         state.in_a_row.clear();
         state.heard_at.insert(target.into(), now);
+        state.any_heard_at = Some(now);
         state.end_cut(now, "a target is reached");
     }
 
@@ -162,10 +166,17 @@
         let _ = losses.wait_for(is_lost).await;
     }
 
-    /// Returns once the host is cut off.
-    pub async fn cut(&self) {
+    /// Returns once the host is cut off, or may be: a target cannot be reached, and nothing was heard from any other.
+    pub async fn suspected(&self) {
         let mut losses = self.losses.subscribe();
-        let _ = losses.wait_for(|_| self.cut_since().is_some()).await;
+        let _ = losses.wait_for(|_| self.is_suspected(clock::now())).await;
+    }
+
+    fn is_suspected(&self, now: Time) -> bool {
+        let state = self.lock();
+        let is_heard = state.any_heard_at.is_some_and(|at| now < at + HEARD_TTL);
+        let mut in_a_row = state.in_a_row.values();
+        state.cut_since.is_some() || (!is_heard && in_a_row.any(|at| now < *at + LOSS_TTL))
     }
 
     /// Forgets the targets that are not to be kept.
--- a/crates/node/src/traffic/connect.rs
+++ b/crates/node/src/traffic/connect.rs
@@ -48,13 +48,19 @@
     if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
         return Ok(channel);
     }
-    if traffic.links.has_link(id, clock::now()) {
+    let has_link = traffic.links.has_link(id, clock::now());
+    if has_link {
         let direct = open(traffic, id, address, deadline).await;
         if direct.is_some() || traffic.links.cut_since().is_none() {
             return direct.ok_or(ExchangeError::Unsent);
         }
     }
-    tunnel::open(traffic, id, deadline).await.ok_or(ExchangeError::Unsent)
+    let mut channel = tunnel::open(traffic, id, deadline).await;
+    if channel.is_none() && !has_link {
+        // Targets that ended together look like a cut to all hosts, and come back one by one.
+        channel = open(traffic, id, address, deadline).await;
+    }
+    channel.ok_or(ExchangeError::Unsent)
 }
 
 /// Opens a connection to a target and records whether there is a link.
@@ -138,17 +144,19 @@
     }
 }
 
-/// While the host is cut off, tries to connect to one target after the other.
+/// While the host is cut off, or may be, tries to connect to one target after the other, and asks other hosts whether they
+/// are cut off as well.
 pub async fn probe(traffic: Rc<Traffic>) {
     loop {
-        traffic.links.cut().await;
+        traffic.links.suspected().await;
         let view = traffic.view.load_full();
         let targets = view.targets.values().filter(|target| !target.draining);
         if let Some(target) = targets.choose(&mut rand::rng()) {
             check(Rc::clone(&traffic), target.id.clone(), target.address).await;
         }
         if traffic.links.cut_since().is_some() {
-            sleep(PROBE_INTERVAL).await;
+            tunnel::ask_others(&traffic).await;
         }
+        sleep(PROBE_INTERVAL).await;
     }
 }
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -50,6 +50,9 @@
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1000);
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Names no target: the host that is asked refuses unless it is cut off.
+const NO_TARGET: &str = "";
+
 /// What this host knows of tunnels.
 #[derive(Debug, Default)]
 pub struct Tunnels {
@@ -80,8 +83,7 @@
 
 /// Connects to a target through another host; `None` if no host does so.
 pub async fn open(traffic: &Traffic, target: &TargetId, deadline: Instant) -> Option<Channel> {
-    let request = Request { kind: Some(Kind::Tunnel(Tunnel { target: target.to_string() })) };
-    let request = Bytes::from(request.encode_to_vec());
+    let request = request(target);
     let mut unreachable = 0;
     for host in hosts(traffic, target) {
         let by = deadline.min(Instant::now() + OPEN_TIMEOUT);
@@ -97,7 +99,7 @@
         debug!(target_id = &**target, host:% = host, reply = name(reply); "tunnel asked for");
         match reply {
             Some(Reply::Opened) if channel.is_some() => {
-                traffic.links.tunnelled(clock::now());
+                traffic.links.others_reach(clock::now());
                 return channel;
             }
             Some(Reply::Unreachable) => {
@@ -118,6 +120,22 @@
     None
 }
 
+/// Asks another host whether it is cut off as well.
+pub async fn ask_others(traffic: &Traffic) {
+    let Some(host) = hosts(traffic, NO_TARGET).into_iter().next() else {
+        return;
+    };
+    match timeout(OPEN_TIMEOUT, ask(host, request(NO_TARGET))).await.ok().flatten() {
+        Some((Reply::CutOff, _)) | None => traffic.tunnels.avoid(host, FAILURE_BACKOFF),
+        Some(_) => traffic.links.others_reach(clock::now()),
+    }
+}
+
+fn request(target: &str) -> Bytes {
+    let request = Request { kind: Some(Kind::Tunnel(Tunnel { target: target.to_owned() })) };
+    request.encode_to_vec().into()
+}
+
 fn name(reply: Option<Reply>) -> &'static str {
     match reply {
         Some(Reply::Opened) => "opened",
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -105,10 +105,10 @@
     links.failed("a", Failure::Silent, T0);
     links.failed("b", Failure::Silent, T0);
     assert!(!links.is_alone(time, after(600)));
-    links.tunnelled(after(600));
+    links.others_reach(after(600));
     assert!(links.is_alone(time, after(600)));
     assert!(!links.is_alone(time, after(2700)));
-    links.tunnelled(after(2700));
+    links.others_reach(after(2700));
     links.opened("a", after(2700));
     assert!(!links.is_alone(time, after(2700)));
 }
