A host that is cut off shortly after the start of all hosts finds the others

And a host whose neighbours are all cut off asked each of them every few milliseconds.

Change: a host that is cut off and knows no host, or gets no answer from any, has the list read again, 0.5 s after the last time at the earliest; a host that took no tunnel is asked again after 0.1 s. The line for each such attempt is at debug level.

--- a/crates/node/src/relay/peers.rs
+++ b/crates/node/src/relay/peers.rs
@@ -22,6 +22,8 @@
 const FIRST_REFRESH_INTERVAL: Duration = Duration::from_secs(5);
 const REFRESH_INTERVAL: Duration = Duration::from_secs(60);
 const RETRY_DELAY: Duration = Duration::from_secs(1);
+/// Minimum time between the end of a refresh and the next one on request.
+const REQUEST_DELAY: Duration = Duration::from_millis(500);
 
 /// A host that relays calls of others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -80,6 +82,7 @@
     loop {
         match refresh(source.as_ref(), store.as_ref(), &host, &own, &peers).await {
             Ok(()) => {
+                sleep(REQUEST_DELAY).await;
                 let pause = interval.mul_f64(0.75 + 0.5 * rand::random::<f64>());
                 // A refresh on request may come before the other hosts have registered, so the short interval stays.
                 if timeout(pause, peers.refresh.notified()).await.is_err() {
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -14,7 +14,7 @@
 };
 
 use bytes::Bytes;
-use log::{debug, info};
+use log::debug;
 use prost::Message;
 use rand::seq::SliceRandom;
 use socket2::SockRef;
@@ -49,6 +49,8 @@
 /// Time for which a host is asked last after it was cut off or did not answer, and after it took no tunnel.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1000);
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(200);
+/// Minimum time between two questions to a host that took no tunnel.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Names no target: the host that is asked refuses unless it is cut off.
 const NO_TARGET: &str = "";
@@ -58,8 +60,8 @@
 pub struct Tunnels {
     /// Tunnels that this host carries for others.
     carried: Cell<usize>,
-    /// Hosts to ask last, until a time.
-    avoided: RefCell<HashMap<SocketAddr, Instant>>,
+    /// Hosts that took no tunnel, with the time of that and the time until which they are asked last.
+    avoided: RefCell<HashMap<SocketAddr, (Instant, Instant)>>,
 }
 
 impl Tunnels {
@@ -68,24 +70,31 @@
     }
 
     fn avoid(&self, host: SocketAddr, time: Duration) {
-        self.avoided.borrow_mut().insert(host, Instant::now() + time);
+        let now = Instant::now();
+        self.avoided.borrow_mut().insert(host, (now, now + time));
     }
 
     fn is_avoided(&self, host: SocketAddr) -> bool {
-        self.avoided.borrow().get(&host).is_some_and(|until| *until > Instant::now())
+        self.avoided.borrow().get(&host).is_some_and(|(_, until)| *until > Instant::now())
+    }
+
+    /// Whether a host was asked too short a time ago to say anything else now.
+    fn was_just_asked(&self, host: SocketAddr) -> bool {
+        self.avoided.borrow().get(&host).is_some_and(|(asked, _)| asked.elapsed() < ASK_INTERVAL)
     }
 
     /// Drops what has run out.
     pub fn sweep(&self) {
-        self.avoided.borrow_mut().retain(|_, until| *until > Instant::now());
+        self.avoided.borrow_mut().retain(|_, (_, until)| *until > Instant::now());
     }
 }
 
 /// Connects to a target through another host; `None` if no host does so.
 pub async fn open(traffic: &Traffic, target: &TargetId, deadline: Instant) -> Option<Channel> {
     let request = request(target);
-    let mut unreachable = 0;
+    let (mut asked, mut answered, mut unreachable) = (0, false, 0);
     for host in hosts(traffic, target) {
+        asked += 1;
         let by = deadline.min(Instant::now() + OPEN_TIMEOUT);
         let answer = timeout_at(by, ask(host, request.clone())).await.ok().flatten();
         let (reply, channel) = match answer {
@@ -95,6 +104,7 @@
             Some((reply, _)) => (Some(reply), None),
             None => (None, None),
         };
+        answered |= reply.is_some();
         METERS.tunnel("opener", name(reply));
         debug!(target_id = &**target, host:% = host, reply = name(reply); "tunnel asked for");
         match reply {
@@ -116,7 +126,12 @@
             break;
         }
     }
-    info!(target_id = &**target; "target unreachable through other hosts");
+    let knows_hosts = !traffic.hosts.all().is_empty();
+    if !knows_hosts || (asked > 0 && !answered) {
+        // Shortly after the start of many hosts, none may know the others.
+        traffic.hosts.request_refresh();
+    }
+    debug!(target_id = &**target, asked, answered; "target unreachable through other hosts");
     None
 }
 
@@ -162,6 +177,7 @@
     let zone = view.targets.get(target).map(|target| &target.zone);
     let all = traffic.hosts.all();
     let mut hosts: Vec<_> = all.iter().filter_map(|host| Some((&host.zone, host.peer?))).collect();
+    hosts.retain(|(_, host)| !traffic.tunnels.was_just_asked(*host));
     hosts.shuffle(&mut rand::rng());
     hosts.sort_by_key(|(host_zone, host)| {
         let is_near = Some(*host_zone) == zone;
