Files of one concern: planned stop, judge calls, news of targets, moves of items

No change of behaviour but one: the control thread hears of a target's limit when it changes, not with each answer that names it, as both threads share the table. Tests of limits, stops, paths, runners and departures pass.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use log::{info, warn};
+use log::warn;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -19,11 +19,9 @@
             write_chunks,
         },
     },
-    fleet::Departure,
     job::{Record, homes::Runner},
     metrics::METERS,
     prelude::*,
-    rate,
     traffic::{Command, Report, RunReport, Source, Submission},
 };
 
@@ -88,41 +86,6 @@
         }
     }
 
-    /// Records the limit that a target names, in all led services.
-    fn apply_limit(&mut self, target: &TargetId, news: rate::News) {
-        self.limits.merge(target, news);
-        let (limit, now) = (self.limits.limit(target), clock::now());
-        for leader in self.leaders.values_mut() {
-            leader.set_limit(target, limit, now);
-        }
-    }
-
-    /// Has a target that leaves count as draining.
-    fn apply_departure(&mut self, departure: &Departure, source: Source) {
-        if self.store_state.fleet.depart(departure) {
-            info!(target_id = &*departure.target, born = departure.started_ms, source:? = source; "target has said that it leaves");
-            self.store_state.changed = true;
-        }
-    }
-
-    /// Grants a request for an engine of a service that this host leads, or tells after which time to ask again. `None`
-    /// if another host may lead.
-    fn grant(
-        &mut self,
-        service: &ServiceId,
-        target: &TargetId,
-        priority: u32,
-    ) -> Option<Result<(), Duration>> {
-        let now = clock::now();
-        let limit = self.limits.limit(target);
-        let leader = self.leaders.get_mut(service)?;
-        let leads = leader.leadership.fence.is_some() && now < leader.leadership.exclusive_until;
-        leads.then(|| {
-            leader.set_limit(target, limit, now);
-            leader.grant(target, priority, now)
-        })
-    }
-
     fn avoid_runner(&mut self, service: &ServiceId, address: SocketAddr, until: Time) {
         self.avoided_runners.insert(address, until);
         self.runners_due = true;
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -16,7 +16,7 @@
     },
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Job, Queue, Requirement, Row,
+        Assignment, Engine, Engines, Job, Queue, Row,
         homes::{Homes, Runner, Streams},
     },
     prelude::*,
@@ -28,10 +28,6 @@
 const PACE_EVENTS: u64 = 6;
 /// The same for an item for which only the engine to be avoided has a free slot.
 const LAST_RESORT_PACE_EVENTS: u64 = 18;
-/// Minimum interval between moves, so that the effect of one shows before the next.
-const MOVE_INTERVAL: Duration = Duration::from_millis(60);
-/// Minimum age of a run that may be moved; a shorter run ends before a move pays.
-const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
 /// Events from which an item counts as one of the longest of its step.
 const LONG_ITEM_EVENTS: u64 = 40;
 /// Minimum interval between decisions on loads.
@@ -42,8 +38,8 @@
 pub(super) struct ActiveRun {
     pub(super) job: JobId,
     pub(super) item: usize,
-    target: Option<TargetId>,
-    started_at: Time,
+    pub(super) target: Option<TargetId>,
+    pub(super) started_at: Time,
     /// Host that runs it; `None` for this one.
     pub(super) runner: Option<SocketAddr>,
 }
@@ -53,7 +49,7 @@
     pub service: ServiceId,
     pub leadership: Leadership,
     pub queue: Queue,
-    engines: Engines,
+    pub(super) engines: Engines,
     rollout: Rollout,
     pub(super) runs: HashMap<u64, ActiveRun>,
     homes: Homes,
@@ -66,7 +62,7 @@
     next_run: u64,
     pub(super) written_at: Time,
     pub(super) checkpointed_at: Time,
-    moved_at: Time,
+    pub(super) moved_at: Time,
     /// Time of the last decision on loads.
     planned_at: Time,
 }
@@ -269,42 +265,6 @@
         self.runners.clear();
     }
 
-    /// Command to stop the longest run that would finish sooner on an engine with a free slot, where its item then
-    /// continues. Nothing is moved while an item is waiting for a slot.
-    pub fn move_item(&mut self, now: Time) -> Vec<Command> {
-        if self.queue.has_waiting() || now < self.moved_at + MOVE_INTERVAL {
-            return Vec::new();
-        }
-        self.moved_at = now;
-        self.engines.advance(now);
-        let movable = self.runs.iter().filter(|(_, run)| self.is_movable(run, now));
-        let length_hint = |run: &ActiveRun| {
-            let job = self.queue.get(&run.job);
-            job.and_then(|job| job.spec.items[run.item].length_hint)
-        };
-        let longest = movable.max_by_key(|(_, run)| length_hint(run));
-        let stop = |(&id, run): (&u64, &ActiveRun)| Command::Stop { run: id, runner: run.runner };
-        longest.map(stop).into_iter().collect()
-    }
-
-    fn is_movable(&self, run: &ActiveRun, now: Time) -> bool {
-        if now < run.started_at + MOVE_AGE_MIN {
-            return false;
-        }
-        let (Some(job), Some(target)) = (self.queue.get(&run.job), &run.target) else {
-            return false;
-        };
-        let requirement = Requirement {
-            model: &job.spec.model,
-            min_version: job.spec.min_version,
-            avoid: Some(target),
-            // A text goes on only at the version that began it.
-            software: self.engines.get(target).map(|engine| &*engine.target.software),
-            allow_slow: false,
-        };
-        self.engines.has_faster(&requirement, target)
-    }
-
     /// Applies a report of the traffic thread on a run.
     pub fn apply_report(&mut self, report: RunReport, now: Time) {
         match report {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -8,6 +8,8 @@
 mod election;
 mod leader;
 mod mirror;
+mod moves;
+mod news;
 mod orders;
 mod roles;
 mod rollout;
--- a/crates/node/src/traffic/announce.rs
+++ b/crates/node/src/traffic/announce.rs
@@ -57,11 +57,9 @@
         traffic.changes.departures.borrow_mut().insert(target.clone(), started_ms);
         depart(traffic, Departure { target: target.clone(), started_ms }, Source::Answer);
     }
-    let changed = traffic.limits.record(target, answer.limit, sent_at, clock::now());
-    if changed {
+    // The control thread shares the table, so it hears of changes only.
+    if traffic.limits.record(target, answer.limit, sent_at, clock::now()) {
         traffic.changes.limits.borrow_mut().insert(target.clone());
-    }
-    if changed || answer.limit.is_some() {
         report(traffic, target);
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -23,8 +23,8 @@
         announce,
         channel::Route,
         connect::{OnLoss, connect, link_lost, send},
-        dispatch::{Failure, dispatch},
-        exchange::{Call, closes_connection},
+        exchange::closes_connection,
+        judge,
         report::Report,
         serve::Traffic,
     },
@@ -38,7 +38,6 @@
 const TEXT_BYTES_MAX: usize = 4 << 20;
 /// Interval at which the control thread receives the text of a run.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
-const JUDGE_TIMEOUT: Duration = Duration::from_millis(3000);
 
 /// Id and address of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -167,7 +166,7 @@
             let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
             holds_slot = false;
         }
-        let judge = judge(&traffic, &run.item, run.assignment.judge_failures).fuse();
+        let judge = judge::score(&traffic, &run.item, run.assignment.judge_failures).fuse();
         tokio::select! {
             (end, failures) = judge => {
                 judge_failures = failures;
@@ -369,37 +368,3 @@
     *request.headers_mut() = headers;
     Some(request)
 }
-
-/// Requests the score of a complete text from its judge, after `failures_before` failures in earlier runs. Returns how the
-/// run ended and the judge's failures in this call.
-async fn judge(traffic: &Rc<Traffic>, item: &Item, failures_before: u32) -> (End, u32) {
-    let Some(judge) = &item.judge else {
-        return (End::Scored(None), 0);
-    };
-    let view = traffic.view.load_full();
-    let route = view.config.as_ref().and_then(|config| config.route(&judge.host, &judge.path));
-    let (Some(route), Ok(uri), Ok(host)) =
-        (route, judge.path.parse(), HeaderValue::from_str(&judge.host))
-    else {
-        return (End::Unjudged, 0);
-    };
-    let call = Call {
-        id: judge.id.clone(),
-        method: Method::POST,
-        uri,
-        headers: HeaderMap::from_iter([(header::HOST, host)]),
-        body: judge.body.clone(),
-        deadline: Instant::now() + JUDGE_TIMEOUT.min(route.timeout),
-    };
-    match dispatch(traffic, route, &call).await {
-        Ok(response) if response.status.is_success() => (End::Scored(Some(response.receipt)), 0),
-        Ok(response) if failures_before + response.failures >= route.max_attempts => {
-            (End::JudgeFailed, response.failures)
-        }
-        // Attempts that were still in flight do not count, so a single call may end below the limit.
-        Ok(response) => (End::Unjudged, response.failures),
-        Err(Failure::NotRun | Failure::Limited(_) | Failure::Unknown | Failure::Timeout) => {
-            (End::Unjudged, 0)
-        }
-    }
-}
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -20,10 +20,7 @@
         RunItem, TextPart, ToRunner,
     },
     prelude::*,
-    traffic::{
-        Report, Run, RunReport, run,
-        serve::{Traffic, stop_requested},
-    },
+    traffic::{Report, Run, RunReport, run, serve::Traffic, stop},
 };
 
 /// Silence of the leader after which its runs are stopped. A leader waits longer before it counts a runner as lost.
@@ -124,7 +121,7 @@
         }
         let mut heard_at = Instant::now();
         let traffic = Rc::clone(&self.traffic);
-        let stopping = stop_requested(&traffic);
+        let stopping = stop::requested(&traffic);
         let mut stopping = std::pin::pin!(stopping);
         let mut leaving = false;
         let reason = loop {
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -17,7 +17,7 @@
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::{mpsc, oneshot, watch},
-    time::{Instant, interval, sleep},
+    time::{interval, sleep},
 };
 use tokio_io_timeout::TimeoutStream;
 
@@ -46,6 +46,7 @@
         report::{Command, Report},
         run as item_run,
         runner::Runner,
+        stop::{self, Phase},
         tunnel::Tunnels,
     },
     view::{Shared, View},
@@ -58,19 +59,10 @@
 const RESPONSE_BYTES_TOTAL: usize = 40 << 20;
 /// Length of a listener's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
-/// Time after the signal to stop in which new connections are still accepted: readiness is checked once a second, so
-/// callers learn late that this host stops.
-const STOP_ACCEPT_PERIOD: Duration = Duration::from_millis(2600);
-/// Subtracted from the grace period, so that the process ends within it.
-const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Interval at which expired idle connections and statistics of removed targets are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout of callers' connections before a configuration has been read.
 const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
-/// Subtracted from that end, for the answers to requests that are still in progress.
-const ANSWER_MARGIN: Duration = Duration::from_millis(300);
-/// Interval at which a stopping host checks for open connections.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Resources of the traffic thread that the process provides.
 pub struct Parts {
@@ -89,17 +81,6 @@
     pub reports: mpsc::UnboundedSender<Report>,
 }
 
-/// Phase of a planned stop, as callers' requests see it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Phase {
-    /// Requests are taken.
-    Open,
-    /// A new request could be cut off by the end of the process, so it is refused.
-    Refusing,
-    /// The process ends; what is in progress is answered as unknown.
-    Ending,
-}
-
 /// State of the traffic thread.
 pub struct Traffic {
     pub settings: Settings,
@@ -139,6 +120,11 @@
 }
 
 impl Traffic {
+    /// Whether a caller is connected, or another host uses this one.
+    pub fn is_in_use(&self) -> bool {
+        self.connections.get() > 0 || self.tunnels.carried() > 0
+    }
+
     /// Longest time for which a caller may send nothing, or take nothing of what is sent to it.
     pub fn idle_timeout(&self) -> Duration {
         let view = self.view.load();
@@ -221,34 +207,17 @@
         Port::Entry,
         shutting_down,
     ));
-    stop_requested(&traffic).await;
-    let deadline = Instant::now() + traffic.settings.stop_grace.saturating_sub(STOP_MARGIN);
-    sleep(STOP_ACCEPT_PERIOD).await;
+    stop::requested(&traffic).await;
+    let deadline = stop::deadline(&traffic);
+    sleep(stop::ACCEPT_PERIOD).await;
     accepting.abort();
-    traffic.phase.send_replace(Phase::Refusing);
     let _ = shutdown.send(true);
-    wait_until_unused(&traffic, deadline - ANSWER_MARGIN).await;
-    traffic.phase.send_replace(Phase::Ending);
-    wait_until_unused(&traffic, deadline).await;
+    stop::drain(&traffic, deadline).await;
     let (connections_left, tunnels_left) = (traffic.connections.get(), traffic.tunnels.carried());
     info!(connections_left, tunnels_left; "traffic stopped");
     Ok(())
 }
 
-/// Waits until no caller and no other host uses this one.
-async fn wait_until_unused(traffic: &Traffic, deadline: Instant) {
-    while traffic.connections.get() + traffic.tunnels.carried() > 0 && Instant::now() < deadline {
-        sleep(STOP_POLL_INTERVAL).await;
-    }
-}
-
-/// Returns once the process is stopping.
-pub(super) async fn stop_requested(traffic: &Traffic) {
-    while !traffic.view.load().stopping {
-        sleep(Duration::from_millis(100)).await;
-    }
-}
-
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
