--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -96,14 +96,7 @@
     for host in hosts(traffic, target) {
         asked += 1;
         let by = deadline.min(Instant::now() + OPEN_TIMEOUT);
-        let answer = timeout_at(by, ask(host, request.clone())).await.ok().flatten();
-        let (reply, channel) = match answer {
-            Some((Reply::Opened, frames)) => {
-                (Some(Reply::Opened), Channel::through(host, Stream::new(frames)).await)
-            }
-            Some((reply, _)) => (Some(reply), None),
-            None => (None, None),
-        };
+        let (reply, channel) = open_at(host, request.clone(), by).await;
         answered |= reply.is_some();
         METERS.tunnel("opener", name(reply));
         debug!(target_id = &**target, host:% = host, reply = name(reply); "tunnel asked for");
@@ -135,6 +128,21 @@
     None
 }
 
+/// Asks a host for a tunnel. Returns its answer, and the tunnel if it has opened one.
+async fn open_at(
+    host: SocketAddr,
+    request: Bytes,
+    by: Instant,
+) -> (Option<Reply>, Option<Channel>) {
+    match timeout_at(by, ask(host, request)).await.ok().flatten() {
+        Some((Reply::Opened, frames)) => {
+            (Some(Reply::Opened), Channel::through(host, Stream::new(frames)).await)
+        }
+        Some((reply, _)) => (Some(reply), None),
+        None => (None, None),
+    }
+}
+
 /// Asks another host whether it is cut off as well.
 pub async fn ask_others(traffic: &Traffic) {
     let Some(host) = hosts(traffic, NO_TARGET).into_iter().next() else {
