A response is given up only if the host is cut off

Read through: a target whose queue of new connections is full drops the first packet, so the check of its link fails while it is only busy, and repeatable requests and streams at it were given up. They are now, if several targets in a row do not answer.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -23,6 +23,9 @@
 /// Time for which a sign of life of a target makes a check of its link needless.
 const HEARD_TTL: Duration = Duration::from_millis(500);
 
+/// Minimum time between two checks of a link.
+const CHECK_INTERVAL: Duration = Duration::from_millis(2000);
+
 /// How a connection could not be opened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -32,9 +35,6 @@
     Silent,
 }
 
-/// Minimum time between two checks of a link.
-const CHECK_INTERVAL: Duration = Duration::from_millis(2000);
-
 #[derive(Debug, Default)]
 struct State {
     lost: HashMap<TargetId, (Failure, Time)>,
@@ -158,12 +158,17 @@
         }
     }
 
-    /// Returns once a target is known to be silent.
+    /// Returns once the host is cut off and a target among those that do not answer. A single target that accepts no
+    /// connection in time may only be busy.
     pub async fn lost(&self, target: &str) {
         let mut losses = self.losses.subscribe();
-        let is_lost = |_: &u64| matches!(self.lock().lost.get(target), Some((Failure::Silent, _)));
         // The sender lives as long as `self`.
-        let _ = losses.wait_for(is_lost).await;
+        let _ = losses.wait_for(|_| self.is_lost(target)).await;
+    }
+
+    fn is_lost(&self, target: &str) -> bool {
+        let state = self.lock();
+        state.cut_since.is_some() && matches!(state.lost.get(target), Some((Failure::Silent, _)))
     }
 
     /// Returns once the host is cut off, or may be: a target cannot be reached, and nothing was heard from any other.
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures::FutureExt;
 use lagoonyard_node::links::{Failure, Links};
 
 const T0: Duration = Duration::from_secs(100);
@@ -112,3 +113,15 @@
     links.opened("a", after(2700));
     assert!(!links.is_alone(time, after(2700)));
 }
+
+/// Guards against responses that are given up because a busy target accepts no connection in time.
+#[test]
+fn a_silent_target_is_lost_only_if_the_host_is_cut_off() {
+    let links = links();
+    let is_lost = |target| links.lost(target).now_or_never().is_some();
+    links.failed("a", Failure::Silent, T0);
+    assert!(!is_lost("a"));
+    links.failed("b", Failure::Silent, T0);
+    assert!(is_lost("a"));
+    assert!(!is_lost("c"));
+}
