--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -14,6 +14,7 @@
         rollout::{self, Rollout},
         stored::{Policy, StoredJob},
     },
+    crash,
     fleet::Target,
     job::{
         Assignment, Engine, Engines, Job, Queue, Row,
@@ -68,11 +69,11 @@
 }
 
 impl Leader {
-    pub fn new(service: ServiceId, first_run: u64) -> Self {
+    pub fn new(service: ServiceId, first_run: u64, crashes: Arc<crash::Table>) -> Self {
         Self {
             service,
             leadership: Leadership::default(),
-            queue: Queue::default(),
+            queue: Queue::new(crashes),
             engines: Engines::default(),
             rollout: Rollout::default(),
             runs: HashMap::new(),
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -186,6 +186,7 @@
             pace: None,
             judge_failures: 0,
             holds_slot: !self.generated,
+            ended_instance: None,
         }
     }
 
@@ -377,6 +378,7 @@
             pace: ended.pace_us.map(Duration::from_micros),
             judge_failures: ended.judge_failures,
             holds_slot: ended.holds_slot,
+            ended_instance: ended.ended_instance,
             ..tracked.outcome(ended.decoded_end())
         };
         report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -21,6 +21,7 @@
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired},
     },
+    crash,
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
     freshness::Freshness,
@@ -64,6 +65,7 @@
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
+    pub crashes: Arc<crash::Table>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -85,6 +87,8 @@
     pub(super) limits: Arc<rate::Table>,
     /// Links from this host to targets.
     pub(super) links: Arc<Links>,
+    /// Contents under which targets ended.
+    pub(super) crashes: Arc<crash::Table>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -143,6 +147,7 @@
         feed,
         limits,
         links,
+        crashes,
         commands,
         mut reports,
         mut stopping,
@@ -205,6 +210,7 @@
         feed,
         limits,
         links,
+        crashes,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -1,6 +1,7 @@
 //! Assignment of a job's items to engines, and the outcomes of their runs.
 
 use crate::{
+    crash::{self, Content, Verdict},
     events::Progress,
     job::{Assignment, End, Engines, Job, Outcome, Requirement, status::State},
     prelude::*,
@@ -30,12 +31,17 @@
     }
 
     /// Assigns the next item: one that needs only its score, or one for which an engine qualifies.
-    pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
+    pub(super) fn assign_next(
+        &mut self,
+        now: Time,
+        engines: &mut Engines,
+        crashes: &crash::Table,
+    ) -> Option<Assignment> {
         self.started_at = self.started_at.min(now);
         self.expire_items(now);
         self.promote(now);
         while let Some(&item) = self.waiting.unjudged.first() {
-            if let Some(assignment) = self.assign_unjudged(item, now, engines) {
+            if let Some(assignment) = self.assign_unjudged(item, now, engines, crashes) {
                 return Some(assignment);
             }
         }
@@ -44,7 +50,9 @@
         }
         let first: Vec<usize> =
             self.waiting.ready.iter().copied().take(BLOCKED_ITEMS_MAX).collect();
-        first.into_iter().find_map(|position| self.assign(self.order[position], now, engines))
+        first
+            .into_iter()
+            .find_map(|position| self.assign(self.order[position], now, engines, crashes))
     }
 
     /// Assigns an item whose text is complete: without an engine, unless the text is too old.
@@ -53,6 +61,7 @@
         item: usize,
         now: Time,
         engines: &mut Engines,
+        crashes: &crash::Table,
     ) -> Option<Assignment> {
         let min = self.spec.min_version;
         let status = &mut self.statuses[item];
@@ -64,15 +73,38 @@
         status.text_complete = false;
         self.waiting.unjudged.remove(&item);
         self.waiting.ready.insert(self.positions[item]);
-        self.assign(item, now, engines)
+        self.assign(item, now, engines, crashes)
+    }
+
+    /// Whether an engine may run an item, or is kept from it since engines ended under its content.
+    fn verdict(&self, item: usize, now: Time, crashes: &crash::Table) -> Verdict {
+        if crashes.is_empty() {
+            return Verdict::Free;
+        }
+        crashes.verdict(self.content(item), now)
+    }
+
+    fn content(&self, item: usize) -> Content {
+        self.spec.items[item].content(&self.record.host)
     }
 
     /// Assigns a ready item to an engine if one qualifies.
-    fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
-        let status = &mut self.statuses[item];
-        let State::Waiting { not_before } = status.state else {
+    fn assign(
+        &mut self,
+        item: usize,
+        now: Time,
+        engines: &mut Engines,
+        crashes: &crash::Table,
+    ) -> Option<Assignment> {
+        let State::Waiting { not_before } = self.statuses[item].state else {
             return None;
         };
+        let verdict = self.verdict(item, now, crashes);
+        if let Verdict::Held(until) = verdict {
+            self.set_state(item, State::Waiting { not_before: until });
+            return None;
+        }
+        let status = &self.statuses[item];
         let waiting_since = not_before.max(self.started_at);
         let (min, model) = (self.spec.min_version, &self.spec.model);
         let avoid = status.avoid.as_ref();
@@ -87,10 +119,13 @@
         let engine =
             std::iter::once(requirement).chain(waited).find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
+        let software = engine.target.software.clone();
+        if verdict == Verdict::Trial && !crashes.begin_trial(self.content(item), now) {
+            return None;
+        }
+        let status = &mut self.statuses[item];
         let progress = &status.progress;
-        if !progress.can_continue(min, version, self.single_version)
-            || !progress.fits(&engine.target.software)
-        {
+        if !progress.can_continue(min, version, self.single_version) || !progress.fits(&software) {
             status.progress = Progress::default();
         }
         self.set_state(item, State::Running { target: Some(target.clone()) });
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -59,6 +59,8 @@
     pub judge_failures: u32,
     /// The run still held its slot on the engine when it ended.
     pub holds_slot: bool,
+    /// Start time of the engine's instance, if it has ended under the run before any event.
+    pub ended_instance: Option<u64>,
 }
 
 /// Assignment of an item to an engine.
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -1,8 +1,12 @@
 //! Open jobs of a leader and the order in which their items start.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use crate::{
+    crash::{self, Run, Strike},
     dialect::Strategy,
     events::Progress,
     job::{
@@ -32,9 +36,15 @@
     lengths: Estimate,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
+    /// Contents under which targets ended.
+    crashes: Arc<crash::Table>,
 }
 
 impl Queue {
+    pub fn new(crashes: Arc<crash::Table>) -> Self {
+        Self { crashes, ..Self::default() }
+    }
+
     pub fn insert(&mut self, mut job: Job) {
         let mut resubmitted = BTreeSet::new();
         for (at, item) in job.spec.clone().items.iter().enumerate() {
@@ -95,7 +105,7 @@
         }
         for id in &self.order {
             let job = self.jobs.get_mut(id)?;
-            if let Some(assignment) = job.assign_next(now, engines) {
+            if let Some(assignment) = job.assign_next(now, engines, &self.crashes) {
                 return Some(assignment);
             }
         }
@@ -154,6 +164,7 @@
         }
         match self.jobs.get_mut(&outcome.job) {
             Some(job) => {
+                record_end(&self.crashes, job, &outcome, now);
                 if matches!(outcome.end, End::Scored(_)) {
                     let hint = job.spec.items.get(outcome.item).and_then(|item| item.length_hint);
                     self.lengths.record(hint, outcome.progress.last_event);
@@ -245,3 +256,15 @@
         if single { Strategy::Wait } else { Strategy::Keep }
     }
 }
+
+/// Records that the engine of a run has ended. The host that ran the item tells all hosts of it, but this one may hear of it
+/// later than the item could start again.
+fn record_end(crashes: &crash::Table, job: &Job, outcome: &Outcome, now: Time) {
+    let Some((item, target)) = job.spec.items.get(outcome.item).zip(outcome.target.as_ref()) else {
+        return;
+    };
+    if let Some(started_ms) = outcome.ended_instance {
+        let strike = Strike { target: target.clone(), started_ms, at: now };
+        crashes.ended(item.content(&job.record.host), strike, Run::default(), now);
+    }
+}
--- a/crates/node/src/job/spec.rs
+++ b/crates/node/src/job/spec.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use http::Method;
 
-use crate::prelude::*;
+use crate::{crash::Content, prelude::*};
 
 /// Request to a plain service that scores a finished text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,6 +32,13 @@
     pub judge: Option<Judge>,
 }
 
+impl Item {
+    /// What an engine is asked to do, on the route of a host name.
+    pub fn content(&self, host: &str) -> Content {
+        Content::new(Method::POST.as_str(), host, &self.path, &self.body)
+    }
+}
+
 /// A submitted job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Spec {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod crash;
 pub mod dialect;
 pub mod events;
 pub mod explain;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -42,6 +42,9 @@
     open_jobs: Gauge<u64>,
     cut_off: Gauge<u64>,
     tunnels: Counter<u64>,
+    broken_connections: Counter<u64>,
+    held_requests: Counter<u64>,
+    held_contents: Gauge<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -103,6 +106,18 @@
                 "lagoonyard_tunnels",
                 "Connections to targets through other hosts, by role of this host and outcome",
             ),
+            broken_connections: counter(
+                "lagoonyard_broken_connections",
+                "Connections that broke under a request, by whether the target had ended",
+            ),
+            held_requests: counter(
+                "lagoonyard_held_requests",
+                "Requests under whose content targets ended, refused or sent as a trial",
+            ),
+            held_contents: gauge(
+                "lagoonyard_held_contents",
+                "Contents that are kept from targets as targets ended under them",
+            ),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -194,6 +209,21 @@
         self.tunnels.add(1, &[KeyValue::new("role", role), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records a connection that broke under a request, with what was found of its target.
+    pub fn broken_connection(&self, finding: &'static str) {
+        self.broken_connections.add(1, &[KeyValue::new("finding", finding)]);
+    }
+
+    /// Records what became of a request whose content is held.
+    pub fn held_request(&self, outcome: &'static str) {
+        self.held_requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records the number of contents that are held.
+    pub fn held_contents(&self, count: usize) {
+        self.held_contents.record(count as u64, &[]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -11,6 +11,7 @@
     peer::{
         limit::{Notice, Permit},
         run::Lead,
+        suspect::{SuspectsRequest, Trial},
         tunnel::Tunnel,
     },
     prelude::*,
@@ -28,7 +29,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub kind: Option<Kind>,
 }
 
@@ -61,6 +62,12 @@
     /// From here on the connection carries the bytes from and to a target.
     #[prost(message, tag = "10")]
     Tunnel(Tunnel),
+    /// Asks for the contents under which targets ended.
+    #[prost(message, tag = "11")]
+    Suspects(SuspectsRequest),
+    /// Asks whether a held content may be sent to a target once more.
+    #[prost(message, tag = "12")]
+    Trial(Trial),
 }
 
 /// Requests the results of a job from position `after` on.
--- a/crates/node/src/peer/limit.rs
+++ b/crates/node/src/peer/limit.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock,
-    peer::{departure::Departure, millis},
+    peer::{departure::Departure, millis, suspect::Suspect},
     prelude::*,
     rate,
 };
@@ -20,7 +20,7 @@
     pub age_ms: u64,
 }
 
-/// What targets have said of themselves in answers: limits that have changed, and targets that leave.
+/// What a host has heard of targets: limits that have changed, targets that leave, and contents under which targets end.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Notice {
     #[prost(message, repeated, tag = "1")]
@@ -30,6 +30,9 @@
     pub forward: bool,
     #[prost(message, repeated, tag = "3")]
     pub departures: Vec<Departure>,
+    /// Contents under which targets ended, or that were cleared.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// Asks for the permit to send one request to a target.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -10,6 +10,7 @@
 mod limit;
 mod run;
 mod server;
+mod suspect;
 mod text;
 pub mod tunnel;
 
@@ -21,5 +22,6 @@
 pub use limit::{Limit, Notice, Permit, PermitReply};
 pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
 pub use server::{Handler, serve};
+pub use suspect::{Strike, Suspect, Suspects, SuspectsRequest, Trial};
 pub use text::TextPart;
 pub use tunnel::Tunnel;
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -179,6 +179,9 @@
     pub judge_failures: u32,
     #[prost(bool, tag = "7")]
     pub holds_slot: bool,
+    /// Start time of the engine's instance in Unix milliseconds, if it has ended under the run before any event.
+    #[prost(uint64, optional, tag = "8")]
+    pub ended_instance: Option<u64>,
 }
 
 /// How a run ended.
@@ -338,6 +341,7 @@
             pace_us: outcome.pace.map(micros),
             judge_failures: outcome.judge_failures,
             holds_slot: outcome.holds_slot,
+            ended_instance: outcome.ended_instance,
         }
     }
 
--- /dev/null
+++ b/crates/node/src/peer/suspect.rs
@@ -0,0 +1,87 @@
+//! Messages about contents under which targets ended.
+
+use crate::{
+    clock,
+    crash::{self, Content, Record},
+    peer::millis,
+    prelude::*,
+};
+
+/// End of a target.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Strike {
+    #[prost(string, tag = "1")]
+    pub target: String,
+    /// Start time of the instance, in Unix milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Time since the end.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
+}
+
+/// What a host knows of a content.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Suspect {
+    #[prost(bytes = "vec", tag = "1")]
+    pub content: Vec<u8>,
+    /// Successes after strikes.
+    #[prost(uint64, tag = "2")]
+    pub clears: u64,
+    /// Last event of the run that got furthest.
+    #[prost(uint64, tag = "3")]
+    pub furthest: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub strikes: Vec<Strike>,
+}
+
+/// Asks for the contents that a host knows.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct SuspectsRequest {}
+
+/// Answer to that.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Suspects {
+    #[prost(message, repeated, tag = "1")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// Asks for the next trial of a held content.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Trial {
+    #[prost(message, optional, tag = "1")]
+    pub suspect: Option<Suspect>,
+}
+
+impl Suspect {
+    pub fn new(content: Content, record: &Record) -> Self {
+        let now = clock::now();
+        let strike = |strike: &crash::Strike| Strike {
+            target: strike.target.to_string(),
+            started_ms: strike.started_ms,
+            age_ms: millis(now.saturating_sub(strike.at)),
+        };
+        Self {
+            content: content.to_bytes().to_vec(),
+            clears: record.clears,
+            furthest: record.furthest,
+            strikes: record.strikes.iter().map(strike).collect(),
+        }
+    }
+}
+
+impl TryFrom<Suspect> for (Content, Record) {
+    type Error = std::array::TryFromSliceError;
+
+    fn try_from(suspect: Suspect) -> Result<Self, Self::Error> {
+        let content = Content::try_from(suspect.content.as_slice())?;
+        let now = clock::now();
+        let strike = |strike: Strike| crash::Strike {
+            target: strike.target.into(),
+            started_ms: strike.started_ms,
+            at: now.saturating_sub(Duration::from_millis(strike.age_ms)),
+        };
+        let strikes = suspect.strikes.into_iter().map(strike).collect();
+        Ok((content, Record::new(strikes, suspect.clears, suspect.furthest)))
+    }
+}
--- a/crates/node/src/peer/tunnel.rs
+++ b/crates/node/src/peer/tunnel.rs
@@ -25,6 +25,12 @@
 pub struct Tunnel {
     #[prost(string, tag = "1")]
     pub target: String,
+    /// Only tells whether the target can be reached: no bytes follow.
+    #[prost(bool, tag = "2")]
+    pub probe: bool,
+    /// Start time of the instance that is probed, in Unix milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub started_ms: u64,
 }
 
 /// Answer to a request for a tunnel.
--- a/crates/node/src/traffic/announce.rs
+++ b/crates/node/src/traffic/announce.rs
@@ -1,9 +1,9 @@
 //! Tells other hosts what targets say of themselves in their answers: limits that begin, change or end, and that they
-//! leave.
+//! leave; and under which contents they end.
 //!
 //! A host hears it from answers to its own requests. In a large deployment it sends few requests to each target, so without
 //! the others it would learn of most too late. What one host hears goes to the holder of the target's quota, and from there
-//! to all hosts.
+//! to all hosts. What it sees of contents goes to all hosts directly, and again to those that do not answer.
 
 use std::{
     cell::RefCell,
@@ -14,15 +14,19 @@
 
 use futures::StreamExt;
 use http::StatusCode;
-use tokio::time::interval;
+use tokio::{
+    sync::Notify,
+    time::{Instant, interval},
+};
 
 use crate::{
     clock,
+    crash::Content,
     dialect::Answer,
     fleet::Departure,
-    peer::{self, Kind, Limit, Notice},
+    peer::{self, Kind, Limit, Notice, Suspect},
     prelude::*,
-    traffic::{Report, Source, permit, serve::Traffic},
+    traffic::{Report, Source, permit, serve::Traffic, suspects},
 };
 
 /// Interval at which changes are sent.
@@ -31,6 +35,8 @@
 const TIMEOUT: Duration = Duration::from_millis(300);
 /// Hosts that are told at the same time.
 const CONCURRENT_HOSTS: usize = 16;
+/// Time for which a host that does not answer is told of contents again.
+const RETELL_TIME: Duration = Duration::from_secs(60);
 
 /// What has changed since the last announcement.
 #[derive(Debug, Default)]
@@ -39,6 +45,38 @@
     limits: RefCell<BTreeSet<TargetId>>,
     /// Targets that leave, with the start time of the instance.
     departures: RefCell<BTreeMap<TargetId, u64>>,
+    /// Contents whose records have changed.
+    contents: RefCell<BTreeSet<Content>>,
+    unheard: RefCell<BTreeMap<SocketAddr, Unheard>>,
+    urgent: Notify,
+}
+
+/// Contents of which a host has not heard.
+#[derive(Debug)]
+struct Unheard {
+    contents: BTreeSet<Content>,
+    since: Instant,
+    /// The host is being told.
+    in_progress: bool,
+}
+
+impl Default for Unheard {
+    fn default() -> Self {
+        Self { contents: BTreeSet::new(), since: Instant::now(), in_progress: false }
+    }
+}
+
+impl Changes {
+    /// Has other hosts told of a content.
+    pub fn tell(&self, content: Content) {
+        self.contents.borrow_mut().insert(content);
+    }
+
+    /// The same, before the interval has passed.
+    pub fn tell_at_once(&self, content: Content) {
+        self.tell(content);
+        self.urgent.notify_one();
+    }
 }
 
 /// Records what an answer of a target, an instance with a start time, says of it. A misdirected request was answered by
@@ -73,6 +111,7 @@
 
 /// Adopts what another host has heard, and tells the other hosts if it is for this one to do so.
 pub fn apply(traffic: &Traffic, notice: Notice) {
+    suspects::apply(traffic, notice.suspects);
     for departure in notice.departures {
         let departure = Departure::from(departure);
         if is_leaving(traffic, &departure.target, departure.started_ms) {
@@ -116,8 +155,15 @@
 pub async fn run(traffic: Rc<Traffic>) {
     let mut ticks = interval(INTERVAL);
     loop {
-        ticks.tick().await;
-        send(&traffic, notices(&traffic)).await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = traffic.changes.urgent.notified() => {}
+        }
+        let notices = notices(&traffic);
+        if !notices.is_empty() {
+            // A host that does not answer must not hold up what others are told.
+            tokio::task::spawn_local(send(Rc::clone(&traffic), notices));
+        }
     }
 }
 
@@ -134,9 +180,43 @@
         let departure = peer::Departure::new(&target, started_ms);
         tell(traffic, &mut notices, &target, |notice| notice.departures.push(departure.clone()));
     }
+    for (host, contents) in contents_by_host(traffic) {
+        let known = contents.iter().filter_map(|content| {
+            let record = traffic.crashes.record(*content)?;
+            Some(Suspect::new(*content, &record))
+        });
+        let suspects: Vec<Suspect> = known.collect();
+        notices.entry(host).or_default().suspects.extend(suspects);
+    }
     notices
 }
 
+/// Takes the contents of which each host is to be told, those included of which it has not heard. All count as unheard until
+/// the host answers.
+fn contents_by_host(traffic: &Traffic) -> BTreeMap<SocketAddr, BTreeSet<Content>> {
+    let hosts = traffic.hosts.all();
+    let hosts: BTreeSet<SocketAddr> = hosts.iter().filter_map(|host| host.peer).collect();
+    // Shortly after the start no other host is known yet.
+    if hosts.is_empty() {
+        return BTreeMap::new();
+    }
+    let changed = traffic.changes.contents.take();
+    let mut unheard = traffic.changes.unheard.borrow_mut();
+    unheard.retain(|host, it| hosts.contains(host) && it.since.elapsed() < RETELL_TIME);
+    if !changed.is_empty() {
+        for host in hosts {
+            unheard.entry(host).or_default().contents.extend(&changed);
+        }
+    }
+    let to_tell = unheard.iter_mut().filter(|(_, it)| !it.in_progress);
+    to_tell
+        .map(|(host, it)| {
+            it.in_progress = true;
+            (*host, it.contents.clone())
+        })
+        .collect()
+}
+
 /// Adds news of a target to the notice for the holder of its quota, or, at the holder, to those for all hosts.
 fn tell(
     traffic: &Traffic,
@@ -160,10 +240,35 @@
     }
 }
 
-async fn send(traffic: &Rc<Traffic>, notices: BTreeMap<SocketAddr, Notice>) {
+async fn send(traffic: Rc<Traffic>, notices: BTreeMap<SocketAddr, Notice>) {
+    let traffic = &traffic;
     let calls = notices.into_iter().map(|(host, notice)| async move {
-        // A host that misses the news hears it by the answer to its next request.
-        let _ = traffic.peers.call(host, Kind::Notice(notice), TIMEOUT).await;
+        let told = contents_of(&notice);
+        // A host that misses other news hears them by the answer to its next request.
+        let response = traffic.peers.call(host, Kind::Notice(notice), TIMEOUT).await;
+        if !told.is_empty() {
+            end_telling(traffic, host, &told, response.is_some());
+        }
     });
     futures::stream::iter(calls).buffer_unordered(CONCURRENT_HOSTS).collect::<Vec<()>>().await;
 }
+
+fn contents_of(notice: &Notice) -> Vec<Content> {
+    let contents = notice.suspects.iter();
+    contents.filter_map(|suspect| Content::try_from(suspect.content.as_slice()).ok()).collect()
+}
+
+fn end_telling(traffic: &Traffic, host: SocketAddr, told: &[Content], is_heard: bool) {
+    let mut unheard = traffic.changes.unheard.borrow_mut();
+    let Some(entry) = unheard.get_mut(&host) else {
+        return;
+    };
+    entry.in_progress = false;
+    if is_heard {
+        entry.contents.retain(|content| !told.contains(content));
+        entry.since = Instant::now();
+    }
+    if entry.contents.is_empty() {
+        unheard.remove(&host);
+    }
+}
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -129,6 +129,11 @@
         Ok(Self { sender, driver, last_used: Instant::now(), route })
     }
 
+    /// Whether the peer has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     pub fn route(&self) -> Route {
         self.route
     }
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -13,13 +13,16 @@
 
 use crate::{
     config::{Kind, Route},
+    crash::Run,
     fleet::Target,
     metrics::METERS,
     prelude::*,
     traffic::{
+        Endpoint,
         exchange::{Call, ExchangeError, InFlight, Response, exchange},
         permit,
         serve::Traffic,
+        suspects::{self, Admission},
     },
 };
 
@@ -36,6 +39,8 @@
     NotRun,
     /// The same, because the targets' limits are reached; with the time after which to try again.
     Limited(Duration),
+    /// The same, because targets ended under its content.
+    Held(Duration),
     /// A target may have run the request.
     Unknown,
     /// The deadline passed while a target may still have been processing the request.
@@ -63,6 +68,7 @@
     call: &'a Call,
     service: ServiceId,
     idempotent: bool,
+    admission: Admission,
     /// Targets tried so far; cleared when none is left to try.
     tried: Vec<TargetId>,
     /// Attempts that a target may have run before the targets tried were cleared.
@@ -75,6 +81,8 @@
     /// Targets whose limit is reached, and the shortest time after which one takes a request.
     limited: Vec<TargetId>,
     retry_after: Option<Duration>,
+    /// Time for which the content is held since targets ended under it.
+    held_for: Option<Duration>,
 }
 
 /// Sends a request to targets of its route, with retries and hedges, and returns the response or why there is none.
@@ -84,12 +92,14 @@
     call: &Call,
 ) -> Result<Response, Failure> {
     let service = route.service(&call.id).cloned().ok_or(Failure::NotRun)?;
+    let admission = suspects::admit(traffic, || call.content()).await.map_err(Failure::Held)?;
     let state = Dispatch {
         traffic,
         route,
         call,
         service,
         idempotent: route.kind == Kind::Idempotent,
+        admission,
         tried: Vec::new(),
         ran_before: 0,
         maybe_run: 0,
@@ -97,6 +107,7 @@
         last_failure: None,
         limited: Vec::new(),
         retry_after: None,
+        held_for: None,
     };
     state.run().await
 }
@@ -120,11 +131,13 @@
                 next_attempt_at = match self.start_attempt() {
                     Some((attempt, hedge_delay)) => {
                         in_flight.push(attempt);
-                        self.may_hedge().then(|| Instant::now() + hedge_delay)
+                        let hedges = self.admission == Admission::Free && self.may_retry();
+                        hedges.then(|| Instant::now() + hedge_delay)
                     }
                     None if in_flight.is_empty()
                         && self.retry_after.is_none()
-                        && self.maybe_run < self.route.max_attempts
+                        && self.held_for.is_none()
+                        && self.maybe_run < self.attempts_max()
                         && Instant::now() < refuse_at =>
                     {
                         self.ran_before = self.maybe_run;
@@ -163,20 +176,25 @@
         }
     }
 
-    fn may_hedge(&self) -> bool {
+    fn may_retry(&self) -> bool {
         self.idempotent && self.may_attempt()
     }
 
     /// Whether the route allows another attempt.
     fn may_attempt(&self) -> bool {
-        self.ran_before + (self.tried.len() as u32) < self.route.max_attempts
+        self.ran_before + (self.tried.len() as u32) < self.attempts_max()
+    }
+
+    fn attempts_max(&self) -> u32 {
+        if self.admission == Admission::Once { 1 } else { self.route.max_attempts }
     }
 
     fn failure(&self) -> Failure {
-        match self.retry_after {
+        match (self.held_for, self.retry_after) {
             _ if self.maybe_run > 0 => Failure::Unknown,
-            Some(retry_after) => Failure::Limited(retry_after),
-            None => Failure::NotRun,
+            (Some(left), _) => Failure::Held(left),
+            (None, Some(retry_after)) => Failure::Limited(retry_after),
+            (None, None) => Failure::NotRun,
         }
     }
 
@@ -185,6 +203,12 @@
         if !self.may_attempt() {
             return None;
         }
+        if self.admission != Admission::Once {
+            self.held_for = suspects::held_for(self.traffic, || self.call.content());
+            if self.held_for.is_some() {
+                return None;
+            }
+        }
         let view = self.traffic.view.load();
         let now = std::time::Instant::now();
         let mut pool = self.traffic.pool.borrow_mut();
@@ -209,8 +233,12 @@
         drop(pool);
         self.tried.push(target.id.clone());
         let traffic = Rc::clone(self.traffic);
-        let attempt =
-            attempt(traffic, target, self.call.clone(), self.route.priority, self.idempotent);
+        let sending = Sending {
+            priority: self.route.priority,
+            idempotent: self.idempotent,
+            alone: self.admission != Admission::Free,
+        };
+        let attempt = attempt(traffic, target, self.call.clone(), sending);
         Some((attempt.boxed_local(), hedge_delay))
     }
 
@@ -233,13 +261,17 @@
             }
             Outcome::Broken => {
                 self.maybe_run += 1;
+                // The next target is no longer to run it beside others.
+                if self.admission == Admission::Free && !self.traffic.crashes.is_empty() {
+                    self.admission = Admission::Alone;
+                }
                 (!self.idempotent).then_some(Err(Failure::Unknown))
             }
             Outcome::Answered(mut response) => {
                 self.maybe_run += 1;
                 self.failures += u32::from(response.status == StatusCode::INTERNAL_SERVER_ERROR);
                 response.failures = self.failures;
-                let retry = response.status.is_server_error() && self.may_hedge();
+                let retry = response.status.is_server_error() && self.may_retry();
                 if retry {
                     self.last_failure = Some(response);
                     return None;
@@ -250,22 +282,43 @@
     }
 }
 
+/// How a request is sent to its targets.
+#[derive(Clone, Copy, Debug)]
+struct Sending {
+    priority: u32,
+    idempotent: bool,
+    /// Other requests of this host keep away from the target.
+    alone: bool,
+}
+
 /// Makes one attempt on a target and records its outcome in the pool and the metrics.
 async fn attempt(
     traffic: Rc<Traffic>,
     target: Arc<Target>,
     call: Call,
-    priority: u32,
-    idempotent: bool,
+    Sending { priority, idempotent, alone }: Sending,
 ) -> Outcome {
     if let Err(retry_after) = permit::acquire(&traffic, &target, priority).await {
         debug!(request = &*call.id, target = &*target.id, retry_after_ms = crate::logging::ms(retry_after); "request held back: the limit of the target is reached");
         return Outcome::Limited { target: target.id.clone(), retry_after };
     }
-    let in_flight = InFlight::new(&traffic, &target);
+    let in_flight = InFlight::new(&traffic, &target, alone);
     let started = Instant::now();
     let result = exchange(&traffic, &target, &call, idempotent).await;
     drop(in_flight);
+    match &result {
+        Ok((_, answer)) if !answer.not_run => suspects::answered(&traffic, || call.content()),
+        Err(ExchangeError::ConnectionBroke) => {
+            let endpoint = Endpoint::from(target.as_ref());
+            let finding =
+                suspects::connection_broke(&traffic, call.content(), endpoint, Run::default());
+            // The next attempt depends on it.
+            if idempotent {
+                finding.await;
+            }
+        }
+        _ => {}
+    }
     let now = std::time::Instant::now();
     let mut pool = traffic.pool.borrow_mut();
     let (outcome, status) = match result {
@@ -282,7 +335,7 @@
             pool.record_failure(&target.id, now);
             (Outcome::NotRun, 0)
         }
-        Err(ExchangeError::MaybeRun) => {
+        Err(ExchangeError::MaybeRun | ExchangeError::ConnectionBroke) => {
             pool.record_failure(&target.id, now);
             (Outcome::Broken, 0)
         }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -272,6 +272,7 @@
         Err(Failure::Limited(after)) => {
             not_run_response(after.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
         }
+        Err(Failure::Held(after)) => not_run_response(after),
         Err(Failure::Unknown) => status(StatusCode::BAD_GATEWAY),
         Err(Failure::Timeout) => status(StatusCode::GATEWAY_TIMEOUT),
     }
@@ -289,6 +290,7 @@
         Ok(_) => "failure",
         Err(Failure::NotRun) => "not_run",
         Err(Failure::Limited(_)) => "limited",
+        Err(Failure::Held(_)) => "held",
         Err(Failure::Unknown) => "unknown",
         Err(Failure::Timeout) => "timeout",
     };
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -3,18 +3,19 @@
 use std::{rc::Rc, sync::Arc};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use log::info;
 use tokio::time::Instant;
 
 use crate::{
     clock,
+    crash::Content,
     dialect::Answer,
     fleet::Target,
     prelude::*,
     traffic::{
-        announce, body,
+        announce, body, channel,
         connect::{OnLoss, connect, send},
         serve::Traffic,
     },
@@ -67,24 +68,63 @@
     Unsent,
     /// The target may have run the request.
     MaybeRun,
+    /// The same; the connection broke, so the target may have ended.
+    ConnectionBroke,
+}
+
+impl From<&channel::Error> for ExchangeError {
+    fn from(error: &channel::Error) -> Self {
+        match error {
+            channel::Error::Broken { .. } => Self::ConnectionBroke,
+            _ => Self::MaybeRun,
+        }
+    }
+}
+
+impl From<&body::Error> for ExchangeError {
+    fn from(error: &body::Error) -> Self {
+        match error {
+            body::Error::Broken { .. } => Self::ConnectionBroke,
+            body::Error::TooLarge { .. } | body::Error::NoBudget => Self::MaybeRun,
+        }
+    }
+}
+
+impl Call {
+    /// What a target is asked to do.
+    pub fn content(&self) -> Content {
+        let host = self.headers.get(header::HOST).map_or(&b""[..], HeaderValue::as_bytes);
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        Content::new(self.method.as_str(), &String::from_utf8_lossy(host), path, &self.body)
+    }
 }
 
 /// Counts a request as in flight on a target until dropped.
 pub struct InFlight {
     traffic: Rc<Traffic>,
     target: Arc<Target>,
+    /// Other requests keep away from the target meanwhile.
+    alone: bool,
 }
 
 impl InFlight {
-    pub fn new(traffic: &Rc<Traffic>, target: &Arc<Target>) -> Self {
-        traffic.pool.borrow_mut().start_request(target);
-        Self { traffic: Rc::clone(traffic), target: Arc::clone(target) }
+    pub fn new(traffic: &Rc<Traffic>, target: &Arc<Target>, alone: bool) -> Self {
+        let mut pool = traffic.pool.borrow_mut();
+        pool.start_request(target);
+        if alone {
+            pool.begin_alone(&target.id);
+        }
+        Self { traffic: Rc::clone(traffic), target: Arc::clone(target), alone }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.traffic.pool.borrow_mut().end_request(&self.target.id);
+        let mut pool = self.traffic.pool.borrow_mut();
+        pool.end_request(&self.target.id);
+        if self.alone {
+            pool.end_alone(&self.target.id);
+        }
     }
 }
 
@@ -109,15 +149,21 @@
         &target.id,
         Some(remaining),
     );
+    let broke = |reason: &dyn std::fmt::Display| {
+        info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "attempt broke");
+    };
     let fail = |reason: &dyn std::fmt::Display| {
-        info!(request = &*call.id, target = &*target.id, reason:% = reason; "attempt broke");
+        broke(reason);
         ExchangeError::MaybeRun
     };
     let sent_at = clock::now();
     let on_loss = if idempotent { OnLoss::GiveUp } else { OnLoss::Wait };
     let to = (&target.id, target.address);
     let response = send(traffic, to, &mut channel, request, call.deadline, on_loss).await;
-    let response = response.map_err(|error| fail(&error))?;
+    let response = response.map_err(|error| {
+        broke(&error);
+        ExchangeError::from(&error)
+    })?;
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
@@ -130,7 +176,10 @@
     }
     let closes = closes_connection(&parts.headers);
     let body = body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes);
-    let body = body.await.map_err(|error| fail(&error))?;
+    let body = body.await.map_err(|error| {
+        broke(&error);
+        ExchangeError::from(&error)
+    })?;
     if parts.status.is_success() && answer.receipt.is_none() {
         return Err(fail(&"successful response has no receipt"));
     }
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -15,6 +15,7 @@
         connect::link_lost,
         event_body::Part,
         stream::{EVENT_TIMEOUT, Open, Start, Stream},
+        suspects,
     },
 };
 
@@ -25,6 +26,8 @@
 enum Break {
     Complete,
     Target(Box<str>),
+    /// The connection to the target broke.
+    Connection(Box<str>),
     CallerLeft,
     Deadline,
 }
@@ -32,9 +35,11 @@
 /// Forwards the events until the stream is complete or cannot go on.
 pub(super) async fn forward(mut stream: Stream, mut open: Open, parts: mpsc::Sender<Part>) {
     loop {
+        let from = stream.last_event.unwrap_or(0);
         let reason = match forward_from(&mut stream, &mut open, &parts).await {
             Break::Complete => {
                 METERS.stream("complete");
+                suspects::answered(&stream.traffic, || stream.call.content());
                 // The caller may have left meanwhile.
                 let _ = parts.send(Part::End).await;
                 if !open.closes {
@@ -50,6 +55,10 @@
             }
             Break::Deadline => "deadline passed".into(),
             Break::Target(reason) => reason,
+            Break::Connection(reason) => {
+                stream.connection_broke(&open.target, from).await;
+                reason
+            }
         };
         let broken_at = open.target.id.clone();
         drop(open);
@@ -106,7 +115,7 @@
                     traffic.links.heard(&target.id, clock::now());
                     open.parser.push(&frame.into_data().unwrap_or_default());
                 }
-                Ok(Some(Err(error))) => return Break::Target(error.to_string().into()),
+                Ok(Some(Err(error))) => return Break::Connection(error.to_string().into()),
                 Ok(None) => open.ended = true,
                 Err(_) if by >= stream.call.deadline => return Break::Deadline,
                 Err(_) => return Break::Target("no event within the timeout".into()),
--- a/crates/node/src/traffic/judge.rs
+++ b/crates/node/src/traffic/judge.rs
@@ -8,11 +8,7 @@
 use crate::{
     job::{End, Item},
     prelude::*,
-    traffic::{
-        dispatch::{Failure, dispatch},
-        exchange::Call,
-        serve::Traffic,
-    },
+    traffic::{dispatch::dispatch, exchange::Call, serve::Traffic},
 };
 
 const TIMEOUT: Duration = Duration::from_millis(3000);
@@ -45,8 +41,6 @@
         }
         // Attempts that were still in flight do not count, so a single call may end below the limit.
         Ok(response) => (End::Unjudged, response.failures),
-        Err(Failure::NotRun | Failure::Limited(_) | Failure::Unknown | Failure::Timeout) => {
-            (End::Unjudged, 0)
-        }
+        Err(_) => (End::Unjudged, 0),
     }
 }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -3,7 +3,8 @@
 //! `entry` handles requests at the entry address: `dispatch` forwards them to plain services over targets that `pool`
 //! chooses, `permit` asks for requests to targets with a limit, `submit` and `jobs` write and read batch jobs, through
 //! their leader (`peers`) or in the store. `run` executes job items on engines as the control thread commands. `connect`
-//! opens the connections to targets, through another host (`tunnel`) while the links of this one are lost.
+//! opens the connections to targets, through another host (`tunnel`) while the links of this one are lost. `suspects` keeps
+//! requests from targets under which others ended (`ended`).
 
 mod accept;
 mod announce;
@@ -12,6 +13,7 @@
 mod channel;
 mod connect;
 mod dispatch;
+mod ended;
 mod entry;
 mod event_body;
 mod exchange;
@@ -29,6 +31,7 @@
 mod stop;
 mod stream;
 mod submit;
+mod suspects;
 mod tunnel;
 
 pub use accept::accept;
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -14,10 +14,10 @@
     job::Record,
     peer::{
         self, Body, End, Frames, Handler, Kind, Lead, Origin, Request, Response, Results,
-        Submitted, Tunnel,
+        Submitted, SuspectsRequest, Tunnel,
     },
     prelude::*,
-    traffic::{Report, Submission, announce, permit, runner, serve::Traffic, tunnel},
+    traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
 };
 
 /// Time for a response, in addition to the time for which it may wait for results.
@@ -141,7 +141,7 @@
     }
 
     async fn serve_tunnel(&self, tunnel: Tunnel, frames: Frames) {
-        tunnel::serve(&self.0, &tunnel.target, frames).await;
+        tunnel::serve(&self.0, &tunnel, frames).await;
     }
 
     async fn handle(&self, request: Request) -> Response {
@@ -177,6 +177,10 @@
                 let software = traffic.origins.get(&stream);
                 software.map(|software| Bytes::from(software.into_string()))
             }
+            Some(Kind::Suspects(SuspectsRequest {})) => {
+                Some(Bytes::from(suspects::all(traffic).encode_to_vec()))
+            }
+            Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 struct Load {
     in_flight: u32,
+    /// Requests in flight beside which none is to be placed, as the target may end under them.
+    alone: u32,
     average: Duration,
     answered_at: Option<Instant>,
     avoided_until: Option<Instant>,
@@ -38,6 +40,7 @@
     fn new(started_ms: u64) -> Self {
         Self {
             in_flight: 0,
+            alone: 0,
             average: INITIAL_AVERAGE,
             answered_at: None,
             avoided_until: None,
@@ -80,7 +83,9 @@
 
     fn is_avoided(&self, target: &Target, now: Instant) -> bool {
         let load = self.loads.get(&target.id);
-        load.and_then(|load| load.avoided_until).is_some_and(|until| until > now)
+        load.is_some_and(|load| {
+            load.alone > 0 || load.avoided_until.is_some_and(|until| until > now)
+        })
     }
 
     /// Expected response time, plus a penalty for another zone.
@@ -100,7 +105,8 @@
         let load =
             self.loads.entry(target.id.clone()).or_insert_with(|| Load::new(target.started_ms));
         if load.started_ms != target.started_ms {
-            *load = Load { in_flight: load.in_flight, ..Load::new(target.started_ms) };
+            let (in_flight, alone) = (load.in_flight, load.alone);
+            *load = Load { in_flight, alone, ..Load::new(target.started_ms) };
         }
         load.in_flight += 1;
     }
@@ -112,6 +118,19 @@
         }
     }
 
+    /// Has other requests avoid a target until `end_alone`.
+    pub fn begin_alone(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.alone += 1;
+        }
+    }
+
+    pub fn end_alone(&mut self, id: &str) {
+        if let Some(load) = self.loads.get_mut(id) {
+            load.alone = load.alone.saturating_sub(1);
+        }
+    }
+
     /// Records a response that took `took`.
     pub fn record_response(&mut self, id: &str, took: Duration, now: Instant) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -13,7 +13,7 @@
 };
 
 use crate::{
-    clock,
+    clock, crash,
     events::{Parser, Progress},
     fleet::Target,
     job::{Assignment, End, Item, Outcome},
@@ -21,12 +21,13 @@
     prelude::*,
     traffic::{
         announce,
-        channel::Route,
+        channel::{self, Route},
         connect::{OnLoss, connect, link_lost, send},
         exchange::closes_connection,
         judge,
         report::Report,
         serve::Traffic,
+        suspects,
     },
 };
 
@@ -122,6 +123,7 @@
 struct RunState {
     progress: Progress,
     text_complete: bool,
+    connection_broke: bool,
     started: Instant,
     /// Last event of earlier runs of the item.
     resumed_after: u64,
@@ -145,10 +147,12 @@
     let mut state = RunState {
         progress: run.assignment.progress.clone(),
         text_complete: run.target.is_none(),
+        connection_broke: false,
         started: Instant::now(),
         resumed_after: run.assignment.progress.last_event,
     };
-    let (mut pace, mut judge_failures) = (None, 0);
+    let (mut pace, mut judge_failures, mut ended_instance) = (None, 0, None);
+    let content = run.item.content(&run.host);
     let mut holds_slot = run.target.is_some();
     let end = 'end: {
         if let Some(target) = &run.target {
@@ -159,8 +163,17 @@
             };
             pace = state.pace();
             if let Some(end) = end {
+                if state.connection_broke {
+                    let (from, reached) = (state.resumed_after, state.progress.last_event);
+                    let events = crash::Run { from, reached };
+                    let finding =
+                        suspects::connection_broke(&traffic, content, target.clone(), events);
+                    let has_ended = finding.await && reached == from;
+                    ended_instance = has_ended.then_some(target.started_ms);
+                }
                 break 'end end;
             }
+            suspects::answered(&traffic, || content);
             state.text_complete = true;
             // A closed channel means that the process ends.
             let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
@@ -187,6 +200,7 @@
         pace,
         judge_failures,
         holds_slot,
+        ended_instance,
     };
     RunReport::Ended { run: run.id, outcome }
 }
@@ -226,7 +240,8 @@
     let response = match response {
         Ok(response) => response,
         Err(error) => {
-            info!(job = &*run.assignment.job, target_id = &*target.id, reason:% = error; "run broke");
+            state.connection_broke = matches!(error, channel::Error::Broken { .. });
+            info!(job = &*run.assignment.job, target_id = &*target.id, content:% = run.item.content(&run.host), reason:% = error; "run broke");
             return Some(End::Broken);
         }
     };
@@ -301,7 +316,10 @@
             }
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
-            Ok(Some(Err(error))) => return fail(&error),
+            Ok(Some(Err(error))) => {
+                state.connection_broke = true;
+                return fail(&error);
+            }
             Err(_) => return fail(&"no event within the timeout"),
         };
         parser.push(&data);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -22,7 +22,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
-    dialect,
+    clock, crash, dialect,
     feed::Feed,
     freshness::Freshness,
     links::Links,
@@ -38,7 +38,9 @@
         body::Budget,
         cache::Cache,
         channel::{Channels, set_keepalive},
-        connect, entry,
+        connect,
+        ended::Looks,
+        entry,
         origins::Origins,
         peers::PeerHandler,
         permit::Permits,
@@ -47,6 +49,7 @@
         run as item_run,
         runner::Runner,
         stop::{self, Phase},
+        suspects,
         tunnel::Tunnels,
     },
     view::{Shared, View},
@@ -76,6 +79,7 @@
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
+    pub crashes: Arc<crash::Table>,
     pub hosts: relay::Peers,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -97,6 +101,9 @@
     /// Links from this host to targets.
     pub links: Arc<Links>,
     pub tunnels: Tunnels,
+    /// Contents under which targets ended.
+    pub crashes: Arc<crash::Table>,
+    pub looks: Looks,
     pub origins: Origins,
     /// What other hosts are to be told of targets.
     pub changes: announce::Changes,
@@ -144,6 +151,7 @@
         feed,
         limits,
         links,
+        crashes,
         hosts,
         commands,
         reports,
@@ -167,6 +175,8 @@
         permits: Permits::default(),
         links,
         tunnels: Tunnels::default(),
+        crashes,
+        looks: Looks::default(),
         origins: Origins::default(),
         changes: announce::Changes::default(),
         hosts,
@@ -194,6 +204,7 @@
     tokio::task::spawn_local(execute_commands(Rc::clone(&traffic), commands, reports));
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
     tokio::task::spawn_local(announce::run(Rc::clone(&traffic)));
+    tokio::task::spawn_local(suspects::pull(Rc::clone(&traffic)));
     tokio::task::spawn_local(connect::probe(Rc::clone(&traffic)));
     tokio::task::spawn_local(accept_loop(
         Rc::clone(&traffic),
@@ -235,6 +246,9 @@
         traffic.limits.retain(|target| view.targets.contains_key(target));
         traffic.links.retain(|target| view.targets.contains_key(target));
         traffic.tunnels.sweep();
+        traffic.looks.sweep();
+        traffic.crashes.sweep(clock::now());
+        METERS.held_contents(traffic.crashes.held(clock::now()));
         traffic.permits.retain(|target| traffic.limits.limit(target).is_some());
     }
 }
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -20,13 +20,14 @@
 use crate::{
     clock,
     config::{Kind, Route},
+    crash::Run,
     dialect::Answer,
     events::Parser,
     fleet::Target,
     metrics::METERS,
     prelude::*,
     traffic::{
-        announce,
+        Endpoint, announce,
         body::{self, Taken},
         channel::Channel,
         connect::{OnLoss, connect, send},
@@ -39,6 +40,7 @@
         forward::forward,
         origins, permit,
         serve::Traffic,
+        suspects::{self, Admission},
     },
 };
 
@@ -116,6 +118,9 @@
     /// does not show yet.
     pub(super) broken_at: Vec<TargetId>,
     pub(super) retry_after: Option<Duration>,
+    /// Time for which the content is held since targets ended under it.
+    pub(super) held_for: Option<Duration>,
+    pub(super) admission: Admission,
     pub(super) last_failure: Option<Response>,
 }
 
@@ -131,6 +136,7 @@
         Some(take_up) => take_up.service.clone(),
         None => route.service(&call.id).cloned().ok_or(Failure::NotRun)?,
     };
+    let admission = suspects::admit(traffic, || call.content()).await.map_err(Failure::Held)?;
     let mut stream = Stream {
         traffic: Rc::clone(traffic),
         route: route.clone(),
@@ -142,6 +148,8 @@
         tried: Vec::new(),
         broken_at: Vec::new(),
         retry_after: None,
+        held_for: None,
+        admission,
         last_failure: None,
         call,
     };
@@ -159,10 +167,11 @@
 
 impl Stream {
     fn failure(&self) -> Failure {
-        match self.retry_after {
+        match (self.held_for, self.retry_after) {
             _ if self.maybe_run > 0 => Failure::Unknown,
-            Some(retry_after) => Failure::Limited(retry_after),
-            None => Failure::NotRun,
+            (Some(left), _) => Failure::Held(left),
+            (None, Some(retry_after)) => Failure::Limited(retry_after),
+            (None, None) => Failure::NotRun,
         }
     }
 
@@ -174,7 +183,7 @@
             if Instant::now() >= self.call.deadline {
                 return Err(if self.maybe_run == 0 { Failure::NotRun } else { Failure::Timeout });
             }
-            let may_run = self.maybe_run < self.route.max_attempts;
+            let may_run = self.maybe_run < self.attempts_max() && !self.is_held();
             let Some(target) = self.choose().filter(|_| may_run) else {
                 if may_run && self.retry_after.is_none() && Instant::now() < refuse_at {
                     self.tried.clear();
@@ -212,6 +221,18 @@
         }
     }
 
+    fn attempts_max(&self) -> u32 {
+        if self.admission == Admission::Once { 1 } else { self.route.max_attempts }
+    }
+
+    /// Whether targets ended under the content so often that no further one is to run it.
+    fn is_held(&mut self) -> bool {
+        if self.admission != Admission::Once {
+            self.held_for = suspects::held_for(&self.traffic, || self.call.content());
+        }
+        self.held_for.is_some()
+    }
+
     /// Time for which targets are tried again after none has taken the request. One that is refused is refused early, so that
     /// the caller has time to retry; a stream that has begun can only go on here.
     fn patience(&self) -> Duration {
@@ -234,9 +255,12 @@
 
     /// Sends the request to a target and waits for its first event.
     async fn begin(&self, target: &Arc<Target>) -> Outcome {
-        let in_flight = InFlight::new(&self.traffic, target);
+        let in_flight = InFlight::new(&self.traffic, target, self.admission != Admission::Free);
         let started = Instant::now();
         let result = self.exchange(target, in_flight).await;
+        if matches!(result, Err(ExchangeError::ConnectionBroke)) {
+            self.connection_broke(target, self.last_event.unwrap_or(0)).await;
+        }
         let now = std::time::Instant::now();
         let mut pool = self.traffic.pool.borrow_mut();
         let (outcome, name) = match result {
@@ -259,6 +283,18 @@
         outcome
     }
 
+    /// Finds out whether a target has ended that ran the stream after event `from`.
+    pub(super) async fn connection_broke(&self, target: &Target, from: u64) {
+        let run = Run { from, reached: self.last_event.unwrap_or(0) };
+        let endpoint = Endpoint::from(target);
+        let content = self.call.content();
+        let finding = suspects::connection_broke(&self.traffic, content, endpoint, run);
+        // Only a stream that may go on depends on it.
+        if self.resumable {
+            finding.await;
+        }
+    }
+
     async fn exchange(
         &self,
         target: &Arc<Target>,
@@ -268,8 +304,12 @@
         let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
         let mut channel =
             connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
+        let broke = |reason: &dyn Display| {
+            info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "stream did not begin");
+            ExchangeError::ConnectionBroke
+        };
         let fail = |reason: &dyn Display| {
-            info!(request = &*call.id, target = &*target.id, reason:% = reason; "stream did not begin");
+            broke(reason);
             ExchangeError::MaybeRun
         };
         let by = self.silent_at(call.deadline);
@@ -277,7 +317,10 @@
         let on_loss = if self.resumable { OnLoss::GiveUp } else { OnLoss::Wait };
         let (to, request) = ((&target.id, target.address), self.request(target));
         let response = send(traffic, to, &mut channel, request, by, on_loss).await;
-        let response = response.map_err(|error| fail(&error))?;
+        let response = response.map_err(|error| {
+            broke(&error);
+            ExchangeError::from(&error)
+        })?;
         let (head, mut body) = response.into_parts();
         let answer = traffic.dialect.answer(head.status, &head.headers);
         if answer.id.as_ref().is_some_and(|id| *id != call.id) {
@@ -315,7 +358,7 @@
                     traffic.links.heard(&target.id, clock::now());
                     parser.push(&frame.into_data().unwrap_or_default());
                 }
-                Ok(Some(Err(error))) => return Err(fail(&error)),
+                Ok(Some(Err(error))) => return Err(broke(&error)),
                 Ok(None) => ended = true,
                 Err(_) => return Err(fail(&"no event in time")),
             }
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -11,6 +11,7 @@
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
 };
 
 use bytes::Bytes;
@@ -27,6 +28,7 @@
 
 use crate::{
     clock,
+    fleet::Target,
     links::{self, Links},
     metrics::METERS,
     peer::{
@@ -34,7 +36,9 @@
         tunnel::{self, Reply, Stream},
     },
     prelude::*,
-    traffic::{channel::Channel, connect::CONNECT_TIMEOUT, serve::Traffic},
+    traffic::{
+        Endpoint, channel::Channel, connect::CONNECT_TIMEOUT, ended::SETTLE_TIME, serve::Traffic,
+    },
 };
 
 /// Time for another host to connect to the target and answer.
@@ -143,6 +147,49 @@
     }
 }
 
+/// What other hosts say of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Word {
+    /// No host has answered.
+    NoAnswer,
+    /// Those that have answered cannot tell.
+    Unsure,
+    Unreachable,
+    Reached,
+}
+
+/// Asks other hosts whether they reach a target that this host does not, `seen` being how it failed.
+pub async fn ask_about(traffic: &Traffic, target: &Endpoint, seen: links::Failure) -> Word {
+    let mut word = Word::NoAnswer;
+    let zone = traffic.view.load().targets.get(&target.id).map(|target| target.zone.clone());
+    let others = traffic.hosts.all();
+    let is_near = |host: SocketAddr| {
+        let host = others.iter().find(|other| other.peer == Some(host));
+        host.is_some_and(|host| Some(&host.zone) == zone.as_ref())
+    };
+    let (id, started_ms) = (target.id.to_string(), target.started_ms);
+    let request = message(Tunnel { target: id, probe: true, started_ms });
+    for host in hosts(traffic, &target.id) {
+        let reply = timeout(OPEN_TIMEOUT, ask(host, request.clone())).await.ok().flatten();
+        let reply = reply.map(|(reply, _)| reply);
+        debug!(target_id = &*target.id, host:% = host, reply = name(reply), seen:? = seen; "asked whether a target is reached");
+        match reply {
+            Some(Reply::Opened) => return Word::Reached,
+            // Of a target that is silent, hosts of other zones may be cut off as this one is.
+            Some(Reply::Unreachable) if seen == links::Failure::Refused || is_near(host) => {
+                return Word::Unreachable;
+            }
+            // Targets that end one after the other look like a cut to the host that is asked.
+            Some(Reply::CutOff) if seen == links::Failure::Refused => word = Word::Unreachable,
+            Some(Reply::Unreachable | Reply::Refused | Reply::CutOff) => {
+                word = word.max(Word::Unsure);
+            }
+            None => {}
+        }
+    }
+    word
+}
+
 /// Asks another host whether it is cut off as well.
 pub async fn ask_others(traffic: &Traffic) {
     let Some(host) = hosts(traffic, NO_TARGET).into_iter().next() else {
@@ -155,8 +202,11 @@
 }
 
 fn request(target: &str) -> Bytes {
-    let request = Request { kind: Some(Kind::Tunnel(Tunnel { target: target.to_owned() })) };
-    request.encode_to_vec().into()
+    message(Tunnel { target: target.to_owned(), ..Tunnel::default() })
+}
+
+fn message(tunnel: Tunnel) -> Bytes {
+    Request { kind: Some(Kind::Tunnel(tunnel)) }.encode_to_vec().into()
 }
 
 fn name(reply: Option<Reply>) -> &'static str {
@@ -211,7 +261,15 @@
 }
 
 /// Connects another host to a target, and carries the bytes until either side closes.
-pub async fn serve(traffic: &Rc<Traffic>, target: &str, mut frames: Frames) {
+pub async fn serve(traffic: &Rc<Traffic>, tunnel: &Tunnel, mut frames: Frames) {
+    let target = &*tunnel.target;
+    if tunnel.probe {
+        let reply = probe(traffic, tunnel).await;
+        METERS.tunnel("prober", name(Some(reply)));
+        // Without an answer, the other host asks elsewhere.
+        let _ = tunnel::answer(&mut frames, reply).await;
+        return;
+    }
     let _carried = Carried::new(&traffic.tunnels);
     let connected = connect(traffic, target).await;
     let reply = connected.as_ref().err().copied().unwrap_or(Reply::Opened);
@@ -231,6 +289,30 @@
     debug!(target_id = target, took_ms = crate::logging::ms(started.elapsed()), broke = &*broke; "tunnel ended");
 }
 
+/// Whether this host reaches an instance of a target. Its end says nothing about the links of this host, which asks nobody else.
+async fn probe(traffic: &Traffic, tunnel: &Tunnel) -> Reply {
+    traffic.freshness.wait_for_refresh().await;
+    let view = traffic.view.load_full();
+    let is_meant =
+        |target: &&Arc<Target>| !target.draining && target.started_ms == tunnel.started_ms;
+    let Some(target) = view.targets.get(&*tunnel.target).filter(is_meant) else {
+        return Reply::Refused;
+    };
+    match timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address)).await {
+        Ok(Ok(stream)) if stays_open(&stream).await => {
+            traffic.links.opened(&target.id, clock::now());
+            Reply::Opened
+        }
+        _ if traffic.links.cut_since().is_some() => Reply::CutOff,
+        _ => Reply::Unreachable,
+    }
+}
+
+/// Whether the peer of a new connection does not close it at once, as one that ends may do.
+async fn stays_open(stream: &TcpStream) -> bool {
+    timeout(SETTLE_TIME, stream.readable()).await.is_err()
+}
+
 /// Ends a stream whose peer takes no bytes for a time.
 fn with_write_timeout<S>(stream: S, timeout: Duration) -> Pin<Box<TimeoutStream<S>>>
 where
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -111,5 +111,6 @@
         pace: None,
         judge_failures: 0,
         holds_slot: true,
+        ended_instance: None,
     }
 }
--- /dev/null
+++ b/crates/node/tests/crash.rs
@@ -0,0 +1,199 @@
+//! Contents under which targets ended: when they are held, and how what hosts know of them merges.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{engine, engines, grouped_job, ms, outcome, text};
+use lagoonyard_node::{
+    crash::{Content, Record, Run, Strike, Table, Verdict},
+    job::{End, Engines, Outcome, Queue},
+    prelude::*,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
+
+const SECOND: Duration = Duration::from_secs(1);
+const EARLY_DELAY: Duration = Duration::from_secs(3);
+const LATE_DELAY: Duration = Duration::from_secs(3600);
+
+fn content(body: &str) -> Content {
+    Content::new("POST", "h.example", "/p", body.as_bytes())
+}
+
+fn strike(target: &str, at: Time) -> Strike {
+    Strike { target: target.into(), started_ms: 1, at }
+}
+
+/// Gives a content strikes by different targets, a second apart. Returns the time of the last one.
+fn end_targets(table: &Table, content: Content, count: usize) -> Time {
+    let mut at = Time::ZERO;
+    for number in 0..count {
+        at = SECOND * (number as u32 + 1);
+        table.ended(content, strike(&format!("t{number}"), at), Run::default(), at);
+    }
+    at
+}
+
+/// Guards against contents that are mixed up since parts of them run into each other.
+#[test]
+fn contents_differ_by_each_part() {
+    let new = |method, host, path, body: &str| Content::new(method, host, path, body.as_bytes());
+    let all = [
+        new("POST", "h", "/a", "x"),
+        new("GET", "h", "/a", "x"),
+        new("POST", "g", "/a", "x"),
+        new("POST", "h/", "a", "x"),
+        new("POST", "h", "/ax", ""),
+        new("POST", "h", "/a", "y"),
+    ];
+    for (at, one) in all.iter().enumerate() {
+        assert!(all[at + 1..].iter().all(|other| one != other), "{at}");
+    }
+}
+
+/// Guards against an id that differs between builds or machines, so that hosts do not understand each other.
+#[test]
+fn the_id_of_a_content_is_stable() {
+    assert_eq!(content("x").to_string(), "61d942ad7efd50ac772e155128eea5a0");
+}
+
+#[test]
+fn a_content_is_held_after_three_ends() {
+    let table = Table::default();
+    assert_eq!(table.verdict(content("a"), SECOND), Verdict::Free);
+    end_targets(&table, content("a"), 2);
+    assert_eq!(table.verdict(content("a"), SECOND * 2), Verdict::Suspect);
+    let last = end_targets(&table, content("a"), 3);
+    assert_eq!(table.verdict(content("a"), last), Verdict::Held(last + EARLY_DELAY));
+    assert_eq!(table.verdict(content("b"), last), Verdict::Free);
+}
+
+/// Guards against a target that counts twice as two hosts, or two requests with one content, saw it end.
+#[test]
+fn one_end_counts_once() {
+    let table = Table::default();
+    for at in [ms(1000), ms(1300), ms(1900)] {
+        table.ended(content("a"), strike("t", at), Run::default(), at);
+    }
+    assert_eq!(table.record(content("a")).unwrap().strikes.len(), 1);
+    // The same instance is registered although it was started again.
+    table.ended(content("a"), strike("t", ms(4000)), Run::default(), ms(4000));
+    assert_eq!(table.record(content("a")).unwrap().strikes.len(), 2);
+}
+
+/// Guards against a suspicion that nothing can clear.
+#[test]
+fn an_answer_clears_a_content() {
+    let table = Table::default();
+    let last = end_targets(&table, content("a"), 3);
+    assert!(table.answered(content("a"), last));
+    assert_eq!(table.verdict(content("a"), last), Verdict::Free);
+    assert!(!table.answered(content("a"), last), "a second answer is no news");
+}
+
+/// Guards against trials without end: two follow soon, later ones an hour apart, one at a time.
+#[test]
+fn trials_are_few() {
+    let table = Table::default();
+    let mut last = end_targets(&table, content("a"), 3);
+    for number in 0..2 {
+        let due = last + EARLY_DELAY;
+        assert!(!table.begin_trial(content("a"), due - ms(1)), "trial {number}");
+        assert!(table.begin_trial(content("a"), due), "trial {number}");
+        assert!(!table.begin_trial(content("a"), due + ms(1)), "a trial is in progress");
+        last = due + ms(10);
+        table.ended(content("a"), strike(&format!("trial{number}"), last), Run::default(), last);
+    }
+    assert_eq!(table.verdict(content("a"), last), Verdict::Held(last + LATE_DELAY));
+    let mut trials = 0;
+    for minute in 0..24 * 60 {
+        let now = last + Duration::from_secs(60 * minute);
+        if table.begin_trial(content("a"), now) {
+            trials += 1;
+            table.ended(content("a"), strike("late", now), Run::default(), now);
+        }
+    }
+    assert!((20..=24).contains(&trials), "{trials} trials a day");
+}
+
+/// Guards against long items and streams that are held as targets ended beside them, run after run.
+#[test]
+fn a_run_that_gets_further_gives_no_strike() {
+    let table = Table::default();
+    for (number, reached) in [3, 7, 9].into_iter().enumerate() {
+        let at = SECOND * (number as u32 + 1);
+        table.ended(content("a"), strike("t", at), Run { from: 0, reached }, at);
+    }
+    assert_eq!(table.verdict(content("a"), SECOND * 3), Verdict::Free);
+    // One that ends its target at the same event each time.
+    for number in 0..3 {
+        let at = SECOND * (number + 5);
+        table.ended(content("a"), strike("t", at), Run { from: 0, reached: 9 }, at);
+    }
+    assert_matches!(table.verdict(content("a"), SECOND * 8), Verdict::Held(_));
+}
+
+/// Guards against memory that grows with the contents that callers think up.
+#[test]
+fn the_number_of_records_is_bounded() {
+    let table = Table::default();
+    let held = content("held");
+    let last = end_targets(&table, held, 3);
+    for number in 0..6_000 {
+        let body = format!("{number}");
+        table.ended(content(&body), strike("t", last), Run::default(), last);
+    }
+    assert!(table.all().len() <= 4096, "{}", table.all().len());
+    assert_matches!(table.verdict(held, last), Verdict::Held(_));
+    table.sweep(last + Duration::from_secs(25 * 3600));
+    assert!(table.is_empty());
+}
+
+/// Guards against hosts that hold different contents since news reached them in another order, twice or not at all at first.
+#[test]
+fn records_merge_to_the_same_in_any_order() {
+    for seed in 0..200 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut records: Vec<Record> = Vec::new();
+        for number in 0..random.random_range(1..6) {
+            let at = SECOND * random.random_range(1..40);
+            let strikes = vec![strike(&format!("t{number}"), at)];
+            records.push(Record::new(strikes, random.random_range(0..3), 0));
+        }
+        let merge = |records: &[Record]| {
+            let table = Table::default();
+            for record in records {
+                table.merge(content("a"), record.clone(), SECOND);
+            }
+            table.record(content("a")).unwrap()
+        };
+        let first = merge(&records);
+        records.extend(records.clone());
+        records.shuffle(&mut random);
+        assert_eq!(merge(&records), first, "seed {seed}");
+    }
+}
+
+fn end_engine(queue: &mut Queue, engines: &mut Engines, target: &str, now: Time) {
+    let broken = outcome(("j", 0, "a"), target, End::Broken, text(0, 1));
+    let ended = Outcome { ended_instance: Some(1), ..broken };
+    queue.finish_run(ended, now, engines);
+}
+
+/// Guards against an item that ends one engine after the other, and against one that holds up others or is given up.
+#[test]
+fn an_item_is_held_after_three_ends_and_others_run() {
+    let all: Vec<_> = (0..8).map(|number| engine(&format!("e{number}"), 1)).collect();
+    let mut engines = engines(&all);
+    let mut queue = Queue::default();
+    queue.insert(grouped_job("j", &[("a", "g")]));
+    for number in 1..=3 {
+        let now = SECOND * number;
+        let assignment = queue.assign_next(now, &mut engines).unwrap();
+        end_engine(&mut queue, &mut engines, &assignment.target.unwrap(), now);
+    }
+    let (held_at, due) = (SECOND * 3, SECOND * 3 + EARLY_DELAY);
+    assert!(queue.assign_next(held_at, &mut engines).is_none());
+    assert!(queue.assign_next(due - ms(1), &mut engines).is_none());
+    assert!(queue.take_rows("j", 1, Time::MAX, 1 << 20).is_empty(), "the item was given up");
+    assert!(queue.assign_next(due, &mut engines).is_some(), "no trial");
+}
