A stream is taken up without its origin only after a fresh read of the store

Cause: a host that is asked to take a stream up and hears from no other host turned to the versions in service; it used its own registrations, as old as its last request, and a copy of the stored versions up to 1 s old. A version that had joined meanwhile was not among them while the host that writes them stood still. Change: in that case both are read from the store at that moment, within 0.5 s, or the take-up is refused as not run. Cost: two or more reads for a take-up whose origin no host knows; none otherwise.

--- a/crates/node/src/traffic/origins.rs
+++ b/crates/node/src/traffic/origins.rs
@@ -3,26 +3,29 @@
 //! A caller whose stream broke off takes it up at any host. What two versions generate does not fit together, so that
 //! host has to know the version that began the stream. The host that passes the first event on keeps it, and tells two
 //! others that the id of the stream selects; a host that is asked to take up a stream asks those. If none of them knows
-//! it, as after a restart of all hosts, the stream may still be one of the only version that was in service lately
-//! (`control::software`). Otherwise the take-up is refused.
+//! it, as after a restart of all hosts, the stream may still be one of the only version that was in service lately: the store
+//! has the registrations and the versions that have left (`control::software`). Otherwise the take-up is refused.
 
 use std::{
     cell::RefCell,
-    collections::{HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
 };
 
 use futures::future::join_all;
 use log::info;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    clock, job,
+    clock,
+    dialect::{PlatformChange, Subject},
+    job,
     peer::{Kind, Origin},
     prelude::*,
     software::History,
+    store::{self, Change},
     traffic::serve::Traffic,
 };
 
@@ -35,15 +38,14 @@
 const HOSTS_ASKED: usize = 3;
 /// Time for a host to answer.
 const TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which the history of a service is used once it was read.
-const HISTORY_TTL: Duration = Duration::from_secs(1);
+/// Time for the store to tell which versions are in service.
+const STORE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Origins of streams, oldest first.
 #[derive(Debug, Default)]
 pub struct Origins {
     software: RefCell<HashMap<Box<str>, Software>>,
     order: RefCell<VecDeque<(Instant, Box<str>)>>,
-    histories: RefCell<HashMap<ServiceId, (Instant, History)>>,
 }
 
 impl Origins {
@@ -124,24 +126,29 @@
     hosts
 }
 
-/// The version of a service, if no other one can have begun a stream that is still taken up.
+/// The version of a service, if no other one can have begun a stream that is still taken up. What this host knows of the
+/// targets may be older than the stream, so it reads both from the store.
 async fn only_version(traffic: &Rc<Traffic>, service: &ServiceId) -> Option<Software> {
-    let history = history(traffic, service).await?;
-    let view = traffic.view.load();
-    let registered = view.targets.values().filter(|target| target.service == *service);
-    history.only(registered.map(|target| &target.software), clock::unix_ms())
+    let read = async {
+        let registered = registered(traffic, service).await?;
+        let (entry, _) = traffic.store.get(&job::software_key(service)).await.ok()?;
+        let history = History::decode(&entry?.value)?;
+        history.only(registered.iter(), clock::unix_ms())
+    };
+    timeout(STORE_TIMEOUT, read).await.ok().flatten()
 }
 
-async fn history(traffic: &Rc<Traffic>, service: &ServiceId) -> Option<History> {
-    let known = traffic.origins.histories.borrow().get(service).cloned();
-    if let Some((read_at, history)) = known
-        && read_at.elapsed() < HISTORY_TTL
-    {
-        return Some(history);
-    }
-    let (entry, _) = traffic.store.get(&job::software_key(service)).await.ok()?;
-    let history = History::decode(&entry?.value)?;
-    let read = (Instant::now(), history.clone());
-    traffic.origins.histories.borrow_mut().insert(service.clone(), read);
-    Some(history)
+/// Versions of a service's targets that are registered at this moment.
+async fn registered(traffic: &Traffic, service: &ServiceId) -> Option<BTreeSet<Software>> {
+    let prefixes = traffic.dialect.prefixes().iter();
+    let mut prefixes = prefixes.filter(|(_, subject)| *subject == Subject::Targets);
+    let (prefix, _) = prefixes.next()?;
+    let (entries, _) = store::read_all(traffic.store.as_ref(), prefix).await.ok()?;
+    let decoded =
+        entries.into_iter().map(|entry| traffic.dialect.decode_change(&Change::Put(entry)));
+    let software = decoded.filter_map(|change| match change {
+        Ok(PlatformChange::Target(target)) if target.service == *service => Some(target.software),
+        _ => None,
+    });
+    Some(software.collect())
 }
