Large numbers in entries and messages do not end the control thread

Registrations with 2^32-1 slots, two of them for one service, overflowed a sum: the control thread of a debug build ended, while its process went on with what it had known; a release build placed engines by a wrapped sum. So did length hints of a job. A time of 2^64-1 ms in a message of another host ended the task that served it.

--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -47,7 +47,8 @@
 
     /// Adds a step to its model's demand: the output tokens that its trainer expects, reduced by priority.
     pub fn record_demand(&mut self, job: &Job) {
-        let tokens: u64 = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1)).sum();
+        let hints = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1));
+        let tokens = hints.fold(0, u64::saturating_add);
         let rank = i32::try_from(job.priority).unwrap_or(i32::MAX);
         let work = tokens as f64 * PRIORITY_FACTOR.powi(rank);
         let average = self.demand.entry(job.spec.model.clone()).or_insert(work);
--- a/crates/node/src/feed/replica.rs
+++ b/crates/node/src/feed/replica.rs
@@ -13,6 +13,7 @@
 use crate::{
     clock,
     feed::{ChangesRequest, Page, Snapshot},
+    peer,
     prelude::*,
     store::{Change, Entry},
 };
@@ -141,7 +142,7 @@
 
     /// Serves a request; `None` if this host does not read for its zone or has lost the store.
     pub async fn serve(&self, request: &ChangesRequest) -> Option<Page> {
-        let deadline = Instant::now() + Duration::from_millis(request.wait_ms);
+        let deadline = Instant::now() + peer::duration(request.wait_ms);
         let refresh_by = Instant::now() + REFRESH_WAIT;
         let max_age = request.max_age_ms.map(Duration::from_millis);
         loop {
--- a/crates/node/src/job/homes.rs
+++ b/crates/node/src/job/homes.rs
@@ -56,10 +56,10 @@
 
     /// Adapts the homes to the engines and hosts at hand.
     pub fn update(&mut self, engines: &[Streams], runners: &[Runner]) {
-        let slots: u32 = engines.iter().map(|engine| engine.slots).sum();
+        let slots: f64 = engines.iter().map(|engine| f64::from(engine.slots)).sum();
         let mut loads: BTreeMap<SocketAddr, f64> = BTreeMap::new();
         for runner in runners {
-            let load = if runner.leads { f64::from(slots) * LEADER_SHARE } else { 0.0 };
+            let load = if runner.leads { slots * LEADER_SHARE } else { 0.0 };
             loads.insert(runner.address, load);
         }
         let known: BTreeMap<&TargetId, &Streams> =
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -20,6 +20,9 @@
 /// Largest frame; it leaves room for the largest submission that a caller may send.
 const FRAME_BYTES_MAX: usize = 40 << 20;
 
+/// Longest time that a message may name; a longer one counts as this.
+const TIME_MAX: Duration = Duration::from_secs(24 * 3600);
+
 /// Time for a message of a leader or a runner to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -160,6 +163,11 @@
     timeout(WRITE_TIMEOUT, SinkExt::<Bytes>::flush(frames)).await.ok()?.ok()
 }
 
+/// Duration of milliseconds in a message, which another build may have got wrong.
+pub fn duration(ms: u64) -> Duration {
+    Duration::from_millis(ms).min(TIME_MAX)
+}
+
 /// Milliseconds of a duration in a message.
 pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/peer/limit.rs
+++ b/crates/node/src/peer/limit.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock,
-    peer::{departure::Departure, millis, suspect::Suspect},
+    peer::{departure::Departure, duration, millis, suspect::Suspect},
     prelude::*,
     rate,
 };
@@ -87,6 +87,6 @@
 
     /// Whether the permit is granted, or the time after which to ask again.
     pub fn granted(&self) -> Result<(), Duration> {
-        self.retry_after_ms.map_or(Ok(()), |ms| Err(Duration::from_millis(ms)))
+        self.retry_after_ms.map_or(Ok(()), |ms| Err(duration(ms)))
     }
 }
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -17,7 +17,8 @@
 pub use client::{Client, connect};
 pub use departure::Departure;
 pub use frame::{
-    Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, feed, flush, millis,
+    Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, duration, feed, flush,
+    millis,
 };
 pub use limit::{Limit, Notice, Permit, PermitReply};
 pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -148,7 +148,7 @@
         let traffic = &self.0;
         let body = match request.kind {
             Some(Kind::Results(request)) => {
-                let wait = Duration::from_millis(request.wait_ms);
+                let wait = peer::duration(request.wait_ms);
                 held_results(traffic, &request.job, request.after, wait).await
             }
             Some(Kind::Body(request)) => held_body(traffic, &request.job, &request.item),
