--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -236,6 +236,10 @@
                 let removed = self.fleet.deregister(&id, clock::now());
                 info!(target_id = &*id, held_back = !removed; "target deregistered");
             }
+            PlatformChange::TargetUnusable { id, reason } => {
+                let removed = self.fleet.remove(&id);
+                warn!(target_id = &*id, removed, reason:% = reason; "registration names no target to use");
+            }
             PlatformChange::Version { model, version } => {
                 info!(model = &*model, version; "version requested");
                 let requested = self.requested.entry(model).or_default();
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -101,6 +101,11 @@
     Config(Arc<Config>),
     Target(Target),
     TargetRemoved(TargetId),
+    /// A registration that names no target to use.
+    TargetUnusable {
+        id: TargetId,
+        reason: DecodeError,
+    },
     /// A trainer requested a version.
     Version {
         model: ModelId,
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -100,6 +100,12 @@
         Arc::make_mut(&mut self.targets).remove(id).is_some()
     }
 
+    /// Removes a target at once. Returns whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.missing.remove(id);
+        self.targets.contains_key(id) && Arc::make_mut(&mut self.targets).remove(id).is_some()
+    }
+
     /// Starts the grace period, as the store answers again after an outage.
     pub fn store_recovered(&mut self, now: Time) {
         self.grace_until = now + OUTAGE_GRACE;
