Frames that make no sense end no host

Tested: times, counts and limits at the ends of their ranges, hashes of a wrong length, ids of 1 MB, kinds of a later build and bytes that are no message. Found while writing it: the count of successes of a held content could overflow, and strikes from another host had no bound on the length of a target's id; both have one now.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -96,7 +96,7 @@
 
     /// Removes the strikes after a success.
     pub(super) fn clear(&mut self) {
-        *self = Self { clears: self.clears + 1, ..Self::default() };
+        *self = Self { clears: self.clears.saturating_add(1), ..Self::default() };
     }
 
     /// Adds what another host knows. Returns whether it is news.
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -7,6 +7,9 @@
     prelude::*,
 };
 
+/// Longest id of a target; the store takes no longer keys.
+const TARGET_BYTES_MAX: usize = 200;
+
 /// End of a target.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Strike {
@@ -81,7 +84,8 @@
             started_ms: strike.started_ms,
             at: now.saturating_sub(Duration::from_millis(strike.age_ms)),
         };
-        let strikes = suspect.strikes.into_iter().map(strike).collect();
+        let sound = suspect.strikes.into_iter().filter(|it| it.target.len() <= TARGET_BYTES_MAX);
+        let strikes = sound.map(strike).collect();
         Ok((content, Record::new(strikes, suspect.clears, suspect.furthest)))
     }
 }
