--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -92,7 +92,7 @@
     call: &Call,
 ) -> Result<Response, Failure> {
     let service = route.service(&call.id).cloned().ok_or(Failure::NotRun)?;
-    let admission = suspects::admit(traffic, || call.content()).await.map_err(Failure::Held)?;
+    let admission = suspects::admit(traffic, call).await.map_err(Failure::Held)?;
     let state = Dispatch {
         traffic,
         route,
@@ -204,7 +204,7 @@
             return None;
         }
         if self.admission != Admission::Once {
-            self.held_for = suspects::held_for(self.traffic, || self.call.content());
+            self.held_for = suspects::held_for(self.traffic, self.call);
             if self.held_for.is_some() {
                 return None;
             }
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -136,7 +136,7 @@
         Some(take_up) => take_up.service.clone(),
         None => route.service(&call.id).cloned().ok_or(Failure::NotRun)?,
     };
-    let admission = suspects::admit(traffic, || call.content()).await.map_err(Failure::Held)?;
+    let admission = suspects::admit(traffic, &call).await.map_err(Failure::Held)?;
     let mut stream = Stream {
         traffic: Rc::clone(traffic),
         route: route.clone(),
@@ -228,7 +228,7 @@
     /// Whether targets ended under the content so often that no further one is to run it.
     fn is_held(&mut self) -> bool {
         if self.admission != Admission::Once {
-            self.held_for = suspects::held_for(&self.traffic, || self.call.content());
+            self.held_for = suspects::held_for(&self.traffic, &self.call);
         }
         self.held_for.is_some()
     }
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc};
 
 use log::info;
+use prost::Message;
 use tokio::{
     sync::oneshot,
     time::{sleep, timeout},
@@ -18,12 +19,11 @@
     traffic::{
         Endpoint,
         ended::{self, Finding},
+        exchange::Call,
         serve::Traffic,
     },
 };
 
-use prost::Message;
-
 /// Time for which a request waits until it is known whether its target has ended.
 const FINDING_WAIT: Duration = Duration::from_millis(200);
 /// Delay before another look at a target of which nothing could be found, and number of looks.
@@ -113,13 +113,13 @@
     }
 }
 
-/// Whether a content is held, with the time left. A trial counts as held; `admit` begins it.
-pub fn held_for(traffic: &Traffic, content: impl FnOnce() -> Content) -> Option<Duration> {
+/// Whether the content of a request is held, with the time left. A trial counts as held; `admit` begins it.
+pub fn held_for(traffic: &Traffic, call: &Call) -> Option<Duration> {
     if traffic.crashes.is_empty() {
         return None;
     }
     let now = clock::now();
-    match traffic.crashes.verdict(content(), now) {
+    match traffic.crashes.verdict(call.content(), now) {
         Verdict::Free | Verdict::Suspect => None,
         Verdict::Held(until) => Some(until.saturating_sub(now).max(RETRY_AFTER_MIN)),
         Verdict::Trial => Some(RETRY_AFTER_MIN),
@@ -127,26 +127,24 @@
 }
 
 /// Decides how a request may be sent, or returns the time after which it may come back.
-pub async fn admit(
-    traffic: &Rc<Traffic>,
-    content: impl FnOnce() -> Content,
-) -> Result<Admission, Duration> {
+pub async fn admit(traffic: &Rc<Traffic>, call: &Call) -> Result<Admission, Duration> {
     if traffic.crashes.is_empty() {
         return Ok(Admission::Free);
     }
-    let (content, now) = (content(), clock::now());
+    let (content, now) = (call.content(), clock::now());
     let left = match traffic.crashes.verdict(content, now) {
         Verdict::Free => return Ok(Admission::Free),
         Verdict::Suspect => return Ok(Admission::Alone),
         Verdict::Trial if begin_trial(traffic, content).await => {
             METERS.held_request("trial");
+            info!(request = &*call.id, content:% = content; "request sent as the trial of its content");
             return Ok(Admission::Once);
         }
         Verdict::Trial => RETRY_AFTER_MIN,
         Verdict::Held(until) => until.saturating_sub(now).max(RETRY_AFTER_MIN),
     };
     METERS.held_request("refused");
-    info!(content:% = content, retry_after_ms = crate::logging::ms(left); "request refused: targets ended under its content");
+    info!(request = &*call.id, content:% = content, retry_after_ms = crate::logging::ms(left); "request refused: targets ended under its content");
     Err(left)
 }
 
