Held contents survive a restart of all hosts

Cause: strikes were in the memory of hosts only; when all are killed together, a request under which targets end ends three more. Change: a content that is held is written to the store, removed by a success, and read once when a host starts. An unconditional write, so the last one wins; any of them holds the content. Cost: one read for each start of a host, one write for each third or later strike; nothing for other requests.

--- a/crates/node/src/crash/content.rs
+++ b/crates/node/src/crash/content.rs
@@ -1,6 +1,6 @@
 //! Identity of what a target is asked to do.
 
-use std::fmt;
+use std::{fmt, num::ParseIntError, str::FromStr};
 
 use xxhash_rust::xxh3::Xxh3;
 
@@ -33,6 +33,14 @@
     }
 }
 
+impl FromStr for Content {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl fmt::Display for Content {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
--- a/crates/node/src/crash/mod.rs
+++ b/crates/node/src/crash/mod.rs
@@ -5,12 +5,15 @@
 //! before it. At three strikes the content is held: it is refused as not run, or an item waits. A success clears it.
 //!
 //! Other requests that a target had in progress get a strike with the one that ended it, so a held content has trials, one at
-//! a time: the first two after seconds, later ones after an hour each. Hosts tell each other of strikes and successes.
+//! a time: the first two after seconds, later ones after an hour each. Hosts tell each other of strikes and successes. The store
+//! keeps held contents, for hosts that are all started anew.
 
 mod content;
 mod record;
+mod stored;
 mod table;
 
 pub use content::Content;
 pub use record::{Record, Strike, Verdict};
+pub use stored::Stored;
 pub use table::{Run, Table};
--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -9,6 +9,8 @@
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(3);
 /// Delay of all further trials.
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(3600);
+/// Time since the last strike after which a record is dropped.
+pub(super) const RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Time within which two hosts that see an instance of a target end see the same end.
 const SAME_END: Duration = Duration::from_millis(1000);
 /// Strikes that are kept, the newest ones.
@@ -74,6 +76,11 @@
         if now < due { Verdict::Held(due) } else { Verdict::Trial }
     }
 
+    /// Whether the last strike is so old that the record is dropped.
+    pub fn is_outdated(&self, now: Time) -> bool {
+        self.last_strike().is_none_or(|at| now >= at + RETENTION)
+    }
+
     /// Time of the last strike.
     pub(super) fn last_strike(&self) -> Option<Time> {
         self.strikes.last().map(|strike| strike.at)
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -8,14 +8,12 @@
 use log::{info, warn};
 
 use crate::{
-    crash::{Content, Record, Strike, Verdict},
+    crash::{Content, Record, Strike, Verdict, record::RETENTION},
     prelude::*,
 };
 
 /// Records kept at most; with more, the one with the fewest strikes goes, and among those the oldest.
 const RECORDS_MAX: usize = 4096;
-/// Time since the last strike after which a record is dropped.
-const RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Time for which a cleared record is kept, so that no delayed message brings its strikes back.
 const CLEARED_RETENTION: Duration = Duration::from_secs(120);
 
@@ -82,17 +80,15 @@
         is_news
     }
 
-    /// Records that a target has answered a content. Returns whether that is news.
-    pub fn answered(&self, content: Content, now: Time) -> bool {
+    /// Records that a target has answered a content. Returns what it was before if that is news.
+    pub fn answered(&self, content: Content, now: Time) -> Option<Verdict> {
         let mut entries = self.lock();
-        let Some(entry) = entries.get_mut(&content).filter(|it| it.record != cleared(&it.record))
-        else {
-            return false;
-        };
+        let entry = entries.get_mut(&content).filter(|it| it.record != cleared(&it.record))?;
+        let before = entry.record.verdict(now);
         info!(content:% = content, strikes = entry.record.strikes.len(); "content cleared by an answer");
         entry.record.clear();
         entry.touched_at = now;
-        true
+        Some(before)
     }
 
     /// Adds what another host knows of a content. Returns whether that is news.
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -1,6 +1,6 @@
 //! Keys of this program in the platform's store.
 
-use crate::prelude::*;
+use crate::{crash::Content, prelude::*};
 
 /// Prefix of the heads of jobs. A head holds the job's [`Record`](crate::job::Record).
 pub const HEADS: &str = "job/head/";
@@ -17,6 +17,9 @@
 /// Prefix of the software versions of each service.
 const SOFTWARE: &str = "software/";
 
+/// Prefix of the contents that are held.
+pub const HELD: &str = "held/";
+
 /// A parsed key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Key {
@@ -79,3 +82,8 @@
 pub fn software_key(service: &str) -> Box<str> {
     format!("{SOFTWARE}{service}").into()
 }
+
+/// Key of a content that is held.
+pub fn held_key(content: Content) -> Box<str> {
+    format!("{HELD}{content}").into()
+}
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -22,8 +22,8 @@
 pub use engine::Engine;
 pub use engines::{Engines, Requirement};
 pub use keys::{
-    HEADS, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
-    head_key, host_key, leader_key, software_key,
+    HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
+    head_key, held_key, host_key, leader_key, software_key,
 };
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -40,7 +40,7 @@
         channel::{Channels, set_keepalive},
         connect,
         ended::Looks,
-        entry,
+        entry, held,
         origins::Origins,
         peers::PeerHandler,
         permit::Permits,
@@ -205,6 +205,7 @@
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
     tokio::task::spawn_local(announce::run(Rc::clone(&traffic)));
     tokio::task::spawn_local(suspects::pull(Rc::clone(&traffic)));
+    tokio::task::spawn_local(held::read(Rc::clone(&traffic)));
     tokio::task::spawn_local(connect::probe(Rc::clone(&traffic)));
     tokio::task::spawn_local(accept_loop(
         Rc::clone(&traffic),
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -20,6 +20,7 @@
         Endpoint,
         ended::{self, Finding},
         exchange::Call,
+        held,
         serve::Traffic,
     },
 };
@@ -95,6 +96,9 @@
                     traffic.changes.tell_at_once(content);
                 }
                 tell(true);
+                if let Verdict::Held(_) = traffic.crashes.verdict(content, clock::now()) {
+                    held::keep(&traffic, content).await;
+                }
                 return;
             }
             Finding::Unknown => sleep(LOOK_DELAY).await,
@@ -103,13 +107,17 @@
 }
 
 /// Records that a target has answered a content.
-pub fn answered(traffic: &Traffic, content: impl FnOnce() -> Content) {
+pub fn answered(traffic: &Rc<Traffic>, content: impl FnOnce() -> Content) {
     if traffic.crashes.is_empty() {
         return;
     }
     let content = content();
-    if traffic.crashes.answered(content, clock::now()) {
-        traffic.changes.tell(content);
+    let Some(before) = traffic.crashes.answered(content, clock::now()) else {
+        return;
+    };
+    traffic.changes.tell(content);
+    if matches!(before, Verdict::Held(_) | Verdict::Trial) {
+        tokio::task::spawn_local(held::forget(Rc::clone(traffic), content));
     }
 }
 
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use common::{engine, engines, grouped_job, ms, outcome, text};
 use lagoonyard_node::{
-    crash::{Content, Record, Run, Strike, Table, Verdict},
+    crash::{Content, Record, Run, Stored, Strike, Table, Verdict},
     job::{End, Engines, Outcome, Queue},
     prelude::*,
 };
@@ -85,9 +85,22 @@
 fn an_answer_clears_a_content() {
     let table = Table::default();
     let last = end_targets(&table, content("a"), 3);
-    assert!(table.answered(content("a"), last));
+    assert_matches!(table.answered(content("a"), last), Some(Verdict::Held(_)));
     assert_eq!(table.verdict(content("a"), last), Verdict::Free);
-    assert!(!table.answered(content("a"), last), "a second answer is no news");
+    assert_eq!(table.answered(content("a"), last), None, "a second answer is no news");
+}
+
+/// Guards against a held content that hosts which were started anew do not know, or know as a later one.
+#[test]
+fn a_stored_record_is_read_as_it_was() {
+    let at = lagoonyard_node::clock::now();
+    let strikes = (0..3).map(|number| strike(&format!("t{number}"), at)).collect();
+    let record = Record::new(strikes, 2, 5);
+    let text = serde_json::to_vec(&Stored::from(&record)).unwrap();
+    let read = Record::from(serde_json::from_slice::<Stored>(&text).unwrap());
+    assert_eq!((read.clears, read.furthest, read.strikes.len()), (2, 5, 3));
+    assert!(read.strikes.iter().all(|strike| strike.at.abs_diff(at) < SECOND));
+    assert_eq!(content("x").to_string().parse::<Content>().unwrap(), content("x"));
 }
 
 /// Guards against trials without end: two follow soon, later ones an hour apart, one at a time.
