--- a/crates/node/src/traffic/announce.rs
+++ b/crates/node/src/traffic/announce.rs
@@ -48,6 +48,7 @@
     /// Contents whose records have changed.
     contents: RefCell<BTreeSet<Content>>,
     unheard: RefCell<BTreeMap<SocketAddr, Unheard>>,
+    /// Ends the wait for the next interval.
     urgent: Notify,
 }
 
