Review case 1: a late copy of a refusal makes a request run twice

A full server refuses a non_idempotent request and repeats the refusal on the kept channel (garble, extra late). The host sends the same request to it again, takes the copy for the answer and sends the request elsewhere. The package with the stand-ins comes with it.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Case 1: see claim.txt. Runs for about 60 s. SEED (default 1) selects which answers are repeated.
+cd "$(dirname "$0")/../.." || exit 2
+for program in target/release/lagoonyard-node target/review/release/lagoonyard-review; do
+    [ -x "$program" ] || { echo "not built: $program"; exit 2; }
+done
+exec target/review/release/lagoonyard-review refusal review/1/record.txt
--- /dev/null
+++ b/review/kit/src/cluster.rs
@@ -0,0 +1,215 @@
+//! Node processes on loopback addresses, started with the command and the settings file of a small deployment.
+
+use std::{
+    fs::{self, File},
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    http,
+    json::{Value, obj},
+};
+
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
+/// An entry host.
+pub struct Host {
+    pub name: String,
+    pub entry: SocketAddr,
+    pub ready: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Option<Child>,
+}
+
+/// Directory of a case's files, removed when it ends unless `KEEP` is set.
+pub struct Scratch(pub PathBuf);
+
+impl Scratch {
+    pub fn new(name: &str) -> Self {
+        let path = std::env::temp_dir().join(format!("review-{name}-{}", std::process::id()));
+        fs::create_dir_all(&path).expect("a temporary folder");
+        Self(path)
+    }
+}
+
+impl Drop for Scratch {
+    fn drop(&mut self) {
+        if std::env::var_os("KEEP").is_none() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+}
+
+/// First of `count` consecutive ports on which nothing listens, below the kernel's ephemeral ports.
+fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let offset = NEXT.fetch_add(count, Ordering::Relaxed) % 4000;
+        let first = 12_000 + (std::process::id() % 4) as u16 * 4000 + offset;
+        let is_free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if (first..first + count).all(is_free) {
+            return first;
+        }
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+impl Host {
+    /// Writes the settings of a host that reaches the store at an address, and starts it.
+    pub fn start(scratch: &Scratch, name: &str, zone: &str, store: SocketAddr) -> Self {
+        let (entry, ready, control) = (free_ports(1), free_ports(1), free_ports(1));
+        let first = free_ports(16);
+        let listen = obj([
+            ("front", address(entry).to_string().into()),
+            ("ready", address(ready).to_string().into()),
+            ("control", address(control).to_string().into()),
+        ]);
+        let settings = obj([
+            ("node_name", name.into()),
+            ("role", "entry".into()),
+            ("machine_class", "front".into()),
+            ("serves", vec!["front".into()].into()),
+            ("ip", "127.0.0.1".into()),
+            ("zone", zone.into()),
+            ("region", "huon".into()),
+            ("listen", listen),
+            ("internal_ports", vec![u64::from(first).into(), u64::from(first + 15).into()].into()),
+            ("seeds", Vec::new().into()),
+            ("first_start", true.into()),
+            ("in_tolerance", false.into()),
+            (
+                "limits",
+                obj([
+                    ("cpu_share", 0.25.into()),
+                    ("cores", 1u64.into()),
+                    ("memory_mb", 260u64.into()),
+                    ("max_fds", 4100u64.into()),
+                    ("link_mbps", 1000.0.into()),
+                    ("disk_mb", 0u64.into()),
+                ]),
+            ),
+            ("data_dir", Value::Null),
+            ("discovery", "platform".into()),
+            ("entry", "vip".into()),
+            ("heartbeat_ms", 1200u64.into()),
+            (
+                "bounds",
+                obj([
+                    ("contact_ms", 3000u64.into()),
+                    ("drain_ms", 2000u64.into()),
+                    ("grace_s", 8u64.into()),
+                    ("config_apply_ms", 2000u64.into()),
+                    ("revert_slack_ms", 250u64.into()),
+                    ("status_s", 120u64.into()),
+                    ("cancel_ms", 3000u64.into()),
+                    ("settle_ms", 1000u64.into()),
+                    ("lease_ms", 3000u64.into()),
+                ]),
+            ),
+            (
+                "platform",
+                obj([
+                    ("address", store.to_string().into()),
+                    ("form", "kv".into()),
+                    ("writes_per_s", 400u64.into()),
+                    ("reads_per_s", 2000u64.into()),
+                    ("history_s", 20u64.into()),
+                    ("value_bytes", 1_048_576u64.into()),
+                    ("ttl_min_ms", 1000u64.into()),
+                ]),
+            ),
+        ]);
+        let path = scratch.0.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).expect("settings are written");
+        let mut host = Self {
+            name: name.into(),
+            entry: address(entry),
+            ready: address(ready),
+            settings: path,
+            log: scratch.0.join(format!("{name}.log")),
+            process: None,
+        };
+        host.spawn();
+        host
+    }
+
+    /// Starts the process with the command of the deploy file.
+    pub fn spawn(&mut self) {
+        let log = File::options().append(true).create(true).open(&self.log).expect("a log file");
+        let process = Command::new("target/release/lagoonyard-node")
+            .arg("entry")
+            .env("LAGOONYARD_NODE_FILE", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log)
+            .spawn();
+        self.process = Some(process.unwrap_or_else(|error| unable(&format!("no node: {error}"))));
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let limit = Duration::from_millis(500);
+        let headers = [("Host", "ready")];
+        let answer = http::call(self.ready, "GET", "/lagoonyard/ready", &headers, b"", limit);
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until(&format!("{} is ready", self.name), READY_LIMIT, || self.is_ready());
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut process) = self.process.take() {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+
+    /// Sends a signal by name to the process.
+    pub fn signal(&self, name: &str) {
+        if let Some(process) = &self.process {
+            let id = process.id().to_string();
+            let _ = Command::new("kill").args([&format!("-{name}"), &id]).status();
+        }
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        let process = self.process.as_mut();
+        process.is_some_and(|process| process.try_wait().is_ok_and(|status| status.is_some()))
+    }
+
+    pub fn log_text(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Ends the case as one that could not run.
+pub fn unable(reason: &str) -> ! {
+    eprintln!("could not run: {reason}");
+    std::process::exit(2);
+}
+
+/// Panics, so that the hosts are ended, if a condition does not come true in time.
+pub fn wait_until(what: &str, limit: Duration, mut condition: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !condition() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
