--- a/review/kit/src/silent_crash.rs
+++ b/review/kit/src/silent_crash.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Verdict,
-    cluster::{Host, Scratch, peer_host},
+    cluster::{Host, Scratch},
     http::{self, Response},
     json::{Value, obj},
     kv::Kv,
@@ -35,8 +35,16 @@
 const DEADLINE: Duration = Duration::from_millis(2000);
 const START_TIME: Duration = Duration::from_secs(7);
 
-/// A run of the request: when, its id, the server and the host that sent it.
-type Runs = Arc<Mutex<Vec<(Instant, String, String, String)>>>;
+/// A run of the request.
+struct Run {
+    at: Instant,
+    /// Id of the client attempt.
+    id: String,
+    /// The server fell silent under it.
+    crashed: bool,
+}
+
+type Runs = Arc<Mutex<Vec<Run>>>;
 
 #[derive(Clone)]
 struct Server {
@@ -59,7 +67,6 @@
     }
 
     fn connection(&self, stream: TcpStream) -> io::Result<()> {
-        let from = peer_host(&stream);
         let mut reader = BufReader::new(stream.try_clone()?);
         let mut writer = stream;
         loop {
@@ -73,7 +80,7 @@
             }
             if request.body == POISON {
                 self.record.line(&format!("{} runs {id}", self.id));
-                let run = (Instant::now(), id.to_owned(), self.id.clone(), from.clone());
+                let run = Run { at: Instant::now(), id: id.to_owned(), crashed: self.falls_silent };
                 self.runs.lock().unwrap().push(run);
                 if self.falls_silent {
                     self.fall_silent();
@@ -155,14 +162,14 @@
         thread::sleep(COMES_AGAIN.saturating_sub(begun.elapsed()));
     }
     let runs = runs.lock().unwrap();
-    let third = runs.get(CRASHES - 1).map(|(at, ..)| *at);
-    let late = runs.iter().filter(|(at, ..)| third.is_some_and(|third| *at > third + CONTACT));
-    let mut retries: Vec<&str> = late.map(|(_, id, ..)| id.as_str()).collect();
+    let third = runs.iter().filter(|run| run.crashed).nth(CRASHES - 1).map(|run| run.at);
+    let late = runs.iter().filter(|run| third.is_some_and(|third| run.at > third + CONTACT));
+    let mut retries: Vec<&str> = late.map(|run| run.id.as_str()).collect();
     retries.dedup();
-    let broken = trouble && retries.len() > RETRIES_MAX;
+    let broken = retries.len() > RETRIES_MAX;
     let summary = format!(
         "trouble {trouble}: the request came {TIMES} times and ran {} times; {} retries reached servers later than \
-         {CONTACT:?} after the third",
+         {CONTACT:?} after the third crash",
         runs.len(),
         retries.len()
     );
