--- a/review/kit/src/cluster.rs
+++ b/review/kit/src/cluster.rs
@@ -233,10 +233,9 @@
     }
 }
 
-/// Ends the case as one that could not run.
+/// Ends the case as one that could not run. Panics, so that the hosts are ended.
 pub fn unable(reason: &str) -> ! {
-    eprintln!("could not run: {reason}");
-    std::process::exit(2);
+    panic!("could not run: {reason}");
 }
 
 /// Panics, so that the hosts are ended, if a condition does not come true in time.
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -35,7 +35,7 @@
         "silent-crash" => silent_crash::run,
         "failed-item" => failed_item::run,
         "stale-leader" => stale_leader::run,
-        _ => cluster::unable("no such case"),
+        _ => |_, _| cluster::unable("no such case"),
     };
     let verdict = std::panic::catch_unwind(|| run(&record, !trouble));
     std::process::exit(match verdict {
