Review case 4: an item under which engines crash after their first event is run on and on

It takes the place of the item that gets 422 (failed-item), which needs four leaders lost in a row; that script stays in the kit.

Cause, as read: a run that got further than any before it gives no strike (crash/table.rs), and each run of the item goes on one event further.

--- a/review/kit/src/link.rs
+++ b/review/kit/src/link.rs
@@ -54,6 +54,68 @@
     address
 }
 
+/// Starts a link to a server that is away while a switch is cut, as after a crash: its channels are closed and new ones are
+/// refused. Returns the address at which it listens.
+pub fn start_crashing(target: SocketAddr, away: Switch) -> SocketAddr {
+    let (listener, address) = crate::http::listen();
+    thread::spawn(move || {
+        let mut open = Some(listener);
+        loop {
+            if away.is_cut() {
+                open = None;
+                thread::sleep(POLL);
+                continue;
+            }
+            let Some(listener) = open.take().or_else(|| TcpListener::bind(address).ok()) else {
+                thread::sleep(POLL);
+                continue;
+            };
+            let _ = listener.set_nonblocking(true);
+            match listener.accept() {
+                Ok((client, _)) if !away.is_cut() => {
+                    if let Ok(server) = TcpStream::connect(target) {
+                        let _ = client.set_nonblocking(false);
+                        carry_until_crash(&client, &server, &away);
+                        carry_until_crash(&server, &client, &away);
+                    }
+                }
+                Ok(_) => {}
+                Err(_) => thread::sleep(POLL),
+            }
+            open = Some(listener);
+        }
+    });
+    address
+}
+
+/// Carries bytes in one direction until either side closes or the server crashes.
+fn carry_until_crash(from: &TcpStream, to: &TcpStream, away: &Switch) {
+    let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
+        return;
+    };
+    let away = away.clone();
+    let _ = from.set_read_timeout(Some(POLL));
+    let _ = to.set_nodelay(true);
+    thread::spawn(move || {
+        let mut buffer = [0; 16 << 10];
+        while !away.is_cut() {
+            match from.read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => {
+                    if away.is_cut() || to.write_all(&buffer[..count]).is_err() {
+                        break;
+                    }
+                }
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => break,
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    });
+}
+
 fn is_cut(switches: &[Switch]) -> bool {
     switches.iter().any(Switch::is_cut)
 }
--- a/review/kit/src/main.rs
+++ b/review/kit/src/main.rs
@@ -9,6 +9,7 @@
 mod kv;
 mod link;
 mod new_route;
+mod next_event;
 mod random;
 mod record;
 mod refusal;
@@ -32,6 +33,7 @@
     let run: fn(&Record, bool) -> Verdict = match &*case {
         "refusal" => refusal::run,
         "new-route" => new_route::run,
+        "next-event" => next_event::run,
         "silent-crash" => silent_crash::run,
         "failed-item" => failed_item::run,
         "stale-leader" => stale_leader::run,
