--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -8,6 +8,7 @@
 use crate::{
     clock,
     control::{
+        leader::Leader,
         mirror::Update,
         orders::{LoadResult, Term},
         sessions::Event,
@@ -78,6 +79,10 @@
             }
             Event::Limit { target, news } => self.apply_limit(&target, news),
             Event::Departure(departure) => self.apply_departure(&departure, Source::Host),
+            Event::Superseded { service, bound } => {
+                warn!(service = &*service, bound; "another host knows that this one leads no longer");
+                self.terms.begin(&service, bound);
+            }
             Event::Retained { service, item, progress, text_complete } => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
                     leader.queue.resume_item(item, progress, text_complete, now);
@@ -124,7 +129,7 @@
         let this = Runner { address: own, zone, cpu_share, leads: true };
         let hosts: Vec<Runner> = others.chain([this]).collect();
         for (service, leader) in &mut self.leaders {
-            let Some(fence) = leader.leadership.fence else {
+            let Some(fence) = leader.fence() else {
                 continue;
             };
             for address in leader.update_homes(&hosts) {
@@ -243,7 +248,7 @@
         let Some(leader) = self.leaders.get_mut(service) else {
             return;
         };
-        let Some(fence) = leader.leadership.fence else {
+        let Some(fence) = leader.fence() else {
             return;
         };
         let stopping = self.hand_over_deadline.is_some() || self.resigning.contains_key(service);
@@ -307,7 +312,7 @@
             return;
         };
         let head = self.store_state.job_heads.get(&id);
-        let is_new = leader.leadership.fence.is_some_and(|fence| revision > fence)
+        let is_new = leader.fence().is_some_and(|fence| revision > fence)
             && head.is_none_or(|head| head.revision == revision && !head.record.ended);
         if !is_new || !leader.begin_read(&id) {
             return;
@@ -325,7 +330,7 @@
         let head = self.store_state.job_heads.get(id);
         let led = head.filter(|head| {
             let leader = self.leaders.get(&head.record.service);
-            leader.is_some_and(|leader| leader.leadership.fence.is_some())
+            leader.is_some_and(Leader::leads)
         });
         match led {
             // A dropped receiver means that the requester has given up.
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -22,6 +22,7 @@
     },
     prelude::*,
     rate::Limit,
+    term,
     traffic::{Command, Endpoint, Run, RunReport},
 };
 
@@ -49,6 +50,7 @@
 pub struct Leader {
     pub service: ServiceId,
     pub leadership: Leadership,
+    terms: Arc<term::Table>,
     pub queue: Queue,
     pub(super) engines: Engines,
     rollout: Rollout,
@@ -69,11 +71,17 @@
 }
 
 impl Leader {
-    pub fn new(service: ServiceId, first_run: u64, crashes: Arc<crash::Table>) -> Self {
+    pub fn new(
+        service: ServiceId,
+        first_run: u64,
+        terms: &Arc<term::Table>,
+        crashes: &Arc<crash::Table>,
+    ) -> Self {
         Self {
             service,
             leadership: Leadership::default(),
-            queue: Queue::new(crashes),
+            terms: Arc::clone(terms),
+            queue: Queue::new(Arc::clone(crashes)),
             engines: Engines::default(),
             rollout: Rollout::default(),
             runs: HashMap::new(),
@@ -89,6 +97,17 @@
         }
     }
 
+    /// Fencing token under which this host may act for the service. There is none as soon as anything that this host has
+    /// heard says that its term is over, although its election may not have noticed yet.
+    pub fn fence(&self) -> Option<Revision> {
+        self.leadership.fence.filter(|fence| !self.terms.is_over(&self.service, *fence))
+    }
+
+    /// Whether this host may act for the service.
+    pub fn leads(&self) -> bool {
+        self.fence().is_some()
+    }
+
     /// Updates the engines and the requested versions. Runs on removed targets end by themselves.
     pub fn sync(
         &mut self,
@@ -118,9 +137,7 @@
 
     /// Whether a job has to be read from the store now. If so, it counts as being read.
     pub fn begin_read(&mut self, id: &JobId) -> bool {
-        self.leadership.fence.is_some()
-            && self.queue.get(id).is_none()
-            && self.reading.insert(id.clone())
+        self.leads() && self.queue.get(id).is_none() && self.reading.insert(id.clone())
     }
 
     /// Adds a job that was read from the store. Returns the command that makes its results available.
@@ -167,8 +184,7 @@
 
     /// Whether a run is in progress or a row is not persisted yet.
     pub fn has_pending_work(&self) -> bool {
-        self.leadership.fence.is_some()
-            && (!self.runs.is_empty() || self.queue.has_unpersisted_rows())
+        self.leads() && (!self.runs.is_empty() || self.queue.has_unpersisted_rows())
     }
 
     /// Commands to stop the runs on an engine that is about to load a version, so that they continue elsewhere. Empty
@@ -188,7 +204,7 @@
     /// Commands to run the items that start now.
     pub fn start_items(&mut self, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
-        if self.leadership.fence.is_none() {
+        if !self.leads() {
             return commands;
         }
         while let Some(assignment) = self.queue.assign_next(now, &mut self.engines) {
@@ -303,7 +319,7 @@
     pub fn loads(&mut self, now: Time, host: &HostId) -> Option<(Revision, Vec<Load>)> {
         let may_order =
             now < self.leadership.orders_until && self.leadership.fence != self.refused_fence;
-        let fence = self.leadership.fence.filter(|_| may_order)?;
+        let fence = self.fence().filter(|_| may_order)?;
         if now < self.planned_at + PLAN_INTERVAL {
             return None;
         }
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -26,9 +26,10 @@
 #[derive(Clone, Debug)]
 pub enum Update {
     Changed(Change),
-    /// The whole prefix was read.
+    /// The whole prefix was read, as it was at a revision.
     Synced {
         mirror: usize,
+        revision: Revision,
     },
     /// The store does not answer.
     StoreUnavailable {
@@ -175,7 +176,7 @@
                 // Fails only while the process ends.
                 let _ = updates.send(Update::Changed(change));
             }
-            let _ = updates.send(Update::Synced { mirror: self.number });
+            let _ = updates.send(Update::Synced { mirror: self.number, revision });
             return Ok(Some((revision, current_at)));
         };
         let watched = source.watch(&self.prefix, after, self.watch_timeout()).await?;
--- a/crates/node/src/control/news.rs
+++ b/crates/node/src/control/news.rs
@@ -33,7 +33,7 @@
         let now = clock::now();
         let limit = self.limits.limit(target);
         let leader = self.leaders.get_mut(service)?;
-        let leads = leader.leadership.fence.is_some() && now < leader.leadership.exclusive_until;
+        let leads = leader.leads() && now < leader.leadership.exclusive_until;
         leads.then(|| {
             leader.set_limit(target, limit, now);
             leader.grant(target, priority, now)
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -11,7 +11,7 @@
         leader::Leader,
         mirror::{Mirror, Schedule},
         state::{Control, WATCH_INTERVAL},
-        store_state::LeaderEntry,
+        store_state::{LEADERS_MIRROR, LeaderEntry},
     },
     dialect::Subject,
     feed,
@@ -22,8 +22,6 @@
     traffic::Command,
 };
 
-/// Index of the mirror of the leader keys.
-const LEADERS_MIRROR: usize = 0;
 /// Lease of a reader in leases of a leader: other hosts do without a reader, so a slow succession costs little.
 const READER_LEASE_FACTOR: u32 = 2;
 const READER_RENEWALS_PER_LEASE: u32 = 4;
@@ -43,6 +41,9 @@
             return;
         };
         let before = std::mem::replace(&mut leader.leadership, leadership);
+        if let Some(fence) = leadership.fence {
+            self.terms.begin(service, fence);
+        }
         METERS.leads(service, leadership.fence.is_some());
         let (acquired, has_leader) =
             (leadership.fence.is_some(), self.store_state.leader_keys.contains_key(service));
@@ -190,7 +191,7 @@
         let (leader_key, receiver) = watch::channel(LeaderKey::Unknown);
         self.leader_keys.insert(service.clone(), leader_key);
         let first_run = (self.leaders.len() as u64) << 48;
-        let leader = Leader::new(service.clone(), first_run, Arc::clone(&self.crashes));
+        let leader = Leader::new(service.clone(), first_run, &self.terms, &self.crashes);
         self.leaders.insert(service.clone(), leader);
         let lease_min = self.settings.lease_min;
         let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -56,6 +56,11 @@
     },
     /// The runner knows that a target leaves.
     Departure(Departure),
+    /// The runner knows that the leader's term is over, and the earliest fencing token that a leader may still have.
+    Superseded {
+        service: ServiceId,
+        bound: Revision,
+    },
     /// Text of an item that ran for an earlier leader.
     Retained {
         service: ServiceId,
@@ -356,6 +361,10 @@
             Some(News::Departure(departure)) => {
                 report(&self.events, Event::Departure(departure.into()));
             }
+            Some(News::Superseded(bound)) => {
+                let service = self.runner.0.clone();
+                report(&self.events, Event::Superseded { service, bound });
+            }
             Some(News::Pong(_)) | None => {}
         }
         true
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -33,6 +33,7 @@
     relay::{self, Peer, Peers},
     settings::Settings,
     store::{self, Put, Txn},
+    term,
     traffic::{Channels, Command, Report},
     view::{Shared, View},
 };
@@ -66,6 +67,7 @@
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
     pub crashes: Arc<crash::Table>,
+    pub terms: Arc<term::Table>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -89,6 +91,8 @@
     pub(super) links: Arc<Links>,
     /// Contents under which targets ended.
     pub(super) crashes: Arc<crash::Table>,
+    /// Terms that are over.
+    pub(super) terms: Arc<term::Table>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -148,6 +152,7 @@
         limits,
         links,
         crashes,
+        terms,
         commands,
         mut reports,
         mut stopping,
@@ -199,7 +204,7 @@
         );
         tokio::task::spawn_local(discovery);
     }
-    let store_state = StoreState::new(mirrors.len(), settings.zone.clone());
+    let store_state = StoreState::new(mirrors.len(), settings.zone.clone(), Arc::clone(&terms));
     let mut control = Control {
         settings,
         view,
@@ -211,6 +216,7 @@
         limits,
         links,
         crashes,
+        terms,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
@@ -377,7 +383,7 @@
     }
 
     pub(super) fn leads_any(&self) -> bool {
-        self.leaders.values().any(|leader| leader.leadership.fence.is_some())
+        self.leaders.values().any(Leader::leads)
     }
 
     pub(super) fn publish(&self) {
--- a/crates/node/src/control/stop.rs
+++ b/crates/node/src/control/stop.rs
@@ -58,7 +58,7 @@
         let Some(leader) = self.leaders.get(service) else {
             return;
         };
-        let leads = leader.leadership.fence.is_some() && !self.resigning.contains_key(service);
+        let leads = leader.leads() && !self.resigning.contains_key(service);
         if !leads || ordered_lately || !self.links.is_alone(CUT_OFF_PATIENCE, now) {
             return;
         }
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -14,8 +14,12 @@
     job::{Key, Record},
     prelude::*,
     store::Change,
+    term,
 };
 
+/// Index of the mirror of the leader keys.
+pub(super) const LEADERS_MIRROR: usize = 0;
+
 /// Effect of a change on the control thread.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -66,6 +70,8 @@
     pub heads_changed: bool,
     /// Leader key of each service.
     pub leader_keys: BTreeMap<ServiceId, LeaderEntry>,
+    /// Terms that are over, by the leader keys among others.
+    terms: Arc<term::Table>,
     /// Host that reads for this host's zone.
     pub reader: Option<LeaderEntry>,
     /// Addresses of the hosts that read for their zones.
@@ -83,13 +89,14 @@
 
 impl StoreState {
     /// Empty state of a host in a zone. It counts as synced after the first read of `mirrors` mirrors.
-    pub fn new(mirrors: usize, zone: ZoneId) -> Self {
+    pub fn new(mirrors: usize, zone: ZoneId, terms: Arc<term::Table>) -> Self {
         Self {
             config: None,
             fleet: Fleet::default(),
             job_heads: BTreeMap::new(),
             heads_changed: false,
             leader_keys: BTreeMap::new(),
+            terms,
             reader: None,
             zone,
             reader_addresses: Arc::default(),
@@ -114,7 +121,10 @@
     pub fn apply(&mut self, update: Update, dialect: &dyn Dialect) -> Option<Effect> {
         match update {
             Update::Changed(change) => return self.apply_change(&change, dialect),
-            Update::Synced { mirror } => {
+            Update::Synced { mirror, revision } => {
+                if mirror == LEADERS_MIRROR {
+                    self.terms.read_at(revision);
+                }
                 if let Some(synced) = self.synced.get_mut(mirror) {
                     *synced = true;
                     self.changed = true;
@@ -180,12 +190,14 @@
         match change {
             Change::Put(_) => {
                 if let Some(leader) = LeaderEntry::of(change) {
+                    self.terms.begin(&service, leader.revision);
                     self.leader_keys.insert(service.clone(), leader);
                 }
                 self.update_leader_addresses();
                 Some(Effect::LeaderElected { service })
             }
-            Change::Removed { .. } => {
+            Change::Removed { revision, .. } => {
+                self.terms.end(&service, *revision);
                 self.leader_keys.remove(&service);
                 self.update_leader_addresses();
                 None
--- a/crates/node/src/control/writes.rs
+++ b/crates/node/src/control/writes.rs
@@ -47,7 +47,7 @@
 
     /// Checkpoints of all open jobs. Runners keep the texts of their runs for the next leader.
     pub fn checkpoints(&mut self, now: Time) -> Option<CheckpointWrite> {
-        let fence = self.leadership.fence?;
+        let fence = self.fence()?;
         self.checkpointed_at = now;
         let on_runners: HashSet<(&JobId, usize)> = self
             .runs
@@ -77,7 +77,7 @@
     }
 
     fn writes_finished_by(&mut self, now: Time, finished_by: Time) -> Vec<ChunkWrite> {
-        let Some(fence) = self.leadership.fence else {
+        let Some(fence) = self.fence() else {
             return Vec::new();
         };
         if now < self.written_at + WRITE_INTERVAL {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod software;
 pub mod store;
+pub mod term;
 pub mod traffic;
 pub mod view;
 pub mod weights;
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -47,7 +47,7 @@
 /// Message from a runner.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct FromRunner {
-    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "News", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub news: Option<News>,
 }
 
@@ -74,6 +74,9 @@
     /// A target leaves.
     #[prost(message, tag = "8")]
     Departure(Departure),
+    /// The leader's term is over; with the earliest fencing token that a leader may still have. The connection ends.
+    #[prost(uint64, tag = "9")]
+    Superseded(u64),
 }
 
 /// A header.
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -9,7 +9,7 @@
 use log::{info, warn};
 use prost::Message;
 use tokio::{
-    sync::{mpsc, oneshot, watch},
+    sync::{mpsc, oneshot},
     time::{Instant, sleep_until},
 };
 
@@ -41,23 +41,10 @@
 /// What a host keeps between the connections of leaders.
 #[derive(Debug, Default)]
 pub struct Runner {
-    /// Newest fencing token of each service, which ends the connections of earlier leaders.
-    fences: RefCell<HashMap<ServiceId, watch::Sender<Revision>>>,
     texts: RefCell<HashMap<ItemId, Text>>,
 }
 
 impl Runner {
-    /// Accepts a leader unless a newer one is known. Returns a receiver of the newest fencing token.
-    fn accept(&self, service: &str, fence: Revision) -> Option<watch::Receiver<Revision>> {
-        let mut fences = self.fences.borrow_mut();
-        let newest = fences.entry(service.into()).or_insert_with(|| watch::Sender::new(fence));
-        if *newest.borrow() > fence {
-            return None;
-        }
-        newest.send_replace(fence);
-        Some(newest.subscribe())
-    }
-
     fn keep_text(&self, item: ItemId, progress: Progress, complete: bool) {
         if progress.last_event == 0 {
             return;
@@ -87,6 +74,7 @@
 /// A connection of a leader.
 struct Session {
     traffic: Rc<Traffic>,
+    lead: Lead,
     frames: Frames,
     runs: HashMap<u64, ActiveRun>,
     /// Reports of the runs.
@@ -99,38 +87,59 @@
         info!(service = lead.service, fence = lead.fence; "leader refused: no configuration is known yet");
         return;
     }
-    let Some(newest) = traffic.runner.accept(&lead.service, lead.fence) else {
-        warn!(service = lead.service, fence = lead.fence; "leader refused: a newer one is known");
+    let (sender, reports) = mpsc::unbounded_channel();
+    let mut session = Session { traffic, lead, frames, runs: HashMap::new(), sender };
+    let lead = &session.lead;
+    if session.is_over() {
+        warn!(service = lead.service, fence = lead.fence; "leader refused: its term is over");
+        session.report_superseded().await;
         return;
-    };
+    }
     info!(service = lead.service, fence = lead.fence; "running items for a leader");
-    let (sender, reports) = mpsc::unbounded_channel();
-    let mut session = Session { traffic, frames, runs: HashMap::new(), sender };
-    session.serve(reports, newest, &lead).await;
+    session.traffic.terms.begin(&lead.service, lead.fence);
+    session.serve(reports).await;
 }
 
 impl Session {
-    async fn serve(
-        &mut self,
-        mut reports: mpsc::UnboundedReceiver<Report>,
-        mut newest: watch::Receiver<Revision>,
-        lead: &Lead,
-    ) {
+    /// Whether the leader is known to lead no longer.
+    fn is_over(&self) -> bool {
+        self.traffic.terms.is_over(&self.lead.service, self.lead.fence)
+    }
+
+    /// Tells the leader that its term is over, which its own election may notice only later.
+    async fn report_superseded(&mut self) {
+        let bound = self.traffic.terms.bound(&self.lead.service);
+        if self.feed(News::Superseded(bound)).await.is_some() {
+            // The connection ends either way.
+            let _ = self.flush().await;
+        }
+    }
+
+    async fn serve(&mut self, mut reports: mpsc::UnboundedReceiver<Report>) {
         if self.send_state().await.is_none() {
             return;
         }
         let mut heard_at = Instant::now();
-        let traffic = Rc::clone(&self.traffic);
+        let (traffic, lead) = (Rc::clone(&self.traffic), self.lead.clone());
         let stopping = stop::requested(&traffic);
         let mut stopping = std::pin::pin!(stopping);
+        let over = traffic.terms.over(&lead.service, lead.fence);
+        let mut over = std::pin::pin!(over);
         let mut leaving = false;
         let reason = loop {
             tokio::select! {
+                () = &mut over => {
+                    self.report_superseded().await;
+                    break "its term is over";
+                }
                 frame = self.frames.next() => {
                     heard_at = Instant::now();
                     let Some(Ok(frame)) = frame else {
                         break "connection closed";
                     };
+                    if self.is_over() {
+                        continue;
+                    }
                     let Ok(message) = ToRunner::decode(frame) else {
                         break "message could not be decoded";
                     };
@@ -155,7 +164,6 @@
                     }
                 }
                 () = sleep_until(heard_at + LEADER_TIMEOUT) => break "leader is silent",
-                _ = newest.wait_for(|newest| *newest > lead.fence) => break "a newer leader has connected",
                 () = &mut stopping, if !leaving => {
                     leaving = true;
                     self.stop_all();
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -32,7 +32,7 @@
     rate,
     relay::{self, Transport},
     settings::Settings,
-    store,
+    store, term,
     traffic::{
         accept, announce,
         body::Budget,
@@ -80,6 +80,7 @@
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
     pub crashes: Arc<crash::Table>,
+    pub terms: Arc<term::Table>,
     pub hosts: relay::Peers,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -103,6 +104,8 @@
     pub tunnels: Tunnels,
     /// Contents under which targets ended.
     pub crashes: Arc<crash::Table>,
+    /// Terms of leaders that are over.
+    pub terms: Arc<term::Table>,
     pub looks: Looks,
     pub origins: Origins,
     /// What other hosts are to be told of targets.
@@ -152,6 +155,7 @@
         limits,
         links,
         crashes,
+        terms,
         hosts,
         commands,
         reports,
@@ -176,6 +180,7 @@
         links,
         tunnels: Tunnels::default(),
         crashes,
+        terms,
         looks: Looks::default(),
         origins: Origins::default(),
         changes: announce::Changes::default(),
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -133,7 +133,7 @@
         &updates[..],
         [
             Update::Changed(Change::Put(_)),
-            Update::Synced { mirror: 0 },
+            Update::Synced { mirror: 0, .. },
             Update::StoreUnavailable { mirror: 0 },
             Update::StoreRecovered { mirror: 0 },
             Update::Changed(Change::Removed { .. }),
@@ -149,7 +149,7 @@
         &updates[..],
         [
             Update::Changed(Change::Put(_)),
-            Update::Synced { mirror: 0 },
+            Update::Synced { mirror: 0, .. },
             Update::StoreUnavailable { mirror: 0 },
             Update::Changed(Change::Removed { .. }),
         ]
