--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -9,13 +9,20 @@
 use lagoonyard_node::{
     events::Progress,
     fleet::Target,
-    job::{Assignment, End, Engines, Item, Job, Outcome, Queue, Record, Spec},
+    job::{Assignment, End, Engines, Item, Job, Outcome, Policy, Queue, Record, Spec},
 };
 
 const SLOTS: u32 = 6;
 const GROUP_SIZE: usize = 8;
 /// Far enough for no item to be late.
-const DUE: Duration = Duration::from_secs(10_000);
+const POLICY: Policy = Policy {
+    config: 1,
+    deadline_ms: 10_000_000,
+    item_ttl_ms: 10_000_000,
+    max_attempts: 1,
+    priority: 0,
+    single_version: false,
+};
 
 /// Engines, models with a job each, and items of each job.
 const SIZES: [(usize, usize, usize); 4] =
@@ -45,10 +52,11 @@
         total: items.len(),
         parts: 1,
         ended: false,
+        policy: None,
     };
     let (model, groups_needed) = (format!("m{number}").into(), items.len() / GROUP_SIZE);
     let spec = Spec { id, step: 0, model, min_version: 1, groups_needed, items };
-    Job::new(Arc::new(spec), record, DUE, DUE)
+    Job::new(Arc::new(spec), record, POLICY, Duration::ZERO)
 }
 
 /// Engines with all slots taken, each with the current version of one model, and a queue with the rest of the items.
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::prelude::*;
+use crate::{job::Policy, prelude::*};
 
 /// Kind of a route's requests, which decides whether they may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -126,4 +126,10 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
         self.by_host.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
+
+    /// Policy for the jobs of a host name and path; `None` without a route for jobs.
+    pub fn job_policy(&self, host: &str, path: &str) -> Option<Policy> {
+        let route = self.route(host, path).filter(|route| route.kind == Kind::Job)?;
+        Some(Policy::new(self.version, route))
+    }
 }
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -14,20 +14,20 @@
         sessions::Event,
         state::Control,
         store_state::Head,
-        stored::{Policy, StoredJob},
+        stored::StoredJob,
         tasks::{
             Completion, WriteResult, end_job, read_job, remove_jobs, write_checkpoints,
             write_chunks,
         },
     },
-    job::{Record, homes::Runner},
+    job::{Policy, Record, homes::Runner},
     metrics::METERS,
     prelude::*,
     traffic::{Command, Report, RunReport, Source, Submission},
 };
 
-/// Tolerated clock skew between hosts when items expire.
-const CLOCK_SKEW_MAX: Duration = Duration::from_secs(4);
+/// Time for which a job whose route is not known waits for it, in times within which a configuration is in force.
+const ROUTE_WAIT_DEADLINES: u32 = 2;
 /// Interval at which expired jobs are removed.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(10);
 /// Time for which a host gets no items after its connection has ended, and after it has begun to stop.
@@ -159,13 +159,14 @@
             Completion::JobRead { service, id, job } => {
                 let head = self.store_state.job_heads.get(&id);
                 let ended = head.is_none_or(|head| head.record.ended);
-                let policy = job.as_ref().map(|job| self.policy(&job.record, now));
+                let policy = job.as_ref().and_then(|job| self.policy(&job.record));
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
                 };
                 match (job, policy) {
                     (Some(job), Some(policy)) if !ended => {
-                        let opened = leader.finish_read(*job, policy);
+                        let submitted_at = now.saturating_sub(job.record.age(clock::unix_ms()));
+                        let opened = leader.finish_read(*job, policy, submitted_at);
                         METERS.open_jobs(&service, leader.queue.len());
                         self.outbox.send(&service, vec![opened]);
                     }
@@ -222,24 +223,21 @@
         }
     }
 
-    /// Deadlines and limits of a job, from its route in the configuration in force.
-    fn policy(&self, record: &Record, now: Time) -> Policy {
-        let route = self
-            .store_state
-            .config
-            .as_ref()
-            .and_then(|config| config.route(&record.host, &record.path));
-        let age = Duration::from_millis(clock::unix_ms().saturating_sub(record.submitted_ms));
-        let submitted = now.saturating_sub(age);
-        let (deadline, ttl) = route.map_or((Duration::ZERO, Duration::from_secs(600)), |route| {
-            (route.job_deadline, route.item_ttl)
-        });
-        Policy {
-            due: submitted + deadline,
-            expires: submitted + ttl + CLOCK_SKEW_MAX,
-            max_attempts: route.map_or(1, |route| route.max_attempts),
-            priority: route.map_or(0, |route| route.priority),
-            single_version: route.is_some_and(|route| route.single_version),
+    /// Policy of a job: the one under which it was accepted, or a later one of its route. `None` while the configuration
+    /// that has the route may still be on its way.
+    fn policy(&self, record: &Record) -> Option<Policy> {
+        let config = self.store_state.config.as_ref();
+        let known = config.and_then(|config| config.job_policy(&record.host, &record.path));
+        match (record.policy, known) {
+            (Some(accepted), Some(known)) => Some(accepted.updated(known)),
+            (None, None)
+                if record.age(clock::unix_ms())
+                    < self.settings.config_deadline * ROUTE_WAIT_DEADLINES =>
+            {
+                None
+            }
+            (None, None) => Some(Policy::of_removed_route()),
+            (accepted, known) => accepted.or(known),
         }
     }
 
@@ -307,19 +305,20 @@
     fn open_submitted(&mut self, submission: Submission) {
         let Submission { record, revision, spec } = submission;
         let (service, id) = (record.service.clone(), spec.id.clone());
-        let policy = self.policy(&record, clock::now());
+        let policy = self.policy(&record);
         let Some(leader) = self.leaders.get_mut(&service) else {
             return;
         };
         let head = self.store_state.job_heads.get(&id);
         let is_new = leader.fence().is_some_and(|fence| revision > fence)
             && head.is_none_or(|head| head.revision == revision && !head.record.ended);
-        if !is_new || !leader.begin_read(&id) {
+        let Some(policy) = policy.filter(|_| is_new && leader.begin_read(&id)) else {
             return;
-        }
+        };
+        let submitted_at = clock::now().saturating_sub(record.age(clock::unix_ms()));
         self.store_state.put_head(id, Head { record: record.clone(), revision });
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
-        let opened = leader.finish_read(stored, policy);
+        let opened = leader.finish_read(stored, policy, submitted_at);
         METERS.open_jobs(&service, leader.queue.len());
         self.outbox.send(&service, vec![opened]);
     }
@@ -358,8 +357,7 @@
     fn remove_expired_jobs(&self, service: &ServiceId, fence: Revision) {
         let retention = self.settings.job_retention + RETENTION_MARGIN;
         let is_expired = |record: &Record| {
-            let age = clock::unix_ms().saturating_sub(record.submitted_ms);
-            record.ended && record.service == *service && Duration::from_millis(age) > retention
+            record.ended && record.service == *service && record.age(clock::unix_ms()) > retention
         };
         let jobs: Vec<(JobId, usize)> = self
             .store_state
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -12,12 +12,12 @@
         election::Leadership,
         orders::Load,
         rollout::{self, Rollout},
-        stored::{Policy, StoredJob},
+        stored::StoredJob,
     },
     crash,
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Job, Queue, Row,
+        Assignment, Engine, Engines, Job, Policy, Queue, Row,
         homes::{Homes, Runner, Streams},
     },
     prelude::*,
@@ -141,16 +141,18 @@
     }
 
     /// Adds a job that was read from the store. Returns the command that makes its results available.
-    pub fn finish_read(&mut self, stored: StoredJob, policy: Policy) -> Command {
+    pub fn finish_read(
+        &mut self,
+        stored: StoredJob,
+        policy: Policy,
+        submitted_at: Time,
+    ) -> Command {
         let StoredJob { spec, record, chunks, checkpoints } = stored;
         self.reading.remove(&spec.id);
         let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
         let rows: Vec<Row> = rows.cloned().collect();
         if self.queue.get(&id).is_none() {
-            let mut job = Job::new(Arc::clone(&spec), record, policy.due, policy.expires);
-            job.max_attempts = policy.max_attempts;
-            job.priority = policy.priority;
-            job.single_version = policy.single_version;
+            let job = Job::new(Arc::clone(&spec), record, policy, submitted_at);
             self.rollout.record_demand(&job);
             self.queue.insert(job);
         }
@@ -236,7 +238,7 @@
             min_version: job.spec.min_version,
             target,
             runner,
-            single_version: job.single_version,
+            single_version: job.policy.single_version,
             pace_max: self.engines.pace_max(),
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
             assignment,
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -179,6 +179,7 @@
             self.join_election(&service.name);
         }
         for leader in self.leaders.values_mut() {
+            leader.queue.update_policies(&config);
             leader.sync(self.store_state.fleet.targets(), &self.store_state.requested);
         }
     }
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -49,7 +49,7 @@
     pub fn record_demand(&mut self, job: &Job) {
         let hints = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1));
         let tokens = hints.fold(0, u64::saturating_add);
-        let rank = i32::try_from(job.priority).unwrap_or(i32::MAX);
+        let rank = i32::try_from(job.policy.priority).unwrap_or(i32::MAX);
         let work = tokens as f64 * PRIORITY_FACTOR.powi(rank);
         let average = self.demand.entry(job.spec.model.clone()).or_insert(work);
         *average += (work - *average) * DEMAND_WEIGHT;
--- a/crates/node/src/control/stored.rs
+++ b/crates/node/src/control/stored.rs
@@ -1,11 +1,8 @@
-//! A job as a leader gets it from the store, and what its route says of it.
+//! A job as a leader gets it from the store.
 
 use std::sync::Arc;
 
-use crate::{
-    job::{Checkpoint, Chunk, Record, Spec},
-    prelude::*,
-};
+use crate::job::{Checkpoint, Chunk, Record, Spec};
 
 /// A job as read from the store.
 #[derive(Debug)]
@@ -15,13 +12,3 @@
     pub chunks: Vec<Chunk>,
     pub checkpoints: Vec<Checkpoint>,
 }
-
-/// Deadlines and limits of a job, from its route.
-#[derive(Clone, Copy, Debug)]
-pub struct Policy {
-    pub due: Time,
-    pub expires: Time,
-    pub max_attempts: u32,
-    pub priority: u32,
-    pub single_version: bool,
-}
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -3,7 +3,7 @@
 use crate::{
     crash::{self, Content, Verdict},
     events::Progress,
-    job::{Assignment, End, Engines, Job, Outcome, Requirement, status::State},
+    job::{Assignment, End, Engines, Job, Outcome, Policy, Requirement, status::State},
     prelude::*,
 };
 
@@ -125,7 +125,9 @@
         }
         let status = &mut self.statuses[item];
         let progress = &status.progress;
-        if !progress.can_continue(min, version, self.single_version) || !progress.fits(&software) {
+        if !progress.can_continue(min, version, self.policy.single_version)
+            || !progress.fits(&software)
+        {
             status.progress = Progress::default();
         }
         self.set_state(item, State::Running { target: Some(target.clone()) });
@@ -150,7 +152,7 @@
 
     /// Applies the outcome of a run to its item.
     pub(super) fn finish_run(&mut self, outcome: Outcome, now: Time) {
-        let (item, max_attempts) = (outcome.item, self.max_attempts);
+        let (item, Policy { max_attempts, single_version, .. }) = (outcome.item, self.policy);
         let Some(status) = self.statuses.get_mut(item) else {
             return;
         };
@@ -163,6 +165,11 @@
         status.avoid = None;
         let mut not_before = now;
         match outcome.end {
+            // The route did not demand a single version when the run began.
+            End::Scored(_) if single_version && status.progress.versions.len() > 1 => {
+                status.progress = Progress::default();
+                status.text_complete = false;
+            }
             End::Scored(score) => return self.finish(item, true, score, now),
             End::JudgeFailed | End::Rejected => return self.finish(item, false, None, now),
             End::Failed => {
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -11,6 +11,7 @@
 mod order;
 mod outcome;
 mod paces;
+mod policy;
 mod queue;
 mod record;
 mod row;
@@ -27,6 +28,7 @@
 };
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
+pub use policy::Policy;
 pub use queue::Queue;
 pub use record::Record;
 pub use row::{Chunk, Row};
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -8,7 +8,7 @@
 use crate::{
     events::Progress,
     job::{
-        Checkpoint, Record, Row, Spec,
+        Checkpoint, Policy, Record, Row, Spec,
         status::{ItemStatus, State},
     },
     prelude::*,
@@ -18,6 +18,8 @@
 const CHECKPOINT_EVENTS_MIN: u64 = 10;
 /// Delay of a job's due time for each rank of lower priority.
 const PRIORITY_DELAY: Duration = Duration::from_millis(1500);
+/// Tolerated clock skew between hosts when items expire.
+const CLOCK_SKEW_MAX: Duration = Duration::from_secs(4);
 
 /// Waiting items, indexed by what they wait for.
 #[derive(Debug, Default)]
@@ -41,14 +43,12 @@
 pub struct Job {
     pub spec: Arc<Spec>,
     pub record: Arc<Record>,
-    pub single_version: bool,
-    pub max_attempts: u32,
-    /// Priority of the route; 0 is the most urgent.
-    pub priority: u32,
+    pub policy: Policy,
+    submitted_at: Time,
     /// Time at which the results are due.
     pub due: Time,
     /// Time at which waiting items expire.
-    pub expires: Time,
+    expires: Time,
     /// Rows in the store, which trainers can list.
     pub listed: u64,
     /// Chunks in the store.
@@ -78,7 +78,7 @@
 }
 
 impl Job {
-    pub fn new(spec: Arc<Spec>, record: Record, due: Time, expires: Time) -> Self {
+    pub fn new(spec: Arc<Spec>, record: Record, policy: Policy, submitted_at: Time) -> Self {
         let status = ItemStatus {
             state: State::Waiting { not_before: Time::ZERO },
             progress: Progress::default(),
@@ -101,11 +101,10 @@
             open_in_group,
             spec,
             record: Arc::new(record),
-            single_version: false,
-            max_attempts: 1,
-            priority: 0,
-            due,
-            expires,
+            policy,
+            submitted_at,
+            due: Time::ZERO,
+            expires: Time::ZERO,
             listed: 0,
             chunks: 0,
             deferred: false,
@@ -119,10 +118,18 @@
             in_write: Vec::new(),
             writing: None,
         };
+        job.set_policy(policy);
         job.sort();
         job
     }
 
+    /// Replaces the policy, and the times that follow from it.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+        self.due = self.submitted_at + policy.deadline();
+        self.expires = self.submitted_at + policy.item_ttl() + CLOCK_SKEW_MAX;
+    }
+
     /// Marks the items of persisted rows as listed. A write in progress no longer counts.
     pub fn restore(&mut self, rows: &[Row], chunks: u64) {
         self.chunks = chunks;
@@ -233,7 +240,7 @@
 
     /// Order among jobs: those with a lower rank start first. A job's due time is delayed by its priority.
     pub(super) fn rank(&self) -> (bool, Time) {
-        (self.deferred, self.due + PRIORITY_DELAY.saturating_mul(self.priority))
+        (self.deferred, self.due + PRIORITY_DELAY.saturating_mul(self.policy.priority))
     }
 
     /// Whether an item is waiting for a slot.
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -65,7 +65,7 @@
         Load {
             job: self.spec.id.clone(),
             due: self.due,
-            priority: self.priority,
+            priority: self.policy.priority,
             work: pace.mul_f64(sum),
             longest: pace.mul_f64(longest),
         }
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    config::Config,
     crash::{self, Run, Strike},
     dialect::Strategy,
     events::Progress,
@@ -97,6 +98,18 @@
         }
     }
 
+    /// Applies a configuration to the jobs that do not know it yet.
+    pub fn update_policies(&mut self, config: &Config) {
+        for job in self.jobs.values_mut() {
+            if let Some(later) = config.job_policy(&job.record.host, &job.record.path)
+                && later.config > job.policy.config
+            {
+                job.set_policy(job.policy.updated(later));
+                self.order_outdated = true;
+            }
+        }
+    }
+
     /// Assigns the next item to an engine: jobs by due time and priority, and within a job the longest item first.
     pub fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
         engines.advance(now);
@@ -252,7 +265,7 @@
 
     /// How engines treat their runs when a new version is loaded.
     pub fn strategy(&self) -> Strategy {
-        let single = self.jobs.values().any(|job| job.single_version);
+        let single = self.jobs.values().any(|job| job.policy.single_version);
         if single { Strategy::Wait } else { Strategy::Keep }
     }
 }
--- a/crates/node/src/job/record.rs
+++ b/crates/node/src/job/record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::prelude::*;
+use crate::{job::Policy, prelude::*};
 
 /// Metadata of a job. The submitted body is stored separately, in parts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,4 +20,14 @@
     pub parts: usize,
     /// The trainer ended the job.
     pub ended: bool,
+    /// Policy under which the job was accepted. Earlier builds store none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub policy: Option<Policy>,
+}
+
+impl Record {
+    /// Time since the first submission, at a Unix time in milliseconds.
+    pub fn age(&self, unix_ms: u64) -> Duration {
+        Duration::from_millis(unix_ms.saturating_sub(self.submitted_ms))
+    }
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -139,7 +139,7 @@
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     if route.kind == Kind::Job {
         let id = (&*head.id, &*head.host, parts.uri.path());
-        let result = submit(traffic, &route, id, body).await;
+        let result = submit(traffic, (config.version, &route), id, body).await;
         METERS.request(route.kind.name(), result.name(), arrived.elapsed());
         return submit_response(result);
     }
--- a/crates/node/src/traffic/submit.rs
+++ b/crates/node/src/traffic/submit.rs
@@ -9,7 +9,7 @@
 use crate::{
     clock,
     config::Route,
-    job::{self, Record},
+    job::{self, Policy, Record},
     prelude::*,
     store::{Error, Outcome, Put, Txn},
     traffic::{Submission, peers, serve::Traffic},
@@ -52,7 +52,7 @@
 /// Writes a job to the store. A job that is submitted repeatedly, or at several hosts, is written only once.
 pub async fn submit(
     traffic: &Rc<Traffic>,
-    route: &Route,
+    (config, route): (u64, &Route),
     (id, host, path): (&str, &str, &str),
     body: Bytes,
 ) -> SubmitOutcome {
@@ -75,6 +75,7 @@
         total: spec.items.len(),
         parts: parts.len(),
         ended: false,
+        policy: Some(Policy::new(config, route)),
     };
     let txn = transaction(id, &record, parts);
     let (outcome, revision) = write(traffic, id, &txn).await;
--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -4,7 +4,8 @@
 
 use common::{engine, engines, grouped_job, job, ms, outcome, text};
 use lagoonyard_node::{
-    job::{End, Queue, Row},
+    config::{Config, Kind, Limits, Route},
+    job::{End, Policy, Queue, Row},
     prelude::*,
 };
 
@@ -105,6 +106,79 @@
     assert!(!rows[0].done && rows[0].text.is_empty());
 }
 
+/// A configuration with a route for the jobs of the tests.
+fn config(version: u64, change: impl FnOnce(&mut Route)) -> Config {
+    let mut route = Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/p/".into(),
+        kind: Kind::Job,
+        timeout: ms(1_000),
+        objective: ms(1_000),
+        max_attempts: 2,
+        priority: 0,
+        services: vec![("llm".into(), 1)],
+        job_deadline: ms(7_500),
+        item_ttl: ms(36_000),
+        single_version: false,
+    };
+    change(&mut route);
+    let limits = Limits { header_bytes: 1, body_bytes: 1, idle_timeout: ms(1_000) };
+    Config::new(version, vec![route], Vec::new(), limits)
+}
+
+/// Runs the only item of job `j` until it fails once.
+fn fail(queue: &mut Queue, at: u64, engines: &mut lagoonyard_node::job::Engines) {
+    let start = queue.assign_next(ms(at), engines).unwrap();
+    let end = outcome(("j", 0, "a"), &start.target.unwrap(), End::Failed, text(0, 1));
+    queue.finish_run(end, ms(at), engines);
+}
+
+/// Guards against limits that a job keeps from the moment at which it was opened.
+#[test]
+fn a_later_configuration_applies_to_open_jobs() {
+    let mut engines = engines(&[engine("e1", 1), engine("e2", 1)]);
+    let mut queue = Queue::default();
+    queue.insert(job("j", 1, &[("a", 1)]));
+    queue.update_policies(&config(2, |route| route.max_attempts = 3));
+    fail(&mut queue, 1, &mut engines);
+    fail(&mut queue, 2, &mut engines);
+    assert!(queue.take_rows("j", 1, Time::MAX, BYTES_MAX).is_empty(), "given up too early");
+    fail(&mut queue, 3, &mut engines);
+    assert_eq!(queue.take_rows("j", 1, Time::MAX, BYTES_MAX).len(), 1);
+}
+
+/// Guards against a leader that is behind and applies a configuration older than the one under which a job was accepted,
+/// and against items given up by fewer attempts than that one allows.
+#[test]
+fn neither_an_earlier_nor_a_narrower_configuration_takes_attempts_from_an_open_job() {
+    let accepted = Policy { config: 5, ..common::policy() };
+    let earlier = Policy { config: 4, max_attempts: 9, ..accepted };
+    assert_eq!(accepted.updated(earlier), accepted);
+    let narrower = Policy { config: 6, max_attempts: 1, item_ttl_ms: 1, priority: 3, ..accepted };
+    let updated = accepted.updated(narrower);
+    assert_eq!((updated.config, updated.priority), (6, 3), "all else is adopted");
+    assert_eq!(updated.max_attempts, accepted.max_attempts);
+    assert_eq!(updated.item_ttl_ms, accepted.item_ttl_ms);
+}
+
+/// Guards against a text of two versions on a route that began to demand a single one while the text was made.
+#[test]
+fn a_text_of_two_versions_is_made_again_if_the_route_now_demands_one() {
+    let mut engines = engines(&[engine("e1", 2)]);
+    let mut queue = Queue::default();
+    queue.insert(job("j", 1, &[("a", 1)]));
+    queue.assign_next(ms(1), &mut engines).unwrap();
+    queue.update_policies(&config(2, |route| route.single_version = true));
+    let mut mixed = text(2, 1);
+    mixed.versions.insert(2);
+    let end = End::Scored(Some("s".into()));
+    queue.finish_run(outcome(("j", 0, "a"), "e1", end, mixed), ms(2), &mut engines);
+    assert!(queue.take_rows("j", 1, Time::MAX, BYTES_MAX).is_empty());
+    let again = queue.assign_next(ms(3), &mut engines).unwrap();
+    assert_eq!(again.progress.last_event, 0);
+}
+
 #[test]
 fn a_broken_run_resumes_after_its_last_event_on_another_engine() {
     let mut engines = engines(&[engine("e1", 1), engine("e2", 1)]);
