--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -23,7 +23,7 @@
     prelude::*,
     rate::Limit,
     store,
-    traffic::{CONNECT_TIMEOUT, Channel, Channels, Liveness},
+    traffic::{CONNECT_TIMEOUT, Channel, Channels, Demand, Liveness},
 };
 
 /// Timeout of a report or an order.
@@ -200,7 +200,7 @@
         body: Bytes,
     ) -> Option<(StatusCode, Bytes)> {
         let by = Instant::now() + CALL_TIMEOUT;
-        let mut channel = match self.channels.take(target.address, Duration::MAX, by).await {
+        let mut channel = match self.channels.take(target.address, Demand::UNNAMED, by).await {
             Some(channel) => channel,
             None => self.open(target, by).await?,
         };
@@ -217,7 +217,7 @@
             let departure = Departure { target: target.id.clone(), started_ms: target.started_ms };
             send_completion(&self.completions, Completion::Departure(departure));
         }
-        self.channels.put(target.address, channel, answer.idle);
+        self.channels.keep(target.address, channel, answer.idle);
         Some((parts.status, body))
     }
 
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -1,6 +1,12 @@
 //! HTTP/1 client connections, each with one request at a time, and a pool of idle ones for reuse.
 
-use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -15,8 +21,9 @@
     task::JoinHandle,
     time::{Instant, timeout_at},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{links, peer::tunnel::Stream, prelude::*};
+use crate::{dialect::Answer, links, peer::tunnel::Stream, prelude::*};
 
 /// Idle time after which TCP keep-alive probes start, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +37,8 @@
 const IDLE_MARGIN_DIVISOR: u32 = 4;
 /// Largest number of idle connections per target.
 const IDLE_CHANNELS_MAX: usize = 16;
+/// Requests that a connection remembers to have carried.
+const CARRIED_MAX: usize = 64;
 
 /// Why an exchange has no response.
 #[derive(Debug, Snafu)]
@@ -68,12 +77,33 @@
     Deadline,
 }
 
+/// A request that needs a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Id of the request.
+    pub request: &'a str,
+    /// Longest time for which a reused connection may have been idle.
+    pub idle_max: Duration,
+    /// The request may run more than once.
+    pub idempotent: bool,
+}
+
+impl Demand<'static> {
+    /// Demand of a request without an id, whose answers bear none.
+    pub const UNNAMED: Self = Self { request: "", idle_max: Duration::MAX, idempotent: true };
+}
+
 /// An open connection.
 pub struct Channel {
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
     last_used: Instant,
     route: Route,
+    /// Hashes of the ids of the requests that it has carried. A second response to one of them could not be told from the
+    /// response to the same request sent again.
+    carried: VecDeque<u64>,
+    /// A refusal without an id has come. A second copy of it would be taken for the response to any request.
+    had_unnamed: bool,
 }
 
 /// How a connection reaches its target.
@@ -126,7 +156,14 @@
                 log::trace!("connection to {address} ended: {error}");
             }
         });
-        Ok(Self { sender, driver, last_used: Instant::now(), route })
+        Ok(Self {
+            sender,
+            driver,
+            last_used: Instant::now(),
+            route,
+            carried: VecDeque::new(),
+            had_unnamed: false,
+        })
     }
 
     /// Whether the peer has closed the connection.
@@ -138,6 +175,21 @@
         self.route
     }
 
+    /// Remembers that the connection carries a request.
+    pub fn begin(&mut self, request: &str) {
+        if self.carried.len() == CARRIED_MAX {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(xxh3_64(request.as_bytes()));
+    }
+
+    /// Whether a response on this connection would certainly be the response to the request of a demand. Taking an earlier
+    /// refusal for it does no harm to a request that may run again.
+    fn suits(&self, demand: Demand<'_>) -> bool {
+        (demand.idempotent || !self.had_unnamed)
+            && !self.carried.contains(&xxh3_64(demand.request.as_bytes()))
+    }
+
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
@@ -184,25 +236,39 @@
 }
 
 impl Channels {
-    /// Takes a connection that has been idle for at most `idle_max`, if there is one.
+    /// Takes a connection that suits a request, if there is one.
     pub async fn take(
         &self,
         address: SocketAddr,
-        idle_max: Duration,
+        demand: Demand<'_>,
         deadline: Instant,
     ) -> Option<Channel> {
         loop {
-            let (mut channel, timeout) = self.idle.borrow_mut().get_mut(&address)?.pop()?;
+            let (mut channel, timeout) = {
+                let mut all = self.idle.borrow_mut();
+                let channels = all.get_mut(&address)?;
+                let at = channels.iter().rposition(|(channel, _)| channel.suits(demand))?;
+                channels.remove(at)
+            };
             let idle = channel.last_used.elapsed();
-            if idle <= timeout && idle <= idle_max && channel.is_reusable(deadline).await {
+            if idle <= timeout && idle <= demand.idle_max && channel.is_reusable(deadline).await {
                 return Some(channel);
             }
         }
     }
 
-    /// Puts a connection back for reuse unless it is a tunnel, with the idle timeout that its target states, if any. Its last response must
-    /// have been read to the end.
-    pub fn put(&self, address: SocketAddr, mut channel: Channel, idle: Option<Duration>) {
+    /// Puts a connection back for reuse after an answer that was read to its end, unless it is a tunnel or the next answer
+    /// on it could not be told from this one.
+    pub fn put(&self, address: SocketAddr, mut channel: Channel, answer: &Answer) {
+        if answer.id.is_none() && !answer.not_run {
+            return;
+        }
+        channel.had_unnamed |= answer.id.is_none();
+        self.keep(address, channel, answer.idle);
+    }
+
+    /// Keeps a connection for reuse unless it is a tunnel, with the idle timeout that its target states, if any.
+    pub fn keep(&self, address: SocketAddr, mut channel: Channel, idle: Option<Duration>) {
         if channel.route == Route::Tunnel {
             return;
         }
--- a/crates/node/src/traffic/connect.rs
+++ b/crates/node/src/traffic/connect.rs
@@ -14,7 +14,7 @@
     clock, links,
     prelude::*,
     traffic::{
-        channel::{self, Channel, Liveness, Route},
+        channel::{self, Channel, Demand, Liveness, Route},
         exchange::ExchangeError,
         serve::Traffic,
         tunnel,
@@ -40,14 +40,24 @@
 /// Takes an idle connection to a target, opens a new one, or has another host open one.
 pub async fn connect(
     traffic: &Traffic,
-    id: &TargetId,
-    address: SocketAddr,
-    idle_max: Duration,
+    to: (&TargetId, SocketAddr),
+    demand: Demand<'_>,
+    deadline: Instant,
+) -> Result<Channel, ExchangeError> {
+    let mut channel = match traffic.channels.take(to.1, demand, deadline).await {
+        Some(channel) => channel,
+        None => open_any(traffic, to, deadline).await?,
+    };
+    channel.begin(demand.request);
+    Ok(channel)
+}
+
+/// Opens a connection to a target, or has another host open one.
+async fn open_any(
+    traffic: &Traffic,
+    (id, address): (&TargetId, SocketAddr),
     deadline: Instant,
 ) -> Result<Channel, ExchangeError> {
-    if let Some(channel) = traffic.channels.take(address, idle_max, deadline).await {
-        return Ok(channel);
-    }
     let has_link = traffic.links.has_link(id, clock::now());
     if has_link {
         let direct = open(traffic, id, address, deadline).await;
@@ -140,7 +150,7 @@
 async fn check(traffic: Rc<Traffic>, id: TargetId, address: SocketAddr) {
     if let Some(channel) = open(&traffic, &id, address, Instant::now() + 2 * CONNECT_TIMEOUT).await
     {
-        traffic.channels.put(address, channel, None);
+        traffic.channels.keep(address, channel, None);
     }
 }
 
--- a/crates/node/src/traffic/ended.rs
+++ b/crates/node/src/traffic/ended.rs
@@ -101,7 +101,7 @@
         if channel.is_closed() {
             return find(&to, &at, &held).await;
         }
-        to.channels.put(at.address, channel, None);
+        to.channels.keep(at.address, channel, None);
         finding
     };
     Look { begun: Instant::now(), first, settled: settled.boxed_local().shared() }
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -15,7 +15,8 @@
     fleet::Target,
     prelude::*,
     traffic::{
-        announce, body, channel,
+        announce, body,
+        channel::{self, Demand},
         connect::{OnLoss, connect, send},
         serve::Traffic,
     },
@@ -136,7 +137,9 @@
     idempotent: bool,
 ) -> Result<(Response, Answer), ExchangeError> {
     let idle_max = if idempotent { Duration::MAX } else { NON_IDEMPOTENT_IDLE_MAX };
-    let mut channel = connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
+    let to = (&target.id, target.address);
+    let demand = Demand { request: &call.id, idle_max, idempotent };
+    let mut channel = connect(traffic, to, demand, call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
@@ -158,7 +161,6 @@
     };
     let sent_at = clock::now();
     let on_loss = if idempotent { OnLoss::GiveUp } else { OnLoss::Wait };
-    let to = (&target.id, target.address);
     let response = send(traffic, to, &mut channel, request, call.deadline, on_loss).await;
     let response = response.map_err(|error| {
         broke(&error);
@@ -184,7 +186,7 @@
         return Err(fail(&"successful response has no receipt"));
     }
     if !closes {
-        traffic.channels.put(target.address, channel, answer.idle);
+        traffic.channels.put(target.address, channel, &answer);
     }
     let response = Response {
         status: parts.status,
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -43,8 +43,8 @@
                 // The caller may have left meanwhile.
                 let _ = parts.send(Part::End).await;
                 if !open.closes {
-                    let idle = open.answer.idle;
-                    stream.traffic.channels.put(open.target.address, open.channel, idle);
+                    let channels = &stream.traffic.channels;
+                    channels.put(open.target.address, open.channel, &open.answer);
                 }
                 return;
             }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -36,7 +36,7 @@
 mod tunnel;
 
 pub use accept::accept;
-pub use channel::{Channel, Channels, Liveness, set_ack_timeout, set_keepalive};
+pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::Pool;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -21,7 +21,7 @@
     prelude::*,
     traffic::{
         announce,
-        channel::{self, Route},
+        channel::{self, Demand, Route},
         connect::{OnLoss, connect, link_lost, send},
         exchange::closes_connection,
         judge,
@@ -225,9 +225,9 @@
         return Some(End::NotRun);
     }
     let deadline = Instant::now() + SILENCE_TIMEOUT;
-    let Ok(mut channel) =
-        connect(traffic, &target.id, target.address, Duration::MAX, deadline).await
-    else {
+    let to = (&target.id, target.address);
+    let demand = Demand { request: &run.item.id, idle_max: Duration::MAX, idempotent: true };
+    let Ok(mut channel) = connect(traffic, to, demand, deadline).await else {
         return Some(End::NotRun);
     };
     let Some(request) = request(traffic, run, target) else {
@@ -235,7 +235,6 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let to = (&target.id, target.address);
     let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp).await;
     let response = match response {
         Ok(response) => response,
@@ -277,7 +276,7 @@
         return Some(end);
     }
     if !closes {
-        traffic.channels.put(target.address, channel, answer.idle);
+        traffic.channels.put(target.address, channel, &answer);
     }
     None
 }
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -29,7 +29,7 @@
     traffic::{
         Endpoint, announce,
         body::{self, Taken},
-        channel::Channel,
+        channel::{Channel, Demand},
         connect::{OnLoss, connect, send},
         dispatch::{Failure, REFUSED_BACKOFF},
         event_body::EventBody,
@@ -302,8 +302,9 @@
     ) -> Result<Outcome, ExchangeError> {
         let (traffic, call) = (&self.traffic, &self.call);
         let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
-        let mut channel =
-            connect(traffic, &target.id, target.address, idle_max, call.deadline).await?;
+        let to = (&target.id, target.address);
+        let demand = Demand { request: &call.id, idle_max, idempotent: self.resumable };
+        let mut channel = connect(traffic, to, demand, call.deadline).await?;
         let broke = |reason: &dyn Display| {
             info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "stream did not begin");
             ExchangeError::ConnectionBroke
@@ -315,7 +316,7 @@
         let by = self.silent_at(call.deadline);
         let sent_at = clock::now();
         let on_loss = if self.resumable { OnLoss::GiveUp } else { OnLoss::Wait };
-        let (to, request) = ((&target.id, target.address), self.request(target));
+        let request = self.request(target);
         let response = send(traffic, to, &mut channel, request, by, on_loss).await;
         let response = response.map_err(|error| {
             broke(&error);
