Informational responses without end hold up nobody else

Seen: 200 requests to a target that sends informational responses without end kept other callers of the host waiting for up to 4.2 s.

Cause: the HTTP client limits one head; informational responses are heads of their own, in any number, parsed until the deadline of the request by the thread that serves everybody.

Change: HeadLimit counts what a target sends until the head of its response is complete and ends the connection after 64 KB. Connections to targets read 64 KB ahead instead of 408 KB.

The test failed before the change. Heads, bodies, bodies after a length, chunk extensions and trailers without end have tests of the same form; these passed before.

--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -23,7 +23,13 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{dialect::Answer, links, peer::tunnel::Stream, prelude::*};
+use crate::{
+    dialect::Answer,
+    links,
+    peer::tunnel::Stream,
+    prelude::*,
+    traffic::head_limit::{Head, HeadLimit},
+};
 
 /// Idle time after which TCP keep-alive probes start, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -37,6 +43,8 @@
 const IDLE_MARGIN_DIVISOR: u32 = 4;
 /// Largest number of idle connections per target.
 const IDLE_CHANNELS_MAX: usize = 16;
+/// Largest number of bytes that a connection reads ahead.
+const BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Requests that a connection remembers to have carried.
 const CARRIED_MAX: usize = 64;
 
@@ -102,6 +110,8 @@
     /// Hashes of the ids of the requests that it has carried. A second response to one of them could not be told from the
     /// response to the same request sent again.
     carried: VecDeque<u64>,
+    /// Counts the bytes of the head that is due.
+    head: Head,
     /// A refusal without an id has come. A second copy of it would be taken for the response to any request.
     had_unnamed: bool,
 }
@@ -149,8 +159,12 @@
     where
         S: AsyncRead + AsyncWrite + Unpin + 'static,
     {
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
+        let head = Head::default();
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(HeadLimit::new(stream, head.clone())))
+            .await
+            .context(BrokenSnafu)?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::trace!("connection to {address} ended: {error}");
@@ -162,6 +176,7 @@
             last_used: Instant::now(),
             route,
             carried: VecDeque::new(),
+            head,
             had_unnamed: false,
         })
     }
@@ -196,7 +211,10 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, Error> {
-        match timeout_at(deadline, self.sender.send_request(request)).await {
+        self.head.begin();
+        let response = timeout_at(deadline, self.sender.send_request(request)).await;
+        self.head.end();
+        match response {
             Ok(response) => response.context(BrokenSnafu),
             Err(_) => TimeoutSnafu.fail(),
         }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -18,6 +18,7 @@
 mod event_body;
 mod exchange;
 mod forward;
+mod head_limit;
 mod held;
 mod jobs;
 mod judge;
