Texts of items count in the budget for bodies of targets

Seen: 192 items at engines whose events have no end took 273 MB on a host, where the smallest has 160 MB.

Cause: a run read events of up to 1 MB and texts of up to 4 MB and counted them nowhere, unlike streams and plain calls.

Change: a run takes its text and its unread bytes from the budget and ends as broken when that is used up. Its text so far is kept, so the item goes on from there.

--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -21,6 +21,7 @@
     prelude::*,
     traffic::{
         announce,
+        body::Taken,
         channel::{self, Demand, Route},
         connect::{OnLoss, connect, link_lost, send},
         exchange::closes_connection,
@@ -298,6 +299,7 @@
         Some(End::Broken)
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
+    let mut held = Taken::new(&traffic.response_bytes);
     let (mut reported_at, mut event_at) = (Instant::now(), Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
     loop {
@@ -347,6 +349,9 @@
         if state.progress.text.len() > TEXT_BYTES_MAX {
             return fail(&"text too long");
         }
+        if !held.set(parser.buffered() + state.progress.text.len()) {
+            return fail(&"too many bytes of others are being read");
+        }
         if reported_at.elapsed() >= PROGRESS_INTERVAL {
             reported_at = Instant::now();
             let progress = state.progress.clone();
