Bodies of callers count in their budget until their request has ended

Seen: ten bodies of 18 MB that waited for a target which does not answer took 202 MB on a host, where the smallest has 160 MB.

Cause: the budget counted a body while it was read, not while it waited.

Change: a call holds what its body takes until it has ended. Beyond the budget callers are refused as not run, as they are while bodies are read.

--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -61,7 +61,16 @@
 }
 
 /// Reads a body of at most `limit` bytes.
-pub async fn read(mut body: Incoming, limit: usize, budget: &Rc<Budget>) -> Result<Bytes, Error> {
+pub async fn read(body: Incoming, limit: usize, budget: &Rc<Budget>) -> Result<Bytes, Error> {
+    read_held(body, limit, budget).await.map(|(bytes, _)| bytes)
+}
+
+/// Reads a body of at most `limit` bytes, which count as taken from the budget for as long as the second value is held.
+pub async fn read_held(
+    mut body: Incoming,
+    limit: usize,
+    budget: &Rc<Budget>,
+) -> Result<(Bytes, Taken), Error> {
     if body.size_hint().lower() > limit as u64 {
         return TooLargeSnafu { limit }.fail();
     }
@@ -79,5 +88,5 @@
         }
         bytes.extend_from_slice(data);
     }
-    Ok(bytes.freeze())
+    Ok((bytes.freeze(), taken))
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -15,7 +15,7 @@
     metrics::METERS,
     prelude::*,
     traffic::{
-        body,
+        body::{self, Taken},
         dispatch::{Failure, dispatch},
         event_body::EventBody,
         exchange::{self, Call},
@@ -119,7 +119,7 @@
     let (parts, body) = request.into_parts();
     // The body is read before any response is sent: a connection that is closed with unread bytes is reset, and the
     // response is lost.
-    let body = match read_body(traffic, view.config.as_deref(), body).await {
+    let (body, held) = match read_body(traffic, view.config.as_deref(), body).await {
         Ok(body) => body,
         Err(response) => return response,
     };
@@ -153,6 +153,7 @@
         uri: uri.unwrap_or_default(),
         headers: end_to_end(parts.headers),
         body,
+        held: Some(Rc::new(held)),
         deadline: arrived + timeout,
     };
     if matches!(route.kind, Kind::Stream { .. }) {
@@ -232,9 +233,9 @@
     traffic: &Traffic,
     config: Option<&Config>,
     body: Incoming,
-) -> Result<Bytes, HttpResponse> {
+) -> Result<(Bytes, Taken), HttpResponse> {
     let limit = config.map_or(BODY_BYTES_DEFAULT, |config| config.limits.body_bytes);
-    body::read(body, limit, &traffic.request_bytes).await.map_err(|error| match error {
+    body::read_held(body, limit, &traffic.request_bytes).await.map_err(|error| match error {
         body::Error::TooLarge { .. } => status(StatusCode::PAYLOAD_TOO_LARGE),
         body::Error::NoBudget => not_run_response(RETRY_AFTER),
         body::Error::Broken { .. } => status(StatusCode::BAD_REQUEST),
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -15,7 +15,8 @@
     fleet::Target,
     prelude::*,
     traffic::{
-        announce, body,
+        announce,
+        body::{self, Taken},
         channel::{self, Demand},
         connect::{OnLoss, connect, send},
         serve::Traffic,
@@ -46,6 +47,9 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// What the body takes of the budget of callers' bodies, until no target needs it any more.
+    #[expect(dead_code, reason = "only dropped")]
+    pub held: Option<Rc<Taken>>,
     /// Time at which the request fails if there is no response yet.
     pub deadline: Instant,
 }
--- a/crates/node/src/traffic/judge.rs
+++ b/crates/node/src/traffic/judge.rs
@@ -32,6 +32,7 @@
         uri,
         headers: HeaderMap::from_iter([(header::HOST, host)]),
         body: judge.body.clone(),
+        held: None,
         deadline: Instant::now() + TIMEOUT.min(route.timeout),
     };
     match dispatch(traffic, route, &call).await {
