Connections of callers read ahead what the configuration allows for headers

Seen: 1,990 callers with heads of 63 KB that do not end took 177 MB on a host, where the smallest has 160 MB.

Cause: each connection read 64 KB ahead, whatever a head may have, and a host takes 2,000.

Change: a connection reads ahead what the configuration allows for headers and 8 KB more, within 16 to 64 KB.

--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -60,6 +60,11 @@
 /// Largest total size of the bodies that are being read from callers, and from targets.
 const REQUEST_BYTES_TOTAL: usize = 40 << 20;
 const RESPONSE_BYTES_TOTAL: usize = 40 << 20;
+/// Room for a request line beside the headers that the configuration allows.
+const REQUEST_LINE_BYTES: usize = 8 << 10;
+/// Bounds of what a caller's connection reads ahead.
+const BUFFER_BYTES_MIN: usize = 16 << 10;
+const BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Length of a listener's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
 /// Interval at which expired idle connections and statistics of removed targets are dropped.
@@ -135,6 +140,13 @@
         self.connections.get() > 0 || self.tunnels.carried() > 0
     }
 
+    /// Largest number of bytes that a caller's connection reads ahead, which holds the largest head that a caller may send.
+    fn buffer_bytes(&self) -> usize {
+        let view = self.view.load();
+        let head_bytes = view.config.as_ref().map_or(0, |config| config.limits.header_bytes);
+        head_bytes.saturating_add(REQUEST_LINE_BYTES).clamp(BUFFER_BYTES_MIN, BUFFER_BYTES_MAX)
+    }
+
     /// Longest time for which a caller may send nothing, or take nothing of what is sent to it.
     pub fn idle_timeout(&self) -> Duration {
         let view = self.view.load();
@@ -369,7 +381,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout)
-        .max_buf_size(64 << 10)
+        .max_buf_size(traffic.buffer_bytes())
         .serve_connection(TokioIo::new(Box::pin(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
