A suspected content does not move on before an end is settled

Seen: a sound item that stands beside ends of a whole service gets two strikes at one such moment, and is held for an hour at its fifth.

Cause: a target that ends may still take a connection for a moment, and counts as sound then. The run moved on at once, to a target that ended at the same moment.

One without any goes on at once as before, so a reset connection costs no time.

--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -81,7 +81,10 @@
     };
     for _ in 0..LOOKS_MAX {
         let look = ended::look(&traffic, &target);
-        if look.first.await == Finding::Sound {
+        // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
+        // that is suspected does not move on before that is settled.
+        let is_suspected = traffic.crashes.verdict(content, clock::now()) != Verdict::Free;
+        if look.first.await == Finding::Sound && !is_suspected {
             tell(false);
         }
         let finding = look.settled.await;
