--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -1,9 +1,11 @@
 //! What is known of one content.
 
-use crate::prelude::*;
+use crate::{crash::Run, prelude::*};
 
 /// Strikes from which on a content is held.
 const STRIKES_MAX: usize = 3;
+/// Ends that give no strike because their run got further than any before.
+const PASSES_MAX: u32 = 3;
 /// Trials that follow soon, as a content may only have been beside the one that ended the targets.
 const EARLY_TRIALS: usize = 2;
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(3);
@@ -56,14 +58,28 @@
     pub clears: u64,
     /// Last event of the run that got furthest among those under which a target ended.
     pub furthest: u64,
+    /// Ends that gave no strike, as their run got further than any before.
+    pub passes: u32,
     /// Start of the last trial.
     pub(super) tried_at: Option<Time>,
 }
 
 impl Record {
-    pub fn new(mut strikes: Vec<Strike>, clears: u64, furthest: u64) -> Self {
+    pub fn new(mut strikes: Vec<Strike>, clears: u64, furthest: u64, passes: u32) -> Self {
         strikes.sort();
-        Self { strikes, clears, furthest, tried_at: None }
+        Self { strikes, clears, furthest, passes, tried_at: None }
+    }
+
+    /// Lets an end give no strike if its run got further than any before. One that ends its target does so at the same event
+    /// again; but some may end theirs after any event, so this happens a few times only.
+    pub(super) fn pass(&mut self, run: Run) -> bool {
+        let is_further = run.reached > run.from && run.reached > self.furthest;
+        if !is_further || self.passes >= PASSES_MAX {
+            return false;
+        }
+        self.furthest = run.reached;
+        self.passes += 1;
+        true
     }
 
     pub fn verdict(&self, now: Time) -> Verdict {
@@ -116,8 +132,9 @@
             self.strikes.drain(..self.strikes.len().saturating_sub(STRIKES_KEPT));
             return true;
         }
-        let is_further = other.furthest > self.furthest;
+        let is_further = other.furthest > self.furthest || other.passes > self.passes;
         self.furthest = self.furthest.max(other.furthest);
+        self.passes = self.passes.max(other.passes);
         let mut is_news = is_further;
         for strike in other.strikes {
             is_news |= self.add(strike);
--- a/crates/node/src/crash/stored.rs
+++ b/crates/node/src/crash/stored.rs
@@ -13,6 +13,8 @@
 pub struct Stored {
     clears: u64,
     furthest: u64,
+    #[serde(default)]
+    passes: u32,
     strikes: Vec<StoredStrike>,
 }
 
@@ -35,6 +37,7 @@
         Self {
             clears: record.clears,
             furthest: record.furthest,
+            passes: record.passes,
             strikes: record.strikes.iter().map(strike).collect(),
         }
     }
@@ -49,6 +52,6 @@
             started_ms: strike.started_ms,
         };
         let strikes = stored.strikes.into_iter().map(strike).collect();
-        Self::new(strikes, stored.clears, stored.furthest)
+        Self::new(strikes, stored.clears, stored.furthest, stored.passes)
     }
 }
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -26,6 +26,16 @@
     pub reached: u64,
 }
 
+/// What an end of a target means for a content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// The strike that it gives is known already.
+    Known,
+    /// It gives no strike.
+    Passed,
+    Struck,
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     record: Record,
@@ -62,22 +72,20 @@
         is_due
     }
 
-    /// Records that a target ended under a content. Returns whether that is news. A run that got further than any before
-    /// it gives no strike: one that ends its target does so at the same event again.
-    pub fn ended(&self, content: Content, strike: Strike, run: Run, now: Time) -> bool {
+    /// Records that a target ended under a content.
+    pub fn ended(&self, content: Content, strike: Strike, run: Run, now: Time) -> Effect {
         let mut entries = self.lock();
         let entry = entry(&mut entries, content, now);
-        if run.reached > run.from && run.reached > entry.record.furthest {
-            entry.record.furthest = run.reached;
-            return true;
+        if entry.record.pass(run) {
+            return Effect::Passed;
         }
         let target = strike.target.clone();
-        let is_news = entry.record.add(strike);
-        if is_news {
-            let (strikes, verdict) = (entry.record.strikes.len(), entry.record.verdict(now));
-            warn!(content:% = content, target_id = &*target, strikes, verdict:? = verdict; "a target ended under a content");
+        if !entry.record.add(strike) {
+            return Effect::Known;
         }
-        is_news
+        let (strikes, verdict) = (entry.record.strikes.len(), entry.record.verdict(now));
+        warn!(content:% = content, target_id = &*target, strikes, verdict:? = verdict; "a target ended under a content");
+        Effect::Struck
     }
 
     /// Records that a target has answered a content. Returns what it was before if that is news.
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -59,7 +59,7 @@
     pub judge_failures: u32,
     /// The run still held its slot on the engine when it ended.
     pub holds_slot: bool,
-    /// Start time of the engine's instance, if it has ended under the run before any event.
+    /// Start time of the engine's instance, if its end under the run gives a strike.
     pub ended_instance: Option<u64>,
 }
 
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -182,7 +182,7 @@
     pub judge_failures: u32,
     #[prost(bool, tag = "7")]
     pub holds_slot: bool,
-    /// Start time of the engine's instance in Unix milliseconds, if it has ended under the run before any event.
+    /// Start time of the engine's instance in Unix milliseconds, if its end under the run gives a strike.
     #[prost(uint64, optional, tag = "8")]
     pub ended_instance: Option<u64>,
 }
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -36,6 +36,9 @@
     pub furthest: u64,
     #[prost(message, repeated, tag = "4")]
     pub strikes: Vec<Strike>,
+    /// Ends that gave no strike.
+    #[prost(uint32, tag = "5")]
+    pub passes: u32,
 }
 
 /// Asks for the contents that a host knows.
@@ -68,6 +71,7 @@
             content: content.to_bytes().to_vec(),
             clears: record.clears,
             furthest: record.furthest,
+            passes: record.passes,
             strikes: record.strikes.iter().map(strike).collect(),
         }
     }
@@ -86,6 +90,6 @@
         };
         let sound = suspect.strikes.into_iter().filter(|it| it.target.len() <= TARGET_BYTES_MAX);
         let strikes = sound.map(strike).collect();
-        Ok((content, Record::new(strikes, suspect.clears, suspect.furthest)))
+        Ok((content, Record::new(strikes, suspect.clears, suspect.furthest, suspect.passes)))
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -169,8 +169,7 @@
                     let events = crash::Run { from, reached };
                     let finding =
                         suspects::connection_broke(&traffic, content, target.clone(), events);
-                    let has_ended = finding.await && reached == from;
-                    ended_instance = has_ended.then_some(target.started_ms);
+                    ended_instance = finding.await.then_some(target.started_ms);
                 }
                 break 'end end;
             }
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    crash::{Content, Run, Strike, Verdict},
+    crash::{Content, Effect, Run, Strike, Verdict},
     metrics::METERS,
     peer::{Kind, Suspect, Suspects, SuspectsRequest, Trial},
     prelude::*,
@@ -54,7 +54,7 @@
 }
 
 /// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
-/// future is dropped, which returns whether it has, as far as that is known within a short time.
+/// future is dropped, which returns whether there is a strike, as far as that is known within a short time.
 pub fn connection_broke(
     traffic: &Rc<Traffic>,
     content: Content,
@@ -75,9 +75,9 @@
 ) {
     let at = clock::now();
     let mut tell = Some(tell);
-    let mut tell = |ended| {
+    let mut tell = |struck| {
         // The request may have gone on, or have a final answer.
-        let _ = tell.take().map(|tell| tell.send(ended));
+        let _ = tell.take().map(|tell| tell.send(struck));
     };
     for _ in 0..LOOKS_MAX {
         let look = ended::look(&traffic, &target);
@@ -95,10 +95,11 @@
             Finding::Ended => {
                 let (target, started_ms) = (target.id, target.started_ms);
                 let strike = Strike { target, started_ms, at };
-                if traffic.crashes.ended(content, strike, run, clock::now()) {
+                let effect = traffic.crashes.ended(content, strike, run, clock::now());
+                if effect != Effect::Known {
                     traffic.changes.tell_at_once(content);
                 }
-                tell(true);
+                tell(effect != Effect::Passed);
                 if let Verdict::Held(_) = traffic.crashes.verdict(content, clock::now()) {
                     held::keep(&traffic, content).await;
                 }
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -95,10 +95,11 @@
 fn a_stored_record_is_read_as_it_was() {
     let at = lagoonyard_node::clock::now();
     let strikes = (0..3).map(|number| strike(&format!("t{number}"), at)).collect();
-    let record = Record::new(strikes, 2, 5);
+    let record = Record::new(strikes, 2, 5, 3);
     let text = serde_json::to_vec(&Stored::from(&record)).unwrap();
     let read = Record::from(serde_json::from_slice::<Stored>(&text).unwrap());
-    assert_eq!((read.clears, read.furthest, read.strikes.len()), (2, 5, 3));
+    assert_eq!((read.clears, read.furthest, read.passes), (2, 5, 3));
+    assert_eq!(read.strikes.len(), 3);
     assert!(read.strikes.iter().all(|strike| strike.at.abs_diff(at) < SECOND));
     assert_eq!(content("x").to_string().parse::<Content>().unwrap(), content("x"));
 }
@@ -145,6 +146,19 @@
     assert_matches!(table.verdict(content("a"), SECOND * 8), Verdict::Held(_));
 }
 
+/// Guards against an item that ends each target that runs it, each a little later than the one before.
+#[test]
+fn runs_that_get_further_give_strikes_in_the_end() {
+    let table = Table::default();
+    for reached in 1..=6 {
+        let at = SECOND * u32::try_from(reached).unwrap();
+        assert_matches!(table.verdict(content("a"), at), Verdict::Free | Verdict::Suspect);
+        let run = Run { from: reached - 1, reached };
+        table.ended(content("a"), strike(&format!("t{reached}"), at), run, at);
+    }
+    assert_matches!(table.verdict(content("a"), SECOND * 6), Verdict::Held(_));
+}
+
 /// Guards against memory that grows with the contents that callers think up.
 #[test]
 fn the_number_of_records_is_bounded() {
@@ -170,7 +184,7 @@
         for number in 0..random.random_range(1..6) {
             let at = SECOND * random.random_range(1..40);
             let strikes = vec![strike(&format!("t{number}"), at)];
-            records.push(Record::new(strikes, random.random_range(0..3), 0));
+            records.push(Record::new(strikes, random.random_range(0..3), 0, 0));
         }
         let merge = |records: &[Record]| {
             let table = Table::default();
