A leader takes only the store's word that it leads no longer

Cause: since a leader believed a host that told it that its term was over, and did nothing more, while it went on to renew its lease. Copies side by side may take each other's ports: the log of one has the word of a host of another copy, with a bound of that copy's store. In the same way a foreign leader that connected ended the terms of this deployment's leaders on that host. An address that is used again would do it in production.

Change: the table of terms rises by the store and by the host's own leadership only. Connections of leaders end those of earlier ones, as before, and nothing else. What a runner tells a leader is logged.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -80,8 +80,8 @@
             Event::Limit { target, news } => self.apply_limit(&target, news),
             Event::Departure(departure) => self.apply_departure(&departure, Source::Host),
             Event::Superseded { service, bound } => {
-                warn!(service = &*service, bound; "another host knows that this one leads no longer");
-                self.terms.begin(&service, bound);
+                // Only the store decides: the host may be one of another deployment, at an address that is used again.
+                warn!(service = &*service, bound; "another host takes this one for a former leader");
             }
             Event::Retained { service, item, progress, text_complete } => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
--- a/crates/node/src/term.rs
+++ b/crates/node/src/term.rs
@@ -2,8 +2,8 @@
 //!
 //! A term is named by the fencing token of its leadership, the revision at which the leader key was written. A later term
 //! has a higher token, and so has any term that begins after a leader key was removed. One revision for each service
-//! therefore says which terms are over; it never falls. Whoever acts for a leader, or lets one act through this host, asks
-//! here first: the host may have heard of the end of a term from the store, from a later leader or as the later leader.
+//! therefore says which terms are over; it never falls. Whoever acts as a leader, or lets one act through this host, asks
+//! first.
 
 use std::collections::BTreeMap;
 
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -20,6 +20,7 @@
         RunItem, TextPart, ToRunner,
     },
     prelude::*,
+    term,
     traffic::{Report, Run, RunReport, run, serve::Traffic, stop},
 };
 
@@ -41,6 +42,9 @@
 /// What a host keeps between the connections of leaders.
 #[derive(Debug, Default)]
 pub struct Runner {
+    /// Terms that are over by the leaders that have connected. They end the connections of earlier leaders and nothing else:
+    /// at the address of a host that is gone, a host of another deployment may answer or call.
+    connected: term::Table,
     texts: RefCell<HashMap<ItemId, Text>>,
 }
 
@@ -96,19 +100,23 @@
         return;
     }
     info!(service = lead.service, fence = lead.fence; "running items for a leader");
-    session.traffic.terms.begin(&lead.service, lead.fence);
+    session.traffic.runner.connected.begin(&lead.service, lead.fence);
     session.serve(reports).await;
 }
 
 impl Session {
     /// Whether the leader is known to lead no longer.
     fn is_over(&self) -> bool {
-        self.traffic.terms.is_over(&self.lead.service, self.lead.fence)
+        let Lead { service, fence } = &self.lead;
+        let connected = &self.traffic.runner.connected;
+        self.traffic.terms.is_over(service, *fence) || connected.is_over(service, *fence)
     }
 
-    /// Tells the leader that its term is over, which its own election may notice only later.
+    /// Tells the leader why its connection ends.
     async fn report_superseded(&mut self) {
-        let bound = self.traffic.terms.bound(&self.lead.service);
+        let service = &self.lead.service;
+        let connected = self.traffic.runner.connected.bound(service);
+        let bound = self.traffic.terms.bound(service).max(connected);
         if self.feed(News::Superseded(bound)).await.is_some() {
             // The connection ends either way.
             let _ = self.flush().await;
@@ -123,15 +131,20 @@
         let (traffic, lead) = (Rc::clone(&self.traffic), self.lead.clone());
         let stopping = stop::requested(&traffic);
         let mut stopping = std::pin::pin!(stopping);
-        let over = traffic.terms.over(&lead.service, lead.fence);
-        let mut over = std::pin::pin!(over);
+        let known = traffic.terms.over(&lead.service, lead.fence);
+        let connected = traffic.runner.connected.over(&lead.service, lead.fence);
+        let (mut known, mut connected) = (std::pin::pin!(known), std::pin::pin!(connected));
         let mut leaving = false;
         let reason = loop {
             tokio::select! {
-                () = &mut over => {
+                () = &mut known => {
                     self.report_superseded().await;
                     break "its term is over";
                 }
+                () = &mut connected => {
+                    self.report_superseded().await;
+                    break "a newer leader has connected";
+                }
                 frame = self.frames.next() => {
                     heard_at = Instant::now();
                     let Some(Ok(frame)) = frame else {
