An item whose content was freed by an answer starts within 250 ms

Cause: an item whose content is held waits until the end of the hold as it was when the item was looked at, 3 s or an hour. An answer to another item or request with that content frees the content, but the item goes on waiting. Class: a decision that is kept with a deadline although what it rests on can change before. Change: a held item is looked at again after 250 ms at the latest. Both tests fail without the change.

--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -11,6 +11,8 @@
 const SLOT_WAIT_MAX: Duration = Duration::from_millis(700);
 /// Time until an item whose judge returned no score is retried.
 const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which it is checked whether an item may start whose content is held.
+const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Items of a job that are tried in one pass while none of them finds an engine.
 const BLOCKED_ITEMS_MAX: usize = 8;
 
@@ -101,7 +103,9 @@
         };
         let verdict = self.verdict(item, now, crashes);
         if let Verdict::Held(until) = verdict {
-            self.set_state(item, State::Waiting { not_before: until });
+            // An answer to the same content may free it at any time.
+            let not_before = until.min(now + HELD_CHECK_INTERVAL);
+            self.set_state(item, State::Waiting { not_before });
             return None;
         }
         let status = &self.statuses[item];
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use assert_matches::assert_matches;
 use common::{engine, engines, grouped_job, ms, outcome, text};
 use lagoonyard_node::{
     crash::{Content, Record, Run, Stored, Strike, Table, Verdict},
-    job::{End, Engines, Outcome, Queue},
+    job::{Assignment, End, Engines, Outcome, Queue},
     prelude::*,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -14,6 +16,8 @@
 const SECOND: Duration = Duration::from_secs(1);
 const EARLY_DELAY: Duration = Duration::from_secs(3);
 const LATE_DELAY: Duration = Duration::from_secs(3600);
+/// Time for which an item may be at no engine.
+const IDLE_MAX: Duration = Duration::from_secs(5);
 
 fn content(body: &str) -> Content {
     Content::new("POST", "h.example", "/p", body.as_bytes())
@@ -224,3 +228,67 @@
     assert!(queue.take_rows("j", 1, Time::MAX, 1 << 20).is_empty(), "the item was given up");
     assert!(queue.assign_next(due, &mut engines).is_some(), "no trial");
 }
+
+/// Job of items that are the same request, as those of a group may be.
+const SIBLINGS: [(&str, &str); 4] = [("a", "g"), ("b", "g"), ("c", "g"), ("d", "g")];
+
+/// Time at which an item starts next, looking each 50 ms, and its assignment.
+fn next_start(
+    queue: &mut Queue,
+    engines: &mut Engines,
+    mut now: Time,
+) -> Option<(Time, Assignment)> {
+    let by = now + SECOND * 60;
+    while now < by {
+        if let Some(assignment) = queue.assign_next(now, engines) {
+            return Some((now, assignment));
+        }
+        now += ms(50);
+    }
+    None
+}
+
+/// Guards against items of a group that are held as their siblings were where targets ended, each until the trial of the one
+/// before.
+#[test]
+fn siblings_of_a_held_item_start_once_it_has_an_answer() {
+    let all: Vec<_> = (0..8).map(|number| engine(&format!("e{number}"), 1)).collect();
+    let mut engines = engines(&all);
+    let crashes = Arc::new(Table::default());
+    let mut queue = Queue::new(Arc::clone(&crashes));
+    let job = grouped_job("j", &SIBLINGS);
+    let content = job.spec.items[0].content("h");
+    queue.insert(job);
+    let mut strikes: u32 = 0;
+    while let Some(run) = queue.assign_next(SECOND, &mut engines) {
+        strikes += 1;
+        let broken = outcome(("j", run.item, SIBLINGS[run.item].0), "", End::Broken, text(0, 1));
+        let ended = Outcome { target: run.target, ended_instance: Some(1), ..broken };
+        queue.finish_run(ended, SECOND, &mut engines);
+    }
+    assert_eq!(strikes, 3);
+    let (trial, _) = next_start(&mut queue, &mut engines, SECOND).unwrap();
+    assert!(queue.assign_next(trial, &mut engines).is_none(), "two trials at the same time");
+    let answered_at = trial + ms(600);
+    crashes.answered(content, answered_at);
+    for number in 0..3 {
+        let (at, _) = next_start(&mut queue, &mut engines, answered_at).unwrap();
+        assert!(at <= answered_at + ms(300), "sibling {number}: {at:?}");
+    }
+}
+
+/// Guards against items that are held for an hour although an answer has freed their content.
+#[test]
+fn an_answer_frees_an_item_that_is_held_for_long() {
+    let mut engines = engines(&[engine("e1", 1)]);
+    let crashes = Arc::new(Table::default());
+    let mut queue = Queue::new(Arc::clone(&crashes));
+    let job = grouped_job("j", &SIBLINGS[..1]);
+    let content = job.spec.items[0].content("h");
+    queue.insert(job);
+    let last = end_targets(&crashes, content, 5);
+    assert!(queue.assign_next(last, &mut engines).is_none());
+    crashes.answered(content, last + SECOND);
+    let (at, _) = next_start(&mut queue, &mut engines, last + SECOND).expect("it starts");
+    assert!(at - last < IDLE_MAX, "it starts {:?} after the last end", at - last);
+}
