A trial of a held content that reaches no engine is not spent

Cause: a trial of a held content counted from the moment at which the leader chose an engine. Class: an attempt is counted when it is planned, not when it is made. Change: a run that ends as not run and began as a trial gives the trial back, so the item starts again at once at another engine.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -60,7 +60,7 @@
     pub furthest: u64,
     /// Ends that gave no strike, as their run got further than any before.
     pub passes: u32,
-    /// Start of the last trial.
+    /// Start of the last trial, unless it reached no target.
     pub(super) tried_at: Option<Time>,
 }
 
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -72,6 +72,13 @@
         is_due
     }
 
+    /// Takes back a trial that reached no target.
+    pub fn cancel_trial(&self, content: Content) {
+        if let Some(entry) = self.lock().get_mut(&content) {
+            entry.record.tried_at = None;
+        }
+    }
+
     /// Records that a target ended under a content.
     pub fn ended(&self, content: Content, strike: Strike, run: Run, now: Time) -> Effect {
         let mut entries = self.lock();
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -128,6 +128,7 @@
             return None;
         }
         let status = &mut self.statuses[item];
+        status.is_trial = verdict == Verdict::Trial;
         let progress = &status.progress;
         if !progress.can_continue(min, version, self.policy.single_version)
             || !progress.fits(&software)
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -82,6 +82,7 @@
         let status = ItemStatus {
             state: State::Waiting { not_before: Time::ZERO },
             progress: Progress::default(),
+            is_trial: false,
             events_at_runner: 0,
             text_complete: false,
             failures: 0,
@@ -248,6 +249,11 @@
         self.waiting.len() > 0
     }
 
+    /// Whether the last run of an item began as the trial of its content.
+    pub(super) fn is_trial(&self, item: usize) -> bool {
+        self.statuses.get(item).is_some_and(|status| status.is_trial)
+    }
+
     /// Whether a finished row is not persisted yet.
     pub(super) fn has_unpersisted_rows(&self) -> bool {
         !self.finished.is_empty() || !self.in_write.is_empty()
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -270,14 +270,16 @@
     }
 }
 
-/// Records that the engine of a run has ended. The host that ran the item tells all hosts of it, but this one may hear of it
-/// later than the item could start again.
+/// Records that the engine of a run has ended, which the host that ran the item tells all hosts as well, but later than the
+/// item could start again; or that a trial reached no engine.
 fn record_end(crashes: &crash::Table, job: &Job, outcome: &Outcome, now: Time) {
     let Some((item, target)) = job.spec.items.get(outcome.item).zip(outcome.target.as_ref()) else {
         return;
     };
     if let Some(started_ms) = outcome.ended_instance {
-        let strike = Strike { target: target.clone(), started_ms, at: now };
-        crashes.ended(item.content(&job.record.host), strike, Run::default(), now);
+        let end = Strike { target: target.clone(), started_ms, at: now };
+        crashes.ended(item.content(&job.record.host), end, Run::default(), now);
+    } else if outcome.end == End::NotRun && job.is_trial(outcome.item) {
+        crashes.cancel_trial(item.content(&job.record.host));
     }
 }
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -248,6 +248,37 @@
     None
 }
 
+/// Ends three engines under the item of a job. Returns the time of the last end.
+fn hold_item(queue: &mut Queue, engines: &mut Engines) -> Time {
+    for number in 1..=3 {
+        let now = SECOND * number;
+        let assignment = queue.assign_next(now, engines).unwrap();
+        end_engine(queue, engines, &assignment.target.unwrap(), now);
+    }
+    SECOND * 3
+}
+
+fn end_run(queue: &mut Queue, engines: &mut Engines, run: &Assignment, end: End, now: Time) {
+    let id = SIBLINGS[run.item].0;
+    let target = run.target.as_deref().unwrap();
+    queue.finish_run(outcome(("j", run.item, id), target, end, text(0, 1)), now, engines);
+}
+
+/// Guards against an item that is at no engine for longer than its step bears, as its trial was spent on an engine that did
+/// not take it.
+#[test]
+fn a_trial_that_reaches_no_engine_is_not_spent() {
+    let all: Vec<_> = (0..8).map(|number| engine(&format!("e{number}"), 1)).collect();
+    let mut engines = engines(&all);
+    let mut queue = Queue::default();
+    queue.insert(grouped_job("j", &SIBLINGS[..1]));
+    let held_at = hold_item(&mut queue, &mut engines);
+    let (first, run) = next_start(&mut queue, &mut engines, held_at).unwrap();
+    end_run(&mut queue, &mut engines, &run, End::NotRun, first + ms(20));
+    let (second, _) = next_start(&mut queue, &mut engines, first + ms(20)).unwrap();
+    assert!(second - held_at < IDLE_MAX, "it starts {:?} after the last end", second - held_at);
+}
+
 /// Guards against items of a group that are held as their siblings were where targets ended, each until the trial of the one
 /// before.
 #[test]
