Ends of several targets at once hold no sound content

Cause: each end of a target was put down to every content in progress there, whatever else ended at that moment, and nothing but an answer to the content itself spoke for it. Class: evidence is only ever collected against a suspect. Change: (1) an end of a target together with one of another target that did not run the content gives a suspected content no strike; that happens three times at most, together with ends of runs that got further. Such ends are known from other contents' strikes, or by a look at up to eight other targets of the service. (3) Ends without a strike pass between hosts and into the store (field 6 of a suspect): without that, another host took a target that had ended under the content for one that ended without it ('8 targets ended', bound 6, in a_stream_that_ends_its_targets_midway_is_not_sent_on_and_on).

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -1,22 +1,29 @@
 //! What is known of one content.
 
-use crate::{crash::Run, prelude::*};
+use crate::{
+    crash::{Effect, Run},
+    prelude::*,
+};
 
 /// Strikes from which on a content is held.
 const STRIKES_MAX: usize = 3;
-/// Ends that give no strike because their run got further than any before.
+/// Ends that give no strike because their run got further than any before, or because other targets ended with them.
 const PASSES_MAX: u32 = 3;
 /// Trials that follow soon, as a content may only have been beside the one that ended the targets.
 const EARLY_TRIALS: usize = 2;
-const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(3);
+const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(1);
+/// Trials that follow as soon, each after a target has ended without the content.
+const DOUBT_TRIALS: usize = 3;
 /// Delay of all further trials.
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(3600);
 /// Time since the last strike after which a record is dropped.
 pub(super) const RETENTION: Duration = Duration::from_secs(24 * 3600);
 /// Time within which two hosts that see an instance of a target end see the same end.
 const SAME_END: Duration = Duration::from_millis(1000);
+/// Time within which targets end together.
+const SAME_MOMENT: Duration = Duration::from_millis(1000);
 /// Strikes that are kept, the newest ones.
-const STRIKES_KEPT: usize = STRIKES_MAX + EARLY_TRIALS;
+const STRIKES_KEPT: usize = STRIKES_MAX + EARLY_TRIALS + DOUBT_TRIALS;
 
 /// An end of a target.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,9 +36,21 @@
 
 impl Strike {
     fn is_same(&self, other: &Self) -> bool {
-        self.target == other.target
-            && self.started_ms == other.started_ms
-            && self.at.abs_diff(other.at) < SAME_END
+        self.is_same_instance(other) && self.at.abs_diff(other.at) < SAME_END
+    }
+
+    fn is_same_instance(&self, other: &Self) -> bool {
+        self.is_of(&other.target, other.started_ms)
+    }
+
+    /// Whether it is the end of an instance.
+    pub(super) fn is_of(&self, target: &TargetId, started_ms: u64) -> bool {
+        self.target == *target && self.started_ms == started_ms
+    }
+
+    /// Whether two targets ended together.
+    pub(super) fn is_joint(&self, other: &Self) -> bool {
+        !self.is_same_instance(other) && self.at.abs_diff(other.at) < SAME_MOMENT
     }
 }
 
@@ -58,40 +77,100 @@
     pub clears: u64,
     /// Last event of the run that got furthest among those under which a target ended.
     pub furthest: u64,
-    /// Ends that gave no strike, as their run got further than any before.
+    /// Ends that gave no strike.
     pub passes: u32,
     /// Start of the last trial, unless it reached no target.
     pub(super) tried_at: Option<Time>,
+    /// Last end of a target without the content, while it is held.
+    pub(super) other_end: Option<Strike>,
+    /// Last ends that gave no strike, in order of time.
+    pub passed: Vec<Strike>,
 }
 
 impl Record {
     pub fn new(mut strikes: Vec<Strike>, clears: u64, furthest: u64, passes: u32) -> Self {
         strikes.sort();
-        Self { strikes, clears, furthest, passes, tried_at: None }
+        Self { strikes, clears, furthest, passes, ..Self::default() }
+    }
+
+    /// Adds ends that gave no strike.
+    pub fn with_passed(mut self, mut passed: Vec<Strike>) -> Self {
+        passed.sort();
+        self.passed = passed;
+        self
     }
 
-    /// Lets an end give no strike if its run got further than any before. One that ends its target does so at the same event
-    /// again; but some may end theirs after any event, so this happens a few times only.
-    pub(super) fn pass(&mut self, run: Run) -> bool {
-        let is_further = run.reached > run.from && run.reached > self.furthest;
-        if !is_further || self.passes >= PASSES_MAX {
+    /// Whether the run of an end got further than any before. One that ends its target does so at the same event again.
+    pub(super) fn is_further(&self, run: Run) -> bool {
+        run.reached > run.from && run.reached > self.furthest
+    }
+
+    /// Lets an end give no strike, unless that has happened a few times: some contents may end their targets after any event,
+    /// or when others do.
+    pub(super) fn pass(&mut self, end: Strike, run: Run) -> bool {
+        if self.passes >= PASSES_MAX {
             return false;
         }
-        self.furthest = run.reached;
         self.passes += 1;
+        self.furthest = self.furthest.max(run.reached);
+        self.add_passed(end);
         true
     }
 
+    /// Adds an end that gave no strike. Returns whether it is news.
+    fn add_passed(&mut self, end: Strike) -> bool {
+        if self.passed.iter().any(|known| known.is_same(&end)) {
+            return false;
+        }
+        let position = self.passed.partition_point(|known| *known < end);
+        self.passed.insert(position, end);
+        if self.passed.len() <= PASSES_MAX as usize {
+            return true;
+        }
+        self.passed.remove(0);
+        position > 0
+    }
+
+    /// What is known of an end.
+    pub(super) fn effect(&self, end: &Strike) -> Option<Effect> {
+        let is_in = |ends: &[Strike]| ends.iter().any(|known| known.is_same(end));
+        if is_in(&self.strikes) {
+            return Some(Effect::Known);
+        }
+        is_in(&self.passed).then_some(Effect::Passed)
+    }
+
     pub fn verdict(&self, now: Time) -> Verdict {
         let Some(last) = self.strikes.last().filter(|_| self.strikes.len() >= STRIKES_MAX) else {
             return if self.strikes.is_empty() { Verdict::Free } else { Verdict::Suspect };
         };
-        let is_early = self.strikes.len() < STRIKES_MAX + EARLY_TRIALS;
+        let is_early = self.strikes.len() < STRIKES_MAX + EARLY_TRIALS || self.is_doubted(last);
         let delay = if is_early { EARLY_TRIAL_DELAY } else { LATE_TRIAL_DELAY };
         let due = self.tried_at.unwrap_or(last.at).max(last.at) + delay;
         if now < due { Verdict::Held(due) } else { Verdict::Trial }
     }
 
+    /// Whether a target has ended without the content since its last strike, so that something else ends them.
+    fn is_doubted(&self, last: &Strike) -> bool {
+        let is_later =
+            |end: &Strike| end.at > last.at && !self.knows_instance(&end.target, end.started_ms);
+        self.strikes.len() < STRIKES_KEPT && self.other_end.as_ref().is_some_and(is_later)
+    }
+
+    /// Whether an instance ended under the content.
+    pub(super) fn knows_instance(&self, target: &TargetId, started_ms: u64) -> bool {
+        self.strikes.iter().chain(&self.passed).any(|end| end.is_of(target, started_ms))
+    }
+
+    /// Records that a target ended, under whatever content.
+    pub(super) fn note_end(&mut self, end: &Strike) {
+        let is_held = self.strikes.len() >= STRIKES_MAX;
+        let is_later = self.other_end.as_ref().is_none_or(|known| known.at < end.at);
+        if is_held && is_later && !self.knows_instance(&end.target, end.started_ms) {
+            self.other_end = Some(end.clone());
+        }
+    }
+
     /// Whether the last strike is so old that the record is dropped.
     pub fn is_outdated(&self, now: Time) -> bool {
         self.last_strike().is_none_or(|at| now >= at + RETENTION)
@@ -117,6 +196,11 @@
         position > 0
     }
 
+    /// Whether nothing is held against the content.
+    pub(super) fn is_clear(&self) -> bool {
+        self.strikes.is_empty() && self.passes == 0 && self.furthest == 0
+    }
+
     /// Removes the strikes after a success.
     pub(super) fn clear(&mut self) {
         *self = Self { clears: self.clears.saturating_add(1), ..Self::default() };
@@ -139,6 +223,9 @@
         for strike in other.strikes {
             is_news |= self.add(strike);
         }
+        for end in other.passed {
+            is_news |= self.add_passed(end);
+        }
         is_news
     }
 }
--- a/crates/node/src/crash/stored.rs
+++ b/crates/node/src/crash/stored.rs
@@ -16,6 +16,9 @@
     #[serde(default)]
     passes: u32,
     strikes: Vec<StoredStrike>,
+    /// Ends that gave no strike.
+    #[serde(default)]
+    passed: Vec<StoredStrike>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +42,7 @@
             furthest: record.furthest,
             passes: record.passes,
             strikes: record.strikes.iter().map(strike).collect(),
+            passed: record.passed.iter().map(strike).collect(),
         }
     }
 }
@@ -52,6 +56,7 @@
             started_ms: strike.started_ms,
         };
         let strikes = stored.strikes.into_iter().map(strike).collect();
-        Self::new(strikes, stored.clears, stored.furthest, stored.passes)
+        let passed = stored.passed.into_iter().map(strike).collect();
+        Self::new(strikes, stored.clears, stored.furthest, stored.passes).with_passed(passed)
     }
 }
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -1,7 +1,7 @@
 //! Contents under which targets ended.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, VecDeque},
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
@@ -14,8 +14,12 @@
 
 /// Records kept at most; with more, the one with the fewest strikes goes, and among those the oldest.
 const RECORDS_MAX: usize = 4096;
+/// Ends of targets without a content that are kept, the newest ones.
+const BARE_ENDS_MAX: usize = 64;
 /// Time for which a cleared record is kept, so that no delayed message brings its strikes back.
 const CLEARED_RETENTION: Duration = Duration::from_secs(120);
+/// Time for which an end of a target without a content is kept, longer than it stays registered.
+const BARE_END_RETENTION: Duration = Duration::from_secs(120);
 
 /// Events of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -42,26 +46,34 @@
     touched_at: Time,
 }
 
+#[derive(Debug, Default)]
+struct State {
+    entries: HashMap<Content, Entry>,
+    /// Ends of targets under none of the contents known here.
+    bare_ends: VecDeque<Strike>,
+}
+
 /// Records by content, shared by the threads of a host.
 #[derive(Debug, Default)]
 pub struct Table {
-    entries: Mutex<HashMap<Content, Entry>>,
+    state: Mutex<State>,
 }
 
 impl Table {
     /// Whether no content is known, so that none needs to be computed.
     pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
+        self.lock().entries.is_empty()
     }
 
     pub fn verdict(&self, content: Content, now: Time) -> Verdict {
-        self.lock().get(&content).map_or(Verdict::Free, |entry| entry.record.verdict(now))
+        let state = self.lock();
+        state.entries.get(&content).map_or(Verdict::Free, |entry| entry.record.verdict(now))
     }
 
     /// Begins a trial if one is due. Returns whether it is.
     pub fn begin_trial(&self, content: Content, now: Time) -> bool {
-        let mut entries = self.lock();
-        let Some(entry) = entries.get_mut(&content) else {
+        let mut state = self.lock();
+        let Some(entry) = state.entries.get_mut(&content) else {
             return false;
         };
         let is_due = entry.record.verdict(now) == Verdict::Trial;
@@ -74,31 +86,49 @@
 
     /// Takes back a trial that reached no target.
     pub fn cancel_trial(&self, content: Content) {
-        if let Some(entry) = self.lock().get_mut(&content) {
+        if let Some(entry) = self.lock().entries.get_mut(&content) {
             entry.record.tried_at = None;
         }
     }
 
-    /// Records that a target ended under a content.
-    pub fn ended(&self, content: Content, strike: Strike, run: Run, now: Time) -> Effect {
-        let mut entries = self.lock();
-        let entry = entry(&mut entries, content, now);
-        if entry.record.pass(run) {
-            return Effect::Passed;
+    /// Records that a target ended under a content. That gives no strike, a few times, if the run had got further than any
+    /// before, or if another target ended at that moment.
+    pub fn ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
+        let mut state = self.lock();
+        let is_joint = state.has_joint_end(content, &end);
+        let record = &mut state.entry(content, now).record;
+        if let Some(effect) = record.effect(&end) {
+            return effect;
         }
-        let target = strike.target.clone();
-        if !entry.record.add(strike) {
-            return Effect::Known;
+        if !record.is_further(run) && !is_joint || !record.pass(end.clone(), run) {
+            return state.strike(content, end, now);
         }
-        let (strikes, verdict) = (entry.record.strikes.len(), entry.record.verdict(now));
-        warn!(content:% = content, target_id = &*target, strikes, verdict:? = verdict; "a target ended under a content");
-        Effect::Struck
+        info!(content:% = content, target_id = &*end.target, joint = is_joint, passes = record.passes; "a target ended under a content without a strike");
+        Effect::Passed
+    }
+
+    /// Gives a content a strike.
+    pub fn strike(&self, content: Content, end: Strike, now: Time) -> Effect {
+        self.lock().strike(content, end, now)
+    }
+
+    /// Records that a target ended, whatever it ran.
+    pub fn target_ended(&self, end: Strike) {
+        self.lock().note_bare_end(end);
+    }
+
+    /// Whether an instance of a target is known to have ended.
+    pub fn knows_end(&self, target: &TargetId, started_ms: u64) -> bool {
+        let state = self.lock();
+        let mut records = state.entries.values().map(|entry| &entry.record);
+        records.any(|record| record.knows_instance(target, started_ms))
+            || state.bare_ends.iter().any(|end| end.is_of(target, started_ms))
     }
 
     /// Records that a target has answered a content. Returns what it was before if that is news.
     pub fn answered(&self, content: Content, now: Time) -> Option<Verdict> {
-        let mut entries = self.lock();
-        let entry = entries.get_mut(&content).filter(|it| it.record != cleared(&it.record))?;
+        let mut state = self.lock();
+        let entry = state.entries.get_mut(&content).filter(|it| !it.record.is_clear())?;
         let before = entry.record.verdict(now);
         info!(content:% = content, strikes = entry.record.strikes.len(); "content cleared by an answer");
         entry.record.clear();
@@ -108,66 +138,104 @@
 
     /// Adds what another host knows of a content. Returns whether that is news.
     pub fn merge(&self, content: Content, record: Record, now: Time) -> bool {
-        let mut entries = self.lock();
-        let is_news = entry(&mut entries, content, now).record.merge(record);
+        let mut state = self.lock();
+        let ends = record.strikes.clone();
+        let known = &mut state.entry(content, now).record;
+        let is_news = known.merge(record);
         if is_news {
-            let record = &entries[&content].record;
-            info!(content:% = content, strikes = record.strikes.len(), clears = record.clears; "another host told of a content");
+            info!(content:% = content, strikes = known.strikes.len(), clears = known.clears; "another host told of a content");
+            ends.iter().for_each(|end| state.note_end(end));
         }
         is_news
     }
 
     pub fn record(&self, content: Content) -> Option<Record> {
-        self.lock().get(&content).map(|entry| entry.record.clone())
+        self.lock().entries.get(&content).map(|entry| entry.record.clone())
     }
 
     /// All records.
     pub fn all(&self) -> Vec<(Content, Record)> {
-        let entries = self.lock();
-        entries.iter().map(|(content, entry)| (*content, entry.record.clone())).collect()
+        let state = self.lock();
+        state.entries.iter().map(|(content, entry)| (*content, entry.record.clone())).collect()
     }
 
     /// Number of contents that are held.
     pub fn held(&self, now: Time) -> usize {
-        let entries = self.lock();
+        let state = self.lock();
         let is_held =
             |entry: &&Entry| matches!(entry.record.verdict(now), Verdict::Held(_) | Verdict::Trial);
-        entries.values().filter(is_held).count()
+        state.entries.values().filter(is_held).count()
     }
 
     /// Drops what is too old.
     pub fn sweep(&self, now: Time) {
-        self.lock().retain(|_, entry| {
+        let mut state = self.lock();
+        state.entries.retain(|_, entry| {
             let (since, time) = match entry.record.last_strike() {
                 Some(at) => (at, RETENTION),
                 None => (entry.touched_at, CLEARED_RETENTION),
             };
             now < since + time
         });
+        state.bare_ends.retain(|end| now < end.at + BARE_END_RETENTION);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Content, Entry>> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         // The state is consistent between any two statements that change it.
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Record as it is after a success, without a further one.
-fn cleared(record: &Record) -> Record {
-    Record { clears: record.clears, ..Record::default() }
-}
+impl State {
+    /// Entry of a content, which takes the place of another one if there are too many.
+    fn entry(&mut self, content: Content, now: Time) -> &mut Entry {
+        if self.entries.len() >= RECORDS_MAX && !self.entries.contains_key(&content) {
+            let least = self.entries.iter().min_by_key(|(content, entry)| {
+                (entry.record.strikes.len(), entry.touched_at, **content)
+            });
+            if let Some(least) = least.map(|(content, _)| *content) {
+                self.entries.remove(&least);
+            }
+        }
+        let entry = self.entries.entry(content).or_default();
+        entry.touched_at = now;
+        entry
+    }
 
-/// Entry of a content, which takes the place of another one if there are too many.
-fn entry(entries: &mut HashMap<Content, Entry>, content: Content, now: Time) -> &mut Entry {
-    if entries.len() >= RECORDS_MAX && !entries.contains_key(&content) {
-        let least = entries.iter().min_by_key(|(content, entry)| {
-            (entry.record.strikes.len(), entry.touched_at, **content)
-        });
-        if let Some(least) = least.map(|(content, _)| *content) {
-            entries.remove(&least);
+    fn strike(&mut self, content: Content, end: Strike, now: Time) -> Effect {
+        let record = &mut self.entry(content, now).record;
+        if !record.add(end.clone()) {
+            return Effect::Known;
         }
+        let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
+        warn!(content:% = content, target_id = &*end.target, strikes, verdict:? = verdict; "a target ended under a content");
+        self.note_end(&end);
+        Effect::Struck
+    }
+
+    /// Whether a suspected content has an end at the same moment as one of a target that did not run it.
+    fn has_joint_end(&self, content: Content, end: &Strike) -> bool {
+        let own = self.entries.get(&content).map(|entry| &entry.record);
+        let Some(own) = own.filter(|record| !record.strikes.is_empty()) else {
+            return false;
+        };
+        let others = self.entries.iter().filter(|(other, _)| **other != content);
+        let mut ends = others.flat_map(|(_, entry)| &entry.record.strikes).chain(&self.bare_ends);
+        ends.any(|other| {
+            other.is_joint(end) && !own.knows_instance(&other.target, other.started_ms)
+        })
+    }
+
+    fn note_bare_end(&mut self, end: Strike) {
+        self.note_end(&end);
+        if self.bare_ends.len() >= BARE_ENDS_MAX {
+            self.bare_ends.pop_front();
+        }
+        self.bare_ends.push_back(end);
+    }
+
+    /// Tells all records of an end.
+    fn note_end(&mut self, end: &Strike) {
+        self.entries.values_mut().for_each(|entry| entry.record.note_end(end));
     }
-    let entry = entries.entry(content).or_default();
-    entry.touched_at = now;
-    entry
 }
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     config::Config,
-    crash::{self, Run, Strike},
+    crash::{self, Strike},
     dialect::Strategy,
     events::Progress,
     job::{
@@ -278,7 +278,7 @@
     };
     if let Some(started_ms) = outcome.ended_instance {
         let end = Strike { target: target.clone(), started_ms, at: now };
-        crashes.ended(item.content(&job.record.host), end, Run::default(), now);
+        crashes.strike(item.content(&job.record.host), end, now);
     } else if outcome.end == End::NotRun && job.is_trial(outcome.item) {
         crashes.cancel_trial(item.content(&job.record.host));
     }
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -39,6 +39,9 @@
     /// Ends that gave no strike.
     #[prost(uint32, tag = "5")]
     pub passes: u32,
+    /// The last of these ends.
+    #[prost(message, repeated, tag = "6")]
+    pub passed: Vec<Strike>,
 }
 
 /// Asks for the contents that a host knows.
@@ -73,6 +76,7 @@
             furthest: record.furthest,
             passes: record.passes,
             strikes: record.strikes.iter().map(strike).collect(),
+            passed: record.passed.iter().map(strike).collect(),
         }
     }
 }
@@ -88,8 +92,14 @@
             started_ms: strike.started_ms,
             at: now.saturating_sub(Duration::from_millis(strike.age_ms)),
         };
-        let sound = suspect.strikes.into_iter().filter(|it| it.target.len() <= TARGET_BYTES_MAX);
-        let strikes = sound.map(strike).collect();
-        Ok((content, Record::new(strikes, suspect.clears, suspect.furthest, suspect.passes)))
+        let sound = |ends: Vec<Strike>| {
+            ends.into_iter()
+                .filter(|end| end.target.len() <= TARGET_BYTES_MAX)
+                .map(strike)
+                .collect()
+        };
+        let Suspect { clears, furthest, passes, .. } = suspect;
+        let record = Record::new(sound(suspect.strikes), clears, furthest, passes);
+        Ok((content, record.with_passed(sound(suspect.passed))))
     }
 }
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use futures::future::{OptionFuture, join_all};
 use log::info;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use tokio::{
     sync::oneshot,
     time::{sleep, timeout},
@@ -30,6 +32,9 @@
 /// Delay before another look at a target of which nothing could be found, and number of looks.
 const LOOK_DELAY: Duration = Duration::from_millis(400);
 const LOOKS_MAX: usize = 4;
+/// Other targets that are looked at when one has ended, and time for that.
+const OTHERS_MAX: usize = 8;
+const OTHERS_WAIT: Duration = Duration::from_millis(150);
 /// Time for another host to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Least time after which a refused caller is told to come back.
@@ -87,15 +92,16 @@
         if look.first.await == Finding::Sound && !is_suspected {
             tell(false);
         }
-        let finding = look.settled.await;
+        let others = OptionFuture::from(is_suspected.then(|| look_at_others(&traffic, &target)));
+        let (finding, _) = futures::join!(look.settled, others);
         METERS.broken_connection(finding.name());
         info!(content:% = content, target_id = &*target.id, born = target.started_ms, finding = finding.name(), events = run.reached; "connection broke under a content");
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
                 let (target, started_ms) = (target.id, target.started_ms);
-                let strike = Strike { target, started_ms, at };
-                let effect = traffic.crashes.ended(content, strike, run, clock::now());
+                let end = Strike { target, started_ms, at };
+                let effect = traffic.crashes.ended(content, end, run, clock::now());
                 if effect != Effect::Known {
                     traffic.changes.tell_at_once(content);
                 }
@@ -110,6 +116,31 @@
     }
 }
 
+/// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
+async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
+    let view = traffic.view.load_full();
+    let Some(service) = view.targets.get(&target.id).map(|target| &target.service) else {
+        return;
+    };
+    let others = view.targets.values().filter(|other| {
+        other.service == *service
+            && other.id != target.id
+            && !other.draining
+            && !traffic.crashes.knows_end(&other.id, other.started_ms)
+    });
+    let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
+    let looks = others.into_iter().map(|other| look_at(traffic, other.as_ref().into()));
+    // Those that have no result in time say nothing.
+    let _ = timeout(OTHERS_WAIT, join_all(looks)).await;
+}
+
+async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
+    if ended::look(traffic, &target).first.await == Finding::Ended {
+        let end = Strike { target: target.id, started_ms: target.started_ms, at: clock::now() };
+        traffic.crashes.target_ended(end);
+    }
+}
+
 /// Records that a target has answered a content.
 pub fn answered(traffic: &Rc<Traffic>, content: impl FnOnce() -> Content) {
     if traffic.crashes.is_empty() {
