--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -212,8 +212,9 @@
             return false;
         }
         if other.clears > self.clears {
-            *self = Self { tried_at: None, ..other };
+            *self = Self { tried_at: None, other_end: None, ..other };
             self.strikes.drain(..self.strikes.len().saturating_sub(STRIKES_KEPT));
+            self.passed.drain(..self.passed.len().saturating_sub(PASSES_MAX as usize));
             return true;
         }
         let is_further = other.furthest > self.furthest || other.passes > self.passes;
