A host that only runs items looks at other targets as well

What was seen: an_item_that_was_beside_many_ends_is_done failed in 3 of 16 copies, five at a time, on the commit before ('not in time: the item runs again'); the logs of copy 6 show that the runner had no registrations, as only a leader follows them, and that the first end was looked at before the content was suspected. So no end of another target was known, and the content got five strikes. Change: registrations are refreshed before other targets are looked at; they are looked at once the target is known to have ended and its content to be suspected; and an end that is older than a second no longer keeps a target from being looked at (9 of 20 copies failed with the first two alone, as the same targets ended again and again).

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -39,7 +39,7 @@
         self.is_same_instance(other) && self.at.abs_diff(other.at) < SAME_END
     }
 
-    fn is_same_instance(&self, other: &Self) -> bool {
+    pub(super) fn is_same_instance(&self, other: &Self) -> bool {
         self.is_of(&other.target, other.started_ms)
     }
 
@@ -48,9 +48,9 @@
         self.target == *target && self.started_ms == started_ms
     }
 
-    /// Whether two targets ended together.
-    pub(super) fn is_joint(&self, other: &Self) -> bool {
-        !self.is_same_instance(other) && self.at.abs_diff(other.at) < SAME_MOMENT
+    /// Whether it happened at a moment.
+    pub(super) fn is_at(&self, moment: Time) -> bool {
+        self.at.abs_diff(moment) < SAME_MOMENT
     }
 }
 
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -18,8 +18,6 @@
 const BARE_ENDS_MAX: usize = 64;
 /// Time for which a cleared record is kept, so that no delayed message brings its strikes back.
 const CLEARED_RETENTION: Duration = Duration::from_secs(120);
-/// Time for which an end of a target without a content is kept, longer than it stays registered.
-const BARE_END_RETENTION: Duration = Duration::from_secs(120);
 
 /// Events of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -117,12 +115,10 @@
         self.lock().note_bare_end(end);
     }
 
-    /// Whether an instance of a target is known to have ended.
-    pub fn knows_end(&self, target: &TargetId, started_ms: u64) -> bool {
+    /// Whether an instance of a target is known to have ended just now.
+    pub fn has_ended(&self, target: &TargetId, started_ms: u64, now: Time) -> bool {
         let state = self.lock();
-        let mut records = state.entries.values().map(|entry| &entry.record);
-        records.any(|record| record.knows_instance(target, started_ms))
-            || state.bare_ends.iter().any(|end| end.is_of(target, started_ms))
+        state.ends().any(|end| end.is_of(target, started_ms) && end.is_at(now))
     }
 
     /// Records that a target has answered a content. Returns what it was before if that is news.
@@ -177,7 +173,7 @@
             };
             now < since + time
         });
-        state.bare_ends.retain(|end| now < end.at + BARE_END_RETENTION);
+        state.bare_ends.retain(|end| end.is_at(now));
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -219,11 +215,18 @@
         let Some(own) = own.filter(|record| !record.strikes.is_empty()) else {
             return false;
         };
-        let others = self.entries.iter().filter(|(other, _)| **other != content);
-        let mut ends = others.flat_map(|(_, entry)| &entry.record.strikes).chain(&self.bare_ends);
-        ends.any(|other| {
-            other.is_joint(end) && !own.knows_instance(&other.target, other.started_ms)
-        })
+        let is_other = |other: &Strike| {
+            !other.is_same_instance(end) && !own.knows_instance(&other.target, other.started_ms)
+        };
+        self.ends().any(|other| other.is_at(end.at) && is_other(other))
+    }
+
+    /// All ends that are known.
+    fn ends(&self) -> impl Iterator<Item = &Strike> {
+        let records = self.entries.values().map(|entry| &entry.record);
+        records
+            .flat_map(|record| record.strikes.iter().chain(&record.passed))
+            .chain(&self.bare_ends)
     }
 
     fn note_bare_end(&mut self, end: Strike) {
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use futures::future::{OptionFuture, join_all};
+use futures::future::join_all;
 use log::info;
 use prost::Message;
 use rand::seq::IteratorRandom;
@@ -34,7 +34,7 @@
 const LOOKS_MAX: usize = 4;
 /// Other targets that are looked at when one has ended, and time for that.
 const OTHERS_MAX: usize = 8;
-const OTHERS_WAIT: Duration = Duration::from_millis(150);
+const OTHERS_WAIT: Duration = Duration::from_millis(300);
 /// Time for another host to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Least time after which a refused caller is told to come back.
@@ -92,13 +92,16 @@
         if look.first.await == Finding::Sound && !is_suspected {
             tell(false);
         }
-        let others = OptionFuture::from(is_suspected.then(|| look_at_others(&traffic, &target)));
-        let (finding, _) = futures::join!(look.settled, others);
+        let finding = look.settled.await;
         METERS.broken_connection(finding.name());
         info!(content:% = content, target_id = &*target.id, born = target.started_ms, finding = finding.name(), events = run.reached; "connection broke under a content");
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
+                if traffic.crashes.verdict(content, clock::now()) != Verdict::Free {
+                    // Those that have no result in time say nothing.
+                    let _ = timeout(OTHERS_WAIT, look_at_others(&traffic, &target)).await;
+                }
                 let (target, started_ms) = (target.id, target.started_ms);
                 let end = Strike { target, started_ms, at };
                 let effect = traffic.crashes.ended(content, end, run, clock::now());
@@ -118,20 +121,21 @@
 
 /// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
 async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
+    // A host that only runs items does not follow the registrations.
+    traffic.freshness.wait_for_refresh().await;
     let view = traffic.view.load_full();
     let Some(service) = view.targets.get(&target.id).map(|target| &target.service) else {
         return;
     };
+    let now = clock::now();
     let others = view.targets.values().filter(|other| {
         other.service == *service
             && other.id != target.id
             && !other.draining
-            && !traffic.crashes.knows_end(&other.id, other.started_ms)
+            && !traffic.crashes.has_ended(&other.id, other.started_ms, now)
     });
     let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
-    let looks = others.into_iter().map(|other| look_at(traffic, other.as_ref().into()));
-    // Those that have no result in time say nothing.
-    let _ = timeout(OTHERS_WAIT, join_all(looks)).await;
+    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into()))).await;
 }
 
 async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
