An item does not go on before it is settled whether its engine has ended

Cause: an engine that ends may still take a connection for some milliseconds, so the item moved on at once and ended all six engines within 12 ms, before the first end was settled (50 ms). Six contents' ends then were judged by hosts that knew some of the others' ends but not yet all of the content's own, and excused it. Change: an item waits until it is settled whether its engine has ended (50 ms, 0.5 s at most). Requests and streams of callers, which have less time, go on after the first look as before.

--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -168,7 +168,7 @@
                     let (from, reached) = (state.resumed_after, state.progress.last_event);
                     let events = crash::Run { from, reached };
                     let finding =
-                        suspects::connection_broke(&traffic, content, target.clone(), events);
+                        suspects::item_connection_broke(&traffic, content, target.clone(), events);
                     ended_instance = finding.await.then_some(target.started_ms);
                 }
                 break 'end end;
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -27,8 +27,9 @@
     },
 };
 
-/// Time for which a request waits until it is known whether its target has ended.
+/// Time for which a request waits until it is known whether its target has ended, and the same for an item.
 const FINDING_WAIT: Duration = Duration::from_millis(200);
+const ITEM_FINDING_WAIT: Duration = Duration::from_millis(500);
 /// Delay before another look at a target of which nothing could be found, and number of looks.
 const LOOK_DELAY: Duration = Duration::from_millis(400);
 const LOOKS_MAX: usize = 4;
@@ -58,6 +59,15 @@
     Once,
 }
 
+/// What a request or an item waits for after a connection broke under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    /// A target that takes a connection counts as sound, unless the content is suspected.
+    First,
+    /// It is settled whether the target has ended.
+    Settled,
+}
+
 /// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
 /// future is dropped, which returns whether there is a strike, as far as that is known within a short time.
 pub fn connection_broke(
@@ -67,15 +77,29 @@
     run: Run,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, tell));
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::First, tell));
     async move { matches!(timeout(FINDING_WAIT, told).await, Ok(Ok(true))) }
 }
 
+/// The same for an item, which does not go on before it is known: it has time, and else ends one target after the other before
+/// the first end is known.
+pub fn item_connection_broke(
+    traffic: &Rc<Traffic>,
+    content: Content,
+    target: Endpoint,
+    run: Run,
+) -> impl Future<Output = bool> + use<> {
+    let (tell, told) = oneshot::channel();
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::Settled, tell));
+    async move { matches!(timeout(ITEM_FINDING_WAIT, told).await, Ok(Ok(true))) }
+}
+
 async fn find(
     traffic: Rc<Traffic>,
     content: Content,
     target: Endpoint,
     run: Run,
+    wait: Wait,
     tell: oneshot::Sender<bool>,
 ) {
     let at = clock::now();
@@ -88,8 +112,8 @@
         let look = ended::look(&traffic, &target);
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
-        let is_suspected = traffic.crashes.verdict(content, clock::now()) != Verdict::Free;
-        if look.first.await == Finding::Sound && !is_suspected {
+        let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
+        if wait == Wait::First && is_free && look.first.await == Finding::Sound {
             tell(false);
         }
         let finding = look.settled.await;
