--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -2,8 +2,10 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
+use futures::future::join_all;
 use log::info;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use tokio::{
     sync::oneshot,
     time::{sleep, timeout},
@@ -25,11 +27,15 @@
     },
 };
 
-/// Time for which a request waits until it is known whether its target has ended.
+/// Time for which a request waits until it is known whether its target has ended, and the same for an item.
 const FINDING_WAIT: Duration = Duration::from_millis(200);
+const ITEM_FINDING_WAIT: Duration = Duration::from_millis(500);
 /// Delay before another look at a target of which nothing could be found, and number of looks.
 const LOOK_DELAY: Duration = Duration::from_millis(400);
 const LOOKS_MAX: usize = 4;
+/// Other targets that are looked at when one has ended, and time for that.
+const OTHERS_MAX: usize = 8;
+const OTHERS_WAIT: Duration = Duration::from_millis(300);
 /// Time for another host to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Least time after which a refused caller is told to come back.
@@ -53,6 +59,15 @@
     Once,
 }
 
+/// What a request or an item waits for after a connection broke under it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wait {
+    /// A target that takes a connection counts as sound, unless the content is suspected.
+    First,
+    /// It is settled whether the target has ended.
+    Settled,
+}
+
 /// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
 /// future is dropped, which returns whether there is a strike, as far as that is known within a short time.
 pub fn connection_broke(
@@ -62,15 +77,29 @@
     run: Run,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, tell));
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::First, tell));
     async move { matches!(timeout(FINDING_WAIT, told).await, Ok(Ok(true))) }
 }
 
+/// The same for an item, which does not go on before it is known: it has time, and else ends one target after the other before
+/// the first end is known.
+pub fn item_connection_broke(
+    traffic: &Rc<Traffic>,
+    content: Content,
+    target: Endpoint,
+    run: Run,
+) -> impl Future<Output = bool> + use<> {
+    let (tell, told) = oneshot::channel();
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::Settled, tell));
+    async move { matches!(timeout(ITEM_FINDING_WAIT, told).await, Ok(Ok(true))) }
+}
+
 async fn find(
     traffic: Rc<Traffic>,
     content: Content,
     target: Endpoint,
     run: Run,
+    wait: Wait,
     tell: oneshot::Sender<bool>,
 ) {
     let at = clock::now();
@@ -83,8 +112,8 @@
         let look = ended::look(&traffic, &target);
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
-        let is_suspected = traffic.crashes.verdict(content, clock::now()) != Verdict::Free;
-        if look.first.await == Finding::Sound && !is_suspected {
+        let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
+        if wait == Wait::First && is_free && look.first.await == Finding::Sound {
             tell(false);
         }
         let finding = look.settled.await;
@@ -93,9 +122,13 @@
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
+                if traffic.crashes.verdict(content, clock::now()) != Verdict::Free {
+                    // Those that have no result in time say nothing.
+                    let _ = timeout(OTHERS_WAIT, look_at_others(&traffic, &target)).await;
+                }
                 let (target, started_ms) = (target.id, target.started_ms);
-                let strike = Strike { target, started_ms, at };
-                let effect = traffic.crashes.ended(content, strike, run, clock::now());
+                let end = Strike { target, started_ms, at };
+                let effect = traffic.crashes.ended(content, end, run, clock::now());
                 if effect != Effect::Known {
                     traffic.changes.tell_at_once(content);
                 }
@@ -110,6 +143,32 @@
     }
 }
 
+/// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
+async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
+    // A host that only runs items does not follow the registrations.
+    traffic.freshness.wait_for_refresh().await;
+    let view = traffic.view.load_full();
+    let Some(service) = view.targets.get(&target.id).map(|target| &target.service) else {
+        return;
+    };
+    let now = clock::now();
+    let others = view.targets.values().filter(|other| {
+        other.service == *service
+            && other.id != target.id
+            && !other.draining
+            && !traffic.crashes.has_ended(&other.id, other.started_ms, now)
+    });
+    let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
+    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into()))).await;
+}
+
+async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
+    if ended::look(traffic, &target).first.await == Finding::Ended {
+        let end = Strike { target: target.id, started_ms: target.started_ms, at: clock::now() };
+        traffic.crashes.target_ended(end);
+    }
+}
+
 /// Records that a target has answered a content.
 pub fn answered(traffic: &Rc<Traffic>, content: impl FnOnce() -> Content) {
     if traffic.crashes.is_empty() {
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -2,18 +2,22 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use assert_matches::assert_matches;
 use common::{engine, engines, grouped_job, ms, outcome, text};
 use lagoonyard_node::{
     crash::{Content, Record, Run, Stored, Strike, Table, Verdict},
-    job::{End, Engines, Outcome, Queue},
+    job::{Assignment, End, Engines, Outcome, Queue},
     prelude::*,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
 
 const SECOND: Duration = Duration::from_secs(1);
-const EARLY_DELAY: Duration = Duration::from_secs(3);
+const EARLY_DELAY: Duration = Duration::from_secs(1);
 const LATE_DELAY: Duration = Duration::from_secs(3600);
+/// Time for which an item may be at no engine.
+const IDLE_MAX: Duration = Duration::from_secs(5);
 
 fn content(body: &str) -> Content {
     Content::new("POST", "h.example", "/p", body.as_bytes())
@@ -143,7 +147,7 @@
         let at = SECOND * (number + 5);
         table.ended(content("a"), strike("t", at), Run { from: 0, reached: 9 }, at);
     }
-    assert_matches!(table.verdict(content("a"), SECOND * 8), Verdict::Held(_));
+    assert_matches!(table.verdict(content("a"), SECOND * 7), Verdict::Held(_));
 }
 
 /// Guards against an item that ends each target that runs it, each a little later than the one before.
@@ -224,3 +228,156 @@
     assert!(queue.take_rows("j", 1, Time::MAX, 1 << 20).is_empty(), "the item was given up");
     assert!(queue.assign_next(due, &mut engines).is_some(), "no trial");
 }
+
+/// Job of items that are the same request, as those of a group may be.
+const SIBLINGS: [(&str, &str); 4] = [("a", "g"), ("b", "g"), ("c", "g"), ("d", "g")];
+
+/// Time at which an item starts next, looking each 50 ms, and its assignment.
+fn next_start(
+    queue: &mut Queue,
+    engines: &mut Engines,
+    mut now: Time,
+) -> Option<(Time, Assignment)> {
+    let by = now + SECOND * 60;
+    while now < by {
+        if let Some(assignment) = queue.assign_next(now, engines) {
+            return Some((now, assignment));
+        }
+        now += ms(50);
+    }
+    None
+}
+
+/// Ends three engines under the item of a job. Returns the time of the last end.
+fn hold_item(queue: &mut Queue, engines: &mut Engines) -> Time {
+    for number in 1..=3 {
+        let now = SECOND * number;
+        let assignment = queue.assign_next(now, engines).unwrap();
+        end_engine(queue, engines, &assignment.target.unwrap(), now);
+    }
+    SECOND * 3
+}
+
+fn end_run(queue: &mut Queue, engines: &mut Engines, run: &Assignment, end: End, now: Time) {
+    let id = SIBLINGS[run.item].0;
+    let target = run.target.as_deref().unwrap();
+    queue.finish_run(outcome(("j", run.item, id), target, end, text(0, 1)), now, engines);
+}
+
+/// Guards against an item that is at no engine for longer than its step bears, as its trial was spent on an engine that did
+/// not take it.
+#[test]
+fn a_trial_that_reaches_no_engine_is_not_spent() {
+    let all: Vec<_> = (0..8).map(|number| engine(&format!("e{number}"), 1)).collect();
+    let mut engines = engines(&all);
+    let mut queue = Queue::default();
+    queue.insert(grouped_job("j", &SIBLINGS[..1]));
+    let held_at = hold_item(&mut queue, &mut engines);
+    let (first, run) = next_start(&mut queue, &mut engines, held_at).unwrap();
+    end_run(&mut queue, &mut engines, &run, End::NotRun, first + ms(20));
+    let (second, _) = next_start(&mut queue, &mut engines, first + ms(20)).unwrap();
+    assert!(second - held_at < IDLE_MAX, "it starts {:?} after the last end", second - held_at);
+}
+
+/// Guards against items of a group that are held as their siblings were where targets ended, each until the trial of the one
+/// before.
+#[test]
+fn siblings_of_a_held_item_start_once_it_has_an_answer() {
+    let all: Vec<_> = (0..8).map(|number| engine(&format!("e{number}"), 1)).collect();
+    let mut engines = engines(&all);
+    let crashes = Arc::new(Table::default());
+    let mut queue = Queue::new(Arc::clone(&crashes));
+    let job = grouped_job("j", &SIBLINGS);
+    let content = job.spec.items[0].content("h");
+    queue.insert(job);
+    let mut strikes: u32 = 0;
+    while let Some(run) = queue.assign_next(SECOND, &mut engines) {
+        strikes += 1;
+        let broken = outcome(("j", run.item, SIBLINGS[run.item].0), "", End::Broken, text(0, 1));
+        let ended = Outcome { target: run.target, ended_instance: Some(1), ..broken };
+        queue.finish_run(ended, SECOND, &mut engines);
+    }
+    assert_eq!(strikes, 3);
+    let (trial, _) = next_start(&mut queue, &mut engines, SECOND).unwrap();
+    assert!(queue.assign_next(trial, &mut engines).is_none(), "two trials at the same time");
+    let answered_at = trial + ms(600);
+    crashes.answered(content, answered_at);
+    for number in 0..3 {
+        let (at, _) = next_start(&mut queue, &mut engines, answered_at).unwrap();
+        assert!(at <= answered_at + ms(300), "sibling {number}: {at:?}");
+    }
+}
+
+/// Guards against items that are held for an hour although an answer has freed their content.
+#[test]
+fn an_answer_frees_an_item_that_is_held_for_long() {
+    let mut engines = engines(&[engine("e1", 1)]);
+    let crashes = Arc::new(Table::default());
+    let mut queue = Queue::new(Arc::clone(&crashes));
+    let job = grouped_job("j", &SIBLINGS[..1]);
+    let content = job.spec.items[0].content("h");
+    queue.insert(job);
+    let last = end_targets(&crashes, content, 5);
+    assert!(queue.assign_next(last, &mut engines).is_none());
+    crashes.answered(content, last + SECOND);
+    let (at, _) = next_start(&mut queue, &mut engines, last + SECOND).expect("it starts");
+    assert!(at - last < IDLE_MAX, "it starts {:?} after the last end", at - last);
+}
+
+/// Guards against contents that are held as they were, three times, at one of several targets that ended together.
+#[test]
+fn ends_of_several_targets_at_once_hold_no_content() {
+    let table = Table::default();
+    for moment in 1..=4 {
+        let at = SECOND * moment * 2;
+        let end = |name: &str, at| strike(&format!("{name}{moment}"), at);
+        table.ended(content("other"), end("s", at), Run::default(), at);
+        table.ended(content("a"), end("t", at + ms(300)), Run::default(), at + ms(300));
+    }
+    assert_eq!(table.verdict(content("a"), SECOND * 9), Verdict::Suspect);
+    // The same without another content, as the other target was idle.
+    let table = Table::default();
+    for moment in 1..=4 {
+        let at = SECOND * moment * 2;
+        table.target_ended(strike(&format!("s{moment}"), at));
+        table.ended(content("a"), strike(&format!("t{moment}"), at), Run::default(), at);
+    }
+    assert_eq!(table.verdict(content("a"), SECOND * 9), Verdict::Suspect);
+}
+
+/// Guards against a content that ends its targets for ever, as it does so whenever others end theirs.
+#[test]
+fn two_contents_that_end_targets_do_not_excuse_each_other_for_ever() {
+    let table = Table::default();
+    for moment in 1..=6 {
+        let at = SECOND * moment * 2;
+        for name in ["a", "b"] {
+            let end = strike(&format!("{name}{moment}"), at);
+            table.ended(content(name), end, Run::default(), at);
+        }
+    }
+    for name in ["a", "b"] {
+        assert_matches!(table.verdict(content(name), SECOND * 12), Verdict::Held(_));
+    }
+}
+
+/// Guards against a sound content that is held for an hour while other targets end without it, and against one that has
+/// trials without end for that reason.
+#[test]
+fn ends_without_a_held_content_lead_to_a_few_trials() {
+    let table = Table::default();
+    let mut last = end_targets(&table, content("a"), 5);
+    assert_matches!(table.verdict(content("a"), last + SECOND * 60), Verdict::Held(_));
+    let mut trials = 0;
+    for number in 0..10 {
+        let at = last + SECOND * 10;
+        table.ended(content("b"), strike(&format!("other{number}"), at), Run::default(), at);
+        last = at + SECOND;
+        if table.begin_trial(content("a"), last) {
+            trials += 1;
+            last += ms(10);
+            table.ended(content("a"), strike(&format!("own{number}"), last), Run::default(), last);
+        }
+    }
+    assert_eq!(trials, 3);
+}
