Only items are excused by ends of other targets

Cause: a request goes on before its target's end is settled, at up to max_attempts targets within milliseconds and from several hosts, so a host that judges one end does not know the request's other ends and takes them for ends without it. Change: ends at the same moment, and trials after ends without the content, count for items only: an item has one run at a time, its end is settled before the next begins, and only items are lost by waiting (a request is refused with the time to come back).

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -141,20 +141,32 @@
     }
 
     pub fn verdict(&self, now: Time) -> Verdict {
+        self.verdict_with(STRIKES_MAX + EARLY_TRIALS, now)
+    }
+
+    /// The same for an item, which has some trials more once targets have ended without it.
+    pub fn item_verdict(&self, now: Time) -> Verdict {
+        let doubt_trials = if self.is_doubted() { DOUBT_TRIALS } else { 0 };
+        self.verdict_with(STRIKES_MAX + EARLY_TRIALS + doubt_trials, now)
+    }
+
+    /// Trials follow soon with fewer strikes than `late_from`.
+    fn verdict_with(&self, late_from: usize, now: Time) -> Verdict {
         let Some(last) = self.strikes.last().filter(|_| self.strikes.len() >= STRIKES_MAX) else {
             return if self.strikes.is_empty() { Verdict::Free } else { Verdict::Suspect };
         };
-        let is_early = self.strikes.len() < STRIKES_MAX + EARLY_TRIALS || self.is_doubted(last);
+        let is_early = self.strikes.len() < late_from;
         let delay = if is_early { EARLY_TRIAL_DELAY } else { LATE_TRIAL_DELAY };
         let due = self.tried_at.unwrap_or(last.at).max(last.at) + delay;
         if now < due { Verdict::Held(due) } else { Verdict::Trial }
     }
 
     /// Whether a target has ended without the content since its last strike, so that something else ends them.
-    fn is_doubted(&self, last: &Strike) -> bool {
-        let is_later =
-            |end: &Strike| end.at > last.at && !self.knows_instance(&end.target, end.started_ms);
-        self.strikes.len() < STRIKES_KEPT && self.other_end.as_ref().is_some_and(is_later)
+    fn is_doubted(&self) -> bool {
+        let Some((end, last)) = self.other_end.as_ref().zip(self.strikes.last()) else {
+            return false;
+        };
+        end.at > last.at && !self.knows_instance(&end.target, end.started_ms)
     }
 
     /// Whether an instance ended under the content.
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -68,18 +68,20 @@
         state.entries.get(&content).map_or(Verdict::Free, |entry| entry.record.verdict(now))
     }
 
+    /// The same for an item, whose time may be up before a late trial.
+    pub fn item_verdict(&self, content: Content, now: Time) -> Verdict {
+        let state = self.lock();
+        state.entries.get(&content).map_or(Verdict::Free, |entry| entry.record.item_verdict(now))
+    }
+
     /// Begins a trial if one is due. Returns whether it is.
     pub fn begin_trial(&self, content: Content, now: Time) -> bool {
-        let mut state = self.lock();
-        let Some(entry) = state.entries.get_mut(&content) else {
-            return false;
-        };
-        let is_due = entry.record.verdict(now) == Verdict::Trial;
-        if is_due {
-            entry.record.tried_at = Some(now);
-            info!(content:% = content, strikes = entry.record.strikes.len(); "trial of a held content");
-        }
-        is_due
+        self.lock().begin_trial(content, now, |record| record.verdict(now))
+    }
+
+    /// The same for an item.
+    pub fn begin_item_trial(&self, content: Content, now: Time) -> bool {
+        self.lock().begin_trial(content, now, |record| record.item_verdict(now))
     }
 
     /// Takes back a trial that reached no target.
@@ -90,19 +92,20 @@
     }
 
     /// Records that a target ended under a content. That gives no strike, a few times, if the run had got further than any
-    /// before, or if another target ended at that moment.
+    /// before.
     pub fn ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
+        let mut state = self.lock();
+        let is_further = state.entry(content, now).record.is_further(run);
+        state.end(content, end, run, is_further, now)
+    }
+
+    /// The same for an item, whose earlier ends are all known here: it gives no strike either if another target ended at that
+    /// moment.
+    pub fn item_ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
         let mut state = self.lock();
         let is_joint = state.has_joint_end(content, &end);
-        let record = &mut state.entry(content, now).record;
-        if let Some(effect) = record.effect(&end) {
-            return effect;
-        }
-        if !record.is_further(run) && !is_joint || !record.pass(end.clone(), run) {
-            return state.strike(content, end, now);
-        }
-        info!(content:% = content, target_id = &*end.target, joint = is_joint, passes = record.passes; "a target ended under a content without a strike");
-        Effect::Passed
+        let is_further = state.entry(content, now).record.is_further(run);
+        state.end(content, end, run, is_further || is_joint, now)
     }
 
     /// Gives a content a strike.
@@ -198,6 +201,43 @@
         entry
     }
 
+    fn begin_trial(
+        &mut self,
+        content: Content,
+        now: Time,
+        verdict: impl Fn(&Record) -> Verdict,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(&content) else {
+            return false;
+        };
+        let is_due = verdict(&entry.record) == Verdict::Trial;
+        if is_due {
+            entry.record.tried_at = Some(now);
+            info!(content:% = content, strikes = entry.record.strikes.len(); "trial of a held content");
+        }
+        is_due
+    }
+
+    /// Records an end, which gives no strike if it is excused.
+    fn end(
+        &mut self,
+        content: Content,
+        end: Strike,
+        run: Run,
+        is_excused: bool,
+        now: Time,
+    ) -> Effect {
+        let record = &mut self.entry(content, now).record;
+        if let Some(effect) = record.effect(&end) {
+            return effect;
+        }
+        if !is_excused || !record.pass(end.clone(), run) {
+            return self.strike(content, end, now);
+        }
+        info!(content:% = content, target_id = &*end.target, passes = record.passes; "a target ended under a content without a strike");
+        Effect::Passed
+    }
+
     fn strike(&mut self, content: Content, end: Strike, now: Time) -> Effect {
         let record = &mut self.entry(content, now).record;
         if !record.add(end.clone()) {
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -83,7 +83,7 @@
         if crashes.is_empty() {
             return Verdict::Free;
         }
-        crashes.verdict(self.content(item), now)
+        crashes.item_verdict(self.content(item), now)
     }
 
     fn content(&self, item: usize) -> Content {
@@ -124,7 +124,7 @@
             std::iter::once(requirement).chain(waited).find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
-        if verdict == Verdict::Trial && !crashes.begin_trial(self.content(item), now) {
+        if verdict == Verdict::Trial && !crashes.begin_item_trial(self.content(item), now) {
             return None;
         }
         let status = &mut self.statuses[item];
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -59,13 +59,13 @@
     Once,
 }
 
-/// What a request or an item waits for after a connection broke under it.
+/// What a connection carried that broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wait {
-    /// A target that takes a connection counts as sound, unless the content is suspected.
-    First,
-    /// It is settled whether the target has ended.
-    Settled,
+enum Work {
+    /// It goes on once its target takes a connection, unless its content is suspected.
+    Request,
+    /// It waits until it is settled whether its target has ended.
+    Item,
 }
 
 /// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
@@ -77,7 +77,7 @@
     run: Run,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::First, tell));
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Work::Request, tell));
     async move { matches!(timeout(FINDING_WAIT, told).await, Ok(Ok(true))) }
 }
 
@@ -90,7 +90,7 @@
     run: Run,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Wait::Settled, tell));
+    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Work::Item, tell));
     async move { matches!(timeout(ITEM_FINDING_WAIT, told).await, Ok(Ok(true))) }
 }
 
@@ -99,7 +99,7 @@
     content: Content,
     target: Endpoint,
     run: Run,
-    wait: Wait,
+    work: Work,
     tell: oneshot::Sender<bool>,
 ) {
     let at = clock::now();
@@ -113,7 +113,7 @@
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
         let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
-        if wait == Wait::First && is_free && look.first.await == Finding::Sound {
+        if work == Work::Request && is_free && look.first.await == Finding::Sound {
             tell(false);
         }
         let finding = look.settled.await;
@@ -122,13 +122,7 @@
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
-                if traffic.crashes.verdict(content, clock::now()) != Verdict::Free {
-                    // Those that have no result in time say nothing.
-                    let _ = timeout(OTHERS_WAIT, look_at_others(&traffic, &target)).await;
-                }
-                let (target, started_ms) = (target.id, target.started_ms);
-                let end = Strike { target, started_ms, at };
-                let effect = traffic.crashes.ended(content, end, run, clock::now());
+                let effect = end(&traffic, content, &target, (at, run), work).await;
                 if effect != Effect::Known {
                     traffic.changes.tell_at_once(content);
                 }
@@ -143,6 +137,25 @@
     }
 }
 
+/// Records that a target has ended under a content.
+async fn end(
+    traffic: &Rc<Traffic>,
+    content: Content,
+    target: &Endpoint,
+    (at, run): (Time, Run),
+    work: Work,
+) -> Effect {
+    let end = Strike { target: target.id.clone(), started_ms: target.started_ms, at };
+    if work == Work::Request {
+        return traffic.crashes.ended(content, end, run, clock::now());
+    }
+    if traffic.crashes.verdict(content, clock::now()) != Verdict::Free {
+        // Those that have no result in time say nothing.
+        let _ = timeout(OTHERS_WAIT, look_at_others(traffic, target)).await;
+    }
+    traffic.crashes.item_ended(content, end, run, clock::now())
+}
+
 /// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
 async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
     // A host that only runs items does not follow the registrations.
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -331,18 +331,18 @@
     for moment in 1..=4 {
         let at = SECOND * moment * 2;
         let end = |name: &str, at| strike(&format!("{name}{moment}"), at);
-        table.ended(content("other"), end("s", at), Run::default(), at);
-        table.ended(content("a"), end("t", at + ms(300)), Run::default(), at + ms(300));
+        table.item_ended(content("other"), end("s", at), Run::default(), at);
+        table.item_ended(content("a"), end("t", at + ms(300)), Run::default(), at + ms(300));
     }
-    assert_eq!(table.verdict(content("a"), SECOND * 9), Verdict::Suspect);
+    assert_eq!(table.item_verdict(content("a"), SECOND * 9), Verdict::Suspect);
     // The same without another content, as the other target was idle.
     let table = Table::default();
     for moment in 1..=4 {
         let at = SECOND * moment * 2;
         table.target_ended(strike(&format!("s{moment}"), at));
-        table.ended(content("a"), strike(&format!("t{moment}"), at), Run::default(), at);
+        table.item_ended(content("a"), strike(&format!("t{moment}"), at), Run::default(), at);
     }
-    assert_eq!(table.verdict(content("a"), SECOND * 9), Verdict::Suspect);
+    assert_eq!(table.item_verdict(content("a"), SECOND * 9), Verdict::Suspect);
 }
 
 /// Guards against a content that ends its targets for ever, as it does so whenever others end theirs.
@@ -353,11 +353,11 @@
         let at = SECOND * moment * 2;
         for name in ["a", "b"] {
             let end = strike(&format!("{name}{moment}"), at);
-            table.ended(content(name), end, Run::default(), at);
+            table.item_ended(content(name), end, Run::default(), at);
         }
     }
     for name in ["a", "b"] {
-        assert_matches!(table.verdict(content(name), SECOND * 12), Verdict::Held(_));
+        assert_matches!(table.item_verdict(content(name), SECOND * 12), Verdict::Held(_));
     }
 }
 
@@ -367,16 +367,21 @@
 fn ends_without_a_held_content_lead_to_a_few_trials() {
     let table = Table::default();
     let mut last = end_targets(&table, content("a"), 5);
-    assert_matches!(table.verdict(content("a"), last + SECOND * 60), Verdict::Held(_));
+    assert_matches!(table.item_verdict(content("a"), last + SECOND * 60), Verdict::Held(_));
     let mut trials = 0;
     for number in 0..10 {
         let at = last + SECOND * 10;
-        table.ended(content("b"), strike(&format!("other{number}"), at), Run::default(), at);
+        table.item_ended(content("b"), strike(&format!("other{number}"), at), Run::default(), at);
         last = at + SECOND;
-        if table.begin_trial(content("a"), last) {
+        if table.begin_item_trial(content("a"), last) {
             trials += 1;
             last += ms(10);
-            table.ended(content("a"), strike(&format!("own{number}"), last), Run::default(), last);
+            table.item_ended(
+                content("a"),
+                strike(&format!("own{number}"), last),
+                Run::default(),
+                last,
+            );
         }
     }
     assert_eq!(trials, 3);
