An order that a runner cannot read has an end

Seen: a leader believed a run to be in progress that its runner had never started, until their connection ended; the item was at no engine all the while.

Cause: a runner that could not parse the address of the engine logged the order and dropped it without a report.

Change: it reports the run as not run, with the text that came with the order, so that the leader gives the item to another engine. The log line has the job, the item and the engine.

Measured: `runner::an_order_that_cannot_be_started_has_an_end` failed without the report (the connection ended, no end of the run was among its messages: `called Option::unwrap() on a None value` where the end is taken); it passes now, as do the other ten tests of `runner`.

--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -348,6 +348,28 @@
         }
     }
 
+    /// End of a run that was not started, so that its text is the one that came with the order.
+    pub fn unstarted(item: &RunItem) -> Self {
+        let part = TextPart {
+            run: item.run,
+            after: item.text.len() as u64,
+            text: String::new(),
+            last_event: item.last_event,
+            versions: item.versions.clone(),
+            software: item.text_software.clone(),
+        };
+        Self {
+            part: Some(part),
+            end: EndKind::NotRun.into(),
+            score: None,
+            text_complete: false,
+            pace_us: None,
+            judge_failures: 0,
+            holds_slot: !item.target.is_empty(),
+            ended_instance: None,
+        }
+    }
+
     /// Decodes the end.
     pub fn decoded_end(&self) -> End {
         match self.end() {
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -239,7 +239,7 @@
 
     async fn apply(&mut self, message: ToRunner, leaving: bool) -> Option<()> {
         match message.order {
-            Some(Order::Run(item)) => self.start(*item, leaving),
+            Some(Order::Run(item)) => self.start(*item, leaving).await?,
             Some(Order::Stop(run)) => {
                 if let Some(stop) = self.runs.get_mut(&run).and_then(|run| run.stop.take()) {
                     let _ = stop.send(());
@@ -254,13 +254,16 @@
         Some(())
     }
 
-    fn start(&mut self, item: RunItem, leaving: bool) {
-        let id = item.run;
+    async fn start(&mut self, item: RunItem, leaving: bool) -> Option<()> {
+        let (id, unstarted) = (item.run, Ended::unstarted(&item));
+        let (job, name, target) = (item.job.clone(), item.item.clone(), item.target.clone());
         let run = match Run::try_from(item) {
             Ok(run) => run,
             Err(error) => {
-                warn!(run = id, reason:% = error; "item not run: its engine's address is malformed");
-                return;
+                warn!(run = id, job, item = name, target_id = target, reason:% = error; "item not run: its engine's address is malformed");
+                // Without a report the leader would wait for the run's end as long as the connection lasts.
+                self.feed(News::Ended(Box::new(unstarted))).await?;
+                return self.flush().await;
             }
         };
         let (stop, stopped) = oneshot::channel();
@@ -276,6 +279,7 @@
             // It reports its end like any other run, and the leader gives the item to another host.
             self.stop_all();
         }
+        Some(())
     }
 
     async fn report(&mut self, report: Report) -> Option<()> {
