Log lines about a run name its item, and a run that reached no engine says why

Cause: a run that ended before an engine began it ended as `NotRun` without a reason and a time (the engine leaves, no connection, a refusal, too old a version); `run broke` named no item; answers of no run were not logged at all.

Change: `run reached no engine` with item, engine, reason and time since the order; `run broke` and `stream broke` have item, engine and content, so that `connection broke under a content` can be joined to an item. The lines of a run stand in `traffic/run_log.rs`.

--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 mod pool;
 mod report;
 mod run;
+mod run_log;
 mod runner;
 mod serve;
 mod stop;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -6,7 +6,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use log::info;
 use tokio::{
     sync::{mpsc, oneshot},
     time::{Instant, timeout_at},
@@ -27,6 +26,7 @@
         exchange::closes_connection,
         judge,
         report::Report,
+        run_log,
         serve::Traffic,
         suspects,
     },
@@ -125,6 +125,8 @@
     progress: Progress,
     text_complete: bool,
     connection_broke: bool,
+    /// Time of the order.
+    ordered: Instant,
     started: Instant,
     /// Last event of earlier runs of the item.
     resumed_after: u64,
@@ -149,6 +151,7 @@
         progress: run.assignment.progress.clone(),
         text_complete: run.target.is_none(),
         connection_broke: false,
+        ordered: Instant::now(),
         started: Instant::now(),
         resumed_after: run.assignment.progress.last_event,
     };
@@ -188,7 +191,8 @@
             _ = &mut stop => End::Stopped,
         }
     };
-    log_end(&run, &end, &state);
+    METERS.run(end.name());
+    run_log::ended(&run, &end, state.progress.last_event, state.started.elapsed());
     let outcome = Outcome {
         job: run.assignment.job.clone(),
         item: run.assignment.item,
@@ -205,13 +209,6 @@
     RunReport::Ended { run: run.id, outcome }
 }
 
-fn log_end(run: &Run, end: &End, state: &RunState) {
-    METERS.run(end.name());
-    let item = &run.item;
-    let target = run.assignment.target.as_deref().unwrap_or("");
-    info!(job = &*run.assignment.job, item = &*item.id, target_id = target, software = run.target.as_ref().map_or("", |target| &*target.software), outcome:? = end, events = state.progress.last_event, took_ms = crate::logging::ms(state.started.elapsed()); "item run ended");
-}
-
 /// Streams the text from an engine. Returns `None` if the text is complete.
 async fn stream(
     traffic: &Rc<Traffic>,
@@ -222,15 +219,18 @@
 ) -> Option<End> {
     // The leader may not know yet that the engine leaves.
     if announce::is_leaving(traffic, &target.id, target.started_ms) {
+        run_log::unreached(run, target, state.ordered, "the engine leaves");
         return Some(End::NotRun);
     }
     let deadline = Instant::now() + SILENCE_TIMEOUT;
     let to = (&target.id, target.address);
     let demand = Demand { request: &run.item.id, idle_max: Duration::MAX, idempotent: true };
     let Ok(mut channel) = connect(traffic, to, demand, deadline).await else {
+        run_log::unreached(run, target, state.ordered, "could not connect");
         return Some(End::NotRun);
     };
     let Some(request) = request(traffic, run, target) else {
+        run_log::unreached(run, target, state.ordered, "not valid in HTTP");
         return Some(End::Rejected);
     };
     state.started = Instant::now();
@@ -240,7 +240,7 @@
         Ok(response) => response,
         Err(error) => {
             state.connection_broke = matches!(error, channel::Error::Broken { .. });
-            info!(job = &*run.assignment.job, target_id = &*target.id, content:% = run.item.content(&run.host), reason:% = error; "run broke");
+            run_log::broken(run, target, state.started, &error);
             return Some(End::Broken);
         }
     };
@@ -248,11 +248,13 @@
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
     log::debug!(job = &*run.assignment.job, target_id = &*target.id, status = parts.status.as_u16(), after = state.resumed_after, answer:? = answer; "run began");
     if answer.id.as_ref().is_some_and(|id| *id != run.item.id) {
+        run_log::broken(run, target, state.started, &"answer of another request");
         return Some(End::Broken);
     }
     let instance = (&target.id, target.started_ms);
     announce::record(traffic, instance, parts.status, &answer, sent_at);
     if answer.not_run {
+        run_log::unreached(run, target, state.ordered, "the engine did not run it");
         return Some(End::NotRun);
     }
     match parts.status {
@@ -263,9 +265,13 @@
         StatusCode::UNPROCESSABLE_ENTITY if answer.receipt.is_some() => {
             return Some(End::Rejected);
         }
-        _ => return Some(End::Broken),
+        status => {
+            run_log::broken(run, target, state.started, &format_args!("answer {status}"));
+            return Some(End::Broken);
+        }
     }
     if answer.version.is_some_and(|version| version < run.min_version) {
+        run_log::unreached(run, target, state.ordered, "version too old");
         return Some(End::NotRun);
     }
     let closes = closes_connection(&parts.headers);
@@ -293,8 +299,7 @@
     reports: &mpsc::UnboundedSender<Report>,
 ) -> Option<End> {
     let fail = |reason: &dyn std::fmt::Display| {
-        let item = &run.item;
-        info!(job = &*run.assignment.job, item = &*item.id, reason:% = reason; "stream broke");
+        run_log::stream_broke(run, target, reason);
         Some(End::Broken)
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
