The timeline of an item has the lines about its content

Cause: `explain ITEM` left out `connection broke under a content`, `a target ended under a content` and the trials, which name a content and no item, so why an item is held could not be read from its timeline.

Change: lines about a content that a line of the id names are part of its timeline, unless they belong to another request or item.

--- a/crates/node/src/explain.rs
+++ b/crates/node/src/explain.rs
@@ -7,6 +7,9 @@
 
 /// Fields that hold the id of a request, job, item or target.
 const ID_FIELDS: [&str; 5] = ["request", "job", "item", "target_id", "target"];
+/// Field that holds what a target is asked to do, and fields that name the request or item that asks for it.
+const CONTENT_FIELD: &str = "content";
+const ASKING_FIELDS: [&str; 2] = ["request", "item"];
 /// Fields that are not listed after the message: some are printed before it, the others are left out.
 const HEADER_FIELDS: [&str; 6] =
     ["time_ms", "host", "message", "level", "module", "lines_left_out"];
@@ -50,6 +53,15 @@
         ID_FIELDS.iter().any(|field| self.text(field) == id)
     }
 
+    fn content(&self) -> Option<&str> {
+        Some(self.text(CONTENT_FIELD)).filter(|content| !content.is_empty())
+    }
+
+    /// Whether the line is about a content, whichever request or item has it.
+    fn is_about_content(&self) -> bool {
+        self.content().is_some() && ASKING_FIELDS.iter().all(|field| self.text(field).is_empty())
+    }
+
     pub fn json(&self) -> String {
         Value::Object(self.0.clone()).to_string()
     }
@@ -71,7 +83,7 @@
     }
 }
 
-/// Log lines that mention an id.
+/// Log lines that mention an id, and those about the contents that these name.
 #[derive(Clone, Debug)]
 pub struct Timeline {
     /// Lines in order of time.
@@ -83,9 +95,10 @@
 }
 
 impl Timeline {
-    /// Reads log lines and keeps those that mention the id.
+    /// Reads log lines and keeps those that mention the id or a content of such a line.
     pub fn read(id: &str, inputs: Vec<Box<dyn BufRead>>) -> Result<Self, Error> {
         let (mut lines, mut gaps, mut unreadable) = (Vec::new(), Vec::new(), 0);
+        let mut of_contents: Vec<Line> = Vec::new();
         for input in inputs {
             for text in input.lines() {
                 let text = text.context(ReadSnafu)?;
@@ -98,9 +111,15 @@
                 }
                 if line.mentions(id) {
                     lines.push(line);
+                } else if line.is_about_content() {
+                    of_contents.push(line);
                 }
             }
         }
+        let contents: BTreeSet<String> =
+            lines.iter().filter_map(|line| Some(line.content()?.to_owned())).collect();
+        let is_known = |line: &Line| line.content().is_some_and(|it| contents.contains(it));
+        lines.extend(of_contents.into_iter().filter(is_known));
         lines.sort_by_key(Line::time_ms);
         let (Some(first), Some(last)) = (lines.first(), lines.last()) else {
             return UnknownSnafu { id }.fail();
--- a/crates/node/tests/explain.rs
+++ b/crates/node/tests/explain.rs
@@ -31,6 +31,29 @@
     assert!(texts[2].ends_with("item=i1 job=j1 outcome=Slow"), "{}", texts[2]);
 }
 
+const LEADER: &str = r#"
+{"time_ms":40,"host":"a","message":"item is at no engine","job":"j1","item":"i1","content":"c1","reason":"held","waited_ms":2010}
+{"time_ms":41,"host":"a","message":"item is at no engine","job":"j1","item":"i2","content":"c1","reason":"held","waited_ms":2010}
+{"time_ms":42,"host":"a","message":"item is at no engine","job":"j1","item":"i1","content":"c1","reason":"run_in_progress","waited_ms":4010}
+"#;
+const RUNNER: &str = r#"
+{"time_ms":31,"host":"b","message":"connection broke under a content","content":"c1","target_id":"t","finding":"ended"}
+{"time_ms":32,"host":"b","message":"connection broke under a content","content":"c2","target_id":"t","finding":"ended"}
+{"time_ms":33,"host":"b","message":"request refused: targets ended under its content","content":"c1","request":"r1"}
+{"time_ms":43,"host":"b","message":"run reached no engine","job":"j1","item":"i1","target_id":"t","reason":"could not connect","took_ms":1500}
+"#;
+
+/// Guards against a timeline that does not tell why an item waited, or that has the lines of other items and requests.
+#[test]
+fn the_timeline_of_an_item_has_its_waits_and_what_is_known_of_its_content() {
+    let timeline = Timeline::read("i1", vec![input(ONE), input(LEADER), input(RUNNER)]).unwrap();
+    let texts: Vec<String> = timeline.lines.iter().map(ToString::to_string).collect();
+    let times: Vec<&str> = texts.iter().filter_map(|text| text.split(' ').next()).collect();
+    assert_eq!(times, ["30", "31", "40", "42", "43"], "{texts:?}");
+    assert!(texts[2].contains("item is at no engine") && texts[2].contains("reason=held"));
+    assert!(texts[4].contains("run reached no engine") && texts[4].contains("took_ms=1500"));
+}
+
 #[test]
 fn lines_dropped_within_the_timeline_are_counted() {
     let timeline = Timeline::read("j1", vec![input(ONE), input(OTHER)]).unwrap();
