A leader logs and counts the items that are at no engine, with the reason

Cause: nothing was logged or counted while an item waits, nor while the leader believes in a run of which it hears nothing.

Change: twice a second the control thread looks at the items that have been without a sign of an engine for 2 s, logs up to three for each reason (`item is at no engine`, again each 2 s, with the number of the others), and sets `lagoonyard_idle_items` by reason. The reasons are one enum: held, trial of another item with the content, a delay that outlives the hold, no engine open (counted by what keeps items from each), version, software version, only the avoided engine, no fencing token, hand-over, job not read, deferred, not started, and a run in progress. The time runs from the last event or answer that the leader heard of, so that a series of runs without an event is one wait, with the number of these runs.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,7 +17,7 @@
     crash,
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Job, Policy, Queue, Row,
+        Assignment, Engine, Engines, Job, Pending, Policy, Queue, Reason, Row, Visitor,
         homes::{Homes, Runner, Streams},
     },
     prelude::*,
@@ -293,6 +293,7 @@
                 };
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_progress(run.item, progress);
+                    job.record_contact(run.item, now);
                 }
             }
             RunReport::Advanced { run, last_event } => {
@@ -301,6 +302,7 @@
                 };
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_events(run.item, last_event);
+                    job.record_contact(run.item, now);
                 }
             }
             RunReport::Generated { run, pace } => {
@@ -311,12 +313,28 @@
             }
             RunReport::Ended { run, outcome } => {
                 if self.runs.remove(&run).is_some() {
+                    self.queue.record_run_end(&outcome, now);
                     self.queue.finish_run(outcome, now, &mut self.engines);
                 }
             }
         }
     }
 
+    /// Passes on the items that are at no engine. `blocked` is what keeps this leader from starting any item.
+    pub fn visit_idle<'a>(&'a self, now: Time, blocked: Option<&Reason>, visit: Visitor<'_, 'a>) {
+        self.queue.visit_idle(now, &self.engines, blocked, visit);
+        for (id, run) in &self.runs {
+            let (Some(target), Some(job)) = (&run.target, self.queue.get(&run.job)) else {
+                continue;
+            };
+            let (item, runner, started_at) = (run.item, run.runner, run.started_at);
+            let pending = Pending { run: *id, item, target, runner, started_at };
+            if let Some(wait) = job.pending_wait(&pending, now) {
+                visit(wait);
+            }
+        }
+    }
+
     /// Loads to order now, with the fencing token to send.
     pub fn loads(&mut self, now: Time, host: &HostId) -> Option<(Revision, Vec<Load>)> {
         let may_order =
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod store_state;
 mod stored;
 mod tasks;
+pub mod waits;
 mod writes;
 
 pub use election::{Election, Leadership};
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -20,6 +20,7 @@
         software,
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired},
+        waits::Waits,
     },
     crash,
     dialect::{self, Subject},
@@ -133,6 +134,8 @@
     pub(super) cleaned_up_at: Time,
     /// Software versions that this host keeps in the store.
     pub(super) software: software::Writer,
+    /// Items that are at no engine.
+    pub(super) waits: Waits,
 }
 
 /// Runs the control loop until the process ends.
@@ -243,6 +246,7 @@
         hand_over_deadline: None,
         cleaned_up_at: Time::ZERO,
         software: software::Writer::default(),
+        waits: Waits::default(),
     };
     let start_delay = Election::small_host_share(control.settings.cpu_share);
     let start_delay = SMALL_HOST_START_DELAY.mul_f64(start_delay);
@@ -367,6 +371,7 @@
         for service in services {
             self.drive_leader(&service, now);
         }
+        self.observe_waits(now);
         self.update_software(now);
         self.finish_resignations(now);
         self.hand_over(now);
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     fleet::Target,
+    job::supply::Obstacle,
     prelude::*,
     rate::{Limit, Quota},
 };
@@ -74,6 +75,24 @@
             && self.quota.as_ref().is_none_or(|quota| now >= quota.open_at())
     }
 
+    /// What keeps items of a model from starting, if anything does.
+    pub(super) fn obstacle(&self, model: &str, now: Time) -> Option<Obstacle> {
+        if self.is_open(model, now) {
+            return None;
+        }
+        if self.target.draining {
+            return Some(Obstacle::Draining);
+        }
+        if self.loading.as_deref() == Some(model) {
+            return Some(Obstacle::Loading);
+        }
+        if now < self.backoff_until {
+            return Some(Obstacle::BackingOff);
+        }
+        let is_full = self.in_flight >= self.target.slots;
+        Some(if is_full { Obstacle::Full } else { Obstacle::Limited })
+    }
+
     /// Whether the engine takes items, now or once a slot is free.
     pub(super) fn is_usable(&self, now: Time) -> bool {
         self.loading.is_none() && !self.target.draining && now >= self.backoff_until
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -44,7 +44,7 @@
     pub spec: Arc<Spec>,
     pub record: Arc<Record>,
     pub policy: Policy,
-    submitted_at: Time,
+    pub(super) submitted_at: Time,
     /// Time at which the results are due.
     pub due: Time,
     /// Time at which waiting items expire.
@@ -88,6 +88,8 @@
             judge_failures: 0,
             avoid: None,
             finished_at: Time::ZERO,
+            contact_at: Time::ZERO,
+            attempts: 0,
         };
         let statuses = vec![status; spec.items.len()];
         let groups = group_numbers(&spec);
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -26,6 +26,15 @@
 }
 
 impl End {
+    /// Whether an engine has answered the item's request, with a text or with its refusal.
+    pub(super) fn is_answer(&self) -> bool {
+        match self {
+            Self::Scored(_) | Self::Unjudged | Self::JudgeFailed => true,
+            Self::Slow | Self::Failed | Self::Rejected => true,
+            Self::NotRun | Self::Broken | Self::Stopped => false,
+        }
+    }
+
     /// Label in metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -28,7 +28,7 @@
 /// Open jobs.
 #[derive(Debug, Default)]
 pub struct Queue {
-    jobs: BTreeMap<JobId, Job>,
+    pub(super) jobs: BTreeMap<JobId, Job>,
     /// Jobs in the order in which their items start.
     order: Vec<JobId>,
     /// The jobs have changed since the order was determined.
@@ -38,7 +38,7 @@
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
     /// Contents under which targets ended.
-    crashes: Arc<crash::Table>,
+    pub(super) crashes: Arc<crash::Table>,
 }
 
 impl Queue {
--- a/crates/node/src/job/status.rs
+++ b/crates/node/src/job/status.rs
@@ -42,6 +42,10 @@
     /// Target of the last run, if that failed, broke, was slow or was not executed.
     pub(super) avoid: Option<TargetId>,
     pub(super) finished_at: Time,
+    /// Time at which the leader last heard that an engine had the item.
+    pub(super) contact_at: Time,
+    /// Runs since then that ended without an event.
+    pub(super) attempts: u32,
 }
 
 impl ItemStatus {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -40,6 +40,7 @@
     targets: Gauge<u64>,
     config_version: Gauge<u64>,
     open_jobs: Gauge<u64>,
+    idle_items: Gauge<u64>,
     cut_off: Gauge<u64>,
     tunnels: Counter<u64>,
     broken_connections: Counter<u64>,
@@ -101,6 +102,10 @@
             targets: gauge("lagoonyard_targets", "Registered targets"),
             config_version: gauge("lagoonyard_config_version", "Version in force"),
             open_jobs: gauge("lagoonyard_open_jobs", "Open jobs of this leader"),
+            idle_items: gauge(
+                "lagoonyard_idle_items",
+                "Items that have been at no engine for 2 s or more, by reason",
+            ),
             cut_off: gauge("lagoonyard_cut_off", "Whether this host reaches no target directly"),
             tunnels: counter(
                 "lagoonyard_tunnels",
@@ -199,6 +204,11 @@
         self.open_jobs.record(count as u64, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Records the number of items that are at no engine for one reason.
+    pub fn idle_items(&self, reason: &'static str, count: u64) {
+        self.idle_items.record(count, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Records whether this host is cut off from all targets.
     pub fn cut_off(&self, cut_off: bool) {
         self.cut_off.record(u64::from(cut_off), &[]);
