An item that reached no engine goes next to one that has just made events

Cause: an engine that has ended stays registered for three heartbeats, holds no runs and so ranks first. Each attempt there takes up to 1.5 s through other hosts or 2 s on a kept connection. The item then avoided that engine only and went on to the next dead one, and when a backoff ended as many items as the engine has slots started there.

Change: the leader records when a run at an engine last made an event (reports of progress, results, answers 500 and 422). - An item whose last run was not executed or broke goes to an engine that made events within 0.5 s, else 1.5 s, then to one without a failure, then to any. - An engine that failed gets one item, as a probe, until a run there makes an event, besides the runs from before. - A run reports its first event at once, so that a probe is known to have succeeded. - It comes last for 3 s after its failure, and no run is stopped to be moved there.

Bound: with N dead engines an item is at no engine for one attempt (D) if an engine with a free slot made events within 1.5 s; two attempts if that one ends as well. Before, N attempts and more.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -291,6 +291,7 @@
                 let Some(run) = self.runs.get(&run) else {
                     return;
                 };
+                self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_progress(run.item, progress);
                 }
@@ -299,6 +300,7 @@
                 let Some(run) = self.runs.get(&run) else {
                     return;
                 };
+                self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_events(run.item, last_event);
                 }
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     control::leader::{ActiveRun, Leader},
-    job::Requirement,
+    job::{Evidence, Requirement},
     prelude::*,
     traffic::Command,
 };
@@ -45,6 +45,7 @@
             // A text goes on only at the version that began it.
             software: self.engines.get(target).map(|engine| &*engine.target.software),
             allow_slow: false,
+            evidence: Evidence::NoFailure,
         };
         self.engines.has_faster(&requirement, target)
     }
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -3,12 +3,14 @@
 use crate::{
     crash::{self, Content, Verdict},
     events::Progress,
-    job::{Assignment, End, Engines, Job, Outcome, Policy, Requirement, status::State},
+    job::{Assignment, End, Engines, Evidence, Job, Outcome, Policy, Requirement, status::State},
     prelude::*,
 };
 
 /// Time for which an item waits for a slot on an engine that is not slow.
 const SLOT_WAIT_MAX: Duration = Duration::from_millis(700);
+/// Times for which an event of an engine shows that it is alive. The last is longer than the interval at which runs report.
+const HEARD_TIMES: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(1500)];
 /// Time until an item whose judge returned no score is retried.
 const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Items of a job that are tried in one pass while none of them finds an engine.
@@ -111,13 +113,18 @@
         let has_waited = now >= waiting_since + SLOT_WAIT_MAX;
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
+        let evidence = Evidence::Any;
         let requirement =
-            Requirement { model, min_version: min, avoid, software, allow_slow: false };
+            Requirement { model, min_version: min, avoid, software, allow_slow: false, evidence };
+        // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
+        let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
+        let proven = heard.into_iter().chain([Evidence::NoFailure]).filter(|_| status.is_unreached);
+        let proven = proven.map(|evidence| Requirement { evidence, ..requirement });
         let any_pace = Requirement { avoid: None, allow_slow: true, ..requirement };
         let any = Requirement { software: None, ..any_pace };
         let waited = [any_pace, any].into_iter().filter(|_| has_waited);
-        let engine =
-            std::iter::once(requirement).chain(waited).find_map(|it| engines.choose(&it))?;
+        let requirements = proven.chain([requirement]).chain(waited);
+        let engine = requirements.into_iter().find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
         if verdict == Verdict::Trial && !crashes.begin_trial(self.content(item), now) {
@@ -163,6 +170,7 @@
         status.text_complete = outcome.text_complete;
         status.judge_failures += outcome.judge_failures;
         status.avoid = None;
+        status.is_unreached = matches!(outcome.end, End::Broken | End::NotRun);
         let mut not_before = now;
         match outcome.end {
             // The route did not demand a single version when the run began.
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -17,6 +17,9 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(2400);
 /// Time after which a measured pace expires, so that an engine that has recovered is tried again.
 const PACE_TTL: Duration = Duration::from_secs(10);
+/// Time after its last failure for which an engine is chosen after all others. It is longer than the backoff, so that an
+/// engine that has ended, and stays registered for a while, gets few items.
+const SUSPECT_TIME: Duration = Duration::from_secs(3);
 
 /// State of an engine.
 #[derive(Clone, Debug)]
@@ -30,6 +33,12 @@
     backoff_until: Time,
     /// Consecutive runs that were not executed or broke.
     failures: u32,
+    /// Time of the last failure, until a run shows that the engine works.
+    failed_at: Option<Time>,
+    /// Time of the last event of a run.
+    heard_at: Option<Time>,
+    /// Runs in progress that began before the failure.
+    runs_before: u32,
     /// Model whose version is being loaded; none of its items starts until the load ends.
     loading: Option<ModelId>,
     /// Versions loaded by this leader that the registration may not show yet.
@@ -47,6 +56,9 @@
             measured_at: None,
             backoff_until: Time::ZERO,
             failures: 0,
+            failed_at: None,
+            heard_at: None,
+            runs_before: 0,
             loading: None,
             loaded: BTreeMap::new(),
             quota: None,
@@ -65,12 +77,13 @@
         models.filter_map(|model| Some((model.clone(), self.version(model)?))).collect()
     }
 
-    /// Whether an item of a model may start.
+    /// Whether an item of a model may start. An engine that has failed runs one item, as a probe, until that makes an event.
     pub fn is_open(&self, model: &str, now: Time) -> bool {
         self.loading.as_deref() != Some(model)
             && !self.target.draining
             && now >= self.backoff_until
             && self.in_flight < self.target.slots
+            && (self.failed_at.is_none() || self.in_flight <= self.runs_before)
             && self.quota.as_ref().is_none_or(|quota| now >= quota.open_at())
     }
 
@@ -80,7 +93,36 @@
     }
 
     pub fn free_slots(&self) -> u32 {
-        self.target.slots.saturating_sub(self.in_flight)
+        let free = self.target.slots.saturating_sub(self.in_flight);
+        if self.failed_at.is_some() { free.min(1) } else { free }
+    }
+
+    /// Whether the engine has failed lately, and no run has shown since that it works.
+    pub(super) fn is_suspect(&self, now: Time) -> bool {
+        self.failed_at.is_some_and(|at| now < at + SUSPECT_TIME)
+    }
+
+    /// Whether no run has failed since the last one that showed that the engine works.
+    pub(super) fn has_no_failure(&self) -> bool {
+        self.failed_at.is_none()
+    }
+
+    /// Whether a run made an event at a time or later, and none has failed since.
+    pub(super) fn is_heard_since(&self, time: Time) -> bool {
+        self.failed_at.is_none() && self.heard_at.is_some_and(|at| at >= time)
+    }
+
+    /// Records an event of a run. Returns whether the engine had failed before.
+    pub(super) fn hear(&mut self, now: Time) -> bool {
+        self.heard_at = Some(now);
+        self.runs_before = 0;
+        self.failed_at.take().is_some()
+    }
+
+    /// Frees a slot. A run that began before a failure is taken to end before the probe does.
+    pub(super) fn end_run(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.runs_before = self.runs_before.saturating_sub(1);
     }
 
     /// Time per event; `None` if it was not measured lately.
@@ -93,12 +135,14 @@
         self.measured_at.map(|_| self.pace)
     }
 
-    /// Next time at which the engine's state changes by itself: its backoff ends, its pace expires or its
+    /// Next time at which the engine's state changes by itself: its backoff ends, its failure or its pace expires, or its
     /// quota has a request to grant.
     pub(super) fn next_change(&self, now: Time) -> Option<Time> {
         let expiry = self.measured_at.map(|at| at + PACE_TTL + Duration::from_nanos(1));
         let quota = self.quota.as_ref().map(Quota::open_at);
-        [Some(self.backoff_until), expiry, quota].into_iter().flatten().filter(|at| *at > now).min()
+        let trusted = self.failed_at.map(|at| at + SUSPECT_TIME);
+        let times = [Some(self.backoff_until), expiry, quota, trusted];
+        times.into_iter().flatten().filter(|at| *at > now).min()
     }
 
     /// Sets the limit that the engine names.
@@ -140,6 +184,7 @@
 
     pub(super) fn record_pace(&mut self, pace: Duration, now: Time) {
         self.failures = 0;
+        self.hear(now);
         self.pace = match self.measured_pace(now) {
             Some(average) => average.mul_f64(1.0 - PACE_WEIGHT) + pace.mul_f64(PACE_WEIGHT),
             None => pace,
@@ -149,6 +194,9 @@
 
     /// Starts a backoff. Runs that break together count as one failure.
     pub(super) fn back_off(&mut self, now: Time) {
+        if self.failed_at.replace(now).is_none() {
+            self.runs_before = self.in_flight;
+        }
         if now >= self.backoff_until {
             let backoff = BACKOFF.saturating_mul(1 << self.failures.min(8));
             self.backoff_until = now + backoff.min(BACKOFF_MAX);
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -11,8 +11,11 @@
 
 use crate::{
     fleet::Target,
-    job::engine::{Engine, PACE_INITIAL},
-    job::paces::Paces,
+    job::{
+        Requirement,
+        engine::{Engine, PACE_INITIAL},
+        paces::Paces,
+    },
     prelude::*,
     rate::Limit,
 };
@@ -31,23 +34,10 @@
 /// Requests that a load of a version takes: report, order and the first poll.
 const REQUESTS_PER_LOAD: u32 = 3;
 
-/// Requirement of an item on its engine.
-#[derive(Clone, Copy, Debug)]
-pub struct Requirement<'a> {
-    pub model: &'a str,
-    /// Oldest version that may generate the item's tokens.
-    pub min_version: Version,
-    /// Engine that must not run the item: the one of its last run, if that did not succeed, or the one that it is to
-    /// leave for a faster one.
-    pub avoid: Option<&'a TargetId>,
-    /// Software version that has to continue the item's text.
-    pub software: Option<&'a str>,
-    /// The item has waited long enough to run on a slow engine.
-    pub allow_slow: bool,
-}
-
-/// Expected time per event of an engine, and its id.
-type Rank = (Duration, TargetId);
+/// What determines the order of engines: whether it is suspect, as runs failed there lately, and its cost.
+type Cost = (bool, Duration);
+/// Cost of an engine, and its id.
+type Rank = (bool, Duration, TargetId);
 
 /// Engines with a free slot for a model.
 #[derive(Debug, Default)]
@@ -63,7 +53,7 @@
 struct Entry {
     engine: Engine,
     /// Models under which the engine is indexed, with its cost.
-    indexed: Vec<(ModelId, Duration)>,
+    indexed: Vec<(ModelId, Cost)>,
     /// Scheduled update of its index entries.
     update_at: Option<Time>,
 }
@@ -181,7 +171,7 @@
         self.software.contains_key(software)
     }
 
-    /// Open engine on which an item would finish first. Unless the requirement allows slow engines, a slow engine runs
+    /// Open engine on which an item would finish first; those that failed lately come after the others. Unless the requirement allows slow engines, a slow engine runs
     /// one item at a time, as a probe of whether it has recovered.
     pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
         let qualifies = |engine: &&Engine| {
@@ -190,10 +180,11 @@
                 .is_some_and(|version| version >= requirement.min_version)
                 && requirement.avoid != Some(&engine.target.id)
                 && requirement.software.is_none_or(|software| *software == *engine.target.software)
+                && requirement.evidence.holds_for(engine)
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
         let open = self.open.get(requirement.model)?;
-        open.ranks.iter().filter_map(|(_, id)| self.get(id)).find(qualifies)
+        open.ranks.iter().filter_map(|(_, _, id)| self.get(id)).find(qualifies)
     }
 
     /// Whether an open engine is so much faster than `current` that moving an item pays.
@@ -236,7 +227,7 @@
     pub fn free_slots(&self, model: &str) -> usize {
         let free = |engine: &Engine| engine.free_slots() as usize;
         match self.open.get(model) {
-            Some(open) => open.ranks.iter().filter_map(|(_, id)| self.get(id)).map(free).sum(),
+            Some(open) => open.ranks.iter().filter_map(|(_, _, id)| self.get(id)).map(free).sum(),
             None => self.iter().filter(|engine| engine.is_open(model, self.now)).map(free).sum(),
         }
     }
@@ -288,13 +279,23 @@
     pub fn finish_run(&mut self, id: &str, now: Time, pace: Option<Duration>) {
         self.now = self.now.max(now);
         self.update(id, |engine| {
-            engine.in_flight = engine.in_flight.saturating_sub(1);
+            engine.end_run();
             if let Some(pace) = pace {
                 engine.record_pace(pace, now);
             }
         });
     }
 
+    /// Records that a run on an engine has made an event.
+    pub fn heard(&mut self, id: &str, now: Time) {
+        // Reports are frequent, and only the end of a failure changes the indexes.
+        let engine = self.by_id.get_mut(id).map(|entry| &mut entry.engine);
+        if engine.is_some_and(|engine| engine.hear(now)) {
+            self.now = self.now.max(now);
+            self.reindex(id);
+        }
+    }
+
     /// Starts the backoff of an engine, during which no item starts on it.
     pub fn back_off(&mut self, id: &str, now: Time) {
         self.now = self.now.max(now);
@@ -334,12 +335,12 @@
         };
         unindex(&mut self.open, &mut entry);
         let engine = &entry.engine;
-        let cost = self.cost(engine);
+        let (is_suspect, cost) = (engine.is_suspect(self.now), self.cost(engine));
         for (model, open) in &mut self.open {
             let suits = engine.version(model).is_some_and(|version| version >= open.min_version);
             if suits && engine.is_open(model, self.now) {
-                open.ranks.insert((cost, id.into()));
-                entry.indexed.push((model.clone(), cost));
+                open.ranks.insert((is_suspect, cost, id.into()));
+                entry.indexed.push((model.clone(), (is_suspect, cost)));
             }
         }
         self.schedule_update(id, &mut entry);
@@ -361,9 +362,9 @@
 }
 
 fn unindex(open: &mut BTreeMap<ModelId, OpenEngines>, entry: &mut Entry) {
-    for (model, cost) in entry.indexed.drain(..) {
+    for (model, (is_suspect, cost)) in entry.indexed.drain(..) {
         if let Some(open) = open.get_mut(&model) {
-            open.ranks.remove(&(cost, entry.engine.target.id.clone()));
+            open.ranks.remove(&(is_suspect, cost, entry.engine.target.id.clone()));
         }
     }
 }
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -14,6 +14,7 @@
 mod policy;
 mod queue;
 mod record;
+mod requirement;
 mod row;
 mod spec;
 mod status;
@@ -21,7 +22,7 @@
 
 pub use checkpoint::Checkpoint;
 pub use engine::Engine;
-pub use engines::{Engines, Requirement};
+pub use engines::Engines;
 pub use keys::{
     HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
     head_key, held_key, host_key, leader_key, software_key,
@@ -31,5 +32,6 @@
 pub use policy::Policy;
 pub use queue::Queue;
 pub use record::Record;
+pub use requirement::{Evidence, Requirement};
 pub use row::{Chunk, Row};
 pub use spec::{Item, Judge, Spec};
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -87,6 +87,7 @@
             failures: 0,
             judge_failures: 0,
             avoid: None,
+            is_unreached: false,
             finished_at: Time::ZERO,
         };
         let statuses = vec![status; spec.items.len()];
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -173,6 +173,8 @@
             engines.finish_run(target, now, outcome.pace.filter(|_| !failed));
             if failed {
                 engines.back_off(target, now);
+            } else if matches!(outcome.end, End::Failed | End::Rejected) {
+                engines.heard(target, now);
             }
         }
         match self.jobs.get_mut(&outcome.job) {
--- /dev/null
+++ b/crates/node/src/job/requirement.rs
@@ -0,0 +1,39 @@
+//! Requirement of an item on its engine.
+
+use crate::{job::engine::Engine, prelude::*};
+
+/// What is known of an engine on which an item may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    Any,
+    /// No run has failed there since the last one that made events.
+    NoFailure,
+    /// The same, and a run made an event at this time or later.
+    HeardSince(Time),
+}
+
+impl Evidence {
+    pub(super) fn holds_for(self, engine: &Engine) -> bool {
+        match self {
+            Self::Any => true,
+            Self::NoFailure => engine.has_no_failure(),
+            Self::HeardSince(time) => engine.is_heard_since(time),
+        }
+    }
+}
+
+/// Requirement of an item on its engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Requirement<'a> {
+    pub model: &'a str,
+    /// Oldest version that may generate the item's tokens.
+    pub min_version: Version,
+    /// Engine that must not run the item: the one of its last run, if that did not succeed, or the one that it is to
+    /// leave for a faster one.
+    pub avoid: Option<&'a TargetId>,
+    /// Software version that has to continue the item's text.
+    pub software: Option<&'a str>,
+    /// The item has waited long enough to run on a slow engine.
+    pub allow_slow: bool,
+    pub evidence: Evidence,
+}
--- a/crates/node/src/job/status.rs
+++ b/crates/node/src/job/status.rs
@@ -41,6 +41,8 @@
     pub(super) judge_failures: u32,
     /// Target of the last run, if that failed, broke, was slow or was not executed.
     pub(super) avoid: Option<TargetId>,
+    /// The last run reached no engine or broke.
+    pub(super) is_unreached: bool,
     pub(super) finished_at: Time,
 }
 
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -299,7 +299,7 @@
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
     let mut held = Taken::new(&traffic.response_bytes);
-    let (mut reported_at, mut event_at) = (Instant::now(), Instant::now());
+    let (mut reported_at, mut event_at) = (None::<Instant>, Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
@@ -351,8 +351,10 @@
         if !held.set(parser.buffered() + state.progress.text.len()) {
             return fail(&"too many bytes of others are being read");
         }
-        if reported_at.elapsed() >= PROGRESS_INTERVAL {
-            reported_at = Instant::now();
+        let has_events = state.progress.last_event > state.resumed_after;
+        // The first event shows the leader that the engine works.
+        if has_events && reported_at.is_none_or(|at| at.elapsed() >= PROGRESS_INTERVAL) {
+            reported_at = Some(Instant::now());
             let progress = state.progress.clone();
             let report = RunReport::Progress { run: run.id, progress };
             if reports.send(Report::Run(report)).is_err() {
