An item moves on from an engine that falls silent in about 1 s instead of 2 s

Cause: a run on a kept connection to an engine that does not answer any more ended after 2 s without a byte. The check of the link after 250 ms ended it sooner only if the whole host counted as cut off. Callers saw each item of such an engine at no server for 2 s, and again at the next one.

Change: after a check without an answer a second one follows 250 ms later. If a target has accepted no connection twice, at least 300 ms apart, and nothing was heard from it meanwhile, a run that has had no byte for 800 ms is given up as broken. The check is retried while the run waits. Callers' requests and streams wait as before.

The connection of the run is reset, so an engine that is reached after all stops working on it. An engine that accepts connections, refuses them, or sends bytes on any connection is not silent, however slow it is.

Bound: 0.8 s to about 1.2 s an attempt; 1.6 s if the link was checked within the second before; 2 s (the time-out, as before) if a check is not possible. With one or more engines silent at once: one attempt, and one of 150 ms for a connection.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -22,6 +22,8 @@
 const OTHERS_TTL: Duration = Duration::from_millis(2000);
 /// Time for which a sign of life of a target makes a check of its link needless.
 const HEARD_TTL: Duration = Duration::from_millis(500);
+/// Time between two connections without an answer from which on a target of which nothing else was heard counts as silent.
+const SILENT_TIME: Duration = Duration::from_millis(300);
 
 /// Minimum time between two checks of a link.
 const CHECK_INTERVAL: Duration = Duration::from_millis(2000);
@@ -39,6 +41,8 @@
 struct State {
     lost: HashMap<TargetId, (Failure, Time)>,
     heard_at: HashMap<TargetId, Time>,
+    /// First and last connection without an answer since a target was last heard.
+    silent: HashMap<TargetId, (Time, Time)>,
     checked_at: HashMap<TargetId, Time>,
     /// Targets that could not be reached since a connection was last opened.
     in_a_row: HashMap<TargetId, Time>,
@@ -112,6 +116,7 @@
     pub fn heard(&self, target: &str, now: Time) {
         let mut state = self.lock();
         state.any_heard_at = Some(now);
+        state.silent.remove(target);
         match state.heard_at.get_mut(target) {
             Some(heard_at) => *heard_at = now,
             None => {
@@ -124,6 +129,7 @@
     pub fn opened(&self, target: &str, now: Time) {
         let mut state = self.lock();
         state.lost.remove(target);
+        state.silent.remove(target);
         state.in_a_row.clear();
         state.heard_at.insert(target.into(), now);
         state.any_heard_at = Some(now);
@@ -135,6 +141,7 @@
         {
             let mut state = self.lock();
             state.lost.insert(target.into(), (failure, now));
+            state.record_silence(target, failure, now);
             state.in_a_row.insert(target.into(), now);
             state.in_a_row.retain(|_, at| now < *at + 2 * LOSS_TTL);
             if state.cut_since.is_none()
@@ -166,6 +173,14 @@
         let _ = losses.wait_for(|_| self.is_lost(target)).await;
     }
 
+    /// Returns once two connections to a target some time apart got no answer, and nothing else was heard from it. For
+    /// requests that another target can take over.
+    pub async fn silent(&self, target: &str) {
+        let mut losses = self.losses.subscribe();
+        // The sender lives as long as `self`.
+        let _ = losses.wait_for(|_| self.lock().is_silent(target)).await;
+    }
+
     fn is_lost(&self, target: &str) -> bool {
         let state = self.lock();
         state.cut_since.is_some() && matches!(state.lost.get(target), Some((Failure::Silent, _)))
@@ -189,6 +204,7 @@
         let mut state = self.lock();
         state.lost.retain(|target, _| keep(target));
         state.heard_at.retain(|target, _| keep(target));
+        state.silent.retain(|target, _| keep(target));
         state.checked_at.retain(|target, _| keep(target));
         state.in_a_row.retain(|target, _| keep(target));
     }
@@ -200,6 +216,22 @@
 }
 
 impl State {
+    fn record_silence(&mut self, target: &str, failure: Failure, now: Time) {
+        match (failure, self.silent.get_mut(target)) {
+            (Failure::Refused, _) => {
+                self.silent.remove(target);
+            }
+            (Failure::Silent, Some((_, last))) if now < *last + LOSS_TTL => *last = now,
+            (Failure::Silent, _) => {
+                self.silent.insert(target.into(), (now, now));
+            }
+        }
+    }
+
+    fn is_silent(&self, target: &str) -> bool {
+        self.silent.get(target).is_some_and(|(first, last)| *last >= *first + SILENT_TIME)
+    }
+
     fn end_cut(&mut self, now: Time, reason: &'static str) {
         if let Some(since) = self.cut_since.take() {
             let after_ms = crate::logging::ms(now.saturating_sub(since));
--- a/crates/node/src/traffic/connect.rs
+++ b/crates/node/src/traffic/connect.rs
@@ -25,6 +25,10 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time without a byte of a response after which the link to the target is checked.
 const CHECK_DELAY: Duration = Duration::from_millis(250);
+/// Time after a check without an answer until the next one, so that one lost packet decides nothing.
+const RECHECK_DELAY: Duration = Duration::from_millis(250);
+/// Time without a byte of a response after which its target may count as silent: both checks, and the times before them.
+const MOVE_ON_DELAY: Duration = Duration::from_millis(800);
 /// Pause between the probes of a host that is cut off.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -33,6 +37,8 @@
 pub enum OnLoss {
     /// The request is given up, as it may be made again.
     GiveUp,
+    /// The same, also if only this target does not answer any more, as another one can go on.
+    MoveOn,
     /// The response is waited for, as the request must not be made again.
     Wait,
 }
@@ -120,10 +126,16 @@
     let route = channel.route();
     let sending = channel.send(request, deadline);
     let mut sending = std::pin::pin!(sending);
+    let lost = async {
+        match on_loss {
+            OnLoss::MoveOn => target_lost(traffic, route, id, address).await,
+            OnLoss::GiveUp | OnLoss::Wait => link_lost(traffic, route, id, address).await,
+        }
+    };
     let response = tokio::select! {
         response = &mut sending => response,
-        () = link_lost(traffic, route, id, address) => match on_loss {
-            OnLoss::GiveUp => Err(channel::Error::LinkLost),
+        () = lost => match on_loss {
+            OnLoss::GiveUp | OnLoss::MoveOn => Err(channel::Error::LinkLost),
             OnLoss::Wait => sending.await,
         }
     };
@@ -140,16 +152,52 @@
         std::future::pending::<()>().await;
     }
     sleep(CHECK_DELAY).await;
-    if traffic.links.begin_check(id, clock::now()) {
-        tokio::task::spawn_local(check(Rc::clone(traffic), id.clone(), address));
-    }
+    begin_check(traffic, id, address);
     traffic.links.lost(id).await;
 }
 
+/// The same, and returns as well once only this target accepts no connections any more and sends nothing on open ones.
+pub async fn target_lost(traffic: &Rc<Traffic>, route: Route, id: &TargetId, address: SocketAddr) {
+    if route == Route::Tunnel {
+        std::future::pending::<()>().await;
+    }
+    let check = async {
+        loop {
+            sleep(CHECK_DELAY).await;
+            begin_check(traffic, id, address);
+        }
+    };
+    let silent = async {
+        // Requests that could not connect may have found it silent between two events of this response.
+        sleep(MOVE_ON_DELAY).await;
+        traffic.links.silent(id).await;
+    };
+    tokio::select! {
+        () = link_lost(traffic, route, id, address) => {}
+        () = silent => {}
+        () = check => {}
+    }
+}
+
+/// Checks the link to a target from which nothing was heard lately, unless that has just been done. A second check follows
+/// one without an answer.
+fn begin_check(traffic: &Rc<Traffic>, id: &TargetId, address: SocketAddr) {
+    if !traffic.links.begin_check(id, clock::now()) {
+        return;
+    }
+    let (traffic, id) = (Rc::clone(traffic), id.clone());
+    tokio::task::spawn_local(async move {
+        check(&traffic, &id, address).await;
+        if !traffic.links.has_link(&id, clock::now()) {
+            sleep(RECHECK_DELAY).await;
+            check(&traffic, &id, address).await;
+        }
+    });
+}
+
 /// Opens a connection to a target, which is kept for a later request.
-async fn check(traffic: Rc<Traffic>, id: TargetId, address: SocketAddr) {
-    if let Some(channel) = open(&traffic, &id, address, Instant::now() + 2 * CONNECT_TIMEOUT).await
-    {
+async fn check(traffic: &Rc<Traffic>, id: &TargetId, address: SocketAddr) {
+    if let Some(channel) = open(traffic, id, address, Instant::now() + 2 * CONNECT_TIMEOUT).await {
         traffic.channels.keep(address, channel, None);
     }
 }
@@ -162,7 +210,7 @@
         let view = traffic.view.load_full();
         let targets = view.targets.values().filter(|target| !target.draining);
         if let Some(target) = targets.choose(&mut rand::rng()) {
-            check(Rc::clone(&traffic), target.id.clone(), target.address).await;
+            check(&traffic, &target.id, target.address).await;
         }
         if traffic.links.cut_since().is_some() {
             tunnel::ask_others(&traffic).await;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -23,7 +23,7 @@
         announce,
         body::Taken,
         channel::{self, Demand, Route},
-        connect::{OnLoss, connect, link_lost, send},
+        connect::{OnLoss, connect, send, target_lost},
         exchange::closes_connection,
         judge,
         report::Report,
@@ -235,7 +235,7 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp).await;
+    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::MoveOn).await;
     let response = match response {
         Ok(response) => response,
         Err(error) => {
@@ -305,7 +305,7 @@
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
         let frame = tokio::select! {
             frame = timeout_at(by, body.frame()) => frame,
-            () = link_lost(traffic, route, &target.id, target.address) => {
+            () = target_lost(traffic, route, &target.id, target.address) => {
                 return fail(&"the link to the engine is lost");
             }
         };
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -125,3 +125,35 @@
     assert!(is_lost("a"));
     assert!(!is_lost("c"));
 }
+
+/// Guards against items that wait for an engine which does not answer any more, while the host reaches all others.
+#[test]
+fn a_target_that_accepts_no_connection_twice_is_silent() {
+    let links = links();
+    let is_silent = |target| links.silent(target).now_or_never().is_some();
+    links.failed("a", Failure::Silent, T0);
+    links.failed("a", Failure::Silent, after(100));
+    assert!(!is_silent("a"), "connections that began together");
+    links.failed("a", Failure::Silent, after(400));
+    assert!(is_silent("a"));
+    assert_eq!(links.cut_since(), None);
+    links.heard("a", after(500));
+    assert!(!is_silent("a"));
+}
+
+/// Guards against runs that are taken from an engine which has answered in between, refuses connections, or lost a packet now
+/// and another one later.
+#[test]
+fn a_target_that_was_heard_in_between_is_not_silent() {
+    let links = links();
+    let is_silent = |target| links.silent(target).now_or_never().is_some();
+    links.failed("a", Failure::Silent, T0);
+    links.heard("a", after(100));
+    links.failed("a", Failure::Silent, after(400));
+    assert!(!is_silent("a"), "heard");
+    links.failed("a", Failure::Refused, after(800));
+    assert!(!is_silent("a"), "refused");
+    links.failed("b", Failure::Silent, T0);
+    links.failed("b", Failure::Silent, after(1500));
+    assert!(!is_silent("b"), "long apart");
+}
