--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -291,6 +291,7 @@
                 let Some(run) = self.runs.get(&run) else {
                     return;
                 };
+                self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_progress(run.item, progress);
                     job.record_contact(run.item, now);
@@ -300,6 +301,7 @@
                 let Some(run) = self.runs.get(&run) else {
                     return;
                 };
+                self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = self.queue.get_mut(&run.job) {
                     job.set_events(run.item, last_event);
                     job.record_contact(run.item, now);
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod reason;
 mod record;
+mod requirement;
 mod row;
 mod spec;
 mod status;
@@ -24,7 +25,7 @@
 
 pub use checkpoint::Checkpoint;
 pub use engine::Engine;
-pub use engines::{Engines, Requirement};
+pub use engines::Engines;
 pub use keys::{
     HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
     head_key, held_key, host_key, leader_key, software_key,
@@ -35,6 +36,7 @@
 pub use queue::Queue;
 pub use reason::Reason;
 pub use record::Record;
+pub use requirement::{Evidence, Requirement};
 pub use row::{Chunk, Row};
 pub use spec::{Item, Judge, Spec};
 pub use supply::{Obstacle, Supply};
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -88,6 +88,7 @@
             failures: 0,
             judge_failures: 0,
             avoid: None,
+            is_unreached: false,
             finished_at: Time::ZERO,
             contact_at: Time::ZERO,
             attempts: 0,
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -22,7 +22,7 @@
         announce,
         body::Taken,
         channel::{self, Demand, Route},
-        connect::{OnLoss, connect, link_lost, send},
+        connect::{OnLoss, connect, send, target_lost},
         exchange::closes_connection,
         judge,
         report::Report,
@@ -235,7 +235,7 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp).await;
+    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::MoveOn).await;
     let response = match response {
         Ok(response) => response,
         Err(error) => {
@@ -304,13 +304,13 @@
     };
     let mut parser = Parser::new(traffic.dialect.version_field());
     let mut held = Taken::new(&traffic.response_bytes);
-    let (mut reported_at, mut event_at) = (Instant::now(), Instant::now());
+    let (mut reported_at, mut event_at) = (None::<Instant>, Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
         let frame = tokio::select! {
             frame = timeout_at(by, body.frame()) => frame,
-            () = link_lost(traffic, route, &target.id, target.address) => {
+            () = target_lost(traffic, route, &target.id, target.address) => {
                 return fail(&"the link to the engine is lost");
             }
         };
@@ -356,8 +356,10 @@
         if !held.set(parser.buffered() + state.progress.text.len()) {
             return fail(&"too many bytes of others are being read");
         }
-        if reported_at.elapsed() >= PROGRESS_INTERVAL {
-            reported_at = Instant::now();
+        let has_events = state.progress.last_event > state.resumed_after;
+        // The first event shows the leader that the engine works.
+        if has_events && reported_at.is_none_or(|at| at.elapsed() >= PROGRESS_INTERVAL) {
+            reported_at = Some(Instant::now());
             let progress = state.progress.clone();
             let report = RunReport::Progress { run: run.id, progress };
             if reports.send(Report::Run(report)).is_err() {
