--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -4,7 +4,9 @@
 
 use crate::{
     crash::Verdict,
-    job::{Engines, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State},
+    job::{
+        Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State,
+    },
     prelude::*,
 };
 
@@ -216,7 +218,14 @@
     fn demand_reason(&self, job: &Job, item: usize) -> Option<Reason> {
         let status = &job.statuses[item];
         let (model, min_version) = (&*job.spec.model, job.spec.min_version);
-        let any = Requirement { model, min_version, avoid: None, software: None, allow_slow: true };
+        let any = Requirement {
+            model,
+            min_version,
+            avoid: None,
+            software: None,
+            allow_slow: true,
+            evidence: Evidence::Any,
+        };
         self.engines.choose(&any)?;
         let known = status.progress.software.as_deref().filter(|it| self.engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
