Targets that fall silent under a request give strikes

Cause: a request under which targets fall silent was sent to further targets without end, at all hosts. Only a connection that broke led to a look at the target. An attempt without an answer ended by its time-out, a lost link or with its request, and gave no strike.

Change: an attempt that waits for the head of an answer, or for the next part of a stream or an item's run, looks at its target when no byte was heard of it for 1 s, each 2 s from then on, at its own time-out and when its link is lost. The look is the one for broken connections, but only hosts near the target confirm that it is unreachable, as a zone that is cut off is as silent. A host in the target's zone counts as near itself. Registrations are refreshed before, as a host that only runs items may not know the target. One attempt gives at most one strike for an end. lagoonyard_silent_targets_total counts the findings.

No test was changed; the stand-in of a target that ends can also fall silent.

Not covered: silent targets of a zone without a known host; a zone that is cut off is not played by a test.

--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -120,6 +120,11 @@
         }
     }
 
+    /// Whether there was a sign of life of a target within a time.
+    pub fn was_heard_within(&self, target: &str, time: Duration, now: Time) -> bool {
+        self.lock().heard_at.get(target).is_some_and(|at| now < *at + time)
+    }
+
     /// Records that a connection to a target was opened.
     pub fn opened(&self, target: &str, now: Time) {
         let mut state = self.lock();
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -43,6 +43,7 @@
     cut_off: Gauge<u64>,
     tunnels: Counter<u64>,
     broken_connections: Counter<u64>,
+    silent_targets: Counter<u64>,
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
     resident_bytes: Gauge<u64>,
@@ -110,6 +111,10 @@
                 "lagoonyard_broken_connections",
                 "Connections that broke under a request, by whether the target had ended",
             ),
+            silent_targets: counter(
+                "lagoonyard_silent_targets",
+                "Looks at targets that did not answer a request, by whether the target had ended",
+            ),
             held_requests: counter(
                 "lagoonyard_held_requests",
                 "Requests under whose content targets ended, refused or sent as a trial",
@@ -214,6 +219,11 @@
         self.broken_connections.add(1, &[KeyValue::new("finding", finding)]);
     }
 
+    /// Records what was found of a target that did not answer a request for a time.
+    pub fn silent_target(&self, finding: &'static str) {
+        self.silent_targets.add(1, &[KeyValue::new("finding", finding)]);
+    }
+
     /// Records what became of a request whose content is held.
     pub fn held_request(&self, outcome: &'static str) {
         self.held_requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/node/src/traffic/ended.rs
+++ b/crates/node/src/traffic/ended.rs
@@ -1,4 +1,4 @@
-//! Whether a target has ended, after a connection to it broke.
+//! Whether a target has ended, after a connection to it broke or it gave no answer.
 //!
 //! A connection also breaks when only it is reset, when an answer is no answer, when the links of this host are cut, or when
 //! the host that carries it ends. A target that has ended takes no new connections, neither from this host nor from others.
@@ -61,9 +61,17 @@
     pub settled: SharedFinding,
 }
 
-/// Looks at targets, by instance.
+/// Why this host looks at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Cause {
+    ConnectionBroke,
+    /// No byte of an answer came for a time.
+    Silence,
+}
+
+/// Looks at targets, by instance and cause.
 #[derive(Default)]
-pub struct Looks(RefCell<HashMap<(TargetId, u64), Look>>);
+pub struct Looks(RefCell<HashMap<(TargetId, u64, Cause), Look>>);
 
 impl Looks {
     /// Drops what has run out.
@@ -73,13 +81,13 @@
 }
 
 /// Looks whether a target has ended, or joins a look that has just begun.
-pub fn look(traffic: &Rc<Traffic>, target: &Endpoint) -> Look {
+pub fn look(traffic: &Rc<Traffic>, target: &Endpoint, cause: Cause) -> Look {
     let mut looks = traffic.looks.0.borrow_mut();
-    let key = (target.id.clone(), target.started_ms);
+    let key = (target.id.clone(), target.started_ms, cause);
     if let Some(look) = looks.get(&key).filter(|look| look.begun.elapsed() < FINDING_TTL) {
         return look.clone();
     }
-    let look = begin(traffic, target);
+    let look = begin(traffic, target, cause);
     looks.insert(key, look.clone());
     look
 }
@@ -87,10 +95,10 @@
 /// Connection that a look has opened.
 type Held = Rc<RefCell<Option<Channel>>>;
 
-fn begin(traffic: &Rc<Traffic>, target: &Endpoint) -> Look {
+fn begin(traffic: &Rc<Traffic>, target: &Endpoint, cause: Cause) -> Look {
     let held = Held::default();
     let (to, at, channel) = (Rc::clone(traffic), target.clone(), Rc::clone(&held));
-    let first = async move { find(&to, &at, &channel).await }.boxed_local().shared();
+    let first = async move { find(&to, &at, cause, &channel).await }.boxed_local().shared();
     let (to, at, before) = (Rc::clone(traffic), target.clone(), first.clone());
     let settled = async move {
         let finding = before.await;
@@ -99,7 +107,7 @@
         };
         sleep(SETTLE_TIME).await;
         if channel.is_closed() {
-            return find(&to, &at, &held).await;
+            return find(&to, &at, cause, &held).await;
         }
         to.channels.keep(at.address, channel, None);
         finding
@@ -107,10 +115,34 @@
     Look { begun: Instant::now(), first, settled: settled.boxed_local().shared() }
 }
 
-async fn find(traffic: &Rc<Traffic>, target: &Endpoint, held: &Held) -> Finding {
+async fn find(traffic: &Rc<Traffic>, target: &Endpoint, cause: Cause, held: &Held) -> Finding {
+    if cause == Cause::Silence {
+        // A host that only runs items may not know the target, nor its zone.
+        traffic.freshness.wait_for_refresh().await;
+    }
     if announce::is_leaving(traffic, &target.id, target.started_ms) {
         return Finding::Sound;
     }
+    match cause {
+        Cause::ConnectionBroke => find_after_break(traffic, target, held).await,
+        Cause::Silence => find_after_silence(traffic, target, held).await,
+    }
+}
+
+/// A zone that is cut off is as silent as a target that has ended, so only what hosts near the target see counts, however
+/// this host fails to reach it.
+async fn find_after_silence(traffic: &Rc<Traffic>, target: &Endpoint, held: &Held) -> Finding {
+    if connect(traffic, target, held).await.is_none() {
+        return Finding::Sound;
+    }
+    match tunnel::ask_about(traffic, target, links::Failure::Silent).await {
+        Word::Reached => Finding::Sound,
+        Word::Unreachable => Finding::Ended,
+        Word::Unsure | Word::NoAnswer => Finding::Unknown,
+    }
+}
+
+async fn find_after_break(traffic: &Rc<Traffic>, target: &Endpoint, held: &Held) -> Finding {
     // A host that is cut off sees nothing by itself.
     let seen = match traffic.links.cut_since() {
         Some(_) => links::Failure::Refused,
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     clock,
-    crash::Content,
+    crash::{Content, Run},
     dialect::Answer,
     fleet::Target,
     prelude::*,
@@ -20,6 +20,7 @@
         channel::{self, Demand},
         connect::{OnLoss, connect, send},
         serve::Traffic,
+        silence::{Silence, Suspect},
     },
 };
 
@@ -165,11 +166,19 @@
     };
     let sent_at = clock::now();
     let on_loss = if idempotent { OnLoss::GiveUp } else { OnLoss::Wait };
-    let response = send(traffic, to, &mut channel, request, call.deadline, on_loss).await;
-    let response = response.map_err(|error| {
-        broke(&error);
-        ExchangeError::from(&error)
-    })?;
+    let silence = Silence::new(traffic);
+    let suspect = || Suspect::new(call.content(), target, Run::default());
+    let response = send(traffic, to, &mut channel, request, call.deadline, on_loss);
+    let response = match silence.watch(call.deadline, suspect, response).await {
+        Ok(response) => response,
+        Err(error) => {
+            broke(&error);
+            if matches!(error, channel::Error::LinkLost) {
+                silence.look(suspect());
+            }
+            return Err(silence.error(ExchangeError::from(&error)));
+        }
+    };
     let (parts, body) = response.into_parts();
     let answer = traffic.dialect.answer(parts.status, &parts.headers);
     if answer.id.as_ref().is_some_and(|id| *id != call.id) {
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -14,6 +14,7 @@
     traffic::{
         connect::link_lost,
         event_body::Part,
+        silence::Silence,
         stream::{EVENT_TIMEOUT, Open, Start, Stream},
         suspects,
     },
@@ -94,6 +95,8 @@
 
 async fn forward_from(stream: &mut Stream, open: &mut Open, parts: &mpsc::Sender<Part>) -> Break {
     let mut event_at = Instant::now();
+    let from = stream.last_event.unwrap_or(0);
+    let silence = Silence::new(&stream.traffic);
     loop {
         match send_events(stream, open, parts).await {
             Ok(0) => {}
@@ -109,12 +112,17 @@
         let by = stream.silent_at(event_at + EVENT_TIMEOUT);
         let (traffic, target) = (&stream.traffic, &open.target);
         let route = open.channel.route();
+        let suspect = || stream.suspect(target, from);
+        let frame = timeout_at(by, open.body.frame());
         tokio::select! {
-            frame = timeout_at(by, open.body.frame()) => match frame {
+            frame = silence.watch(by, suspect, frame) => match frame {
                 Ok(Some(Ok(frame))) => {
                     traffic.links.heard(&target.id, clock::now());
                     open.parser.push(&frame.into_data().unwrap_or_default());
                 }
+                Ok(Some(Err(error))) if silence.has_ended() => {
+                    return Break::Target(error.to_string().into());
+                }
                 Ok(Some(Err(error))) => return Break::Connection(error.to_string().into()),
                 Ok(None) => open.ended = true,
                 Err(_) if by >= stream.call.deadline => return Break::Deadline,
@@ -122,6 +130,7 @@
             },
             () = parts.closed() => return Break::CallerLeft,
             () = link_lost(traffic, route, &target.id, target.address), if stream.resumable => {
+                silence.look(suspect());
                 return Break::Target("the link to the target is lost".into());
             }
         }
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -4,7 +4,7 @@
 //! chooses, `permit` asks for requests to targets with a limit, `submit` and `jobs` write and read batch jobs, through
 //! their leader (`peers`) or in the store. `run` executes job items on engines as the control thread commands. `connect`
 //! opens the connections to targets, through another host (`tunnel`) while the links of this one are lost. `suspects` keeps
-//! requests from targets under which others ended (`ended`), also after a start (`held`).
+//! requests from targets under which others ended (`ended`) or fell silent (`silence`), also after a start (`held`).
 
 mod accept;
 mod announce;
@@ -30,6 +30,7 @@
 mod run;
 mod runner;
 mod serve;
+mod silence;
 mod stop;
 mod stream;
 mod submit;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -28,6 +28,7 @@
         judge,
         report::Report,
         serve::Traffic,
+        silence::{Silence, Suspect},
         suspects,
     },
 };
@@ -84,6 +85,13 @@
     pub pace_window: u64,
 }
 
+impl Run {
+    fn suspect(&self, target: &Endpoint, state: &RunState) -> Suspect {
+        let run = crash::Run { from: state.resumed_after, reached: state.progress.last_event };
+        Suspect { content: self.item.content(&self.host), target: target.clone(), run }
+    }
+}
+
 /// Report on a run.
 #[derive(Debug)]
 pub enum RunReport {
@@ -165,10 +173,8 @@
             pace = state.pace();
             if let Some(end) = end {
                 if state.connection_broke {
-                    let (from, reached) = (state.resumed_after, state.progress.last_event);
-                    let events = crash::Run { from, reached };
-                    let finding =
-                        suspects::connection_broke(&traffic, content, target.clone(), events);
+                    let Suspect { target: at, run: events, .. } = run.suspect(target, &state);
+                    let finding = suspects::connection_broke(&traffic, content, at, events);
                     ended_instance = finding.await.then_some(target.started_ms);
                 }
                 break 'end end;
@@ -235,11 +241,17 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp).await;
-    let response = match response {
+    let silence = Silence::new(traffic);
+    let suspect = || run.suspect(target, state);
+    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::GiveUp);
+    let response = match silence.watch(deadline, suspect, response).await {
         Ok(response) => response,
         Err(error) => {
-            state.connection_broke = matches!(error, channel::Error::Broken { .. });
+            if matches!(error, channel::Error::LinkLost) {
+                silence.look(suspect());
+            }
+            state.connection_broke =
+                matches!(error, channel::Error::Broken { .. }) && !silence.has_ended();
             info!(job = &*run.assignment.job, target_id = &*target.id, content:% = run.item.content(&run.host), reason:% = error; "run broke");
             return Some(End::Broken);
         }
@@ -301,11 +313,15 @@
     let mut held = Taken::new(&traffic.response_bytes);
     let (mut reported_at, mut event_at) = (Instant::now(), Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
+    let silence = Silence::new(traffic);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
+        let suspect = || run.suspect(target, state);
+        let frame = timeout_at(by, body.frame());
         let frame = tokio::select! {
-            frame = timeout_at(by, body.frame()) => frame,
+            frame = silence.watch(by, suspect, frame) => frame,
             () = link_lost(traffic, route, &target.id, target.address) => {
+                silence.look(suspect());
                 return fail(&"the link to the engine is lost");
             }
         };
@@ -317,7 +333,7 @@
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
             Ok(Some(Err(error))) => {
-                state.connection_broke = true;
+                state.connection_broke = !silence.has_ended();
                 return fail(&error);
             }
             Err(_) => return fail(&"no event within the timeout"),
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -27,9 +27,9 @@
     metrics::METERS,
     prelude::*,
     traffic::{
-        Endpoint, announce,
+        announce,
         body::{self, Taken},
-        channel::{Channel, Demand},
+        channel::{self, Channel, Demand},
         connect::{OnLoss, connect, send},
         dispatch::{Failure, REFUSED_BACKOFF},
         event_body::EventBody,
@@ -40,6 +40,7 @@
         forward::forward,
         origins, permit,
         serve::Traffic,
+        silence::{Silence, Suspect},
         suspects::{self, Admission},
     },
 };
@@ -285,16 +286,20 @@
 
     /// Finds out whether a target has ended that ran the stream after event `from`.
     pub(super) async fn connection_broke(&self, target: &Target, from: u64) {
-        let run = Run { from, reached: self.last_event.unwrap_or(0) };
-        let endpoint = Endpoint::from(target);
-        let content = self.call.content();
-        let finding = suspects::connection_broke(&self.traffic, content, endpoint, run);
+        let Suspect { content, target, run } = self.suspect(target, from);
+        let finding = suspects::connection_broke(&self.traffic, content, target, run);
         // Only a stream that may go on depends on it.
         if self.resumable {
             finding.await;
         }
     }
 
+    /// What a target ran after event `from`.
+    pub(super) fn suspect(&self, target: &Target, from: u64) -> Suspect {
+        let run = Run { from, reached: self.last_event.unwrap_or(0) };
+        Suspect::new(self.call.content(), target, run)
+    }
+
     async fn exchange(
         &self,
         target: &Arc<Target>,
@@ -317,11 +322,19 @@
         let sent_at = clock::now();
         let on_loss = if self.resumable { OnLoss::GiveUp } else { OnLoss::Wait };
         let request = self.request(target);
-        let response = send(traffic, to, &mut channel, request, by, on_loss).await;
-        let response = response.map_err(|error| {
-            broke(&error);
-            ExchangeError::from(&error)
-        })?;
+        let silence = Silence::new(traffic);
+        let suspect = || self.suspect(target, self.last_event.unwrap_or(0));
+        let response = send(traffic, to, &mut channel, request, by, on_loss);
+        let response = match silence.watch(by, suspect, response).await {
+            Ok(response) => response,
+            Err(error) => {
+                broke(&error);
+                if matches!(error, channel::Error::LinkLost) {
+                    silence.look(suspect());
+                }
+                return Err(silence.error(ExchangeError::from(&error)));
+            }
+        };
         let (head, mut body) = response.into_parts();
         let answer = traffic.dialect.answer(head.status, &head.headers);
         if answer.id.as_ref().is_some_and(|id| *id != call.id) {
@@ -354,12 +367,13 @@
         let (mut ended, mut held) = (false, Taken::new(&traffic.response_bytes));
         let event_by = Instant::now() + EVENT_TIMEOUT;
         while !ended && !parser.has_event() {
-            match timeout_at(self.silent_at(event_by), body.frame()).await {
+            let by = self.silent_at(event_by);
+            match silence.watch(by, suspect, timeout_at(by, body.frame())).await {
                 Ok(Some(Ok(frame))) => {
                     traffic.links.heard(&target.id, clock::now());
                     parser.push(&frame.into_data().unwrap_or_default());
                 }
-                Ok(Some(Err(error))) => return Err(broke(&error)),
+                Ok(Some(Err(error))) => return Err(silence.error(broke(&error))),
                 Ok(None) => ended = true,
                 Err(_) => return Err(fail(&"no event in time")),
             }
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -18,7 +18,7 @@
     prelude::*,
     traffic::{
         Endpoint,
-        ended::{self, Finding},
+        ended::{self, Cause, Finding},
         exchange::Call,
         held,
         serve::Traffic,
@@ -80,7 +80,7 @@
         let _ = tell.take().map(|tell| tell.send(struck));
     };
     for _ in 0..LOOKS_MAX {
-        let look = ended::look(&traffic, &target);
+        let look = ended::look(&traffic, &target, Cause::ConnectionBroke);
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
         let is_suspected = traffic.crashes.verdict(content, clock::now()) != Verdict::Free;
--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -163,9 +163,11 @@
     let mut word = Word::NoAnswer;
     let zone = traffic.view.load().targets.get(&target.id).map(|target| target.zone.clone());
     let others = traffic.hosts.all();
+    // If this host is in the target's zone, no cut between zones explains what it sees, and others only confirm it.
+    let is_here = zone.as_ref() == Some(&traffic.settings.zone);
     let is_near = |host: SocketAddr| {
         let host = others.iter().find(|other| other.peer == Some(host));
-        host.is_some_and(|host| Some(&host.zone) == zone.as_ref())
+        is_here || host.is_some_and(|host| Some(&host.zone) == zone.as_ref())
     };
     let (id, started_ms) = (target.id.to_string(), target.started_ms);
     let request = message(Tunnel { target: id, probe: true, started_ms });
