Silent targets of a zone without hosts give strikes

Cause: a target that is silent counts as ended only by the word of a host of its zone, as a zone that is cut off is as silent. Where no host is known in that zone, nobody is near, and a request under which such targets fall silent was sent on without end.

--- a/crates/node/src/traffic/tunnel.rs
+++ b/crates/node/src/traffic/tunnel.rs
@@ -169,6 +169,8 @@
         let host = others.iter().find(|other| other.peer == Some(host));
         is_here || host.is_some_and(|host| Some(&host.zone) == zone.as_ref())
     };
+    let is_alone =
+        zone.is_some() && !is_here && others.iter().all(|other| Some(&other.zone) != zone.as_ref());
     let (id, started_ms) = (target.id.to_string(), target.started_ms);
     let request = message(Tunnel { target: id, probe: true, started_ms });
     for host in hosts(traffic, &target.id) {
@@ -181,6 +183,8 @@
             Some(Reply::Unreachable) if seen == links::Failure::Refused || is_near(host) => {
                 return Word::Unreachable;
             }
+            // No host is near. A single one may be cut off as this one is, so the others are asked as well.
+            Some(Reply::Unreachable) if is_alone => word = word.max(Word::Unreachable),
             // Targets that end one after the other look like a cut to the host that is asked.
             Some(Reply::CutOff) if seen == links::Failure::Refused => word = Word::Unreachable,
             Some(Reply::Unreachable | Reply::Refused | Reply::CutOff) => {
