--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -18,11 +18,10 @@
     metrics::METERS,
     prelude::*,
     traffic::{
-        Endpoint,
         exchange::{Call, ExchangeError, InFlight, Response, exchange},
         permit,
         serve::Traffic,
-        suspects::{self, Admission},
+        suspects::{self, Admission, Suspect},
     },
 };
 
@@ -309,9 +308,8 @@
     match &result {
         Ok((_, answer)) if !answer.not_run => suspects::answered(&traffic, || call.content()),
         Err(ExchangeError::ConnectionBroke) => {
-            let endpoint = Endpoint::from(target.as_ref());
-            let finding =
-                suspects::connection_broke(&traffic, call.content(), endpoint, Run::default());
+            let suspect = Suspect::request(call.content(), &target, Run::default());
+            let finding = suspects::connection_broke(&traffic, suspect);
             // The next attempt depends on it.
             if idempotent {
                 finding.await;
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -28,7 +28,8 @@
         report::Report,
         run_log,
         serve::Traffic,
-        suspects,
+        silence::Silence,
+        suspects::{self, Suspect},
     },
 };
 
@@ -84,6 +85,13 @@
     pub pace_window: u64,
 }
 
+impl Run {
+    fn suspect(&self, target: &Endpoint, state: &RunState) -> Suspect {
+        let run = crash::Run { from: state.resumed_after, reached: state.progress.last_event };
+        Suspect::item(self.item.content(&self.host), target, run)
+    }
+}
+
 /// Report on a run.
 #[derive(Debug)]
 pub enum RunReport {
@@ -168,10 +176,7 @@
             pace = state.pace();
             if let Some(end) = end {
                 if state.connection_broke {
-                    let (from, reached) = (state.resumed_after, state.progress.last_event);
-                    let events = crash::Run { from, reached };
-                    let finding =
-                        suspects::item_connection_broke(&traffic, content, target.clone(), events);
+                    let finding = suspects::connection_broke(&traffic, run.suspect(target, &state));
                     ended_instance = finding.await.then_some(target.started_ms);
                 }
                 break 'end end;
@@ -235,11 +240,17 @@
     };
     state.started = Instant::now();
     let sent_at = clock::now();
-    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::MoveOn).await;
-    let response = match response {
+    let silence = Silence::new(traffic);
+    let suspect = || run.suspect(target, state);
+    let response = send(traffic, to, &mut channel, request, deadline, OnLoss::MoveOn);
+    let response = match silence.watch(deadline, suspect, response).await {
         Ok(response) => response,
         Err(error) => {
-            state.connection_broke = matches!(error, channel::Error::Broken { .. });
+            if matches!(error, channel::Error::LinkLost) {
+                silence.look(suspect());
+            }
+            state.connection_broke =
+                matches!(error, channel::Error::Broken { .. }) && !silence.has_ended();
             run_log::broken(run, target, state.started, &error);
             return Some(End::Broken);
         }
@@ -306,11 +317,15 @@
     let mut held = Taken::new(&traffic.response_bytes);
     let (mut reported_at, mut event_at) = (None::<Instant>, Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
+    let silence = Silence::new(traffic);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
+        let suspect = || run.suspect(target, state);
+        let frame = timeout_at(by, body.frame());
         let frame = tokio::select! {
-            frame = timeout_at(by, body.frame()) => frame,
+            frame = silence.watch(by, suspect, frame) => frame,
             () = target_lost(traffic, route, &target.id, target.address) => {
+                silence.look(suspect());
                 return fail(&"the link to the engine is lost");
             }
         };
@@ -322,7 +337,7 @@
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
             Ok(Some(Err(error))) => {
-                state.connection_broke = true;
+                state.connection_broke = !silence.has_ended();
                 return fail(&error);
             }
             Err(_) => return fail(&"no event within the timeout"),
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -15,12 +15,13 @@
 use crate::{
     clock,
     crash::{Content, Effect, Run, Strike, Verdict},
+    fleet::Target,
     metrics::METERS,
-    peer::{Kind, Suspect, Suspects, SuspectsRequest, Trial},
+    peer::{self, Kind, Suspects, SuspectsRequest, Trial},
     prelude::*,
     traffic::{
         Endpoint,
-        ended::{self, Finding},
+        ended::{self, Cause, Finding},
         exchange::Call,
         held,
         serve::Traffic,
@@ -59,57 +60,62 @@
     Once,
 }
 
-/// What a connection carried that broke.
+/// What a target was asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Work {
+pub enum Work {
     /// It goes on once its target takes a connection, unless its content is suspected.
     Request,
     /// It waits until it is settled whether its target has ended.
     Item,
 }
 
-/// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
-/// future is dropped, which returns whether there is a strike, as far as that is known within a short time.
-pub fn connection_broke(
-    traffic: &Rc<Traffic>,
-    content: Content,
-    target: Endpoint,
-    run: Run,
-) -> impl Future<Output = bool> + use<> {
-    let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Work::Request, tell));
-    async move { matches!(timeout(FINDING_WAIT, told).await, Ok(Ok(true))) }
+/// A content under which a target may have ended.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+    pub content: Content,
+    pub work: Work,
+    pub target: Endpoint,
+    pub run: Run,
+}
+
+impl Suspect {
+    /// A request that a target was asked to serve.
+    pub fn request(content: Content, target: &Target, run: Run) -> Self {
+        Self { content, work: Work::Request, target: target.into(), run }
+    }
+
+    /// An item that an engine was asked to run.
+    pub fn item(content: Content, target: &Endpoint, run: Run) -> Self {
+        Self { content, work: Work::Item, target: target.clone(), run }
+    }
 }
 
-/// The same for an item, which does not go on before it is known: it has time, and else ends one target after the other before
-/// the first end is known.
-pub fn item_connection_broke(
+/// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
+/// future is dropped, which returns whether there is a strike, as far as that is known within a short time. An item does not
+/// go on before that is settled: it has time, and else ends one target after the other before the first end is known.
+pub fn connection_broke(
     traffic: &Rc<Traffic>,
-    content: Content,
-    target: Endpoint,
-    run: Run,
+    suspect: Suspect,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    tokio::task::spawn_local(find(Rc::clone(traffic), content, target, run, Work::Item, tell));
-    async move { matches!(timeout(ITEM_FINDING_WAIT, told).await, Ok(Ok(true))) }
+    let wait = match suspect.work {
+        Work::Request => FINDING_WAIT,
+        Work::Item => ITEM_FINDING_WAIT,
+    };
+    tokio::task::spawn_local(find(Rc::clone(traffic), suspect, tell));
+    async move { matches!(timeout(wait, told).await, Ok(Ok(true))) }
 }
 
-async fn find(
-    traffic: Rc<Traffic>,
-    content: Content,
-    target: Endpoint,
-    run: Run,
-    work: Work,
-    tell: oneshot::Sender<bool>,
-) {
+async fn find(traffic: Rc<Traffic>, suspect: Suspect, tell: oneshot::Sender<bool>) {
     let at = clock::now();
     let mut tell = Some(tell);
     let mut tell = |struck| {
         // The request may have gone on, or have a final answer.
         let _ = tell.take().map(|tell| tell.send(struck));
     };
+    let Suspect { content, work, ref target, run } = suspect;
     for _ in 0..LOOKS_MAX {
-        let look = ended::look(&traffic, &target);
+        let look = ended::look(&traffic, target, Cause::ConnectionBroke);
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
         let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
@@ -122,42 +128,48 @@
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
-                let effect = end(&traffic, content, &target, (at, run), work).await;
-                if effect != Effect::Known {
-                    traffic.changes.tell_at_once(content);
-                }
+                let effect = record_end(&traffic, &suspect, Cause::ConnectionBroke, at).await;
                 tell(effect != Effect::Passed);
-                if let Verdict::Held(_) = traffic.crashes.verdict(content, clock::now()) {
-                    held::keep(&traffic, content).await;
-                }
-                return;
+                return keep_if_held(&traffic, content).await;
             }
             Finding::Unknown => sleep(LOOK_DELAY).await,
         }
     }
 }
 
-/// Records that a target has ended under a content.
-async fn end(
+/// Records that a target has ended under a content, and tells other hosts.
+pub async fn record_end(
     traffic: &Rc<Traffic>,
-    content: Content,
-    target: &Endpoint,
-    (at, run): (Time, Run),
-    work: Work,
+    suspect: &Suspect,
+    cause: Cause,
+    at: Time,
 ) -> Effect {
+    let Suspect { content, work, ref target, run } = *suspect;
     let end = Strike { target: target.id.clone(), started_ms: target.started_ms, at };
-    if work == Work::Request {
-        return traffic.crashes.ended(content, end, run, clock::now());
-    }
-    if traffic.crashes.verdict(content, clock::now()) != Verdict::Free {
+    let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
+    if work == Work::Item && !is_free {
         // Those that have no result in time say nothing.
-        let _ = timeout(OTHERS_WAIT, look_at_others(traffic, target)).await;
+        let _ = timeout(OTHERS_WAIT, look_at_others(traffic, target, cause)).await;
+    }
+    let effect = match work {
+        Work::Request => traffic.crashes.ended(content, end, run, clock::now()),
+        Work::Item => traffic.crashes.item_ended(content, end, run, clock::now()),
+    };
+    if effect != Effect::Known {
+        traffic.changes.tell_at_once(content);
+    }
+    effect
+}
+
+/// Keeps a content in the store if it is held.
+pub async fn keep_if_held(traffic: &Rc<Traffic>, content: Content) {
+    if let Verdict::Held(_) = traffic.crashes.verdict(content, clock::now()) {
+        held::keep(traffic, content).await;
     }
-    traffic.crashes.item_ended(content, end, run, clock::now())
 }
 
 /// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
-async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
+async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint, cause: Cause) {
     // A host that only runs items does not follow the registrations.
     traffic.freshness.wait_for_refresh().await;
     let view = traffic.view.load_full();
@@ -172,11 +184,11 @@
             && !traffic.crashes.has_ended(&other.id, other.started_ms, now)
     });
     let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
-    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into()))).await;
+    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into(), cause))).await;
 }
 
-async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
-    if ended::look(traffic, &target).first.await == Finding::Ended {
+async fn look_at(traffic: &Rc<Traffic>, target: Endpoint, cause: Cause) {
+    if ended::look(traffic, &target, cause).first.await == Finding::Ended {
         let end = Strike { target: target.id, started_ms: target.started_ms, at: clock::now() };
         traffic.crashes.target_ended(end);
     }
@@ -241,7 +253,7 @@
     let (Some(host), Some(record)) = (decider, traffic.crashes.record(content)) else {
         return false;
     };
-    let trial = Trial { suspect: Some(Suspect::new(content, &record)) };
+    let trial = Trial { suspect: Some(peer::Suspect::new(content, &record)) };
     let response = traffic.peers.call(host, Kind::Trial(trial), TIMEOUT).await;
     response.is_some_and(|response| response.served)
 }
@@ -264,7 +276,7 @@
 }
 
 /// Adopts what another host knows of contents.
-pub fn apply(traffic: &Traffic, suspects: Vec<Suspect>) {
+pub fn apply(traffic: &Traffic, suspects: Vec<peer::Suspect>) {
     for suspect in suspects {
         match suspect.try_into() {
             Ok((content, record)) => {
@@ -282,7 +294,10 @@
 pub fn all(traffic: &Traffic) -> Suspects {
     let all = traffic.crashes.all();
     Suspects {
-        suspects: all.iter().map(|(content, record)| Suspect::new(*content, record)).collect(),
+        suspects: all
+            .iter()
+            .map(|(content, record)| peer::Suspect::new(*content, record))
+            .collect(),
     }
 }
 
