Failed items survive the loss of their leader

Cause: a leader kept the row of a failed item until the item's group was complete, 1.5 s at most, and counts of 500 in memory only.

Change: rows of items that were given up do not wait for their group. Each host keeps failures of items (job::Failures): those of its own runs, and those that it hears of as a leader. A leader that ran the item itself tells one other host. A new leader asks all hosts once and starts no item until they have answered, 250 ms at most. Counts are totals that go with the run, so none counts twice. The messages are new kinds of requests and an optional field; no call of the store is added.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -166,7 +166,7 @@
                 match (job, policy) {
                     (Some(job), Some(policy)) if !ended => {
                         let submitted_at = now.saturating_sub(job.record.age(clock::unix_ms()));
-                        let opened = leader.finish_read(*job, policy, submitted_at);
+                        let opened = leader.finish_read(*job, policy, submitted_at, now);
                         METERS.open_jobs(&service, leader.queue.len());
                         self.outbox.send(&service, vec![opened]);
                     }
@@ -196,6 +196,13 @@
                     self.outbox.send(&service, stops);
                 }
             }
+            Completion::FailuresRead { service, fence } => {
+                let leader = self.leaders.get_mut(&service);
+                if let Some(leader) = leader.filter(|leader| leader.leadership.fence == Some(fence))
+                {
+                    leader.apply_failures(now);
+                }
+            }
             Completion::Departure(departure) => self.apply_departure(&departure, Source::Answer),
             Completion::LoadEnded { service, target, result } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
@@ -243,6 +250,7 @@
 
     /// Starts whatever is due for a service that this host leads.
     pub(super) fn drive_leader(&mut self, service: &ServiceId, now: Time) {
+        self.tell_failures(service);
         let Some(leader) = self.leaders.get_mut(service) else {
             return;
         };
@@ -315,10 +323,11 @@
         let Some(policy) = policy.filter(|_| is_new && leader.begin_read(&id)) else {
             return;
         };
-        let submitted_at = clock::now().saturating_sub(record.age(clock::unix_ms()));
+        let now = clock::now();
+        let submitted_at = now.saturating_sub(record.age(clock::unix_ms()));
         self.store_state.put_head(id, Head { record: record.clone(), revision });
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
-        let opened = leader.finish_read(stored, policy, submitted_at);
+        let opened = leader.finish_read(stored, policy, submitted_at, now);
         METERS.open_jobs(&service, leader.queue.len());
         self.outbox.send(&service, vec![opened]);
     }
--- /dev/null
+++ b/crates/node/src/control/failures.rs
@@ -0,0 +1,113 @@
+//! What a new leader learns of failed items from the other hosts, and what it tells them.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use futures::future::join_all;
+use log::info;
+use prost::Message;
+use tokio::sync::mpsc;
+
+use crate::{
+    clock,
+    control::{
+        leader::{ActiveRun, Leader},
+        state::Control,
+        tasks::{Completion, send_completion},
+    },
+    job::{Failures, Outcome},
+    peer::{Client, FailedItem, FailedItems, FailuresRequest, Kind},
+    prelude::*,
+};
+
+/// Time for the other hosts to answer. No item starts meanwhile.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+
+impl Control {
+    /// Asks the other hosts which failed items they know. The items of a new leader wait for the answers.
+    pub(super) fn ask_for_failures(&mut self, service: &ServiceId, fence: Revision) {
+        let Some(leader) = self.leaders.get_mut(service) else {
+            return;
+        };
+        leader.awaits_failures = true;
+        let (failures, completions) = (Arc::clone(&self.failures), self.completions.clone());
+        let read = read_failures(self.hosts(), service.clone(), fence, failures, completions);
+        tokio::task::spawn_local(read);
+    }
+
+    /// Tells another host of failed items that ran on this one.
+    pub(super) fn tell_failures(&mut self, service: &ServiceId) {
+        let untold = self.leaders.get_mut(service).map(|leader| std::mem::take(&mut leader.untold));
+        if let Some(items) = untold.filter(|items| !items.is_empty()) {
+            tokio::task::spawn_local(tell_failures(self.hosts(), FailedItems { items }));
+        }
+    }
+
+    fn hosts(&self) -> Vec<SocketAddr> {
+        self.peers.all().iter().filter_map(|host| host.peer).collect()
+    }
+}
+
+impl Leader {
+    /// Applies what all hosts know together, after which items may start.
+    pub fn apply_failures(&mut self, now: Time) {
+        self.awaits_failures = false;
+        for id in self.queue.ids() {
+            let known = self.failures.of_job(&id);
+            if let Some(job) = self.queue.get_mut(&id) {
+                job.apply_failures(&known, now);
+            }
+        }
+    }
+
+    /// Keeps the failure of a run beyond this leadership. One of this host's own runs is told to another host, so that two
+    /// hosts know of it before it is in the store.
+    pub(super) fn record_failure(&mut self, run: &ActiveRun, outcome: &Outcome, now: Time) {
+        let Some(job) = self.queue.get(&outcome.job) else {
+            return;
+        };
+        let before = job.failure(outcome.item);
+        let failure = before.after(&outcome.end, outcome.judge_failures);
+        if failure == before {
+            return;
+        }
+        let Some(item) = job.identity(outcome.item) else {
+            return;
+        };
+        if run.runner.is_none() {
+            self.untold.push(FailedItem::new(&item, failure));
+        }
+        self.failures.record(item, failure, now);
+    }
+}
+
+/// Asks hosts for the failed items that they know, all at once.
+async fn read_failures(
+    hosts: Vec<SocketAddr>,
+    service: ServiceId,
+    fence: Revision,
+    failures: Arc<Failures>,
+    completions: mpsc::UnboundedSender<Completion>,
+) {
+    let client = Client::default();
+    let ask = |host| client.call(host, Kind::Failures(FailuresRequest {}), ANSWER_TIMEOUT);
+    let responses = join_all(hosts.iter().map(|host| ask(*host))).await;
+    let now = clock::now();
+    let served = responses.into_iter().flatten().filter(|response| response.served);
+    // An answer that cannot be decoded counts as none.
+    let items = served.filter_map(|response| FailedItems::decode(response.body).ok());
+    items.flat_map(|items| items.items).for_each(|item| item.record(&failures, now));
+    send_completion(&completions, Completion::FailuresRead { service, fence });
+}
+
+/// Tells one of some hosts of failed items.
+async fn tell_failures(hosts: Vec<SocketAddr>, items: FailedItems) {
+    let client = Client::default();
+    for host in hosts {
+        let kind = Kind::Failed(items.clone());
+        let response = client.call(host, kind, ANSWER_TIMEOUT).await;
+        if response.is_some_and(|response| response.served) {
+            return;
+        }
+    }
+    info!(items = items.items.len(); "no other host could be told of failed items");
+}
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,9 +17,10 @@
     crash,
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Job, Policy, Queue, Row,
+        Assignment, Engine, Engines, Failures, Job, Policy, Queue, Row,
         homes::{Homes, Runner, Streams},
     },
+    peer::FailedItem,
     prelude::*,
     rate::Limit,
     term,
@@ -58,6 +59,12 @@
     homes: Homes,
     /// Hosts that take items.
     runners: BTreeSet<SocketAddr>,
+    /// Failed items that this host knows.
+    pub(super) failures: Arc<Failures>,
+    /// Items wait until the other hosts have said which failed items they know.
+    pub(super) awaits_failures: bool,
+    /// Failed items of which another host is to be told.
+    pub(super) untold: Vec<FailedItem>,
     /// Jobs being read from the store.
     reading: HashSet<JobId>,
     /// Fencing token that an engine refused as outdated.
@@ -76,6 +83,7 @@
         first_run: u64,
         terms: &Arc<term::Table>,
         crashes: &Arc<crash::Table>,
+        failures: &Arc<Failures>,
     ) -> Self {
         Self {
             service,
@@ -87,6 +95,9 @@
             runs: HashMap::new(),
             homes: Homes::default(),
             runners: BTreeSet::new(),
+            failures: Arc::clone(failures),
+            awaits_failures: false,
+            untold: Vec::new(),
             reading: HashSet::new(),
             refused_fence: None,
             next_run: first_run,
@@ -146,6 +157,7 @@
         stored: StoredJob,
         policy: Policy,
         submitted_at: Time,
+        now: Time,
     ) -> Command {
         let StoredJob { spec, record, chunks, checkpoints } = stored;
         self.reading.remove(&spec.id);
@@ -159,6 +171,7 @@
         if let Some(job) = self.queue.get_mut(&id) {
             job.restore(&rows, chunks.len() as u64);
             job.resume(checkpoints);
+            job.apply_failures(&self.failures.of_job(&id), now);
         }
         Command::JobOpened { service: self.service.clone(), spec, chunks }
     }
@@ -206,7 +219,7 @@
     /// Commands to run the items that start now.
     pub fn start_items(&mut self, now: Time) -> Vec<Command> {
         let mut commands = Vec::new();
-        if !self.leads() {
+        if !self.leads() || self.awaits_failures {
             return commands;
         }
         while let Some(assignment) = self.queue.assign_next(now, &mut self.engines) {
@@ -241,6 +254,7 @@
             single_version: job.policy.single_version,
             pace_max: self.engines.pace_max(),
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
+            failures: job.failure(assignment.item).failures,
             assignment,
         })))
     }
@@ -310,7 +324,8 @@
                 }
             }
             RunReport::Ended { run, outcome } => {
-                if self.runs.remove(&run).is_some() {
+                if let Some(run) = self.runs.remove(&run) {
+                    self.record_failure(&run, &outcome, now);
                     self.queue.finish_run(outcome, now, &mut self.engines);
                 }
             }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -6,6 +6,7 @@
 
 mod actions;
 mod election;
+mod failures;
 mod leader;
 mod mirror;
 mod moves;
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -72,6 +72,9 @@
         commands.push(Command::LeadershipRenewed { service: service.clone(), until });
         self.outbox.send(service, commands);
         self.update_leader_mirrors();
+        if let Some(fence) = leadership.fence.filter(|_| before.fence != leadership.fence) {
+            self.ask_for_failures(service, fence);
+        }
     }
 
     /// Starts or stops to read for the zone.
@@ -192,7 +195,8 @@
         let (leader_key, receiver) = watch::channel(LeaderKey::Unknown);
         self.leader_keys.insert(service.clone(), leader_key);
         let first_run = (self.leaders.len() as u64) << 48;
-        let leader = Leader::new(service.clone(), first_run, &self.terms, &self.crashes);
+        let leader =
+            Leader::new(service.clone(), first_run, &self.terms, &self.crashes, &self.failures);
         self.leaders.insert(service.clone(), leader);
         let lease_min = self.settings.lease_min;
         let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -25,7 +25,7 @@
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
     freshness::Freshness,
-    job,
+    job::{self, Failures},
     links::Links,
     metrics::METERS,
     prelude::*,
@@ -68,6 +68,7 @@
     pub links: Arc<Links>,
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
+    pub failures: Arc<Failures>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -93,6 +94,8 @@
     pub(super) crashes: Arc<crash::Table>,
     /// Terms that are over.
     pub(super) terms: Arc<term::Table>,
+    /// Failed items that this host knows.
+    pub(super) failures: Arc<Failures>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -153,6 +156,7 @@
         links,
         crashes,
         terms,
+        failures,
         commands,
         mut reports,
         mut stopping,
@@ -217,6 +221,7 @@
         links,
         crashes,
         terms,
+        failures,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -49,6 +49,11 @@
     },
     /// An engine has said that it leaves.
     Departure(Departure),
+    /// The other hosts have said which failed items they know, or did not answer in time.
+    FailuresRead {
+        service: ServiceId,
+        fence: Revision,
+    },
 }
 
 /// Result of writing a chunk.
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -4,6 +4,8 @@
 mod checkpoint;
 mod engine;
 mod engines;
+mod failure;
+mod failures;
 pub mod homes;
 mod keys;
 mod length;
@@ -22,6 +24,8 @@
 pub use checkpoint::Checkpoint;
 pub use engine::Engine;
 pub use engines::{Engines, Requirement};
+pub use failure::{Failure, Identity};
+pub use failures::Failures;
 pub use keys::{
     HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
     head_key, held_key, host_key, leader_key, software_key,
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -253,11 +253,14 @@
         !self.finished.is_empty() || !self.in_write.is_empty()
     }
 
-    /// Finished items whose rows may be written: those of complete groups and those finished by `finished_by`.
+    /// Finished items whose rows may be written: those of complete groups, those finished by `finished_by`, and those given
+    /// up, which run again if this leader is lost before.
     pub(super) fn listable(&self, finished_by: Time) -> Vec<usize> {
         let is_listable = |item: &usize| {
+            let status = &self.statuses[*item];
             self.open_in_group.get(&self.groups[*item]) == Some(&0)
-                || self.statuses[*item].finished_at <= finished_by
+                || status.finished_at <= finished_by
+                || matches!(&status.state, State::Finished(row) if !row.done)
         };
         self.finished.iter().copied().filter(is_listable).collect()
     }
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -9,6 +9,7 @@
 use crate::{
     feed::ChangesRequest,
     peer::{
+        failure::{FailedItems, FailuresRequest},
         limit::{Notice, Permit},
         run::Lead,
         suspect::{SuspectsRequest, Trial},
@@ -32,7 +33,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub kind: Option<Kind>,
 }
 
@@ -71,6 +72,12 @@
     /// Asks whether a held content may be sent to a target once more.
     #[prost(message, tag = "12")]
     Trial(Trial),
+    /// Asks for the failed items that a host knows.
+    #[prost(message, tag = "13")]
+    Failures(FailuresRequest),
+    /// Tells of failed items, for the next leader.
+    #[prost(message, tag = "14")]
+    Failed(FailedItems),
 }
 
 /// Requests the results of a job from position `after` on.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod departure;
+mod failure;
 mod frame;
 mod limit;
 mod run;
@@ -16,6 +17,7 @@
 
 pub use client::{Client, connect};
 pub use departure::Departure;
+pub use failure::{FailedItem, FailedItems, FailuresRequest};
 pub use frame::{
     Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, duration, feed, flush,
     millis,
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -154,6 +154,9 @@
     /// Start time of the engine in Unix milliseconds.
     #[prost(uint64, tag = "23")]
     pub started_ms: u64,
+    /// Status 500 responses of engines in earlier runs.
+    #[prost(uint32, tag = "24")]
+    pub failures: u32,
 }
 
 /// The text of a run is complete.
@@ -261,6 +264,7 @@
                 .unwrap_or_default(),
             text_software: assignment.progress.software.as_deref().map(str::to_owned),
             started_ms: run.target.as_ref().map(|target| target.started_ms).unwrap_or_default(),
+            failures: run.failures,
         }
     }
 }
@@ -309,6 +313,7 @@
             single_version: raw.single_version,
             pace_max: Duration::from_micros(raw.pace_max_us),
             pace_window: raw.pace_window,
+            failures: raw.failures,
             runner: None,
             assignment: Assignment {
                 job: raw.job.into(),
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -11,10 +11,11 @@
 };
 
 use crate::{
+    clock,
     job::Record,
     peer::{
-        self, Body, End, Frames, Handler, Kind, Lead, Origin, Request, Response, Results,
-        Submitted, SuspectsRequest, Tunnel,
+        self, Body, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler, Kind, Lead,
+        Origin, Request, Response, Results, Submitted, SuspectsRequest, Tunnel,
     },
     prelude::*,
     traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
@@ -109,6 +110,12 @@
     spec.items.iter().find(|it| &*it.id == item).map(|item| item.body.clone())
 }
 
+fn known_failures(traffic: &Traffic) -> FailedItems {
+    let all = traffic.failures.all(clock::now());
+    let items = all.iter().map(|(item, failure)| FailedItem::new(item, *failure));
+    FailedItems { items: items.collect() }
+}
+
 async fn end_here(traffic: &Traffic, id: &str) -> bool {
     if traffic.cache.held(id).is_none() {
         return false;
@@ -180,6 +187,14 @@
             Some(Kind::Suspects(SuspectsRequest {})) => {
                 Some(Bytes::from(suspects::all(traffic).encode_to_vec()))
             }
+            Some(Kind::Failures(FailuresRequest {})) => {
+                Some(Bytes::from(known_failures(traffic).encode_to_vec()))
+            }
+            Some(Kind::Failed(FailedItems { items })) => {
+                let now = clock::now();
+                items.iter().for_each(|item| item.record(&traffic.failures, now));
+                Some(Bytes::new())
+            }
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_)) | None => None,
         };
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -16,7 +16,7 @@
     clock, crash,
     events::{Parser, Progress},
     fleet::Target,
-    job::{Assignment, End, Item, Outcome},
+    job::{Assignment, End, Failure, Identity, Item, Outcome},
     metrics::METERS,
     prelude::*,
     traffic::{
@@ -82,6 +82,8 @@
     pub pace_max: Duration,
     /// Number of events over which the time per event is averaged.
     pub pace_window: u64,
+    /// Status 500 responses of engines in earlier runs.
+    pub failures: u32,
 }
 
 /// Report on a run.
@@ -189,6 +191,7 @@
         }
     };
     log_end(&run, &end, &state);
+    record_failure(&traffic, &run, &end, judge_failures);
     let outcome = Outcome {
         job: run.assignment.job.clone(),
         item: run.assignment.item,
@@ -205,6 +208,19 @@
     RunReport::Ended { run: run.id, outcome }
 }
 
+/// Keeps the failure of a run for the next leader, if there is one.
+fn record_failure(traffic: &Traffic, run: &Run, end: &End, judge_failures: u32) {
+    let Assignment { job, judge_failures: judge_failures_before, .. } = &run.assignment;
+    let (failures, judge_failures_before) = (run.failures, *judge_failures_before);
+    let before = Failure { failures, judge_failures: judge_failures_before, ..Failure::default() };
+    let failure = before.after(end, judge_failures);
+    if failure != before {
+        let content = run.item.content(&run.host);
+        let item = Identity { job: job.clone(), item: run.item.id.clone(), content };
+        traffic.failures.record(item, failure, clock::now());
+    }
+}
+
 fn log_end(run: &Run, end: &End, state: &RunState) {
     METERS.run(end.name());
     let item = &run.item;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -25,6 +25,7 @@
     clock, crash, dialect,
     feed::Feed,
     freshness::Freshness,
+    job::Failures,
     links::Links,
     metrics::METERS,
     peer,
@@ -86,6 +87,7 @@
     pub links: Arc<Links>,
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
+    pub failures: Arc<Failures>,
     pub hosts: relay::Peers,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -111,6 +113,8 @@
     pub crashes: Arc<crash::Table>,
     /// Terms of leaders that are over.
     pub terms: Arc<term::Table>,
+    /// Failed items, for the next leader.
+    pub failures: Arc<Failures>,
     pub looks: Looks,
     pub origins: Origins,
     /// What other hosts are to be told of targets.
@@ -168,6 +172,7 @@
         links,
         crashes,
         terms,
+        failures,
         hosts,
         commands,
         reports,
@@ -193,6 +198,7 @@
         tunnels: Tunnels::default(),
         crashes,
         terms,
+        failures,
         looks: Looks::default(),
         origins: Origins::default(),
         changes: announce::Changes::default(),
--- a/crates/node/tests/compatibility.rs
+++ b/crates/node/tests/compatibility.rs
@@ -5,8 +5,8 @@
 use std::{fs, path::PathBuf};
 
 use lagoonyard_node::peer::{
-    Ended, FromRunner, Kind, News, Notice, Request, Strike, Suspect, SuspectsRequest, TextPart,
-    Trial, Tunnel,
+    Ended, FailedItems, FailuresRequest, FromRunner, Kind, News, Notice, Request, RunItem, Strike,
+    Suspect, SuspectsRequest, TextPart, Trial, Tunnel,
 };
 use prost::Message;
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -123,6 +123,12 @@
         pub holds_slot: bool,
     }
 
+    #[derive(Clone, PartialEq, prost::Message)]
+    pub struct RunItem {
+        #[prost(uint64, tag = "1")]
+        pub run: u64,
+    }
+
     #[derive(Clone, PartialEq, prost::Message)]
     pub struct Request {
         #[prost(oneof = "Kind", tags = "8, 10")]
@@ -152,8 +158,10 @@
     let read = old::Request::decode(&*request(Kind::Tunnel(tunnel))).unwrap();
     assert_eq!(read.kind, Some(old::Kind::Tunnel(old::Tunnel { target: "i-1".into() })));
     // A request without a kind is answered as not served, at once.
-    for kind in [Kind::Suspects(SuspectsRequest {}), Kind::Trial(Trial { suspect: Some(suspect) })]
-    {
+    let trial = Kind::Trial(Trial { suspect: Some(suspect) });
+    let failures = Kind::Failures(FailuresRequest {});
+    let failed = Kind::Failed(FailedItems::default());
+    for kind in [Kind::Suspects(SuspectsRequest {}), trial, failures, failed] {
         assert_eq!(old::Request::decode(&*request(kind)).unwrap().kind, None);
     }
     let part = Some(TextPart { run: 7, ..TextPart::default() });
@@ -163,3 +171,11 @@
     let read = old::Ended::decode(&*ended.encode_to_vec()).unwrap();
     assert_eq!(read, old::Ended { part, end: 5, holds_slot: false });
 }
+
+/// Guards against an item that a runner of 6c51fe5 does not run since its earlier failures are named.
+#[test]
+fn failures_of_a_run_are_skipped_by_6c51fe5() {
+    let run = RunItem { run: 7, failures: 2, ..RunItem::default() };
+    let read = old::RunItem::decode(&*run.encode_to_vec()).unwrap();
+    assert_eq!(read, old::RunItem { run: 7 });
+}
