A version that ends its engines is ordered ever less often

A version that ends each engine that loads it went to all engines again and again, so that each was down most of the time.

Change: a load counts as ended if the engine refuses connections after the order and has not confirmed the version by the end of the polls, while the leader's host does not count as cut off. A newer version, and other models, are not concerned. The counts are the leader's own: the next leader begins anew.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -211,19 +211,15 @@
                 METERS.weight_load(match result {
                     LoadResult::Version(_) => "done",
                     LoadResult::Unconfirmed => "open",
+                    LoadResult::Ended => "ended",
                     LoadResult::Fenced => "fenced",
                 });
-                let version = match result {
-                    LoadResult::Version(version) => Some(version),
-                    LoadResult::Unconfirmed => None,
-                    LoadResult::Fenced => {
-                        warn!(service = &*service, target_id = &*target; "engine refused an order: it has seen a newer leader");
-                        leader.stop_orders();
-                        None
-                    }
-                };
-                leader.finish_load(&target, version, now);
-                if result == LoadResult::Unconfirmed {
+                if result == LoadResult::Fenced {
+                    warn!(service = &*service, target_id = &*target; "engine refused an order: it has seen a newer leader");
+                    leader.stop_orders();
+                }
+                leader.finish_load(&target, result, now);
+                if matches!(result, LoadResult::Unconfirmed | LoadResult::Ended) {
                     self.resign_if_alone(&service, now);
                 }
             }
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -10,7 +10,7 @@
 use crate::{
     control::{
         election::Leadership,
-        orders::Load,
+        orders::{Load, LoadResult},
         rollout::{self, Rollout},
         stored::StoredJob,
     },
@@ -379,9 +379,9 @@
         self.engines.grant(target, priority, now)
     }
 
-    /// Ends a load, with the engine's version if the load succeeded.
-    pub fn finish_load(&mut self, id: &TargetId, version: Option<Version>, now: Time) {
-        self.rollout.finish_load(id, version, now, &mut self.engines);
+    /// Ends a load.
+    pub fn finish_load(&mut self, id: &TargetId, result: LoadResult, now: Time) {
+        self.rollout.finish_load(id, result, now, &mut self.engines);
     }
 
     /// Sends no further orders under the present fencing token, which an engine refused because it has seen a newer
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -19,7 +19,7 @@
     dialect::{self, Order, Report, Strategy},
     fleet::{Departure, Target},
     job,
-    links::Links,
+    links::{Failure, Links},
     prelude::*,
     rate::Limit,
     store,
@@ -47,6 +47,8 @@
     Version(Version),
     /// Failed or not confirmed; may be retried.
     Unconfirmed,
+    /// Not confirmed, and the engine refused connections after the order, although this host has its links.
+    Ended,
     /// The engine refused the fencing token, as it has seen a newer one.
     Fenced,
 }
@@ -165,16 +167,20 @@
 
     async fn poll(&self, load: &Load) -> LoadResult {
         let deadline = Instant::now() + POLL_TIMEOUT;
+        let mut was_refused = false;
         sleep(FIRST_POLL_DELAY).await;
         while Instant::now() < deadline {
             let report = self.report(&load.target).await;
+            was_refused = was_refused || (report.is_none() && is_refused(&load.target).await);
             if let Some(version) = report.and_then(|report| reached(&report, load)) {
                 return LoadResult::Version(version);
             }
             sleep(load.poll_interval()).await;
         }
-        warn!(target_id = &*load.target.id, version = load.version; "load not confirmed within the poll timeout");
-        LoadResult::Unconfirmed
+        // Engines that end together look like a cut at first.
+        let has_ended = was_refused && self.links.cut_since().is_none();
+        warn!(target_id = &*load.target.id, version = load.version, has_ended; "load not confirmed within the poll timeout");
+        if has_ended { LoadResult::Ended } else { LoadResult::Unconfirmed }
     }
 
     async fn report(&self, target: &Target) -> Option<Report> {
@@ -246,6 +252,13 @@
     }
 }
 
+/// Whether an engine's address refuses connections.
+async fn is_refused(target: &Target) -> bool {
+    let by = Instant::now() + CONNECT_TIMEOUT;
+    let opened = Channel::open(target.address, Liveness::Deadline, by).await;
+    opened.is_err_and(|error| error.failure() == Failure::Refused)
+}
+
 fn send_result(
     completions: &mpsc::UnboundedSender<Completion>,
     term: &Term,
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -4,7 +4,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 use crate::{
+    control::orders::LoadResult,
     job::{Engines, Job},
+    loads::Ends,
     prelude::*,
     weights::{self, Candidate, Demand, Partition, Versions},
 };
@@ -33,7 +35,9 @@
     /// Moving average of the output tokens per step, by model.
     demand: Demand,
     /// Loads in progress.
-    loads: HashMap<TargetId, ModelId>,
+    loads: HashMap<TargetId, (ModelId, Version)>,
+    /// Engines that ended under an order.
+    ends: Ends,
     /// Earliest time of the next order to an engine whose last load failed.
     retry_after: HashMap<TargetId, Time>,
 }
@@ -58,7 +62,7 @@
 
     /// Model whose version an engine is loading.
     pub fn loading_model(&self, target: &str) -> Option<&ModelId> {
-        self.loads.get(target)
+        self.loads.get(target).map(|(model, _)| model)
     }
 
     pub fn is_idle(&self) -> bool {
@@ -84,10 +88,12 @@
         let mut planned = Vec::new();
         for (model, &version) in &self.requested {
             let free = weights::parallel_loads_max(total).saturating_sub(self.loads.len());
+            let loading = self.loads.values().filter(|(of, _)| of == model).count();
+            let free = self.ends.limit((model, version), (loading, free), now);
             let candidates = candidates.remove(model).unwrap_or_default();
             for target in weights::next_loads(version, &candidates, queue_empty, free) {
                 engines.begin_load(&target, model);
-                self.loads.insert(target.clone(), model.clone());
+                self.loads.insert(target.clone(), (model.clone(), version));
                 planned.push(PlannedLoad { target, model: model.clone(), version });
             }
         }
@@ -122,16 +128,19 @@
         candidates
     }
 
-    /// Ends a load, with the engine's version if the load succeeded.
-    pub fn finish_load(
-        &mut self,
-        id: &str,
-        version: Option<Version>,
-        now: Time,
-        engines: &mut Engines,
-    ) {
-        if self.loads.remove(id).is_none() {
+    /// Ends a load.
+    pub fn finish_load(&mut self, id: &str, result: LoadResult, now: Time, engines: &mut Engines) {
+        let Some((model, ordered)) = self.loads.remove(id) else {
             return;
+        };
+        let version = match result {
+            LoadResult::Version(version) => Some(version),
+            LoadResult::Unconfirmed | LoadResult::Ended | LoadResult::Fenced => None,
+        };
+        match result {
+            LoadResult::Ended => self.ends.ended(&model, ordered, now),
+            LoadResult::Version(_) => self.ends.loaded(&model, ordered),
+            LoadResult::Unconfirmed | LoadResult::Fenced => {}
         }
         if version.is_none() {
             self.retry_after.insert(id.into(), now + weights::LOAD_RETRY_DELAY);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod holder;
 pub mod job;
 pub mod links;
+pub mod loads;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
