--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -26,7 +26,7 @@
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
     freshness::Freshness,
-    job,
+    job::{self, Failures},
     links::Links,
     metrics::METERS,
     prelude::*,
@@ -69,6 +69,7 @@
     pub links: Arc<Links>,
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
+    pub failures: Arc<Failures>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -94,6 +95,8 @@
     pub(super) crashes: Arc<crash::Table>,
     /// Terms that are over.
     pub(super) terms: Arc<term::Table>,
+    /// Failed items that this host knows.
+    pub(super) failures: Arc<Failures>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -156,6 +159,7 @@
         links,
         crashes,
         terms,
+        failures,
         commands,
         mut reports,
         mut stopping,
@@ -220,6 +224,7 @@
         links,
         crashes,
         terms,
+        failures,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
