Reports and orders of engines have a connection each

Cause: reports and orders have no ids and shared kept connections, so a second copy of an engine's report, sent late, was taken for the answer to the order after it. A leader whose order was refused with 412, because the engine had seen a later one, did not hear of it and ordered again.

Change: each report and each order opens a connection, which is closed after its answer.

Measured: late_copy::a_leader_hears_a_refusal_of_its_order_although_the_report_comes_twice failed on (orders after the refusal: 2 instead of 1) and passes. Four more tests hold before and after: plain calls with 500 and 504, items and judge calls with 500, by a target that sends every answer twice. leaving (8 tests) and path (19 tests) pass.

--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -23,7 +23,7 @@
     prelude::*,
     rate::Limit,
     store,
-    traffic::{CONNECT_TIMEOUT, Channel, Channels, Demand, Liveness},
+    traffic::{CONNECT_TIMEOUT, Channel, Liveness},
 };
 
 /// Timeout of a report or an order.
@@ -82,7 +82,6 @@
 pub struct Client {
     pub store: store::Handle,
     pub dialect: dialect::Handle,
-    pub channels: Channels,
     pub links: Arc<Links>,
     pub completions: mpsc::UnboundedSender<Completion>,
     /// Time at which an order was last sent.
@@ -200,10 +199,8 @@
         body: Bytes,
     ) -> Option<(StatusCode, Bytes)> {
         let by = Instant::now() + CALL_TIMEOUT;
-        let mut channel = match self.channels.take(target.address, Demand::UNNAMED, by).await {
-            Some(channel) => channel,
-            None => self.open(target, by).await?,
-        };
+        // Reports and orders have no ids, so a second copy of an answer could not be told from the next answer.
+        let mut channel = self.open(target, by).await?;
         let mut request = Request::new(Full::new(body));
         *request.method_mut() = method;
         *request.uri_mut() = path.parse().ok()?;
@@ -217,7 +214,6 @@
             let departure = Departure { target: target.id.clone(), started_ms: target.started_ms };
             send_completion(&self.completions, Completion::Departure(departure));
         }
-        self.channels.keep(target.address, channel, answer.idle);
         Some((parts.status, body))
     }
 
@@ -231,7 +227,6 @@
             Err(error) => {
                 info!(target_id = &*target.id, reason:% = error; "engine unreachable for an order");
                 self.links.failed(&target.id, error.failure(), clock::now());
-                self.channels.close_idle(target.address);
                 None
             }
         }
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -34,7 +34,7 @@
     settings::Settings,
     store::{self, Put, Txn},
     term,
-    traffic::{Channels, Command, Report},
+    traffic::{Command, Report},
     view::{Shared, View},
 };
 
@@ -183,7 +183,6 @@
     let orders = Rc::new(orders::Client {
         store: Rc::clone(&store),
         dialect: Arc::clone(&dialect),
-        channels: Channels::default(),
         links: Arc::clone(&links),
         completions: completions.clone(),
         ordered_at: Cell::default(),
