A host without a configuration refuses a large body as not run

Cause: while a host knew no configuration, it took a default of 1 MB for the largest body and answered a larger one with 413. Callers do not retry that, although the configuration may allow the body.

Change: it answers 503 instead, which is true, as nothing has run.

Measured: unknown::a_large_body_is_refused_as_not_run_while_no_configuration_is_known failed before (HTTP/1.1 413 Payload Too Large) and passes. Two tests beside it hold before and after: a service without targets, a judge that is not registered yet.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -236,6 +236,8 @@
 ) -> Result<(Bytes, Taken), HttpResponse> {
     let limit = config.map_or(BODY_BYTES_DEFAULT, |config| config.limits.body_bytes);
     body::read_held(body, limit, &traffic.request_bytes).await.map_err(|error| match error {
+        // The configuration may allow it.
+        body::Error::TooLarge { .. } if config.is_none() => not_run_response(RETRY_AFTER),
         body::Error::TooLarge { .. } => status(StatusCode::PAYLOAD_TOO_LARGE),
         body::Error::NoBudget => not_run_response(RETRY_AFTER),
         body::Error::Broken { .. } => status(StatusCode::BAD_REQUEST),
