A host without a configuration takes any head that one may allow

Cause: a connection that was opened while no configuration was known read 16 KB ahead. A larger head was answered with 431, which callers do not retry, although the configuration may allow it; so it went on after the configuration was known, for as long as the connection lasted.

Change: such a connection reads 64 KB ahead, the most that any does. As 2,000 of them would not fit the smallest host, 1,000 are taken until a configuration is known.

Measured: unknown::a_large_head_is_not_refused_for_good_while_no_configuration_is_known failed before (HTTP/1.1 431 Request Header Fields Too Large) and passes. unknown::heads_without_end_take_bounded_memory_while_no_configuration_is_known failed with 64 KB and 2,000 connections (178 MB, two of two runs) and passes, 97 to 102 MB in four runs.

--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -57,6 +57,8 @@
 
 /// Largest number of open connections at the entry address.
 const CONNECTIONS_MAX: usize = 2000;
+/// The same while no configuration is known, as each connection may then read the largest head of any configuration.
+const UNCONFIGURED_CONNECTIONS_MAX: usize = 1000;
 /// Largest total size of the bodies that are being read from callers, and from targets.
 const REQUEST_BYTES_TOTAL: usize = 40 << 20;
 const RESPONSE_BYTES_TOTAL: usize = 40 << 20;
@@ -140,10 +142,17 @@
         self.connections.get() > 0 || self.tunnels.carried() > 0
     }
 
+    fn connections_max(&self) -> usize {
+        let is_configured = self.view.load().config.is_some();
+        if is_configured { CONNECTIONS_MAX } else { UNCONFIGURED_CONNECTIONS_MAX }
+    }
+
     /// Largest number of bytes that a caller's connection reads ahead, which holds the largest head that a caller may send.
     fn buffer_bytes(&self) -> usize {
         let view = self.view.load();
-        let head_bytes = view.config.as_ref().map_or(0, |config| config.limits.header_bytes);
+        // The configuration may allow as much.
+        let head_bytes =
+            view.config.as_ref().map_or(BUFFER_BYTES_MAX, |config| config.limits.header_bytes);
         head_bytes.saturating_add(REQUEST_LINE_BYTES).clamp(BUFFER_BYTES_MIN, BUFFER_BYTES_MAX)
     }
 
@@ -325,7 +334,7 @@
 ) {
     loop {
         let stream = accept(&listener).await;
-        if port == Port::Entry && traffic.connections.get() >= CONNECTIONS_MAX {
+        if port == Port::Entry && traffic.connections.get() >= traffic.connections_max() {
             warn!(connections = traffic.connections.get(); "connection refused: too many open connections");
             continue;
         }
