Doubtful refusals count as attempts of an idempotent request

Cause: a target that sheds load refuses without an id. On a connection that had carried such a refusal, an idempotent request took a second copy of it for its own refusal while the target ran it, and was sent again without counting that: up to five runs where the route allows three attempts.

Change: a refusal without an id, on a connection that has carried one before, counts as an attempt, and the request is sent on. The last attempt that is allowed, and each attempt of a stream, goes over a connection that has carried none.

Measured: late_copy::an_idempotent_request_runs_no_more_often_than_allowed_although_refusals_come_twice failed before (a request ran 5 times) and passes, three of three runs. The two tests on the reuse of connections after refusals pass unchanged, as do late_copy (10), path (19), stream (17), broken_answer and limit (4 each).

--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -92,13 +92,13 @@
     pub request: &'a str,
     /// Longest time for which a reused connection may have been idle.
     pub idle_max: Duration,
-    /// The request may run more than once.
-    pub idempotent: bool,
+    /// A second copy of an earlier refusal may be taken for its answer.
+    pub allows_doubt: bool,
 }
 
 impl Demand<'static> {
     /// Demand of a request without an id, whose answers bear none.
-    pub const UNNAMED: Self = Self { request: "", idle_max: Duration::MAX, idempotent: true };
+    pub const UNNAMED: Self = Self { request: "", idle_max: Duration::MAX, allows_doubt: true };
 }
 
 /// An open connection.
@@ -198,10 +198,15 @@
         self.carried.push_back(xxh3_64(request.as_bytes()));
     }
 
-    /// Whether a response on this connection would certainly be the response to the request of a demand. Taking an earlier
-    /// refusal for it does no harm to a request that may run again.
+    /// Whether a refusal without an id could be a second copy of an earlier one.
+    pub fn is_doubtful(&self) -> bool {
+        self.had_unnamed
+    }
+
+    /// Whether a response on this connection would certainly be the response to the request of a demand, unless that allows
+    /// doubt.
     fn suits(&self, demand: Demand<'_>) -> bool {
-        (demand.idempotent || !self.had_unnamed)
+        (demand.allows_doubt || !self.had_unnamed)
             && !self.carried.contains(&xxh3_64(demand.request.as_bytes()))
     }
 
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -19,7 +19,7 @@
     prelude::*,
     traffic::{
         Endpoint,
-        exchange::{Call, ExchangeError, InFlight, Response, exchange},
+        exchange::{Call, ExchangeError, InFlight, Repeat, Response, exchange},
         permit,
         serve::Traffic,
         suspects::{self, Admission},
@@ -52,6 +52,8 @@
     Answered(Response),
     /// The target stated that it did not run the request, or nothing was sent.
     NotRun,
+    /// The same, unless that was a second copy of an earlier refusal.
+    Doubtful,
     /// Nothing was sent, because the target's limit is reached.
     Limited {
         target: TargetId,
@@ -71,10 +73,12 @@
     admission: Admission,
     /// Targets tried so far; cleared when none is left to try.
     tried: Vec<TargetId>,
-    /// Attempts that a target may have run before the targets tried were cleared.
+    /// Attempts that count before the targets tried were cleared.
     ran_before: u32,
     /// Attempts that a target may have run.
     maybe_run: u32,
+    /// Attempts with a refusal that may be a second copy of an earlier one.
+    doubtful: u32,
     /// Attempts that a target answered with status 500.
     failures: u32,
     last_failure: Option<Response>,
@@ -103,6 +107,7 @@
         tried: Vec::new(),
         ran_before: 0,
         maybe_run: 0,
+        doubtful: 0,
         failures: 0,
         last_failure: None,
         limited: Vec::new(),
@@ -137,10 +142,10 @@
                     None if in_flight.is_empty()
                         && self.retry_after.is_none()
                         && self.held_for.is_none()
-                        && self.maybe_run < self.attempts_max()
+                        && self.maybe_run + self.doubtful < self.attempts_max()
                         && Instant::now() < refuse_at =>
                     {
-                        self.ran_before = self.maybe_run;
+                        self.ran_before = self.maybe_run + self.doubtful;
                         self.tried.clear();
                         Some(Instant::now() + REFUSED_BACKOFF)
                     }
@@ -235,13 +240,22 @@
         let traffic = Rc::clone(self.traffic);
         let sending = Sending {
             priority: self.route.priority,
-            idempotent: self.idempotent,
+            repeat: self.repeat(),
             alone: self.admission != Admission::Free,
         };
         let attempt = attempt(traffic, target, self.call.clone(), sending);
         Some((attempt.boxed_local(), hedge_delay))
     }
 
+    /// Whether the request may run again after the attempt that begins. The last one leaves no room for doubt.
+    fn repeat(&self) -> Repeat {
+        match self.idempotent {
+            true if self.may_attempt() => Repeat::AfterDoubt,
+            true => Repeat::AfterFailure,
+            false => Repeat::Never,
+        }
+    }
+
     /// Records that a target takes a request after a time.
     fn refuse_until(&mut self, retry_after: Duration) {
         let known = self.retry_after.unwrap_or(retry_after);
@@ -252,6 +266,10 @@
     fn finish_attempt(&mut self, outcome: Outcome) -> Option<Result<Response, Failure>> {
         match outcome {
             Outcome::NotRun => None,
+            Outcome::Doubtful => {
+                self.doubtful += 1;
+                None
+            }
             Outcome::Limited { target, retry_after } => {
                 // Nothing was sent, so it does not count as an attempt.
                 self.tried.retain(|id| *id != target);
@@ -286,7 +304,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Sending {
     priority: u32,
-    idempotent: bool,
+    repeat: Repeat,
     /// Other requests of this host keep away from the target.
     alone: bool,
 }
@@ -296,7 +314,7 @@
     traffic: Rc<Traffic>,
     target: Arc<Target>,
     call: Call,
-    Sending { priority, idempotent, alone }: Sending,
+    Sending { priority, repeat, alone }: Sending,
 ) -> Outcome {
     if let Err(retry_after) = permit::acquire(&traffic, &target, priority).await {
         debug!(request = &*call.id, target = &*target.id, retry_after_ms = crate::logging::ms(retry_after); "request held back: the limit of the target is reached");
@@ -304,7 +322,7 @@
     }
     let in_flight = InFlight::new(&traffic, &target, alone);
     let started = Instant::now();
-    let result = exchange(&traffic, &target, &call, idempotent).await;
+    let result = exchange(&traffic, &target, &call, repeat).await;
     drop(in_flight);
     match &result {
         Ok((_, answer)) if !answer.not_run => suspects::answered(&traffic, || call.content()),
@@ -313,7 +331,7 @@
             let finding =
                 suspects::connection_broke(&traffic, call.content(), endpoint, Run::default());
             // The next attempt depends on it.
-            if idempotent {
+            if repeat != Repeat::Never {
                 finding.await;
             }
         }
@@ -331,6 +349,10 @@
             let status = response.status.as_u16();
             (Outcome::Answered(response), status)
         }
+        Err(ExchangeError::DoubtfulRefusal) => {
+            pool.record_refusal(&target.id, now);
+            (Outcome::Doubtful, 0)
+        }
         Err(ExchangeError::Unsent) => {
             pool.record_failure(&target.id, now);
             (Outcome::NotRun, 0)
@@ -343,7 +365,7 @@
     METERS.attempt(match &outcome {
         Outcome::Answered(response) if response.status.is_success() => "success",
         Outcome::Answered(_) => "failure",
-        Outcome::NotRun | Outcome::Limited { .. } => "not_run",
+        Outcome::NotRun | Outcome::Doubtful | Outcome::Limited { .. } => "not_run",
         Outcome::Broken => "broken",
     });
     debug!(request = &*call.id, target = &*target.id, status = status, took_ms = crate::logging::ms(started.elapsed()); "attempt ended");
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -71,6 +71,8 @@
 pub enum ExchangeError {
     /// No connection could be opened, so nothing was sent.
     Unsent,
+    /// A refusal has come that may be a second copy of an earlier one, so the target may run the request.
+    DoubtfulRefusal,
     /// The target may have run the request.
     MaybeRun,
     /// The same; the connection broke, so the target may have ended.
@@ -133,16 +135,28 @@
     }
 }
 
+/// Whether a request may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    Never,
+    /// After a failure.
+    AfterFailure,
+    /// Also after a refusal that may be a second copy of an earlier one.
+    AfterDoubt,
+}
+
 /// Sends a request and reads the response.
 pub async fn exchange(
     traffic: &Rc<Traffic>,
     target: &Arc<Target>,
     call: &Call,
-    idempotent: bool,
+    repeat: Repeat,
 ) -> Result<(Response, Answer), ExchangeError> {
+    let idempotent = repeat != Repeat::Never;
     let idle_max = if idempotent { Duration::MAX } else { NON_IDEMPOTENT_IDLE_MAX };
     let to = (&target.id, target.address);
-    let demand = Demand { request: &call.id, idle_max, idempotent };
+    let allows_doubt = repeat == Repeat::AfterDoubt;
+    let demand = Demand { request: &call.id, idle_max, allows_doubt };
     let mut channel = connect(traffic, to, demand, call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
@@ -189,9 +203,13 @@
     if parts.status.is_success() && answer.receipt.is_none() {
         return Err(fail(&"successful response has no receipt"));
     }
+    let is_doubtful = answer.not_run && answer.id.is_none() && channel.is_doubtful();
     if !closes {
         traffic.channels.put(target.address, channel, &answer);
     }
+    if is_doubtful {
+        return Err(ExchangeError::DoubtfulRefusal);
+    }
     let response = Response {
         status: parts.status,
         headers: parts.headers,
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -226,7 +226,7 @@
     }
     let deadline = Instant::now() + SILENCE_TIMEOUT;
     let to = (&target.id, target.address);
-    let demand = Demand { request: &run.item.id, idle_max: Duration::MAX, idempotent: true };
+    let demand = Demand { request: &run.item.id, idle_max: Duration::MAX, allows_doubt: true };
     let Ok(mut channel) = connect(traffic, to, demand, deadline).await else {
         return Some(End::NotRun);
     };
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -303,7 +303,7 @@
         let (traffic, call) = (&self.traffic, &self.call);
         let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
         let to = (&target.id, target.address);
-        let demand = Demand { request: &call.id, idle_max, idempotent: self.resumable };
+        let demand = Demand { request: &call.id, idle_max, allows_doubt: false };
         let mut channel = connect(traffic, to, demand, call.deadline).await?;
         let broke = |reason: &dyn Display| {
             info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "stream did not begin");
