--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod announce;
 mod body;
 mod cache;
+mod callers;
 mod channel;
 mod connect;
 mod dispatch;
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -55,24 +55,13 @@
     view::{Shared, View},
 };
 
-/// Largest number of open connections at the entry address.
-const CONNECTIONS_MAX: usize = 2000;
-/// The same while no configuration is known, as each connection may then read the largest head of any configuration.
-const UNCONFIGURED_CONNECTIONS_MAX: usize = 1000;
 /// Largest total size of the bodies that are being read from callers, and from targets.
 const REQUEST_BYTES_TOTAL: usize = 40 << 20;
 const RESPONSE_BYTES_TOTAL: usize = 40 << 20;
-/// Room for a request line beside the headers that the configuration allows.
-const REQUEST_LINE_BYTES: usize = 8 << 10;
-/// Bounds of what a caller's connection reads ahead.
-const BUFFER_BYTES_MIN: usize = 16 << 10;
-const BUFFER_BYTES_MAX: usize = 64 << 10;
 /// Length of a listener's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
 /// Interval at which expired idle connections and statistics of removed targets are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
-/// Idle timeout of callers' connections before a configuration has been read.
-const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
 
 /// Resources of the traffic thread that the process provides.
 pub struct Parts {
@@ -141,26 +130,6 @@
     pub fn is_in_use(&self) -> bool {
         self.connections.get() > 0 || self.tunnels.carried() > 0
     }
-
-    fn connections_max(&self) -> usize {
-        let is_configured = self.view.load().config.is_some();
-        if is_configured { CONNECTIONS_MAX } else { UNCONFIGURED_CONNECTIONS_MAX }
-    }
-
-    /// Largest number of bytes that a caller's connection reads ahead, which holds the largest head that a caller may send.
-    fn buffer_bytes(&self) -> usize {
-        let view = self.view.load();
-        // The configuration may allow as much.
-        let head_bytes =
-            view.config.as_ref().map_or(BUFFER_BYTES_MAX, |config| config.limits.header_bytes);
-        head_bytes.saturating_add(REQUEST_LINE_BYTES).clamp(BUFFER_BYTES_MIN, BUFFER_BYTES_MAX)
-    }
-
-    /// Longest time for which a caller may send nothing, or take nothing of what is sent to it.
-    pub fn idle_timeout(&self) -> Duration {
-        let view = self.view.load();
-        view.config.as_ref().map_or(IDLE_TIMEOUT_DEFAULT, |config| config.limits.idle_timeout)
-    }
 }
 
 /// Serves until the process is stopping and all callers' connections are closed or the grace period is over.
