--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod announce;
 mod body;
 mod cache;
+mod callers;
 mod channel;
 mod connect;
 mod dispatch;
@@ -39,6 +40,7 @@
 mod tunnel;
 
 pub use accept::accept;
+pub use body::{Budget, read as read_body};
 pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
