--- a/crates/node/src/control/waits.rs
+++ b/crates/node/src/control/waits.rs
@@ -67,7 +67,8 @@
     }
 
     fn count(&mut self, reason: &'static str, items: u64) {
-        *self.counts.entry(reason).or_default() += items;
+        let count = self.counts.entry(reason).or_default();
+        *count = count.saturating_add(items);
     }
 
     /// Number of idle items by reason.
