An item under which engines fall silent is not excused by ends of its own

After a silence an item goes on before its end is judged, so the look at other targets found engines that the item itself had silenced meanwhile and took them for ends without it: three ends were excused. Change: ends after a silence give strikes as they do for requests; only ends after a broken connection, which are settled before the item goes on, are judged beside others.

--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -37,8 +37,6 @@
 /// Other targets that are looked at when one has ended, and time for that.
 const OTHERS_MAX: usize = 8;
 const OTHERS_WAIT: Duration = Duration::from_millis(300);
-/// The same if the target fell silent, for which connections have to time out.
-const SILENT_OTHERS_WAIT: Duration = Duration::from_millis(700);
 /// Time for another host to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Least time after which a refused caller is told to come back.
@@ -148,18 +146,16 @@
 ) -> Effect {
     let Suspect { content, work, ref target, run } = *suspect;
     let end = Strike { target: target.id.clone(), started_ms: target.started_ms, at };
-    let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
-    if work == Work::Item && !is_free {
-        let wait = match cause {
-            Cause::ConnectionBroke => OTHERS_WAIT,
-            Cause::Silence => SILENT_OTHERS_WAIT,
-        };
-        // Those that have no result in time say nothing.
-        let _ = timeout(wait, look_at_others(traffic, target, cause)).await;
-    }
-    let effect = match work {
-        Work::Request => traffic.crashes.ended(content, end, run, clock::now()),
-        Work::Item => traffic.crashes.item_ended(content, end, run, clock::now()),
+    // After a silence an item has gone on, so ends of its own may not be known yet and would pass for ends without it.
+    let effect = if work == Work::Item && cause == Cause::ConnectionBroke {
+        let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
+        if !is_free {
+            // Those that have no result in time say nothing.
+            let _ = timeout(OTHERS_WAIT, look_at_others(traffic, target)).await;
+        }
+        traffic.crashes.item_ended(content, end, run, clock::now())
+    } else {
+        traffic.crashes.ended(content, end, run, clock::now())
     };
     if effect != Effect::Known {
         traffic.changes.tell_at_once(content);
@@ -175,7 +171,7 @@
 }
 
 /// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
-async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint, cause: Cause) {
+async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
     // A host that only runs items does not follow the registrations.
     traffic.freshness.wait_for_refresh().await;
     let view = traffic.view.load_full();
@@ -190,11 +186,11 @@
             && !traffic.crashes.has_ended(&other.id, other.started_ms, now)
     });
     let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
-    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into(), cause))).await;
+    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into()))).await;
 }
 
-async fn look_at(traffic: &Rc<Traffic>, target: Endpoint, cause: Cause) {
-    if ended::look(traffic, &target, cause).first.await == Finding::Ended {
+async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
+    if ended::look(traffic, &target, Cause::ConnectionBroke).first.await == Finding::Ended {
         let end = Strike { target: target.id, started_ms: target.started_ms, at: clock::now() };
         traffic.crashes.target_ended(end);
     }
