Ends under a content are logged with instance, run time, events, age and whether they were counted before

Change: a strike carries the time for which its target had run the content (fields 4 of Strike and 9 of Ended, skipped by earlier builds); logs of strikes, passed ends and ends that other hosts tell of name it with instance and age, and 'again' marks an instance that was counted before; lagoonyard_target_ends_total counts the effects. No decision is changed.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -97,6 +97,7 @@
         judge_failures: 0,
         holds_slot: true,
         ended_instance: None,
+        ran: Duration::ZERO,
     }
 }
 
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -192,6 +192,7 @@
             judge_failures: 0,
             holds_slot: !self.generated,
             ended_instance: None,
+            ran: Duration::ZERO,
         }
     }
 
@@ -388,6 +389,7 @@
             judge_failures: ended.judge_failures,
             holds_slot: ended.holds_slot,
             ended_instance: ended.ended_instance,
+            ran: Duration::from_millis(ended.ran_ms),
             ..tracked.outcome(ended.decoded_end())
         };
         report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -33,6 +33,8 @@
     pub target: TargetId,
     /// Start time of the instance in Unix milliseconds.
     pub started_ms: u64,
+    /// Time for which the target had run the content, up to its last sign of life.
+    pub ran: Duration,
 }
 
 impl Strike {
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     crash::{Content, Record, Strike, Verdict, record::RETENTION},
+    logging::ms,
     prelude::*,
 };
 
@@ -28,6 +29,8 @@
     pub from: u64,
     /// Last event of the run.
     pub reached: u64,
+    /// Time from the start of the run to the last sign of life of its target.
+    pub time: Duration,
 }
 
 /// What an end of a target means for a content.
@@ -40,6 +43,17 @@
     Struck,
 }
 
+impl Effect {
+    /// Label in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Known => "known",
+            Self::Passed => "passed",
+            Self::Struck => "struck",
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Entry {
     record: Record,
@@ -144,8 +158,11 @@
         let known = &mut state.entry(content, now).record;
         let is_news = known.merge(record);
         if is_news {
-            info!(content:% = content, strikes = known.strikes.len(), clears = known.clears; "another host told of a content");
-            ends.iter().for_each(|end| state.note_end(end));
+            info!(content:% = content, strikes = known.strikes.len(), passes = known.passes, clears = known.clears; "another host told of a content");
+            for end in &ends {
+                info!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms = ms(end.ran), age_ms = ms(now.saturating_sub(end.at)); "another host told of an end");
+                state.note_end(end);
+            }
         }
         is_news
     }
@@ -236,7 +253,7 @@
         if !is_excused || !record.pass(end.clone(), run) {
             return self.strike(content, end, now);
         }
-        info!(content:% = content, target_id = &*end.target, passes = record.passes; "a target ended under a content without a strike");
+        info!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms = ms(end.ran), events = run.reached, passes = record.passes; "a target ended under a content without a strike");
         self.note_end(&end);
         Effect::Passed
     }
@@ -246,9 +263,12 @@
         if let Some(effect) = record.effect(&end) {
             return effect;
         }
+        // Two records of one instance are an end that was counted twice.
+        let again = record.knows_instance(&end.target, end.started_ms);
         record.add(end.clone());
         let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
-        warn!(content:% = content, target_id = &*end.target, strikes, verdict:? = verdict; "a target ended under a content");
+        let (ran_ms, age_ms) = (ms(end.ran), ms(now.saturating_sub(end.at)));
+        warn!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms, age_ms, again, strikes, verdict:? = verdict; "a target ended under a content");
         self.note_end(&end);
         Effect::Struck
     }
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -70,6 +70,8 @@
     pub holds_slot: bool,
     /// Start time of the engine's instance, if its end under the run gives a strike.
     pub ended_instance: Option<u64>,
+    /// Time from the start of the run to the last sign of life of its engine.
+    pub ran: Duration,
 }
 
 /// Assignment of an item to an engine.
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -279,7 +279,7 @@
         return;
     };
     if let Some(started_ms) = outcome.ended_instance {
-        let end = Strike { target: target.clone(), started_ms, at: now };
+        let end = Strike { target: target.clone(), started_ms, at: now, ran: outcome.ran };
         crashes.strike(item.content(&job.record.host), end, now);
     } else if outcome.end == End::NotRun
         && let Some(began_at) = job.trial_at(outcome.item)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -45,6 +45,7 @@
     tunnels: Counter<u64>,
     broken_connections: Counter<u64>,
     silent_targets: Counter<u64>,
+    target_ends: Counter<u64>,
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
     resident_bytes: Gauge<u64>,
@@ -120,6 +121,10 @@
                 "lagoonyard_silent_targets",
                 "Looks at targets that did not answer a request, by whether the target had ended",
             ),
+            target_ends: counter(
+                "lagoonyard_target_ends",
+                "Ends of targets under a request, by what they count against its content",
+            ),
             held_requests: counter(
                 "lagoonyard_held_requests",
                 "Requests under whose content targets ended, refused or sent as a trial",
@@ -234,6 +239,11 @@
         self.silent_targets.add(1, &[KeyValue::new("finding", finding)]);
     }
 
+    /// Records an end of a target under a request, with what it counts against its content.
+    pub fn target_end(&self, effect: &'static str) {
+        self.target_ends.add(1, &[KeyValue::new("effect", effect)]);
+    }
+
     /// Records what became of a request whose content is held.
     pub fn held_request(&self, outcome: &'static str) {
         self.held_requests.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -9,7 +9,7 @@
 use crate::{
     events::Progress,
     job::{Assignment, End, Item, Judge, Outcome},
-    peer::{departure::Departure, limit::Limit, text::TextPart},
+    peer::{departure::Departure, limit::Limit, millis, text::TextPart},
     prelude::*,
     traffic::{Endpoint, Run, RunReport},
 };
@@ -188,6 +188,9 @@
     /// Start time of the engine's instance in Unix milliseconds, if its end under the run gives a strike.
     #[prost(uint64, optional, tag = "8")]
     pub ended_instance: Option<u64>,
+    /// Time from the start of the run to the last sign of life of the engine; 0 from hosts that do not say so.
+    #[prost(uint64, tag = "9")]
+    pub ran_ms: u64,
 }
 
 /// How a run ended.
@@ -350,6 +353,7 @@
             judge_failures: outcome.judge_failures,
             holds_slot: outcome.holds_slot,
             ended_instance: outcome.ended_instance,
+            ran_ms: millis(outcome.ran),
         }
     }
 
@@ -372,6 +376,7 @@
             judge_failures: 0,
             holds_slot: !item.target.is_empty(),
             ended_instance: None,
+            ran_ms: 0,
         }
     }
 
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -21,6 +21,9 @@
     /// Time since the end.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
+    /// Time for which the target had run the content; 0 from hosts that do not say so.
+    #[prost(uint64, tag = "4")]
+    pub ran_ms: u64,
 }
 
 /// What a host knows of a content.
@@ -69,6 +72,7 @@
             target: strike.target.to_string(),
             started_ms: strike.started_ms,
             age_ms: millis(now.saturating_sub(strike.at)),
+            ran_ms: millis(strike.ran),
         };
         Self {
             content: content.to_bytes().to_vec(),
@@ -91,6 +95,7 @@
             target: strike.target.into(),
             started_ms: strike.started_ms,
             at: now.saturating_sub(Duration::from_millis(strike.age_ms)),
+            ran: Duration::from_millis(strike.ran_ms),
         };
         let sound = |ends: Vec<Strike>| {
             ends.into_iter()
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -89,7 +89,8 @@
 
 impl Run {
     fn suspect(&self, target: &Endpoint, state: &RunState) -> Suspect {
-        let run = crash::Run { from: state.resumed_after, reached: state.progress.last_event };
+        let (from, reached) = (state.resumed_after, state.progress.last_event);
+        let run = crash::Run { from, reached, time: state.ran() };
         Suspect::item(self.item.content(&self.host), target, run)
     }
 }
@@ -138,11 +139,23 @@
     /// Time of the order.
     ordered: Instant,
     started: Instant,
+    /// Time at which the engine last gave a sign of life.
+    heard: Instant,
     /// Last event of earlier runs of the item.
     resumed_after: u64,
 }
 
 impl RunState {
+    /// Time from the start of the run to the last sign of life of its engine.
+    fn ran(&self) -> Duration {
+        self.heard.saturating_duration_since(self.started)
+    }
+
+    /// Records that the engine has closed the connection or reset it, which it had not before.
+    fn set_broken(&mut self) {
+        (self.connection_broke, self.heard) = (true, Instant::now());
+    }
+
     /// Average time per event of this run.
     fn pace(&self) -> Option<Duration> {
         let events = self.progress.last_event.saturating_sub(self.resumed_after);
@@ -163,6 +176,7 @@
         connection_broke: false,
         ordered: Instant::now(),
         started: Instant::now(),
+        heard: Instant::now(),
         resumed_after: run.assignment.progress.last_event,
     };
     let (mut pace, mut judge_failures, mut ended_instance) = (None, 0, None);
@@ -201,6 +215,7 @@
     METERS.run(end.name());
     run_log::ended(&run, &end, state.progress.last_event, state.started.elapsed());
     record_failure(&traffic, &run, &end, judge_failures);
+    let ran = state.ran();
     let outcome = Outcome {
         job: run.assignment.job.clone(),
         item: run.assignment.item,
@@ -213,6 +228,7 @@
         judge_failures,
         holds_slot,
         ended_instance,
+        ran,
     };
     RunReport::Ended { run: run.id, outcome }
 }
@@ -254,7 +270,7 @@
         run_log::unreached(run, target, state.ordered, "not valid in HTTP");
         return Some(End::Rejected);
     };
-    state.started = Instant::now();
+    (state.started, state.heard) = (Instant::now(), Instant::now());
     let sent_at = clock::now();
     let silence = Silence::new(traffic);
     let suspect = || run.suspect(target, state);
@@ -265,8 +281,9 @@
             if matches!(error, channel::Error::LinkLost) {
                 silence.look(suspect());
             }
-            state.connection_broke =
-                matches!(error, channel::Error::Broken { .. }) && !silence.has_ended();
+            if matches!(error, channel::Error::Broken { .. }) && !silence.has_ended() {
+                state.set_broken();
+            }
             run_log::broken(run, target, state.started, &error);
             return Some(End::Broken);
         }
@@ -348,12 +365,15 @@
         let data = match frame {
             Ok(Some(Ok(frame))) => {
                 traffic.links.heard(&target.id, clock::now());
+                state.heard = Instant::now();
                 frame.into_data().unwrap_or_default()
             }
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
             Ok(Some(Err(error))) => {
-                state.connection_broke = !silence.has_ended();
+                if !silence.has_ended() {
+                    state.set_broken();
+                }
                 return fail(&error);
             }
             Err(_) => return fail(&"no event within the timeout"),
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -295,7 +295,7 @@
 
     /// What a target ran after event `from`.
     pub(super) fn suspect(&self, target: &Target, from: u64) -> Suspect {
-        let run = Run { from, reached: self.last_event.unwrap_or(0) };
+        let run = Run { from, reached: self.last_event.unwrap_or(0), ..Run::default() };
         Suspect::request(self.call.content(), target, run)
     }
 
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -145,7 +145,8 @@
     at: Time,
 ) -> Effect {
     let Suspect { content, work, ref target, run } = *suspect;
-    let end = Strike { target: target.id.clone(), started_ms: target.started_ms, at };
+    let end =
+        Strike { target: target.id.clone(), started_ms: target.started_ms, at, ran: run.time };
     // After a silence an item has gone on, so ends of its own may not be known yet and would pass for ends without it.
     let effect = if work == Work::Item && cause == Cause::ConnectionBroke {
         let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
@@ -157,6 +158,7 @@
     } else {
         traffic.crashes.ended(content, end, run, clock::now())
     };
+    METERS.target_end(effect.name());
     if effect != Effect::Known {
         traffic.changes.tell_at_once(content);
     }
@@ -191,7 +193,8 @@
 
 async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
     if ended::look(traffic, &target, Cause::ConnectionBroke).first.await == Finding::Ended {
-        let end = Strike { target: target.id, started_ms: target.started_ms, at: clock::now() };
+        let (started_ms, ran) = (target.started_ms, Duration::ZERO);
+        let end = Strike { target: target.id, started_ms, at: clock::now(), ran };
         traffic.crashes.target_ended(end);
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -123,5 +123,6 @@
         judge_failures: 0,
         holds_slot: true,
         ended_instance: None,
+        ran: Duration::ZERO,
     }
 }
--- a/crates/node/tests/compatibility.rs
+++ b/crates/node/tests/compatibility.rs
@@ -148,8 +148,8 @@
 #[test]
 fn additions_are_skipped_by_6c51fe5() {
     let request = |kind| Request { kind: Some(kind) }.encode_to_vec();
-    let strikes = vec![Strike { target: "i-1".into(), started_ms: 5, age_ms: 6 }];
-    let passed = vec![Strike { target: "i-2".into(), started_ms: 7, age_ms: 8 }];
+    let strikes = vec![Strike { target: "i-1".into(), started_ms: 5, age_ms: 6, ran_ms: 9 }];
+    let passed = vec![Strike { target: "i-2".into(), started_ms: 7, age_ms: 8, ran_ms: 10 }];
     let suspect =
         Suspect { content: vec![1; 16], clears: 2, furthest: 3, strikes, passes: 1, passed };
     let notice = Notice { forward: true, suspects: vec![suspect.clone()], ..Notice::default() };
@@ -167,7 +167,13 @@
         assert_eq!(old::Request::decode(&*request(kind)).unwrap().kind, None);
     }
     let part = Some(TextPart { run: 7, ..TextPart::default() });
-    let ended = Ended { part: part.clone(), end: 5, ended_instance: Some(1), ..Ended::default() };
+    let ended = Ended {
+        part: part.clone(),
+        end: 5,
+        ended_instance: Some(1),
+        ran_ms: 11,
+        ..Ended::default()
+    };
     let news = FromRunner { news: Some(News::Ended(Box::new(ended.clone()))) };
     assert!(FromRunner::decode(&*news.encode_to_vec()).is_ok());
     let read = old::Ended::decode(&*ended.encode_to_vec()).unwrap();
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -24,7 +24,7 @@
 }
 
 fn strike(target: &str, at: Time) -> Strike {
-    Strike { target: target.into(), started_ms: 1, at }
+    Strike { target: target.into(), started_ms: 1, at, ran: Duration::ZERO }
 }
 
 /// Gives a content strikes by different targets, a second apart. Returns the time of the last one.
@@ -139,13 +139,18 @@
     let table = Table::default();
     for (number, reached) in [3, 7, 9].into_iter().enumerate() {
         let at = SECOND * (number as u32 + 1);
-        table.ended(content("a"), strike("t", at), Run { from: 0, reached }, at);
+        table.ended(content("a"), strike("t", at), Run { from: 0, reached, ..Run::default() }, at);
     }
     assert_eq!(table.verdict(content("a"), SECOND * 3), Verdict::Free);
     // One that ends its target at the same event each time.
     for number in 0..3 {
         let at = SECOND * (number + 5);
-        table.ended(content("a"), strike("t", at), Run { from: 0, reached: 9 }, at);
+        table.ended(
+            content("a"),
+            strike("t", at),
+            Run { from: 0, reached: 9, ..Run::default() },
+            at,
+        );
     }
     assert_matches!(table.verdict(content("a"), SECOND * 7), Verdict::Held(_));
 }
@@ -157,7 +162,7 @@
     for reached in 1..=6 {
         let at = SECOND * u32::try_from(reached).unwrap();
         assert_matches!(table.verdict(content("a"), at), Verdict::Free | Verdict::Suspect);
-        let run = Run { from: reached - 1, reached };
+        let run = Run { from: reached - 1, reached, ..Run::default() };
         table.ended(content("a"), strike(&format!("t{reached}"), at), run, at);
     }
     assert_matches!(table.verdict(content("a"), SECOND * 6), Verdict::Held(_));
--- a/crates/node/tests/waits.rs
+++ b/crates/node/tests/waits.rs
@@ -66,7 +66,12 @@
     let table = Arc::new(Table::default());
     let content = queue_job.spec.items[0].content("h");
     for at in 1..=strikes {
-        let strike = Strike { target: format!("t{at}").into(), started_ms: 1, at: ms(at * 1_000) };
+        let strike = Strike {
+            target: format!("t{at}").into(),
+            started_ms: 1,
+            at: ms(at * 1_000),
+            ran: Duration::ZERO,
+        };
         table.ended(content, strike, Run::default(), ms(at * 1_000));
     }
     table
