--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -84,6 +84,40 @@
     assert_eq!(table.record(content("a")).unwrap().strikes.len(), 2);
 }
 
+/// Guards against an item that is held since the leader counted, by its own clock, what the host that ran it had counted.
+#[test]
+fn ends_that_the_leader_hears_of_late_count_once() {
+    let table = Table::default();
+    for number in 1..=2 {
+        let (end, at) = (strike(&format!("t{number}"), SECOND * 5 * number), SECOND * 5 * number);
+        table.item_ended(content("a"), end.clone(), Run::default(), at);
+        let heard_at = at + ms(1500);
+        table.strike(content("a"), Strike { at: heard_at, ..end }, heard_at);
+    }
+    assert_eq!(table.record(content("a")).unwrap().strikes.len(), 2);
+    assert_eq!(table.item_verdict(content("a"), SECOND * 12), Verdict::Suspect);
+}
+
+/// Guards against an end that one host excuses and that counts since another host, which did not know of the excuse, told of it.
+#[test]
+fn an_excused_end_does_not_count_once_hosts_tell_each_other() {
+    let (excusing, counting) = (Table::default(), Table::default());
+    let end = strike("t2", SECOND * 2);
+    for table in [&excusing, &counting] {
+        table.item_ended(content("a"), strike("t1", SECOND), Run::default(), SECOND);
+    }
+    excusing.target_ended(strike("other", SECOND * 2));
+    excusing.item_ended(content("a"), end.clone(), Run::default(), SECOND * 2);
+    counting.item_ended(content("a"), end, Run::default(), SECOND * 2);
+    for (to, from) in [(&excusing, &counting), (&counting, &excusing)] {
+        to.merge(content("a"), from.record(content("a")).unwrap(), SECOND * 3);
+    }
+    for table in [&excusing, &counting] {
+        let record = table.record(content("a")).unwrap();
+        assert_eq!((record.strikes.len(), record.passed.len()), (1, 1));
+    }
+}
+
 /// Guards against a suspicion that nothing can clear.
 #[test]
 fn an_answer_clears_a_content() {
