An instance of a target ends once, however late hosts tell of it

What callers saw: sound items held, each end counted up to twice. Cause: two records of one instance were the same end only within 1 s. The host that ran the item and the leader record an end by clocks of their own, the leader after up to 0.9 s of looking and the time of a message, or after it stood still. Change: an end is identified by the instance, id and start time; each start is a new instance on the platform. Of two records the earlier time holds.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -19,8 +19,6 @@
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(3600);
 /// Time since the last strike after which a record is dropped.
 pub(super) const RETENTION: Duration = Duration::from_secs(24 * 3600);
-/// Time within which two hosts that see an instance of a target end see the same end.
-const SAME_END: Duration = Duration::from_millis(1000);
 /// Time within which targets end together.
 const SAME_MOMENT: Duration = Duration::from_millis(1000);
 /// Strikes that are kept, the newest ones.
@@ -38,12 +36,15 @@
 }
 
 impl Strike {
-    fn is_same(&self, other: &Self) -> bool {
-        self.is_same_instance(other) && self.at.abs_diff(other.at) < SAME_END
+    /// Whether both are of one instance, which ends only once. Hosts see it at different times and by different clocks.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        self.is_of(&other.target, other.started_ms)
     }
 
-    pub(super) fn is_same_instance(&self, other: &Self) -> bool {
-        self.is_of(&other.target, other.started_ms)
+    /// Adds what another host has seen of the same end. The first one saw it best.
+    fn join(&mut self, other: &Self) {
+        self.at = self.at.min(other.at);
+        self.ran = self.ran.max(other.ran);
     }
 
     /// Whether it is the end of an instance.
@@ -70,8 +71,7 @@
     Trial,
 }
 
-/// Strikes of a content. Records of several hosts merge to the same one, in any order, but for ends of one instance within a
-/// second or two.
+/// Strikes of a content. Records of several hosts merge to the same one, in any order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
     /// In order of time.
@@ -198,7 +198,9 @@
 
     /// Adds a strike. Returns whether it is news.
     pub(super) fn add(&mut self, strike: Strike) -> bool {
-        if self.strikes.iter().any(|known| known.is_same(&strike)) {
+        if let Some(known) = self.strikes.iter_mut().find(|known| known.is_same(&strike)) {
+            known.join(&strike);
+            self.strikes.sort();
             return false;
         }
         let position = self.strikes.partition_point(|known| *known < strike);
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -263,12 +263,10 @@
         if let Some(effect) = record.effect(&end) {
             return effect;
         }
-        // Two records of one instance are an end that was counted twice.
-        let again = record.knows_instance(&end.target, end.started_ms);
         record.add(end.clone());
         let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
         let (ran_ms, age_ms) = (ms(end.ran), ms(now.saturating_sub(end.at)));
-        warn!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms, age_ms, again, strikes, verdict:? = verdict; "a target ended under a content");
+        warn!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms, age_ms, strikes, verdict:? = verdict; "a target ended under a content");
         self.note_end(&end);
         Effect::Struck
     }
@@ -280,7 +278,7 @@
             return false;
         };
         let is_other = |other: &Strike| {
-            !other.is_same_instance(end) && !own.knows_instance(&other.target, other.started_ms)
+            !other.is_same(end) && !own.knows_instance(&other.target, other.started_ms)
         };
         self.ends().any(|other| other.is_at(end.at) && is_other(other))
     }
