What one host excuses counts on no host

What callers saw: sound items held by strikes that their host had not given. Cause: an end that gave no strike on one host counted once another host, which did not know of the ends beside it, told of its strike. Change: of two records the excuse holds; the number of excuses stays limited.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -125,6 +125,8 @@
         if self.passed.iter().any(|known| known.is_same(&end)) {
             return false;
         }
+        // What one host excuses counts on no other.
+        self.strikes.retain(|strike| !strike.is_same(&end));
         let position = self.passed.partition_point(|known| *known < end);
         self.passed.insert(position, end);
         if self.passed.len() <= PASSES_MAX as usize {
@@ -198,6 +200,9 @@
 
     /// Adds a strike. Returns whether it is news.
     pub(super) fn add(&mut self, strike: Strike) -> bool {
+        if self.passed.iter().any(|known| known.is_same(&strike)) {
+            return false;
+        }
         if let Some(known) = self.strikes.iter_mut().find(|known| known.is_same(&strike)) {
             known.join(&strike);
             self.strikes.sort();
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -248,6 +248,7 @@
     ) -> Effect {
         let record = &mut self.entry(content, now).record;
         if let Some(effect) = record.effect(&end) {
+            record.add(end);
             return effect;
         }
         if !is_excused || !record.pass(end.clone(), run) {
@@ -261,6 +262,7 @@
     fn strike(&mut self, content: Content, end: Strike, now: Time) -> Effect {
         let record = &mut self.entry(content, now).record;
         if let Some(effect) = record.effect(&end) {
+            record.add(end);
             return effect;
         }
         record.add(end.clone());
