The probability that holds an item halves with two further ends only

Cause: with a bound that halves with each end, an item that ends its engines 0.3 s after each start beside many other ends was hardly ever held: up to 55 late ends. Change: two halvings.

--- a/crates/node/src/crash/evidence.rs
+++ b/crates/node/src/crash/evidence.rs
@@ -4,9 +4,10 @@
 
 use crate::prelude::*;
 
-/// Probability below which the first ends that are judged are not put down to chance. It halves with each further end, so that
-/// all decisions on a sound content together are wrong with at most twice this probability.
+/// Probability below which the first ends that are judged are not put down to chance. It halves with each of a few further
+/// ends, as a sound content that is judged again and again would be held in the end.
 const CHANCE_MIN: f64 = 0.001;
+const HALVINGS_MAX: usize = 2;
 /// Number of ends that are judged first.
 const ENDS_MIN: usize = 3;
 
@@ -48,7 +49,7 @@
 
     /// Whether the content itself seems to end its targets.
     pub fn speaks_against(&self) -> bool {
-        let halvings = self.ends.saturating_sub(ENDS_MIN);
+        let halvings = self.ends.saturating_sub(ENDS_MIN).min(HALVINGS_MAX);
         self.chance() < CHANCE_MIN * 0.5_f64.powf(halvings as f64)
     }
 }
