Conflicts at the end of a job are logged as conflicts

What operators saw: "could not decode the job: its head keeps changing" for a job that is decoded well. Cause: the end of a job had no failure of its own for a head that others changed in each of the eight attempts, and used Malformed. Change: Conflict with the number of attempts.

--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -28,6 +28,8 @@
     Store { source: store::Error },
     #[snafu(display("could not decode the job: {reason}"))]
     Malformed { reason: Box<str> },
+    #[snafu(display("could not mark the job as ended: its head changed in {attempts} attempts"))]
+    Conflict { attempts: u32 },
 }
 
 /// Returns the results of a job from position `after` on, encoded as the body of a response. If there are none yet,
@@ -200,7 +202,7 @@
             Err(error) => last_error = Some(error),
         }
     }
-    Err(last_error.unwrap_or(Error::Malformed { reason: "its head keeps changing".into() }))
+    Err(last_error.unwrap_or(Error::Conflict { attempts: END_ATTEMPTS_MAX }))
 }
 
 /// Returns whether the job is marked as ended; `false` if its head changed meanwhile.
