A refused call without a response through another host starts a check of the direct path

What operators saw: nothing; each later call was refused on the direct path first, and watches waited on it. Cause: only a direct call without a response started the check. After a refusal and a relayed call without a response, the path stayed as it was, against the rule of the module: a check decides the path of later calls after any call without a response. Change: the check starts in this case too. The call itself is not repeated, as it may have taken effect.

--- a/crates/node/src/relay/client.rs
+++ b/crates/node/src/relay/client.rs
@@ -76,8 +76,9 @@
                 let Some(relayed) = self.call_relayed(call).await else {
                     return result;
                 };
-                if relayed.is_ok() {
-                    self.failover.update(Path::relay_answered);
+                match &relayed {
+                    Ok(_) => self.failover.update(Path::relay_answered),
+                    Err(_) => self.failover.check(),
                 }
                 return relayed;
             }
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -117,6 +117,22 @@
     });
 }
 
+/// Guards against a direct path that is not checked, so that each later call is refused on it first.
+#[test]
+fn a_refused_call_without_a_response_through_another_host_starts_a_check() {
+    run(async {
+        let (own, other) = (Recorder::new(Mode::Refuse), Recorder::new(Mode::Hang));
+        let client = client(&own, &other).await;
+        assert_matches!(client.call(&call("write", 50)).await, Err(Error::NoResponse { .. }));
+        sleep(CHECK_DURATION).await;
+        assert_eq!(own.count("probe"), 1);
+        assert_eq!((own.count("write"), other.count("write")), (1, 1), "it may have taken effect");
+        other.mode.set(Mode::Answer);
+        assert_matches!(client.call(&call("write", 50)).await, Ok(_));
+        assert_eq!((own.count("write"), other.count("write")), (1, 2));
+    });
+}
+
 /// Guards against calls that are still relayed after the direct path works again.
 #[test]
 fn calls_return_to_the_direct_path_when_it_works_again() {
