A host that cannot read the time since boot ends

Cause: clock::now fell back to the time of day. A host on a machine without CLOCK_BOOTTIME went on with it, and one on which a single read fails would, as the code reads, compare times of two clocks that differ by decades when it judges its leases. Change: the process logs the reason and ends with exit code 1, as one that cannot start does. An operator expects a host that cannot judge its leases to stop and say why, so that others take over its roles. A panic would not do, as tokio keeps it within the task. A typed error would have to pass through each decision that takes the time, none of which has another answer to it. Measured: no test, as the call cannot be made to fail without code that replaces the C library's.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -4,13 +4,21 @@
 
 use nix::time::{ClockId, clock_gettime};
 
-use crate::prelude::*;
+use crate::{logging, prelude::*};
 
-/// Time since boot, including suspension.
+/// Exit code of a process that cannot read the time since boot, as that of one that cannot start.
+const EXIT_CODE: i32 = 1;
+
+/// Time since boot, including suspension. Without it the process ends: leases cannot be judged by any other clock, and
+/// a panic would end only the task that asked.
 pub fn now() -> Time {
     match clock_gettime(ClockId::CLOCK_BOOTTIME) {
         Ok(time) => Duration::from(time),
-        Err(_) => SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        Err(error) => {
+            log::error!(reason:% = error; "could not read CLOCK_BOOTTIME; the process ends");
+            logging::flush();
+            std::process::exit(EXIT_CODE);
+        }
     }
 }
 
