--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! and job items to targets. `job` and `weights` hold the decisions and do no input or output. Names and formats on the
 //! wire are left to an adapter that implements `store::Store` and `dialect::Dialect`.
 
+pub mod build;
 pub mod clock;
 pub mod config;
 pub mod control;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -9,7 +9,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
-use crate::prelude::*;
+use crate::{build::BUILD, prelude::*};
 
 /// Buckets of the latency histograms, which hold calls to the store of a few milliseconds and generations of seconds.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -77,6 +77,8 @@
         let gauge = |name: &'static str, text: &'static str| {
             meter.u64_gauge(name).with_description(text).build()
         };
+        gauge("lagoonyard_build", "Build of this program; the value is 1")
+            .record(1, &[KeyValue::new("build", &**BUILD)]);
         Self {
             requests: counter("lagoonyard_requests", "Answered requests by kind and outcome"),
             request_seconds: seconds("lagoonyard_request_seconds", "Time to an answer by kind"),
