A late end of a run is not applied to another run of its item

Cause: a job is dropped and read again while its runs are still ending (a former term, a chunk that differs from the store). Reports of such a run name the item only, so once the item ran again the leader applied them to that run: its slot bookkeeping aside, the item ended or waited with the late outcome, a second run could start beside the present one, the trial of the present run was given back, and a failure was counted on top of one that had been read with the job.

Change: a running item has the id of its run, and an outcome names its run. Only the present run's reports change the item. A late end still gives - its engine's slot, backoff and pace, as before; - its text, to an item that waits with a shorter one; - the strike of an engine that ended, but not the trial of the present run; - its failures, merged as totals: those known when the run began and its own, of which the higher count holds. An item that is rejected or has used its attempts is given up, also while it runs again. A late result is taken as a text; its score is requested again. A text that arrives while the item runs again is not used. A failure counts once less if the present run failed before the late end of the other arrived.

The leader itself is not driven by a test here; no run with real processes makes a late end.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -86,6 +86,7 @@
 
 fn stopped(run: &Assignment) -> Outcome {
     Outcome {
+        run: 0,
         job: run.job.clone(),
         item: run.item,
         item_id: format!("{}-{}", run.job, run.item).into(),
--- a/crates/node/src/control/failures.rs
+++ b/crates/node/src/control/failures.rs
@@ -62,15 +62,7 @@
     /// Keeps the failure of a run beyond this leadership. One of this host's own runs is told to another host, so that two
     /// hosts know of it before it is in the store.
     pub(super) fn record_failure(&mut self, run: &ActiveRun, outcome: &Outcome, now: Time) {
-        let Some(job) = self.queue.get(&outcome.job) else {
-            return;
-        };
-        let before = job.failure(outcome.item);
-        let failure = before.after(&outcome.end, outcome.judge_failures);
-        if failure == before {
-            return;
-        }
-        let Some(item) = job.identity(outcome.item) else {
+        let Some((item, failure)) = self.queue.record_failure(outcome, run.failure, now) else {
             return;
         };
         if run.runner.is_none() {
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,7 +17,8 @@
     crash,
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Failures, Job, Pending, Policy, Queue, Reason, Row, Visitor,
+        Assignment, Engine, Engines, Failure, Failures, Job, Pending, Policy, Queue, Reason, Row,
+        Visitor,
         homes::{Homes, Runner, Streams},
     },
     peer::FailedItem,
@@ -43,6 +44,8 @@
     pub(super) item: usize,
     pub(super) target: Option<TargetId>,
     pub(super) started_at: Time,
+    /// Failures of the item before it.
+    pub(super) failure: Failure,
     /// Host that runs it; `None` for this one.
     pub(super) runner: Option<SocketAddr>,
 }
@@ -231,16 +234,19 @@
     }
 
     fn run_command(&mut self, assignment: Assignment, now: Time) -> Option<Command> {
+        self.next_run += 1;
+        self.queue.begin_run(&assignment, self.next_run);
         let job = self.queue.get(&assignment.job)?;
         let engine = assignment.target.as_ref().and_then(|id| self.engines.get(id));
         let target = engine.map(|engine| Endpoint::from(engine.target.as_ref()));
-        self.next_run += 1;
+        let failure = job.failure(assignment.item);
         let runner = self.runner_of(assignment.target.as_deref());
         let run = ActiveRun {
             job: assignment.job.clone(),
             item: assignment.item,
             target: assignment.target.clone(),
             started_at: now,
+            failure,
             runner,
         };
         self.runs.insert(self.next_run, run);
@@ -254,7 +260,7 @@
             single_version: job.policy.single_version,
             pace_max: self.engines.pace_max(),
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
-            failures: job.failure(assignment.item).failures,
+            failures: failure.failures,
             assignment,
         })))
     }
@@ -301,22 +307,22 @@
     /// Applies a report of the traffic thread on a run.
     pub fn apply_report(&mut self, report: RunReport, now: Time) {
         match report {
-            RunReport::Progress { run, progress } => {
-                let Some(run) = self.runs.get(&run) else {
+            RunReport::Progress { run: id, progress } => {
+                let Some(run) = self.runs.get(&id) else {
                     return;
                 };
                 self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
-                if let Some(job) = self.queue.get_mut(&run.job) {
+                if let Some(job) = present_job(&mut self.queue, id, run) {
                     job.set_progress(run.item, progress);
                     job.record_contact(run.item, now);
                 }
             }
-            RunReport::Advanced { run, last_event } => {
-                let Some(run) = self.runs.get(&run) else {
+            RunReport::Advanced { run: id, last_event } => {
+                let Some(run) = self.runs.get(&id) else {
                     return;
                 };
                 self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
-                if let Some(job) = self.queue.get_mut(&run.job) {
+                if let Some(job) = present_job(&mut self.queue, id, run) {
                     job.set_events(run.item, last_event);
                     job.record_contact(run.item, now);
                 }
@@ -346,7 +352,9 @@
             };
             let (item, runner, started_at) = (run.item, run.runner, run.started_at);
             let pending = Pending { run: *id, item, target, runner, started_at };
-            if let Some(wait) = job.pending_wait(&pending, now) {
+            if job.has_run(item, *id)
+                && let Some(wait) = job.pending_wait(&pending, now)
+            {
                 visit(wait);
             }
         }
@@ -415,3 +423,8 @@
         !self.queue.is_empty() || !self.rollout.is_idle()
     }
 }
+
+/// Open job of a run, if that is the present one of its item.
+fn present_job<'a>(queue: &'a mut Queue, id: u64, run: &ActiveRun) -> Option<&'a mut Job> {
+    queue.get_mut(&run.job).filter(|job| job.has_run(run.item, id))
+}
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -167,6 +167,7 @@
 
 /// A run at a runner, with the text received so far.
 struct Tracked {
+    run: u64,
     item: ItemId,
     assignment: Assignment,
     /// The text is complete, so the slot on the engine is free.
@@ -176,11 +177,13 @@
 impl Tracked {
     fn new(run: &Run) -> Self {
         let assignment = run.assignment.clone();
-        Self { item: run.item.id.clone(), generated: run.target.is_none(), assignment }
+        let generated = run.target.is_none();
+        Self { run: run.id, item: run.item.id.clone(), generated, assignment }
     }
 
     fn outcome(&self, end: End) -> Outcome {
         Outcome {
+            run: self.run,
             job: self.assignment.job.clone(),
             item: self.assignment.item,
             item_id: self.item.clone(),
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -78,7 +78,7 @@
         let min = self.spec.min_version;
         let status = &mut self.statuses[item];
         if status.progress.can_continue(min, min, false) {
-            self.set_state(item, State::Running { target: None });
+            self.set_state(item, State::Running { run: 0, target: None });
             return Some(self.assignment(item, None));
         }
         status.progress = Progress::default();
@@ -155,7 +155,7 @@
         {
             status.progress = Progress::default();
         }
-        self.set_state(item, State::Running { target: Some(target.clone()) });
+        self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
         engines.start_run(&target);
         Some(self.assignment(item, Some(target)))
     }
@@ -175,15 +175,27 @@
         }
     }
 
-    /// Applies the outcome of a run to its item.
+    /// Gives the run of an item that has just been assigned its id.
+    pub(super) fn begin_run(&mut self, item: usize, id: u64) {
+        if let Some(State::Running { run, .. }) =
+            self.statuses.get_mut(item).map(|status| &mut status.state)
+        {
+            *run = id;
+        }
+    }
+
+    /// Whether a run is the present one of an item. A run that began before the job was read again is not.
+    pub fn has_run(&self, item: usize, id: u64) -> bool {
+        let state = self.statuses.get(item).map(|status| &status.state);
+        matches!(state, Some(State::Running { run, .. }) if *run == id)
+    }
+
+    /// Applies the outcome of the present run of an item.
     pub(super) fn finish_run(&mut self, outcome: Outcome, now: Time) {
         let (item, Policy { max_attempts, single_version, .. }) = (outcome.item, self.policy);
         let Some(status) = self.statuses.get_mut(item) else {
             return;
         };
-        if !matches!(status.state, State::Running { .. }) {
-            return;
-        }
         status.progress = outcome.progress;
         status.text_complete = outcome.text_complete;
         status.judge_failures = status.judge_failures.saturating_add(outcome.judge_failures);
--- a/crates/node/src/job/failure.rs
+++ b/crates/node/src/job/failure.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     crash::Content,
-    job::{End, Job, status::State},
+    job::{End, Job, Outcome, Queue, status::State},
     prelude::*,
 };
 
@@ -77,15 +77,44 @@
             let Some(item) = position.filter(is_same) else {
                 continue;
             };
-            let status = &mut self.statuses[item];
-            if !matches!(status.state, State::Waiting { .. }) {
-                continue;
-            }
-            status.failures = status.failures.max(failure.failures);
-            status.judge_failures = status.judge_failures.max(failure.judge_failures);
-            if failure.given_up || status.failures >= self.policy.max_attempts {
-                self.finish(item, false, None, now);
+            if matches!(self.statuses[item].state, State::Waiting { .. }) {
+                self.merge_failure(item, *failure, now);
             }
         }
     }
+
+    /// Merges what is known of an open item, and ends it if it may run no more.
+    fn merge_failure(&mut self, item: usize, failure: Failure, now: Time) {
+        let status = &mut self.statuses[item];
+        status.failures = status.failures.max(failure.failures);
+        status.judge_failures = status.judge_failures.max(failure.judge_failures);
+        if failure.given_up || status.failures >= self.policy.max_attempts {
+            self.finish(item, false, None, now);
+        }
+    }
+}
+
+impl Queue {
+    /// Failures of an item after a run, if the run adds to them; `before` are those known when it began. Those of a run that
+    /// is not the present one of the item are merged into what the item has, as the job may have been read with them. Those
+    /// of the present run count when that is finished.
+    pub fn record_failure(
+        &mut self,
+        outcome: &Outcome,
+        before: Failure,
+        now: Time,
+    ) -> Option<(Identity, Failure)> {
+        let job = self.jobs.get_mut(&outcome.job)?;
+        let identity = job.identity(outcome.item).filter(|it| it.item == outcome.item_id)?;
+        let is_present = job.has_run(outcome.item, outcome.run);
+        let before = if is_present { job.failure(outcome.item) } else { before };
+        let failure = before.after(&outcome.end, outcome.judge_failures);
+        if failure == before {
+            return None;
+        }
+        if !is_present && job.statuses[outcome.item].state.is_open() {
+            job.merge_failure(outcome.item, failure, now);
+        }
+        Some((identity, failure))
+    }
 }
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -54,6 +54,7 @@
 /// Outcome of a run.
 #[derive(Clone, Debug)]
 pub struct Outcome {
+    pub run: u64,
     pub job: JobId,
     pub item: usize,
     pub item_id: ItemId,
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -165,7 +165,15 @@
         loads.into_iter().flat_map(of_model).collect()
     }
 
-    /// Applies the outcome of a run to its engine and its item.
+    /// Gives the run of an assignment its id.
+    pub fn begin_run(&mut self, assignment: &Assignment, id: u64) {
+        if let Some(job) = self.jobs.get_mut(&assignment.job) {
+            job.begin_run(assignment.item, id);
+        }
+    }
+
+    /// Applies the outcome of a run to its engine and, if it is the present run of its item, to the item. Any other run
+    /// ended late: its text is offered to the item, and an end of its engine counts against the content.
     pub fn finish_run(&mut self, outcome: Outcome, now: Time, engines: &mut Engines) {
         if let Some(target) = outcome.target.as_ref().filter(|_| outcome.holds_slot) {
             let failed = matches!(outcome.end, End::NotRun | End::Broken);
@@ -179,18 +187,26 @@
         }
         match self.jobs.get_mut(&outcome.job) {
             Some(job) => {
-                record_end(&self.crashes, job, &outcome, now);
+                let is_present = job.has_run(outcome.item, outcome.run);
+                // A trial in progress is that of the present run.
+                if is_present || outcome.ended_instance.is_some() {
+                    record_end(&self.crashes, job, &outcome, now);
+                }
                 if matches!(outcome.end, End::Scored(_)) {
                     let hint = job.spec.items.get(outcome.item).and_then(|item| item.length_hint);
                     self.lengths.record(hint, outcome.progress.last_event);
                 }
-                job.finish_run(outcome, now);
+                if is_present {
+                    job.finish_run(outcome, now);
+                } else {
+                    self.retain_text(outcome, now);
+                }
             }
             None => self.retain_text(outcome, now),
         }
     }
 
-    /// Retains the text of a run that was stopped because its job ended.
+    /// Retains the text of a run that was stopped because its job ended or was read again.
     fn retain_text(&mut self, outcome: Outcome, now: Time) {
         if outcome.progress.last_event > 0 {
             self.resume_item(outcome.item_id, outcome.progress, outcome.text_complete, now);
--- a/crates/node/src/job/status.rs
+++ b/crates/node/src/job/status.rs
@@ -9,6 +9,8 @@
         not_before: Time,
     },
     Running {
+        /// Id of the run; 0 until the leader has given it one.
+        run: u64,
         target: Option<TargetId>,
     },
     /// Its row is not written yet.
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -60,7 +60,9 @@
 
     /// Records that a run has ended.
     pub fn record_run_end(&mut self, outcome: &Outcome, now: Time) {
-        if let Some(job) = self.jobs.get_mut(&outcome.job) {
+        if let Some(job) = self.jobs.get_mut(&outcome.job)
+            && job.has_run(outcome.item, outcome.run)
+        {
             job.record_run_end(outcome, now);
         }
     }
@@ -69,7 +71,7 @@
     fn running_like(&self, host: &str, item: &Item) -> Option<&ItemId> {
         let jobs = self.jobs.values().filter(|job| &*job.record.host == host);
         jobs.flat_map(|job| job.spec.items.iter().zip(&job.statuses))
-            .filter(|(_, status)| matches!(status.state, State::Running { target: Some(_) }))
+            .filter(|(_, status)| matches!(status.state, State::Running { target: Some(_), .. }))
             .find(|(other, _)| other.path == item.path && other.body == item.body)
             .map(|(other, _)| &other.id)
     }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -217,6 +217,7 @@
     record_failure(&traffic, &run, &end, judge_failures);
     let ran = state.ran();
     let outcome = Outcome {
+        run: run.id,
         job: run.assignment.job.clone(),
         item: run.assignment.item,
         item_id: run.item.id.clone(),
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -104,7 +104,7 @@
     progress
 }
 
-/// Outcome of a run.
+/// Outcome of a run that has no id.
 pub fn outcome(
     (job, item, id): (&str, usize, &str),
     target: &str,
@@ -112,6 +112,7 @@
     progress: Progress,
 ) -> Outcome {
     Outcome {
+        run: 0,
         job: job.into(),
         item,
         item_id: id.into(),
