A read of the leader key does not extend exclusive_until

Cause: once its lease should have ended, a leader that could not renew reads its key, and Election::hold treated an answer that shows the key as a renewal: exclusive_until and orders_until began anew, although the lease may end at any time after the read. Until then this host answers for results and grants requests as if no other host could lead.

Change: the read only precedes the renewal; bounds count from the beginning of the last renewal that was answered. The clock is read between the read and the renewal, so a host that stands still anywhere gets an earlier bound, not a later one. The first bound that hold compares with is the beginning of the grant instead of the time at which hold begins.

--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -111,7 +111,7 @@
                 continue;
             }
             match self.acquire().await {
-                Ok(Some((lease, fence))) => self.hold(lease, fence).await,
+                Ok(Some((lease, fence, begun))) => self.hold(lease, fence, begun).await,
                 Ok(None) => sleep(RETRY_DELAY).await,
                 Err(error) => {
                     info!(service = &*self.service, reason:% = error; "could not acquire the leadership");
@@ -121,7 +121,8 @@
         }
     }
 
-    async fn acquire(&self) -> Result<Option<(u64, Revision)>, Error> {
+    /// Returns the lease, the fencing token and the time from which the lease counts at the earliest.
+    async fn acquire(&self) -> Result<Option<(u64, Revision, Time)>, Error> {
         let begun = clock::now();
         let lease = self.store.grant(self.ttl).await?;
         let key = job::leader_key(&self.service);
@@ -132,7 +133,7 @@
             Outcome::Committed(fence) => {
                 info!(service = &*self.service, fence; "leadership taken");
                 self.publish(Some(fence), begun);
-                Ok(Some((lease, fence)))
+                Ok(Some((lease, fence, begun)))
             }
             Outcome::Conflict(_) | Outcome::NoLease => Ok(None),
         }
@@ -148,10 +149,9 @@
     }
 
     /// Renews the lease until it has ended or another host holds the key.
-    async fn hold(&self, lease: u64, fence: Revision) {
+    async fn hold(&self, lease: u64, fence: Revision, mut renewed_at: Time) {
         let (mut leader_key, mut stopping) = (self.leader_key.clone(), self.stopping.clone());
         let mut released = self.released.clone();
-        let mut renewed_at = clock::now();
         loop {
             let lost = |key: &LeaderKey| match key {
                 LeaderKey::Present(revision) => *revision > fence,
@@ -172,20 +172,12 @@
                     break;
                 }
             }
-            let begun = clock::now();
-            // A renewal whose response is lost would extend the lease of a host that cannot lead. Once the lease should
-            // have expired, only a read checks whether this host still leads.
-            let held = if begun.saturating_sub(renewed_at) > self.ttl {
-                self.still_leads(fence).await
-            } else {
-                self.store.renew(lease).await
-            };
-            match held {
-                Ok(true) => {
+            match self.renew(lease, fence, renewed_at).await {
+                Ok(Some(begun)) => {
                     renewed_at = begun;
                     self.publish(Some(fence), begun);
                 }
-                Ok(false) => {
+                Ok(None) => {
                     warn!(service = &*self.service, fence; "leadership lost: its lease has ended");
                     break;
                 }
@@ -199,6 +191,22 @@
         sleep(RETRY_DELAY).await;
     }
 
+    /// Renews the lease. Returns the time at which that began; `None` if this host leads no longer.
+    async fn renew(
+        &self,
+        lease: u64,
+        fence: Revision,
+        renewed_at: Time,
+    ) -> Result<Option<Time>, Error> {
+        // A renewal whose response is lost would extend the lease of a host that cannot lead. Once the lease should have
+        // expired, a read first shows that this host still leads and gets responses. It extends nothing.
+        if clock::now().saturating_sub(renewed_at) > self.ttl && !self.still_leads(fence).await? {
+            return Ok(None);
+        }
+        let begun = clock::now();
+        Ok(self.store.renew(lease).await?.then_some(begun))
+    }
+
     async fn still_leads(&self, fence: Revision) -> Result<bool, Error> {
         let (entry, _) = self.store.get(&job::leader_key(&self.service)).await?;
         Ok(entry.is_some_and(|entry| entry.revision == fence))
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -24,7 +24,7 @@
 pub mod waits;
 mod writes;
 
-pub use election::{Election, Leadership};
+pub use election::{Election, LeaderKey, Leadership};
 pub use mirror::{Mirror, Schedule, Update};
 pub use state::{Parts, run};
 pub use store_state::{Effect, StoreState};
