An item is not given up before its judge has failed as often as the job's policy allows

Cause: the host that runs an item gave it up by max_attempts of the judge's route, as that host knows the route. The policy of the job, which the leader keeps from the acceptance on, had no say.

Change: the leader sends max_attempts of the job's policy with each run (a new field; 0 from earlier builds).

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -261,6 +261,7 @@
             pace_max: self.engines.pace_max(),
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
             failures: failure.failures,
+            max_attempts: job.policy.max_attempts,
             assignment,
         })))
     }
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -157,6 +157,9 @@
     /// Status 500 responses of engines in earlier runs.
     #[prost(uint32, tag = "24")]
     pub failures: u32,
+    /// Failed attempts that the policy of the job allows; 0 from leaders that do not say so.
+    #[prost(uint32, tag = "25")]
+    pub max_attempts: u32,
 }
 
 /// The text of a run is complete.
@@ -268,6 +271,7 @@
             text_software: assignment.progress.software.as_deref().map(str::to_owned),
             started_ms: run.target.as_ref().map(|target| target.started_ms).unwrap_or_default(),
             failures: run.failures,
+            max_attempts: run.max_attempts,
         }
     }
 }
@@ -317,6 +321,7 @@
             pace_max: Duration::from_micros(raw.pace_max_us),
             pace_window: raw.pace_window,
             failures: raw.failures,
+            max_attempts: raw.max_attempts,
             runner: None,
             assignment: Assignment {
                 job: raw.job.into(),
--- a/crates/node/src/traffic/judge.rs
+++ b/crates/node/src/traffic/judge.rs
@@ -6,17 +6,17 @@
 use tokio::time::Instant;
 
 use crate::{
-    job::{End, Item},
+    job::End,
     prelude::*,
-    traffic::{dispatch::dispatch, exchange::Call, serve::Traffic},
+    traffic::{dispatch::dispatch, exchange::Call, run::Run, serve::Traffic},
 };
 
 const TIMEOUT: Duration = Duration::from_millis(3000);
 
-/// Requests the score of a complete text from its judge, after `failures_before` failures in earlier runs. Returns how the
-/// run ended and the judge's failures in this call.
-pub async fn score(traffic: &Rc<Traffic>, item: &Item, failures_before: u32) -> (End, u32) {
-    let Some(judge) = &item.judge else {
+/// Requests the score of the complete text of a run from its judge. Returns how the run ended and the judge's failures in
+/// this call. An item is given up once the judge has failed as often as its route and the policy of the job allow.
+pub async fn score(traffic: &Rc<Traffic>, run: &Run) -> (End, u32) {
+    let Some(judge) = &run.item.judge else {
         return (End::Scored(None), 0);
     };
     let view = traffic.view.load_full();
@@ -37,7 +37,10 @@
     };
     match dispatch(traffic, route, &call).await {
         Ok(response) if response.status.is_success() => (End::Scored(Some(response.receipt)), 0),
-        Ok(response) if failures_before + response.failures >= route.max_attempts => {
+        Ok(response)
+            if run.assignment.judge_failures.saturating_add(response.failures)
+                >= route.max_attempts.max(run.max_attempts) =>
+        {
             (End::JudgeFailed, response.failures)
         }
         // Attempts that were still in flight do not count, so a single call may end below the limit.
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -85,6 +85,8 @@
     pub pace_window: u64,
     /// Status 500 responses of engines in earlier runs.
     pub failures: u32,
+    /// Failed attempts that the policy of the job allows; 0 if the leader does not say so.
+    pub max_attempts: u32,
 }
 
 impl Run {
@@ -203,7 +205,7 @@
             let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
             holds_slot = false;
         }
-        let judge = judge::score(&traffic, &run.item, run.assignment.judge_failures).fuse();
+        let judge = judge::score(&traffic, &run).fuse();
         tokio::select! {
             (end, failures) = judge => {
                 judge_failures = failures;
