--- a/crates/node/src/crash/ends.rs
+++ b/crates/node/src/crash/ends.rs
@@ -6,13 +6,13 @@
 use std::collections::HashMap;
 
 use crate::{
-    crash::{Evidence, Record, Strike},
+    crash::{Background, Evidence, Record, Strike},
     fleet::Target,
     prelude::*,
 };
 
 /// Ends kept at most; with more, the oldest goes.
-const ENDS_MAX: usize = 4096;
+const ENDS_MAX: usize = 1024;
 /// Time for which an end is kept.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Time after the last strike of a content in which ends without it count.
@@ -31,7 +31,7 @@
 }
 
 #[derive(Debug)]
-struct Registered {
+pub(super) struct Registered {
     service: ServiceId,
     started_ms: u64,
     draining: bool,
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Ends {
     registered: HashMap<TargetId, Registered>,
+    /// Number of registered targets by service.
+    services: HashMap<ServiceId, usize>,
     ended: HashMap<Instance, End>,
 }
 
@@ -50,22 +52,29 @@
         let Target { id, service, started_ms, draining, .. } = target;
         let new =
             Registered { service: service.clone(), started_ms: *started_ms, draining: *draining };
-        let old = self.registered.insert(id.clone(), new);
-        if let Some(old) = old.filter(|old| old.started_ms != *started_ms && !old.draining) {
+        let old = self.forget(id);
+        *self.services.entry(service.clone()).or_default() += 1;
+        self.registered.insert(id.clone(), new);
+        if let Some(old) = old.filter(|old| old.started_ms < *started_ms && !old.draining) {
             self.insert((id.clone(), old.started_ms), now, Some(old.service));
         }
     }
 
     /// Records that a registration is gone. Its instance has ended, unless it was leaving.
     pub(super) fn deregister(&mut self, id: &TargetId, now: Time) {
-        if let Some(old) = self.registered.remove(id).filter(|old| !old.draining) {
+        if let Some(old) = self.forget(id).filter(|old| !old.draining) {
             self.insert((id.clone(), old.started_ms), now, Some(old.service));
         }
     }
 
     /// Records that a registration no longer counts, although its target may be alive.
-    pub(super) fn forget(&mut self, id: &TargetId) {
-        self.registered.remove(id);
+    pub(super) fn forget(&mut self, id: &TargetId) -> Option<Registered> {
+        let old = self.registered.remove(id)?;
+        if let Some(count) = self.services.get_mut(&old.service) {
+            *count -= 1;
+        }
+        self.services.retain(|_, count| *count > 0);
+        Some(old)
     }
 
     /// Records an end.
@@ -130,11 +139,17 @@
         let until = others.iter().copied().fold(last, Time::max);
         let away = others.iter().copied().chain(strikes.iter().map(|strike| strike.at));
         let away: Duration = away.map(|at| AWAY_TIME.min(until.saturating_sub(at))).sum();
-        let of_service = |target: &&Registered| service == Some(&target.service);
-        let targets = self.registered.values().filter(of_service).count().max(1);
+        let targets = service.and_then(|service| self.services.get(service)).copied().unwrap_or(1);
         let targets = u32::try_from(targets).unwrap_or(u32::MAX);
         let time = (until - start).saturating_mul(targets).saturating_sub(away).max(ran);
-        Evidence { ends: strikes.len(), ran, others: others.len(), time }
+        let local = Background { ends: others.len(), time };
+        // A host that was just started has seen less than others, and what was seen is forgotten before the strikes.
+        let background = local.max(record.background);
+        Evidence {
+            ends: strikes.len(),
+            ran,
+            background: Background { time: background.time.max(ran), ..background },
+        }
     }
 
     fn service_of(&self, strike: &Strike) -> Option<&ServiceId> {
--- a/crates/node/src/crash/evidence.rs
+++ b/crates/node/src/crash/evidence.rs
@@ -11,6 +11,14 @@
 /// Number of ends that are judged first.
 const ENDS_MIN: usize = 3;
 
+/// Ends of targets of a service without a content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Background {
+    pub ends: usize,
+    /// Time for which targets of the service were up, with or without the content.
+    pub time: Duration,
+}
+
 /// Ends of targets under a content and without it, from its first run under which one ended to the last end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
@@ -18,10 +26,7 @@
     pub ends: usize,
     /// Time for which targets ran the content.
     pub ran: Duration,
-    /// Ends of targets of the service that did not run the content.
-    pub others: usize,
-    /// Time for which targets of the service were up, with or without the content.
-    pub time: Duration,
+    pub background: Background,
 }
 
 impl Evidence {
@@ -31,11 +36,12 @@
     /// time, so their number is binomial. This is the conditional test of two Poisson rates (Przyborowski and Wilenski,
     /// Biometrika 31, 1940).
     pub fn chance(&self) -> f64 {
-        let share = self.ran.as_secs_f64() / self.time.as_secs_f64().max(f64::MIN_POSITIVE);
+        let share =
+            self.ran.as_secs_f64() / self.background.time.as_secs_f64().max(f64::MIN_POSITIVE);
         if share >= 1.0 {
             return 1.0;
         }
-        let all = (self.ends + self.others) as f64;
+        let all = (self.ends + self.background.ends) as f64;
         // Probability of each number of ends below the known one, from none up.
         let mut probability = (1.0 - share).powf(all);
         let mut below = 0.0;
@@ -47,8 +53,11 @@
         1.0 - below
     }
 
-    /// Whether the content itself seems to end its targets.
+    /// Whether the content itself seems to end its targets. If none ended without it, there is nothing to compare with.
     pub fn speaks_against(&self) -> bool {
+        if self.background.ends == 0 {
+            return true;
+        }
         let halvings = self.ends.saturating_sub(ENDS_MIN).min(HALVINGS_MAX);
         self.chance() < CHANCE_MIN * 0.5_f64.powf(halvings as f64)
     }
@@ -56,7 +65,7 @@
 
 impl fmt::Display for Evidence {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { ends, ran, others, time } = self;
+        let Self { ends, ran, background: Background { ends: others, time } } = self;
         let (ran, time, chance) = (ran.as_millis(), time.as_millis(), self.chance());
         write!(f, "ends={ends} ran_ms={ran} others={others} time_ms={time} chance={chance:.5}")
     }
--- a/crates/node/src/crash/mod.rs
+++ b/crates/node/src/crash/mod.rs
@@ -20,7 +20,7 @@
 mod table;
 
 pub use content::Content;
-pub use evidence::Evidence;
+pub use evidence::{Background, Evidence};
 pub use record::{Record, Strike, Verdict};
 pub use stored::Stored;
 pub use table::{Effect, Run, Table};
--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -1,7 +1,7 @@
 //! What is known of one content.
 
 use crate::{
-    crash::{Effect, Run, ends::Ends},
+    crash::{Background, Effect, Run, ends::Ends},
     prelude::*,
 };
 
@@ -94,6 +94,8 @@
     pub(super) survived: Duration,
     /// Last ends that gave no strike, in order of time.
     pub passed: Vec<Strike>,
+    /// Most ends without the content that a host knew at a strike.
+    pub background: Background,
 }
 
 impl Record {
@@ -109,6 +111,11 @@
         self
     }
 
+    /// Adds what a host knew of ends without the content.
+    pub fn with_background(self, background: Background) -> Self {
+        Self { background, ..self }
+    }
+
     /// Whether the run of an end got further than any before. One that ends its target does so at the same event again.
     pub(super) fn is_further(&self, run: Run) -> bool {
         run.reached > run.from && run.reached > self.furthest
@@ -180,7 +187,7 @@
             let doubt = if self.is_doubted(ends) { DOUBT_ENDS } else { 0 };
             return late < LATE_ENDS + doubt;
         }
-        // With more, chance explained the ends until now, so it has one trial.
+        // With more, chance explained the ends until now, so the item has one trial; with as many, none is left.
         late != LATE_ENDS_MAX
     }
 
@@ -257,16 +264,15 @@
         if other.clears < self.clears {
             return false;
         }
-        if other.clears > self.clears {
-            *self = Self { tried_at: None, survived: Duration::ZERO, ..other };
-            self.strikes.drain(..self.strikes.len().saturating_sub(STRIKES_KEPT));
-            self.passed.drain(..self.passed.len().saturating_sub(PASSES_MAX as usize));
-            return true;
+        let is_newer = other.clears > self.clears;
+        if is_newer {
+            *self = Self { clears: other.clears, ..Self::default() };
         }
+        self.background = self.background.max(other.background);
         let is_further = other.furthest > self.furthest || other.passes > self.passes;
         self.furthest = self.furthest.max(other.furthest);
         self.passes = self.passes.max(other.passes);
-        let mut is_news = is_further;
+        let mut is_news = is_newer || is_further;
         for strike in other.strikes {
             is_news |= self.add(strike);
         }
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -151,7 +151,8 @@
 
     /// Records that a registration no longer counts, although its target may be alive.
     pub fn target_forgotten(&self, target: &TargetId) {
-        self.lock().ends.forget(target);
+        // What it was is not needed.
+        let _ = self.lock().ends.forget(target);
     }
 
     /// What speaks for and against a content.
@@ -295,9 +296,10 @@
             return effect;
         }
         record.add(end.clone());
-        let record = record.clone();
         self.ends.note(&end);
-        let evidence = self.ends.evidence(&record);
+        let record = &mut self.entries.entry(content).or_default().record;
+        let evidence = self.ends.evidence(record);
+        record.background = evidence.background;
         let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
         let (ran_ms, age_ms) = (ms(end.ran), ms(now.saturating_sub(end.at)));
         warn!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms, age_ms, strikes, verdict:? = verdict, evidence:% = evidence; "a target ended under a content");
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock,
-    crash::{self, Content, Record},
+    crash::{self, Background, Content, Record},
     peer::millis,
     prelude::*,
 };
@@ -10,6 +10,9 @@
 /// Longest id of a target; the store takes no longer keys.
 const TARGET_BYTES_MAX: usize = 200;
 
+/// Most ends without a content that count.
+const OTHERS_MAX: usize = 4096;
+
 /// End of a target.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Strike {
@@ -45,6 +48,12 @@
     /// The last of these ends.
     #[prost(message, repeated, tag = "6")]
     pub passed: Vec<Strike>,
+    /// Ends without the content that the host knows; 0 from hosts that do not say so.
+    #[prost(uint64, tag = "7")]
+    pub others: u64,
+    /// Time for which targets of the service were up until then.
+    #[prost(uint64, tag = "8")]
+    pub time_ms: u64,
 }
 
 /// Asks for the contents that a host knows.
@@ -74,7 +83,10 @@
             age_ms: millis(now.saturating_sub(strike.at)),
             ran_ms: millis(strike.ran),
         };
+        let Background { ends, time } = record.background;
         Self {
+            others: ends as u64,
+            time_ms: millis(time),
             content: content.to_bytes().to_vec(),
             clears: record.clears,
             furthest: record.furthest,
@@ -103,8 +115,10 @@
                 .map(strike)
                 .collect()
         };
-        let Suspect { clears, furthest, passes, .. } = suspect;
+        let Suspect { clears, furthest, passes, others, time_ms, .. } = suspect;
+        let ends = usize::try_from(others).unwrap_or(usize::MAX).min(OTHERS_MAX);
+        let background = Background { ends, time: Duration::from_millis(time_ms) };
         let record = Record::new(sound(suspect.strikes), clears, furthest, passes);
-        Ok((content, record.with_passed(sound(suspect.passed))))
+        Ok((content, record.with_passed(sound(suspect.passed)).with_background(background)))
     }
 }
--- a/crates/node/tests/compatibility.rs
+++ b/crates/node/tests/compatibility.rs
@@ -150,8 +150,16 @@
     let request = |kind| Request { kind: Some(kind) }.encode_to_vec();
     let strikes = vec![Strike { target: "i-1".into(), started_ms: 5, age_ms: 6, ran_ms: 9 }];
     let passed = vec![Strike { target: "i-2".into(), started_ms: 7, age_ms: 8, ran_ms: 10 }];
-    let suspect =
-        Suspect { content: vec![1; 16], clears: 2, furthest: 3, strikes, passes: 1, passed };
+    let suspect = Suspect {
+        content: vec![1; 16],
+        clears: 2,
+        furthest: 3,
+        strikes,
+        passes: 1,
+        passed,
+        others: 4,
+        time_ms: 5,
+    };
     let notice = Notice { forward: true, suspects: vec![suspect.clone()], ..Notice::default() };
     let read = old::Request::decode(&*request(Kind::Notice(notice))).unwrap();
     let expected = old::Notice { forward: true, ..old::Notice::default() };
--- a/crates/node/tests/crash_review.rs
+++ b/crates/node/tests/evidence.rs
@@ -1,4 +1,4 @@
-//! Cases of a review: contents whose evidence misleads the table of contents.
+//! Contents whose evidence may mislead the table of contents.
 
 use lagoonyard_node::{
     crash::{Content, Record, Run, Strike, Table, Verdict},
