A suspected crash that is not confirmed in time no longer isolates its contents

What callers saw: requests of a sound content ran one copy at a time, on engines without other suspects, for up to an hour. Cause: the suspicion of a content ended with a poll's answer, a success or the record's end after 1 h. Where a poll is neither answered nor overdue within the 4 s of the window (a target that leaves the list, a poll interval above 1.3 s) or the refusal comes later, nobody ended it. Change: the end of the window, a late refusal and a new suspicion of the same target end it, unless another target is suspected to have crashed under the content. Waiting copies are placed then.

--- a/src/core/strike.rs
+++ b/src/core/strike.rs
@@ -2,8 +2,8 @@
 //!
 //! A content, identified by its hash, becomes suspect when the connection of its request breaks. If the target then
 //! refuses a connection or a poll within `CRASH_WINDOW`, it has crashed, and the contents whose connection broke get a
-//! strike. Contents that are suspect or have strikes run isolated: one copy at a time, on a target that runs no other
-//! such content. A content is refused once its strikes reach the limit of its lane.
+//! strike; otherwise the suspicion ends. Contents that are suspect or have strikes run isolated: one copy at a time, on a
+//! target that runs no other such content. A content is refused once its strikes reach the limit of its lane.
 //!
 //! Two rules protect a content that merely shared the target with the cause. A content that already has strikes gets
 //! another one only if it was the only such content in flight on the target, and the last strike before the limit
@@ -151,6 +151,17 @@
         }
     }
 
+    /// Ends the suspicion of the contents of a crash that was not confirmed in time, except of those that may have
+    /// crashed another target.
+    fn drop_unconfirmed(&mut self, contents: impl Iterator<Item = ContentHash>) {
+        for content in contents {
+            let mut crashes = self.suspected_crashes.values();
+            if !crashes.any(|crash| crash.contents.contains_key(&content)) {
+                self.clear_suspicion(content);
+            }
+        }
+    }
+
     fn remove(&mut self, content: ContentHash) {
         if let Some(record) = self.records.remove(&content) {
             self.by_expiry.remove(&(record.expires, content));
@@ -249,15 +260,17 @@
 ) {
     let now = world.now;
     let contents: Vec<ContentHash> = world.requests.contents_on(target).collect();
+    let mut unconfirmed = BTreeMap::new();
     let crash = world.strikes.suspected_crashes.entry(target.clone()).or_default();
     if crash.contents.is_empty() || now > crash.since + CRASH_WINDOW {
         crash.since = now;
-        crash.contents.clear();
+        unconfirmed = std::mem::take(&mut crash.contents);
         crash.in_flight = contents.into_iter().collect();
     }
     crash.contents.insert(content, limit);
     crash.in_flight.insert(content);
     crash.waiting.push(id);
+    world.strikes.drop_unconfirmed(unconfirmed.into_keys());
     world.strikes.upsert(content, now + STRIKE_TTL).suspect = true;
     health::probe(world, target);
 }
@@ -269,6 +282,8 @@
     };
     if world.now <= crash.since + CRASH_WINDOW {
         record_crash(world, target, &crash);
+    } else {
+        world.strikes.drop_unconfirmed(crash.contents.into_keys());
     }
     for id in crash.waiting {
         retry::resume(world, id);
@@ -301,7 +316,17 @@
     {
         strikes.remove(content);
     }
-    strikes.suspected_crashes.retain(|_, crash| now <= crash.since + CRASH_WINDOW);
+    let crashes = std::mem::take(&mut strikes.suspected_crashes);
+    let (pending, unconfirmed): (BTreeMap<_, _>, BTreeMap<_, _>) =
+        crashes.into_iter().partition(|(_, crash)| now <= crash.since + CRASH_WINDOW);
+    strikes.suspected_crashes = pending;
+    if !unconfirmed.is_empty() {
+        strikes.drop_unconfirmed(
+            unconfirmed.into_values().flat_map(|crash| crash.contents.into_keys()),
+        );
+        // Copies of these contents may wait for the running one.
+        world.queues.touch_all();
+    }
 }
 
 fn record_crash(world: &mut World, target: &TargetId, crash: &SuspectedCrash) {
--- a/tests/strike.rs
+++ b/tests/strike.rs
@@ -7,9 +7,11 @@
 use driver::{Driver, LONG_DEADLINE, limits, ms, prompt, settings};
 use lagoonyard::{
     core::{
+        Settings,
         request::{Attempt, Failure, Work},
         rows::{self, Key},
         strike,
+        target::Outcome,
     },
     prelude::*,
     wire,
@@ -113,6 +115,55 @@
     }
 }
 
+/// Three engines whose polls are neither answered nor overdue within the window of a crash.
+fn without_polls() -> Driver {
+    let settings = Settings { poll_interval: LONG_DEADLINE, ..settings() };
+    let limits = limits(|it| (it.attempts, it.retry_budget_percent) = (10, 100));
+    let mut driver = Driver::with(settings, 3, 0, limits);
+    driver.mute_polls = true;
+    driver
+}
+
+/// Guards against a content that stays isolated because no poll showed in time whether its target crashed.
+#[test]
+fn a_crash_that_is_not_confirmed_in_time_isolates_no_longer() {
+    let mut driver = without_polls();
+    driver.submit(1, prompt("same"), None, LONG_DEADLINE);
+    let content = prompt("same").content();
+    let is_isolated = |driver: &Driver| driver.core.world().strikes.is_isolated(content);
+    let first = driver.single_attempt();
+    driver.fail(&first, Failure::Broken);
+    driver.advance(ms(2500));
+    let second = driver.single_attempt();
+    driver.fail(&second, Failure::Broken);
+    driver.advance(ms(2000));
+    assert!(is_isolated(&driver), "the second target may have crashed");
+    driver.advance(ms(2500));
+    assert!(!is_isolated(&driver));
+    // A refusal that comes too late ends the suspicion too.
+    let third = driver.take_attempts().pop().expect("the request is retried");
+    driver.fail(&third, Failure::Broken);
+    assert!(is_isolated(&driver));
+    driver.now += ms(4500);
+    driver.finish_poll(&third.target, Outcome::Unreachable);
+    assert!(!is_isolated(&driver));
+    assert_eq!(driver.core.world().strikes.count(content), 0);
+}
+
+/// Guards against copies that wait although the suspicion of their content has ended.
+#[test]
+fn copies_run_once_a_suspicion_ends_without_a_poll() {
+    let mut driver = without_polls();
+    driver.submit(1, prompt("same"), None, LONG_DEADLINE);
+    let first = driver.single_attempt();
+    driver.fail(&first, Failure::Broken);
+    driver.submit(2, prompt("same"), None, LONG_DEADLINE);
+    driver.advance(ms(3500));
+    assert_eq!(driver.single_attempt().ticket, Some(2), "one copy runs at a time");
+    driver.advance(ms(1000));
+    assert_eq!(driver.single_attempt().ticket, Some(1));
+}
+
 /// Guards against strikes that add up to a refusal although the content ran successfully in between.
 #[test]
 fn success_clears_strikes() {
