A model without zones has the engines of all zones for loads and trainers too

Cause: requests take no zones of a model as all, but the capacity of trainers, the engines for loads and the plan of orders took them as none. Change: one function says whether a lane's work may run in a zone, and all four use it. The owner of a stream is unchanged: it goes by the trainer's zone first, then by the model's list. Measured: a_model_without_zones_has_the_engines_of_all_zones failed before (no engines), passes now.

--- a/src/core/capacity.rs
+++ b/src/core/capacity.rs
@@ -1,7 +1,7 @@
 //! Engine capacity that a trainer can use for its samples.
 
 use crate::{
-    core::{World, settings::Policy, target},
+    core::{World, lane, settings::Policy, target},
     file::{Kind, Snapshot, Trainer},
     prelude::*,
 };
@@ -47,13 +47,15 @@
         let weights: u64 = of_model.map(|other| u64::from(other.weight)).sum();
         let weight = u64::from(trainer.weight.max(1));
         let share = |slots: u64| (slots * weight).div_ceil(weights.max(1)).min(slots);
-        let zones = snapshot.models.get(&trainer.model).map_or(&[][..], |model| &model.zones);
+        let Some(model) = snapshot.models.get(&trainer.model) else {
+            return capacity;
+        };
         for (target, row) in &world.targets.rows {
             let Some(pool) = snapshot.pools.get(&row.pool) else {
                 continue;
             };
             let serves = matches!(&pool.kind, Kind::Engine { model } if *model == trainer.model);
-            if !serves || !zones.contains(&row.zone) {
+            if !serves || !lane::is_allowed(&model.zones, &row.zone) {
                 continue;
             }
             // Engines of other zones are polled by hosts of their zone and have no report here.
--- a/src/core/dispatch.rs
+++ b/src/core/dispatch.rs
@@ -11,7 +11,7 @@
 use crate::{
     core::{
         Action, World, finish, forward,
-        lane::Lane,
+        lane::{Lane, is_allowed},
         probe,
         queue::Class,
         request::{Attempt, Origin, Stage},
@@ -313,10 +313,6 @@
         .is_some_and(|row| matches!(row.state, State::Unknown | State::Live))
 }
 
-fn is_allowed(zones: &[ZoneId], zone: &ZoneId) -> bool {
-    zones.is_empty() || zones.contains(zone)
-}
-
 fn runs_isolated(world: &World, target: &TargetId) -> bool {
     world.requests.contents_on(target).any(|content| world.strikes.is_isolated(content))
 }
--- a/src/core/engines.rs
+++ b/src/core/engines.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 
 use crate::{
-    core::{World, last_engine::Position, target},
+    core::{World, lane, last_engine::Position, target},
     file::{Kind, Model, Snapshot},
     prelude::*,
 };
@@ -31,7 +31,7 @@
             let pool = snapshot.pools.get(&row.pool);
             let serves = pool
                 .is_some_and(|pool| matches!(&pool.kind, Kind::Engine { model } if model == name));
-            if !serves || !model.zones.contains(&row.zone) {
+            if !serves || !lane::is_allowed(&model.zones, &row.zone) {
                 continue;
             }
             if row.zone == *zone && row.state == target::State::Live {
--- a/src/core/lane.rs
+++ b/src/core/lane.rs
@@ -13,6 +13,11 @@
     Service(ServiceId),
 }
 
+/// Whether work may run in a zone, given the zones of its lane. No zones mean all zones.
+pub fn is_allowed(zones: &[ZoneId], zone: &ZoneId) -> bool {
+    zones.is_empty() || zones.contains(zone)
+}
+
 impl Lane {
     /// Lane of a piece of work.
     pub fn of(work: &Work) -> Self {
--- a/src/core/order.rs
+++ b/src/core/order.rs
@@ -10,7 +10,7 @@
     core::{
         Action, World, backoff, desired,
         engines::Engines,
-        last_engine,
+        lane, last_engine,
         rollout::{Failure, Op, Order, OrderReply},
         settings::Policy,
         store, target,
@@ -148,7 +148,7 @@
         return;
     };
     for (name, model) in &snapshot.models {
-        if model.zones.contains(&world.hosts.zone) {
+        if lane::is_allowed(&model.zones, &world.hosts.zone) {
             send_model_orders(world, &snapshot, name, model, &authority);
         }
     }
--- a/tests/rollout.rs
+++ b/tests/rollout.rs
@@ -7,7 +7,9 @@
 use lagoonyard::{
     core::{
         Action,
+        capacity::Capacity,
         config::Answer,
+        engines::Engines,
         host::State,
         order::{self, Authority},
         rollout::{self, Announcement, Desired, Failure, Order, OrderReply},
@@ -343,6 +345,22 @@
     assert!(sent.iter().all(|order| order.target.starts_with('w')));
 }
 
+/// Guards against a model without zones that has targets for callers but no engines for loads and trainers.
+#[test]
+fn a_model_without_zones_has_the_engines_of_all_zones() {
+    let mut snapshot = rig::snapshot();
+    snapshot.models.get_mut(MODEL).unwrap().zones.clear();
+    let mut rig = fleet(4);
+    add_engine(&mut rig.world, "x1", 1);
+    rig.world.targets.rows.get_mut("x1").unwrap().zone = "franklin".into();
+    let capacity = Capacity::new(&rig.world, &snapshot, &snapshot.trainers[TRAINER], 1, 1);
+    assert_eq!((capacity.engines, capacity.slots), (5, 80));
+    let engines = Engines::new(&rig.world, &snapshot, &MODEL.into(), &snapshot.models[MODEL]);
+    assert_eq!((engines.live.len(), engines.position.zones), (4, 2));
+    rig.world.config.snapshot = Some(Arc::new(snapshot));
+    assert_eq!(orders(&mut rig, || lease_with(5)).len(), 1);
+}
+
 /// Guards against a model out of service because zones with one engine each load it at the same time.
 #[test]
 fn a_last_engine_waits_for_the_time_slot_of_its_zone() {
