A line above the limit is refused although its line feed is there

Cause: the length was checked only while no line feed was in the buffer, so a long line passed when its end came in the same frame. Change: the length is checked before the line is split off. Measured: a_line_above_the_limit_is_refused_although_its_end_is_there failed before (the line of 5 bytes passed a limit of 4), passes now.

--- a/src/outbound.rs
+++ b/src/outbound.rs
@@ -134,14 +134,15 @@
     /// Next line without its line feed, `None` at the end of the body.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
-            if let Some(end) = self.buffer.iter().position(|&byte| byte == b'\n') {
+            let end = self.buffer.iter().position(|&byte| byte == b'\n');
+            if end.unwrap_or(self.buffer.len()) > self.limit {
+                return Err(Failure::Broken);
+            }
+            if let Some(end) = end {
                 let mut line = self.buffer.split_to(end + 1);
                 line.truncate(end);
                 return Ok(Some(line.freeze()));
             }
-            if self.buffer.len() > self.limit {
-                return Err(Failure::Broken);
-            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
