A malformed method of a call is a usage error

What callers saw: exit code 1 and "could not call", after a key was fetched and a key file was written. Cause: the method was a text until the call was sent. Change: the command line parses it as a method; the rest follows from the type. Measured: a_malformed_method_is_refused_as_usage failed before (exit code 1), passes now (2, no call to the host).

--- a/src/cmd/call.rs
+++ b/src/cmd/call.rs
@@ -52,7 +52,7 @@
                 Err(error) if error.kind() == io::ErrorKind::NotFound => {}
                 Err(error) => return Err(error).context(error::ReadSnafu { path }),
             }
-        } else if matches!(&*self.method, "GET" | "HEAD") {
+        } else if matches!(self.method, Method::GET | Method::HEAD) {
             return Ok(None);
         }
         let key = fetch_key(client).await?;
@@ -65,11 +65,6 @@
     /// Sends the call and repeats it with the same key while the outcome is unknown.
     async fn send(&self, client: &mut Client, key: Option<&str>) -> Result<Answer> {
         let action = self.action();
-        let method =
-            Method::from_bytes(self.method.as_bytes()).map_err(|_| Error::InvalidAnswer {
-                action: action.as_str().into(),
-                message: "method is not valid".into(),
-            })?;
         let path = format!("/v1/services/{}/{}", self.service, self.path.trim_start_matches('/'));
         let headers: Vec<(&'static str, &str)> =
             key.map(|key| ("idempotency-key", key)).into_iter().collect();
@@ -77,7 +72,7 @@
         let (mut outcome_unknown, mut refusal) = (false, None);
         let mut sent = 0;
         while sent < self.attempts.max(1) && !client.is_expired() {
-            match client.send(method.clone(), &path, &headers, body.clone()).await {
+            match client.send(self.method.clone(), &path, &headers, body.clone()).await {
                 Err(Failure::Connect) => {}
                 Err(Failure::Broken) => {
                     outcome_unknown = true;
--- a/src/cmd/cli.rs
+++ b/src/cmd/cli.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
+use http::Method;
 
 use crate::prelude::*;
 
@@ -171,7 +172,7 @@
 #[derive(Debug, Args)]
 pub struct Call {
     pub service: Box<str>,
-    pub method: Box<str>,
+    pub method: Method,
     /// Path and query after the name of the service.
     pub path: Box<str>,
     #[command(flatten)]
--- a/tests/cmd.rs
+++ b/tests/cmd.rs
@@ -149,6 +149,16 @@
     assert_eq!(*host.keys.lock().unwrap(), ["", "h.1.1.t", "h.1.1.t", "h.1.1.t"]);
 }
 
+/// Guards against a malformed method that costs a key before it is refused, and against an exit code that blames the
+/// host for it.
+#[test]
+fn a_malformed_method_is_refused_as_usage() {
+    let host = Host::new(vec![Some((200, json!({"keys": ["h.1.1.t"]})))]);
+    let args = ["call", "works-app", "PO ST", "/bookings", "--host", &host.url];
+    assert_eq!(lagoonyard(&args).status.code(), Some(2));
+    assert!(host.keys.lock().unwrap().is_empty(), "no call is made");
+}
+
 /// Guards against accepting a batch for an older version of the trainer, and against losing the cursor.
 #[test]
 fn a_pull_rejects_batches_for_older_versions_and_keeps_the_cursor() {
