The status names all hosts of the own zone that lag

What operators saw: at most 8 lagging hosts, while the same page lists all hosts of the zone with their revisions. Cause: a bare 8, the bound of the summary that zones send each other, cut the own zone too. Measured: a_status_names_all_lagging_hosts_of_the_own_zone failed before (8 of 12 hosts), passes now.

--- a/src/core/status.rs
+++ b/src/core/status.rs
@@ -72,7 +72,6 @@
         .iter()
         .filter(|(_, revision)| *revision < world.config.revision)
         .map(|(id, _)| *id)
-        .take(8)
         .collect();
     let mut zones: BTreeMap<&ZoneId, Value> = BTreeMap::new();
     for (zone, summary) in &table.zones {
--- a/tests/host.rs
+++ b/tests/host.rs
@@ -6,7 +6,7 @@
 
 use common::{Fleet, id};
 use lagoonyard::{
-    core::{Event, config::Admin, host::State},
+    core::{Event, config::Admin, host::State, status},
     ids::HostId,
 };
 
@@ -141,3 +141,19 @@
         assert_eq!(state(&fleet, at, "a-7"), None);
     }
 }
+
+/// Guards against a status page that names only a part of the hosts that lag in the own zone.
+#[test]
+fn a_status_names_all_lagging_hosts_of_the_own_zone() {
+    let mut fleet = Fleet::new(&["a"], 12);
+    fleet.run(8 * SECOND);
+    let world = fleet.cores.get_mut("a-0").unwrap().world_mut();
+    world.config.revision += 1;
+    let status = status::status(world);
+    let hosts = status["hosts"].as_array().unwrap();
+    let behind =
+        hosts.iter().filter(|host| host["revision"].as_u64() < status["revision"].as_u64());
+    let behind: Vec<_> = behind.map(|host| host["host"].clone()).collect();
+    assert!(behind.len() >= 11, "{behind:?}");
+    assert_eq!(status["zones"]["a"]["lagging"], serde_json::json!(behind));
+}
