Remove an unused name from the core's events

Cause: core::event::Waiter named a ticket and was used nowhere. Change: it is removed, with the import that only it needed. No test: nothing uses it. Measured: the package builds, clippy with -D warnings is clean.

--- a/src/core/event.rs
+++ b/src/core/event.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{
-    core::{config, key, listing, peer, request, rollout, store, stream, target},
-    prelude::*,
-};
+use crate::core::{config, key, listing, peer, request, rollout, store, stream, target};
 
 /// An input of the core.
 #[derive(Clone, Debug)]
@@ -35,6 +32,3 @@
     /// The data folder contained a configuration at start.
     CachedConfig(Arc<[u8]>),
 }
-
-/// Ticket that identifies the recipient of an answer.
-pub type Waiter = Ticket;
