Stand-in: a grant with a taken lease id is answered as such

Cause: the limit of leases and a taken id shared one error, "database space exceeded" with status 429, which callers take as a full store. Change: a taken id gets "lease already exists", gRPC code 9, status 400.

--- a/crates/standin/src/gateway.rs
+++ b/crates/standin/src/gateway.rs
@@ -256,6 +256,7 @@
         Error::ValueTooLarge => ("etcdserver: request is too large", 3),
         Error::SpaceExceeded => ("etcdserver: mvcc: database space exceeded", 8),
         Error::LeaseNotFound => ("etcdserver: requested lease not found", 5),
+        Error::LeaseExists => ("etcdserver: lease already exists", 9),
         Error::Compacted => ("etcdserver: mvcc: required revision has been compacted", 11),
     }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -320,7 +320,7 @@
     let status = match error {
         Error::LeaseNotFound => StatusCode::NOT_FOUND,
         Error::SpaceExceeded => StatusCode::TOO_MANY_REQUESTS,
-        Error::ValueTooLarge | Error::Compacted => StatusCode::BAD_REQUEST,
+        Error::ValueTooLarge | Error::LeaseExists | Error::Compacted => StatusCode::BAD_REQUEST,
     };
     let body = json!({"error": message, "message": message, "code": code, "details": []});
     Box::new(reply(status, &body))
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -111,6 +111,7 @@
     ValueTooLarge,
     SpaceExceeded,
     LeaseNotFound,
+    LeaseExists,
     Compacted,
 }
 
@@ -212,7 +213,10 @@
 
     /// Creates a lease; ID 0 lets the store choose the ID.
     pub fn grant(&mut self, id: i64, ttl: Duration, now: Instant) -> Result<i64, Error> {
-        if self.leases.len() >= LEASES_MAX || self.leases.contains_key(&id) {
+        if self.leases.contains_key(&id) {
+            return Err(Error::LeaseExists);
+        }
+        if self.leases.len() >= LEASES_MAX {
             return Err(Error::SpaceExceeded);
         }
         self.last_lease_id += 1;
