Stand-in: a rewind restores the keys of leases

Cause: a rewind wrote the rows alone. A restored key did not end with its lease, a key that the rewind took from a lease still ended with it, and a key whose lease had ended since the backup stayed for ever. Change: rows and the key lists of leases change in one place; an ended lease that a restored key is attached to begins anew with its time to live, as in a store that is restored from a backup.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -242,7 +242,8 @@
             }
             "/control/rewind" => {
                 let rewind: Rewind = call.json()?;
-                self.state().store.rewind(rewind.revision).map_err(store_error)?;
+                let now = Instant::now();
+                self.state().store.rewind(rewind.revision, now).map_err(store_error)?;
                 self.rewinds.fetch_add(1, Ordering::AcqRel);
                 self.notify();
             }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -126,6 +126,8 @@
 pub struct Store {
     rows: BTreeMap<Bytes, Entry>,
     leases: BTreeMap<i64, Lease>,
+    /// Leases that ended, with their time to live, for rewinding.
+    ended_leases: VecDeque<(i64, Duration)>,
     log: VecDeque<Change>,
     revision: i64,
     last_lease_id: i64,
@@ -136,6 +138,7 @@
         Self {
             rows: BTreeMap::new(),
             leases: BTreeMap::new(),
+            ended_leases: VecDeque::new(),
             log: VecDeque::new(),
             revision: 1,
             last_lease_id: 7_587_000_000,
@@ -194,23 +197,38 @@
         Ok(self.log.iter().filter(matches).cloned().collect())
     }
 
-    /// Restores the contents of an earlier revision, as after a restore from an old backup.
-    pub fn rewind(&mut self, revision: i64) -> Result<(), Error> {
+    /// Restores the contents of an earlier revision, as after a restore from an old backup. A lease that a restored key
+    /// is attached to and that has ended begins anew.
+    pub fn rewind(&mut self, revision: i64, now: Instant) -> Result<(), Error> {
         let oldest = self.log.front().map_or(self.revision + 1, |change| change.revision);
         if revision + 1 < oldest {
             return Err(Error::Compacted);
         }
         while self.log.back().is_some_and(|change| change.revision > revision) {
             let Some(change) = self.log.pop_back() else { break };
-            match change.before {
-                Some(entry) => self.rows.insert(change.key, entry),
-                None => self.rows.remove(&change.key),
-            };
+            self.set(&change.key, change.before);
         }
         self.revision = self.revision.min(revision);
+        self.restore_leases(now);
         Ok(())
     }
 
+    /// Grants the ended leases that keys are attached to again.
+    fn restore_leases(&mut self, now: Instant) {
+        let mut without: BTreeMap<i64, BTreeSet<Bytes>> = BTreeMap::new();
+        for (key, entry) in &self.rows {
+            if entry.lease != 0 && !self.leases.contains_key(&entry.lease) {
+                without.entry(entry.lease).or_default().insert(key.clone());
+            }
+        }
+        for (id, keys) in without {
+            let ended = self.ended_leases.iter().rev().find(|(ended, _)| *ended == id);
+            if let Some(&(_, ttl)) = ended {
+                self.leases.insert(id, Lease { ttl, expires: now + ttl, keys });
+            }
+        }
+    }
+
     /// Creates a lease; ID 0 lets the store choose the ID.
     pub fn grant(&mut self, id: i64, ttl: Duration, now: Instant) -> Result<i64, Error> {
         if self.leases.contains_key(&id) {
@@ -236,6 +254,10 @@
     /// Removes a lease and deletes its keys.
     pub fn revoke(&mut self, id: i64) -> Result<(), Error> {
         let lease = self.leases.remove(&id).ok_or(Error::LeaseNotFound)?;
+        if self.ended_leases.len() == LEASES_MAX {
+            self.ended_leases.pop_front();
+        }
+        self.ended_leases.push_back((id, lease.ttl));
         let next = self.revision + 1;
         for key in lease.keys {
             self.replace(key, None, next);
@@ -292,25 +314,32 @@
             .collect()
     }
 
-    /// Sets or removes a key, updates the key lists of its leases, and appends to the change log.
+    /// Sets or removes a key, and appends to the change log.
     fn replace(&mut self, key: Bytes, after: Option<Entry>, revision: i64) {
-        let before = match after.clone() {
-            Some(entry) => self.rows.insert(key.clone(), entry),
-            None => self.rows.remove(&key),
-        };
+        let before = self.set(&key, after.clone());
         if before.is_none() && after.is_none() {
             return;
         }
-        if let Some(lease) = before.as_ref().and_then(|entry| self.leases.get_mut(&entry.lease)) {
-            lease.keys.remove(&key);
-        }
-        if let Some(lease) = after.as_ref().and_then(|entry| self.leases.get_mut(&entry.lease)) {
-            lease.keys.insert(key.clone());
-        }
         self.revision = revision;
         if self.log.len() == CHANGE_LOG_MAX {
             self.log.pop_front();
         }
         self.log.push_back(Change { revision, key, before, after });
     }
+
+    /// Sets or removes a key, and updates the key lists of its leases. Returns the entry before.
+    fn set(&mut self, key: &Bytes, after: Option<Entry>) -> Option<Entry> {
+        let lease = after.as_ref().map_or(0, |entry| entry.lease);
+        let before = match after {
+            Some(entry) => self.rows.insert(key.clone(), entry),
+            None => self.rows.remove(key),
+        };
+        if let Some(lease) = before.as_ref().and_then(|entry| self.leases.get_mut(&entry.lease)) {
+            lease.keys.remove(key);
+        }
+        if let Some(lease) = self.leases.get_mut(&lease) {
+            lease.keys.insert(key.clone());
+        }
+        before
+    }
 }
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -2,9 +2,25 @@
 
 mod common;
 
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
 use common::Standin;
+use lagoonyard_standin::store::{Op, Outcome, Span, Store};
 use serde_json::json;
 
+const TTL: Duration = Duration::from_secs(2);
+
+fn put(key: &str, lease: i64) -> Op {
+    Op::Put { key: Bytes::copy_from_slice(key.as_bytes()), value: Bytes::new(), lease }
+}
+
+fn exists(store: &mut Store, key: &str) -> bool {
+    let span = Span { start: Bytes::copy_from_slice(key.as_bytes()), end: Bytes::new() };
+    let outcomes = store.execute(&[Op::Range { span, limit: 0 }]).unwrap();
+    matches!(&outcomes[..], [Outcome::Range { count: 1, .. }])
+}
+
 /// Guards against a taken lease id that is reported as a full store.
 #[tokio::test]
 async fn a_lease_id_that_exists_is_reported_as_such() {
@@ -15,3 +31,38 @@
     assert_eq!((status, &body["code"]), (400, &json!(9)), "{body}");
     assert_eq!(body["message"], "etcdserver: lease already exists");
 }
+
+/// Guards against a restored key that outlives its lease, and against one that ends with a lease that it has left.
+#[test]
+fn a_rewind_restores_the_keys_of_leases() {
+    let now = Instant::now();
+    let mut store = Store::default();
+    let lease = store.grant(0, TTL, now).unwrap();
+    let other = store.grant(0, 10 * TTL, now).unwrap();
+    store.execute(&[put("deleted", lease), put("moved", lease)]).unwrap();
+    let backup = store.revision();
+    let span = Span { start: Bytes::from_static(b"deleted"), end: Bytes::new() };
+    store.execute(&[Op::Delete { span }, put("moved", other), put("newer", other)]).unwrap();
+    store.rewind(backup, now).unwrap();
+    store.revoke(other).unwrap();
+    assert!(exists(&mut store, "moved"), "it was attached to the other lease after the backup");
+    assert!(store.expire(now + TTL));
+    assert!(!exists(&mut store, "deleted") && !exists(&mut store, "moved"));
+}
+
+/// Guards against a restored key that stays for ever because its lease ended after the backup.
+#[test]
+fn a_rewind_restores_the_leases_of_restored_keys() {
+    let now = Instant::now();
+    let mut store = Store::default();
+    let lease = store.grant(0, TTL, now).unwrap();
+    store.execute(&[put("held", lease)]).unwrap();
+    let backup = store.revision();
+    store.revoke(lease).unwrap();
+    assert!(!exists(&mut store, "held"));
+    store.rewind(backup, now + TTL).unwrap();
+    assert!(exists(&mut store, "held"));
+    assert_eq!(store.keep_alive(lease, now + TTL), Some(TTL));
+    assert!(store.expire(now + 2 * TTL));
+    assert!(!exists(&mut store, "held"));
+}
