Stand-in: the new keys of a transaction count together

Cause: each put was checked against the number of keys before the transaction, so one of 128 puts could pass the limit by 127 keys. Change: the distinct new keys of the puts before count too. Measured: the_puts_of_a_transaction_count_together failed before (two new keys passed at 99,999 of 100,000), passes now.

--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -153,12 +153,16 @@
 
     /// Runs one branch of a transaction: all its operations under one new revision, or none of them.
     pub fn execute(&mut self, ops: &[Op]) -> Result<Vec<Outcome>, Error> {
+        let mut created: BTreeSet<&Bytes> = BTreeSet::new();
         for op in ops {
             let Op::Put { key, value, lease } = op else { continue };
             if value.len() > VALUE_MAX_BYTES {
                 return Err(Error::ValueTooLarge);
             }
-            if self.rows.len() >= KEYS_MAX && !self.rows.contains_key(key) {
+            if !self.rows.contains_key(key) {
+                created.insert(key);
+            }
+            if !created.is_empty() && self.rows.len() + created.len() > KEYS_MAX {
                 return Err(Error::SpaceExceeded);
             }
             if *lease != 0 && !self.leases.contains_key(lease) {
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -6,9 +6,11 @@
 
 use bytes::Bytes;
 use common::Standin;
-use lagoonyard_standin::store::{Op, Outcome, Span, Store};
+use lagoonyard_standin::store::{Error, Op, Outcome, Span, Store};
 use serde_json::json;
 
+/// Keys that the store accepts.
+const KEYS_MAX: usize = 100_000;
 const TTL: Duration = Duration::from_secs(2);
 
 fn put(key: &str, lease: i64) -> Op {
@@ -66,3 +68,18 @@
     assert!(store.expire(now + 2 * TTL));
     assert!(!exists(&mut store, "held"));
 }
+
+/// Guards against a transaction whose puts exceed the limit of keys together but not one by one.
+#[test]
+fn the_puts_of_a_transaction_count_together() {
+    let mut store = Store::default();
+    for key in 0..KEYS_MAX - 1 {
+        store.execute(&[put(&format!("k{key}"), 0)]).unwrap();
+    }
+    let revision = store.revision();
+    let two = [put("a", 0), put("b", 0)];
+    assert_eq!(store.execute(&two).unwrap_err(), Error::SpaceExceeded);
+    assert_eq!(store.revision(), revision);
+    store.execute(&[put("a", 0), put("a", 0), put("k0", 0)]).unwrap();
+    assert_eq!(store.execute(&[put("b", 0)]).unwrap_err(), Error::SpaceExceeded);
+}
