Stand-in: a cancelled watch names the first revision with all changes

Cause: compact_revision was the current revision, so a reader that restarts there misses the changes of the log before it. The first revision of the log was taken as complete although changes of it may have been dropped. Change: the store keeps the last revision of which it dropped a change; watches and rewinds are checked against it, and compact_revision is the one after it. Measured: a_cancelled_watch_names_the_first_revision_with_all_changes failed before (a watch from revision 13, of which the log had lost a part, was not cancelled), passes now.

--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -121,6 +121,11 @@
         self.state().store.revision()
     }
 
+    /// First revision from which a watch gets all changes.
+    pub fn oldest_revision(&self) -> i64 {
+        self.state().store.oldest_revision()
+    }
+
     /// Number of times that the store was rewound.
     pub fn rewinds(&self) -> usize {
         self.rewinds.load(Ordering::Acquire)
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -129,6 +129,8 @@
     /// Leases that ended, with their time to live, for rewinding.
     ended_leases: VecDeque<(i64, Duration)>,
     log: VecDeque<Change>,
+    /// Last revision of which the log no longer holds all changes; 0 for none.
+    compacted: i64,
     revision: i64,
     last_lease_id: i64,
 }
@@ -140,6 +142,7 @@
             leases: BTreeMap::new(),
             ended_leases: VecDeque::new(),
             log: VecDeque::new(),
+            compacted: 0,
             revision: 1,
             last_lease_id: 7_587_000_000,
         }
@@ -151,6 +154,11 @@
         self.revision
     }
 
+    /// First revision from which the log holds all changes.
+    pub fn oldest_revision(&self) -> i64 {
+        self.compacted + 1
+    }
+
     /// Runs one branch of a transaction: all its operations under one new revision, or none of them.
     pub fn execute(&mut self, ops: &[Op]) -> Result<Vec<Outcome>, Error> {
         let mut created: BTreeSet<&Bytes> = BTreeSet::new();
@@ -193,8 +201,7 @@
 
     /// Changes within a span, starting with revision `from`.
     pub fn changes(&self, span: &Span, from: i64) -> Result<Vec<Change>, Error> {
-        let oldest = self.log.front().map_or(self.revision + 1, |change| change.revision);
-        if from < oldest && oldest > 2 {
+        if from <= self.compacted {
             return Err(Error::Compacted);
         }
         let matches = |change: &&Change| change.revision >= from && span.contains(&change.key);
@@ -204,8 +211,7 @@
     /// Restores the contents of an earlier revision, as after a restore from an old backup. A lease that a restored key
     /// is attached to and that has ended begins anew.
     pub fn rewind(&mut self, revision: i64, now: Instant) -> Result<(), Error> {
-        let oldest = self.log.front().map_or(self.revision + 1, |change| change.revision);
-        if revision + 1 < oldest {
+        if revision < self.compacted {
             return Err(Error::Compacted);
         }
         while self.log.back().is_some_and(|change| change.revision > revision) {
@@ -325,8 +331,10 @@
             return;
         }
         self.revision = revision;
-        if self.log.len() == CHANGE_LOG_MAX {
-            self.log.pop_front();
+        if self.log.len() == CHANGE_LOG_MAX
+            && let Some(dropped) = self.log.pop_front()
+        {
+            self.compacted = dropped.revision;
         }
         self.log.push_back(Change { revision, key, before, after });
     }
--- a/crates/standin/src/watch_stream.rs
+++ b/crates/standin/src/watch_stream.rs
@@ -60,7 +60,7 @@
             }
             Err(error) => {
                 debug_assert_eq!(error, Error::Compacted);
-                let oldest = platform.revision().to_string();
+                let oldest = platform.oldest_revision().to_string();
                 let result = json!({"header": gateway::header(platform.revision()), "canceled": true,
                     "compact_revision": oldest, "cancel_reason": gateway::error_status(error).0});
                 let _ = send(&lines, result).await;
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -2,12 +2,16 @@
 
 mod common;
 
-use std::time::{Duration, Instant};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    time::{Duration, Instant},
+};
 
 use bytes::Bytes;
-use common::Standin;
+use common::{Standin, b64};
 use lagoonyard_standin::store::{Error, Op, Outcome, Span, Store};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// Keys that the store accepts.
 const KEYS_MAX: usize = 100_000;
@@ -83,3 +87,40 @@
     store.execute(&[put("a", 0), put("a", 0), put("k0", 0)]).unwrap();
     assert_eq!(store.execute(&[put("b", 0)]).unwrap_err(), Error::SpaceExceeded);
 }
+
+/// Guards against a cancelled watch that restarts at the current revision and so misses the changes before it.
+#[tokio::test]
+async fn a_cancelled_watch_names_the_first_revision_with_all_changes() {
+    let platform = Standin::start(&["platform", "--writes-per-s", "1000"]);
+    // 90 transactions of 128 changes, of which the log keeps 10,000: the oldest is one of revision 13, in part.
+    let mut ops: Vec<Value> = Vec::new();
+    for key in 0..128 {
+        ops.push(json!({"request_put": {"key": b64(&format!("k{key}"))}}));
+    }
+    for _ in 0..90 {
+        let (status, _) = platform.post("/v3/kv/txn", &json!({"success": ops})).await.unwrap();
+        assert_eq!(status, 200);
+    }
+    let watch = async |start: &str| {
+        let mut create = json!({"key": b64("k0"), "start_revision": start});
+        create["range_end"] = b64("l").into();
+        let body = json!({"create_request": create}).to_string();
+        let head = format!(
+            "POST /v3/watch HTTP/1.1\r\nhost: standin\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        let mut stream = TcpStream::connect(platform.url.trim_start_matches("http://")).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+        let (mut text, mut part) = (String::new(), [0; 4096]);
+        while !text.contains("compact_revision") && !text.contains("events") {
+            let read = stream.read(&mut part).unwrap();
+            assert!(read > 0, "{text}");
+            text.push_str(&String::from_utf8_lossy(&part[..read]));
+        }
+        text
+    };
+    let cancelled = watch("13").await;
+    assert!(cancelled.contains(r#""compact_revision":"14""#), "{cancelled}");
+    assert!(watch("14").await.contains("events"));
+}
