Stand-in: a body that times out gets 408

Cause: a body above the limit and one that took longer than 10 s shared status 413, which callers take as a fault of the request. Change: the late one gets 408. Measured: a_body_that_times_out_gets_408_and_a_large_one_413 failed before (413 for the slow body), passes now.

--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -80,8 +80,10 @@
     ) -> std::result::Result<Response, Infallible> {
         let (parts, body) = request.into_parts();
         let body = Limited::new(body, BODY_MAX_BYTES).collect();
-        let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
-            return Ok(*fail(StatusCode::PAYLOAD_TOO_LARGE, "body too large or too slow"));
+        let body = match time::timeout(BODY_TIMEOUT, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return Ok(*fail(StatusCode::PAYLOAD_TOO_LARGE, "body too large")),
+            Err(_) => return Ok(*fail(StatusCode::REQUEST_TIMEOUT, "body too slow")),
         };
         let call = Call {
             method: parts.method,
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -124,3 +124,19 @@
     assert!(cancelled.contains(r#""compact_revision":"14""#), "{cancelled}");
     assert!(watch("14").await.contains("events"));
 }
+
+/// Guards against a slow body that is reported as too large.
+#[tokio::test]
+async fn a_body_that_times_out_gets_408_and_a_large_one_413() {
+    let platform = Standin::start(&["platform"]);
+    let address = platform.url.trim_start_matches("http://");
+    let mut slow = TcpStream::connect(address).unwrap();
+    slow.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    slow.write_all(b"POST /v3/kv/put HTTP/1.1\r\nhost: standin\r\ncontent-length: 9\r\n\r\n{")
+        .unwrap();
+    let large = Value::String("x".repeat(5 << 20));
+    assert_eq!(platform.post("/v3/kv/put", &large).await.unwrap().0, 413);
+    let mut status = [0; 12];
+    slow.read_exact(&mut status).unwrap();
+    assert_eq!(std::str::from_utf8(&status), Ok("HTTP/1.1 408"));
+}
