Fault cases: the relay forgets finished connections

Cause: the relay kept two sockets of each connection until the next cut and refused connections from the 129th on, as if the target were cut off. Change: it keeps the sockets of open connections, by connection; 128 may be open at the same time, as before.

--- a/crates/faultrun/src/relay.rs
+++ b/crates/faultrun/src/relay.rs
@@ -1,6 +1,7 @@
 //! TCP relay to one target, whose connections can be cut to simulate a network fault.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -15,23 +16,24 @@
 
 use crate::Result;
 
-/// Limit on sockets kept for `cut`, two per connection; further connections are closed at once.
-const SOCKETS_MAX: usize = 256;
+/// Limit on open connections; further ones are closed at once.
+const CONNECTIONS_MAX: usize = 128;
 
 #[derive(Debug, Default)]
 struct State {
     cut: AtomicBool,
     stopped: AtomicBool,
-    sockets: Mutex<Vec<TcpStream>>,
+    /// Sockets to the client and to the target of each open connection, for `cut`.
+    connections: Mutex<BTreeMap<u64, [TcpStream; 2]>>,
 }
 
 impl State {
-    fn sockets(&self) -> MutexGuard<'_, Vec<TcpStream>> {
-        self.sockets.lock().unwrap_or_else(PoisonError::into_inner)
+    fn connections(&self) -> MutexGuard<'_, BTreeMap<u64, [TcpStream; 2]>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn close_all(&self) {
-        for socket in self.sockets().drain(..) {
+        for socket in std::mem::take(&mut *self.connections()).into_values().flatten() {
             let _ = socket.shutdown(Shutdown::Both);
         }
     }
@@ -53,15 +55,16 @@
         let state = Arc::new(State::default());
         let shared = Arc::clone(&state);
         thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
+            for (id, socket) in (0..).zip(listener.incoming().flatten()) {
                 if shared.stopped.load(Ordering::SeqCst) {
                     return;
                 }
-                if shared.cut.load(Ordering::SeqCst) || shared.sockets().len() >= SOCKETS_MAX {
+                let full = shared.connections().len() >= CONNECTIONS_MAX;
+                if full || shared.cut.load(Ordering::SeqCst) {
                     continue;
                 }
                 // If the target cannot be reached, the client sees its connection closed.
-                let _ = connect(&shared, socket, to);
+                let _ = connect(&shared, id, socket, to);
             }
         });
         Ok(Self { address, state })
@@ -88,13 +91,20 @@
     }
 }
 
-fn connect(state: &Arc<State>, client: TcpStream, to: SocketAddr) -> io::Result<()> {
+fn connect(state: &Arc<State>, id: u64, client: TcpStream, to: SocketAddr) -> io::Result<()> {
     let target = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
     let _ = client.set_nodelay(true);
     let _ = target.set_nodelay(true);
-    state.sockets().extend([client.try_clone()?, target.try_clone()?]);
-    for (from, into) in [(client.try_clone()?, target.try_clone()?), (target, client)] {
-        thread::spawn(move || copy(from, into));
+    let sockets = [client.try_clone()?, target.try_clone()?];
+    let directions = [(client.try_clone()?, target.try_clone()?), (target, client)];
+    state.connections().insert(id, sockets);
+    for (from, into) in directions {
+        let state = Arc::clone(state);
+        thread::spawn(move || {
+            copy(from, into);
+            // `copy` closes both directions, so the connection is finished.
+            state.connections().remove(&id);
+        });
     }
     Ok(())
 }
