--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -121,6 +121,11 @@
         self.state().store.revision()
     }
 
+    /// First revision from which a watch gets all changes.
+    pub fn oldest_revision(&self) -> i64 {
+        self.state().store.oldest_revision()
+    }
+
     /// Number of times that the store was rewound.
     pub fn rewinds(&self) -> usize {
         self.rewinds.load(Ordering::Acquire)
@@ -242,7 +247,8 @@
             }
             "/control/rewind" => {
                 let rewind: Rewind = call.json()?;
-                self.state().store.rewind(rewind.revision).map_err(store_error)?;
+                let now = Instant::now();
+                self.state().store.rewind(rewind.revision, now).map_err(store_error)?;
                 self.rewinds.fetch_add(1, Ordering::AcqRel);
                 self.notify();
             }
@@ -320,7 +326,7 @@
     let status = match error {
         Error::LeaseNotFound => StatusCode::NOT_FOUND,
         Error::SpaceExceeded => StatusCode::TOO_MANY_REQUESTS,
-        Error::ValueTooLarge | Error::Compacted => StatusCode::BAD_REQUEST,
+        Error::ValueTooLarge | Error::LeaseExists | Error::Compacted => StatusCode::BAD_REQUEST,
     };
     let body = json!({"error": message, "message": message, "code": code, "details": []});
     Box::new(reply(status, &body))
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -111,6 +111,7 @@
     ValueTooLarge,
     SpaceExceeded,
     LeaseNotFound,
+    LeaseExists,
     Compacted,
 }
 
@@ -125,7 +126,11 @@
 pub struct Store {
     rows: BTreeMap<Bytes, Entry>,
     leases: BTreeMap<i64, Lease>,
+    /// Leases that ended, with their time to live, for rewinding.
+    ended_leases: VecDeque<(i64, Duration)>,
     log: VecDeque<Change>,
+    /// Last revision of which the log no longer holds all changes; 0 for none.
+    compacted: i64,
     revision: i64,
     last_lease_id: i64,
 }
@@ -135,7 +140,9 @@
         Self {
             rows: BTreeMap::new(),
             leases: BTreeMap::new(),
+            ended_leases: VecDeque::new(),
             log: VecDeque::new(),
+            compacted: 0,
             revision: 1,
             last_lease_id: 7_587_000_000,
         }
@@ -147,14 +154,23 @@
         self.revision
     }
 
+    /// First revision from which the log holds all changes.
+    pub fn oldest_revision(&self) -> i64 {
+        self.compacted + 1
+    }
+
     /// Runs one branch of a transaction: all its operations under one new revision, or none of them.
     pub fn execute(&mut self, ops: &[Op]) -> Result<Vec<Outcome>, Error> {
+        let mut created: BTreeSet<&Bytes> = BTreeSet::new();
         for op in ops {
             let Op::Put { key, value, lease } = op else { continue };
             if value.len() > VALUE_MAX_BYTES {
                 return Err(Error::ValueTooLarge);
             }
-            if self.rows.len() >= KEYS_MAX && !self.rows.contains_key(key) {
+            if !self.rows.contains_key(key) {
+                created.insert(key);
+            }
+            if !created.is_empty() && self.rows.len() + created.len() > KEYS_MAX {
                 return Err(Error::SpaceExceeded);
             }
             if *lease != 0 && !self.leases.contains_key(lease) {
@@ -185,34 +201,50 @@
 
     /// Changes within a span, starting with revision `from`.
     pub fn changes(&self, span: &Span, from: i64) -> Result<Vec<Change>, Error> {
-        let oldest = self.log.front().map_or(self.revision + 1, |change| change.revision);
-        if from < oldest && oldest > 2 {
+        if from <= self.compacted {
             return Err(Error::Compacted);
         }
         let matches = |change: &&Change| change.revision >= from && span.contains(&change.key);
         Ok(self.log.iter().filter(matches).cloned().collect())
     }
 
-    /// Restores the contents of an earlier revision, as after a restore from an old backup.
-    pub fn rewind(&mut self, revision: i64) -> Result<(), Error> {
-        let oldest = self.log.front().map_or(self.revision + 1, |change| change.revision);
-        if revision + 1 < oldest {
+    /// Restores the contents of an earlier revision, as after a restore from an old backup. A lease that a restored key
+    /// is attached to and that has ended begins anew.
+    pub fn rewind(&mut self, revision: i64, now: Instant) -> Result<(), Error> {
+        if revision < self.compacted {
             return Err(Error::Compacted);
         }
         while self.log.back().is_some_and(|change| change.revision > revision) {
             let Some(change) = self.log.pop_back() else { break };
-            match change.before {
-                Some(entry) => self.rows.insert(change.key, entry),
-                None => self.rows.remove(&change.key),
-            };
+            self.set(&change.key, change.before);
         }
         self.revision = self.revision.min(revision);
+        self.restore_leases(now);
         Ok(())
     }
 
+    /// Grants the ended leases that keys are attached to again.
+    fn restore_leases(&mut self, now: Instant) {
+        let mut without: BTreeMap<i64, BTreeSet<Bytes>> = BTreeMap::new();
+        for (key, entry) in &self.rows {
+            if entry.lease != 0 && !self.leases.contains_key(&entry.lease) {
+                without.entry(entry.lease).or_default().insert(key.clone());
+            }
+        }
+        for (id, keys) in without {
+            let ended = self.ended_leases.iter().rev().find(|(ended, _)| *ended == id);
+            if let Some(&(_, ttl)) = ended {
+                self.leases.insert(id, Lease { ttl, expires: now + ttl, keys });
+            }
+        }
+    }
+
     /// Creates a lease; ID 0 lets the store choose the ID.
     pub fn grant(&mut self, id: i64, ttl: Duration, now: Instant) -> Result<i64, Error> {
-        if self.leases.len() >= LEASES_MAX || self.leases.contains_key(&id) {
+        if self.leases.contains_key(&id) {
+            return Err(Error::LeaseExists);
+        }
+        if self.leases.len() >= LEASES_MAX {
             return Err(Error::SpaceExceeded);
         }
         self.last_lease_id += 1;
@@ -232,6 +264,10 @@
     /// Removes a lease and deletes its keys.
     pub fn revoke(&mut self, id: i64) -> Result<(), Error> {
         let lease = self.leases.remove(&id).ok_or(Error::LeaseNotFound)?;
+        if self.ended_leases.len() == LEASES_MAX {
+            self.ended_leases.pop_front();
+        }
+        self.ended_leases.push_back((id, lease.ttl));
         let next = self.revision + 1;
         for key in lease.keys {
             self.replace(key, None, next);
@@ -288,25 +324,34 @@
             .collect()
     }
 
-    /// Sets or removes a key, updates the key lists of its leases, and appends to the change log.
+    /// Sets or removes a key, and appends to the change log.
     fn replace(&mut self, key: Bytes, after: Option<Entry>, revision: i64) {
-        let before = match after.clone() {
-            Some(entry) => self.rows.insert(key.clone(), entry),
-            None => self.rows.remove(&key),
-        };
+        let before = self.set(&key, after.clone());
         if before.is_none() && after.is_none() {
             return;
         }
+        self.revision = revision;
+        if self.log.len() == CHANGE_LOG_MAX
+            && let Some(dropped) = self.log.pop_front()
+        {
+            self.compacted = dropped.revision;
+        }
+        self.log.push_back(Change { revision, key, before, after });
+    }
+
+    /// Sets or removes a key, and updates the key lists of its leases. Returns the entry before.
+    fn set(&mut self, key: &Bytes, after: Option<Entry>) -> Option<Entry> {
+        let lease = after.as_ref().map_or(0, |entry| entry.lease);
+        let before = match after {
+            Some(entry) => self.rows.insert(key.clone(), entry),
+            None => self.rows.remove(key),
+        };
         if let Some(lease) = before.as_ref().and_then(|entry| self.leases.get_mut(&entry.lease)) {
-            lease.keys.remove(&key);
+            lease.keys.remove(key);
         }
-        if let Some(lease) = after.as_ref().and_then(|entry| self.leases.get_mut(&entry.lease)) {
+        if let Some(lease) = self.leases.get_mut(&lease) {
             lease.keys.insert(key.clone());
         }
-        self.revision = revision;
-        if self.log.len() == CHANGE_LOG_MAX {
-            self.log.pop_front();
-        }
-        self.log.push_back(Change { revision, key, before, after });
+        before
     }
 }
