--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -426,3 +426,24 @@
     }
     assert!((1..=LATE_MAX).contains(&late), "{late} late trials");
 }
+
+/// Guards against a content that ends its targets and has trials on and on while no other target ends.
+#[test]
+fn a_held_content_has_hardly_any_late_trials_while_no_target_ends_without_it() {
+    let table = Table::default();
+    let mut last = end_targets(&table, content("a"), 5);
+    let by = last + SECOND * 1800;
+    let mut late = 0;
+    let mut now = last;
+    while now < by {
+        now += SECOND;
+        if table.begin_item_trial(content("a"), now) {
+            late += 1;
+            last = now + ms(10);
+            let end = strike(&format!("own{late}"), last);
+            table.item_ended(content("a"), end, Run::default(), last);
+        }
+    }
+    assert_eq!(late, 1);
+    assert_matches!(table.item_verdict(content("a"), now), Verdict::Held(until) if until > last + SECOND * 3000);
+}
