Ends that another content explains hold no item

Cause: items that wait start together on an engine that is back. Those beside the one that ends its engines collect its ends after 0 to 2 ms of run time each, which chance does not explain. Change: of two contents under which the same instances ended, those ends count against the one for which chance is the poorer explanation; the other is judged by the rest.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -1,7 +1,7 @@
 //! What is known of one content.
 
 use crate::{
-    crash::{Background, Effect, Run, ends::Ends},
+    crash::{Background, Effect, Evidence, Run, ends::Ends},
     prelude::*,
 };
 
@@ -164,14 +164,25 @@
         self.verdict_after(delay, now)
     }
 
-    /// The same for an item, which is held only if chance does not explain the ends under it.
-    pub(super) fn item_verdict(&self, ends: &Ends, now: Time) -> Verdict {
-        if self.strikes.len() < STRIKES_MAX {
-            return self.verdict(now);
-        }
-        if !ends.evidence(self).speaks_against() {
-            return Verdict::Suspect;
-        }
+    /// Evidence that speaks against the content.
+    pub(super) fn suspicion(&self, ends: &Ends) -> Option<Evidence> {
+        let is_judged = self.strikes.len() >= STRIKES_MAX;
+        is_judged.then(|| ends.evidence(self)).filter(Evidence::speaks_against)
+    }
+
+    /// The same without the strikes that other records explain.
+    pub(super) fn without(&self, others: &[&Self]) -> Self {
+        let is_explained = |strike: &Strike| {
+            others.iter().any(|other| other.knows_instance(&strike.target, strike.started_ms))
+        };
+        let (explained, strikes) = self.strikes.iter().cloned().partition(is_explained);
+        // Explained ends were neither caused by the content nor without it.
+        let passed = self.passed.iter().cloned().chain::<Vec<Strike>>(explained).collect();
+        Self { strikes, passed, ..self.clone() }
+    }
+
+    /// Verdict on an item against which the evidence speaks.
+    pub(super) fn held_verdict(&self, ends: &Ends, now: Time) -> Verdict {
         let delay = match self.strikes.len() {
             _ if !self.may_end_late(ends) => LATE_TRIAL_DELAY,
             strikes if strikes < STRIKES_MAX + EARLY_TRIALS => EARLY_TRIAL_DELAY,
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -85,18 +85,18 @@
     /// The same for an item.
     pub fn item_verdict(&self, content: Content, now: Time) -> Verdict {
         let state = self.lock();
-        let verdict = |entry: &Entry| entry.record.item_verdict(&state.ends, now);
+        let verdict = |entry: &Entry| state.item_verdict(&entry.record, now);
         state.entries.get(&content).map_or(Verdict::Free, verdict)
     }
 
     /// Begins a trial if one is due. Returns whether it is.
     pub fn begin_trial(&self, content: Content, now: Time) -> bool {
-        self.lock().begin_trial(content, now, |record, _| record.verdict(now))
+        self.lock().begin_trial(content, now, |_, record| record.verdict(now))
     }
 
     /// The same for an item.
     pub fn begin_item_trial(&self, content: Content, now: Time) -> bool {
-        self.lock().begin_trial(content, now, |record, ends| record.item_verdict(ends, now))
+        self.lock().begin_trial(content, now, |state, record| state.item_verdict(record, now))
     }
 
     /// Takes back the trial that began at a time, as it reached no target. A later one goes on.
@@ -209,7 +209,7 @@
         let state = self.lock();
         // Of a request and of an item alike, as a record does not say which it is.
         let is_held = |entry: &&Entry| {
-            let verdicts = [entry.record.verdict(now), entry.record.item_verdict(&state.ends, now)];
+            let verdicts = [entry.record.verdict(now), state.item_verdict(&entry.record, now)];
             verdicts.iter().all(|it| matches!(it, Verdict::Held(_) | Verdict::Trial))
         };
         state.entries.values().filter(is_held).count()
@@ -254,19 +254,36 @@
         &mut self,
         content: Content,
         now: Time,
-        verdict: impl Fn(&Record, &Ends) -> Verdict,
+        verdict: impl Fn(&Self, &Record) -> Verdict,
     ) -> bool {
-        let Some(entry) = self.entries.get_mut(&content) else {
-            return false;
-        };
-        let is_due = verdict(&entry.record, &self.ends) == Verdict::Trial;
-        if is_due {
+        let record = self.entries.get(&content).map(|entry| &entry.record);
+        let is_due = record.is_some_and(|record| verdict(self, record) == Verdict::Trial);
+        if let Some(entry) = self.entries.get_mut(&content).filter(|_| is_due) {
             entry.record.tried_at = Some(now);
             info!(content:% = content, strikes = entry.record.strikes.len(); "trial of a held content");
         }
         is_due
     }
 
+    /// Verdict on an item, which is held only if neither chance nor another content explains the ends under it.
+    fn item_verdict(&self, record: &Record, now: Time) -> Verdict {
+        let Some(evidence) = record.suspicion(&self.ends) else {
+            return if record.strikes.is_empty() { Verdict::Free } else { Verdict::Suspect };
+        };
+        // What ends its targets takes those with it that run beside it.
+        let is_stronger = |other: &&Record| {
+            let shares = |strike: &Strike| other.knows_instance(&strike.target, strike.started_ms);
+            record.strikes.iter().any(shares)
+                && other.suspicion(&self.ends).is_some_and(|its| its.chance() < evidence.chance())
+        };
+        let others = self.entries.values().map(|entry| &entry.record);
+        let others: Vec<&Record> = others.filter(is_stronger).collect();
+        if !others.is_empty() && record.without(&others).suspicion(&self.ends).is_none() {
+            return Verdict::Suspect;
+        }
+        record.held_verdict(&self.ends, now)
+    }
+
     /// Records an end, which gives no strike if it is excused.
     fn end(
         &mut self,
--- a/crates/node/tests/evidence.rs
+++ b/crates/node/tests/evidence.rs
@@ -245,3 +245,21 @@
     }
     assert!(table.record(content("a")).unwrap().strikes.len() >= 3);
 }
+
+/// Guards against sound items that are held as they had just begun to run beside one that ends its engines, again and again.
+#[test]
+fn what_another_content_explains_holds_no_item() {
+    let table = Table::default();
+    (0..6).for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    for number in 0..6 {
+        let at = SECOND * (2 + 2 * number);
+        let end = end(number as usize, 1, at, Duration::from_millis(2));
+        table.item_ended(content("bad"), end.clone(), Run::default(), at);
+        if number < 4 {
+            table.item_ended(content("beside"), end, Run::default(), at);
+        }
+    }
+    let now = SECOND * 12;
+    assert!(matches!(table.item_verdict(content("bad"), now), Verdict::Held(_)));
+    assert_eq!(table.item_verdict(content("beside"), now), Verdict::Suspect);
+}
