A trial that an engine survives is not spent

What callers would see: a sound item held for an hour because its one late trial was stopped, as its host was lost or the engine was slow. Cause: a trial was given back only if it reached no engine; one that ended while the engine went on counted as made, and the next came late. Change: it is given back as well. The time that it ran speaks for the item as before.

--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -299,13 +299,16 @@
         crashes.strike(item.content(&job.record.host), end, now);
         return;
     }
-    match (&outcome.end, job.trial_at(outcome.item)) {
-        (End::NotRun, Some(began_at)) => {
-            crashes.cancel_trial(item.content(&job.record.host), began_at);
-        }
-        (End::Slow | End::Stopped, _) if !crashes.is_empty() => {
-            crashes.survived(item.content(&job.record.host), outcome.ran);
-        }
-        _ => {}
+    let has_survived = matches!(outcome.end, End::Slow | End::Stopped);
+    if crashes.is_empty() || !has_survived && outcome.end != End::NotRun {
+        return;
+    }
+    let content = item.content(&job.record.host);
+    if has_survived {
+        crashes.survived(content, outcome.ran);
+    }
+    // A trial that ended no engine may be made again.
+    if let Some(began_at) = job.trial_at(outcome.item) {
+        crashes.cancel_trial(content, began_at);
     }
 }
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -322,6 +322,24 @@
     assert!(second - held_at < IDLE_MAX, "it starts {:?} after the last end", second - held_at);
 }
 
+/// Guards against an item that is held for an hour as its trial was stopped, although the engine went on.
+#[test]
+fn a_trial_that_an_engine_survives_is_not_spent() {
+    let mut engines = engines(&[engine("e1", 1)]);
+    let crashes = Arc::new(Table::default());
+    let mut queue = Queue::new(Arc::clone(&crashes));
+    let job = grouped_job("j", &SIBLINGS[..1]);
+    let content = job.spec.items[0].content("h");
+    queue.insert(job);
+    let mut now = end_targets(&crashes, content, 8);
+    for number in 0..6 {
+        let (start, run) = next_start(&mut queue, &mut engines, now).expect("it starts");
+        assert!(start - now < IDLE_MAX, "trial {number} starts {:?} later", start - now);
+        now = start + ms(1500);
+        end_run(&mut queue, &mut engines, &run, End::Stopped, now);
+    }
+}
+
 /// Guards against items of a group that are held as their siblings were where targets ended, each until the trial of the one
 /// before.
 #[test]
