Tests: one builder of an engine's instance

Cause: evidence and storm had the same builder each. Change: it stands in common, on top of the builder of engines.

--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -127,3 +127,8 @@
         ran: Duration::ZERO,
     }
 }
+
+/// An instance of an engine, by number and start time.
+pub fn instance(number: usize, born: u64) -> Target {
+    Target { started_ms: born, ..engine(&format!("e{number}"), 1) }
+}
--- a/crates/node/tests/evidence.rs
+++ b/crates/node/tests/evidence.rs
@@ -1,8 +1,10 @@
 //! Contents whose evidence may mislead the table of contents.
 
+mod common;
+
+use common::instance;
 use lagoonyard_node::{
     crash::{Content, Record, Run, Strike, Table, Verdict},
-    fleet::Target,
     prelude::*,
 };
 
@@ -22,20 +24,6 @@
     Content::new("POST", "h.example", "/p", body.as_bytes())
 }
 
-fn target(number: usize, born: u64) -> Target {
-    Target {
-        id: format!("e{number}").into(),
-        service: "llm".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z".into(),
-        slots: 8,
-        draining: false,
-        started_ms: born,
-        software: "v1".into(),
-        versions: Default::default(),
-    }
-}
-
 fn end(number: usize, born: u64, at: Time, ran: Duration) -> Strike {
     Strike { target: format!("e{number}").into(), started_ms: born, at, ran }
 }
@@ -52,20 +40,20 @@
     let poison = content("poison");
     let mut born = vec![1; engines];
     let mut back_at = vec![Time::ZERO; engines];
-    (0..engines).for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    (0..engines).for_each(|number| table.target_registered(&instance(number, 1), Time::ZERO));
     let leaving = engines..engines + leaving;
-    leaving.clone().for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    leaving.clone().for_each(|number| table.target_registered(&instance(number, 1), Time::ZERO));
     let mut runs: Vec<Option<(usize, Time)>> = vec![None; items];
     let mut not_before = vec![Time::ZERO; items];
     let (mut ends, mut now) = (Vec::new(), SECOND);
     while now < SECOND * 120 {
         now += STEP;
         if now == SECOND * 3 {
-            leaving.clone().for_each(|id| table.target_deregistered(&target(id, 1).id, now));
+            leaving.clone().for_each(|id| table.target_deregistered(&instance(id, 1).id, now));
         }
         for number in 0..engines {
             if back_at[number] <= now && now < back_at[number] + STEP {
-                table.target_registered(&target(number, born[number]), now);
+                table.target_registered(&instance(number, born[number]), now);
             }
         }
         for item in 0..items {
@@ -153,13 +141,13 @@
 
 /// A sound item that ran for 8 s, 6 of 6 engines having ended under it one after the other, beside twelve ends without it.
 fn storm(table: &Table) -> Time {
-    (0..6).for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    (0..6).for_each(|number| table.target_registered(&instance(number, 1), Time::ZERO));
     for number in 0..6_u32 {
         let at = SECOND * (5 + 4 * number);
         for other in 0..4 {
             let id = (number as usize + 1 + other) % 6;
             let born = 2 + u64::from(number);
-            table.target_registered(&target(id, born), at - Duration::from_millis(1100));
+            table.target_registered(&instance(id, born), at - Duration::from_millis(1100));
         }
         let ran = Duration::from_millis(1500);
         let run = Run { time: ran, ..Run::default() };
@@ -174,7 +162,7 @@
     let (old, new) = (Table::default(), Table::default());
     let last = storm(&old);
     assert_eq!(old.item_verdict(content("a"), last + SECOND), Verdict::Suspect);
-    (0..6).for_each(|number| new.target_registered(&target(number, 8), last));
+    (0..6).for_each(|number| new.target_registered(&instance(number, 8), last));
     new.merge(content("a"), old.record(content("a")).unwrap(), last);
     let verdict = new.item_verdict(content("a"), last + IDLE_MAX);
     assert!(!matches!(verdict, Verdict::Held(_)), "{verdict:?} {}", new.evidence(content("a")));
@@ -196,7 +184,7 @@
 #[test]
 fn strikes_without_a_run_time_do_not_hold_an_item_for_an_hour() {
     let table = Table::default();
-    (0..6).for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    (0..6).for_each(|number| table.target_registered(&instance(number, 1), Time::ZERO));
     let strikes =
         (0..6).map(|number| end(number as usize, 1, SECOND * (5 + 4 * number), Duration::ZERO));
     table.merge(content("a"), Record::new(strikes.collect(), 0, 139, 3), SECOND * 26);
@@ -223,7 +211,7 @@
         Record::new((0..5).map(strike).collect(), 0, 0, 3)
     };
     for table in [&known, &anew] {
-        (0..6).for_each(|number| table.target_registered(&target(number, 2), Time::ZERO));
+        (0..6).for_each(|number| table.target_registered(&instance(number, 2), Time::ZERO));
     }
     known.merge(content("a"), strikes(|number| SECOND * (10 + number)), SECOND * 14);
     assert!(matches!(known.item_verdict(content("a"), SECOND * 14), Verdict::Held(_)));
@@ -238,7 +226,7 @@
 #[test]
 fn ends_of_an_engine_that_is_registered_late_count() {
     let table = Table::default();
-    table.target_registered(&target(0, 1), Time::ZERO);
+    table.target_registered(&instance(0, 1), Time::ZERO);
     for number in 1..=10 {
         let at = SECOND * 3 * number;
         table.item_ended(content("a"), end(0, 1, at, SECOND / 10), Run::default(), at);
@@ -250,7 +238,7 @@
 #[test]
 fn what_another_content_explains_holds_no_item() {
     let table = Table::default();
-    (0..6).for_each(|number| table.target_registered(&target(number, 1), Time::ZERO));
+    (0..6).for_each(|number| table.target_registered(&instance(number, 1), Time::ZERO));
     for number in 0..6 {
         let at = SECOND * (2 + 2 * number);
         let end = end(number as usize, 1, at, Duration::from_millis(2));
--- a/crates/node/tests/storm.rs
+++ b/crates/node/tests/storm.rs
@@ -1,8 +1,10 @@
 //! Sound items and one that ends its engines while engines end for other reasons, by the table of contents alone.
 
+mod common;
+
+use common::instance;
 use lagoonyard_node::{
     crash::{Content, Run, Strike, Table, Verdict},
-    fleet::Target,
     prelude::*,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::IteratorRandom};
@@ -73,25 +75,11 @@
     now: Time,
 }
 
-fn target(number: usize, born: u64) -> Target {
-    Target {
-        id: format!("e{number}").into(),
-        service: "llm".into(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        zone: "z".into(),
-        slots: 8,
-        draining: false,
-        started_ms: born,
-        software: "v1".into(),
-        versions: Default::default(),
-    }
-}
-
 impl World {
     fn new(seed: u64, engines: usize, items: Vec<Item>) -> Self {
         let table = Table::default();
         let start = |number| {
-            table.target_registered(&target(number, 1), Time::ZERO);
+            table.target_registered(&instance(number, 1), Time::ZERO);
             Engine { born: 1, back_at: Time::ZERO }
         };
         let engines = (0..engines).map(start).collect();
@@ -120,7 +108,7 @@
     fn register(&mut self) {
         for (number, engine) in self.engines.iter().enumerate() {
             if engine.back_at <= self.now && self.now < engine.back_at + STEP {
-                self.table.target_registered(&target(number, engine.born), self.now);
+                self.table.target_registered(&instance(number, engine.born), self.now);
             }
         }
     }
