An instance that is back as it was may end again

Cause: an end was identified by its instance alone. A target that fell silent, or was started again under a registration that hosts read late, ends again under the same identity, and counted once for ever.

--- a/crates/node/src/crash/ends.rs
+++ b/crates/node/src/crash/ends.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 use crate::{
-    crash::{Background, Evidence, Record, Strike},
+    crash::{Background, Evidence, Record, Strike, record::SAME_END},
     fleet::Target,
     prelude::*,
 };
@@ -91,7 +91,8 @@
             }
         }
         let end = self.ended.entry(instance).or_insert(End { at, service: None });
-        end.at = end.at.min(at);
+        // An instance that ends again, as it was back without a new registration, has ended later.
+        end.at = if at >= end.at + SAME_END { at } else { end.at.min(at) };
         end.service = end.service.take().or(service);
     }
 
--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -25,6 +25,8 @@
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(3600);
 /// Time since the last strike after which a record is dropped.
 pub(super) const RETENTION: Duration = Duration::from_secs(24 * 3600);
+/// Time within which two records of an instance are one end: looks, messages and a host that stands still take that long.
+pub(super) const SAME_END: Duration = Duration::from_millis(2500);
 /// Time within which targets end together.
 const SAME_MOMENT: Duration = Duration::from_millis(1000);
 /// Strikes that are kept, the newest ones.
@@ -42,9 +44,10 @@
 }
 
 impl Strike {
-    /// Whether both are of one instance, which ends only once. Hosts see it at different times and by different clocks.
+    /// Whether both are one end. Hosts see it at different times and by different clocks. An instance that fell silent may be
+    /// back as it was, and one that was started again may still be registered as it was before.
     fn is_same(&self, other: &Self) -> bool {
-        self.is_of(&other.target, other.started_ms)
+        self.is_of(&other.target, other.started_ms) && self.at.abs_diff(other.at) < SAME_END
     }
 
     /// Adds what another host has seen of the same end. The first one saw it best.
@@ -77,7 +80,8 @@
     Trial,
 }
 
-/// Strikes of a content. Records of several hosts merge to the same one, in any order.
+/// Strikes of a content. Records of several hosts merge to the same one, in any order, but for ends of one instance within a
+/// few seconds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Record {
     /// In order of time.
