Configuration and settings: autoscaling bounds, duties at the platform, spot targets

Cause: routes, services, registrations and settings have fields that no code reads: whether a route is public, how many targets a service may have and at what price, whether a target may be reclaimed and when it ends, and where the platform's API is.

No behaviour changes.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -74,6 +74,8 @@
             started_ms: 1,
             software: "v1".into(),
             versions: (0..models).map(model).collect::<BTreeMap<_, _>>(),
+            spot: false,
+            leaves_in: None,
         }));
     }
     for number in 0..models {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration in force: routes, services and limits.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -55,6 +55,8 @@
     pub item_ttl: Duration,
     /// Whether a single version must generate each result.
     pub single_version: bool,
+    /// Whether requests need no key.
+    pub public: bool,
 }
 
 impl Route {
@@ -86,13 +88,31 @@
 }
 
 /// A service named in the configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     pub name: ServiceId,
     /// Whether its targets are model engines.
     pub engines: bool,
     /// Maximum connections that a target accepts from all hosts together.
     pub max_connections: usize,
+    /// Tokens that an engine keeps of running requests and cached prompts together.
+    pub cache_tokens: Option<u64>,
+    /// Bounds on the number of targets, if that may be changed.
+    pub scale: Option<Scale>,
+}
+
+/// Bounds and prices of the targets of a service whose number may be changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scale {
+    /// Least and most targets in each zone, of both kinds together.
+    pub min: u32,
+    pub max: u32,
+    /// Time from an order until the new target serves.
+    pub boot: Duration,
+    /// Price of a reclaimable target as a share of that of another one.
+    pub spot_price: f64,
+    /// Price of a target's second by zone.
+    pub zone_prices: BTreeMap<ZoneId, f64>,
 }
 
 /// A configuration.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -29,6 +29,10 @@
     pub software: Software,
     /// Versions of the models on it.
     pub versions: BTreeMap<ModelId, Version>,
+    /// The platform may reclaim it, together with all such targets of its zone.
+    pub spot: bool,
+    /// Time after this registration at which a draining target ends, if it is known.
+    pub leaves_in: Option<Duration>,
 }
 
 /// A target's word that it leaves.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod build;
 pub mod clock;
+pub mod cloud;
 pub mod config;
 pub mod control;
 pub mod crash;
--- a/crates/node/src/prelude.rs
+++ b/crates/node/src/prelude.rs
@@ -16,6 +16,8 @@
 pub type JobId = Box<str>;
 /// Id of an item of a batch job.
 pub type ItemId = Box<str>;
+/// Name of a workspace, to which callers' keys belong.
+pub type WorkspaceId = Box<str>;
 /// Version of a model's weights.
 pub type Version = u64;
 /// Version of a target's software; what two of them generate does not fit together.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::prelude::*;
+use crate::{cloud, prelude::*};
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -33,4 +33,6 @@
     pub lease_min: Duration,
     /// Time after submission for which a finished job must remain readable.
     pub job_retention: Duration,
+    /// API of the platform, if this deployment has duties there.
+    pub cloud: Option<cloud::Settings>,
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -26,6 +26,8 @@
         started_ms: 1,
         software: "v1".into(),
         versions: BTreeMap::from([("m".into(), version)]),
+        spot: false,
+        leaves_in: None,
     }
 }
 
--- a/crates/node/tests/config.rs
+++ b/crates/node/tests/config.rs
@@ -18,6 +18,7 @@
         job_deadline: Duration::ZERO,
         item_ttl: Duration::ZERO,
         single_version: false,
+        public: false,
     }
 }
 
--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -121,6 +121,7 @@
         job_deadline: ms(7_500),
         item_ttl: ms(36_000),
         single_version: false,
+        public: false,
     };
     change(&mut route);
     let limits = Limits { header_bytes: 1, body_bytes: 1, idle_timeout: ms(1_000) };
