API keys and workspaces: admission by key, names to targets

Cause: the configuration may list workspaces (tenants) with API keys, which no host read. Requests ran without a key, and targets got the key and whatever name the caller had sent.

Calls on routes that are not public, and all calls about jobs, need a known key, else 401. Both headers of callers are removed and the workspace's name is set once, in the headers from which every attempt of a request or stream is made. A job's record names its workspace; the leader writes the name into the headers of the items and into its orders, and a runner refuses an item without one (after a pause, as an earlier leader sends it again at once). The workspace's priority goes before that of the route. Without tenants, headers pass as before.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -53,6 +53,7 @@
         parts: 1,
         ended: false,
         policy: None,
+        workspace: None,
     };
     let (model, groups_needed) = (format!("m{number}").into(), items.len() / GROUP_SIZE);
     let spec = Spec { id, step: 0, model, min_version: 1, groups_needed, items };
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -4,7 +4,11 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{job::Policy, prelude::*};
+use crate::{
+    job::{Policy, Record},
+    prelude::*,
+    workspace::Directory,
+};
 
 /// Kind of a route's requests, which decides whether they may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +125,8 @@
     pub version: u64,
     pub services: Vec<Service>,
     pub limits: Limits,
+    /// Workspaces, to which callers' keys belong; `None` if callers need no keys.
+    pub workspaces: Option<Directory>,
     by_host: HashMap<Box<str>, Vec<Route>>,
 }
 
@@ -134,7 +140,12 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, services, limits, by_host }
+        Self { version, services, limits, workspaces: None, by_host }
+    }
+
+    /// The same configuration, with workspaces.
+    pub fn with_workspaces(self, workspaces: Option<Directory>) -> Self {
+        Self { workspaces, ..self }
     }
 
     /// All routes.
@@ -147,9 +158,25 @@
         self.by_host.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
-    /// Policy for the jobs of a host name and path; `None` without a route for jobs.
-    pub fn job_policy(&self, host: &str, path: &str) -> Option<Policy> {
-        let route = self.route(host, path).filter(|route| route.kind == Kind::Job)?;
-        Some(Policy::new(self.version, route))
+    /// Policy for a job; `None` without a route for it. The priority of its workspace goes before that of the route, and a job
+    /// whose workspace is gone keeps its own.
+    pub fn job_policy(&self, record: &Record) -> Option<Policy> {
+        let route = self.route(&record.host, &record.path);
+        let route = route.filter(|route| route.kind == Kind::Job)?;
+        let policy = Policy::new(self.version, route);
+        let Some(name) = &record.workspace else {
+            return Some(policy);
+        };
+        let workspace = self.workspaces.as_ref().and_then(|directory| directory.named(name));
+        let priority = match workspace {
+            Some(workspace) => workspace.priority,
+            None => record.policy.map(|accepted| accepted.priority),
+        };
+        Some(Policy { priority: priority.unwrap_or(policy.priority), ..policy })
+    }
+
+    /// Whether an item for a host name and path needs a workspace.
+    pub fn needs_workspace(&self, host: &str, path: &str) -> bool {
+        self.workspaces.is_some() && self.route(host, path).is_none_or(|route| !route.public)
     }
 }
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -166,7 +166,9 @@
                 match (job, policy) {
                     (Some(job), Some(policy)) if !ended => {
                         let submitted_at = now.saturating_sub(job.record.age(clock::unix_ms()));
-                        let opened = leader.finish_read(*job, policy, submitted_at, now);
+                        let config = self.store_state.config.as_deref();
+                        let job = job.with_workspace(config, &self.dialect);
+                        let opened = leader.finish_read(job, policy, submitted_at, now);
                         METERS.open_jobs(&service, leader.queue.len());
                         self.outbox.send(&service, vec![opened]);
                     }
@@ -230,7 +232,7 @@
     /// that has the route may still be on its way.
     fn policy(&self, record: &Record) -> Option<Policy> {
         let config = self.store_state.config.as_ref();
-        let known = config.and_then(|config| config.job_policy(&record.host, &record.path));
+        let known = config.and_then(|config| config.job_policy(record));
         match (record.policy, known) {
             (Some(accepted), Some(known)) => Some(accepted.updated(known)),
             (None, None)
@@ -323,6 +325,7 @@
         let submitted_at = now.saturating_sub(record.age(clock::unix_ms()));
         self.store_state.put_head(id, Head { record: record.clone(), revision });
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
+        let stored = stored.with_workspace(self.store_state.config.as_deref(), &self.dialect);
         let opened = leader.finish_read(stored, policy, submitted_at, now);
         METERS.open_jobs(&service, leader.queue.len());
         self.outbox.send(&service, vec![opened]);
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -262,6 +262,7 @@
             pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
             failures: failure.failures,
             max_attempts: job.policy.max_attempts,
+            workspace: job.record.workspace.clone(),
             assignment,
         })))
     }
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -13,6 +13,7 @@
     prelude::*,
     rate::Limit,
     store::{Change, Entry},
+    workspace::Credential,
 };
 
 /// Operation that a request at the entry address selects.
@@ -39,6 +40,8 @@
     pub last_event: Option<u64>,
     /// Id of the request that brought the first event of that stream.
     pub resumes: Option<Box<str>>,
+    /// API key of the caller.
+    pub credential: Credential,
 }
 
 /// Headers of a target's response.
@@ -154,6 +157,10 @@
     fn set_resume_header(&self, headers: &mut HeaderMap, event: u64);
     /// Sets the header with the priority of a request among those of other callers; 0 is the most urgent.
     fn set_priority_header(&self, headers: &mut HeaderMap, priority: u32);
+    /// Removes the headers that callers may send about workspaces, and sets the one with the workspace's name.
+    fn set_workspace_header(&self, headers: &mut HeaderMap, workspace: Option<&str>);
+    /// The same for the headers of an item.
+    fn set_item_workspace(&self, headers: &mut Vec<(Box<str>, Box<str>)>, workspace: Option<&str>);
     fn answer(&self, status: StatusCode, headers: &HeaderMap) -> Answer;
     /// Name of the event field that announces a change of version.
     fn version_field(&self) -> &str;
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -101,7 +101,7 @@
     /// Applies a configuration to the jobs that do not know it yet.
     pub fn update_policies(&mut self, config: &Config) {
         for job in self.jobs.values_mut() {
-            if let Some(later) = config.job_policy(&job.record.host, &job.record.path)
+            if let Some(later) = config.job_policy(&job.record)
                 && later.config > job.policy.config
             {
                 job.set_policy(job.policy.updated(later));
--- a/crates/node/src/job/record.rs
+++ b/crates/node/src/job/record.rs
@@ -23,6 +23,9 @@
     /// Policy under which the job was accepted. Earlier builds store none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<Policy>,
+    /// Workspace that submitted the job. None for a job accepted by an earlier build, or while there were no workspaces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
 }
 
 impl Record {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,3 +34,4 @@
 pub mod traffic;
 pub mod view;
 pub mod weights;
+pub mod workspace;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,7 @@
     target_ends: Counter<u64>,
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
+    refused_keys: Counter<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -135,6 +136,10 @@
                 "lagoonyard_held_contents",
                 "Contents that are kept from targets as targets ended under them",
             ),
+            refused_keys: counter(
+                "lagoonyard_refused_keys",
+                "Calls refused by their API key, by reason",
+            ),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -256,6 +261,11 @@
         self.held_contents.record(count as u64, &[]);
     }
 
+    /// Records a call that was refused by its API key.
+    pub fn refused_key(&self, reason: &'static str) {
+        self.refused_keys.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -160,6 +160,9 @@
     /// Failed attempts that the policy of the job allows; 0 from leaders that do not say so.
     #[prost(uint32, tag = "25")]
     pub max_attempts: u32,
+    /// Workspace of the job; absent from leaders of earlier builds, which send the headers of the trainer as they are.
+    #[prost(string, optional, tag = "26")]
+    pub workspace: Option<String>,
 }
 
 /// The text of a run is complete.
@@ -272,6 +275,7 @@
             started_ms: run.target.as_ref().map(|target| target.started_ms).unwrap_or_default(),
             failures: run.failures,
             max_attempts: run.max_attempts,
+            workspace: run.workspace.as_deref().map(str::to_owned),
         }
     }
 }
@@ -322,6 +326,7 @@
             pace_window: raw.pace_window,
             failures: raw.failures,
             max_attempts: raw.max_attempts,
+            workspace: raw.workspace.map(Into::into),
             runner: None,
             assignment: Assignment {
                 job: raw.job.into(),
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -6,6 +6,14 @@
 use http_body_util::BodyExt;
 use hyper::{body::Body, body::Incoming};
 use snafu::Snafu;
+use tokio::time::timeout;
+
+use crate::prelude::*;
+
+/// Time for which the body of a request that is refused is read.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest part of such a body that is read.
+const DISCARD_BYTES_MAX: usize = 1 << 20;
 
 /// Why a body could not be read.
 #[derive(Debug, Snafu)]
@@ -60,6 +68,22 @@
     }
 }
 
+/// Reads and drops the body of a request that is refused, up to a limit and for a limited time. A connection that is closed
+/// with unread bytes is reset, and the response may be lost.
+pub async fn discard(mut body: Incoming) {
+    let rest = async {
+        let mut bytes = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            bytes += frame.data_ref().map_or(0, Bytes::len);
+            if bytes > DISCARD_BYTES_MAX {
+                return;
+            }
+        }
+    };
+    // The response follows either way.
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+}
+
 /// Reads a body of at most `limit` bytes.
 pub async fn read(body: Incoming, limit: usize, budget: &Rc<Budget>) -> Result<Bytes, Error> {
     read_held(body, limit, budget).await.map(|(bytes, _)| bytes)
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -15,6 +15,7 @@
     metrics::METERS,
     prelude::*,
     traffic::{
+        access,
         body::{self, Taken},
         dispatch::{Failure, dispatch},
         event_body::EventBody,
@@ -25,6 +26,7 @@
         stream::{self, Answered, TakeUp},
         submit::{SubmitOutcome, submit},
     },
+    workspace::Caller,
 };
 
 /// Delay that a refused caller is told to wait before it retries.
@@ -64,6 +66,17 @@
 
 async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> HttpResponse {
     let operation = traffic.dialect.operation(request.method(), request.uri(), request.headers());
+    if operation != Operation::Routed {
+        let head = traffic.dialect.head(request.headers());
+        let Some(config) = traffic.view.load().config.clone() else {
+            info!(request = &*head.id; "request refused: no configuration is known yet");
+            return not_run_response(RETRY_AFTER);
+        };
+        if let Err(refusal) = access::admit(&config, &head) {
+            body::discard(request.into_body()).await;
+            return access::refuse(refusal, &head);
+        }
+    }
     match operation {
         Operation::Results { job, after, wait } => job_response(
             jobs::results(traffic, &job, after, wait.min(RESULTS_WAIT_MAX)).await,
@@ -97,7 +110,7 @@
     }
 }
 
-fn status(status: StatusCode) -> HttpResponse {
+pub(super) fn status(status: StatusCode) -> HttpResponse {
     let mut response = Response::new(Either::Left(Full::default()));
     *response.status_mut() = status;
     response
@@ -117,41 +130,55 @@
     let arrived = Instant::now();
     let view = traffic.view.load_full();
     let (parts, body) = request.into_parts();
+    let head = traffic.dialect.head(&parts.headers);
+    let config = view.config.as_deref();
+    let routed = config.and_then(|it| Some((it, it.route(&head.host, parts.uri.path())?)));
+    let caller = match routed.map(|(config, route)| access::admit_routed(config, route, &head)) {
+        Some(Ok(caller)) => caller,
+        Some(Err(refusal)) => {
+            body::discard(body).await;
+            return access::refuse(refusal, &head);
+        }
+        None => Caller::Any,
+    };
     // The body is read before any response is sent: a connection that is closed with unread bytes is reset, and the
     // response is lost.
-    let (body, held) = match read_body(traffic, view.config.as_deref(), body).await {
+    let (body, held) = match read_body(traffic, config, body).await {
         Ok(body) => body,
         Err(response) => return response,
     };
-    let head = traffic.dialect.head(&parts.headers);
     if *traffic.phase.borrow() >= Phase::Refusing {
         info!(request = &*head.id; "request refused: the process is about to end");
         return not_run_response(RETRY_AFTER);
     }
-    let Some(config) = &view.config else {
+    let Some(config) = config else {
         info!(request = &*head.id; "request refused: no configuration is known yet");
         return not_run_response(RETRY_AFTER);
     };
-    let Some(route) = config.route(&head.host, parts.uri.path()).cloned() else {
+    let Some(mut route) = routed.map(|(_, route)| route.clone()) else {
         log::debug!(request = &*head.id, version = config.version; "request refused: no route");
         return status(StatusCode::NOT_FOUND);
     };
+    let priority = caller.workspace().and_then(|workspace| workspace.priority);
+    route.priority = priority.unwrap_or(route.priority);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     if route.kind == Kind::Job {
         let id = (&*head.id, &*head.host, parts.uri.path());
-        let result = submit(traffic, (config.version, &route), id, body).await;
+        let result = submit(traffic, (config.version, &route), id, &caller, body).await;
         METERS.request(route.kind.name(), result.name(), arrived.elapsed());
         return submit_response(result);
     }
     let broken_off = head
         .last_event
         .map(|last_event| BrokenOff { stream: head.resumes.unwrap_or_default(), last_event });
+    let mut headers = end_to_end(parts.headers);
+    access::set_headers(traffic, &mut headers, &caller);
     let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
     let call = Call {
         id: head.id,
         method: parts.method,
         uri: uri.unwrap_or_default(),
-        headers: end_to_end(parts.headers),
+        headers,
         body,
         held: Some(Rc::new(held)),
         deadline: arrived + timeout,
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -8,11 +8,13 @@
 use hyper::body::Incoming;
 use tokio::{
     sync::{mpsc, oneshot},
-    time::{Instant, timeout_at},
+    time::{Instant, sleep, timeout_at},
 };
 
 use crate::{
-    clock, crash,
+    clock,
+    config::Config,
+    crash,
     events::{Parser, Progress},
     fleet::Target,
     job::{Assignment, End, Failure, Identity, Item, Outcome},
@@ -39,6 +41,8 @@
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest text of an item.
 const TEXT_BYTES_MAX: usize = 4 << 20;
+/// Time until an item without a workspace is refused, as its leader sends it again at once.
+const WORKSPACE_REFUSAL_DELAY: Duration = Duration::from_millis(250);
 /// Interval at which the control thread receives the text of a run.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -87,6 +91,8 @@
     pub failures: u32,
     /// Failed attempts that the policy of the job allows; 0 if the leader does not say so.
     pub max_attempts: u32,
+    /// Workspace of the job.
+    pub workspace: Option<WorkspaceId>,
 }
 
 impl Run {
@@ -264,6 +270,11 @@
     }
     let deadline = Instant::now() + SILENCE_TIMEOUT;
     let to = (&target.id, target.address);
+    if lacks_workspace(traffic, run) {
+        run_log::unreached(run, target, state.ordered, "the item has no workspace");
+        sleep(WORKSPACE_REFUSAL_DELAY).await;
+        return Some(End::NotRun);
+    }
     let demand = Demand { request: &run.item.id, idle_max: Duration::MAX, allows_doubt: true };
     let Ok(mut channel) = connect(traffic, to, demand, deadline).await else {
         run_log::unreached(run, target, state.ordered, "could not connect");
@@ -431,6 +442,17 @@
     }
 }
 
+fn has_workspaces(traffic: &Traffic) -> bool {
+    traffic.view.load().config.as_ref().is_some_and(|config| config.workspaces.is_some())
+}
+
+/// Whether an item has no workspace and needs one. A leader of an earlier build sends it so.
+fn lacks_workspace(traffic: &Traffic, run: &Run) -> bool {
+    let view = traffic.view.load();
+    let needs = |config: &Arc<Config>| config.needs_workspace(&run.host, &run.item.path);
+    run.workspace.is_none() && view.config.as_ref().is_some_and(needs)
+}
+
 /// Builds the request of an item; `None` if its path or headers are not valid in HTTP.
 fn request(traffic: &Traffic, run: &Run, target: &Endpoint) -> Option<Request<Full<bytes::Bytes>>> {
     let item = &run.item;
@@ -440,6 +462,9 @@
         headers.append(name, HeaderValue::from_str(value).ok()?);
     }
     headers.insert(header::HOST, HeaderValue::from_str(&run.host).ok()?);
+    if run.workspace.is_some() || has_workspaces(traffic) {
+        traffic.dialect.set_workspace_header(&mut headers, run.workspace.as_deref());
+    }
     traffic.dialect.set_attempt_headers(&mut headers, &item.id, &target.id, None);
     if run.assignment.progress.last_event > 0 {
         traffic.dialect.set_resume_header(&mut headers, run.assignment.progress.last_event);
--- a/crates/node/src/traffic/submit.rs
+++ b/crates/node/src/traffic/submit.rs
@@ -13,6 +13,7 @@
     prelude::*,
     store::{Error, Outcome, Put, Txn},
     traffic::{Submission, peers, serve::Traffic},
+    workspace::Caller,
 };
 
 /// The store's limit on the size of a value, divided by this, bounds each part of a body.
@@ -54,6 +55,7 @@
     traffic: &Rc<Traffic>,
     (config, route): (u64, &Route),
     (id, host, path): (&str, &str, &str),
+    caller: &Caller,
     body: Bytes,
 ) -> SubmitOutcome {
     let spec = match traffic.dialect.submission(id, &body) {
@@ -76,6 +78,7 @@
         parts: parts.len(),
         ended: false,
         policy: Some(Policy::new(config, route)),
+        workspace: caller.workspace().map(|workspace| workspace.name.clone()),
     };
     let txn = transaction(id, &record, parts);
     let (outcome, revision) = write(traffic, id, &txn).await;
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -72,6 +72,7 @@
         parts: 1,
         ended: false,
         policy: None,
+        workspace: None,
     };
     let spec = Spec {
         id: id.into(),
--- a/crates/node/tests/samples/mod.rs
+++ b/crates/node/tests/samples/mod.rs
@@ -205,6 +205,7 @@
                 parts: 1,
                 ended: false,
                 policy: None,
+                workspace: None,
             },
         ),
         stored(
@@ -225,6 +226,7 @@
                     priority: 1,
                     single_version: true,
                 }),
+                workspace: None,
             },
         ),
         stored("rows", Chunk { total: 2, first: 0, rows: vec![row] }),
