Client of the platform's API

Duties need calls to the platform's API. The right to call now bears the end of the lease: the client looks at it after connecting, so that a process that was suspended in between sends nothing. The control thread gets the client when the settings name the API.

--- a/crates/node/src/cloud.rs
+++ b/crates/node/src/cloud.rs
@@ -47,6 +47,8 @@
     pub holder: HostId,
     /// Fencing token, which grows with each holder.
     pub fence: Revision,
+    /// Time until which no other host can hold the duty. Nothing is sent later, even if the call began before.
+    pub until: Time,
 }
 
 /// Requests of each workspace that targets began to run in a window.
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    clock,
+    clock, cloud,
     control::{
         election::{Election, LeaderKey, Leadership},
         leader::Leader,
@@ -61,6 +61,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// API of the platform, if this deployment has duties there.
+    pub cloud: Option<cloud::Handle>,
     /// Hosts that relay calls to the store.
     pub peers: Peers,
     pub freshness: Arc<Freshness>,
@@ -81,6 +83,9 @@
     pub(super) view: Shared,
     pub(super) dialect: dialect::Handle,
     pub(super) store: store::Handle,
+    /// API of the platform, if this deployment has duties there.
+    #[allow(dead_code, reason = "read by the holders of duties, which follow")]
+    pub(super) cloud: Option<cloud::Handle>,
     /// Freshness of the target registrations.
     pub(super) freshness: Arc<Freshness>,
     /// Time at which registrations that are not published yet were current.
@@ -152,6 +157,7 @@
         view,
         dialect,
         store,
+        cloud,
         peers,
         freshness,
         feed,
@@ -221,6 +227,7 @@
         view,
         dialect,
         store,
+        cloud,
         freshness,
         refreshed_at: None,
         feed,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -48,6 +48,7 @@
     target_ends: Counter<u64>,
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
+    cloud_calls: Counter<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -135,6 +136,10 @@
                 "lagoonyard_held_contents",
                 "Contents that are kept from targets as targets ended under them",
             ),
+            cloud_calls: counter(
+                "lagoonyard_cloud_calls",
+                "Calls of the platform's API by call and outcome",
+            ),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -256,6 +261,11 @@
         self.held_contents.record(count as u64, &[]);
     }
 
+    /// Records the outcome of a call of the platform's API.
+    pub fn cloud_call(&self, call: &'static str, outcome: &'static str) {
+        self.cloud_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
