Usage of workspaces, reported once by the holder of a duty

A deployment whose settings name the duty and whose configuration has workspaces reports the usage of each workspace to the platform, once for each window of true time. Each host counts the attempts that its targets began to run and sends cumulative counts to the holder of the duty, which is elected like a leader. The holder settles a window in the store on the condition that it still holds the duty and that nobody else has settled anything, and sends it only then; its successor sends what is settled and not known to be received, with the same bytes. Clocks are corrected by the median of the offsets. Requests bear no workspace yet: traffic::exchange::Call has a field for it, which is empty.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -121,6 +121,8 @@
     pub version: u64,
     pub services: Vec<Service>,
     pub limits: Limits,
+    /// Whether callers belong to workspaces, whose usage is counted.
+    pub has_workspaces: bool,
     by_host: HashMap<Box<str>, Vec<Route>>,
 }
 
@@ -134,7 +136,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Self { version, services, limits, by_host }
+        Self { version, services, limits, has_workspaces: false, by_host }
     }
 
     /// All routes.
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -53,6 +53,7 @@
                 // A dropped receiver means that the requester has given up.
                 let _ = reply.send(self.grant(&service, &target, priority));
             }
+            Report::Usage { counts, reply } => self.take_usage((*counts, reply)),
         }
     }
 
--- a/crates/node/src/control/election.rs
+++ b/crates/node/src/control/election.rs
@@ -75,6 +75,8 @@
     pub stopping: watch::Receiver<bool>,
     /// Fencing token of a leadership that is to be released.
     pub released: watch::Receiver<Revision>,
+    /// Time before which this host does not compete.
+    pub not_before: watch::Receiver<Time>,
     pub links: Arc<Links>,
 }
 
@@ -105,9 +107,15 @@
             if self.leader_key.wait_for(|key| *key == LeaderKey::Absent).await.is_err() {
                 return;
             }
+            let wait = self.not_before.borrow().saturating_sub(clock::now());
+            sleep(wait).await;
             let cut_off = self.links.cut_since().map_or(Duration::ZERO, |_| CUT_OFF_DELAY);
             sleep(self.delay + cut_off + JITTER_MAX.mul_f64(rand::random())).await;
-            if *self.leader_key.borrow() != LeaderKey::Absent || *self.stopping.borrow() {
+            let too_early = clock::now() < *self.not_before.borrow();
+            if *self.leader_key.borrow() != LeaderKey::Absent
+                || *self.stopping.borrow()
+                || too_early
+            {
                 continue;
             }
             match self.acquire().await {
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod store_state;
 mod stored;
 mod tasks;
+mod usage;
 pub mod waits;
 mod writes;
 
@@ -28,3 +29,4 @@
 pub use mirror::{Mirror, Schedule, Update};
 pub use state::{Parts, run};
 pub use store_state::{Effect, StoreState};
+pub use usage::settle;
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -128,6 +128,7 @@
             leaderships: self.leaderships.clone(),
             stopping: self.step_down.subscribe(),
             released,
+            not_before: watch::channel(Time::ZERO).1,
             links: Arc::clone(&self.links),
         };
         tokio::task::spawn_local(election.run());
@@ -145,6 +146,7 @@
             set(sender, state(self.store_state.leader_keys.get(service)));
         }
         set(&self.reader_key, state(self.store_state.reader.as_ref()));
+        self.update_usage_key();
         let reader = self.store_state.reader.as_ref().and_then(|reader| reader.peer);
         set(&self.reader, reader.filter(|reader| Some(*reader) != self.settings.peer));
     }
@@ -178,6 +180,7 @@
         let Some(config) = self.store_state.config.clone() else {
             return;
         };
+        self.join_usage_duty(&config);
         for service in config.services.iter().filter(|service| service.engines) {
             self.join_election(&service.name);
         }
@@ -207,7 +210,7 @@
 }
 
 /// Sets a watched value, and wakes its receivers only if it has changed.
-fn set<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+pub(super) fn set<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|current| {
         let is_new = *current != value;
         *current = value;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -20,6 +20,7 @@
         software,
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired},
+        usage,
         waits::Waits,
     },
     crash,
@@ -36,6 +37,7 @@
     store::{self, Put, Txn},
     term,
     traffic::{Command, Report},
+    usage::Meter,
     view::{Shared, View},
 };
 
@@ -72,6 +74,8 @@
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
     pub failures: Arc<Failures>,
+    /// Usage of workspaces on this host.
+    pub meter: Arc<Meter>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -84,7 +88,6 @@
     pub(super) dialect: dialect::Handle,
     pub(super) store: store::Handle,
     /// API of the platform, if this deployment has duties there.
-    #[allow(dead_code, reason = "read by the holders of duties, which follow")]
     pub(super) cloud: Option<cloud::Handle>,
     /// Freshness of the target registrations.
     pub(super) freshness: Arc<Freshness>,
@@ -102,6 +105,10 @@
     pub(super) terms: Arc<term::Table>,
     /// Failed items that this host knows.
     pub(super) failures: Arc<Failures>,
+    /// Usage of workspaces on this host.
+    pub(super) meter: Arc<Meter>,
+    /// Duty of usage reports, once this host takes part in it.
+    pub(super) usage: Option<usage::Handle>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -166,6 +173,7 @@
         crashes,
         terms,
         failures,
+        meter,
         commands,
         mut reports,
         mut stopping,
@@ -236,6 +244,8 @@
         crashes,
         terms,
         failures,
+        meter,
+        usage: None,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -15,7 +15,7 @@
     job::{Key, Record},
     prelude::*,
     store::Change,
-    term,
+    term, usage,
 };
 
 /// Index of the mirror of the leader keys.
@@ -77,6 +77,8 @@
     crashes: Arc<crash::Table>,
     /// Host that reads for this host's zone.
     pub reader: Option<LeaderEntry>,
+    /// Host that holds the duty of usage reports.
+    pub usage_holder: Option<LeaderEntry>,
     /// Addresses of the hosts that read for their zones.
     pub reader_addresses: Arc<BTreeMap<ZoneId, SocketAddr>>,
     /// Addresses of the leaders, from their keys.
@@ -107,6 +109,7 @@
             terms,
             crashes,
             reader: None,
+            usage_holder: None,
             zone,
             reader_addresses: Arc::default(),
             leader_addresses: Arc::default(),
@@ -157,6 +160,13 @@
                 self.apply_reader_key(zone, LeaderEntry::of(change));
                 None
             }
+            Some(Key::Duty(duty)) => {
+                if &*duty == usage::DUTY {
+                    self.usage_holder = LeaderEntry::of(change);
+                    self.changed = true;
+                }
+                None
+            }
             None => match dialect.decode_change(change) {
                 Ok(change) => self.apply_platform_change(change),
                 Err(error) => {
--- a/crates/node/src/job/keys.rs
+++ b/crates/node/src/job/keys.rs
@@ -11,6 +11,8 @@
 pub const LEADERS: &str = "lead/";
 /// Name before the zone in the leader keys of the hosts that read for their zones.
 pub const READERS: &str = "zone/";
+/// Begin of the names in the leader keys of the holders of duties at the platform.
+const DUTIES: &str = "duty/";
 /// Prefix of the relay addresses of hosts.
 pub const HOSTS: &str = "host/";
 
@@ -27,10 +29,12 @@
     Leader(ServiceId),
     /// Host that reads for its zone.
     Reader(ZoneId),
+    /// Holder of a duty, by the name under which hosts compete for it.
+    Duty(ServiceId),
 }
 
 impl Key {
-    /// Parses a key of a job head, a leader or a reader; `None` for any other key.
+    /// Parses a key of a job head, a leader, a reader or the holder of a duty; `None` for any other key.
     pub fn parse(key: &str) -> Option<Self> {
         if let Some(id) = key.strip_prefix(HEADS) {
             return Some(Self::Head(id.into()));
@@ -38,6 +42,7 @@
         let name = key.strip_prefix(LEADERS)?;
         Some(match name.strip_prefix(READERS) {
             Some(zone) => Self::Reader(zone.into()),
+            None if name.starts_with(DUTIES) => Self::Duty(name.into()),
             None => Self::Leader(name.into()),
         })
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod store;
 pub mod term;
 pub mod traffic;
+pub mod usage;
 pub mod view;
 pub mod weights;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,8 @@
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
     cloud_calls: Counter<u64>,
+    usage: Counter<u64>,
+    duties: Gauge<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -140,6 +142,11 @@
                 "lagoonyard_cloud_calls",
                 "Calls of the platform's API by call and outcome",
             ),
+            usage: counter(
+                "lagoonyard_usage",
+                "Requests of workspaces that were reported, or that could not be, by outcome",
+            ),
+            duties: gauge("lagoonyard_duties", "Whether this host holds a duty, by duty"),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -266,6 +273,16 @@
         self.cloud_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records requests of workspaces by what became of their report.
+    pub fn usage(&self, outcome: &'static str, requests: u64) {
+        self.usage.add(requests, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Records whether this host holds a duty at the platform.
+    pub fn holds_duty(&self, duty: &'static str, holds: bool) {
+        self.duties.record(u64::from(holds), &[KeyValue::new("duty", duty)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -14,6 +14,7 @@
         run::Lead,
         suspect::{SuspectsRequest, Trial},
         tunnel::Tunnel,
+        usage::UsageCounts,
     },
     prelude::*,
 };
@@ -33,7 +34,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub kind: Option<Kind>,
 }
 
@@ -78,6 +79,9 @@
     /// Tells of failed items, for the next leader.
     #[prost(message, tag = "14")]
     Failed(FailedItems),
+    /// Tells what a host has counted, and asks for the clocks of others.
+    #[prost(message, tag = "15")]
+    Usage(UsageCounts),
 }
 
 /// Requests the results of a job from position `after` on.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -14,6 +14,7 @@
 mod suspect;
 mod text;
 pub mod tunnel;
+mod usage;
 
 pub use client::{Client, connect};
 pub use departure::Departure;
@@ -28,3 +29,4 @@
 pub use suspect::{Strike, Suspect, Suspects, SuspectsRequest, Trial};
 pub use text::TextPart;
 pub use tunnel::Tunnel;
+pub use usage::{HostClock, UsageCounts, UsageReply, UsageWindow};
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -154,6 +154,7 @@
         headers: end_to_end(parts.headers),
         body,
         held: Some(Rc::new(held)),
+        workspace: None,
         deadline: arrived + timeout,
     };
     if matches!(route.kind, Kind::Stream { .. }) {
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -52,6 +52,8 @@
     /// What the body takes of the budget of callers' bodies, until no target needs it any more.
     #[expect(dead_code, reason = "only dropped")]
     pub held: Option<Rc<Taken>>,
+    /// Workspace in whose usage the request counts.
+    pub workspace: Option<WorkspaceId>,
     /// Time at which the request fails if there is no response yet.
     pub deadline: Instant,
 }
@@ -180,6 +182,7 @@
         ExchangeError::MaybeRun
     };
     let sent_at = clock::now();
+    let usage = traffic.meter.begin(call.workspace.as_ref());
     let on_loss = if idempotent { OnLoss::GiveUp } else { OnLoss::Wait };
     let silence = Silence::new(traffic);
     let suspect = || Suspect::request(call.content(), target, Run::default());
@@ -201,6 +204,10 @@
     }
     let instance = (&target.id, target.started_ms);
     announce::record(traffic, instance, parts.status, &answer, sent_at);
+    match answer.not_run {
+        true => usage.not_run(),
+        false => drop(usage),
+    }
     if !answer.not_run && NOT_RUN_STATUSES.contains(&parts.status) {
         return Err(fail(&"refusal does not state that the request was not run"));
     }
--- a/crates/node/src/traffic/judge.rs
+++ b/crates/node/src/traffic/judge.rs
@@ -33,6 +33,7 @@
         headers: HeaderMap::from_iter([(header::HOST, host)]),
         body: judge.body.clone(),
         held: None,
+        workspace: None,
         deadline: Instant::now() + TIMEOUT.min(route.timeout),
     };
     match dispatch(traffic, route, &call).await {
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -15,7 +15,7 @@
     job::Record,
     peer::{
         self, Body, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler, Kind, Lead,
-        Origin, Request, Response, Results, Submitted, SuspectsRequest, Tunnel,
+        Origin, Request, Response, Results, Submitted, SuspectsRequest, Tunnel, UsageCounts,
     },
     prelude::*,
     traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
@@ -25,6 +25,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for a response to a request that makes the leader call the store.
 const END_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for the control thread to take counts of usage.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Longest wait for results before it is checked whether this host still leads.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -131,6 +133,19 @@
     }
 }
 
+/// Passes on what another host has counted; `None` if usage is not counted here.
+async fn take_usage(traffic: &Traffic, counts: UsageCounts) -> Option<Bytes> {
+    if !traffic.meter.is_on() {
+        return None;
+    }
+    traffic.meter.hear(&counts);
+    let (reply, replied) = oneshot::channel();
+    report(traffic, Report::Usage { counts: Box::new(counts), reply });
+    let settled_before = timeout_at(Instant::now() + USAGE_TIMEOUT, replied).await;
+    let settled_before = settled_before.ok().and_then(Result::ok).flatten();
+    Some(traffic.meter.reply(settled_before).encode_to_vec().into())
+}
+
 /// Serves the requests of other hosts.
 pub struct PeerHandler(pub Rc<Traffic>);
 
@@ -195,6 +210,7 @@
                 items.iter().for_each(|item| item.record(&traffic.failures, now));
                 Some(Bytes::new())
             }
+            Some(Kind::Usage(counts)) => take_usage(traffic, counts).await,
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_)) | None => None,
         };
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -7,6 +7,7 @@
 use crate::{
     fleet::Departure,
     job::{Chunk, Record, Spec},
+    peer::UsageCounts,
     prelude::*,
     rate,
     traffic::run::{Run, RunReport},
@@ -93,4 +94,9 @@
         priority: u32,
         reply: oneshot::Sender<Option<Result<(), Duration>>>,
     },
+    /// A host tells what it has counted. The reply is the first window that is not settled, if this host holds the duty.
+    Usage {
+        counts: Box<UsageCounts>,
+        reply: oneshot::Sender<Option<u64>>,
+    },
 }
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -53,6 +53,7 @@
         suspects,
         tunnel::Tunnels,
     },
+    usage::Meter,
     view::{Shared, View},
 };
 
@@ -79,6 +80,7 @@
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
     pub failures: Arc<Failures>,
+    pub meter: Arc<Meter>,
     pub hosts: relay::Peers,
     pub commands: mpsc::UnboundedReceiver<Command>,
     pub reports: mpsc::UnboundedSender<Report>,
@@ -106,6 +108,8 @@
     pub terms: Arc<term::Table>,
     /// Failed items, for the next leader.
     pub failures: Arc<Failures>,
+    /// Usage of workspaces.
+    pub meter: Arc<Meter>,
     pub looks: Looks,
     pub origins: Origins,
     /// What other hosts are to be told of targets.
@@ -151,6 +155,7 @@
         crashes,
         terms,
         failures,
+        meter,
         hosts,
         commands,
         reports,
@@ -177,6 +182,7 @@
         crashes,
         terms,
         failures,
+        meter,
         looks: Looks::default(),
         origins: Origins::default(),
         changes: announce::Changes::default(),
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -380,6 +380,9 @@
                 return Err(fail(&"event too long"));
             }
         }
+        if parser.has_event() {
+            traffic.meter.began(call.workspace.as_ref());
+        }
         let closes = closes_connection(&head.headers);
         let target = Arc::clone(target);
         Ok(Outcome::Started(Start::Begun(Box::new(Open {
--- /dev/null
+++ b/crates/node/src/usage/meter.rs
@@ -0,0 +1,126 @@
+//! Counters of a host, shared by its threads.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::{
+    peer::{UsageCounts, UsageReply},
+    prelude::*,
+    usage::{Counters, Moment, Ran, Reading, Windows},
+};
+
+/// Counters of this host; without any, nothing is counted.
+#[derive(Debug, Default)]
+pub struct Meter {
+    counters: Option<Mutex<Counters>>,
+}
+
+impl Meter {
+    pub fn new(counters: Counters) -> Self {
+        Self { counters: Some(Mutex::new(counters)) }
+    }
+
+    /// Counters of a process that starts.
+    pub fn of_process(host: HostId, address: Box<str>, windows: Windows) -> Self {
+        Self::new(Counters::new(host, address, rand::random(), windows))
+    }
+
+    /// Whether usage is counted.
+    pub fn is_on(&self) -> bool {
+        self.counters.is_some()
+    }
+
+    fn lock(&self) -> Option<MutexGuard<'_, Counters>> {
+        let counters = self.counters.as_ref()?;
+        Some(counters.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Counts an attempt that is about to be sent to a target, until it is known that the target has not run it.
+    pub fn begin(self: &Arc<Self>, workspace: Option<&WorkspaceId>) -> Attempt {
+        let begun = workspace.and_then(|workspace| {
+            let window = self.lock()?.begin(workspace, Moment::present())?;
+            Some((window, workspace.clone()))
+        });
+        Attempt { meter: Arc::clone(self), begun }
+    }
+
+    /// Counts a request that a target has begun to run.
+    pub fn began(self: &Arc<Self>, workspace: Option<&WorkspaceId>) {
+        drop(self.begin(workspace));
+    }
+
+    pub fn is_synced(&self) -> bool {
+        self.lock().is_none_or(|counters| counters.is_synced())
+    }
+
+    /// True time in milliseconds since the start of 1970.
+    pub fn true_ms(&self) -> u64 {
+        let moment = Moment::present();
+        self.lock().map_or(moment.unix_ms, |mut counters| counters.true_ms(moment))
+    }
+
+    /// Records the clock of a host that sends a message.
+    pub fn hear(&self, message: &UsageCounts) {
+        if let Some(mut counters) = self.lock() {
+            let (host, unix_ms) = (message.host.as_str().into(), message.unix_ms);
+            let reading = Reading { host, unix_ms, age: Duration::ZERO };
+            counters.hear(&reading, Moment::present().now);
+        }
+    }
+
+    /// Answer to a message. `settled_before` is known to the holder only.
+    pub fn reply(&self, settled_before: Option<u64>) -> UsageReply {
+        let readings = self.lock().map(|counters| counters.readings(Moment::present()));
+        let clocks = readings.unwrap_or_default().into_iter().map(Into::into).collect();
+        UsageReply { settled_before, clocks }
+    }
+
+    pub fn set_holder(&self, fence: Revision) {
+        if let Some(mut counters) = self.lock() {
+            counters.set_holder(fence);
+        }
+    }
+
+    /// What the holder does not know yet.
+    pub fn news(&self) -> Option<UsageCounts> {
+        self.lock()?.news(Moment::present())
+    }
+
+    /// A question for the clocks of another host.
+    pub fn question(&self) -> Option<UsageCounts> {
+        Some(self.lock()?.question(Moment::present()))
+    }
+
+    pub fn apply_reply(&self, sent: &UsageCounts, reply: &UsageReply) {
+        if let Some(mut counters) = self.lock() {
+            counters.apply_reply(sent, reply, Moment::present());
+        }
+    }
+}
+
+/// An attempt that counts. Dropping it without a statement of the target leaves it counted.
+#[derive(Debug)]
+pub struct Attempt {
+    meter: Arc<Meter>,
+    begun: Option<(u64, WorkspaceId)>,
+}
+
+impl Attempt {
+    /// The target states that it has not run the request.
+    pub fn not_run(mut self) {
+        self.end(Ran::No);
+    }
+
+    fn end(&mut self, ran: Ran) {
+        if let Some((window, workspace)) = self.begun.take()
+            && let Some(mut counters) = self.meter.lock()
+        {
+            counters.end(window, &workspace, ran);
+        }
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        self.end(Ran::Perhaps);
+    }
+}
--- /dev/null
+++ b/crates/node/src/usage/mod.rs
@@ -0,0 +1,35 @@
+//! Usage of workspaces: how many requests of each workspace targets began to run, by window of true time.
+//!
+//! Load pattern: every request of a route with workspaces on every host, and one report a window for all hosts together.
+//! Each host counts in memory ([`Counters`], shared by its threads as [`Meter`]) and sends cumulative counts to the holder
+//! of the duty. The holder adds up the counts of all hosts ([`Collector`]) and decides what is settled in the store
+//! ([`Ledger`]) and what is then sent to the platform ([`Reporter`]). [`Offsets`] corrects the clocks of the hosts.
+//! Nothing here does input or output; `control::usage` executes the decisions.
+
+mod collector;
+mod counters;
+mod ledger;
+mod meter;
+mod offsets;
+mod reporter;
+mod windows;
+
+pub use collector::{Collector, Host};
+pub use counters::{Counters, Ran};
+pub use ledger::{Ledger, Settled};
+pub use meter::{Attempt, Meter};
+pub use offsets::{Moment, Offsets, Reading};
+pub use reporter::{Action, Reporter, Rules};
+pub use windows::Windows;
+
+use std::collections::BTreeMap;
+
+use crate::prelude::*;
+
+/// Requests by workspace.
+pub type Counts = BTreeMap<WorkspaceId, u64>;
+
+/// Name under which hosts compete for the duty.
+pub const DUTY: &str = "duty/usage-report";
+/// Key of the settled windows.
+pub const LEDGER: &str = "usage/settled";
--- a/crates/node/tests/election.rs
+++ b/crates/node/tests/election.rs
@@ -117,6 +117,7 @@
             leaderships: sender,
             stopping,
             released,
+            not_before: watch::channel(Time::ZERO).1,
             links: Arc::new(Links::default()),
         };
         tokio::task::spawn_local(election.run());
--- /dev/null
+++ b/crates/node/tests/usage.rs
@@ -0,0 +1,266 @@
+//! Usage counts of a host, their collection at the holder of the duty, and clocks that differ.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::ms;
+use lagoonyard_node::{
+    peer::{UsageCounts, UsageReply},
+    prelude::*,
+    usage::{Collector, Counters, Counts, Moment, Offsets, Ran, Reading, Windows},
+};
+
+const START_MS: u64 = 1_000_000;
+const LENGTH: Duration = Duration::from_secs(5);
+/// Window at `START_MS`, and its time left.
+const FIRST: u64 = 200;
+const ADDRESS: &str = "10.0.0.1:3";
+
+fn moment(after_ms: u64) -> Moment {
+    Moment { now: ms(after_ms), unix_ms: START_MS + after_ms }
+}
+
+fn counters(incarnation: u64) -> Counters {
+    Counters::new("h1".into(), ADDRESS.into(), incarnation, Windows::new(LENGTH))
+}
+
+fn counts(all: &[(&str, u64)]) -> Counts {
+    all.iter().map(|(name, count)| ((*name).into(), *count)).collect()
+}
+
+fn run(counters: &mut Counters, workspace: &str, after_ms: u64) {
+    let window = counters.begin(workspace, moment(after_ms)).unwrap();
+    counters.end(window, workspace, Ran::Perhaps);
+}
+
+fn reply(settled_before: Option<u64>) -> UsageReply {
+    UsageReply { settled_before, clocks: Vec::new() }
+}
+
+/// Sends what is new to a collector, which acknowledges it.
+fn send(counters: &mut Counters, collector: &mut Collector, next: u64, after_ms: u64) -> u64 {
+    let Some(news) = counters.news(moment(after_ms)) else {
+        return 0;
+    };
+    let late = collector.accept(&news, Some(next), FIRST, ms(after_ms));
+    counters.apply_reply(&news, &reply(Some(next)), moment(after_ms));
+    late
+}
+
+fn is_closed(collector: &Collector, window: u64, hosts: &[&str]) -> bool {
+    let known = hosts.iter().map(|host| host.parse().unwrap()).collect::<BTreeSet<_>>();
+    collector.is_closed(window, &known, ms(1), ms(0))
+}
+
+/// Guards against requests that count although a target has stated that it has not run them.
+#[test]
+fn attempts_count_from_their_beginning_unless_they_have_not_run() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    let window = counters.begin("a", moment(0)).unwrap();
+    run(&mut counters, "a", 10);
+    send(&mut counters, &mut collector, 0, 20);
+    assert_eq!(collector.total(FIRST), counts(&[("a", 2)]));
+    counters.end(window, "a", Ran::No);
+    send(&mut counters, &mut collector, 0, 30);
+    assert_eq!(collector.total(FIRST), counts(&[("a", 1)]));
+}
+
+/// Guards against a window that is closed while the outcome of one of its attempts is open, or before the holder is known.
+#[test]
+fn a_window_closes_once_its_attempts_have_ended() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    let window = counters.begin("a", moment(4900)).unwrap();
+    send(&mut counters, &mut collector, 0, 5100);
+    send(&mut counters, &mut collector, 0, 5200);
+    assert!(!is_closed(&collector, FIRST, &[ADDRESS]));
+    counters.end(window, "a", Ran::Perhaps);
+    send(&mut counters, &mut collector, 0, 5300);
+    assert!(is_closed(&collector, FIRST, &[ADDRESS]));
+    assert!(!is_closed(&collector, FIRST, &[ADDRESS, "10.0.0.2:3"]), "a host was not waited for");
+}
+
+/// Guards against repeated, lost and overtaken messages that change the counts.
+#[test]
+fn messages_may_be_repeated_lost_and_late() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    run(&mut counters, "a", 0);
+    let first = counters.news(moment(1)).unwrap();
+    run(&mut counters, "a", 2);
+    run(&mut counters, "b", 3);
+    // The first message is lost: it is not acknowledged, and comes after the second.
+    let second = counters.news(moment(4)).unwrap();
+    for message in [&second, &first, &second] {
+        collector.accept(message, Some(0), FIRST, ms(5));
+    }
+    assert_eq!(collector.total(FIRST), counts(&[("a", 2), ("b", 1)]));
+    counters.apply_reply(&second, &reply(Some(0)), moment(6));
+    assert_eq!(counters.news(moment(7)).map(|news| news.windows), Some(Vec::new()));
+}
+
+/// Guards against counts that go to a former holder only.
+#[test]
+fn the_next_holder_gets_all_windows_that_are_not_settled() {
+    let (mut counters, mut old, mut new) =
+        (counters(1), Collector::default(), Collector::default());
+    counters.set_holder(1);
+    run(&mut counters, "a", 0);
+    run(&mut counters, "a", 5000);
+    send(&mut counters, &mut old, FIRST, 5100);
+    counters.set_holder(1);
+    assert_eq!(counters.news(moment(5200)).map(|news| news.windows.len()), Some(0));
+    counters.set_holder(2);
+    send(&mut counters, &mut new, FIRST, 5300);
+    assert_eq!(new.total(FIRST), counts(&[("a", 1)]));
+    assert_eq!(new.total(FIRST + 1), counts(&[("a", 1)]));
+    // A settled window is not sent again.
+    send(&mut counters, &mut new, FIRST + 1, 10_100);
+    counters.set_holder(3);
+    let news = counters.news(moment(10_200)).unwrap();
+    assert_eq!(news.windows.iter().map(|it| it.window).collect::<Vec<_>>(), [FIRST + 1]);
+}
+
+/// Guards against an answer of a host without the duty that counts as an acknowledgement.
+#[test]
+fn only_the_holder_acknowledges_counts() {
+    let mut counters = counters(1);
+    run(&mut counters, "a", 0);
+    let news = counters.news(moment(1)).unwrap();
+    counters.apply_reply(&news, &reply(None), moment(2));
+    assert_eq!(counters.news(moment(3)).map(|news| news.windows.len()), Some(1));
+}
+
+/// Guards against counts before a restart that are replaced by those after it.
+#[test]
+fn counts_before_and_after_a_restart_add_up() {
+    let mut collector = Collector::default();
+    for (incarnation, requests) in [(7, 3), (8, 2)] {
+        let mut counters = counters(incarnation);
+        (0..requests).for_each(|n| run(&mut counters, "a", n));
+        send(&mut counters, &mut collector, 0, 100);
+    }
+    assert_eq!(collector.total(FIRST), counts(&[("a", 5)]));
+}
+
+/// Guards against late counts that are reported after all, counted twice, or taken for late when they are repetitions.
+#[test]
+fn counts_after_the_window_was_settled_are_late_once() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    run(&mut counters, "a", 0);
+    send(&mut counters, &mut collector, FIRST, 10);
+    collector.settle_before(FIRST + 1);
+    // The host has not learnt that the window is settled.
+    run(&mut counters, "a", 20);
+    let news = counters.news(moment(30)).unwrap();
+    let late = |collector: &mut Collector, news: &UsageCounts| {
+        collector.accept(news, Some(FIRST + 1), FIRST + 1, ms(30))
+    };
+    assert_eq!(late(&mut collector, &news), 1);
+    assert_eq!(late(&mut collector, &news), 0);
+    assert!(collector.is_empty());
+}
+
+/// Guards against counters that grow while no holder takes them, or with what callers send.
+#[test]
+fn memory_is_bounded() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    for window in 0..1000 {
+        run(&mut counters, "a", window * 5000);
+    }
+    for workspace in 0..10_000 {
+        let window = counters.begin(&format!("w{workspace}"), moment(5_000_000));
+        window.into_iter().for_each(|it| counters.end(it, &format!("w{workspace}"), Ran::Perhaps));
+    }
+    let news = counters.news(moment(5_000_001)).unwrap();
+    assert_eq!(news.windows.len(), 64);
+    assert!(news.windows.iter().all(|window| window.counts.len() <= 4096));
+    collector.accept(&news, None, FIRST + 2000, ms(1));
+    for incarnation in 0..1000 {
+        let news = UsageCounts { incarnation, ..news.clone() };
+        let windows = news.windows[..1].to_vec();
+        collector.accept(&UsageCounts { windows, ..news }, None, FIRST + 2000, ms(1));
+    }
+    assert!(collector.len() <= Collector::WINDOWS_MAX);
+    // A window that lies far ahead is not kept.
+    let mut ahead = Collector::default();
+    ahead.accept(&news, None, FIRST, ms(1));
+    assert!(ahead.is_empty());
+}
+
+fn reading(host: &str, unix_ms: u64) -> Reading {
+    Reading { host: host.into(), unix_ms, age: Duration::ZERO }
+}
+
+/// Guards against windows that begin at different times on hosts whose clocks differ.
+#[test]
+fn hosts_agree_on_the_time_although_their_clocks_differ() {
+    check_agreement(&[10_000, 10_020, 13_000, 10_010, 7_000], 10_010);
+    // Between two middle clocks all hosts take the same one, whatever they knew before.
+    check_agreement(&[10_000, 11_000, 12_000, 13_000], 11_000);
+    check_agreement(&[13_000, 10_000], 10_000);
+}
+
+/// Checks that hosts whose clocks are ahead by some times estimate the same time, each after all others were heard.
+fn check_agreement(skews: &[u64], expected: u64) {
+    let estimates = skews.iter().enumerate().map(|(own, skew)| {
+        let mut offsets = Offsets::new(format!("h{own}").into());
+        // Time since boot differs between hosts as well.
+        let now = ms(own as u64 * 1000);
+        for (other, skew) in skews.iter().enumerate() {
+            offsets.hear(&reading(&format!("h{other}"), START_MS + skew), now);
+            offsets.true_ms(Moment { now, unix_ms: START_MS + skews[own] });
+        }
+        offsets.true_ms(Moment { now, unix_ms: START_MS + skew })
+    });
+    assert_eq!(estimates.collect::<Vec<_>>(), vec![START_MS + expected; skews.len()]);
+}
+
+/// Guards against a jump of one clock, this host's or another one's, that moves the windows.
+#[test]
+fn a_jump_of_a_clock_does_not_move_the_time() {
+    for others in [1, 2, 3, 4] {
+        let mut offsets = Offsets::new("own".into());
+        (0..others).for_each(|n| offsets.hear(&reading(&format!("h{n}"), START_MS), ms(0)));
+        assert_eq!(offsets.true_ms(moment(0)), START_MS);
+        let jumped = Moment { now: ms(100), unix_ms: START_MS + 5100 };
+        assert_eq!(offsets.true_ms(jumped), START_MS + 100, "{others} others");
+        offsets.hear(&reading("h0", START_MS + 200 - 4000), ms(200));
+        if others > 2 {
+            assert_eq!(offsets.true_ms(moment(200)), START_MS + 200, "{others} others");
+        }
+    }
+}
+
+/// Guards against the clock of a lost host that counts for ever, as hosts repeat it to each other.
+#[test]
+fn a_clock_that_nobody_reads_is_forgotten() {
+    let (mut a, mut b) = (Offsets::new("a".into()), Offsets::new("b".into()));
+    a.hear(&reading("lost", START_MS + 900_000), ms(0));
+    for second in 1..100 {
+        let at = moment(second * 1000);
+        a.readings(at).iter().for_each(|reading| b.hear(reading, at.now));
+        b.readings(at).iter().for_each(|reading| a.hear(reading, at.now));
+    }
+    let names = |offsets: &Offsets| {
+        let readings = offsets.readings(moment(100_000));
+        readings.into_iter().map(|reading| reading.host).collect::<Vec<_>>()
+    };
+    assert_eq!(names(&a), ["a".into(), "b".into()] as [HostId; 2]);
+    assert_eq!(names(&b), ["b".into(), "a".into()] as [HostId; 2]);
+}
+
+/// Guards against requests that count in a window that the host has closed, after its time was corrected backwards.
+#[test]
+fn nothing_counts_in_a_closed_window() {
+    let (mut counters, mut collector) = (counters(1), Collector::default());
+    run(&mut counters, "a", 0);
+    send(&mut counters, &mut collector, 0, 1);
+    send(&mut counters, &mut collector, 0, 5100);
+    run(&mut counters, "a", 5100);
+    assert!(is_closed(&collector, FIRST, &[ADDRESS]));
+    for host in ["h2", "h3"] {
+        counters.hear(&reading(host, START_MS + 2000), ms(5100));
+    }
+    assert_eq!(counters.true_ms(moment(5100)), START_MS + 2000);
+    assert_eq!(counters.begin("a", moment(5100)), Some(FIRST + 1));
+}
