--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::{
-    clock,
+    clock, cloud,
     control::{
         election::{Election, LeaderKey, Leadership},
         leader::Leader,
@@ -20,6 +20,7 @@
         software,
         store_state::{Effect, StoreState},
         tasks::{Completion, report_retired},
+        usage,
         waits::Waits,
     },
     crash,
@@ -36,6 +37,7 @@
     store::{self, Put, Txn},
     term,
     traffic::{Command, Report},
+    usage::Meter,
     view::{Shared, View},
 };
 
@@ -61,6 +63,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// API of the platform, if this deployment has duties there.
+    pub cloud: Option<cloud::Handle>,
     /// Hosts that relay calls to the store.
     pub peers: Peers,
     pub freshness: Arc<Freshness>,
@@ -70,6 +74,8 @@
     pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
     pub failures: Arc<Failures>,
+    /// Usage of workspaces on this host.
+    pub meter: Arc<Meter>,
     pub commands: mpsc::UnboundedSender<Command>,
     pub reports: mpsc::UnboundedReceiver<Report>,
     pub stopping: watch::Receiver<bool>,
@@ -81,6 +87,8 @@
     pub(super) view: Shared,
     pub(super) dialect: dialect::Handle,
     pub(super) store: store::Handle,
+    /// API of the platform, if this deployment has duties there.
+    pub(super) cloud: Option<cloud::Handle>,
     /// Freshness of the target registrations.
     pub(super) freshness: Arc<Freshness>,
     /// Time at which registrations that are not published yet were current.
@@ -97,6 +105,10 @@
     pub(super) terms: Arc<term::Table>,
     /// Failed items that this host knows.
     pub(super) failures: Arc<Failures>,
+    /// Usage of workspaces on this host.
+    pub(super) meter: Arc<Meter>,
+    /// Duty of usage reports, once this host takes part in it.
+    pub(super) usage: Option<usage::Handle>,
     /// Source of the prefixes that this host reads for its zone.
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
@@ -152,6 +164,7 @@
         view,
         dialect,
         store,
+        cloud,
         peers,
         freshness,
         feed,
@@ -160,6 +173,7 @@
         crashes,
         terms,
         failures,
+        meter,
         commands,
         mut reports,
         mut stopping,
@@ -221,6 +235,7 @@
         view,
         dialect,
         store,
+        cloud,
         freshness,
         refreshed_at: None,
         feed,
@@ -229,6 +244,8 @@
         crashes,
         terms,
         failures,
+        meter,
+        usage: None,
         direct,
         reader,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod store;
 pub mod term;
 pub mod traffic;
+pub mod usage;
 pub mod view;
 pub mod weights;
 pub mod workspace;
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -181,6 +181,7 @@
         headers,
         body,
         held: Some(Rc::new(held)),
+        workspace: caller.workspace().map(|workspace| workspace.name.clone()),
         deadline: arrived + timeout,
     };
     if matches!(route.kind, Kind::Stream { .. }) {
