--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -14,7 +14,6 @@
         rollout::{self, Rollout},
         stored::StoredJob,
     },
-    crash,
     fleet::Target,
     job::{
         Assignment, Engine, Engines, Failure, Failures, Job, Pending, Policy, Queue, Reason, Row,
@@ -85,14 +84,13 @@
         service: ServiceId,
         first_run: u64,
         terms: &Arc<term::Table>,
-        crashes: &Arc<crash::Table>,
         failures: &Arc<Failures>,
     ) -> Self {
         Self {
             service,
             leadership: Leadership::default(),
             terms: Arc::clone(terms),
-            queue: Queue::new(Arc::clone(crashes)),
+            queue: Queue::default(),
             engines: Engines::default(),
             rollout: Rollout::default(),
             runs: HashMap::new(),
--- a/crates/node/src/control/news.rs
+++ b/crates/node/src/control/news.rs
@@ -19,9 +19,6 @@
         if self.store_state.fleet.depart(departure) {
             info!(target_id = &*departure.target, born = departure.started_ms, source:? = source; "target has said that it leaves");
             self.store_state.changed = true;
-            if let Some(target) = self.store_state.fleet.targets().get(&departure.target) {
-                self.crashes.target_registered(target, clock::now());
-            }
         }
     }
 
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -195,8 +195,7 @@
         let (leader_key, receiver) = watch::channel(LeaderKey::Unknown);
         self.leader_keys.insert(service.clone(), leader_key);
         let first_run = (self.leaders.len() as u64) << 48;
-        let leader =
-            Leader::new(service.clone(), first_run, &self.terms, &self.crashes, &self.failures);
+        let leader = Leader::new(service.clone(), first_run, &self.terms, &self.failures);
         self.leaders.insert(service.clone(), leader);
         let lease_min = self.settings.lease_min;
         let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -194,8 +194,7 @@
             pace: None,
             judge_failures: 0,
             holds_slot: !self.generated,
-            ended_instance: None,
-            ran: Duration::ZERO,
+            connection_broke: false,
         }
     }
 
@@ -391,8 +390,7 @@
             pace: ended.pace_us.map(Duration::from_micros),
             judge_failures: ended.judge_failures,
             holds_slot: ended.holds_slot,
-            ended_instance: ended.ended_instance,
-            ran: Duration::from_millis(ended.ran_ms),
+            connection_broke: ended.connection_broke,
             ..tracked.outcome(ended.decoded_end())
         };
         report(&self.events, Event::Run(RunReport::Ended { run, outcome }));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -22,7 +22,6 @@
         tasks::{Completion, report_retired},
         waits::Waits,
     },
-    crash,
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
     freshness::Freshness,
@@ -67,7 +66,6 @@
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
-    pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
     pub failures: Arc<Failures>,
     pub commands: mpsc::UnboundedSender<Command>,
@@ -92,7 +90,6 @@
     /// Links from this host to targets.
     pub(super) links: Arc<Links>,
     /// Contents under which targets ended.
-    pub(super) crashes: Arc<crash::Table>,
     /// Terms that are over.
     pub(super) terms: Arc<term::Table>,
     /// Failed items that this host knows.
@@ -157,7 +154,6 @@
         feed,
         limits,
         links,
-        crashes,
         terms,
         failures,
         commands,
@@ -210,12 +206,7 @@
         );
         tokio::task::spawn_local(discovery);
     }
-    let store_state = StoreState::new(
-        mirrors.len(),
-        settings.zone.clone(),
-        Arc::clone(&terms),
-        Arc::clone(&crashes),
-    );
+    let store_state = StoreState::new(mirrors.len(), settings.zone.clone(), Arc::clone(&terms));
     let mut control = Control {
         settings,
         view,
@@ -226,7 +217,6 @@
         feed,
         limits,
         links,
-        crashes,
         terms,
         failures,
         direct,
@@ -357,7 +347,6 @@
     fn step(&mut self) {
         let now = clock::now();
         let expired = self.store_state.fleet.expire(now);
-        expired.iter().for_each(|id| self.crashes.target_forgotten(id));
         self.store_state.changed |= !expired.is_empty();
         if std::mem::take(&mut self.store_state.changed) {
             self.publish();
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -8,7 +8,6 @@
     clock,
     config::Config,
     control::mirror::Update,
-    crash,
     dialect::{Dialect, PlatformChange},
     fleet::Fleet,
     holder::Holder,
@@ -74,7 +73,6 @@
     /// Terms that are over, by the leader keys among others.
     terms: Arc<term::Table>,
     /// Is told of registrations, by which ends of targets are known.
-    crashes: Arc<crash::Table>,
     /// Host that reads for this host's zone.
     pub reader: Option<LeaderEntry>,
     /// Addresses of the hosts that read for their zones.
@@ -92,12 +90,7 @@
 
 impl StoreState {
     /// Empty state of a host in a zone. It counts as synced after the first read of `mirrors` mirrors.
-    pub fn new(
-        mirrors: usize,
-        zone: ZoneId,
-        terms: Arc<term::Table>,
-        crashes: Arc<crash::Table>,
-    ) -> Self {
+    pub fn new(mirrors: usize, zone: ZoneId, terms: Arc<term::Table>) -> Self {
         Self {
             config: None,
             fleet: Fleet::default(),
@@ -105,7 +98,6 @@
             heads_changed: false,
             leader_keys: BTreeMap::new(),
             terms,
-            crashes,
             reader: None,
             zone,
             reader_addresses: Arc::default(),
@@ -245,7 +237,6 @@
                 // Versions change with each load; only what decides about requests is logged by default.
                 let known = self.fleet.targets().get(&target.id).cloned();
                 let target = self.fleet.register(target);
-                self.crashes.target_registered(&target, clock::now());
                 let is_news = known.is_none_or(|known| {
                     known.draining != target.draining
                         || known.started_ms != target.started_ms
@@ -256,14 +247,10 @@
             }
             PlatformChange::TargetRemoved(id) => {
                 let removed = self.fleet.deregister(&id, clock::now());
-                if removed {
-                    self.crashes.target_deregistered(&id, clock::now());
-                }
                 info!(target_id = &*id, held_back = !removed; "target deregistered");
             }
             PlatformChange::TargetUnusable { id, reason } => {
                 let removed = self.fleet.remove(&id);
-                self.crashes.target_forgotten(&id);
                 warn!(target_id = &*id, removed, reason:% = reason; "registration names no target to use");
             }
             PlatformChange::Version { model, version } => {
--- a/crates/node/src/crash/stored.rs
+++ b/crates/node/src/crash/stored.rs
@@ -27,8 +27,6 @@
     started_ms: u64,
     /// Time of day in Unix milliseconds.
     at_ms: u64,
-    #[serde(default)]
-    ran_ms: u64,
 }
 
 impl From<&Record> for Stored {
@@ -38,7 +36,6 @@
             target: strike.target.clone(),
             started_ms: strike.started_ms,
             at_ms: now_ms.saturating_sub(crate::peer::millis(now.saturating_sub(strike.at))),
-            ran_ms: crate::peer::millis(strike.ran),
         };
         Self {
             clears: record.clears,
@@ -57,7 +54,6 @@
             at: now.saturating_sub(Duration::from_millis(now_ms.saturating_sub(strike.at_ms))),
             target: strike.target,
             started_ms: strike.started_ms,
-            ran: Duration::from_millis(strike.ran_ms),
         };
         let strikes = stored.strikes.into_iter().map(strike).collect();
         let passed = stored.passed.into_iter().map(strike).collect();
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -8,16 +8,13 @@
 use log::{info, warn};
 
 use crate::{
-    crash::{Content, Evidence, Record, Strike, Verdict, ends::Ends, record::RETENTION},
-    fleet::Target,
+    crash::{Content, Record, Strike, Verdict, record::RETENTION},
     logging::ms,
     prelude::*,
 };
 
 /// Records kept at most; with more, the one with the fewest strikes goes, and among those the oldest.
 const RECORDS_MAX: usize = 4096;
-/// Time for which a target that has ended is not looked at again: it may stay listed.
-const LISTED_TIME: Duration = Duration::from_millis(1500);
 /// Time for which a cleared record is kept, so that no delayed message brings its strikes back.
 const CLEARED_RETENTION: Duration = Duration::from_secs(120);
 
@@ -62,7 +59,6 @@
 #[derive(Debug, Default)]
 struct State {
     entries: HashMap<Content, Entry>,
-    ends: Ends,
 }
 
 /// Records by content, shared by the threads of a host.
@@ -82,89 +78,38 @@
         state.entries.get(&content).map_or(Verdict::Free, |entry| entry.record.verdict(now))
     }
 
-    /// The same for an item.
-    pub fn item_verdict(&self, content: Content, now: Time) -> Verdict {
-        let state = self.lock();
-        let verdict = |entry: &Entry| state.item_verdict(&entry.record, now);
-        state.entries.get(&content).map_or(Verdict::Free, verdict)
-    }
-
     /// Begins a trial if one is due. Returns whether it is.
     pub fn begin_trial(&self, content: Content, now: Time) -> bool {
-        self.lock().begin_trial(content, now, |_, record| record.verdict(now))
-    }
-
-    /// The same for an item.
-    pub fn begin_item_trial(&self, content: Content, now: Time) -> bool {
-        self.lock().begin_trial(content, now, |state, record| state.item_verdict(record, now))
-    }
-
-    /// Takes back the trial that began at a time, as it reached no target. A later one goes on.
-    pub fn cancel_trial(&self, content: Content, began_at: Time) {
-        if let Some(entry) = self.lock().entries.get_mut(&content) {
-            entry.record.tried_at = entry.record.tried_at.filter(|at| *at != began_at);
-        }
+        let mut state = self.lock();
+        let entry = state.entries.get_mut(&content);
+        let due = entry.filter(|entry| entry.record.verdict(now) == Verdict::Trial);
+        let Some(entry) = due else {
+            return false;
+        };
+        entry.record.tried_at = Some(now);
+        info!(content:% = content, strikes = entry.record.strikes.len(); "trial of a held content");
+        true
     }
 
     /// Records that a target ended under a content. That gives no strike, a few times, if the run had got further than any
     /// before.
     pub fn ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
         let mut state = self.lock();
-        let is_further = state.entry(content, now).record.is_further(run);
-        state.end(content, end, run, is_further, now)
-    }
-
-    /// The same for an item, whose earlier ends are all known here: it gives no strike, a few times, if another target ended
-    /// at that moment.
-    pub fn item_ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
-        let mut state = self.lock();
-        let is_joint = state.has_joint_end(content, &end);
-        state.end(content, end, run, is_joint, now)
-    }
-
-    /// Records that a target ran a content for a time and went on.
-    pub fn survived(&self, content: Content, ran: Duration) {
-        if let Some(entry) = self.lock().entries.get_mut(&content) {
-            entry.record.survived = entry.record.survived.saturating_add(ran);
+        let record = &mut state.entry(content, now).record;
+        if let Some(effect) = record.effect(&end) {
+            record.add(end);
+            return effect;
         }
-    }
-
-    /// Gives a content a strike.
-    pub fn strike(&self, content: Content, end: Strike, now: Time) -> Effect {
-        self.lock().strike(content, end, now)
-    }
-
-    /// Records that a target ended, whatever it ran.
-    pub fn target_ended(&self, end: Strike) {
-        self.lock().ends.note(&end);
-    }
-
-    /// Records a registration.
-    pub fn target_registered(&self, target: &Target, now: Time) {
-        self.lock().ends.register(target, now);
-    }
-
-    /// Records that a registration is gone, so that its target has ended unless it was leaving.
-    pub fn target_deregistered(&self, target: &TargetId, now: Time) {
-        self.lock().ends.deregister(target, now);
-    }
-
-    /// Records that a registration no longer counts, although its target may be alive.
-    pub fn target_forgotten(&self, target: &TargetId) {
-        // What it was is not needed.
-        let _ = self.lock().ends.forget(target);
-    }
-
-    /// What speaks for and against a content.
-    pub fn evidence(&self, content: Content) -> Evidence {
-        let state = self.lock();
-        let evidence = |entry: &Entry| state.ends.evidence(&entry.record);
-        state.entries.get(&content).map_or(Evidence::default(), evidence)
-    }
-
-    /// Whether an instance of a target is known to have ended just now.
-    pub fn has_ended(&self, target: &TargetId, started_ms: u64, now: Time) -> bool {
-        self.lock().ends.has_since(target, started_ms, now.saturating_sub(LISTED_TIME))
+        let (target_id, born, ran_ms) = (end.target.clone(), end.started_ms, ms(run.time));
+        if record.is_further(run) && record.pass(end.clone(), run) {
+            info!(content:% = content, target_id = &*target_id, born, ran_ms, events = run.reached, passes = record.passes; "a target ended under a content without a strike");
+            return Effect::Passed;
+        }
+        let age_ms = ms(now.saturating_sub(end.at));
+        record.add(end);
+        let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
+        warn!(content:% = content, target_id = &*target_id, born, ran_ms, age_ms, events = run.reached, strikes, verdict:? = verdict; "a target ended under a content");
+        Effect::Struck
     }
 
     /// Records that a target has answered a content. Returns what it was before if that is news.
@@ -187,8 +132,7 @@
         if is_news {
             info!(content:% = content, strikes = known.strikes.len(), passes = known.passes, clears = known.clears; "another host told of a content");
             for end in &ends {
-                info!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms = ms(end.ran), age_ms = ms(now.saturating_sub(end.at)); "another host told of an end");
-                state.ends.note(end);
+                info!(content:% = content, target_id = &*end.target, born = end.started_ms, age_ms = ms(now.saturating_sub(end.at)); "another host told of an end");
             }
         }
         is_news
@@ -207,11 +151,8 @@
     /// Number of contents that are held.
     pub fn held(&self, now: Time) -> usize {
         let state = self.lock();
-        // Of a request and of an item alike, as a record does not say which it is.
-        let is_held = |entry: &&Entry| {
-            let verdicts = [entry.record.verdict(now), state.item_verdict(&entry.record, now)];
-            verdicts.iter().all(|it| matches!(it, Verdict::Held(_) | Verdict::Trial))
-        };
+        let is_held =
+            |entry: &&Entry| matches!(entry.record.verdict(now), Verdict::Held(_) | Verdict::Trial);
         state.entries.values().filter(is_held).count()
     }
 
@@ -225,7 +166,6 @@
             };
             now < since + time
         });
-        state.ends.sweep(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -249,84 +189,4 @@
         entry.touched_at = now;
         entry
     }
-
-    fn begin_trial(
-        &mut self,
-        content: Content,
-        now: Time,
-        verdict: impl Fn(&Self, &Record) -> Verdict,
-    ) -> bool {
-        let record = self.entries.get(&content).map(|entry| &entry.record);
-        let is_due = record.is_some_and(|record| verdict(self, record) == Verdict::Trial);
-        if let Some(entry) = self.entries.get_mut(&content).filter(|_| is_due) {
-            entry.record.tried_at = Some(now);
-            info!(content:% = content, strikes = entry.record.strikes.len(); "trial of a held content");
-        }
-        is_due
-    }
-
-    /// Verdict on an item, which is held only if neither chance nor another content explains the ends under it.
-    fn item_verdict(&self, record: &Record, now: Time) -> Verdict {
-        let Some(evidence) = record.suspicion(&self.ends) else {
-            return if record.strikes.is_empty() { Verdict::Free } else { Verdict::Suspect };
-        };
-        // What ends its targets takes those with it that run beside it.
-        let is_stronger = |other: &&Record| {
-            let shares = |strike: &Strike| other.knows_instance(&strike.target, strike.started_ms);
-            record.strikes.iter().any(shares)
-                && other.suspicion(&self.ends).is_some_and(|its| its.chance() < evidence.chance())
-        };
-        let others = self.entries.values().map(|entry| &entry.record);
-        let others: Vec<&Record> = others.filter(is_stronger).collect();
-        if !others.is_empty() && record.without(&others).suspicion(&self.ends).is_none() {
-            return Verdict::Suspect;
-        }
-        record.held_verdict(&self.ends, now)
-    }
-
-    /// Records an end, which gives no strike if it is excused.
-    fn end(
-        &mut self,
-        content: Content,
-        end: Strike,
-        run: Run,
-        is_excused: bool,
-        now: Time,
-    ) -> Effect {
-        let record = &mut self.entry(content, now).record;
-        if let Some(effect) = record.effect(&end) {
-            record.add(end);
-            return effect;
-        }
-        if !is_excused || !record.pass(end.clone(), run) {
-            return self.strike(content, end, now);
-        }
-        info!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms = ms(end.ran), events = run.reached, passes = record.passes; "a target ended under a content without a strike");
-        self.ends.note(&end);
-        Effect::Passed
-    }
-
-    fn strike(&mut self, content: Content, end: Strike, now: Time) -> Effect {
-        let record = &mut self.entry(content, now).record;
-        if let Some(effect) = record.effect(&end) {
-            record.add(end);
-            return effect;
-        }
-        record.add(end.clone());
-        self.ends.note(&end);
-        let record = &mut self.entries.entry(content).or_default().record;
-        let evidence = self.ends.evidence(record);
-        record.background = evidence.background;
-        let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
-        let (ran_ms, age_ms) = (ms(end.ran), ms(now.saturating_sub(end.at)));
-        warn!(content:% = content, target_id = &*end.target, born = end.started_ms, ran_ms, age_ms, strikes, verdict:? = verdict, evidence:% = evidence; "a target ended under a content");
-        Effect::Struck
-    }
-
-    /// Whether a suspected content has an end at the same moment as one of a target that did not run it.
-    fn has_joint_end(&self, content: Content, end: &Strike) -> bool {
-        let own = self.entries.get(&content).map(|entry| &entry.record);
-        let own = own.filter(|record| !record.strikes.is_empty());
-        own.is_some_and(|record| self.ends.has_joint(record, end))
-    }
 }
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -1,9 +1,13 @@
 //! Assignment of a job's items to engines, and the outcomes of their runs.
 
+use log::info;
+
 use crate::{
-    crash::{self, Content, Verdict},
     events::Progress,
-    job::{Assignment, End, Engines, Evidence, Job, Outcome, Policy, Requirement, status::State},
+    job::{
+        Assignment, Doubt, End, Engines, Evidence, Job, Outcome, Policy, Requirement, status::State,
+    },
+    logging::ms,
     prelude::*,
 };
 
@@ -13,8 +17,6 @@
 const HEARD_TIMES: [Duration; 2] = [Duration::from_millis(500), Duration::from_millis(1500)];
 /// Time until an item whose judge returned no score is retried.
 const JUDGE_RETRY_DELAY: Duration = Duration::from_millis(300);
-/// Interval at which it is checked whether an item may start whose content is held.
-const HELD_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Attempts without an event after which the text of an item is given up for another software version.
 const SOFTWARE_ATTEMPTS: u32 = 2;
 /// Items of a job that are tried in one pass while none of them finds an engine.
@@ -37,17 +39,12 @@
     }
 
     /// Assigns the next item: one that needs only its score, or one for which an engine qualifies.
-    pub(super) fn assign_next(
-        &mut self,
-        now: Time,
-        engines: &mut Engines,
-        crashes: &crash::Table,
-    ) -> Option<Assignment> {
+    pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
         self.started_at = self.started_at.min(now);
         self.expire_items(now);
         self.promote(now);
         while let Some(&item) = self.waiting.unjudged.first() {
-            if let Some(assignment) = self.assign_unjudged(item, now, engines, crashes) {
+            if let Some(assignment) = self.assign_unjudged(item, now, engines) {
                 return Some(assignment);
             }
         }
@@ -56,12 +53,11 @@
         }
         let (mut blocked, mut next) = (0, self.waiting.ready.first().copied());
         while let Some(position) = next.filter(|_| blocked < BLOCKED_ITEMS_MAX) {
-            let assignment = self.assign(self.order[position], now, engines, crashes);
+            let assignment = self.assign(self.order[position], now, engines);
             if assignment.is_some() {
                 return assignment;
             }
-            // An item whose content is held is not ready any more.
-            blocked += usize::from(self.waiting.ready.contains(&position));
+            blocked += 1;
             next = self.waiting.ready.range(position + 1..).next().copied();
         }
         None
@@ -73,7 +69,6 @@
         item: usize,
         now: Time,
         engines: &mut Engines,
-        crashes: &crash::Table,
     ) -> Option<Assignment> {
         let min = self.spec.min_version;
         let status = &mut self.statuses[item];
@@ -85,39 +80,14 @@
         status.text_complete = false;
         self.waiting.unjudged.remove(&item);
         self.waiting.ready.insert(self.positions[item]);
-        self.assign(item, now, engines, crashes)
-    }
-
-    /// Whether an engine may run an item, or is kept from it since engines ended under its content.
-    fn verdict(&self, item: usize, now: Time, crashes: &crash::Table) -> Verdict {
-        if crashes.is_empty() {
-            return Verdict::Free;
-        }
-        crashes.item_verdict(self.content(item), now)
-    }
-
-    fn content(&self, item: usize) -> Content {
-        self.spec.items[item].content(&self.record.host)
+        self.assign(item, now, engines)
     }
 
     /// Assigns a ready item to an engine if one qualifies.
-    fn assign(
-        &mut self,
-        item: usize,
-        now: Time,
-        engines: &mut Engines,
-        crashes: &crash::Table,
-    ) -> Option<Assignment> {
+    fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
         let State::Waiting { not_before } = self.statuses[item].state else {
             return None;
         };
-        let verdict = self.verdict(item, now, crashes);
-        if let Verdict::Held(until) = verdict {
-            // An answer to the same content may free it at any time.
-            let not_before = until.min(now + HELD_CHECK_INTERVAL);
-            self.set_state(item, State::Waiting { not_before });
-            return None;
-        }
         let status = &self.statuses[item];
         let waiting_since = not_before.max(self.started_at);
         let (min, model) = (self.spec.min_version, &self.spec.model);
@@ -126,12 +96,28 @@
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
         let evidence = Evidence::Any;
-        let requirement =
-            Requirement { model, min_version: min, avoid, software, allow_slow: false, evidence };
+        let requirement = Requirement {
+            model,
+            min_version: min,
+            avoid,
+            software,
+            allow_slow: false,
+            evidence,
+            idle: false,
+        };
         // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
         let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
         let proven = heard.into_iter().chain([Evidence::NoFailure]).filter(|_| status.is_unreached);
         let proven = proven.map(|evidence| Requirement { evidence, ..requirement });
+        // What a doubtful item may end is best an engine that runs nothing else.
+        let in_doubt = status.doubt.is_raised();
+        let proven =
+            proven.flat_map(|it| [it.on_idle(), it].into_iter().filter(|it| in_doubt || !it.idle));
+        // An idle engine that has ended refuses at once, but one that fell silent costs a timeout. So an engine that was heard
+        // comes first after a silence.
+        let any_idle = Requirement { evidence: Evidence::NoFailure, ..requirement.on_idle() };
+        let any_idle = Some(any_idle).filter(|_| status.doubt.allows_untested());
+        let proven = any_idle.into_iter().chain(proven);
         // All engines of the software version of its text may have ended.
         let heard_lately = Evidence::HeardSince(now.saturating_sub(HEARD_TIMES[1]));
         let other_software = Requirement { software: None, evidence: heard_lately, ..requirement };
@@ -144,11 +130,7 @@
         let engine = requirements.into_iter().find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
-        if verdict == Verdict::Trial && !crashes.begin_item_trial(self.content(item), now) {
-            return None;
-        }
         let status = &mut self.statuses[item];
-        status.trial_at = (verdict == Verdict::Trial).then_some(now);
         let progress = &status.progress;
         if !progress.can_continue(min, version, self.policy.single_version)
             || !progress.fits(&software)
@@ -156,7 +138,10 @@
             status.progress = Progress::default();
         }
         self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
-        engines.start_run(&target);
+        match self.statuses[item].doubt.is_raised() {
+            true => engines.start_doubtful_run(&target),
+            false => engines.start_run(&target),
+        }
         Some(self.assignment(item, Some(target)))
     }
 
@@ -196,10 +181,18 @@
         let Some(status) = self.statuses.get_mut(item) else {
             return;
         };
+        let has_advanced = outcome.pace.is_some();
         status.progress = outcome.progress;
         status.text_complete = outcome.text_complete;
         status.judge_failures = status.judge_failures.saturating_add(outcome.judge_failures);
         status.avoid = None;
+        match outcome.end {
+            End::Broken => {}
+            // Other engines may have ended as well.
+            End::NotRun => status.doubt.forbid_untested(),
+            End::Stopped if !has_advanced => {}
+            _ => status.doubt = Doubt::default(),
+        }
         // A run is also stopped because its host is lost, maybe together with engines.
         status.is_unreached = matches!(outcome.end, End::Broken | End::NotRun | End::Stopped);
         let mut not_before = now;
@@ -219,7 +212,14 @@
                 }
             }
             End::Unjudged => not_before += JUDGE_RETRY_DELAY,
-            End::Broken | End::Slow | End::NotRun => status.avoid = outcome.target,
+            End::Broken => {
+                let delay = status.doubt.raise(has_advanced, outcome.connection_broke);
+                let events = status.progress.last_event;
+                info!(job = &*self.spec.id, item = &*outcome.item_id, target_id = outcome.target.as_deref(), events, advanced = has_advanced, reset = outcome.connection_broke, breaks = status.doubt.breaks(), delay_ms = ms(delay); "the run of an item broke");
+                status.avoid = outcome.target;
+                not_before += delay;
+            }
+            End::Slow | End::NotRun => status.avoid = outcome.target,
             End::Stopped => {}
         }
         self.set_state(item, State::Waiting { not_before });
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -40,6 +40,8 @@
     heard_at: Option<Time>,
     /// Runs in progress that began before the failure.
     runs_before: u32,
+    /// An item in doubt has the engine to itself.
+    reserved: bool,
     /// Model whose version is being loaded; none of its items starts until the load ends.
     loading: Option<ModelId>,
     /// Versions loaded by this leader that the registration may not show yet.
@@ -60,6 +62,7 @@
             failed_at: None,
             heard_at: None,
             runs_before: 0,
+            reserved: false,
             loading: None,
             loaded: BTreeMap::new(),
             quota: None,
@@ -116,9 +119,15 @@
         if self.failed_at.is_some() { free.min(1) } else { free }
     }
 
-    /// Whether the engine has failed lately, and no run has shown since that it works.
-    pub(super) fn is_suspect(&self, now: Time) -> bool {
-        self.failed_at.is_some_and(|at| now < at + SUSPECT_TIME)
+    /// Whether the engine is chosen after others: it has failed lately, and no run has shown since that it works, or an item in
+    /// doubt has it to itself.
+    pub(super) fn comes_last(&self, now: Time) -> bool {
+        self.reserved || self.failed_at.is_some_and(|at| now < at + SUSPECT_TIME)
+    }
+
+    /// Keeps the engine for the item in doubt that has just started on it, if it runs nothing else.
+    pub(super) fn reserve(&mut self) {
+        self.reserved = self.in_flight == 1;
     }
 
     /// Whether no run has failed since the last one that showed that the engine works.
@@ -131,16 +140,18 @@
         self.failed_at.is_none() && self.heard_at.is_some_and(|at| at >= time)
     }
 
-    /// Records an event of a run. Returns whether the engine had failed before.
+    /// Records an event of a run. Returns whether the engine came after others before.
     pub(super) fn hear(&mut self, now: Time) -> bool {
         self.heard_at = Some(now);
         self.runs_before = 0;
-        self.failed_at.take().is_some()
+        let was_reserved = std::mem::take(&mut self.reserved);
+        self.failed_at.take().is_some() || was_reserved
     }
 
     /// Frees a slot. A run that began before a failure is taken to end before the probe does.
     pub(super) fn end_run(&mut self) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.reserved &= self.in_flight > 0;
         self.runs_before = self.runs_before.saturating_sub(1);
     }
 
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -34,7 +34,8 @@
 /// Requests that a load of a version takes: report, order and the first poll.
 const REQUESTS_PER_LOAD: u32 = 3;
 
-/// What determines the order of engines: whether it is suspect, as runs failed there lately, and its cost.
+/// What determines the order of engines: whether it comes after the others, as runs failed there lately or as an item in
+/// doubt has it to itself, and its cost.
 type Cost = (bool, Duration);
 /// Cost of an engine, and its id.
 type Rank = (bool, Duration, TargetId);
@@ -171,7 +172,7 @@
         self.software.contains_key(software)
     }
 
-    /// Open engine on which an item would finish first; those that failed lately come after the others. Unless the requirement allows slow engines, a slow engine runs
+    /// Open engine on which an item would finish first; those that failed lately or that an item in doubt has come after the others. Unless the requirement allows slow engines, a slow engine runs
     /// one item at a time, as a probe of whether it has recovered.
     pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
         let qualifies = |engine: &&Engine| {
@@ -181,6 +182,7 @@
                 && requirement.avoid != Some(&engine.target.id)
                 && requirement.software.is_none_or(|software| *software == *engine.target.software)
                 && requirement.evidence.holds_for(engine)
+                && (!requirement.idle || engine.in_flight == 0)
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
         let open = self.open.get(requirement.model)?;
@@ -275,6 +277,12 @@
         });
     }
 
+    /// Takes a slot for an item in doubt, which has the engine to itself until its first event as long as others have slots.
+    pub fn start_doubtful_run(&mut self, id: &str) {
+        self.start_run(id);
+        self.update(id, Engine::reserve);
+    }
+
     /// Frees a slot. `pace` is the run's time per event, if any event arrived.
     pub fn finish_run(&mut self, id: &str, now: Time, pace: Option<Duration>) {
         self.now = self.now.max(now);
@@ -288,7 +296,7 @@
 
     /// Records that a run on an engine has made an event.
     pub fn heard(&mut self, id: &str, now: Time) {
-        // Reports are frequent, and only the end of a failure changes the indexes.
+        // Reports are frequent, and only the end of a failure or a reservation changes the indexes.
         let engine = self.by_id.get_mut(id).map(|entry| &mut entry.engine);
         if engine.is_some_and(|engine| engine.hear(now)) {
             self.now = self.now.max(now);
@@ -335,12 +343,12 @@
         };
         unindex(&mut self.open, &mut entry);
         let engine = &entry.engine;
-        let (is_suspect, cost) = (engine.is_suspect(self.now), self.cost(engine));
+        let (is_last, cost) = (engine.comes_last(self.now), self.cost(engine));
         for (model, open) in &mut self.open {
             let suits = engine.version(model).is_some_and(|version| version >= open.min_version);
             if suits && engine.is_open(model, self.now) {
-                open.ranks.insert((is_suspect, cost, id.into()));
-                entry.indexed.push((model.clone(), (is_suspect, cost)));
+                open.ranks.insert((is_last, cost, id.into()));
+                entry.indexed.push((model.clone(), (is_last, cost)));
             }
         }
         self.schedule_update(id, &mut entry);
@@ -362,9 +370,9 @@
 }
 
 fn unindex(open: &mut BTreeMap<ModelId, OpenEngines>, entry: &mut Entry) {
-    for (model, (is_suspect, cost)) in entry.indexed.drain(..) {
+    for (model, (is_last, cost)) in entry.indexed.drain(..) {
         if let Some(open) = open.get_mut(&model) {
-            open.ranks.remove(&(is_suspect, cost, entry.engine.target.id.clone()));
+            open.ranks.remove(&(is_last, cost, entry.engine.target.id.clone()));
         }
     }
 }
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -2,6 +2,7 @@
 
 mod assign;
 mod checkpoint;
+mod doubt;
 mod engine;
 mod engines;
 mod failure;
@@ -26,6 +27,7 @@
 mod wait;
 
 pub use checkpoint::Checkpoint;
+pub use doubt::Doubt;
 pub use engine::Engine;
 pub use engines::Engines;
 pub use failure::{Failure, Identity};
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -8,7 +8,7 @@
 use crate::{
     events::Progress,
     job::{
-        Checkpoint, Policy, Record, Row, Spec,
+        Checkpoint, Doubt, Policy, Record, Row, Spec,
         status::{ItemStatus, State},
     },
     prelude::*,
@@ -82,13 +82,13 @@
         let status = ItemStatus {
             state: State::Waiting { not_before: Time::ZERO },
             progress: Progress::default(),
-            trial_at: None,
             events_at_runner: 0,
             text_complete: false,
             failures: 0,
             judge_failures: 0,
             avoid: None,
             is_unreached: false,
+            doubt: Doubt::default(),
             finished_at: Time::ZERO,
             contact_at: Time::ZERO,
             attempts: 0,
@@ -252,11 +252,6 @@
         self.waiting.len() > 0
     }
 
-    /// Start of the last run of an item if that began as the trial of its content.
-    pub(super) fn trial_at(&self, item: usize) -> Option<Time> {
-        self.statuses.get(item)?.trial_at
-    }
-
     /// Whether a finished row is not persisted yet.
     pub(super) fn has_unpersisted_rows(&self) -> bool {
         !self.finished.is_empty() || !self.in_write.is_empty()
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -69,10 +69,8 @@
     pub judge_failures: u32,
     /// The run still held its slot on the engine when it ended.
     pub holds_slot: bool,
-    /// Start time of the engine's instance, if its end under the run gives a strike.
-    pub ended_instance: Option<u64>,
-    /// Time from the start of the run to the last sign of life of its engine.
-    pub ran: Duration,
+    /// The engine closed the connection or reset it, so it was not silent.
+    pub connection_broke: bool,
 }
 
 /// Assignment of an item to an engine.
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -1,13 +1,9 @@
 //! Open jobs of a leader and the order in which their items start.
 
-use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
     config::Config,
-    crash::{self, Strike},
     dialect::Strategy,
     events::Progress,
     job::{
@@ -37,15 +33,9 @@
     lengths: Estimate,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
-    /// Contents under which targets ended.
-    pub(super) crashes: Arc<crash::Table>,
 }
 
 impl Queue {
-    pub fn new(crashes: Arc<crash::Table>) -> Self {
-        Self { crashes, ..Self::default() }
-    }
-
     pub fn insert(&mut self, mut job: Job) {
         let mut resubmitted = BTreeSet::new();
         for (at, item) in job.spec.clone().items.iter().enumerate() {
@@ -118,7 +108,7 @@
         }
         for id in &self.order {
             let job = self.jobs.get_mut(id)?;
-            if let Some(assignment) = job.assign_next(now, engines, &self.crashes) {
+            if let Some(assignment) = job.assign_next(now, engines) {
                 return Some(assignment);
             }
         }
@@ -173,7 +163,7 @@
     }
 
     /// Applies the outcome of a run to its engine and, if it is the present run of its item, to the item. Any other run
-    /// ended late: its text is offered to the item, and an end of its engine counts against the content.
+    /// ended late, and its text is offered to the item.
     pub fn finish_run(&mut self, outcome: Outcome, now: Time, engines: &mut Engines) {
         if let Some(target) = outcome.target.as_ref().filter(|_| outcome.holds_slot) {
             let failed = matches!(outcome.end, End::NotRun | End::Broken);
@@ -188,10 +178,6 @@
         match self.jobs.get_mut(&outcome.job) {
             Some(job) => {
                 let is_present = job.has_run(outcome.item, outcome.run);
-                // A trial in progress is that of the present run.
-                if is_present || outcome.ended_instance.is_some() {
-                    record_end(&self.crashes, job, &outcome, now);
-                }
                 if matches!(outcome.end, End::Scored(_)) {
                     let hint = job.spec.items.get(outcome.item).and_then(|item| item.length_hint);
                     self.lengths.record(hint, outcome.progress.last_event);
@@ -287,28 +273,3 @@
         if single { Strategy::Wait } else { Strategy::Keep }
     }
 }
-
-/// Records that the engine of a run has ended, which the host that ran the item tells all hosts as well, but later than the
-/// item could start again; that a trial reached no engine; or that the engine went on.
-fn record_end(crashes: &crash::Table, job: &Job, outcome: &Outcome, now: Time) {
-    let Some((item, target)) = job.spec.items.get(outcome.item).zip(outcome.target.as_ref()) else {
-        return;
-    };
-    if let Some(started_ms) = outcome.ended_instance {
-        let end = Strike { target: target.clone(), started_ms, at: now, ran: outcome.ran };
-        crashes.strike(item.content(&job.record.host), end, now);
-        return;
-    }
-    let has_survived = matches!(outcome.end, End::Slow | End::Stopped);
-    if crashes.is_empty() || !has_survived && outcome.end != End::NotRun {
-        return;
-    }
-    let content = item.content(&job.record.host);
-    if has_survived {
-        crashes.survived(content, outcome.ran);
-    }
-    // A trial that ended no engine may be made again.
-    if let Some(began_at) = job.trial_at(outcome.item) {
-        crashes.cancel_trial(content, began_at);
-    }
-}
--- a/crates/node/src/job/reason.rs
+++ b/crates/node/src/job/reason.rs
@@ -7,11 +7,7 @@
 /// Why an item is at no engine. The text form gives the details.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// Engines ended under its content. `left` is the time until a trial may begin.
-    Held { strikes: usize, left: Duration },
-    /// Its content is held, and another item with the same content runs.
-    TrialInProgress { item: ItemId },
-    /// It may not start before a time, although its content is not held.
+    /// It may not start before a time, as an engine has just ended its run.
     Delayed { left: Duration },
     /// No engine is open for its model.
     NoEngineOpen(Supply),
@@ -39,8 +35,6 @@
     /// Label in logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
-            Self::Held { .. } => "held",
-            Self::TrialInProgress { .. } => "trial_in_progress",
             Self::Delayed { .. } => "delayed",
             Self::NoEngineOpen(_) => "no_engine_open",
             Self::NoVersion { .. } => "no_version",
@@ -59,10 +53,6 @@
 impl fmt::Display for Reason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Held { strikes, left } => {
-                write!(f, "strikes={strikes} left_ms={}", left.as_millis())
-            }
-            Self::TrialInProgress { item } => write!(f, "running_item={item}"),
             Self::Delayed { left } => write!(f, "left_ms={}", left.as_millis()),
             Self::NoEngineOpen(supply) | Self::Deferred(supply) | Self::NotStarted(supply) => {
                 supply.fmt(f)
--- a/crates/node/src/job/requirement.rs
+++ b/crates/node/src/job/requirement.rs
@@ -36,4 +36,13 @@
     /// The item has waited long enough to run on a slow engine.
     pub allow_slow: bool,
     pub evidence: Evidence,
+    /// The engine must run nothing else.
+    pub idle: bool,
+}
+
+impl Requirement<'_> {
+    /// The same on an engine that runs nothing else.
+    pub(super) fn on_idle(self) -> Self {
+        Self { idle: true, ..self }
+    }
 }
--- a/crates/node/src/job/status.rs
+++ b/crates/node/src/job/status.rs
@@ -1,6 +1,10 @@
 //! State of one item of an open job.
 
-use crate::{events::Progress, job::Row, prelude::*};
+use crate::{
+    events::Progress,
+    job::{Doubt, Row},
+    prelude::*,
+};
 
 /// State of an item.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,8 +37,6 @@
 pub(super) struct ItemStatus {
     pub(super) state: State,
     pub(super) progress: Progress,
-    /// Start of its last run if that began as the trial of its content.
-    pub(super) trial_at: Option<Time>,
     /// Events of the text that a runner keeps, as last reported.
     pub(super) events_at_runner: u64,
     /// The text is complete; only its score is missing.
@@ -47,6 +49,8 @@
     pub(super) avoid: Option<TargetId>,
     /// The last run reached no engine or broke.
     pub(super) is_unreached: bool,
+    /// Engines that ended its runs.
+    pub(super) doubt: Doubt,
     pub(super) finished_at: Time,
     /// Time at which the leader last heard that an engine had the item.
     pub(super) contact_at: Time,
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -3,10 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
-    crash::Verdict,
-    job::{
-        Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State,
-    },
+    job::{Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply},
     prelude::*,
 };
 
@@ -52,7 +49,7 @@
         blocked: Option<&Reason>,
         visit: Visitor<'_, 'a>,
     ) {
-        let mut pass = Pass { queue: self, now, engines, blocked, supplies: BTreeMap::new() };
+        let mut pass = Pass { now, engines, blocked, supplies: BTreeMap::new() };
         for job in self.jobs.values() {
             pass.visit_job(job, visit);
         }
@@ -66,15 +63,6 @@
             job.record_run_end(outcome, now);
         }
     }
-
-    /// Item with the same content that is at an engine.
-    fn running_like(&self, host: &str, item: &Item) -> Option<&ItemId> {
-        let jobs = self.jobs.values().filter(|job| &*job.record.host == host);
-        jobs.flat_map(|job| job.spec.items.iter().zip(&job.statuses))
-            .filter(|(_, status)| matches!(status.state, State::Running { target: Some(_), .. }))
-            .find(|(other, _)| other.path == item.path && other.body == item.body)
-            .map(|(other, _)| &other.id)
-    }
 }
 
 impl Job {
@@ -132,7 +120,6 @@
 
 /// A pass over all waiting items.
 struct Pass<'a, 'e> {
-    queue: &'a Queue,
     now: Time,
     engines: &'e Engines,
     blocked: Option<&'e Reason>,
@@ -149,9 +136,7 @@
             let reason = match self.blocked {
                 Some(reason) => reason.clone(),
                 None if *not_before <= self.now => self.supply_reason(job),
-                None => self
-                    .content_reason(job, *item)
-                    .unwrap_or(Reason::Delayed { left: *not_before - self.now }),
+                None => Reason::Delayed { left: *not_before - self.now },
             };
             visit(job.wait(*item, self.now, reason));
         }
@@ -171,9 +156,6 @@
 
     /// Reason of an item that may start.
     fn ready_reason(&mut self, job: &'a Job, item: usize) -> Reason {
-        if let Some(reason) = self.content_reason(job, item) {
-            return reason;
-        }
         match self.supply_reason(job) {
             Reason::NotStarted(supply) => {
                 self.demand_reason(job, item).unwrap_or(Reason::NotStarted(supply))
@@ -182,25 +164,6 @@
         }
     }
 
-    /// Reason of an item whose content is held.
-    fn content_reason(&self, job: &Job, item: usize) -> Option<Reason> {
-        let (queue, now, spec) = (self.queue, self.now, &job.spec.items[item]);
-        if queue.crashes.is_empty() {
-            return None;
-        }
-        let content = spec.content(&job.record.host);
-        let left = match queue.crashes.item_verdict(content, now) {
-            Verdict::Free | Verdict::Suspect => return None,
-            Verdict::Held(until) => Some(until.saturating_sub(now)),
-            Verdict::Trial => None,
-        };
-        if let Some(running) = queue.running_like(&job.record.host, spec) {
-            return Some(Reason::TrialInProgress { item: running.clone() });
-        }
-        let strikes = queue.crashes.record(content).map_or(0, |record| record.strikes.len());
-        left.map(|left| Reason::Held { strikes, left })
-    }
-
     /// Reason that all items of a job share.
     fn supply_reason(&mut self, job: &'a Job) -> Reason {
         let (model, min) = (&*job.spec.model, job.spec.min_version);
@@ -227,6 +190,7 @@
             software: None,
             allow_slow: true,
             evidence: Evidence::Any,
+            idle: false,
         };
         self.engines.choose(&any)?;
         let known = status.progress.software.as_deref().filter(|it| self.engines.has_software(it));
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -9,7 +9,7 @@
 use crate::{
     events::Progress,
     job::{Assignment, End, Item, Judge, Outcome},
-    peer::{departure::Departure, limit::Limit, millis, text::TextPart},
+    peer::{departure::Departure, limit::Limit, text::TextPart},
     prelude::*,
     traffic::{Endpoint, Run, RunReport},
 };
@@ -188,12 +188,10 @@
     pub judge_failures: u32,
     #[prost(bool, tag = "7")]
     pub holds_slot: bool,
-    /// Start time of the engine's instance in Unix milliseconds, if its end under the run gives a strike.
-    #[prost(uint64, optional, tag = "8")]
-    pub ended_instance: Option<u64>,
-    /// Time from the start of the run to the last sign of life of the engine; 0 from hosts that do not say so.
-    #[prost(uint64, tag = "9")]
-    pub ran_ms: u64,
+    // Tags 8 and 9 are reserved: earlier builds tell whether the engine has ended, and how long it had run the item.
+    /// The engine closed the connection or reset it; false from hosts that do not say so.
+    #[prost(bool, tag = "10")]
+    pub connection_broke: bool,
 }
 
 /// How a run ended.
@@ -357,8 +355,7 @@
             pace_us: outcome.pace.map(micros),
             judge_failures: outcome.judge_failures,
             holds_slot: outcome.holds_slot,
-            ended_instance: outcome.ended_instance,
-            ran_ms: millis(outcome.ran),
+            connection_broke: outcome.connection_broke,
         }
     }
 
@@ -380,8 +377,7 @@
             pace_us: None,
             judge_failures: 0,
             holds_slot: !item.target.is_empty(),
-            ended_instance: None,
-            ran_ms: 0,
+            connection_broke: false,
         }
     }
 
--- a/crates/node/src/peer/suspect.rs
+++ b/crates/node/src/peer/suspect.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     clock,
-    crash::{self, Background, Content, Record},
+    crash::{self, Content, Record},
     peer::millis,
     prelude::*,
 };
@@ -10,9 +10,6 @@
 /// Longest id of a target; the store takes no longer keys.
 const TARGET_BYTES_MAX: usize = 200;
 
-/// Most ends without a content that count.
-const OTHERS_MAX: usize = 4096;
-
 /// End of a target.
 #[derive(Clone, PartialEq, Eq, prost::Message)]
 pub struct Strike {
@@ -24,9 +21,7 @@
     /// Time since the end.
     #[prost(uint64, tag = "3")]
     pub age_ms: u64,
-    /// Time for which the target had run the content; 0 from hosts that do not say so.
-    #[prost(uint64, tag = "4")]
-    pub ran_ms: u64,
+    // Tag 4 is reserved: earlier builds tell how long the target had run the content.
 }
 
 /// What a host knows of a content.
@@ -48,12 +43,7 @@
     /// The last of these ends.
     #[prost(message, repeated, tag = "6")]
     pub passed: Vec<Strike>,
-    /// Ends without the content that the host knows; 0 from hosts that do not say so.
-    #[prost(uint64, tag = "7")]
-    pub others: u64,
-    /// Time for which targets of the service were up until then.
-    #[prost(uint64, tag = "8")]
-    pub time_ms: u64,
+    // Tags 7 and 8 are reserved: earlier builds tell of ends without the content.
 }
 
 /// Asks for the contents that a host knows.
@@ -81,12 +71,8 @@
             target: strike.target.to_string(),
             started_ms: strike.started_ms,
             age_ms: millis(now.saturating_sub(strike.at)),
-            ran_ms: millis(strike.ran),
         };
-        let Background { ends, time } = record.background;
         Self {
-            others: ends as u64,
-            time_ms: millis(time),
             content: content.to_bytes().to_vec(),
             clears: record.clears,
             furthest: record.furthest,
@@ -107,7 +93,6 @@
             target: strike.target.into(),
             started_ms: strike.started_ms,
             at: now.saturating_sub(Duration::from_millis(strike.age_ms)),
-            ran: Duration::from_millis(strike.ran_ms),
         };
         let sound = |ends: Vec<Strike>| {
             ends.into_iter()
@@ -115,10 +100,8 @@
                 .map(strike)
                 .collect()
         };
-        let Suspect { clears, furthest, passes, others, time_ms, .. } = suspect;
-        let ends = usize::try_from(others).unwrap_or(usize::MAX).min(OTHERS_MAX);
-        let background = Background { ends, time: Duration::from_millis(time_ms) };
+        let Suspect { clears, furthest, passes, .. } = suspect;
         let record = Record::new(sound(suspect.strikes), clears, furthest, passes);
-        Ok((content, record.with_passed(sound(suspect.passed)).with_background(background)))
+        Ok((content, record.with_passed(sound(suspect.passed))))
     }
 }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    clock, crash,
+    clock,
     events::{Parser, Progress},
     fleet::Target,
     job::{Assignment, End, Failure, Identity, Item, Outcome},
@@ -28,8 +28,6 @@
         report::Report,
         run_log,
         serve::Traffic,
-        silence::Silence,
-        suspects::{self, Suspect},
     },
 };
 
@@ -89,14 +87,6 @@
     pub max_attempts: u32,
 }
 
-impl Run {
-    fn suspect(&self, target: &Endpoint, state: &RunState) -> Suspect {
-        let (from, reached) = (state.resumed_after, state.progress.last_event);
-        let run = crash::Run { from, reached, time: state.ran() };
-        Suspect::item(self.item.content(&self.host), target, run)
-    }
-}
-
 /// Report on a run.
 #[derive(Debug)]
 pub enum RunReport {
@@ -137,27 +127,16 @@
 struct RunState {
     progress: Progress,
     text_complete: bool,
+    /// The engine has closed the connection or reset it, so it was not silent.
     connection_broke: bool,
     /// Time of the order.
     ordered: Instant,
     started: Instant,
-    /// Time at which the engine last gave a sign of life.
-    heard: Instant,
     /// Last event of earlier runs of the item.
     resumed_after: u64,
 }
 
 impl RunState {
-    /// Time from the start of the run to the last sign of life of its engine.
-    fn ran(&self) -> Duration {
-        self.heard.saturating_duration_since(self.started)
-    }
-
-    /// Records that the engine has closed the connection or reset it, which it had not before.
-    fn set_broken(&mut self) {
-        (self.connection_broke, self.heard) = (true, Instant::now());
-    }
-
     /// Average time per event of this run.
     fn pace(&self) -> Option<Duration> {
         let events = self.progress.last_event.saturating_sub(self.resumed_after);
@@ -178,11 +157,9 @@
         connection_broke: false,
         ordered: Instant::now(),
         started: Instant::now(),
-        heard: Instant::now(),
         resumed_after: run.assignment.progress.last_event,
     };
-    let (mut pace, mut judge_failures, mut ended_instance) = (None, 0, None);
-    let content = run.item.content(&run.host);
+    let (mut pace, mut judge_failures) = (None, 0);
     let mut holds_slot = run.target.is_some();
     let end = 'end: {
         if let Some(target) = &run.target {
@@ -193,13 +170,8 @@
             };
             pace = state.pace();
             if let Some(end) = end {
-                if state.connection_broke {
-                    let finding = suspects::connection_broke(&traffic, run.suspect(target, &state));
-                    ended_instance = finding.await.then_some(target.started_ms);
-                }
                 break 'end end;
             }
-            suspects::answered(&traffic, || content);
             state.text_complete = true;
             // A closed channel means that the process ends.
             let _ = reports.send(Report::Run(RunReport::Generated { run: run.id, pace }));
@@ -217,7 +189,6 @@
     METERS.run(end.name());
     run_log::ended(&run, &end, state.progress.last_event, state.started.elapsed());
     record_failure(&traffic, &run, &end, judge_failures);
-    let ran = state.ran();
     let outcome = Outcome {
         run: run.id,
         job: run.assignment.job.clone(),
@@ -230,8 +201,7 @@
         pace,
         judge_failures,
         holds_slot,
-        ended_instance,
-        ran,
+        connection_broke: state.connection_broke,
     };
     RunReport::Ended { run: run.id, outcome }
 }
@@ -273,20 +243,13 @@
         run_log::unreached(run, target, state.ordered, "not valid in HTTP");
         return Some(End::Rejected);
     };
-    (state.started, state.heard) = (Instant::now(), Instant::now());
+    state.started = Instant::now();
     let sent_at = clock::now();
-    let silence = Silence::new(traffic);
-    let suspect = || run.suspect(target, state);
     let response = send(traffic, to, &mut channel, request, deadline, OnLoss::MoveOn);
-    let response = match silence.watch(deadline, suspect, response).await {
+    let response = match response.await {
         Ok(response) => response,
         Err(error) => {
-            if matches!(error, channel::Error::LinkLost) {
-                silence.look(suspect());
-            }
-            if matches!(error, channel::Error::Broken { .. }) && !silence.has_ended() {
-                state.set_broken();
-            }
+            state.connection_broke = matches!(error, channel::Error::Broken { .. });
             run_log::broken(run, target, state.started, &error);
             return Some(End::Broken);
         }
@@ -353,30 +316,23 @@
     let mut held = Taken::new(&traffic.response_bytes);
     let (mut reported_at, mut event_at) = (None::<Instant>, Instant::now());
     let (mut window_started, mut window_first) = (Instant::now(), state.resumed_after);
-    let silence = Silence::new(traffic);
     loop {
         let by = (Instant::now() + SILENCE_TIMEOUT).min(event_at + EVENT_TIMEOUT);
-        let suspect = || run.suspect(target, state);
-        let frame = timeout_at(by, body.frame());
         let frame = tokio::select! {
-            frame = silence.watch(by, suspect, frame) => frame,
+            frame = timeout_at(by, body.frame()) => frame,
             () = target_lost(traffic, route, &target.id, target.address) => {
-                silence.look(suspect());
                 return fail(&"the link to the engine is lost");
             }
         };
         let data = match frame {
             Ok(Some(Ok(frame))) => {
                 traffic.links.heard(&target.id, clock::now());
-                state.heard = Instant::now();
                 frame.into_data().unwrap_or_default()
             }
             Ok(None) if parser.is_partial() => return fail(&"stream ended within an event"),
             Ok(None) => return None,
             Ok(Some(Err(error))) => {
-                if !silence.has_ended() {
-                    state.set_broken();
-                }
+                state.connection_broke = true;
                 return fail(&error);
             }
             Err(_) => return fail(&"no event within the timeout"),
--- a/crates/node/src/traffic/silence.rs
+++ b/crates/node/src/traffic/silence.rs
@@ -141,7 +141,7 @@
         match finding {
             Finding::Sound => return false,
             Finding::Ended => {
-                suspects::record_end(traffic, suspect, Cause::Silence, at).await;
+                suspects::record_end(traffic, suspect, at);
                 suspects::keep_if_held(traffic, suspect).await;
                 return true;
             }
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -2,10 +2,8 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use futures::future::join_all;
 use log::info;
 use prost::Message;
-use rand::seq::IteratorRandom;
 use tokio::{
     sync::oneshot,
     time::{sleep, timeout},
@@ -28,15 +26,11 @@
     },
 };
 
-/// Time for which a request waits until it is known whether its target has ended, and the same for an item.
+/// Time for which a request waits until it is known whether its target has ended.
 const FINDING_WAIT: Duration = Duration::from_millis(200);
-const ITEM_FINDING_WAIT: Duration = Duration::from_millis(900);
 /// Delay before another look at a target of which nothing could be found, and number of looks.
 const LOOK_DELAY: Duration = Duration::from_millis(400);
 const LOOKS_MAX: usize = 4;
-/// Other targets that are looked at when one has ended, and time for that.
-const OTHERS_MAX: usize = 8;
-const OTHERS_WAIT: Duration = Duration::from_millis(300);
 /// Time for another host to answer.
 const TIMEOUT: Duration = Duration::from_millis(200);
 /// Least time after which a refused caller is told to come back.
@@ -60,20 +54,10 @@
     Once,
 }
 
-/// What a target was asked to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Work {
-    /// It goes on once its target takes a connection, unless its content is suspected.
-    Request,
-    /// It waits until it is settled whether its target has ended.
-    Item,
-}
-
 /// A content under which a target may have ended.
 #[derive(Clone, Debug)]
 pub struct Suspect {
     pub content: Content,
-    pub work: Work,
     pub target: Endpoint,
     pub run: Run,
 }
@@ -81,29 +65,19 @@
 impl Suspect {
     /// A request that a target was asked to serve.
     pub fn request(content: Content, target: &Target, run: Run) -> Self {
-        Self { content, work: Work::Request, target: target.into(), run }
-    }
-
-    /// An item that an engine was asked to run.
-    pub fn item(content: Content, target: &Endpoint, run: Run) -> Self {
-        Self { content, work: Work::Item, target: target.clone(), run }
+        Self { content, target: target.into(), run }
     }
 }
 
 /// Finds out whether a target has ended whose connection broke under a content, and gives a strike if so. Goes on if the
-/// future is dropped, which returns whether there is a strike, as far as that is known within a short time. An item does not
-/// go on before that is settled: it has time, and else ends one target after the other before the first end is known.
+/// future is dropped, which returns whether there is a strike, as far as that is known within a short time.
 pub fn connection_broke(
     traffic: &Rc<Traffic>,
     suspect: Suspect,
 ) -> impl Future<Output = bool> + use<> {
     let (tell, told) = oneshot::channel();
-    let wait = match suspect.work {
-        Work::Request => FINDING_WAIT,
-        Work::Item => ITEM_FINDING_WAIT,
-    };
     tokio::task::spawn_local(find(Rc::clone(traffic), suspect, tell));
-    async move { matches!(timeout(wait, told).await, Ok(Ok(true))) }
+    async move { matches!(timeout(FINDING_WAIT, told).await, Ok(Ok(true))) }
 }
 
 async fn find(traffic: Rc<Traffic>, suspect: Suspect, tell: oneshot::Sender<bool>) {
@@ -113,13 +87,13 @@
         // The request may have gone on, or have a final answer.
         let _ = tell.take().map(|tell| tell.send(struck));
     };
-    let Suspect { content, work, ref target, run } = suspect;
+    let Suspect { content, ref target, run } = suspect;
     for _ in 0..LOOKS_MAX {
         let look = ended::look(&traffic, target, Cause::ConnectionBroke);
         // A target that ends may still take a connection. What ends beside it would strike the content a second time, so one
         // that is suspected does not move on before that is settled.
         let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
-        if work == Work::Request && is_free && look.first.await == Finding::Sound {
+        if is_free && look.first.await == Finding::Sound {
             tell(false);
         }
         let finding = look.settled.await;
@@ -128,7 +102,7 @@
         match finding {
             Finding::Sound => return,
             Finding::Ended => {
-                let effect = record_end(&traffic, &suspect, Cause::ConnectionBroke, at).await;
+                let effect = record_end(&traffic, &suspect, at);
                 tell(effect != Effect::Passed);
                 return keep_if_held(&traffic, &suspect).await;
             }
@@ -138,26 +112,10 @@
 }
 
 /// Records that a target has ended under a content, and tells other hosts.
-pub async fn record_end(
-    traffic: &Rc<Traffic>,
-    suspect: &Suspect,
-    cause: Cause,
-    at: Time,
-) -> Effect {
-    let Suspect { content, work, ref target, run } = *suspect;
-    let end =
-        Strike { target: target.id.clone(), started_ms: target.started_ms, at, ran: run.time };
-    // After a silence an item has gone on, so ends of its own may not be known yet and would pass for ends without it.
-    let effect = if work == Work::Item && cause == Cause::ConnectionBroke {
-        let is_free = traffic.crashes.verdict(content, clock::now()) == Verdict::Free;
-        if !is_free {
-            // Those that have no result in time say nothing.
-            let _ = timeout(OTHERS_WAIT, look_at_others(traffic, target)).await;
-        }
-        traffic.crashes.item_ended(content, end, run, clock::now())
-    } else {
-        traffic.crashes.ended(content, end, run, clock::now())
-    };
+pub fn record_end(traffic: &Rc<Traffic>, suspect: &Suspect, at: Time) -> Effect {
+    let Suspect { content, ref target, run } = *suspect;
+    let end = Strike { target: target.id.clone(), started_ms: target.started_ms, at };
+    let effect = traffic.crashes.ended(content, end, run, clock::now());
     METERS.target_end(effect.name());
     if effect != Effect::Known {
         traffic.changes.tell_at_once(content);
@@ -168,42 +126,11 @@
 /// Keeps a content in the store if it is held.
 pub async fn keep_if_held(traffic: &Rc<Traffic>, suspect: &Suspect) {
     let (content, now) = (suspect.content, clock::now());
-    let verdict = match suspect.work {
-        Work::Request => traffic.crashes.verdict(content, now),
-        Work::Item => traffic.crashes.item_verdict(content, now),
-    };
-    if let Verdict::Held(_) = verdict {
+    if let Verdict::Held(_) = traffic.crashes.verdict(content, now) {
         held::keep(traffic, content).await;
     }
 }
 
-/// Looks whether other targets of a service have ended with one, which speaks for a content that is suspected.
-async fn look_at_others(traffic: &Rc<Traffic>, target: &Endpoint) {
-    // A host that only runs items does not follow the registrations.
-    traffic.freshness.wait_for_refresh().await;
-    let view = traffic.view.load_full();
-    let Some(service) = view.targets.get(&target.id).map(|target| &target.service) else {
-        return;
-    };
-    let now = clock::now();
-    let others = view.targets.values().filter(|other| {
-        other.service == *service
-            && other.id != target.id
-            && !other.draining
-            && !traffic.crashes.has_ended(&other.id, other.started_ms, now)
-    });
-    let others = others.choose_multiple(&mut rand::rng(), OTHERS_MAX);
-    join_all(others.into_iter().map(|other| look_at(traffic, other.as_ref().into()))).await;
-}
-
-async fn look_at(traffic: &Rc<Traffic>, target: Endpoint) {
-    if ended::look(traffic, &target, Cause::ConnectionBroke).first.await == Finding::Ended {
-        let (started_ms, ran) = (target.started_ms, Duration::ZERO);
-        let end = Strike { target: target.id, started_ms, at: clock::now(), ran };
-        traffic.crashes.target_ended(end);
-    }
-}
-
 /// Records that a target has answered a content.
 pub fn answered(traffic: &Rc<Traffic>, content: impl FnOnce() -> Content) {
     if traffic.crashes.is_empty() {
