--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -23,7 +23,6 @@
         usage,
         waits::Waits,
     },
-    crash,
     dialect::{self, Subject},
     feed::{self, Direct, Feed},
     freshness::Freshness,
@@ -71,7 +70,6 @@
     pub feed: Arc<Feed>,
     pub limits: Arc<rate::Table>,
     pub links: Arc<Links>,
-    pub crashes: Arc<crash::Table>,
     pub terms: Arc<term::Table>,
     pub failures: Arc<Failures>,
     /// Usage of workspaces on this host.
@@ -100,7 +98,6 @@
     /// Links from this host to targets.
     pub(super) links: Arc<Links>,
     /// Contents under which targets ended.
-    pub(super) crashes: Arc<crash::Table>,
     /// Terms that are over.
     pub(super) terms: Arc<term::Table>,
     /// Failed items that this host knows.
@@ -170,7 +167,6 @@
         feed,
         limits,
         links,
-        crashes,
         terms,
         failures,
         meter,
@@ -224,12 +220,7 @@
         );
         tokio::task::spawn_local(discovery);
     }
-    let store_state = StoreState::new(
-        mirrors.len(),
-        settings.zone.clone(),
-        Arc::clone(&terms),
-        Arc::clone(&crashes),
-    );
+    let store_state = StoreState::new(mirrors.len(), settings.zone.clone(), Arc::clone(&terms));
     let mut control = Control {
         settings,
         view,
@@ -241,7 +232,6 @@
         feed,
         limits,
         links,
-        crashes,
         terms,
         failures,
         meter,
@@ -374,7 +364,6 @@
     fn step(&mut self) {
         let now = clock::now();
         let expired = self.store_state.fleet.expire(now);
-        expired.iter().for_each(|id| self.crashes.target_forgotten(id));
         self.store_state.changed |= !expired.is_empty();
         if std::mem::take(&mut self.store_state.changed) {
             self.publish();
