Workspaces: a job exists for its workspace only

Cause: results, bodies of items and the end of a job were open to any caller who knew its id, also to callers of another workspace.

Change: a job's chunks name its workspace beside its record, so reading a job costs no further store call. A call of another workspace gets 404, from the store, from this host as the leader, and through other hosts: calls for a workspace go as a new kind of peer request, which hosts of the previous build do not serve, so that they cannot answer for a job whose workspace they do not know; the host then reads the store. A submission under the id of another workspace's job gets 409. A job without a workspace (accepted by an earlier build) exists for every workspace.

--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -164,6 +164,7 @@
     ) -> Command {
         let StoredJob { spec, record, chunks, checkpoints } = stored;
         self.reading.remove(&spec.id);
+        let workspace = record.workspace.clone();
         let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
         let rows: Vec<Row> = rows.cloned().collect();
         if self.queue.get(&id).is_none() {
@@ -176,7 +177,7 @@
             job.resume(checkpoints);
             job.apply_failures(&self.failures.of_job(&id), now);
         }
-        Command::JobOpened { service: self.service.clone(), spec, chunks }
+        Command::JobOpened { service: self.service.clone(), workspace, spec, chunks }
     }
 
     /// Marks a job as unread after a failure, so that the read is retried.
--- a/crates/node/src/control/writes.rs
+++ b/crates/node/src/control/writes.rs
@@ -89,7 +89,12 @@
             let Some(job) = self.queue.get(&id).filter(|_| !rows.is_empty()) else {
                 continue;
             };
-            let chunk = Chunk { total: job.spec.items.len(), first: job.listed, rows };
+            let chunk = Chunk {
+                total: job.spec.items.len(),
+                first: job.listed,
+                rows,
+                workspace: job.record.workspace.clone(),
+            };
             writes.push(ChunkWrite { job: id, fence, number: job.chunks, chunk });
             self.written_at = now;
         }
--- a/crates/node/src/job/row.rs
+++ b/crates/node/src/job/row.rs
@@ -24,6 +24,9 @@
     /// Position of the first row.
     pub first: u64,
     pub rows: Vec<Row>,
+    /// Workspace of the job, so that reading results needs no read of its head. Leaders of earlier builds write none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub workspace: Option<WorkspaceId>,
 }
 
 impl Chunk {
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -33,7 +33,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 20")]
     pub kind: Option<Kind>,
 }
 
@@ -78,6 +78,51 @@
     /// Tells of failed items, for the next leader.
     #[prost(message, tag = "14")]
     Failed(FailedItems),
+    /// A call about a job for a workspace. Hosts of earlier builds do not serve it, as they cannot tell whose a job is.
+    #[prost(message, tag = "20")]
+    Owned(Owned),
+}
+
+/// A call about a job, for a caller of a workspace.
+#[derive(Clone, PartialEq, Eq, prost::Message)]
+pub struct Owned {
+    #[prost(string, tag = "1")]
+    pub workspace: String,
+    #[prost(oneof = "JobCall", tags = "2, 3, 4")]
+    pub call: Option<JobCall>,
+}
+
+/// A call about a job.
+#[derive(Clone, PartialEq, Eq, prost::Oneof)]
+pub enum JobCall {
+    #[prost(message, tag = "2")]
+    Results(Results),
+    #[prost(message, tag = "3")]
+    Body(Body),
+    #[prost(message, tag = "4")]
+    End(End),
+}
+
+impl JobCall {
+    /// Id of the job.
+    pub fn job(&self) -> &str {
+        let (Self::Results(Results { job, .. })
+        | Self::Body(Body { job, .. })
+        | Self::End(End { job })) = self;
+        job
+    }
+
+    /// Request for a caller, whose workspace the job must have if the caller has one.
+    pub fn into_kind(self, workspace: Option<&str>) -> Kind {
+        match (workspace, self) {
+            (Some(workspace), call) => {
+                Kind::Owned(Owned { workspace: workspace.to_owned(), call: Some(call) })
+            }
+            (None, Self::Results(results)) => Kind::Results(results),
+            (None, Self::Body(body)) => Kind::Body(body),
+            (None, Self::End(end)) => Kind::End(end),
+        }
+    }
 }
 
 /// Requests the results of a job from position `after` on.
@@ -143,11 +188,19 @@
     pub served: bool,
     #[prost(bytes = "bytes", tag = "2")]
     pub body: Bytes,
+    /// The host has the job, and it does not exist for the workspace of the request.
+    #[prost(bool, tag = "3")]
+    pub hidden: bool,
 }
 
 impl Response {
     pub fn served(body: Bytes) -> Self {
-        Self { served: true, body }
+        Self { served: true, body, hidden: false }
+    }
+
+    /// The job is of another workspace.
+    pub fn hidden() -> Self {
+        Self { served: true, body: Bytes::new(), hidden: true }
     }
 
     pub fn not_served() -> Self {
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -19,11 +19,13 @@
 pub use departure::Departure;
 pub use failure::{FailedItem, FailedItems, FailuresRequest};
 pub use frame::{
-    Body, End, Frames, Kind, Origin, Request, Response, Results, Submitted, duration, feed, flush,
-    millis,
+    Body, End, Frames, JobCall, Kind, Origin, Owned, Request, Response, Results, Submitted,
+    duration, feed, flush, millis,
 };
 pub use limit::{Limit, Notice, Permit, PermitReply};
-pub use run::{Ended, FromRunner, Generated, Lead, News, Order, Retained, RunItem, ToRunner};
+pub use run::{
+    Ended, FromRunner, Generated, Header, Lead, News, Order, Retained, RunItem, ToRunner,
+};
 pub use server::{Handler, serve};
 pub use suspect::{Strike, Suspect, Suspects, SuspectsRequest, Trial};
 pub use text::TextPart;
--- a/crates/node/src/traffic/cache.rs
+++ b/crates/node/src/traffic/cache.rs
@@ -35,6 +35,8 @@
 pub struct CachedJob {
     /// Number of items in the job.
     pub total: usize,
+    /// Workspace of the job, if it has one.
+    pub workspace: Option<WorkspaceId>,
     chunks: Vec<Arc<Chunk>>,
     /// Revision of the store up to which the chunks are known.
     pub revision: Revision,
@@ -49,9 +51,10 @@
 }
 
 impl CachedJob {
-    pub fn new(total: usize, revision: Revision) -> Self {
+    pub fn new(total: usize, workspace: Option<WorkspaceId>, revision: Revision) -> Self {
         Self {
             total,
+            workspace,
             chunks: Vec::new(),
             revision,
             spec: None,
@@ -145,8 +148,13 @@
     }
 
     /// Adds a job of a service that this host leads.
-    pub fn open(&self, service: ServiceId, spec: &Arc<Spec>, chunks: Vec<Chunk>) {
-        let mut job = CachedJob::new(spec.items.len(), 0);
+    pub fn open(
+        &self,
+        (service, workspace): (ServiceId, Option<WorkspaceId>),
+        spec: &Arc<Spec>,
+        chunks: Vec<Chunk>,
+    ) {
+        let mut job = CachedJob::new(spec.items.len(), workspace, 0);
         job.service = Some(service);
         job.set_spec(spec);
         for chunk in chunks {
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -66,29 +66,37 @@
 
 async fn serve(traffic: &Rc<Traffic>, request: Request<Incoming>) -> HttpResponse {
     let operation = traffic.dialect.operation(request.method(), request.uri(), request.headers());
-    if operation != Operation::Routed {
-        let head = traffic.dialect.head(request.headers());
-        let Some(config) = traffic.view.load().config.clone() else {
-            info!(request = &*head.id; "request refused: no configuration is known yet");
-            return not_run_response(RETRY_AFTER);
-        };
-        if let Err(refusal) = access::admit(&config, &head) {
+    if operation == Operation::Routed {
+        return handle_routed(traffic, request).await;
+    }
+    let head = traffic.dialect.head(request.headers());
+    let Some(config) = traffic.view.load().config.clone() else {
+        info!(request = &*head.id; "request refused: no configuration is known yet");
+        return not_run_response(RETRY_AFTER);
+    };
+    match access::admit(&config, &head) {
+        Ok(caller) => handle_job(traffic, operation, &caller).await,
+        Err(refusal) => {
             body::discard(request.into_body()).await;
-            return access::refuse(refusal, &head);
+            access::refuse(refusal, &head)
         }
     }
+}
+
+async fn handle_job(traffic: &Rc<Traffic>, operation: Operation, caller: &Caller) -> HttpResponse {
     match operation {
-        Operation::Results { job, after, wait } => job_response(
-            jobs::results(traffic, &job, after, wait.min(RESULTS_WAIT_MAX)).await,
-            true,
-        ),
+        Operation::Results { job, after, wait } => {
+            let wait = wait.min(RESULTS_WAIT_MAX);
+            job_response(jobs::results(traffic, (&job, caller), after, wait).await, true)
+        }
         Operation::Body { job, item } => {
-            job_response(jobs::body(traffic, &job, &item).await, false)
+            job_response(jobs::body(traffic, (&job, caller), &item).await, false)
         }
         Operation::End { job } => {
-            job_response(jobs::end(traffic, &job).await.map(|()| Bytes::new()), false)
+            let ended = jobs::end(traffic, (&job, caller)).await;
+            job_response(ended.map(|()| Bytes::new()), false)
         }
-        Operation::Routed => handle_routed(traffic, request).await,
+        Operation::Routed => status(StatusCode::NOT_FOUND),
     }
 }
 
@@ -275,6 +283,7 @@
     match outcome {
         SubmitOutcome::Accepted => status(StatusCode::ACCEPTED),
         SubmitOutcome::Malformed => status(StatusCode::BAD_REQUEST),
+        SubmitOutcome::Taken => status(StatusCode::CONFLICT),
         SubmitOutcome::NotRun => not_run_response(RETRY_AFTER),
         SubmitOutcome::Unknown => status(StatusCode::GATEWAY_TIMEOUT),
     }
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -13,7 +13,12 @@
     job::{self, Chunk, Record, Spec},
     prelude::*,
     store::{self, Change, Outcome, Put, Txn, WatchResponse},
-    traffic::{cache::CachedJob, peers, serve::Traffic},
+    traffic::{
+        cache::CachedJob,
+        peers::{self, Answer},
+        serve::Traffic,
+    },
+    workspace::Caller,
 };
 
 /// Attempts to mark a job as ended while others change its head.
@@ -36,15 +41,15 @@
 /// waits up to `wait` for new ones. The leader answers for its jobs; without one the results are read from the store.
 pub async fn results(
     traffic: &Rc<Traffic>,
-    id: &str,
+    (id, caller): (&str, &Caller),
     after: u64,
     wait: Duration,
 ) -> Result<Bytes, Error> {
     let begun = Instant::now();
-    if let Some(body) = peers::results(traffic, id, after, wait).await {
-        return Ok(body);
+    if let Some(answer) = peers::results(traffic, (id, caller), after, wait).await {
+        return served(answer);
     }
-    load(traffic, id).await?;
+    load(traffic, (id, caller)).await?;
     if traffic.cache.get(id).is_none_or(|job| job.end() <= after) {
         refresh(traffic, id, after, wait.saturating_sub(begun.elapsed())).await?;
     }
@@ -52,22 +57,42 @@
     Ok(job.page(traffic.dialect.as_ref(), after))
 }
 
-/// Reads the results of a job into the cache, and its head if needed, unless the job is cached.
-async fn load(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
+fn served(answer: Answer) -> Result<Bytes, Error> {
+    match answer {
+        Answer::Served(body) => Ok(body),
+        Answer::Hidden => Err(Error::NotFound),
+    }
+}
+
+fn check(caller: &Caller, workspace: Option<&str>) -> Result<(), Error> {
+    if caller.sees(workspace) { Ok(()) } else { Err(Error::NotFound) }
+}
+
+/// Reads the results of a job into the cache, and its head if needed, unless the job is cached. Fails if the job does not
+/// exist for the caller.
+async fn load(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Result<(), Error> {
     if let Some(mut job) = traffic.cache.get_mut(id) {
+        check(caller, job.workspace.as_deref())?;
         job.last_used = Instant::now();
         return Ok(());
     }
     let (entries, revision) =
         store::read_all(traffic.store.as_ref(), &job::chunks_prefix(id)).await?;
-    // Each chunk states the number of items, so the head of a job with results is not read.
+    // Each chunk states the number of items and the workspace, so the head of a job with results is not read. Only a chunk of
+    // an earlier build does not tell the workspace.
     let first =
         entries.first().and_then(|entry| serde_json::from_slice::<Chunk>(&entry.value).ok());
-    let total = match first {
-        Some(chunk) => chunk.total,
-        None => record(traffic, id).await?.0.total,
+    let (total, workspace) = match first {
+        Some(Chunk { total, workspace, .. }) if workspace.is_some() || *caller == Caller::Any => {
+            (total, workspace)
+        }
+        _ => {
+            let record = record(traffic, id).await?.0;
+            (record.total, record.workspace)
+        }
     };
-    let mut cached = CachedJob::new(total, revision);
+    check(caller, workspace.as_deref())?;
+    let mut cached = CachedJob::new(total, workspace, revision);
     for entry in entries {
         cached.add_encoded(&entry.value);
     }
@@ -145,11 +170,15 @@
 }
 
 /// Returns the request body of an item.
-pub async fn body(traffic: &Rc<Traffic>, id: &str, item: &str) -> Result<Bytes, Error> {
-    if let Some(body) = peers::body(traffic, id, item).await {
-        return Ok(body);
+pub async fn body(
+    traffic: &Rc<Traffic>,
+    (id, caller): (&str, &Caller),
+    item: &str,
+) -> Result<Bytes, Error> {
+    if let Some(answer) = peers::body(traffic, (id, caller), item).await {
+        return served(answer);
     }
-    load(traffic, id).await?;
+    load(traffic, (id, caller)).await?;
     let cached = traffic.cache.get(id).and_then(|job| job.spec.clone());
     let spec = match cached {
         Some(spec) => spec,
@@ -186,13 +215,13 @@
 }
 
 /// Marks a job as ended; has no effect if it is already.
-pub async fn end(traffic: &Rc<Traffic>, id: &str) -> Result<(), Error> {
-    if peers::end(traffic, id).await {
-        return Ok(());
+pub async fn end(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Result<(), Error> {
+    if let Some(answer) = peers::end(traffic, (id, caller)).await {
+        return served(answer).map(|_| ());
     }
     let mut last_error = None;
     for _ in 0..END_ATTEMPTS_MAX {
-        match try_end(traffic, id).await {
+        match try_end(traffic, (id, caller)).await {
             Ok(true) => {
                 info!(job = id; "job ended by its trainer");
                 return Ok(());
@@ -206,8 +235,9 @@
 }
 
 /// Returns whether the job is marked as ended; `false` if its head changed meanwhile.
-async fn try_end(traffic: &Traffic, id: &str) -> Result<bool, Error> {
+async fn try_end(traffic: &Traffic, (id, caller): (&str, &Caller)) -> Result<bool, Error> {
     let (record, revision) = record(traffic, id).await?;
+    check(caller, record.workspace.as_deref())?;
     if record.ended {
         return Ok(true);
     }
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -14,11 +14,12 @@
     clock,
     job::Record,
     peer::{
-        self, Body, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler, Kind, Lead,
-        Origin, Request, Response, Results, Submitted, SuspectsRequest, Tunnel,
+        self, Body, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler, JobCall, Kind,
+        Lead, Origin, Owned, Request, Response, Results, Submitted, SuspectsRequest, Tunnel,
     },
     prelude::*,
     traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
+    workspace::Caller,
 };
 
 /// Time for a response, in addition to the time for which it may wait for results.
@@ -28,27 +29,60 @@
 /// Longest wait for results before it is checked whether this host still leads.
 const LEADERSHIP_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Answer of a leader about one of its jobs.
+pub enum Answer {
+    Served(Bytes),
+    /// The job does not exist for the caller.
+    Hidden,
+}
+
 /// Returns the results of a job from its leader; `None` if no leader answers for the job.
-pub async fn results(traffic: &Rc<Traffic>, id: &str, after: u64, wait: Duration) -> Option<Bytes> {
+pub async fn results(
+    traffic: &Rc<Traffic>,
+    (id, caller): (&str, &Caller),
+    after: u64,
+    wait: Duration,
+) -> Option<Answer> {
+    if is_hidden(traffic, id, |job| caller.sees(job)) {
+        return Some(Answer::Hidden);
+    }
     if let Some(body) = held_results(traffic, id, after, wait).await {
-        return Some(body);
+        return Some(Answer::Served(body));
     }
-    let kind = Kind::Results(Results { job: id.into(), after, wait_ms: peer::millis(wait) });
-    ask(traffic, kind, wait + RESPONSE_TIMEOUT).await
+    let call = JobCall::Results(Results { job: id.into(), after, wait_ms: peer::millis(wait) });
+    ask(traffic, caller, call, wait + RESPONSE_TIMEOUT).await
 }
 
 /// Returns the body of an item from its job's leader.
-pub async fn body(traffic: &Rc<Traffic>, id: &str, item: &str) -> Option<Bytes> {
+pub async fn body(
+    traffic: &Rc<Traffic>,
+    (id, caller): (&str, &Caller),
+    item: &str,
+) -> Option<Answer> {
+    if is_hidden(traffic, id, |job| caller.sees(job)) {
+        return Some(Answer::Hidden);
+    }
     if let Some(body) = held_body(traffic, id, item) {
-        return Some(body);
+        return Some(Answer::Served(body));
     }
-    ask(traffic, Kind::Body(Body { job: id.into(), item: item.into() }), RESPONSE_TIMEOUT).await
+    let call = JobCall::Body(Body { job: id.into(), item: item.into() });
+    ask(traffic, caller, call, RESPONSE_TIMEOUT).await
 }
 
-/// Lets the leader of a job end it. Returns whether the job is ended.
-pub async fn end(traffic: &Rc<Traffic>, id: &str) -> bool {
-    end_here(traffic, id).await
-        || ask(traffic, Kind::End(End { job: id.into() }), END_TIMEOUT).await.is_some()
+/// Lets the leader of a job end it.
+pub async fn end(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Option<Answer> {
+    if is_hidden(traffic, id, |job| caller.sees(job)) {
+        return Some(Answer::Hidden);
+    }
+    if end_here(traffic, id).await {
+        return Some(Answer::Served(Bytes::new()));
+    }
+    ask(traffic, caller, JobCall::End(End { job: id.into() }), END_TIMEOUT).await
+}
+
+/// Whether this host holds a job that does not exist for a caller.
+fn is_hidden(traffic: &Traffic, id: &str, sees: impl Fn(Option<&str>) -> bool) -> bool {
+    traffic.cache.held(id).is_some_and(|job| !sees(job.workspace.as_deref()))
 }
 
 /// Tells the leader of a service about a job that was just written to the store. A leader that does not learn of it
@@ -75,12 +109,19 @@
 }
 
 /// Asks the leaders of all services until one serves the request.
-async fn ask(traffic: &Rc<Traffic>, kind: Kind, limit: Duration) -> Option<Bytes> {
+async fn ask(
+    traffic: &Rc<Traffic>,
+    caller: &Caller,
+    call: JobCall,
+    limit: Duration,
+) -> Option<Answer> {
+    let kind = call.into_kind(caller.workspace().map(|workspace| &*workspace.name));
     let leaders = Arc::clone(&traffic.view.load().leaders);
     for leader in leaders.values().filter(|leader| Some(**leader) != traffic.settings.peer) {
         let response = traffic.peers.call(*leader, kind.clone(), limit).await;
         if let Some(response) = response.filter(|response| response.served) {
-            return Some(response.body);
+            let hidden = response.hidden;
+            return Some(if hidden { Answer::Hidden } else { Answer::Served(response.body) });
         }
     }
     None
@@ -140,6 +181,18 @@
         let spec = self.0.dialect.submission(&submitted.job, &submitted.body).ok()?;
         Some(Submission { record, revision: submitted.revision, spec: Arc::new(spec) })
     }
+
+    /// Serves a call about a job that this host holds.
+    async fn job(&self, call: JobCall) -> Option<Bytes> {
+        let traffic = &self.0;
+        match call {
+            JobCall::Results(Results { job, after, wait_ms }) => {
+                held_results(traffic, &job, after, peer::duration(wait_ms)).await
+            }
+            JobCall::Body(Body { job, item }) => held_body(traffic, &job, &item),
+            JobCall::End(End { job }) => end_here(traffic, &job).await.then(Bytes::new),
+        }
+    }
 }
 
 impl Handler for PeerHandler {
@@ -154,12 +207,16 @@
     async fn handle(&self, request: Request) -> Response {
         let traffic = &self.0;
         let body = match request.kind {
-            Some(Kind::Results(request)) => {
-                let wait = peer::duration(request.wait_ms);
-                held_results(traffic, &request.job, request.after, wait).await
+            Some(Kind::Results(request)) => self.job(JobCall::Results(request)).await,
+            Some(Kind::Body(request)) => self.job(JobCall::Body(request)).await,
+            Some(Kind::End(request)) => self.job(JobCall::End(request)).await,
+            Some(Kind::Owned(Owned { workspace, call: Some(call) })) => {
+                let sees = |job: Option<&str>| job.is_none_or(|name| name == workspace);
+                if is_hidden(traffic, call.job(), sees) {
+                    return Response::hidden();
+                }
+                self.job(call).await
             }
-            Some(Kind::Body(request)) => held_body(traffic, &request.job, &request.item),
-            Some(Kind::End(request)) => end_here(traffic, &request.job).await.then(Bytes::new),
             Some(Kind::Submitted(submitted)) => self.submitted(submitted).map(|submission| {
                 report(traffic, Report::Submitted(Box::new(submission)));
                 Bytes::new()
@@ -196,7 +253,7 @@
                 Some(Bytes::new())
             }
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
-            Some(Kind::Lead(_) | Kind::Tunnel(_)) | None => None,
+            Some(Kind::Lead(_) | Kind::Tunnel(_) | Kind::Owned(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
     }
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -30,6 +30,7 @@
     /// This host runs a job and knows all its results.
     JobOpened {
         service: ServiceId,
+        workspace: Option<WorkspaceId>,
         spec: Arc<Spec>,
         chunks: Vec<Chunk>,
     },
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -283,8 +283,8 @@
                 }
             }
             Command::LeadershipRenewed { service, until } => traffic.cache.renew(service, until),
-            Command::JobOpened { service, spec, chunks } => {
-                traffic.cache.open(service, &spec, chunks);
+            Command::JobOpened { service, workspace, spec, chunks } => {
+                traffic.cache.open((service, workspace), &spec, chunks);
             }
             Command::JobsClosed { service } => traffic.cache.close(&service),
             Command::ChunkBegun { job } => traffic.cache.begin_write(&job),
--- a/crates/node/src/traffic/submit.rs
+++ b/crates/node/src/traffic/submit.rs
@@ -11,7 +11,7 @@
     config::Route,
     job::{self, Policy, Record},
     prelude::*,
-    store::{Error, Outcome, Put, Txn},
+    store::{Entry, Error, Outcome, Put, Txn},
     traffic::{Submission, peers, serve::Traffic},
     workspace::Caller,
 };
@@ -32,6 +32,8 @@
     Accepted,
     /// The submission could not be decoded.
     Malformed,
+    /// A job of another workspace has the id.
+    Taken,
     /// The job is not in the store, and no write of this attempt can still put it there.
     NotRun,
     /// The job may be in the store.
@@ -43,7 +45,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Accepted => "success",
-            Self::Malformed => "refused",
+            Self::Malformed | Self::Taken => "refused",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
         }
@@ -81,7 +83,7 @@
         workspace: caller.workspace().map(|workspace| workspace.name.clone()),
     };
     let txn = transaction(id, &record, parts);
-    let (outcome, revision) = write(traffic, id, &txn).await;
+    let (outcome, revision) = write(traffic, (id, caller), &txn).await;
     info!(job = id, step = spec.step, items = spec.items.len(), min_version = spec.min_version, outcome:?; "job submitted");
     if let Some(revision) = revision {
         let submission = Submission { record, revision, spec: Arc::new(spec) };
@@ -106,13 +108,28 @@
     Txn { expected: vec![(job::head_key(id), 0)], puts, removes: Vec::new() }
 }
 
+/// Whether the job that is in the store already is one that does not exist for the caller.
+fn is_taken(id: &str, caller: &Caller, found: &[Entry]) -> bool {
+    let head = found.iter().find(|entry| entry.key == job::head_key(id));
+    let record = head.and_then(|head| serde_json::from_slice::<Record>(&head.value).ok());
+    record.is_some_and(|record| !caller.sees(record.workspace.as_deref()))
+}
+
 /// Retries the write until its outcome is known or the time is up. All copies expect that the head does not exist, so
 /// only one can take effect. Returns the revision if the write is known to have created the job.
-async fn write(traffic: &Traffic, id: &str, txn: &Txn) -> (SubmitOutcome, Option<Revision>) {
+async fn write(
+    traffic: &Traffic,
+    (id, caller): (&str, &Caller),
+    txn: &Txn,
+) -> (SubmitOutcome, Option<Revision>) {
     let (deadline, mut refusals, mut unknown) = (Instant::now() + SUBMIT_TIMEOUT, 0, false);
     loop {
         match traffic.store.commit(txn).await {
             Ok(Outcome::Committed(revision)) => return (SubmitOutcome::Accepted, Some(revision)),
+            Ok(Outcome::Conflict(found)) if is_taken(id, caller, &found) => {
+                warn!(job = id; "submission refused: a job of another workspace has its id");
+                return (SubmitOutcome::Taken, None);
+            }
             Ok(Outcome::Conflict(_)) => return (SubmitOutcome::Accepted, None),
             Ok(Outcome::NoLease) | Err(Error::Refused { .. }) => refusals += 1,
             Err(error) => {
--- a/crates/node/src/workspace/admission.rs
+++ b/crates/node/src/workspace/admission.rs
@@ -22,6 +22,16 @@
             Self::Any | Self::Public => None,
         }
     }
+
+    /// Whether a job exists for the caller. One that names no workspace was accepted by an earlier build, or before there were
+    /// workspaces, so any of them may be its own.
+    pub fn sees(&self, job: Option<&str>) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Public => false,
+            Self::Member(workspace) => job.is_none_or(|name| name == &*workspace.name),
+        }
+    }
 }
 
 /// Why a call is not served.
--- a/crates/node/tests/samples/mod.rs
+++ b/crates/node/tests/samples/mod.rs
@@ -6,7 +6,7 @@
     events::Progress,
     feed::ChangesRequest,
     holder::Holder,
-    job::{Checkpoint, Chunk, Policy, Record, Row},
+    job::{Checkpoint, Chunk, Record, Row},
     peer::{
         Body, Departure, End, Ended, FromRunner, Generated, Kind, Lead, Limit, News, Notice, Order,
         Origin, Permit, PermitReply, Request, Response, Results, Retained, RunItem, Submitted,
@@ -17,6 +17,7 @@
 };
 use prost::Message;
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::{Value, json};
 
 /// An encoded value, and how the present build decodes and encodes it again.
 pub struct Sample {
@@ -151,7 +152,7 @@
         ),
         request("origin", Kind::Origin(Origin { stream: "r".into(), software: Some("v1".into()) })),
         request("tunnel", Kind::Tunnel(Tunnel { target: "i-1".into(), ..Tunnel::default() })),
-        message("response", Response { served: true, body: vec![1].into() }),
+        message("response", Response::served(vec![1].into())),
         message("permit-reply", PermitReply { retry_after_ms: Some(20), limit: Some(limit()) }),
     ]
 }
@@ -184,6 +185,18 @@
     ]
 }
 
+/// Value of a type that has further fields in some builds.
+fn decoded<T: DeserializeOwned>(value: Value) -> T {
+    serde_json::from_value(value).unwrap()
+}
+
+fn record(policy: &Value) -> Record {
+    decoded(json!({
+        "host": "h", "path": "/p", "service": "llm", "submitted_ms": 5, "total": 2, "parts": 1,
+        "ended": false, "policy": policy,
+    }))
+}
+
 fn store_values() -> Vec<Sample> {
     let row = Row {
         item: "i".into(),
@@ -194,42 +207,15 @@
     };
     let versions = ["v1".into()].into();
     vec![
-        stored(
-            "job-head",
-            Record {
-                host: "h".into(),
-                path: "/p".into(),
-                service: "llm".into(),
-                submitted_ms: 5,
-                total: 2,
-                parts: 1,
-                ended: false,
-                policy: None,
-                workspace: None,
-            },
-        ),
+        stored("job-head", record(&Value::Null)),
         stored(
             "job-head-with-policy",
-            Record {
-                host: "h".into(),
-                path: "/p".into(),
-                service: "llm".into(),
-                submitted_ms: 5,
-                total: 2,
-                parts: 1,
-                ended: false,
-                policy: Some(Policy {
-                    config: 7,
-                    deadline_ms: 8_000,
-                    item_ttl_ms: 40_000,
-                    max_attempts: 3,
-                    priority: 1,
-                    single_version: true,
-                }),
-                workspace: None,
-            },
+            record(&json!({
+                "config": 7, "deadline_ms": 8_000, "item_ttl_ms": 40_000, "max_attempts": 3,
+                "priority": 1, "single_version": true,
+            })),
         ),
-        stored("rows", Chunk { total: 2, first: 0, rows: vec![row] }),
+        stored("rows", decoded::<Chunk>(json!({"total": 2, "first": 0, "rows": [row]}))),
         stored(
             "checkpoints",
             vec![Checkpoint { item: "i".into(), progress: progress(), text_complete: false }],
