--- a/crates/node/src/traffic/stop.rs
+++ b/crates/node/src/traffic/stop.rs
@@ -12,6 +12,8 @@
 const MARGIN: Duration = Duration::from_millis(700);
 /// Subtracted from that end, for the answers to requests that are still in progress.
 const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+/// Longest time for which a stopping host without requests waits until the holder of the duty has its counts.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Interval at which a stopping host checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which a host checks whether it is to stop.
@@ -46,6 +48,10 @@
     wait_until_unused(traffic, deadline - ANSWER_MARGIN).await;
     traffic.phase.send_replace(Phase::Ending);
     wait_until_unused(traffic, deadline).await;
+    let deadline = deadline.min(Instant::now() + USAGE_TIMEOUT);
+    while traffic.meter.has_unsent_counts() && Instant::now() < deadline {
+        sleep(POLL_INTERVAL).await;
+    }
 }
 
 /// Waits until no caller and no other host uses this one.
--- a/crates/node/src/usage/collector.rs
+++ b/crates/node/src/usage/collector.rs
@@ -121,6 +121,12 @@
             && (since < gone_at || known.iter().all(|address| heard.contains(address)))
     }
 
+    /// Hosts that were heard and have not closed a window, with the time since they were heard.
+    pub fn open_hosts(&self, window: u64, now: Time) -> Vec<(HostId, Duration)> {
+        let open = self.hosts.iter().filter(|(_, host)| host.closed_before <= window);
+        open.map(|(id, host)| (id.clone(), now.saturating_sub(host.heard_at))).collect()
+    }
+
     /// Total counts of a window.
     pub fn total(&self, window: u64) -> Counts {
         let mut total = Counts::new();
--- a/crates/node/src/usage/counters.rs
+++ b/crates/node/src/usage/counters.rs
@@ -153,6 +153,11 @@
         has_news.then(|| self.message(moment, self.acknowledged))
     }
 
+    /// Whether the holder lacks counts.
+    pub fn has_unsent_counts(&self) -> bool {
+        self.kept.values().any(|kept| kept.changed > self.acknowledged)
+    }
+
     /// A message without counts, which asks for the clocks of another host.
     pub fn question(&self, moment: Moment) -> UsageCounts {
         self.message(moment, u64::MAX)
--- a/crates/node/src/usage/meter.rs
+++ b/crates/node/src/usage/meter.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Whether the holder lacks counts that it could still report.
+    pub fn has_unsent_counts(&self) -> bool {
+        self.lock().is_some_and(|counters| counters.has_unsent_counts())
+    }
+
     /// What the holder does not know yet.
     pub fn news(&self) -> Option<UsageCounts> {
         self.lock()?.news(Moment::present())
--- a/crates/node/src/usage/offsets.rs
+++ b/crates/node/src/usage/offsets.rs
@@ -9,6 +9,9 @@
 
 /// Time for which an offset counts.
 const AGE_MAX: Duration = Duration::from_secs(60);
+/// Time for which a clock that was heard to be ahead outweighs one that is further behind: a message that waited, as all do
+/// for a host that was suspended, shows its sender's clock behind.
+const DELAY_MAX: Duration = Duration::from_secs(10);
 /// Largest number of clocks that are remembered.
 const CLOCKS_MAX: usize = 64;
 
@@ -67,14 +70,17 @@
             return;
         }
         let read_at = now.saturating_sub(reading.age);
-        let known = self.others.get(&reading.host);
-        if known.is_some_and(|(_, known_at)| *known_at > read_at)
-            || known.is_none() && self.others.len() >= CLOCKS_MAX
-        {
-            return;
-        }
         // `unix_ms` is that clock's time of day at this moment, whenever it was read.
         let heard = offset(Moment { now, unix_ms: reading.unix_ms });
+        let is_news = match self.others.get(&reading.host) {
+            Some((known, known_at)) if heard > *known => read_at + DELAY_MAX > *known_at,
+            Some((known, known_at)) if heard == *known => read_at > *known_at,
+            Some((_, known_at)) => read_at > *known_at + DELAY_MAX,
+            None => self.others.len() < CLOCKS_MAX,
+        };
+        if !is_news {
+            return;
+        }
         self.others.insert(reading.host.clone(), (heard, read_at));
     }
 
--- a/crates/node/src/usage/reporter.rs
+++ b/crates/node/src/usage/reporter.rs
@@ -204,7 +204,8 @@
             return None;
         }
         let (revision, next) = (*revision, ledger.next);
-        info!(fence, next, unsent = ledger.unsent.len(), true_ms; "settling usage");
+        let open = next.checked_sub(1).map(|last| self.collector.open_hosts(last, now));
+        info!(fence, next, unsent = ledger.unsent.len(), true_ms, known_hosts = hosts.len(), open_hosts:? = open.unwrap_or_default(); "settling usage");
         self.store_busy = true;
         Some(Action::Settle { fence, revision, ledger })
     }
--- a/crates/node/tests/election.rs
+++ b/crates/node/tests/election.rs
@@ -101,6 +101,11 @@
 impl Case {
     /// Starts an election that this host wins.
     fn start() -> Self {
+        Self::start_not_before(Time::ZERO)
+    }
+
+    /// The same, for a host that does not compete before a time.
+    fn start_not_before(time: Time) -> Self {
         let store = Rc::new(Leased::default());
         let (sender, leaderships) = mpsc::unbounded_channel();
         let (key, leader_key) = watch::channel(LeaderKey::Absent);
@@ -117,7 +122,7 @@
             leaderships: sender,
             stopping,
             released,
-            not_before: watch::channel(Time::ZERO).1,
+            not_before: watch::channel(time).1,
             links: Arc::new(Links::default()),
         };
         tokio::task::spawn_local(election.run());
@@ -186,3 +191,16 @@
     })
     .await;
 }
+
+/// Guards against hosts that take turns: one that has held a role takes it again before its time.
+#[tokio::test]
+async fn a_host_does_not_compete_before_its_time() {
+    run(async {
+        let not_before = clock::now() + ms(800);
+        let mut case = Case::start_not_before(not_before);
+        assert_eq!(case.check(ms(700)).await, None);
+        assert!(case.check(ms(700)).await.is_some(), "does not compete");
+        assert!(clock::now() >= not_before);
+    })
+    .await;
+}
--- a/crates/node/tests/usage.rs
+++ b/crates/node/tests/usage.rs
@@ -2,13 +2,13 @@
 
 mod common;
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, sync::Arc};
 
 use common::ms;
 use lagoonyard_node::{
     peer::{UsageCounts, UsageReply},
     prelude::*,
-    usage::{Collector, Counters, Counts, Moment, Offsets, Ran, Reading, Windows},
+    usage::{Collector, Counters, Counts, Meter, Moment, Offsets, Ran, Reading, Windows},
 };
 
 const START_MS: u64 = 1_000_000;
@@ -224,13 +224,56 @@
         assert_eq!(offsets.true_ms(moment(0)), START_MS);
         let jumped = Moment { now: ms(100), unix_ms: START_MS + 5100 };
         assert_eq!(offsets.true_ms(jumped), START_MS + 100, "{others} others");
-        offsets.hear(&reading("h0", START_MS + 200 - 4000), ms(200));
-        if others > 2 {
-            assert_eq!(offsets.true_ms(moment(200)), START_MS + 200, "{others} others");
+        // Another clock jumps as well, forward or back.
+        for (jump, after) in [(4000, 200), (-4000, 20_000)] {
+            let unix_ms = (START_MS + after).saturating_add_signed(jump);
+            offsets.hear(&reading("h0", unix_ms), ms(after));
+            (1..others).for_each(|n| {
+                offsets.hear(&reading(&format!("h{n}"), START_MS + after), ms(after));
+            });
+            if others > 2 {
+                assert_eq!(offsets.true_ms(moment(after)), START_MS + after, "{others} others");
+            }
         }
     }
 }
 
+/// Guards against a host that was suspended and takes the messages that waited for it for clocks that are behind.
+#[test]
+fn messages_that_waited_do_not_set_the_time_back() {
+    let mut offsets = Offsets::new("own".into());
+    for after in [0, 5000] {
+        for host in ["h1", "h2", "h3"] {
+            offsets.hear(&reading(host, START_MS), ms(after));
+        }
+        assert_eq!(offsets.true_ms(moment(after)), START_MS + after);
+    }
+    // A clock that is set back is believed in the end.
+    for host in ["h1", "h2", "h3"] {
+        offsets.hear(&reading(host, START_MS + 15_000), ms(20_000));
+    }
+    assert_eq!(offsets.true_ms(moment(20_000)), START_MS + 15_000);
+}
+
+/// Guards against attempts that end without a statement of their target, as after a time-out or a cancelled hedge, and do
+/// not count; and against requests without a workspace that do.
+#[test]
+fn an_attempt_counts_unless_its_target_says_no() {
+    let windows = Windows::new(Duration::from_secs(1 << 40));
+    let meter = Arc::new(Meter::of_process("h1".into(), ADDRESS.into(), windows));
+    let workspace = Some(WorkspaceId::from("a"));
+    drop(meter.begin(workspace.as_ref()));
+    meter.begin(workspace.as_ref()).not_run();
+    meter.began(workspace.as_ref());
+    meter.began(None);
+    let news = meter.news().unwrap();
+    let counts: Vec<_> = news.windows.iter().flat_map(|window| &window.counts).collect();
+    assert_eq!(counts, [(&"a".to_owned(), &2)]);
+    let off = Arc::new(Meter::default());
+    off.began(workspace.as_ref());
+    assert_eq!(off.news(), None);
+}
+
 /// Guards against the clock of a lost host that counts for ever, as hosts repeat it to each other.
 #[test]
 fn a_clock_that_nobody_reads_is_forgotten() {
