--- a/crates/node/src/usage/collector.rs
+++ b/crates/node/src/usage/collector.rs
@@ -7,7 +7,11 @@
     net::SocketAddr,
 };
 
-use crate::{peer::UsageCounts, prelude::*, usage::Counts};
+use crate::{
+    peer::UsageCounts,
+    prelude::*,
+    usage::{Counts, sum},
+};
 
 /// Windows ahead of true time that are accepted, for hosts whose clocks are not corrected yet.
 const AHEAD_MAX: u64 = 4;
@@ -72,10 +76,10 @@
                 .map(|(workspace, count)| (workspace.as_str().into(), *count))
                 .collect();
             if next.is_some_and(|next| window.window < next) {
-                late += self.late(window.window, &process, &counts);
+                late = self.late(window.window, &process, &counts).saturating_add(late);
                 continue;
             }
-            if window.window > current + AHEAD_MAX {
+            if window.window > current.saturating_add(AHEAD_MAX) {
                 continue;
             }
             let parts = self.windows.entry(window.window).or_default();
@@ -98,8 +102,8 @@
         let Some(parts) = self.settled.get_mut(&window) else {
             return 0;
         };
-        let (known, total) = (parts.entry(process.clone()).or_default(), counts.values().sum());
-        let late = u64::saturating_sub(total, *known);
+        let (known, total) = (parts.entry(process.clone()).or_default(), sum(counts));
+        let late = total.saturating_sub(*known);
         *known = total.max(*known);
         late
     }
@@ -132,7 +136,8 @@
         let mut total = Counts::new();
         for part in self.windows.get(&window).into_iter().flat_map(BTreeMap::values) {
             for (workspace, count) in part.counts.iter().filter(|(_, count)| **count > 0) {
-                *total.entry(workspace.clone()).or_default() += count;
+                let total = total.entry(workspace.clone()).or_default();
+                *total = count.saturating_add(*total);
             }
         }
         total
@@ -142,10 +147,7 @@
     pub fn settle_before(&mut self, next: u64) {
         let open = self.windows.split_off(&next);
         for (window, parts) in std::mem::replace(&mut self.windows, open) {
-            let totals = parts.into_iter().map(|(process, part)| {
-                let total = part.counts.values().sum();
-                (process, total)
-            });
+            let totals = parts.into_iter().map(|(process, part)| (process, sum(&part.counts)));
             self.settled.insert(window, totals.collect());
         }
         while self.settled.len() > SETTLED_MAX {
--- a/crates/node/src/usage/counters.rs
+++ b/crates/node/src/usage/counters.rs
@@ -6,7 +6,7 @@
     metrics::METERS,
     peer::{UsageCounts, UsageReply, UsageWindow},
     prelude::*,
-    usage::{Counts, Moment, Offsets, Reading, Windows},
+    usage::{Counts, Moment, Offsets, Reading, Windows, sum},
 };
 
 /// Windows that a host keeps; the oldest is dropped first.
@@ -116,7 +116,7 @@
         if self.kept.len() > WINDOWS_MAX
             && let Some((dropped, kept)) = self.kept.pop_first()
         {
-            let lost = kept.counts.values().sum();
+            let lost = sum(&kept.counts);
             METERS.usage("dropped", lost);
             log::warn!(window = dropped, lost; "usage of a window dropped: no holder has settled it");
         }
--- a/crates/node/src/usage/ledger.rs
+++ b/crates/node/src/usage/ledger.rs
@@ -40,7 +40,8 @@
 
     /// Ledger in which further windows are settled, in order. Windows that need not be sent again are left out.
     pub fn settle(&self, counts: BTreeMap<u64, Counts>, done: impl Fn(u64) -> bool) -> Self {
-        let next = counts.last_key_value().map_or(self.next, |(window, _)| window + 1);
+        let next =
+            counts.last_key_value().map_or(self.next, |(window, _)| window.saturating_add(1));
         let open = self.unsent.iter().filter(|settled| !done(settled.window)).cloned();
         let added = counts.into_iter().map(|(window, counts)| Settled { window, counts });
         Self { next: next.max(self.next), unsent: open.chain(added).collect() }
--- a/crates/node/src/usage/mod.rs
+++ b/crates/node/src/usage/mod.rs
@@ -29,6 +29,11 @@
 /// Requests by workspace.
 pub type Counts = BTreeMap<WorkspaceId, u64>;
 
+/// Requests of all workspaces; counts of other hosts may be out of any range that makes sense.
+fn sum(counts: &Counts) -> u64 {
+    counts.values().fold(0, |sum, count| sum.saturating_add(*count))
+}
+
 /// Name under which hosts compete for the duty.
 pub const DUTY: &str = "duty/usage-report";
 /// Key of the settled windows.
--- a/crates/node/src/usage/reporter.rs
+++ b/crates/node/src/usage/reporter.rs
@@ -19,7 +19,7 @@
     peer::UsageCounts,
     prelude::*,
     store,
-    usage::{Collector, Counts, Ledger, Windows},
+    usage::{Collector, Counts, Ledger, Windows, sum},
 };
 
 /// Part of the time until a report is due after which a window is settled without the hosts that have not closed it.
@@ -29,7 +29,7 @@
 /// Age after the end of its window at which a report is not sent any more.
 const REPORT_AGE_MAX: Duration = Duration::from_secs(60);
 /// Windows that are settled in one write.
-const SETTLE_MAX: usize = 12;
+const SETTLE_MAX: u64 = 12;
 /// Delay after a failed call of the store or of the platform; that of the platform doubles with each further failure.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
@@ -227,7 +227,8 @@
             true_ms >= end_ms
                 && (overdue || self.collector.is_closed(*window, hosts, self.taken_at, gone_at))
         };
-        let due = (next..).take(SETTLE_MAX).take_while(is_due);
+        let windows = (0..SETTLE_MAX).map(|number| next.saturating_add(number));
+        let due = windows.take_while(is_due);
         due.map(|window| (window, self.collector.total(window))).collect()
     }
 
@@ -257,7 +258,7 @@
             }
             let end_ms = self.rules.windows.end_ms(window);
             if true_ms > end_ms.saturating_add(age_max_ms) {
-                METERS.usage("unsent", settled.counts.values().sum());
+                METERS.usage("unsent", sum(&settled.counts));
                 warn!(window, true_ms; "usage report dropped: the platform did not receive it in time");
                 self.done.insert(window);
                 continue;
@@ -359,7 +360,7 @@
         let window = report.window;
         let reason: Box<str> = match result {
             Ok(cloud::Outcome::Accepted) => {
-                let requests: u64 = report.counts.values().sum();
+                let requests = sum(&report.counts);
                 METERS.usage("reported", requests);
                 info!(window, fence, requests, workspaces = report.counts.len(); "usage reported");
                 // The counts of a settled window never change, so this holds under any token.
--- a/crates/node/tests/usage_report.rs
+++ b/crates/node/tests/usage_report.rs
@@ -410,3 +410,24 @@
     first.run(&mut world, fence, END + LENGTH_MS + 1000, Loss::Nothing);
     assert_eq!(world.reported().into_keys().collect::<Vec<_>>(), [WINDOW + 1]);
 }
+
+/// Guards against a holder that ends because of numbers in a message or in the ledger that make no sense.
+#[test]
+fn numbers_out_of_range_do_no_harm() {
+    let mut world = World::default();
+    let (mut first, fence) = holder(&mut world);
+    for host in [0, 1] {
+        let mut message = message(host, u64::MAX, u64::MAX);
+        let ahead = UsageWindow { window: u64::MAX, ..message.windows[0].clone() };
+        message.windows.push(ahead);
+        first.reporter.accept(&message, ms(first.at), u64::MAX);
+        first.reporter.accept(&message, ms(first.at), first.at);
+    }
+    first.run(&mut world, fence, END + 1000, Loss::Nothing);
+    assert_eq!(world.reported().get(&WINDOW), Some(&u64::MAX));
+    let ledger = Ledger { next: u64::MAX, unsent: Vec::new() };
+    world.keys.insert(LEDGER.into(), (ledger.encode(), 999));
+    let (mut second, fence) = (host("b", END + 1000), world.elect());
+    second.hear_all(u64::MAX);
+    assert!(second.run(&mut world, fence, END + 9000, Loss::Nothing));
+}
