Usage: tests for late writes, new holders and overtaken messages

Mutations of the ledger's condition, of the change number of messages, of the wait of a new holder, of the answer to a rate limit and of dropped windows were found by no test; each is now.

--- a/crates/node/tests/usage.rs
+++ b/crates/node/tests/usage.rs
@@ -90,7 +90,7 @@
     run(&mut counters, "b", 3);
     // The first message is lost: it is not acknowledged, and comes after the second.
     let second = counters.news(moment(4)).unwrap();
-    for message in [&second, &first, &second] {
+    for message in [&second, &second, &first] {
         collector.accept(message, Some(0), FIRST, ms(5));
     }
     assert_eq!(collector.total(FIRST), counts(&[("a", 2), ("b", 1)]));
--- a/crates/node/tests/usage_report.rs
+++ b/crates/node/tests/usage_report.rs
@@ -249,6 +249,28 @@
     assert_eq!(world.reported().get(&WINDOW), Some(&7));
 }
 
+/// Guards against a write that takes effect long after the holder has settled the window with other counts.
+#[test]
+fn a_late_write_has_no_effect() {
+    let mut world = World::default();
+    let (mut first, fence) = holder(&mut world);
+    first.hear_all(WINDOW + 1);
+    first.at += 100;
+    first.lead(fence, first.at);
+    let now = ms(first.at);
+    let action = first.reporter.next(now, first.at, &first.hosts);
+    let Some(Action::Settle { fence, revision, ledger }) = action else {
+        panic!("not settled: {action:?}");
+    };
+    let late = settle(fence, revision, &ledger);
+    let no_answer = Err(store::Error::NoResponse { reason: "slow".into() });
+    first.reporter.settled((fence, ledger), no_answer, now);
+    first.hear(1, WINDOW + 1, 9);
+    first.run(&mut world, fence, END + 2000, Loss::Nothing);
+    assert_eq!(world.reported().get(&WINDOW), Some(&14));
+    assert_eq!(world.commit(&late), store::Outcome::Conflict(Vec::new()));
+}
+
 /// Guards against a holder that stood still beyond its lease and then settles or sends beside its successor.
 #[test]
 fn a_holder_that_wakes_without_its_lease_does_nothing() {
@@ -328,6 +350,27 @@
     assert_eq!(first.reporter.rejoin_at(), ended + TURN);
 }
 
+/// Guards against a holder that settles an overdue window before the hosts can have sent it their counts, and that calls
+/// before the last call of its predecessor has arrived.
+#[test]
+fn a_new_holder_waits_for_counts_and_calls() {
+    let mut world = World::default();
+    let (mut first, fence) = holder(&mut world);
+    first.hear_all(WINDOW + 1);
+    first.run(&mut world, fence, END + 1000, Loss::Call);
+    let (mut second, fence) = (host("b", END + LENGTH_MS + 7000), world.elect());
+    let (taken_at, sent) = (second.at, world.calls.len());
+    second.run(&mut world, fence, taken_at + 500, Loss::Nothing);
+    let mut late = message(1, WINDOW, 3);
+    late.windows[0].window = WINDOW + 1;
+    second.reporter.accept(&late, ms(second.at), second.at);
+    second.run(&mut world, fence, taken_at + 900, Loss::Nothing);
+    assert_eq!(world.calls.len(), sent, "called too early");
+    second.run(&mut world, fence, taken_at + 2000, Loss::Nothing);
+    let reported = world.reported();
+    assert_eq!((reported.get(&WINDOW), reported.get(&(WINDOW + 1))), (Some(&7), Some(&3)));
+}
+
 /// Guards against a holder that goes on calling with a fencing token that the platform has refused.
 #[test]
 fn a_refused_token_is_not_used_again() {
@@ -371,6 +414,8 @@
     assert!(windows.is_sorted(), "{windows:?}");
     assert!(windows[0] >= oldest && windows[0] <= oldest + 1, "{windows:?}, oldest {oldest}");
     assert!(windows.len() >= 12, "{windows:?}");
+    let unsent = world.ledger().0.unwrap().unsent.len();
+    assert!(unsent <= 1, "{unsent} windows are kept although they were received or dropped");
 }
 
 /// Guards against a holder that alone is cut off from the platform and keeps the duty until reports are late.
@@ -388,12 +433,14 @@
     assert!(!first.reporter.is_holder());
     assert!(first.at < END + 5000, "{}", first.at - END);
     // An answer that limits the rate is one.
+    let mut world = World::default();
     let (mut limited, fence) = holder(&mut world);
     limited.hear_all(WINDOW + 1);
-    for _ in 0..50 {
+    for turn in 0..80 {
+        let limit = Ok(cloud::Outcome::RateLimited);
         limited.at += 100;
         limited.lead(fence, limited.at);
-        limited.act(&mut world, Loss::Nothing, &Ok(cloud::Outcome::RateLimited));
+        limited.act(&mut world, Loss::Nothing, if turn < 10 { &cut_off } else { &limit });
     }
     assert!(limited.reporter.is_holder());
 }
