Autoscaling: the decision, without I/O

Cause: the number of targets of a service is fixed, whatever its trainers need.

Change: scale estimates the slots that open steps and recurring ones need, spreads targets over zones and kinds at the least cost such that the loss of any one zone's spot targets is covered, and decides which orders to send: more at once, fewer after a hold time, repeated until the registrations show them, with growing backoffs. Nothing sends these orders yet.

--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -5,6 +5,7 @@
 use crate::{
     job::{Job, status::ItemStatus, triage::Load},
     prelude::*,
+    scale::Step,
 };
 
 /// Expected rest of a text that is longer than estimated, as a share of its length so far.
@@ -48,12 +49,21 @@
     /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
     /// hints and each takes `pace`.
     pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
+        self.load_of(pace, |item, status| self.rest_events(item, status, events_per_hint))
+    }
+
+    /// Work that the job needed when it was submitted.
+    pub(super) fn whole_load(&self, pace: Duration, events_per_hint: f64) -> Load {
+        self.load_of(pace, |item, _| self.length(item, events_per_hint).max(1.0))
+    }
+
+    fn load_of(&self, pace: Duration, events: impl Fn(usize, &ItemStatus) -> f64) -> Load {
         let mut groups: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
         for (item, status) in self.statuses.iter().enumerate() {
             let (sum, longest) = groups.entry(self.groups[item]).or_default();
-            let rest = self.rest_events(item, status, events_per_hint);
-            *sum += rest;
-            *longest = longest.max(rest);
+            let events = events(item, status);
+            *sum += events;
+            *longest = longest.max(events);
         }
         let mut groups: Vec<(f64, f64)> = groups.into_values().collect();
         groups.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -71,12 +81,36 @@
         }
     }
 
+    /// The job as a consumer of slots.
+    pub(super) fn step(&self, pace: Duration, events_per_hint: f64) -> Step {
+        let is_open = |status: &&ItemStatus| status.state.is_open() && !status.text_complete;
+        Step {
+            model: self.spec.model.clone(),
+            submitted_at: self.submitted_at,
+            rest: self.load(pace, events_per_hint),
+            whole: self.whole_load(pace, events_per_hint),
+            open_items: self.statuses.iter().filter(is_open).count(),
+            items: self.statuses.len(),
+        }
+    }
+
+    /// Expected length of an item's text.
+    fn length(&self, item: usize, events_per_hint: f64) -> f64 {
+        self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint
+    }
+
+    /// Events that a running item's text is expected to lack.
+    pub(super) fn rest_of(&self, item: usize, events_per_hint: f64) -> f64 {
+        let status = self.statuses.get(item);
+        status.map_or(0.0, |status| self.rest_events(item, status, events_per_hint))
+    }
+
     /// Events that an item's text is expected to lack.
     fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
         if !status.state.is_open() || status.text_complete {
             return 0.0;
         }
-        let length = self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint;
+        let length = self.length(item, events_per_hint);
         let done = status.events() as f64;
         (length - done).max(done * OVERRUN_SHARE).max(1.0)
     }
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -17,6 +17,7 @@
         triage::{self, Load},
     },
     prelude::*,
+    scale::Step,
 };
 
 /// Time for which the partial texts of an ended job are retained, because its unfinished groups come back in a later
@@ -165,6 +166,19 @@
         loads.into_iter().flat_map(of_model).collect()
     }
 
+    /// The jobs as consumers of slots. Before any text was finished, a unit of a hint is taken for an event.
+    pub fn steps(&self, engines: &Engines) -> Vec<Step> {
+        let events_per_hint = self.lengths.events_per_hint().unwrap_or(1.0);
+        let pace = engines.typical_pace();
+        self.jobs.values().map(|job| job.step(pace, events_per_hint)).collect()
+    }
+
+    /// Events that a running item's text is expected to lack; `None` before any text was finished.
+    pub fn rest_events(&self, job: &str, item: usize) -> Option<f64> {
+        let events_per_hint = self.lengths.events_per_hint()?;
+        Some(self.jobs.get(job)?.rest_of(item, events_per_hint))
+    }
+
     /// Gives the run of an assignment its id.
     pub fn begin_run(&mut self, assignment: &Assignment, id: u64) {
         if let Some(job) = self.jobs.get_mut(&assignment.job) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod prelude;
 pub mod rate;
 pub mod relay;
+pub mod scale;
 pub mod settings;
 pub mod software;
 pub mod store;
--- /dev/null
+++ b/crates/node/src/scale/line.rs
@@ -0,0 +1,199 @@
+//! State of the orders for one pool.
+//!
+//! Nothing can be read back from the platform but the registrations. An order without a response may take effect late, after
+//! newer ones, so an order counts as carried out only while the registrations show it, and is repeated otherwise.
+
+use crate::{prelude::*, scale::Peak};
+
+/// Backoff after a call that had no effect or no response, doubled with each further one.
+const BACKOFF: Duration = Duration::from_secs(1);
+/// The same after a conflict: a higher fencing token may be its cause, so it is longer than another host takes to show that
+/// it leads.
+const CONFLICT_BACKOFF: Duration = Duration::from_secs(2);
+const BACKOFF_MAX: Duration = Duration::from_secs(30);
+/// Time beyond the boot in which the registrations show that an order was carried out.
+const CONFIRM_MARGIN: Duration = Duration::from_secs(2);
+const CONFIRM_BOOTS: f64 = 1.5;
+/// Time in boots for which a reclaimed zone is not asked again.
+const RECLAIMED_BOOTS: u32 = 2;
+
+/// Result of a call that orders a number of targets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallResult {
+    Accepted,
+    /// No effect: none to be had, or a higher fencing token was seen.
+    Conflict,
+    /// No effect: too many calls.
+    RateLimited,
+    /// No effect: the call was not sent or not taken.
+    Refused,
+    /// The order may take effect, now or later.
+    NoResponse,
+}
+
+impl CallResult {
+    /// Label in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Conflict => "conflict",
+            Self::RateLimited => "rate_limited",
+            Self::Refused => "refused",
+            Self::NoResponse => "no_response",
+        }
+    }
+}
+
+/// Registered targets of a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Registered {
+    /// Those that do not drain.
+    pub ready: u32,
+    /// Draining ones that have named their end.
+    pub leaving: u32,
+    /// Slots of the ready ones, and those taken.
+    pub slots: u32,
+    pub taken: u32,
+}
+
+/// Orders for one pool.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// Number that the platform is taken to keep: the last order, or what was found.
+    pub ordered: u32,
+    /// Number that was found when the leadership began, or less if fewer were ordered since.
+    pub base: u32,
+    pub registered: Registered,
+    /// Numbers that were wanted lately.
+    pub wanted: Peak,
+    /// Number of a call in progress.
+    sending: Option<u32>,
+    /// This leader has ordered a number.
+    is_ours: bool,
+    /// The registrations have not shown the last order yet.
+    unconfirmed: bool,
+    /// The last order has to be repeated.
+    repeat: bool,
+    deviates_since: Option<Time>,
+    failures: u32,
+    retry_at: Time,
+    pub changed_at: Time,
+}
+
+impl Line {
+    pub fn new(now: Time, registered: Registered) -> Self {
+        Self {
+            ordered: registered.ready,
+            base: registered.ready,
+            registered,
+            wanted: Peak::default(),
+            sending: None,
+            is_ours: false,
+            unconfirmed: false,
+            repeat: false,
+            deviates_since: None,
+            failures: 0,
+            retry_at: Time::ZERO,
+            changed_at: now,
+        }
+    }
+
+    /// Compares the last order with the registrations.
+    pub fn observe(&mut self, now: Time, registered: Registered, boot: Duration) {
+        self.registered = registered;
+        let ready = registered.ready;
+        if ready < self.ordered && registered.leaving > 0 && self.sending.is_none() {
+            // Targets that leave although they are ordered are reclaimed.
+            self.failures = self.failures.max(1);
+            self.retry_at = self.retry_at.max(now + boot * RECLAIMED_BOOTS);
+            self.repeat = true;
+        }
+        if ready == self.ordered {
+            self.deviates_since = None;
+            self.repeat = false;
+            if std::mem::take(&mut self.unconfirmed) {
+                self.failures = 0;
+            }
+            return;
+        }
+        let since = *self.deviates_since.get_or_insert(now);
+        let is_late = now >= since + boot.mul_f64(CONFIRM_BOOTS) + CONFIRM_MARGIN;
+        if !self.is_ours && (ready > self.ordered || is_late) {
+            // The platform or an earlier leader has changed the number.
+            (self.ordered, self.base) = (ready, ready);
+            self.deviates_since = None;
+            self.repeat = false;
+        } else if is_late && !self.repeat && self.sending.is_none() {
+            self.fail(now, BACKOFF, 0.0);
+            self.repeat = true;
+        }
+    }
+
+    /// Most targets that can be had now, if that is known to be limited.
+    pub fn limit(&self, now: Time) -> Option<u32> {
+        self.is_blocked(now).then_some(self.registered.ready)
+    }
+
+    /// Whether the platform is not asked for more now.
+    pub fn is_blocked(&self, now: Time) -> bool {
+        now < self.retry_at
+    }
+
+    /// Targets that serve, now or once they have booted.
+    pub fn expected(&self, now: Time) -> u32 {
+        if self.is_ours && !self.is_blocked(now) { self.ordered } else { self.registered.ready }
+    }
+
+    /// Targets that are ordered and do not serve yet, with the time until they do if the order is carried out.
+    pub fn coming(&self, now: Time, boot: Duration) -> (u32, Duration) {
+        let coming = self.expected(now).saturating_sub(self.registered.ready);
+        (coming, (self.changed_at + boot).saturating_sub(now))
+    }
+
+    pub fn is_sending(&self) -> bool {
+        self.sending.is_some()
+    }
+
+    /// Whether the last order has to be repeated now.
+    pub fn is_repeat_due(&self, now: Time) -> bool {
+        self.repeat && !self.is_blocked(now)
+    }
+
+    /// Records that an order is sent.
+    pub fn sent(&mut self, count: u32) {
+        self.sending = Some(count);
+    }
+
+    /// Records the result of the call in progress. `jitter` is from 0 to 1.
+    pub fn ended(&mut self, now: Time, result: CallResult, jitter: f64) {
+        let Some(count) = self.sending.take() else {
+            return;
+        };
+        match result {
+            CallResult::Accepted => self.order(now, count),
+            CallResult::NoResponse => {
+                self.order(now, count);
+                self.repeat = true;
+                self.fail(now, BACKOFF, jitter);
+            }
+            CallResult::Conflict => self.fail(now, CONFLICT_BACKOFF, jitter),
+            CallResult::Refused => self.fail(now, BACKOFF, jitter),
+            CallResult::RateLimited => {}
+        }
+    }
+
+    fn order(&mut self, now: Time, count: u32) {
+        self.ordered = count;
+        self.base = self.base.min(count);
+        (self.is_ours, self.unconfirmed) = (true, true);
+        self.repeat = false;
+        self.deviates_since = None;
+        self.changed_at = now;
+    }
+
+    fn fail(&mut self, now: Time, backoff: Duration, jitter: f64) {
+        let backoff = backoff.saturating_mul(1 << self.failures.min(8)).min(BACKOFF_MAX);
+        self.failures += 1;
+        self.retry_at = now + backoff.mul_f64(1.0 + jitter / 2.0);
+    }
+}
--- /dev/null
+++ b/crates/node/src/scale/scaler.rs
@@ -0,0 +1,375 @@
+//! Decides which orders the leader of a service sends.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    config::Scale,
+    prelude::*,
+    scale::{
+        CallResult, Forecast, Kind, Line, Need, Pacer, Peak, Pool, Step, Supply, ZoneOffer,
+        line::Registered, plan, slots_needed,
+    },
+};
+
+/// Capacity that is ordered, and below which more is ordered, relative to what the work needs. The distance between them
+/// keeps small changes of the estimate from causing orders.
+const HEADROOM: f64 = 1.25;
+const HEADROOM_MIN: f64 = 1.1;
+/// The same for what is left after the loss of a zone's spot targets.
+const LOSS_HEADROOM: f64 = 1.1;
+const LOSS_HEADROOM_MIN: f64 = 1.0;
+/// Time for which fewer targets must have been wanted before fewer are ordered, in boots: a target that is given up and
+/// ordered again costs a boot each time.
+const HOLD_BOOTS: u32 = 4;
+const HOLD_MIN: Duration = Duration::from_secs(8);
+/// The same in hold times for targets that run items, which then have to move, and for on-demand targets.
+const BUSY_HOLDS: u32 = 3;
+/// The same for the on-demand targets that were found at the beginning.
+const BASE_HOLDS: u32 = 10;
+/// Time before the next step is expected from which its targets are kept ready, in boots.
+const LEAD_BOOTS: u32 = 2;
+
+/// Targets beyond those that are wanted from which fewer are ordered, relative to these. Each order has a price.
+const SURPLUS_MIN: f64 = 1.25;
+
+/// A registered target of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Present {
+    pub pool: Pool,
+    pub slots: u32,
+    pub taken: u32,
+    pub draining: bool,
+    /// It has named its end.
+    pub leaving: bool,
+}
+
+/// What a decision depends on.
+#[derive(Clone, Debug)]
+pub struct Inputs<'a> {
+    pub scale: &'a Scale,
+    pub targets: Vec<Present>,
+    pub steps: Vec<Step>,
+}
+
+/// An order to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    pub pool: Pool,
+    pub count: u32,
+    /// Last number that was ordered or found, and targets that are ready.
+    pub before: u32,
+    pub ready: u32,
+    /// Why it is sent.
+    pub reason: &'static str,
+}
+
+/// Estimates that led to a decision, in slots.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Basis {
+    pub open_steps: usize,
+    /// Needed by the open steps.
+    pub open: f64,
+    /// Needed by the steps that recur.
+    pub expected: f64,
+    /// Slots of the ready targets.
+    pub ready: f64,
+    /// Slots of a target.
+    pub per_target: f64,
+    /// Targets that are needed.
+    pub need: Need,
+}
+
+/// Orders to send, and what led to them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decision {
+    pub basis: Basis,
+    pub orders: Vec<Order>,
+}
+
+/// Scaling of one service by one leadership.
+#[derive(Clone, Debug, Default)]
+pub struct Scaler {
+    forecast: Forecast,
+    lines: BTreeMap<Pool, Line>,
+    pacer: Pacer,
+    basis: Basis,
+    /// Slots that the work needs, without headroom.
+    slots: f64,
+    /// Targets that were needed lately, in all and after the loss of a zone.
+    needed: Peak,
+    needed_after_loss: Peak,
+    wanted: BTreeMap<Pool, u32>,
+    /// The on-demand targets found at the beginning are not needed any more.
+    base_released: bool,
+}
+
+impl Scaler {
+    /// Applies what is registered and what work is known. Has to be called at short intervals, also while nothing may be
+    /// ordered.
+    pub fn observe(&mut self, now: Time, inputs: &Inputs) {
+        let Inputs { scale, steps, .. } = inputs;
+        let is_first = self.lines.is_empty();
+        self.update_lines(now, inputs);
+        self.forecast.observe(steps);
+        self.update_basis(now, inputs);
+        let (hold, memory) = (hold(scale), hold(scale) * BASE_HOLDS);
+        let need = self.basis.need;
+        if is_first {
+            // A new leader shrinks nothing before it has seen the demand for as long as any other.
+            let found: u32 = self.lines.values().map(|line| line.ordered).sum();
+            self.needed.observe(now, found, memory);
+        }
+        self.needed.observe(now, need.total, memory);
+        self.needed_after_loss.observe(now, need.after_loss, memory);
+        let base = self.lines.iter().filter(|(pool, _)| pool.kind == Kind::OnDemand);
+        let base: u32 = base.map(|(_, line)| line.base).sum();
+        self.base_released = self.needed.over(now, memory).saturating_mul(2) <= base;
+        let offers: Vec<ZoneOffer> =
+            self.zones().into_iter().map(|zone| self.offer(now, zone, scale)).collect();
+        self.wanted = plan(scale, &offers, need);
+        for (pool, line) in &mut self.lines {
+            if is_first {
+                line.wanted.observe(now, line.ordered, hold * BUSY_HOLDS);
+            }
+            let wanted = self.wanted.get(pool).copied().unwrap_or_default();
+            line.wanted.observe(now, wanted, hold * BUSY_HOLDS);
+        }
+    }
+
+    fn update_lines(&mut self, now: Time, inputs: &Inputs) {
+        let mut registered: BTreeMap<Pool, Registered> = BTreeMap::new();
+        let named = inputs.scale.zone_prices.keys();
+        let zones = named.chain(inputs.targets.iter().map(|target| &target.pool.zone));
+        for zone in zones.chain(self.lines.keys().map(|pool| &pool.zone)) {
+            for kind in [Kind::OnDemand, Kind::Spot] {
+                registered.entry(Pool { zone: zone.clone(), kind }).or_default();
+            }
+        }
+        for target in &inputs.targets {
+            let counts = registered.entry(target.pool.clone()).or_default();
+            if target.draining {
+                counts.leaving += u32::from(target.leaving);
+                continue;
+            }
+            counts.ready += 1;
+            counts.slots += target.slots;
+            counts.taken += target.taken;
+        }
+        for (pool, counts) in registered {
+            let line = self.lines.entry(pool).or_insert_with(|| Line::new(now, counts));
+            line.observe(now, counts, inputs.scale.boot);
+        }
+    }
+
+    fn update_basis(&mut self, now: Time, inputs: &Inputs) {
+        let (ready, slots) = self.lines.values().fold((0, 0), |(ready, slots), line| {
+            (ready + line.registered.ready, slots + line.registered.slots)
+        });
+        let boot = inputs.scale.boot;
+        if ready > 0 && slots > 0 {
+            self.basis.per_target = f64::from(slots) / f64::from(ready);
+        }
+        let per_target = self.basis.per_target.max(1.0);
+        let coming = self.lines.values().map(|line| line.coming(now, boot));
+        let coming = coming.map(|(count, after)| (f64::from(count) * per_target, after));
+        let supply = Supply { ready: slots.into(), coming: coming.collect() };
+        let open = slots_needed(now, &supply, boot, &inputs.steps);
+        let expected = self.forecast.slots(now, boot * LEAD_BOOTS);
+        self.slots = open.max(expected);
+        let need = self.need(HEADROOM, LOSS_HEADROOM);
+        let open_steps = inputs.steps.len();
+        self.basis = Basis { open_steps, open, expected, ready: slots.into(), per_target, need };
+    }
+
+    /// Targets that serve the work with some headroom.
+    fn need(&self, headroom: f64, loss_headroom: f64) -> Need {
+        let per_target = self.basis.per_target.max(1.0);
+        let targets = |headroom: f64| (self.slots * headroom / per_target).ceil() as u32;
+        Need { total: targets(headroom), after_loss: targets(loss_headroom) }
+    }
+
+    fn zones(&self) -> Vec<ZoneId> {
+        let spot = self.lines.keys().filter(|pool| pool.kind == Kind::Spot);
+        spot.map(|pool| pool.zone.clone()).collect()
+    }
+
+    fn offer(&self, now: Time, zone: ZoneId, scale: &Scale) -> ZoneOffer {
+        let line = |kind| self.lines.get(&Pool { zone: zone.clone(), kind });
+        let on_demand = line(Kind::OnDemand);
+        let kept = on_demand.map_or(0, |line| line.base.min(line.registered.ready));
+        let price = scale.zone_prices.get(&zone).copied().unwrap_or(1.0);
+        ZoneOffer {
+            price,
+            kept: if self.base_released { 0 } else { kept },
+            spot_max: line(Kind::Spot).and_then(|line| line.limit(now)),
+            on_demand_max: on_demand.and_then(|line| line.limit(now)),
+            zone,
+        }
+    }
+
+    /// Orders to send now, at most `calls_per_s` in a second. They count as sent.
+    pub fn decide(&mut self, now: Time, scale: &Scale, calls_per_s: f64) -> Decision {
+        let is_served = self.is_served(now, scale);
+        let mut orders: Vec<Order> =
+            self.lines.keys().filter_map(|pool| self.order(now, scale, pool, is_served)).collect();
+        // Further targets first, then as many as possible at once.
+        orders.sort_by_key(|order| {
+            (order.count < order.before, std::cmp::Reverse(order.count.abs_diff(order.before)))
+        });
+        let pacer = &mut self.pacer;
+        orders.retain(|_| pacer.take(now, calls_per_s));
+        for order in &orders {
+            if let Some(line) = self.lines.get_mut(&order.pool) {
+                line.sent(order.count);
+            }
+        }
+        Decision { basis: self.basis, orders }
+    }
+
+    /// Records the result of an order. `jitter` is from 0 to 1.
+    pub fn ended(&mut self, now: Time, pool: &Pool, result: CallResult, jitter: f64) {
+        match result {
+            CallResult::Accepted => self.pacer.accepted(),
+            CallResult::RateLimited => self.pacer.refused(now, jitter),
+            CallResult::Conflict | CallResult::Refused | CallResult::NoResponse => {}
+        }
+        if let Some(line) = self.lines.get_mut(pool) {
+            line.ended(now, result, jitter);
+        }
+    }
+
+    /// Pools with the number that is wanted and the targets that are ready.
+    pub fn pools(&self) -> impl Iterator<Item = (&Pool, u32, u32)> {
+        self.lines.iter().map(|(pool, line)| {
+            let wanted = self.wanted.get(pool).copied().unwrap_or_default();
+            (pool, wanted, line.registered.ready)
+        })
+    }
+
+    pub fn basis(&self) -> &Basis {
+        &self.basis
+    }
+
+    fn order(&self, now: Time, scale: &Scale, pool: &Pool, is_served: bool) -> Option<Order> {
+        let line = self.lines.get(pool).filter(|line| !line.is_sending())?;
+        let ready = line.registered.ready;
+        let order = |count, reason| Order {
+            pool: pool.clone(),
+            count,
+            before: line.ordered,
+            ready,
+            reason,
+        };
+        let wanted = self.wanted.get(pool).copied().unwrap_or_default();
+        let most = wanted.min(self.room(pool, scale));
+        if most > line.ordered && !line.is_blocked(now) && (!is_served || self.base_released) {
+            return Some(order(most, "needed"));
+        }
+        if self.is_in_the_way(now, scale, pool) {
+            return Some(order(ready, "blocks_other_kind"));
+        }
+        if line.is_repeat_due(now) {
+            // What has not come and is not wanted any more is not asked for again.
+            let lately = line.wanted.over(now, hold(scale));
+            let count = line.ordered.min(lately.max(ready)).min(self.room(pool, scale));
+            return Some(order(count, "not_carried_out"));
+        }
+        let count = self.lowered(now, scale, pool, line)?;
+        Some(order(count, "not_needed"))
+    }
+
+    /// Most targets of a pool beside those of the other kind.
+    fn room(&self, pool: &Pool, scale: &Scale) -> u32 {
+        let other = Pool { zone: pool.zone.clone(), kind: pool.kind.other() };
+        let other =
+            self.lines.get(&other).map_or(0, |line| line.ordered.max(line.registered.ready));
+        scale.max.saturating_sub(other)
+    }
+
+    /// Whether an order that the platform cannot carry out now takes the room of the other kind, which is wanted.
+    fn is_in_the_way(&self, now: Time, scale: &Scale, pool: &Pool) -> bool {
+        let other = Pool { zone: pool.zone.clone(), kind: pool.kind.other() };
+        let (Some(line), Some(other_line)) = (self.lines.get(pool), self.lines.get(&other)) else {
+            return false;
+        };
+        let wanted = self.wanted.get(&other).copied().unwrap_or_default();
+        let is_wanted = wanted > other_line.ordered && wanted > self.room(&other, scale);
+        line.is_blocked(now) && line.ordered > line.registered.ready && is_wanted
+    }
+
+    /// Whether the targets that are there or ordered serve the work, also after the loss of a zone.
+    fn is_served(&self, now: Time, scale: &Scale) -> bool {
+        let expected: BTreeMap<&Pool, u32> =
+            self.lines.iter().map(|(pool, line)| (pool, line.expected(now))).collect();
+        let planned = self.wanted.iter().map(|(pool, wanted)| (pool, *wanted)).collect();
+        let need = self.need(HEADROOM_MIN, LOSS_HEADROOM_MIN);
+        // What the plan cannot reach cannot be asked for.
+        let (total, after_loss) = capacity(&planned);
+        let need =
+            Need { total: need.total.min(total), after_loss: need.after_loss.min(after_loss) };
+        serves(&expected, need) && has_least(&expected, scale.min)
+    }
+
+    /// Lower number to order for a pool, if that interrupts nothing and leaves enough.
+    fn lowered(&self, now: Time, scale: &Scale, pool: &Pool, line: &Line) -> Option<u32> {
+        let hold = hold(scale);
+        let is_busy = line.registered.taken > 0;
+        let wanted = self.lines.values().map(|line| line.wanted.over(now, hold)).sum::<u32>();
+        let ordered = self.lines.values().map(|line| line.ordered).sum::<u32>();
+        let has_surplus = f64::from(ordered) >= f64::from(wanted) * SURPLUS_MIN;
+        let is_early = now < line.changed_at + hold || !has_surplus;
+        if is_early || is_busy && pool.kind == Kind::OnDemand {
+            return None;
+        }
+        let is_slow = is_busy || pool.kind == Kind::OnDemand;
+        let wanted = line.wanted.over(now, if is_slow { hold * BUSY_HOLDS } else { hold });
+        if wanted >= line.ordered || is_busy && self.free_elsewhere(pool) < line.registered.taken {
+            return None;
+        }
+        let need = Need {
+            total: self.needed.over(now, hold).min(self.wanted.values().sum()),
+            after_loss: self.needed_after_loss.over(now, hold),
+        };
+        let ready: BTreeMap<&Pool, u32> =
+            self.lines.iter().map(|(pool, line)| (pool, line.registered.ready)).collect();
+        let zones = self.zones().len() as u32;
+        let reach = scale.max * zones.saturating_sub(1);
+        let need = Need { after_loss: need.after_loss.min(reach), ..need };
+        (wanted..line.ordered).find(|count| {
+            let mut left = ready.clone();
+            left.insert(pool, line.registered.ready.min(*count));
+            *count >= line.registered.ready || serves(&left, need) && has_least(&left, scale.min)
+        })
+    }
+
+    /// Free slots of the ready targets of other pools.
+    fn free_elsewhere(&self, pool: &Pool) -> u32 {
+        let others = self.lines.iter().filter(|(other, _)| *other != pool);
+        others.map(|(_, line)| line.registered.slots.saturating_sub(line.registered.taken)).sum()
+    }
+}
+
+fn hold(scale: &Scale) -> Duration {
+    (scale.boot * HOLD_BOOTS).max(HOLD_MIN)
+}
+
+/// Targets in all, and without the spot targets of the zone that has most.
+fn capacity(counts: &BTreeMap<&Pool, u32>) -> (u32, u32) {
+    let total: u32 = counts.values().sum();
+    let spot = counts.iter().filter(|(pool, _)| pool.kind == Kind::Spot);
+    (total, total - spot.map(|(_, count)| *count).max().unwrap_or_default())
+}
+
+fn serves(counts: &BTreeMap<&Pool, u32>, need: Need) -> bool {
+    let (total, after_loss) = capacity(counts);
+    total >= need.total && after_loss >= need.after_loss
+}
+
+/// Whether each zone has its least number of targets.
+fn has_least(counts: &BTreeMap<&Pool, u32>, min: u32) -> bool {
+    let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
+    for (pool, count) in counts {
+        *zones.entry(&pool.zone).or_default() += count;
+    }
+    zones.values().all(|count| *count >= min)
+}
--- /dev/null
+++ b/crates/node/tests/scale/main.rs
@@ -0,0 +1,215 @@
+//! Replays of load against the decisions of autoscaling. They guard against steps without capacity, needless or missing
+//! orders, and orders outside the bounds.
+
+mod replay;
+
+use std::time::Duration;
+
+use lagoonyard_node::scale::{CallResult, Kind, Need, Pacer, Peak, ZoneOffer, plan};
+use replay::{BOOT, Replay, bounds, pool, secs};
+
+/// Steps of the trainers: one of 60 items of 1 s each, every 5 s, due after 7.5 s.
+fn with_steps(replay: &mut Replay) {
+    replay.step_every(secs(5), 60);
+}
+
+/// Guards against a step load that is served late or only in one zone, and against a call for each small change.
+#[test]
+fn a_step_load_gets_spot_targets_in_several_zones_with_few_calls() {
+    let mut replay = Replay::new(bounds(1, 10), 1);
+    replay.run(secs(5));
+    assert_eq!(replay.calls, 0, "the targets of the start meet the lower bound");
+    with_steps(&mut replay);
+    replay.run(secs(5));
+    assert!(replay.ready_slots() >= replay.slots_needed(), "{} slots", replay.ready_slots());
+    replay.run(secs(10));
+    let late_steps = replay.late_steps;
+    assert!(replay.calls <= 6, "{} calls while the load grows", replay.calls);
+    replay.run(secs(60));
+    assert_eq!(replay.late_steps, late_steps, "steps are late only until targets have booted");
+    let spots = replay.ready_of(Kind::Spot);
+    assert!(spots.iter().filter(|count| **count > 0).count() >= 2, "{spots:?}");
+    assert_eq!(replay.ready_of(Kind::OnDemand), [1, 1, 1], "spot targets are cheaper");
+    assert!(replay.slots_after_loss() >= replay.slots_needed(), "the loss of a zone is covered");
+    assert!(replay.calls <= 12, "{} calls in all", replay.calls);
+}
+
+/// Guards against orders in alternating directions while the load stays the same.
+#[test]
+fn a_steady_load_causes_no_further_orders() {
+    let mut replay = Replay::new(bounds(1, 10), 1);
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let calls = replay.calls;
+    replay.run(secs(120));
+    assert!(replay.calls <= calls + 2, "{} calls after {calls}", replay.calls);
+}
+
+/// Guards against targets that are kept for nothing, against giving them up at once, and against cutting runs.
+#[test]
+fn a_quiet_hour_ends_spot_targets_after_a_hold_time_and_not_below_the_lower_bound() {
+    let mut replay = Replay::new(bounds(1, 10), 0);
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let needed = replay.slots_needed();
+    replay.end_steps();
+    replay.run(secs(14));
+    assert!(replay.slots_after_loss() >= needed, "the next step may come");
+    replay.run(secs(3600));
+    assert_eq!(replay.ready_of(Kind::Spot), [1, 1, 1]);
+    assert_eq!(replay.interrupted, 0);
+}
+
+/// Guards against ordering away the targets of the start while they may be needed, and against keeping them for ever.
+#[test]
+fn on_demand_targets_of_the_start_stay_until_demand_was_low_for_long() {
+    let mut replay = Replay::new(bounds(1, 10), 4);
+    replay.run(secs(100));
+    assert_eq!(replay.ready_of(Kind::OnDemand), [4, 4, 4]);
+    replay.run(secs(900));
+    let (on_demand, spot) = (replay.ready_of(Kind::OnDemand), replay.ready_of(Kind::Spot));
+    assert_eq!((on_demand, spot), (vec![0, 0, 0], vec![1, 1, 1]));
+    assert!(replay.least_by_zone >= 1, "the lower bound holds meanwhile");
+}
+
+/// Guards against capacity that stays lost when a zone's spot targets are reclaimed, and against asking that zone again and
+/// again.
+#[test]
+fn a_reclaimed_zone_is_replaced_by_other_zones() {
+    let mut replay = Replay::new(bounds(1, 12), 1);
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let (needed, late_steps) = (replay.slots_needed(), replay.late_steps);
+    replay.reclaim(0, secs(2));
+    assert!(replay.ready_slots() >= needed, "what is left serves the work");
+    let calls = replay.calls;
+    replay.run(secs(1));
+    assert!(replay.calls > calls, "further targets are ordered at once");
+    replay.run(BOOT + secs(2));
+    assert!(replay.slots_after_loss() >= needed, "another loss is covered again");
+    replay.unavailable(0, None);
+    replay.run(secs(60));
+    assert_eq!((replay.above_max, replay.late_steps), (0, late_steps));
+}
+
+/// Guards against a leader that has no spot targets to order and leaves the work without capacity.
+#[test]
+fn on_demand_targets_stand_in_where_no_spot_targets_can_be_had() {
+    let mut replay = Replay::new(bounds(0, 10), 1);
+    for zone in 0..3 {
+        replay.unavailable(zone, Some(Kind::Spot));
+    }
+    with_steps(&mut replay);
+    replay.run(secs(14));
+    assert!(replay.ready_slots() >= replay.slots_needed(), "{}", replay.ready_slots());
+    let calls = replay.calls;
+    replay.run(secs(120));
+    assert!(replay.calls <= calls + 24, "the backoff grows: {} calls", replay.calls - calls);
+}
+
+/// Guards against a storm of calls when nothing can be had anywhere.
+#[test]
+fn a_platform_without_targets_is_asked_ever_less_often() {
+    let mut replay = Replay::new(bounds(0, 10), 1);
+    (0..3).for_each(|zone| replay.unavailable(zone, None));
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let calls = replay.calls;
+    replay.run(secs(120));
+    assert!(replay.calls - calls <= 36, "{} calls in 2 min", replay.calls - calls);
+    (0..3).for_each(|zone| replay.available(zone));
+    replay.run(secs(60));
+    assert!(replay.ready_slots() >= replay.slots_needed(), "the zones are asked again");
+}
+
+/// Guards against an order without a response that takes effect after newer ones and stays in effect.
+#[test]
+fn an_order_that_is_carried_out_late_is_replaced() {
+    let mut replay = Replay::new(bounds(0, 10), 1);
+    replay.next_result = Some((CallResult::NoResponse, secs(25)));
+    with_steps(&mut replay);
+    replay.run(secs(24));
+    replay.late_count(1);
+    replay.run(secs(30));
+    assert!(
+        replay.slots_after_loss() >= replay.slots_needed(),
+        "{:?}",
+        replay.ready_of(Kind::Spot)
+    );
+}
+
+/// Guards against orders outside the bounds of a zone, counted over both kinds.
+#[test]
+fn the_bounds_hold_for_both_kinds_together() {
+    let mut replay = Replay::new(bounds(3, 4), 2);
+    replay.run(secs(20));
+    assert_eq!(replay.ready_of(Kind::Spot), [1, 1, 1], "the lower bound");
+    replay.step_every(secs(2), 400);
+    replay.run(secs(60));
+    assert_eq!(replay.ready_of(Kind::Spot), [2, 2, 2], "the upper bound");
+    assert_eq!(replay.above_max, 0);
+}
+
+/// Guards against a new leader that shrinks what its predecessor ordered, as it has seen no demand yet.
+#[test]
+fn a_new_leader_goes_on_from_the_registrations() {
+    let mut replay = Replay::new(bounds(1, 10), 1);
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let (slots, calls) = (replay.ready_slots(), replay.calls);
+    replay.change_leader();
+    replay.run(secs(15));
+    assert_eq!((replay.ready_slots(), replay.calls), (slots, calls), "it has not seen the demand");
+    replay.run(secs(60));
+    assert!(replay.slots_after_loss() >= replay.slots_needed());
+    assert!(replay.calls <= calls + 3, "{} calls", replay.calls - calls);
+}
+
+/// Guards against a plan that pays on-demand prices for the cover of a loss, or that misses the need if spot targets are
+/// short.
+#[test]
+fn a_plan_prefers_spot_targets_in_the_cheapest_zones() {
+    let offer = |zone: &str, price, spot_max| ZoneOffer {
+        zone: zone.into(),
+        price,
+        kept: 0,
+        spot_max,
+        on_demand_max: None,
+    };
+    let zones = [offer("z0", 1.0, None), offer("z1", 1.5, None), offer("z2", 1.0, None)];
+    let need = Need { total: 10, after_loss: 8 };
+    let wanted = plan(&bounds(0, 10), &zones, need);
+    let counts = |kind| [0, 1, 2].map(|zone| wanted[&pool(zone, kind)]);
+    assert_eq!(counts(Kind::OnDemand), [0, 0, 0]);
+    let spot = counts(Kind::Spot);
+    let (total, largest): (u32, u32) = (spot.iter().sum(), spot.into_iter().max().unwrap());
+    assert!(total >= 10 && total - largest >= 8 && spot[1] <= spot[0], "{spot:?}");
+    let zones = [offer("z0", 1.0, Some(2)), offer("z1", 1.0, Some(0)), offer("z2", 1.0, Some(0))];
+    let wanted = plan(&bounds(0, 10), &zones, need);
+    assert!(wanted.values().sum::<u32>() >= 10, "{wanted:?}");
+}
+
+/// Guards against more calls in any second than the platform allows.
+#[test]
+fn calls_are_paced() {
+    let mut pacer = Pacer::default();
+    let granted = |pacer: &mut Pacer, at| pacer.take(Duration::from_millis(at), 2.0);
+    assert_eq!([0, 10, 20, 1000].map(|at| granted(&mut pacer, at)), [true, true, false, false]);
+    assert!(granted(&mut pacer, 1100));
+    pacer.refused(secs(3), 0.0);
+    assert!(!pacer.take(secs(4), 2.0) && pacer.take(secs(5), 2.0));
+    let mut slow = Pacer::default();
+    assert!(slow.take(secs(1), 0.5) && !slow.take(secs(3), 0.5) && slow.take(secs(4), 0.5));
+}
+
+/// Guards against a sliding maximum that forgets too early or never.
+#[test]
+fn a_peak_is_remembered_for_a_time() {
+    let mut peak = Peak::default();
+    for (at, value) in [(1, 5), (2, 3), (3, 1), (9, 1)] {
+        peak.observe(secs(at), value, secs(20));
+    }
+    assert_eq!(peak.over(secs(9), secs(8)), 5);
+    assert_eq!(peak.over(secs(9), secs(7)), 3);
+    assert_eq!(peak.over(secs(9), secs(1)), 1);
+}
