Autoscaling: orders of a service's leader, and items that leave ending engines

Cause: nothing sent the orders that scale decides, and items ran on at an engine that had named its end until they were cut there.

Runs that the named end of their engine would cut are stopped in time if other engines have free slots, and go on there.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -204,6 +204,9 @@
                 }
             }
             Completion::Departure(departure) => self.apply_departure(&departure, Source::Answer),
+            Completion::Scaled { service, fence, order, result } => {
+                self.scaling.ended(&service, fence, &order, result, now);
+            }
             Completion::LoadEnded { service, target, result } => {
                 let Some(leader) = self.leaders.get_mut(&service) else {
                     return;
@@ -265,6 +268,7 @@
         }
         self.outbox.send(service, leader.start_items(now));
         self.outbox.send(service, leader.move_item(now));
+        self.outbox.send(service, leader.displace_items(now));
         if let Some(write) = leader.checkpoints_if_due(now) {
             tokio::task::spawn_local(write_checkpoints(Rc::clone(&self.store), write));
         }
@@ -280,6 +284,7 @@
             self.cleaned_up_at = now;
             self.remove_expired_jobs(service, fence);
         }
+        self.scale_targets(service, now);
     }
 
     /// Reads the open jobs of a service that this host leads, unless they are known already.
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,8 +17,8 @@
     crash,
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Failure, Failures, Job, Pending, Policy, Queue, Reason, Row,
-        Visitor,
+        Assignment, Engine, Engines, Failure, Failures, Job, Leaving, Pending, Policy, Queue,
+        Reason, Row, Visitor,
         homes::{Homes, Runner, Streams},
     },
     peer::FailedItem,
@@ -76,6 +76,10 @@
     pub(super) written_at: Time,
     pub(super) checkpointed_at: Time,
     pub(super) moved_at: Time,
+    /// Ends that draining engines have named.
+    pub(super) leaving: Leaving,
+    /// Runs that were stopped because their engine ends.
+    pub(super) displaced: HashSet<u64>,
     /// Time of the last decision on loads.
     planned_at: Time,
 }
@@ -107,6 +111,8 @@
             written_at: Time::ZERO,
             checkpointed_at: Time::ZERO,
             moved_at: Time::ZERO,
+            leaving: Leaving::default(),
+            displaced: HashSet::new(),
             planned_at: Time::ZERO,
         }
     }
@@ -127,7 +133,9 @@
         &mut self,
         targets: &BTreeMap<TargetId, Arc<Target>>,
         requested: &BTreeMap<ModelId, Version>,
+        now: Time,
     ) {
+        self.leaving.sync(targets, now);
         let ours = targets.values().filter(|target| target.service == self.service);
         for target in ours {
             self.engines.put(Arc::clone(target));
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod orders;
 mod roles;
 mod rollout;
+mod scale;
 mod sessions;
 mod software;
 mod state;
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -1,4 +1,6 @@
-//! Moves of running items to faster engines.
+//! Moves of running items to faster engines, and away from engines that end.
+
+use log::info;
 
 use crate::{
     control::leader::{ActiveRun, Leader},
@@ -31,14 +33,60 @@
         longest.map(stop).into_iter().collect()
     }
 
+    /// Commands to stop the runs that the named end of their engine would cut, those that lack most first, as far as other
+    /// engines have free slots for them. Their items continue there after their last event; all others run on.
+    pub fn displace_items(&mut self, now: Time) -> Vec<Command> {
+        if self.leaving.is_empty() {
+            return Vec::new();
+        }
+        self.displaced.retain(|run| self.runs.contains_key(run));
+        self.engines.advance(now);
+        let runs = self.runs.iter().filter(|(id, _)| !self.displaced.contains(id));
+        let mut cut: Vec<(Option<Duration>, u64, &ActiveRun)> = runs
+            .filter_map(|(id, run)| {
+                let target = run.target.as_ref()?;
+                let rest = self.rest(run);
+                self.leaving.cuts(target, now, rest).then_some((rest, *id, run))
+            })
+            .collect();
+        cut.sort_by_key(|(rest, id, _)| (std::cmp::Reverse(*rest), *id));
+        let (mut commands, mut displaced) = (Vec::new(), self.displaced.clone());
+        for (_, id, run) in cut {
+            let free = self.requirement(run).map(|it| self.engines.free_slots_for(&it));
+            // Items that are on their way take slots that are still free.
+            if free.is_some_and(|free| free > displaced.len()) {
+                displaced.insert(id);
+                commands.push(Command::Stop { run: id, runner: run.runner });
+            }
+        }
+        self.displaced = displaced;
+        if !commands.is_empty() {
+            info!(service = &*self.service, runs = commands.len(); "items leave engines that end");
+        }
+        commands
+    }
+
+    /// Time that a run is expected to need.
+    fn rest(&self, run: &ActiveRun) -> Option<Duration> {
+        let events = self.queue.rest_events(&run.job, run.item)?;
+        let engine = self.engines.get(run.target.as_deref()?)?;
+        Some(self.engines.pace(engine).mul_f64(events))
+    }
+
     fn is_movable(&self, run: &ActiveRun, now: Time) -> bool {
         if now < run.started_at + MOVE_AGE_MIN {
             return false;
         }
-        let (Some(job), Some(target)) = (self.queue.get(&run.job), &run.target) else {
+        let (Some(requirement), Some(target)) = (self.requirement(run), &run.target) else {
             return false;
         };
-        let requirement = Requirement {
+        self.engines.has_faster(&requirement, target)
+    }
+
+    /// Requirement of a run's item on another engine.
+    fn requirement<'a>(&'a self, run: &'a ActiveRun) -> Option<Requirement<'a>> {
+        let (job, target) = (self.queue.get(&run.job)?, run.target.as_ref()?);
+        Some(Requirement {
             model: &job.spec.model,
             min_version: job.spec.min_version,
             avoid: Some(target),
@@ -46,7 +94,6 @@
             software: self.engines.get(target).map(|engine| &*engine.target.software),
             allow_slow: false,
             evidence: Evidence::NoFailure,
-        };
-        self.engines.has_faster(&requirement, target)
+        })
     }
 }
--- a/crates/node/src/control/orders.rs
+++ b/crates/node/src/control/orders.rs
@@ -149,7 +149,7 @@
     }
 
     /// Reads from the store whether this host still leads.
-    async fn still_leads(&self, term: &Term) -> bool {
+    pub(super) async fn still_leads(&self, term: &Term) -> bool {
         let begun = clock::now();
         match self.store.get(&job::leader_key(&term.service)).await {
             Ok((Some(entry), _)) => {
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -183,7 +183,8 @@
         }
         for leader in self.leaders.values_mut() {
             leader.queue.update_policies(&config);
-            leader.sync(self.store_state.fleet.targets(), &self.store_state.requested);
+            let state = &self.store_state;
+            leader.sync(state.fleet.targets(), &state.requested, clock::now());
         }
     }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -16,6 +16,7 @@
         leader::Leader,
         mirror::{Mirror, Schedule, Update},
         orders,
+        scale::Scaling,
         sessions::Outbox,
         software,
         store_state::{Effect, StoreState},
@@ -84,7 +85,6 @@
     pub(super) dialect: dialect::Handle,
     pub(super) store: store::Handle,
     /// API of the platform, if this deployment has duties there.
-    #[allow(dead_code, reason = "read by the holders of duties, which follow")]
     pub(super) cloud: Option<cloud::Handle>,
     /// Freshness of the target registrations.
     pub(super) freshness: Arc<Freshness>,
@@ -144,6 +144,8 @@
     pub(super) software: software::Writer,
     /// Items that are at no engine.
     pub(super) waits: Waits,
+    /// Orders for targets of the led services.
+    pub(super) scaling: Scaling,
 }
 
 /// Runs the control loop until the process ends.
@@ -263,6 +265,7 @@
         cleaned_up_at: Time::ZERO,
         software: software::Writer::default(),
         waits: Waits::default(),
+        scaling: Scaling::new(clock::now()),
     };
     let start_delay = Election::small_host_share(control.settings.cpu_share);
     let start_delay = SMALL_HOST_START_DELAY.mul_f64(start_delay);
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -18,6 +18,7 @@
     fleet::Departure,
     job::{self, Checkpoint, Chunk, Record},
     prelude::*,
+    scale,
     store::{self, Change, Entry, Error, Outcome, Put, Txn},
     traffic,
 };
@@ -49,6 +50,13 @@
     },
     /// An engine has said that it leaves.
     Departure(Departure),
+    /// A call that orders a number of targets has ended.
+    Scaled {
+        service: ServiceId,
+        fence: Revision,
+        order: scale::Order,
+        result: scale::CallResult,
+    },
     /// The other hosts have said which failed items they know, or did not answer in time.
     FailuresRead {
         service: ServiceId,
--- a/crates/node/src/freshness.rs
+++ b/crates/node/src/freshness.rs
@@ -104,6 +104,11 @@
         self.status.send_replace(Status { refreshed_at: Some(at), failed_at: None });
     }
 
+    /// Age of the registrations in use; `None` before the first refresh.
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.status.borrow().refreshed_at.map(|at| now.saturating_sub(at))
+    }
+
     /// Records a failed refresh.
     pub fn refresh_failed(&self) {
         self.status.send_modify(|status| status.failed_at = Some(clock::now()));
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -174,7 +174,17 @@
     /// Open engine on which an item would finish first; those that failed lately come after the others. Unless the requirement allows slow engines, a slow engine runs
     /// one item at a time, as a probe of whether it has recovered.
     pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
-        let qualifies = |engine: &&Engine| {
+        self.qualified(requirement).next()
+    }
+
+    /// Free slots of the open engines on which an item may start.
+    pub fn free_slots_for(&self, requirement: &Requirement) -> usize {
+        self.qualified(requirement).map(|engine| engine.free_slots() as usize).sum()
+    }
+
+    /// Open engines on which an item may start, in the order in which they are chosen.
+    fn qualified(&self, requirement: &Requirement) -> impl Iterator<Item = &Engine> {
+        let qualifies = move |engine: &&Engine| {
             engine
                 .version(requirement.model)
                 .is_some_and(|version| version >= requirement.min_version)
@@ -183,8 +193,9 @@
                 && requirement.evidence.holds_for(engine)
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
-        let open = self.open.get(requirement.model)?;
-        open.ranks.iter().filter_map(|(_, _, id)| self.get(id)).find(qualifies)
+        let ranks = self.open.get(requirement.model).map(|open| &open.ranks);
+        let engines = ranks.into_iter().flatten().filter_map(|(_, _, id)| self.get(id));
+        engines.filter(qualifies)
     }
 
     /// Whether an open engine is so much faster than `current` that moving an item pays.
@@ -213,7 +224,8 @@
         self.paces.median().unwrap_or(PACE_INITIAL)
     }
 
-    fn pace(&self, engine: &Engine) -> Duration {
+    /// Time per event of an engine, or the typical one if it was not measured lately.
+    pub fn pace(&self, engine: &Engine) -> Duration {
         engine.measured_pace(self.now).unwrap_or_else(|| self.typical_pace())
     }
 
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -8,6 +8,7 @@
 mod failures;
 pub mod homes;
 mod keys;
+mod leaving;
 mod length;
 mod open;
 mod order;
@@ -34,6 +35,7 @@
     HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
     head_key, held_key, host_key, leader_key, software_key,
 };
+pub use leaving::Leaving;
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
 pub use policy::Policy;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -49,6 +49,9 @@
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
     cloud_calls: Counter<u64>,
+    scale_orders: Counter<u64>,
+    scale_targets: Gauge<u64>,
+    scale_slots: Gauge<u64>,
     resident_bytes: Gauge<u64>,
 }
 
@@ -140,6 +143,18 @@
                 "lagoonyard_cloud_calls",
                 "Calls of the platform's API by call and outcome",
             ),
+            scale_orders: counter(
+                "lagoonyard_scale_orders",
+                "Orders for a number of targets by service, reason and outcome",
+            ),
+            scale_targets: gauge(
+                "lagoonyard_scale_targets",
+                "Targets of a scaled service by zone and kind, wanted and ready",
+            ),
+            scale_slots: gauge(
+                "lagoonyard_scale_slots",
+                "Slots of a scaled service that are ready, that open steps need and that recurring ones need",
+            ),
             resident_bytes: gauge("lagoonyard_resident_bytes", "Resident memory"),
             registry,
             _provider: provider,
@@ -266,6 +281,34 @@
         self.cloud_calls.add(1, &[KeyValue::new("call", call), KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the outcome of an order for a number of targets.
+    pub fn scale_order(&self, service: &str, reason: &'static str, outcome: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        let (reason, outcome) =
+            (KeyValue::new("reason", reason), KeyValue::new("outcome", outcome));
+        self.scale_orders.add(1, &[service, reason, outcome]);
+    }
+
+    /// Records how many targets of a zone and kind are wanted or ready.
+    pub fn scale_targets(
+        &self,
+        service: &str,
+        (zone, kind): (&str, &'static str),
+        state: &'static str,
+        count: u32,
+    ) {
+        let service = KeyValue::new("service", service.to_owned());
+        let (zone, kind) = (KeyValue::new("zone", zone.to_owned()), KeyValue::new("kind", kind));
+        let state = KeyValue::new("state", state);
+        self.scale_targets.record(count.into(), &[service, zone, kind, state]);
+    }
+
+    /// Records slots that a scaled service has or needs.
+    pub fn scale_slots(&self, service: &str, basis: &'static str, slots: f64) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.scale_slots.record(slots.ceil() as u64, &[service, KeyValue::new("basis", basis)]);
+    }
+
     /// Encodes all metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         if let Some(bytes) = resident_bytes() {
--- a/crates/node/src/scale/mod.rs
+++ b/crates/node/src/scale/mod.rs
@@ -15,6 +15,7 @@
 mod peak;
 mod plan;
 mod scaler;
+mod turn;
 
 pub use demand::{Step, Supply, slots_needed};
 pub use forecast::Forecast;
@@ -23,6 +24,7 @@
 pub use peak::Peak;
 pub use plan::{Need, ZoneOffer, plan};
 pub use scaler::{Basis, Decision, Inputs, Order, Present, Scaler};
+pub use turn::Turn;
 
 use crate::prelude::*;
 
