--- a/crates/node/src/control/scale.rs
+++ b/crates/node/src/control/scale.rs
@@ -26,7 +26,7 @@
 };
 
 /// Interval at which the work and the registrations are looked at.
-const INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(300);
 
 /// Scaling of the services that this host leads or has led.
 #[derive(Debug)]
--- a/crates/node/src/scale/forecast.rs
+++ b/crates/node/src/scale/forecast.rs
@@ -71,7 +71,9 @@
     /// Updates the forecast with the steps that are open now. The estimate of a step's work gets better while it is open,
     /// so the last one counts.
     pub fn observe(&mut self, steps: &[Step]) {
-        let mut sorted: Vec<&Step> = steps.iter().collect();
+        // A step without open items waits only for its trainer to end it.
+        let steps: Vec<&Step> = steps.iter().filter(|step| step.open_items > 0).collect();
+        let mut sorted = steps.clone();
         sorted.sort_by_key(|step| step.submitted_at);
         let open: BTreeSet<&JobId> = steps.iter().map(|step| &step.whole.job).collect();
         for series in self.series.values_mut() {
--- a/crates/node/src/scale/line.rs
+++ b/crates/node/src/scale/line.rs
@@ -14,6 +14,9 @@
 /// Time beyond the boot in which the registrations show that an order was carried out.
 const CONFIRM_MARGIN: Duration = Duration::from_secs(2);
 const CONFIRM_BOOTS: f64 = 1.5;
+/// Time for which all targets of a pool have to be missing until they count as reclaimed. Single ones that are missing may
+/// have crashed, and come back by themselves.
+const GONE_TIME: Duration = Duration::from_secs(1);
 /// Time in boots for which a reclaimed zone is not asked again.
 const RECLAIMED_BOOTS: u32 = 2;
 
@@ -100,14 +103,8 @@
 
     /// Compares the last order with the registrations.
     pub fn observe(&mut self, now: Time, registered: Registered, boot: Duration) {
-        self.registered = registered;
+        let before = std::mem::replace(&mut self.registered, registered);
         let ready = registered.ready;
-        if ready < self.ordered && registered.leaving > 0 && self.sending.is_none() {
-            // Targets that leave although they are ordered are reclaimed.
-            self.failures = self.failures.max(1);
-            self.retry_at = self.retry_at.max(now + boot * RECLAIMED_BOOTS);
-            self.repeat = true;
-        }
         if ready == self.ordered {
             self.deviates_since = None;
             self.repeat = false;
@@ -118,6 +115,11 @@
         }
         let since = *self.deviates_since.get_or_insert(now);
         let is_late = now >= since + boot.mul_f64(CONFIRM_BOOTS) + CONFIRM_MARGIN;
+        if self.is_reclaimed(now, since, before) {
+            self.failures = self.failures.max(1);
+            self.retry_at = self.retry_at.max(now + boot * RECLAIMED_BOOTS);
+            self.repeat = true;
+        }
         if !self.is_ours && (ready > self.ordered || is_late) {
             // The platform or an earlier leader has changed the number.
             (self.ordered, self.base) = (ready, ready);
@@ -129,6 +131,14 @@
         }
     }
 
+    /// Whether the platform has taken targets away: they leave although they are ordered, or all of them are gone.
+    fn is_reclaimed(&self, now: Time, deviates_since: Time, before: Registered) -> bool {
+        let Registered { ready, leaving, .. } = self.registered;
+        let is_leaving = leaving > 0 && ready < before.ready;
+        let is_gone = ready == 0 && !self.unconfirmed && now >= deviates_since + GONE_TIME;
+        ready < self.ordered && self.sending.is_none() && (is_leaving || is_gone && !self.repeat)
+    }
+
     /// Most targets that can be had now, if that is known to be limited.
     pub fn limit(&self, now: Time) -> Option<u32> {
         self.is_blocked(now).then_some(self.registered.ready)
@@ -141,7 +151,8 @@
 
     /// Targets that serve, now or once they have booted.
     pub fn expected(&self, now: Time) -> u32 {
-        if self.is_ours && !self.is_blocked(now) { self.ordered } else { self.registered.ready }
+        let is_coming = self.unconfirmed && !self.is_blocked(now);
+        if is_coming { self.ordered } else { self.registered.ready }
     }
 
     /// Targets that are ordered and do not serve yet, with the time until they do if the order is carried out.
--- a/crates/node/src/scale/plan.rs
+++ b/crates/node/src/scale/plan.rs
@@ -46,11 +46,10 @@
 
 /// Numbers of targets that meet the need at the least cost, or come closest to it.
 pub fn plan(scale: &Scale, zones: &[ZoneOffer], need: Need) -> BTreeMap<Pool, u32> {
-    // Full zones of spot targets leave this much when the largest is lost.
-    let reach = scale.max * (zones.len() as u32).saturating_sub(1);
-    let need = Need { after_loss: need.after_loss.min(reach), ..need };
+    let need = Need { after_loss: need.after_loss.min(reach(scale, zones.len())), ..need };
+    let cap_max = scale.max.min(need.total.max(need.after_loss).max(scale.min));
     let mut best: Option<(Merit, Vec<Counts>)> = None;
-    for cap in 0..=scale.max {
+    for cap in 0..=cap_max {
         let counts = fill(scale, zones, need, cap);
         let merit = merit(scale, zones, need, &counts);
         if best
@@ -68,6 +67,11 @@
     pools.collect()
 }
 
+/// Targets that are left of full zones of spot targets when one zone's are lost.
+pub fn reach(scale: &Scale, zones: usize) -> u32 {
+    scale.max.saturating_mul((zones as u32).saturating_sub(1))
+}
+
 /// Numbers with at most `cap` spot targets in each zone beyond what its lower bound takes.
 fn fill(scale: &Scale, zones: &[ZoneOffer], need: Need, cap: u32) -> Vec<Counts> {
     let mut counts: Vec<Counts> = zones
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -1,11 +1,17 @@
 //! Replays of load against the decisions of autoscaling. They guard against steps without capacity, needless or missing
 //! orders, and orders outside the bounds.
 
+#[path = "../common/mod.rs"]
+mod common;
 mod replay;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use lagoonyard_node::scale::{CallResult, Kind, Need, Pacer, Peak, ZoneOffer, plan};
+use lagoonyard_node::{
+    fleet::Target,
+    job::Leaving,
+    scale::{CallResult, Kind, Need, Pacer, Peak, Turn, ZoneOffer, plan},
+};
 use replay::{BOOT, Replay, bounds, pool, secs};
 
 /// Steps of the trainers: one of 60 items of 1 s each, every 5 s, due after 7.5 s.
@@ -92,6 +98,21 @@
     assert_eq!((replay.above_max, replay.late_steps), (0, late_steps));
 }
 
+/// Guards against a zone whose targets are gone without having said so, and count as there until an order is overdue.
+#[test]
+fn a_zone_that_is_gone_without_a_word_is_replaced_by_other_zones() {
+    let mut replay = Replay::new(bounds(1, 12), 1);
+    with_steps(&mut replay);
+    replay.run(secs(60));
+    let needed = replay.slots_needed();
+    replay.reclaim(0, Duration::ZERO);
+    let calls = replay.calls;
+    replay.run(secs(2));
+    assert!(replay.calls > calls, "further targets are ordered at once");
+    replay.run(BOOT + secs(2));
+    assert!(replay.slots_after_loss() >= needed, "another loss is covered again");
+}
+
 /// Guards against a leader that has no spot targets to order and leaves the work without capacity.
 #[test]
 fn on_demand_targets_stand_in_where_no_spot_targets_can_be_had() {
@@ -213,3 +234,40 @@
     assert_eq!(peak.over(secs(9), secs(7)), 3);
     assert_eq!(peak.over(secs(9), secs(1)), 1);
 }
+
+/// Guards against two hosts that take turns as the one that orders targets, and against a pause that is not needed.
+#[test]
+fn a_host_that_may_have_ordered_waits_before_it_orders_again() {
+    let interval = secs(3);
+    let mut turn = Turn::new(secs(10));
+    assert!(!turn.may_call(secs(60)), "it does not lead");
+    turn.acquired(secs(60), interval);
+    assert!(turn.may_call(secs(60)), "it has never ordered");
+    turn.called(secs(61));
+    turn.acquired(secs(90), interval);
+    assert!(!turn.may_call(secs(92)) && turn.may_call(secs(93)));
+    let mut restarted = Turn::new(secs(10));
+    restarted.acquired(secs(12), interval);
+    assert!(!restarted.may_call(secs(14)), "an earlier process may have ordered");
+    assert!(restarted.may_call(secs(15)));
+}
+
+/// Guards against runs that are cut by the named end of their engine, against needless moves, and against an end that is
+/// postponed each time that the registration is read.
+#[test]
+fn runs_are_cut_by_the_end_that_was_named_first() {
+    let target = |leaves_in| Target { draining: true, leaves_in, ..common::engine("e1", 1) };
+    let targets = |target: Target| BTreeMap::from([(target.id.clone(), Arc::new(target))]);
+    let mut leaving = Leaving::default();
+    leaving.sync(&targets(target(None)), secs(1));
+    assert!(leaving.is_empty(), "its end is not known");
+    leaving.sync(&targets(target(Some(secs(8)))), secs(2));
+    leaving.sync(&targets(target(Some(secs(8)))), secs(4));
+    assert!(!leaving.cuts("e1", secs(4), Some(secs(5))), "it is done by then");
+    assert!(leaving.cuts("e1", secs(4), Some(secs(6))));
+    assert!(leaving.cuts("e1", secs(4), None), "its length is not known");
+    assert!(!leaving.cuts("e2", secs(4), None));
+    let again = Target { draining: false, started_ms: 2, ..common::engine("e1", 1) };
+    leaving.sync(&targets(again), secs(5));
+    assert!(leaving.is_empty());
+}
