--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -16,6 +16,7 @@
         leader::Leader,
         mirror::{Mirror, Schedule, Update},
         orders,
+        scale::Scaling,
         sessions::Outbox,
         software,
         store_state::{Effect, StoreState},
@@ -150,6 +151,8 @@
     pub(super) software: software::Writer,
     /// Items that are at no engine.
     pub(super) waits: Waits,
+    /// Orders for targets of the led services.
+    pub(super) scaling: Scaling,
 }
 
 /// Runs the control loop until the process ends.
@@ -271,6 +274,7 @@
         cleaned_up_at: Time::ZERO,
         software: software::Writer::default(),
         waits: Waits::default(),
+        scaling: Scaling::new(clock::now()),
     };
     let start_delay = Election::small_host_share(control.settings.cpu_share);
     let start_delay = SMALL_HOST_START_DELAY.mul_f64(start_delay);
