Plain services: the choice of a target counts the set-up of a connection

A host with little traffic took targets that are alike in turn, so that idle connections expired before their target's next turn. The expected response time of a target now counts the set-up of a connection (round trip to its zone, as measured, and a moment for which it may hold a slot), unless an idle one is at hand. Judge calls and streams use the same rule.

A request that needs a fresher connection than the idle ones (one that may run only once, a stream that cannot be resumed) closed all of them on its way to a new one. They are now kept for other requests.

--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -28,7 +28,10 @@
     links,
     peer::tunnel::Stream,
     prelude::*,
-    traffic::head_limit::{Head, HeadLimit},
+    traffic::{
+        head_limit::{Head, HeadLimit},
+        pool::Connection,
+    },
 };
 
 /// Idle time after which TCP keep-alive probes start, and interval between probes.
@@ -203,10 +206,11 @@
         self.had_unnamed
     }
 
-    /// Whether a response on this connection would certainly be the response to the request of a demand, unless that allows
-    /// doubt.
+    /// Whether the connection has not been idle for too long for a demand, and a response on it would certainly be the
+    /// response to the request, unless the demand allows doubt.
     fn suits(&self, demand: Demand<'_>) -> bool {
-        (demand.allows_doubt || !self.had_unnamed)
+        self.last_used.elapsed() <= demand.idle_max
+            && (demand.allows_doubt || !self.had_unnamed)
             && !self.carried.contains(&xxh3_64(demand.request.as_bytes()))
     }
 
@@ -270,16 +274,26 @@
             let (mut channel, timeout) = {
                 let mut all = self.idle.borrow_mut();
                 let channels = all.get_mut(&address)?;
+                // One that has been idle for too long for this request may still suit another one.
                 let at = channels.iter().rposition(|(channel, _)| channel.suits(demand))?;
                 channels.remove(at)
             };
-            let idle = channel.last_used.elapsed();
-            if idle <= timeout && idle <= demand.idle_max && channel.is_reusable(deadline).await {
+            if channel.last_used.elapsed() <= timeout && channel.is_reusable(deadline).await {
                 return Some(channel);
             }
         }
     }
 
+    /// Connection that a request would use.
+    pub fn connection(&self, address: SocketAddr, demand: Demand<'_>) -> Connection {
+        let all = self.idle.borrow();
+        let is_usable = |(channel, timeout): &IdleChannel| {
+            channel.suits(demand) && channel.last_used.elapsed() <= *timeout && !channel.is_closed()
+        };
+        let is_held = all.get(&address).is_some_and(|channels| channels.iter().any(is_usable));
+        if is_held { Connection::Idle } else { Connection::New }
+    }
+
     /// Puts a connection back for reuse after an answer that was read to its end, unless it is a tunnel or the next answer
     /// on it could not be told from this one.
     pub fn put(&self, address: SocketAddr, mut channel: Channel, answer: &Answer) {
--- a/crates/node/src/traffic/connect.rs
+++ b/crates/node/src/traffic/connect.rs
@@ -86,12 +86,16 @@
     address: SocketAddr,
     deadline: Instant,
 ) -> Option<Channel> {
-    let connect_by = Instant::now() + CONNECT_TIMEOUT;
+    let began = Instant::now();
+    let connect_by = began + CONNECT_TIMEOUT;
     let result = Channel::open(address, Liveness::Deadline, deadline.min(connect_by)).await;
     let now = clock::now();
     let error = match result {
         Ok(channel) => {
             traffic.links.opened(id, now);
+            if let Some(target) = traffic.view.load().targets.get(id) {
+                traffic.pool.borrow_mut().record_connection(&target.zone, began.elapsed());
+            }
             return Some(channel);
         }
         Err(error) => error,
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -18,7 +18,7 @@
     metrics::METERS,
     prelude::*,
     traffic::{
-        exchange::{Call, ExchangeError, InFlight, Repeat, Response, exchange},
+        exchange::{Call, ExchangeError, InFlight, Repeat, Response, demand, exchange},
         permit,
         serve::Traffic,
         suspects::{self, Admission, Suspect},
@@ -215,12 +215,14 @@
         }
         let view = self.traffic.view.load();
         let now = std::time::Instant::now();
+        let (channels, demand) = (&self.traffic.channels, demand(self.call, self.repeat()));
+        let connection = |target: &Target| channels.connection(target.address, demand);
         let mut pool = self.traffic.pool.borrow_mut();
         let mut excluded = self.tried.clone();
         excluded.append(&mut self.limited.clone());
         let mut refused_for = None;
         let target = loop {
-            let Some(target) = pool.choose(&view, &self.service, &excluded, now) else {
+            let Some(target) = pool.choose(&view, &self.service, &excluded, connection, now) else {
                 drop(pool);
                 refused_for.into_iter().for_each(|left| self.refuse_until(left));
                 return None;
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -147,6 +147,12 @@
     AfterDoubt,
 }
 
+/// Connection that a request needs.
+pub fn demand(call: &Call, repeat: Repeat) -> Demand<'_> {
+    let idle_max = if repeat == Repeat::Never { NON_IDEMPOTENT_IDLE_MAX } else { Duration::MAX };
+    Demand { request: &call.id, idle_max, allows_doubt: repeat == Repeat::AfterDoubt }
+}
+
 /// Sends a request and reads the response.
 pub async fn exchange(
     traffic: &Rc<Traffic>,
@@ -155,11 +161,8 @@
     repeat: Repeat,
 ) -> Result<(Response, Answer), ExchangeError> {
     let idempotent = repeat != Repeat::Never;
-    let idle_max = if idempotent { Duration::MAX } else { NON_IDEMPOTENT_IDLE_MAX };
     let to = (&target.id, target.address);
-    let allows_doubt = repeat == Repeat::AfterDoubt;
-    let demand = Demand { request: &call.id, idle_max, allows_doubt };
-    let mut channel = connect(traffic, to, demand, call.deadline).await?;
+    let mut channel = connect(traffic, to, demand(call, repeat), call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -44,7 +44,7 @@
 pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
-pub use pool::Pool;
+pub use pool::{Connection, Pool};
 pub use report::{Command, Report, Source, Submission};
 pub use run::{Endpoint, Run, RunReport};
 pub use serve::{Parts, run};
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -2,6 +2,10 @@
 //!
 //! Hosts do not share load figures. Each one balances by what it observes of its own requests: requests in flight,
 //! average response time, refusals and broken connections.
+//!
+//! A host with little traffic has few connections to reuse. If it took the targets in turn, each idle connection would
+//! expire before its target's turn came again, and nearly each request would open a new one. So the expected response
+//! time of a target counts the set-up of a connection, unless the host has an idle one that the request can use.
 
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
@@ -20,6 +24,19 @@
 const FAILURE_BACKOFF_MAX: Duration = Duration::from_secs(3);
 /// Age of the last response after which a high average is ignored, so that a slow target is tried again.
 const AVERAGE_TTL: Duration = Duration::from_secs(3);
+/// Time for which a new connection may hold a slot of its target before the request runs. It is below the cost of another
+/// zone, so that a connection there does not draw requests out of this one.
+const CONNECTION_HOLD: Duration = Duration::from_millis(4);
+/// Largest round trip that counts: a host that is short of processor time measures its own delays as well.
+const ROUND_TRIP_MAX: Duration = Duration::from_millis(20);
+
+/// Connection that a request to a target would use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Connection {
+    /// An idle one of this host.
+    Idle,
+    New,
+}
 
 /// Statistics of one target.
 #[derive(Debug)]
@@ -55,29 +72,35 @@
 pub struct Pool {
     zone: ZoneId,
     loads: HashMap<TargetId, Load>,
+    /// Moving average of the time in which connections open, by zone.
+    round_trips: HashMap<ZoneId, Duration>,
 }
 
 impl Pool {
     pub fn new(zone: ZoneId) -> Self {
-        Self { zone, loads: HashMap::new() }
+        Self { zone, loads: HashMap::new(), round_trips: HashMap::new() }
     }
 
-    /// Chooses the target of a service with the lowest expected response time, except those in `tried`.
+    /// Chooses the target of a service with the lowest expected response time, except those in `tried`. `connection` tells
+    /// how the request would reach a target.
     pub fn choose(
         &mut self,
         view: &View,
         service: &str,
         tried: &[TargetId],
+        connection: impl Fn(&Target) -> Connection,
         now: Instant,
     ) -> Option<Arc<Target>> {
         let is_eligible = |target: &&Arc<Target>| {
             &*target.service == service && !target.draining && !tried.contains(&target.id)
         };
         let targets: Vec<&Arc<Target>> = view.targets.values().filter(is_eligible).collect();
+        let cost = |target: &&&Arc<Target>| self.cost(target, connection(target), now);
         let available = targets.iter().filter(|target| !self.is_avoided(target, now));
-        let best = available.min_by_key(|target| self.cost(target, now));
         // A target that is avoided is still better than none.
-        best.or_else(|| targets.iter().min_by_key(|target| self.cost(target, now)))
+        available
+            .min_by_key(cost)
+            .or_else(|| targets.iter().min_by_key(cost))
             .map(|target| Arc::clone(target))
     }
 
@@ -89,15 +112,34 @@
     }
 
     /// Expected response time, plus a penalty for another zone.
-    fn cost(&self, target: &Target, now: Instant) -> Duration {
+    fn cost(&self, target: &Target, connection: Connection, now: Instant) -> Duration {
         let zone = if target.zone == self.zone { Duration::ZERO } else { CROSS_ZONE_COST };
+        let fixed = zone + self.setup(target, connection);
         let Some(load) = self.loads.get(&target.id) else {
-            return INITIAL_AVERAGE + zone;
+            return INITIAL_AVERAGE + fixed;
         };
         let is_current = load.answered_at.is_some_and(|at| now.duration_since(at) < AVERAGE_TTL);
         let average = if is_current { load.average } else { load.average.min(INITIAL_AVERAGE) };
         let utilization = f64::from(load.in_flight) / f64::from(target.slots.max(1));
-        average.mul_f64(1.0 + 2.0 * utilization) + zone
+        average.mul_f64(1.0 + 2.0 * utilization) + fixed
+    }
+
+    /// Time until a request can begin on its connection.
+    fn setup(&self, target: &Target, connection: Connection) -> Duration {
+        match connection {
+            Connection::Idle => Duration::ZERO,
+            Connection::New => {
+                let round_trip = self.round_trips.get(&target.zone).copied().unwrap_or_default();
+                round_trip + CONNECTION_HOLD
+            }
+        }
+    }
+
+    /// Records that a connection to a target of a zone opened in `took`.
+    pub fn record_connection(&mut self, zone: &ZoneId, took: Duration) {
+        let took = took.min(ROUND_TRIP_MAX);
+        let round_trip = self.round_trips.entry(zone.clone()).or_insert(took);
+        *round_trip = round_trip.mul_f64(1.0 - AVERAGE_WEIGHT) + took.mul_f64(AVERAGE_WEIGHT);
     }
 
     /// Records the start of a request.
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -251,7 +251,16 @@
         excluded.extend(self.broken_at.iter().cloned());
         excluded.extend(unfit.map(|target| target.id.clone()));
         let now = std::time::Instant::now();
-        self.traffic.pool.borrow_mut().choose(&view, &self.service, &excluded, now)
+        let (channels, demand) = (&self.traffic.channels, self.demand());
+        let connection = |target: &Target| channels.connection(target.address, demand);
+        let mut pool = self.traffic.pool.borrow_mut();
+        pool.choose(&view, &self.service, &excluded, connection, now)
+    }
+
+    /// Connection that the request needs.
+    fn demand(&self) -> Demand<'_> {
+        let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
+        Demand { request: &self.call.id, idle_max, allows_doubt: false }
     }
 
     /// Sends the request to a target and waits for its first event.
@@ -305,10 +314,8 @@
         in_flight: InFlight,
     ) -> Result<Outcome, ExchangeError> {
         let (traffic, call) = (&self.traffic, &self.call);
-        let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
         let to = (&target.id, target.address);
-        let demand = Demand { request: &call.id, idle_max, allows_doubt: false };
-        let mut channel = connect(traffic, to, demand, call.deadline).await?;
+        let mut channel = connect(traffic, to, self.demand(), call.deadline).await?;
         let broke = |reason: &dyn Display| {
             info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "stream did not begin");
             ExchangeError::ConnectionBroke
