--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -25,7 +25,8 @@
     },
 };
 
-/// A hedge starts after this multiple of the target's average response time, within the bounds below.
+/// A hedge starts after this multiple of the usual response time of the route, within the bounds below. The average of a target
+/// mixes routes, so long requests would nearly always be hedged beside short ones.
 const HEDGE_DELAY_AVERAGES: u32 = 3;
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(80);
 const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
@@ -234,12 +235,13 @@
             refused_for = refused_for.map_or(Some(left), |known: Duration| Some(known.min(left)));
             excluded.push(target.id.clone());
         };
-        let hedge_delay = (pool.average(&target.id) * HEDGE_DELAY_AVERAGES)
+        let hedge_delay = (pool.usual(&self.route.name, &target.id) * HEDGE_DELAY_AVERAGES)
             .clamp(HEDGE_DELAY_MIN, HEDGE_DELAY_MAX);
         drop(pool);
         self.tried.push(target.id.clone());
         let traffic = Rc::clone(self.traffic);
         let sending = Sending {
+            route: self.route.name.clone(),
             priority: self.route.priority,
             repeat: self.repeat(),
             alone: self.admission != Admission::Free,
@@ -302,8 +304,9 @@
 }
 
 /// How a request is sent to its targets.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Sending {
+    route: Box<str>,
     priority: u32,
     repeat: Repeat,
     /// Other requests of this host keep away from the target.
@@ -315,7 +318,7 @@
     traffic: Rc<Traffic>,
     target: Arc<Target>,
     call: Call,
-    Sending { priority, repeat, alone }: Sending,
+    Sending { route, priority, repeat, alone }: Sending,
 ) -> Outcome {
     if let Err(retry_after) = permit::acquire(&traffic, &target, priority).await {
         debug!(request = &*call.id, target = &*target.id, retry_after_ms = crate::logging::ms(retry_after); "request held back: the limit of the target is reached");
@@ -346,6 +349,7 @@
         }
         Ok((response, _)) => {
             pool.record_response(&target.id, started.elapsed(), now);
+            pool.record_route(&route, started.elapsed());
             let status = response.status.as_u16();
             (Outcome::Answered(response), status)
         }
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -72,13 +72,15 @@
 pub struct Pool {
     zone: ZoneId,
     loads: HashMap<TargetId, Load>,
+    /// Moving average of the response times by route. Work differs between the routes of a service.
+    routes: HashMap<Box<str>, Duration>,
     /// Moving average of the time in which connections open, by zone.
     round_trips: HashMap<ZoneId, Duration>,
 }
 
 impl Pool {
     pub fn new(zone: ZoneId) -> Self {
-        Self { zone, loads: HashMap::new(), round_trips: HashMap::new() }
+        Self { zone, loads: HashMap::new(), routes: HashMap::new(), round_trips: HashMap::new() }
     }
 
     /// Chooses the target of a service with the lowest expected response time, except those in `tried`. `connection` tells
@@ -184,6 +186,28 @@
         }
     }
 
+    /// Records the response time of a request of a route.
+    pub fn record_route(&mut self, route: &str, took: Duration) {
+        match self.routes.get_mut(route) {
+            Some(average) => {
+                *average = average.mul_f64(1.0 - AVERAGE_WEIGHT) + took.mul_f64(AVERAGE_WEIGHT);
+            }
+            None => {
+                self.routes.insert(route.into(), took);
+            }
+        }
+    }
+
+    /// Time that a request of a route usually takes: by the route, and before its first response by the target.
+    pub fn usual(&self, route: &str, target: &str) -> Duration {
+        self.routes.get(route).copied().unwrap_or_else(|| self.average(target))
+    }
+
+    /// Drops the averages of routes that are gone.
+    pub fn retain_routes(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _| is_known(route));
+    }
+
     /// Records a refusal for lack of capacity.
     pub fn record_refusal(&mut self, id: &str, now: Instant) {
         if let Some(load) = self.loads.get_mut(id) {
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -256,6 +256,10 @@
         traffic.channels.sweep();
         let view = traffic.view.load();
         traffic.pool.borrow_mut().sweep(&view);
+        if let Some(config) = &view.config {
+            let is_known = |name: &str| config.routes().any(|route| *route.name == *name);
+            traffic.pool.borrow_mut().retain_routes(is_known);
+        }
         traffic.limits.retain(|target| view.targets.contains_key(target));
         traffic.links.retain(|target| view.targets.contains_key(target));
         traffic.tunnels.sweep();
--- a/crates/node/tests/pool.rs
+++ b/crates/node/tests/pool.rs
@@ -189,3 +189,19 @@
         assert!(sighted.1 <= blind.1, "{sighted:?} {blind:?}");
     }
 }
+
+/// Guards against second attempts of nearly every long request: its targets also answer short ones, so their average is far
+/// below what it takes.
+#[test]
+fn the_usual_time_of_a_route_does_not_depend_on_other_routes_of_its_targets() {
+    let mut pool = Pool::new("a".into());
+    assert_eq!(pool.usual("long", "a-1"), ms(50), "no response of the route yet");
+    for _ in 0..50 {
+        pool.record_route("long", ms(200));
+        pool.record_route("short", ms(20));
+    }
+    assert!(pool.usual("long", "a-1") > ms(190));
+    assert!(pool.usual("short", "a-1") < ms(25));
+    pool.retain_routes(|route| route == "short");
+    assert_eq!(pool.usual("long", "a-1"), ms(50), "routes that are gone are dropped");
+}
