Usage: a new holder settles nothing before it has heard the hosts

A new holder whose list of hosts was empty settled windows with its own counts only. It now waits 1 s before any settling write, in which all hosts send it their windows. Ledgers above the largest value are settled in smaller steps, and settings out of range overflow nothing.

--- a/crates/node/src/usage/mod.rs
+++ b/crates/node/src/usage/mod.rs
@@ -12,6 +12,7 @@
 mod meter;
 mod offsets;
 mod reporter;
+mod rules;
 mod windows;
 
 pub use collector::{Collector, Host};
@@ -19,7 +20,8 @@
 pub use ledger::{Ledger, Settled};
 pub use meter::{Attempt, Meter};
 pub use offsets::{Moment, Offsets, Reading};
-pub use reporter::{Action, Reporter, Rules};
+pub use reporter::{Action, Reporter};
+pub use rules::Rules;
 pub use windows::Windows;
 
 use std::collections::BTreeMap;
--- a/crates/node/src/usage/reporter.rs
+++ b/crates/node/src/usage/reporter.rs
@@ -19,49 +19,23 @@
     peer::UsageCounts,
     prelude::*,
     store,
-    usage::{Collector, Counts, Ledger, Windows, sum},
+    usage::{Collector, Counts, Ledger, Rules, sum},
 };
 
 /// Part of the time until a report is due after which a window is settled without the hosts that have not closed it.
 const SETTLE_SHARE: f64 = 0.6;
 /// Time for which a new holder waits for the counts of the other hosts, and for the last call of the one before it.
 const COLLECT_TIME: Duration = Duration::from_secs(1);
-/// Age after the end of its window at which a report is not sent any more.
-const REPORT_AGE_MAX: Duration = Duration::from_secs(60);
 /// Windows that are settled in one write.
 const SETTLE_MAX: u64 = 12;
 /// Delay after a failed call of the store or of the platform; that of the platform doubles with each further failure.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 const RETRY_DELAY_MAX: Duration = Duration::from_secs(4);
-/// Part of the permitted rate of calls that this duty uses.
-const RATE_SHARE: f64 = 0.5;
 /// Times until a report is due after which a silent host counts as gone.
 const GONE_FACTOR: u32 = 2;
 /// Part (1/n) of the time until a report is due after which a holder whose calls all fail lets another host try.
 const GIVE_UP_DIVISOR: u32 = 3;
 
-/// Settings of the duty.
-#[derive(Clone, Debug)]
-pub struct Rules {
-    pub host: HostId,
-    pub windows: Windows,
-    /// Time after the end of a window within which its report is due.
-    pub deadline: Duration,
-    /// Time within which holders must not take turns.
-    pub turn_interval: Duration,
-    pub calls_per_s: f64,
-    /// Largest value of the store.
-    pub value_bytes: usize,
-}
-
-impl Rules {
-    /// Shortest time between calls.
-    fn call_interval(&self) -> Duration {
-        let interval = Duration::try_from_secs_f64(1.0 / (self.calls_per_s * RATE_SHARE));
-        interval.map_or(REPORT_AGE_MAX, |interval| interval.min(REPORT_AGE_MAX))
-    }
-}
-
 /// What the holder is to do. One call of the store and one of the platform are in progress at a time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -107,7 +81,7 @@
     /// State of a host that starts. Its last call before the start is unknown, so it may have been just now.
     pub fn new(rules: Rules, now: Time) -> Self {
         Self {
-            rejoin_at: now + rules.turn_interval,
+            rejoin_at: now.saturating_add(rules.turn_interval),
             rules,
             collector: Collector::default(),
             leadership: Leadership::default(),
@@ -182,7 +156,7 @@
         true_ms: u64,
         hosts: &BTreeSet<SocketAddr>,
     ) -> Option<Action> {
-        let gone_after = self.rules.deadline * GONE_FACTOR;
+        let gone_after = self.rules.deadline.saturating_mul(GONE_FACTOR);
         let gone_at = now.saturating_sub(gone_after);
         self.collector.forget_hosts(gone_at.saturating_sub(gone_after));
         // A lease that ends soon may end before a call arrives.
@@ -198,11 +172,19 @@
             self.store_busy = true;
             return Some(Action::Read);
         };
-        let counts = self.due(ledger.next, now, true_ms, hosts, gone_at);
+        let mut counts = match now < self.taken_at + COLLECT_TIME {
+            true => BTreeMap::new(),
+            false => self.due(ledger.next, true_ms, hosts, gone_at),
+        };
         if counts.is_empty() {
             return None;
         }
-        let ledger = ledger.settle(counts, |window| self.done.contains(&window));
+        let settle = |counts| ledger.settle(counts, |window| self.done.contains(&window));
+        let mut ledger = settle(counts.clone());
+        while ledger.encode().len() > self.rules.value_bytes && counts.len() > 1 {
+            counts.pop_last();
+            ledger = settle(counts.clone());
+        }
         if ledger.encode().len() > self.rules.value_bytes {
             warn!(windows = ledger.unsent.len(), next = ledger.next; "usage cannot be settled: the value is too large");
             self.store_at = now + RETRY_DELAY_MAX;
@@ -219,7 +201,6 @@
     fn due(
         &self,
         next: u64,
-        now: Time,
         true_ms: u64,
         hosts: &BTreeSet<SocketAddr>,
         gone_at: Time,
@@ -227,8 +208,7 @@
         let patience = crate::peer::millis(self.rules.deadline.mul_f64(SETTLE_SHARE));
         let is_due = |window: &u64| {
             let end_ms = self.rules.windows.end_ms(*window);
-            let overdue =
-                true_ms >= end_ms.saturating_add(patience) && now >= self.taken_at + COLLECT_TIME;
+            let overdue = true_ms >= end_ms.saturating_add(patience);
             true_ms >= end_ms
                 && (overdue || self.collector.is_closed(*window, hosts, self.taken_at, gone_at))
         };
@@ -254,7 +234,7 @@
             warn!(fence, failures = self.failures, failing_ms = logging::ms(failing_for); "giving up the duty of usage reports: the platform does not answer this host");
             return Some(self.give_up(fence));
         }
-        let age_max_ms = crate::peer::millis(REPORT_AGE_MAX);
+        let age_max_ms = crate::peer::millis(Rules::REPORT_AGE_MAX);
         let (ledger, _) = self.ledger.as_ref()?;
         for settled in &ledger.unsent {
             let window = settled.window;
@@ -274,7 +254,7 @@
                 until: self.leadership.orders_until,
             };
             self.cloud_busy = true;
-            self.rejoin_at = now + self.rules.turn_interval;
+            self.rejoin_at = now.saturating_add(self.rules.turn_interval);
             return Some(Action::Send(authority, settled.clone().into()));
         }
         None
@@ -316,7 +296,7 @@
     /// Leaves out windows whose reports would not be sent any more, or whose counts are not kept.
     fn skip_old(&mut self, true_ms: u64) {
         let windows = self.rules.windows;
-        let kept = windows.covering(REPORT_AGE_MAX).min(Collector::WINDOWS_MAX as u64 - 1);
+        let kept = windows.covering(Rules::REPORT_AGE_MAX).min(Collector::WINDOWS_MAX as u64 - 1);
         let (current, oldest) = (windows.at(true_ms), windows.at(true_ms).saturating_sub(kept));
         if let Some((ledger, _)) = self.ledger.as_mut().filter(|(ledger, _)| ledger.next < oldest) {
             warn!(next = ledger.next, oldest, current; "usage windows skipped: they are too old to be reported");
@@ -361,7 +341,7 @@
         now: Time,
     ) -> Option<Action> {
         self.cloud_busy = false;
-        self.rejoin_at = now + self.rules.turn_interval;
+        self.rejoin_at = now.saturating_add(self.rules.turn_interval);
         let window = report.window;
         let reason: Box<str> = match result {
             Ok(cloud::Outcome::Accepted) => {
