--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -205,11 +205,14 @@
         self.leads() && (!self.runs.is_empty() || self.queue.has_unpersisted_rows())
     }
 
-    /// Commands to stop the runs on an engine that is about to load a version, so that they continue elsewhere. Empty
-    /// if the other engines lack the slots.
+    /// Commands to stop the runs of the model of which an engine is about to load a version, so that they continue
+    /// elsewhere. Empty if the other engines lack the slots. Runs of other models go on undisturbed.
     pub fn clear_engine(&self, target: &TargetId) -> Vec<Command> {
-        let stops = self.stop_commands(|run| run.target.as_ref() == Some(target));
         let model = self.rollout.loading_model(target).map_or("", |model| &**model);
+        let is_of_model =
+            |run: &ActiveRun| self.queue.get(&run.job).is_none_or(|job| *job.spec.model == *model);
+        let stops =
+            self.stop_commands(|run| run.target.as_ref() == Some(target) && is_of_model(run));
         if self.engines.free_slots(model) < stops.len() { Vec::new() } else { stops }
     }
 
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -90,7 +90,9 @@
             let free = weights::parallel_loads_max(total).saturating_sub(self.loads.len());
             let loading = self.loads.values().filter(|(of, _)| of == model).count();
             let free = self.ends.limit((model, version), (loading, free), now);
-            let candidates = candidates.remove(model).unwrap_or_default();
+            let mut candidates = candidates.remove(model).unwrap_or_default();
+            // An engine that serves several models loads one version at a time.
+            candidates.retain(|it| it.loading || !self.loads.contains_key(&it.id));
             for target in weights::next_loads(version, &candidates, queue_empty, free) {
                 engines.begin_load(&target, model);
                 self.loads.insert(target.clone(), (model.clone(), version));
@@ -110,20 +112,22 @@
         let mut candidates: BTreeMap<ModelId, Vec<Candidate>> = BTreeMap::new();
         for engine in engines.iter().filter(|engine| !engine.target.draining) {
             let id = &engine.target.id;
-            let Some(model) = self.partition.model_of(id) else {
-                continue;
-            };
-            let Some(version) = engine.version(model) else {
-                continue;
-            };
+            let own = self.partition.model_of(id);
+            let is_shared = engines.is_fast(engine);
+            let models = self.requested.keys().filter(|model| is_shared || Some(*model) == own);
             let backing_off = self.retry_after.get(id).is_some_and(|after| *after > now);
-            candidates.entry(model.clone()).or_default().push(Candidate {
-                id: id.clone(),
-                version,
-                loading: self.loads.contains_key(id) || backing_off,
-                in_flight: engine.in_flight,
-                has_long_item: long.contains(id),
-            });
+            for model in models {
+                let Some(version) = engine.version(model) else {
+                    continue;
+                };
+                candidates.entry(model.clone()).or_default().push(Candidate {
+                    id: id.clone(),
+                    version,
+                    loading: self.loads.contains_key(id) || backing_off,
+                    in_flight: engine.in_flight,
+                    has_long_item: long.contains(id),
+                });
+            }
         }
         candidates
     }
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -24,6 +24,8 @@
 const FULL_ENGINE_COST: f64 = 0.15;
 /// Minimum speed-up for which an item is moved to another engine.
 const FASTER_FACTOR: f64 = 1.2;
+/// An engine is fast if the median pace exceeds its own by this factor.
+const FAST_FACTOR: f64 = 1.6;
 /// An engine is slow if its pace exceeds the median by this factor.
 const SLOW_FACTOR: f64 = 1.7;
 /// The same, relative to the assumed pace before any run was measured.
@@ -196,6 +198,13 @@
         best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
     }
 
+    /// Whether an engine is so much faster than most that it should serve every model. Its last pace counts, however old,
+    /// so that a pause between runs does not change which versions it holds.
+    pub fn is_fast(&self, engine: &Engine) -> bool {
+        let typical = self.typical_pace();
+        engine.last_pace().is_some_and(|pace| pace.mul_f64(FAST_FACTOR) <= typical)
+    }
+
     fn is_slow(&self, engine: &Engine) -> bool {
         self.pace(engine) > self.pace_max()
     }
