--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -126,8 +126,17 @@
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
         let evidence = Evidence::Any;
-        let requirement =
-            Requirement { model, min_version: min, avoid, software, allow_slow: false, evidence };
+        let requirement = Requirement {
+            model,
+            min_version: min,
+            avoid,
+            software,
+            allow_slow: false,
+            spares_fast: false,
+            evidence,
+        };
+        let sparing = Requirement { spares_fast: true, ..requirement };
+        let sparing = Some(sparing).filter(|_| self.is_short(item, now, engines.typical_pace()));
         // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
         let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
         let proven = heard.into_iter().chain([Evidence::NoFailure]).filter(|_| status.is_unreached);
@@ -140,7 +149,8 @@
         let any_pace = Requirement { avoid: None, allow_slow: true, ..requirement };
         let any = Requirement { software: None, ..any_pace };
         let waited = [any_pace, any].into_iter().filter(|_| has_waited);
-        let requirements = proven.chain(other_software).chain([requirement]).chain(waited);
+        let requirements =
+            proven.chain(other_software).chain(sparing).chain([requirement]).chain(waited);
         let engine = requirements.into_iter().find_map(|it| engines.choose(&it))?;
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -183,19 +183,17 @@
                 && requirement.avoid != Some(&engine.target.id)
                 && requirement.software.is_none_or(|software| *software == *engine.target.software)
                 && requirement.evidence.holds_for(engine)
+                && !(requirement.spares_fast && self.is_fast(engine))
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
         let open = self.open.get(requirement.model)?;
         open.ranks.iter().filter_map(|(_, _, id)| self.get(id)).find(qualifies)
     }
 
-    /// Whether an open engine is so much faster than `current` that moving an item pays.
-    pub fn has_faster(&self, requirement: &Requirement, current: &str) -> bool {
-        let Some(engine) = self.get(current) else {
-            return false;
-        };
-        let best = self.choose(requirement);
-        best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
+    /// Time that an item saves with each event on the best open engine, if that is much faster than `current`.
+    pub fn saving(&self, requirement: &Requirement, current: &str) -> Option<Duration> {
+        let (pace, best) = (self.pace(self.get(current)?), self.pace(self.choose(requirement)?));
+        (pace > best.mul_f64(FASTER_FACTOR)).then(|| pace - best)
     }
 
     /// Whether an engine is so much faster than most that it should serve every model. Its last pace counts, however old,
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -55,6 +55,8 @@
     pub chunks: u64,
     /// It cannot be complete in time, so it gets only slots that no other job can use.
     pub(super) deferred: bool,
+    /// Events that are generated for each unit of a length hint, once that is known.
+    pub(super) events_per_hint: Option<f64>,
     /// Time at which its first item could start.
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
@@ -107,6 +109,7 @@
             record: Arc::new(record),
             policy,
             submitted_at,
+            events_per_hint: None,
             due: Time::ZERO,
             expires: Time::ZERO,
             listed: 0,
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -7,6 +7,8 @@
     prelude::*,
 };
 
+/// An item is short if it takes at most this fraction (1/n) of the time to the due time of its job.
+const SHORT_DIVISOR: u32 = 6;
 /// Expected rest of a text that is longer than estimated, as a share of its length so far.
 const OVERRUN_SHARE: f64 = 0.25;
 
@@ -71,6 +73,22 @@
         }
     }
 
+    /// Events that an item's text is expected to lack.
+    pub fn rest(&self, item: usize) -> f64 {
+        let status = self.statuses.get(item);
+        let events_per_hint = self.events_per_hint.unwrap_or(1.0);
+        status.map_or(0.0, |status| self.rest_events(item, status, events_per_hint))
+    }
+
+    /// Whether an item is done early enough on an engine of a pace that a faster one would not complete the job sooner.
+    pub(super) fn is_short(&self, item: usize, now: Time, pace: Duration) -> bool {
+        let Some(events_per_hint) = self.events_per_hint else {
+            return false;
+        };
+        let rest = self.rest_events(item, &self.statuses[item], events_per_hint);
+        pace.mul_f64(rest) * SHORT_DIVISOR <= self.due.saturating_sub(now)
+    }
+
     /// Events that an item's text is expected to lack.
     fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
         if !status.state.is_open() || status.text_complete {
--- a/crates/node/src/job/requirement.rs
+++ b/crates/node/src/job/requirement.rs
@@ -35,5 +35,7 @@
     pub software: Option<&'a str>,
     /// The item has waited long enough to run on a slow engine.
     pub allow_slow: bool,
+    /// The item is done soon enough on any engine, so it leaves the fast ones to longer items.
+    pub spares_fast: bool,
     pub evidence: Evidence,
 }
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -221,6 +221,7 @@
         let status = &job.statuses[item];
         let (model, min_version) = (&*job.spec.model, job.spec.min_version);
         let any = Requirement {
+            spares_fast: false,
             model,
             min_version,
             avoid: None,
