--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -39,8 +39,6 @@
 const EVENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest text of an item.
 const TEXT_BYTES_MAX: usize = 4 << 20;
-/// Shortest time over which an engine is judged as slow; a shorter stall is over before a move to another engine pays.
-const PACE_TIME_MIN: Duration = Duration::from_secs(1);
 /// Interval at which the control thread receives the text of a run.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 
@@ -423,7 +421,7 @@
             }
         }
         let events = state.progress.last_event - window_first;
-        if events >= run.pace_window && window_started.elapsed() >= PACE_TIME_MIN {
+        if events >= run.pace_window {
             let pace = window_started.elapsed() / u32::try_from(events).unwrap_or(u32::MAX);
             if pace > run.pace_max {
                 return Some(End::Slow);
