--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -19,9 +19,9 @@
 
 impl Leader {
     /// Command to stop the longest run that would finish sooner on an engine with a free slot, where its item then
-    /// continues. Nothing is moved while an item is waiting for a slot.
+    /// continues. Items that wait have been offered the slot before.
     pub fn move_item(&mut self, now: Time) -> Vec<Command> {
-        if self.queue.has_waiting() || now < self.moved_at + MOVE_INTERVAL {
+        if now < self.moved_at + MOVE_INTERVAL {
             return Vec::new();
         }
         self.moved_at = now;
