--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -29,6 +29,9 @@
 pub struct Rollout {
     /// Newest version that a trainer requested, by model.
     requested: Versions,
+    /// Partition of the engines that are much faster than most, so that each model has its share of them.
+    fast: Partition,
+    /// Partition of the others.
     partition: Partition,
     /// Engines, requested versions or demand have changed since the last rebalancing.
     rebalance_due: bool,
@@ -80,8 +83,12 @@
     ) -> Vec<PlannedLoad> {
         if std::mem::take(&mut self.rebalance_due) {
             let available = engines.iter().filter(|engine| !engine.target.draining);
-            let versions = available.map(|engine| (engine.target.id.clone(), engine.versions()));
-            self.partition.rebalance(&versions.collect(), &self.requested, &self.demand);
+            let (fast, others): (Vec<_>, Vec<_>) =
+                available.partition(|engine| engines.is_fast(engine));
+            for (partition, engines) in [(&mut self.fast, fast), (&mut self.partition, others)] {
+                let versions = engines.iter().map(|it| (it.target.id.clone(), it.versions()));
+                partition.rebalance(&versions.collect(), &self.requested, &self.demand);
+            }
         }
         let mut candidates = self.candidates(now, engines, long);
         let total = engines.len();
@@ -90,9 +97,7 @@
             let free = weights::parallel_loads_max(total).saturating_sub(self.loads.len());
             let loading = self.loads.values().filter(|(of, _)| of == model).count();
             let free = self.ends.limit((model, version), (loading, free), now);
-            let mut candidates = candidates.remove(model).unwrap_or_default();
-            // An engine that serves several models loads one version at a time.
-            candidates.retain(|it| it.loading || !self.loads.contains_key(&it.id));
+            let candidates = candidates.remove(model).unwrap_or_default();
             for target in weights::next_loads(version, &candidates, queue_empty, free) {
                 engines.begin_load(&target, model);
                 self.loads.insert(target.clone(), (model.clone(), version));
@@ -112,22 +117,20 @@
         let mut candidates: BTreeMap<ModelId, Vec<Candidate>> = BTreeMap::new();
         for engine in engines.iter().filter(|engine| !engine.target.draining) {
             let id = &engine.target.id;
-            let own = self.partition.model_of(id);
-            let is_shared = engines.is_fast(engine);
-            let models = self.requested.keys().filter(|model| is_shared || Some(*model) == own);
+            let Some(model) = self.fast.model_of(id).or_else(|| self.partition.model_of(id)) else {
+                continue;
+            };
+            let Some(version) = engine.version(model) else {
+                continue;
+            };
             let backing_off = self.retry_after.get(id).is_some_and(|after| *after > now);
-            for model in models {
-                let Some(version) = engine.version(model) else {
-                    continue;
-                };
-                candidates.entry(model.clone()).or_default().push(Candidate {
-                    id: id.clone(),
-                    version,
-                    loading: self.loads.contains_key(id) || backing_off,
-                    in_flight: engine.in_flight,
-                    has_long_item: long.contains(id),
-                });
-            }
+            candidates.entry(model.clone()).or_default().push(Candidate {
+                id: id.clone(),
+                version,
+                loading: self.loads.contains_key(id) || backing_off,
+                in_flight: engine.in_flight,
+                has_long_item: long.contains(id),
+            });
         }
         candidates
     }
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -25,7 +25,7 @@
 /// Minimum speed-up for which an item is moved to another engine.
 const FASTER_FACTOR: f64 = 1.2;
 /// An engine is fast if the median pace exceeds its own by this factor.
-const FAST_FACTOR: f64 = 1.6;
+const FAST_FACTOR: f64 = 1.4;
 /// An engine is slow if its pace exceeds the median by this factor.
 const SLOW_FACTOR: f64 = 1.7;
 /// The same, relative to the assumed pace before any run was measured.
@@ -196,8 +196,8 @@
         (pace > best.mul_f64(FASTER_FACTOR)).then(|| pace - best)
     }
 
-    /// Whether an engine is so much faster than most that it should serve every model. Its last pace counts, however old,
-    /// so that a pause between runs does not change which versions it holds.
+    /// Whether an engine is much faster than most. Its last pace counts, however old, so that a pause between runs does
+    /// not change which model it serves.
     pub fn is_fast(&self, engine: &Engine) -> bool {
         let typical = self.typical_pace();
         engine.last_pace().is_some_and(|pace| pace.mul_f64(FAST_FACTOR) <= typical)
