Merge fair: uneven engines

Cause: a quarter of the engines is twice as fast as the rest. The longest items of a step, which end it, started on slow engines and moved late: a move waited until no item of any model waited, took the longest estimate instead of the longest rest, and was made for a single event as well. Short items filled the fast engines, and models got fast engines by chance.

Where all engines are about as fast, nothing is spared or partitioned apart.

--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -13,22 +13,20 @@
 const MOVE_INTERVAL: Duration = Duration::from_millis(60);
 /// Minimum age of a run that may be moved; a shorter run ends before a move pays.
 const MOVE_AGE_MIN: Duration = Duration::from_millis(500);
+/// Least time that a move has to save: the item starts anew at its last event, and its prompt is read again.
+const MOVE_SAVING_MIN: Duration = Duration::from_millis(300);
 
 impl Leader {
     /// Command to stop the longest run that would finish sooner on an engine with a free slot, where its item then
-    /// continues. Nothing is moved while an item is waiting for a slot.
+    /// continues. Items that wait have been offered the slot before.
     pub fn move_item(&mut self, now: Time) -> Vec<Command> {
-        if self.queue.has_waiting() || now < self.moved_at + MOVE_INTERVAL {
+        if now < self.moved_at + MOVE_INTERVAL {
             return Vec::new();
         }
         self.moved_at = now;
         self.engines.advance(now);
         let movable = self.runs.iter().filter(|(_, run)| self.is_movable(run, now));
-        let length_hint = |run: &ActiveRun| {
-            let job = self.queue.get(&run.job);
-            job.and_then(|job| job.spec.items[run.item].length_hint)
-        };
-        let longest = movable.max_by_key(|(_, run)| length_hint(run));
+        let longest = movable.max_by_key(|(_, run)| self.rest(run));
         let stop = |(&id, run): (&u64, &ActiveRun)| Command::Stop { run: id, runner: run.runner };
         longest.map(stop).into_iter().collect()
     }
@@ -80,7 +78,12 @@
         let (Some(requirement), Some(target)) = (self.requirement(run), &run.target) else {
             return false;
         };
-        self.engines.has_faster(&requirement, target)
+        let saving = self.engines.saving(&requirement, target);
+        let rest = self.queue.rest_events(&run.job, run.item);
+        // Before any text has ended, the length of a text in events is unknown.
+        saving.is_some_and(|saving| {
+            rest.is_none_or(|events| saving.mul_f64(events) >= MOVE_SAVING_MIN)
+        })
     }
 
     /// Requirement of a run's item on another engine.
@@ -93,6 +96,7 @@
             // A text goes on only at the version that began it.
             software: self.engines.get(target).map(|engine| &*engine.target.software),
             allow_slow: false,
+            spares_fast: false,
             evidence: Evidence::NoFailure,
             idle: false,
         })
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -5,10 +5,10 @@
 
 use crate::{
     control::orders::LoadResult,
-    job::{Engines, Job},
+    job::{Engine, Engines, Job},
     loads::Ends,
     prelude::*,
-    weights::{self, Candidate, Demand, Partition, Versions},
+    weights::{self, Candidate, Demand, Partitions, Versions},
 };
 
 /// Weight of the last step in a model's moving average of demand.
@@ -29,7 +29,7 @@
 pub struct Rollout {
     /// Newest version that a trainer requested, by model.
     requested: Versions,
-    partition: Partition,
+    partitions: Partitions,
     /// Engines, requested versions or demand have changed since the last rebalancing.
     rebalance_due: bool,
     /// Moving average of the output tokens per step, by model.
@@ -80,8 +80,13 @@
     ) -> Vec<PlannedLoad> {
         if std::mem::take(&mut self.rebalance_due) {
             let available = engines.iter().filter(|engine| !engine.target.draining);
-            let versions = available.map(|engine| (engine.target.id.clone(), engine.versions()));
-            self.partition.rebalance(&versions.collect(), &self.requested, &self.demand);
+            let (fast, others): (Vec<_>, Vec<_>) =
+                available.partition(|engine| engines.is_fast(engine));
+            let versions = |engines: Vec<&Engine>| {
+                engines.iter().map(|it| (it.target.id.clone(), it.versions())).collect()
+            };
+            let (fast, others) = (versions(fast), versions(others));
+            self.partitions.rebalance(&fast, &others, &self.requested, &self.demand);
         }
         let mut candidates = self.candidates(now, engines, long);
         let total = engines.len();
@@ -110,7 +115,7 @@
         let mut candidates: BTreeMap<ModelId, Vec<Candidate>> = BTreeMap::new();
         for engine in engines.iter().filter(|engine| !engine.target.draining) {
             let id = &engine.target.id;
-            let Some(model) = self.partition.model_of(id) else {
+            let Some(model) = self.partitions.model_of(id) else {
                 continue;
             };
             let Some(version) = engine.version(model) else {
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -24,6 +24,8 @@
 const FULL_ENGINE_COST: f64 = 0.15;
 /// Minimum speed-up for which an item is moved to another engine.
 const FASTER_FACTOR: f64 = 1.2;
+/// An engine is fast if the median pace exceeds its own by this factor.
+const FAST_FACTOR: f64 = 1.4;
 /// An engine is slow if its pace exceeds the median by this factor.
 const SLOW_FACTOR: f64 = 1.7;
 /// The same, relative to the assumed pace before any run was measured.
@@ -193,6 +195,7 @@
                 && requirement.software.is_none_or(|software| *software == *engine.target.software)
                 && requirement.evidence.holds_for(engine)
                 && (!requirement.idle || engine.in_flight == 0)
+                && !(requirement.spares_fast && self.is_fast(engine))
                 && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
         };
         let ranks = self.open.get(requirement.model).map(|open| &open.ranks);
@@ -200,13 +203,17 @@
         engines.filter(qualifies)
     }
 
-    /// Whether an open engine is so much faster than `current` that moving an item pays.
-    pub fn has_faster(&self, requirement: &Requirement, current: &str) -> bool {
-        let Some(engine) = self.get(current) else {
-            return false;
-        };
-        let best = self.choose(requirement);
-        best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
+    /// Time that an item saves with each event on the best open engine, if that is much faster than `current`.
+    pub fn saving(&self, requirement: &Requirement, current: &str) -> Option<Duration> {
+        let (pace, best) = (self.pace(self.get(current)?), self.pace(self.choose(requirement)?));
+        (pace > best.mul_f64(FASTER_FACTOR)).then(|| pace - best)
+    }
+
+    /// Whether an engine is much faster than most. Its last pace counts, however old, so that a pause between runs does
+    /// not change which model it serves.
+    pub fn is_fast(&self, engine: &Engine) -> bool {
+        let typical = self.typical_pace();
+        engine.last_pace().is_some_and(|pace| pace.mul_f64(FAST_FACTOR) <= typical)
     }
 
     fn is_slow(&self, engine: &Engine) -> bool {
--- a/crates/node/src/weights.rs
+++ b/crates/node/src/weights.rs
@@ -147,6 +147,33 @@
     }
 }
 
+/// Partition of engines of uneven speed: the fast ones are shared apart from the others, so that each model has its share of
+/// them for its longest items.
+#[derive(Clone, Debug, Default)]
+pub struct Partitions {
+    fast: Partition,
+    others: Partition,
+}
+
+impl Partitions {
+    /// Adapts both partitions. An engine whose speed has changed joins the other one.
+    pub fn rebalance(
+        &mut self,
+        fast: &BTreeMap<TargetId, Versions>,
+        others: &BTreeMap<TargetId, Versions>,
+        requested: &Versions,
+        demand: &Demand,
+    ) {
+        self.fast.rebalance(fast, requested, demand);
+        self.others.rebalance(others, requested, demand);
+    }
+
+    /// Model of an engine.
+    pub fn model_of(&self, id: &str) -> Option<&ModelId> {
+        self.fast.model_of(id).or_else(|| self.others.model_of(id))
+    }
+}
+
 /// Number of engines that each model should have, by demand. A model without known demand counts as average.
 fn shares(engines: usize, requested: &Versions, demand: &Demand) -> Demand {
     let known: Vec<f64> = requested.keys().filter_map(|model| demand.get(model)).copied().collect();
