--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -10,7 +10,7 @@
 use common::ms;
 use lagoonyard_node::{
     clock,
-    feed::{ChangesRequest, Client, Direct, Feed, Snapshot, Source, Watched},
+    feed::{ChangesRequest, Client, Direct, Feed, Renewed, Snapshot, Source, Watched},
     peer::{self, Frames, Handler, Kind, Lead, Request, Response, Tunnel},
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
@@ -274,3 +274,63 @@
         assert!(begun.elapsed() < ms(100), "{:?}", begun.elapsed());
     });
 }
+
+/// Guards against a proof that a host dates later than the reader's read of the store, or much earlier because its request
+/// waited for the proof.
+#[test]
+fn a_proof_of_the_reader_keeps_its_age() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let first = clock::now().saturating_sub(ms(120));
+        feed.prove(PREFIX, first);
+        let renewed = client.renew(PREFIX, 5, None, ms(400)).await.unwrap();
+        let known = assert_matches!(renewed, Renewed::Changes { proven_at, .. } => proven_at);
+        assert!(known <= first && known + ms(60) > first, "{known:?} {first:?}");
+        // The next answer comes with the next proof.
+        let proven = Arc::clone(&feed);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(ms(150)).await;
+            proven.prove(PREFIX, clock::now());
+        });
+        let begun = clock::now();
+        let renewed = client.renew(PREFIX, 5, Some(known), ms(400)).await.unwrap();
+        let waited = clock::now().saturating_sub(begun);
+        assert!(waited >= ms(140) && waited < ms(350), "{waited:?}");
+        let known = assert_matches!(renewed, Renewed::Changes { proven_at, .. } => proven_at);
+        assert!(known <= begun + waited && known + ms(60) > begun + ms(150), "{known:?}");
+        assert_eq!(store.calls.get(), 0);
+    });
+}
+
+/// Guards against a host that counts as current by a reader that proves nothing: it has lost the store, hangs, or is of an
+/// earlier build.
+#[test]
+fn without_a_young_proof_of_the_reader_the_store_is_read() {
+    run(async {
+        let store = Rc::new(Counter::default());
+        for (calls, proven_ms) in [(1, None), (2, Some(900))] {
+            let feed = feed(None);
+            if let Some(age) = proven_ms {
+                feed.prove(PREFIX, clock::now().saturating_sub(ms(age)));
+            }
+            let client = client(&feed, &store).await;
+            let begun = clock::now();
+            let renewed = client.renew(PREFIX, 5, Some(begun), ms(200)).await.unwrap();
+            let proven_at = assert_matches!(renewed, Renewed::Read(snapshot) => snapshot.proven_at);
+            assert!(proven_at >= Some(begun));
+            assert_eq!(store.calls.get(), calls);
+        }
+    });
+}
+
+/// Guards against a copy that counts as proved by a watch, which shows nothing while it waits.
+#[test]
+fn changes_prove_nothing() {
+    run(async {
+        let feed = feed(None);
+        feed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, None);
+        let request = ChangesRequest { prefix: PREFIX.into(), ..ChangesRequest::default() };
+        assert_eq!(feed.serve(&request).await.unwrap().proven_after_ms, None);
+    });
+}
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -20,7 +20,10 @@
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
 };
-use tokio::sync::mpsc;
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, timeout_at},
+};
 
 /// Store without entries whose first read fails.
 struct FailingOnce {
@@ -178,3 +181,33 @@
         assert!(tokio::time::timeout(ms(2_000), synced).await.is_ok());
     });
 }
+
+/// Guards against a host that trusts its configuration without a proof, and against one that goes on reading it when that is
+/// not needed any more.
+#[test]
+fn a_mirror_proves_that_it_is_current_as_long_as_that_is_asked_for() {
+    let store = ScriptedStore { watches: RefCell::default() };
+    let (updates, mut receiver) = mpsc::unbounded_channel();
+    let (renewal, renewed) = watch::channel(None);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(1))).with_renewal(renewed);
+        let source = Rc::new(Direct(Rc::new(store)));
+        tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
+        let mut proofs = async || {
+            let (mut all, end) = (Vec::new(), Instant::now() + ms(220));
+            while let Ok(Some(update)) = timeout_at(end, receiver.recv()).await {
+                if let Update::Known { mirror: 3, proven_at } = update {
+                    all.push(proven_at.expect("a time"));
+                }
+            }
+            all
+        };
+        assert_eq!(proofs().await.len(), 1, "the first read; the watch waits");
+        renewal.send(Some(ms(40))).unwrap();
+        let all = proofs().await;
+        assert!((4..=7).contains(&all.len()) && all.is_sorted(), "{all:?}");
+        renewal.send(None).unwrap();
+        assert!(proofs().await.len() <= 1);
+    });
+}
