--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -169,6 +169,7 @@
                         let config = self.store_state.config.as_deref();
                         let job = job.with_workspace(config, &self.dialect);
                         let opened = leader.finish_read(job, policy, submitted_at, now);
+                        config.into_iter().for_each(|it| leader.queue.update_policies(it));
                         METERS.open_jobs(&service, leader.queue.len());
                         self.outbox.send(&service, vec![opened]);
                     }
@@ -325,8 +326,10 @@
         let submitted_at = now.saturating_sub(record.age(clock::unix_ms()));
         self.store_state.put_head(id, Head { record: record.clone(), revision });
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
-        let stored = stored.with_workspace(self.store_state.config.as_deref(), &self.dialect);
+        let config = self.store_state.config.as_deref();
+        let stored = stored.with_workspace(config, &self.dialect);
         let opened = leader.finish_read(stored, policy, submitted_at, now);
+        config.into_iter().for_each(|it| leader.queue.update_policies(it));
         METERS.open_jobs(&service, leader.queue.len());
         self.outbox.send(&service, vec![opened]);
     }
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -45,6 +45,9 @@
     ) -> Option<Assignment> {
         self.started_at = self.started_at.min(now);
         self.expire_items(now);
+        if self.unowned {
+            return None;
+        }
         self.promote(now);
         while let Some(&item) = self.waiting.unjudged.first() {
             if let Some(assignment) = self.assign_unjudged(item, now, engines, crashes) {
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -55,6 +55,8 @@
     pub chunks: u64,
     /// It cannot be complete in time, so it gets only slots that no other job can use.
     pub(super) deferred: bool,
+    /// It has no workspace and needs one, so runners would refuse its items.
+    pub(super) unowned: bool,
     /// Time at which its first item could start.
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
@@ -112,6 +114,7 @@
             listed: 0,
             chunks: 0,
             deferred: false,
+            unowned: false,
             started_at: Time::MAX,
             statuses,
             resubmitted: BTreeSet::new(),
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -5,13 +5,15 @@
     sync::Arc,
 };
 
+use log::warn;
+
 use crate::{
     config::Config,
     crash::{self, Strike},
     dialect::Strategy,
     events::Progress,
     job::{
-        Assignment, End, Engines, Job, Outcome, Row,
+        Assignment, End, Engines, Job, Outcome, Record, Row,
         length::Estimate,
         status::State,
         triage::{self, Load},
@@ -101,6 +103,12 @@
     /// Applies a configuration to the jobs that do not know it yet.
     pub fn update_policies(&mut self, config: &Config) {
         for job in self.jobs.values_mut() {
+            let Record { host, path, workspace, .. } = &*job.record;
+            let unowned = workspace.is_none() && config.needs_workspace(host, path);
+            if unowned && !job.unowned {
+                warn!(job = &*job.spec.id; "items of a job are not started: an earlier build has accepted it without a workspace");
+            }
+            job.unowned = unowned;
             if let Some(later) = config.job_policy(&job.record)
                 && later.config > job.policy.config
             {
--- a/crates/node/tests/queue.rs
+++ b/crates/node/tests/queue.rs
@@ -7,6 +7,7 @@
     config::{Config, Kind, Limits, Route},
     job::{End, Policy, Queue, Row},
     prelude::*,
+    workspace::Directory,
 };
 
 const BYTES_MAX: usize = 1 << 20;
@@ -333,3 +334,18 @@
         queue.finish_run(broken, now, &mut engines);
     }
 }
+
+/// Guards against engines that back off for all jobs, as runners refuse the items of a job without a workspace.
+#[test]
+fn items_without_a_workspace_are_not_started_where_they_need_one() {
+    let (mut queue, mut engines) = (Queue::default(), engines(&[engine("e1", 1)]));
+    queue.insert(job("j", 1, &[("a", 1)]));
+    let with = |public| {
+        let config = config(2, |route| route.public = public);
+        config.with_workspaces(Some(Directory::default()))
+    };
+    queue.update_policies(&with(false));
+    assert!(queue.assign_next(ms(0), &mut engines).is_none());
+    queue.update_policies(&with(true));
+    assert!(queue.assign_next(ms(0), &mut engines).is_some());
+}
