Workspaces: a runner leaves a leader that sends no workspaces

Cause: found with a leader of the previous build: the runner refused its items, and the leader sent them to the same host again and again, as the only engine was assigned to it. The job got no result in 10 s.

Change: the runner refuses the item as not run and ends the connection like a host that leaves, so the leader gives its engines to other hosts for some seconds. Items that only lack their score are not refused.

--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -447,10 +447,10 @@
 }
 
 /// Whether an item has no workspace and needs one. A leader of an earlier build sends it so.
-fn lacks_workspace(traffic: &Traffic, run: &Run) -> bool {
+pub fn lacks_workspace(traffic: &Traffic, run: &Run) -> bool {
     let view = traffic.view.load();
     let needs = |config: &Arc<Config>| config.needs_workspace(&run.host, &run.item.path);
-    run.workspace.is_none() && view.config.as_ref().is_some_and(needs)
+    run.target.is_some() && run.workspace.is_none() && view.config.as_ref().is_some_and(needs)
 }
 
 /// Builds the request of an item; `None` if its path or headers are not valid in HTTP.
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -83,6 +83,8 @@
     runs: HashMap<u64, ActiveRun>,
     /// Reports of the runs.
     sender: mpsc::UnboundedSender<Report>,
+    /// An item was refused, as the leader sends none with a workspace.
+    refuses: bool,
 }
 
 /// Serves the connection of a leader until it ends.
@@ -92,7 +94,8 @@
         return;
     }
     let (sender, reports) = mpsc::unbounded_channel();
-    let mut session = Session { traffic, lead, frames, runs: HashMap::new(), sender };
+    let mut session =
+        Session { traffic, lead, frames, runs: HashMap::new(), sender, refuses: false };
     let lead = &session.lead;
     if session.is_over() {
         warn!(service = lead.service, fence = lead.fence; "leader refused: its term is over");
@@ -157,7 +160,7 @@
                         break "message could not be decoded";
                     };
                     if self.apply(message, leaving).await.is_none() {
-                        break "connection broke";
+                        break if self.refuses { "items have no workspace" } else { "connection broke" };
                     }
                 }
                 Some(report) = reports.recv() => {
@@ -266,6 +269,9 @@
                 return self.flush().await;
             }
         };
+        if run::lacks_workspace(&self.traffic, &run) {
+            return self.refuse(unstarted).await;
+        }
         let (stop, stopped) = oneshot::channel();
         let sent = run.assignment.progress.text.len();
         self.runs.insert(id, ActiveRun { stop: Some(stop), sent });
@@ -282,6 +288,16 @@
         Some(())
     }
 
+    /// Refuses an item without a workspace and ends the connection: a leader of an earlier build sends no workspaces, and gives
+    /// the engines of a host that leaves to others.
+    async fn refuse(&mut self, unstarted: Ended) -> Option<()> {
+        self.refuses = true;
+        self.feed(News::Leaving(true)).await?;
+        self.feed(News::Ended(Box::new(unstarted))).await?;
+        self.flush().await?;
+        None
+    }
+
     async fn report(&mut self, report: Report) -> Option<()> {
         let report = match report {
             Report::Run(report) => report,
