--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -42,6 +42,9 @@
     pub(super) fn assign_next(&mut self, now: Time, engines: &mut Engines) -> Option<Assignment> {
         self.started_at = self.started_at.min(now);
         self.expire_items(now);
+        if self.unowned {
+            return None;
+        }
         self.promote(now);
         while let Some(&item) = self.waiting.unjudged.first() {
             if let Some(assignment) = self.assign_unjudged(item, now, engines) {
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -57,6 +57,8 @@
     pub(super) deferred: bool,
     /// Events that are generated for each unit of a length hint, once that is known.
     pub(super) events_per_hint: Option<f64>,
+    /// It has no workspace and needs one, so runners would refuse its items.
+    pub(super) unowned: bool,
     /// Time at which its first item could start.
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
@@ -115,6 +117,7 @@
             listed: 0,
             chunks: 0,
             deferred: false,
+            unowned: false,
             started_at: Time::MAX,
             statuses,
             resubmitted: BTreeSet::new(),
