Autoscaling: the cover of a loss only where several zones have spot targets

Cause: with one zone refusing spot targets, the plan bought on-demand targets to cover the loss of the other zone's spot targets, and ordered no further spot targets there (platform/tests/scale, another_zone_stands_in_for_one_without_targets).

Change: the cover counts only zones that offer spot targets now; on-demand targets are ordered for the need itself.

--- a/crates/node/src/scale/plan.rs
+++ b/crates/node/src/scale/plan.rs
@@ -1,8 +1,8 @@
 //! Cheapest numbers of targets by zone and kind that meet a need.
 //!
 //! All spot targets of a zone may be reclaimed at once, so what is left after the loss of any one zone's spot targets has
-//! to serve the need as well. That cover is bought at the spot price: beyond what full zones of spot targets leave,
-//! on-demand targets are ordered only for the need itself.
+//! to serve the need as well. That cover is bought at the spot price, as far as several zones have spot targets: on-demand
+//! targets are ordered only for the need itself.
 
 use std::collections::BTreeMap;
 
@@ -46,7 +46,7 @@
 
 /// Numbers of targets that meet the need at the least cost, or come closest to it.
 pub fn plan(scale: &Scale, zones: &[ZoneOffer], need: Need) -> BTreeMap<Pool, u32> {
-    let need = Need { after_loss: need.after_loss.min(reach(scale, zones.len())), ..need };
+    let need = Need { after_loss: need.after_loss.min(reach(scale, zones)), ..need };
     let cap_max = scale.max.min(need.total.max(need.after_loss).max(scale.min));
     let mut best: Option<(Merit, Vec<Counts>)> = None;
     for cap in 0..=cap_max {
@@ -67,9 +67,15 @@
     pools.collect()
 }
 
-/// Targets that are left of full zones of spot targets when one zone's are lost.
-pub fn reach(scale: &Scale, zones: usize) -> u32 {
-    scale.max.saturating_mul((zones as u32).saturating_sub(1))
+/// Targets that are left, beside the kept ones, of the spot targets that can be had when one zone's are lost.
+fn reach(scale: &Scale, zones: &[ZoneOffer]) -> u32 {
+    let spot = |zone: &ZoneOffer| {
+        let most = scale.max.saturating_sub(zone.kept);
+        zone.spot_max.map_or(most, |spot_max| spot_max.min(most))
+    };
+    let all = zones.iter().map(spot).fold(0, u32::saturating_add);
+    let largest = zones.iter().map(spot).max().unwrap_or_default();
+    zones.iter().map(|zone| zone.kept).fold(all - largest, u32::saturating_add)
 }
 
 /// Numbers with at most `cap` spot targets in each zone beyond what its lower bound takes.
--- a/crates/node/src/scale/scaler.rs
+++ b/crates/node/src/scale/scaler.rs
@@ -7,7 +7,7 @@
     prelude::*,
     scale::{
         CallResult, Forecast, Kind, Line, Need, Pacer, Peak, Pool, Step, Supply, ZoneOffer,
-        line::Registered, plan, plan::reach, slots_needed,
+        line::Registered, plan, slots_needed,
     },
 };
 
@@ -332,7 +332,8 @@
         };
         let ready: BTreeMap<&Pool, u32> =
             self.lines.iter().map(|(pool, line)| (pool, line.registered.ready)).collect();
-        let reach = reach(scale, self.zones().len());
+        // Also while some zones offer no spot targets, this much stays covered.
+        let reach = scale.max.saturating_mul((self.zones().len() as u32).saturating_sub(1));
         let need = Need { after_loss: need.after_loss.min(reach), ..need };
         (wanted..line.ordered).find(|count| {
             let mut left = ready.clone();
