--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -40,6 +40,18 @@
     assert!(replay.calls <= 12, "{} calls in all", replay.calls);
 }
 
+/// Guards against a step that comes after a long pause, at its known time, and finds no targets.
+#[test]
+fn targets_are_ready_before_a_step_that_recurs_after_a_pause() {
+    let mut replay = Replay::new(bounds(0, 10), 1);
+    replay.step_every(secs(90), 60);
+    replay.run(secs(150));
+    let (late_steps, low) = (replay.late_steps, replay.ready_of(Kind::Spot));
+    assert_eq!(low, [0, 0, 0], "the pause is longer than the hold time");
+    replay.run(secs(450));
+    assert_eq!(replay.late_steps, late_steps, "steps are late only until their interval is known");
+}
+
 /// Guards against orders in alternating directions while the load stays the same.
 #[test]
 fn a_steady_load_causes_no_further_orders() {
