--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -45,6 +45,9 @@
             self.terms.begin(service, fence);
         }
         METERS.leads(service, leadership.fence.is_some());
+        if leadership.fence.is_none() {
+            self.scaling.lost(service);
+        }
         let (acquired, has_leader) =
             (leadership.fence.is_some(), self.store_state.leader_keys.contains_key(service));
         if before.fence != leadership.fence && (acquired || has_leader) {
--- a/crates/node/src/control/scale.rs
+++ b/crates/node/src/control/scale.rs
@@ -22,7 +22,7 @@
     logging::ms,
     metrics::METERS,
     prelude::*,
-    scale::{CallResult, Decision, Inputs, Kind, Order, Pool, Present, Scaler, Turn},
+    scale::{Basis, CallResult, Decision, Inputs, Kind, Order, Pool, Present, Scaler, Turn},
 };
 
 /// Interval at which the work and the registrations are looked at.
@@ -76,6 +76,19 @@
         service
     }
 
+    /// Forgets what was decided under a leadership that has ended. Metrics no longer show it.
+    pub(super) fn lost(&mut self, name: &ServiceId) {
+        let Some(service) = self.services.get_mut(name) else {
+            return;
+        };
+        for (pool, _, _) in service.scaler.pools() {
+            record_pool(name, pool, (0, 0));
+        }
+        record_slots(name, &Basis::default());
+        service.fence = Revision::default();
+        service.scaler = Scaler::default();
+    }
+
     /// Applies the result of an order.
     pub(super) fn ended(
         &mut self,
@@ -198,11 +211,18 @@
 
 fn record(service: &str, scaler: &Scaler) {
     for (pool, wanted, ready) in scaler.pools() {
-        let pool = (&*pool.zone, pool.kind.name());
-        METERS.scale_targets(service, pool, "wanted", wanted);
-        METERS.scale_targets(service, pool, "ready", ready);
+        record_pool(service, pool, (wanted, ready));
     }
-    let basis = scaler.basis();
+    record_slots(service, scaler.basis());
+}
+
+fn record_pool(service: &str, pool: &Pool, (wanted, ready): (u32, u32)) {
+    let pool = (&*pool.zone, pool.kind.name());
+    METERS.scale_targets(service, pool, "wanted", wanted);
+    METERS.scale_targets(service, pool, "ready", ready);
+}
+
+fn record_slots(service: &str, basis: &Basis) {
     let slots = [("open", basis.open), ("expected", basis.expected), ("ready", basis.ready)];
     for (name, slots) in slots {
         METERS.scale_slots(service, name, slots);
--- a/crates/node/src/scale/plan.rs
+++ b/crates/node/src/scale/plan.rs
@@ -47,7 +47,7 @@
 /// Numbers of targets that meet the need at the least cost, or come closest to it.
 pub fn plan(scale: &Scale, zones: &[ZoneOffer], need: Need) -> BTreeMap<Pool, u32> {
     let need = Need { after_loss: need.after_loss.min(reach(scale, zones)), ..need };
-    let cap_max = scale.max.min(need.total.max(need.after_loss).max(scale.min));
+    let cap_max = scale.max.min(need.total.max(need.after_loss));
     let mut best: Option<(Merit, Vec<Counts>)> = None;
     for cap in 0..=cap_max {
         let counts = fill(scale, zones, need, cap);
--- a/crates/node/src/scale/scaler.rs
+++ b/crates/node/src/scale/scaler.rs
@@ -152,8 +152,8 @@
                 continue;
             }
             counts.ready += 1;
-            counts.slots += target.slots;
-            counts.taken += target.taken;
+            counts.slots = counts.slots.saturating_add(target.slots);
+            counts.taken = counts.taken.saturating_add(target.taken);
         }
         for (pool, counts) in registered {
             let line = self.lines.entry(pool).or_insert_with(|| Line::new(now, counts));
@@ -162,8 +162,9 @@
     }
 
     fn update_basis(&mut self, now: Time, inputs: &Inputs) {
-        let (ready, slots) = self.lines.values().fold((0, 0), |(ready, slots), line| {
-            (ready + line.registered.ready, slots + line.registered.slots)
+        let registered = self.lines.values().map(|line| &line.registered);
+        let (ready, slots) = registered.fold((0_u32, 0_u32), |(ready, slots), counts| {
+            (ready + counts.ready, slots.saturating_add(counts.slots))
         });
         let boot = inputs.scale.boot;
         if ready > 0 && slots > 0 {
@@ -198,11 +199,14 @@
         let on_demand = line(Kind::OnDemand);
         let kept = on_demand.map_or(0, |line| line.base.min(line.registered.ready));
         let price = scale.zone_prices.get(&zone).copied().unwrap_or(1.0);
+        let limit = |line: &Line| {
+            if is_offered(scale, &zone) { line.limit(now) } else { Some(line.registered.ready) }
+        };
         ZoneOffer {
             price,
             kept: if self.base_released { 0 } else { kept },
-            spot_max: line(Kind::Spot).and_then(|line| line.limit(now)),
-            on_demand_max: on_demand.and_then(|line| line.limit(now)),
+            spot_max: line(Kind::Spot).and_then(limit),
+            on_demand_max: on_demand.and_then(limit),
             zone,
         }
     }
@@ -252,6 +256,9 @@
 
     fn order(&self, now: Time, scale: &Scale, pool: &Pool, is_served: bool) -> Option<Order> {
         let line = self.lines.get(pool).filter(|line| !line.is_sending())?;
+        if !is_offered(scale, &pool.zone) {
+            return None;
+        }
         let ready = line.registered.ready;
         let order = |count, reason| Order {
             pool: pool.clone(),
@@ -307,7 +314,7 @@
         let (total, after_loss) = capacity(&planned);
         let need =
             Need { total: need.total.min(total), after_loss: need.after_loss.min(after_loss) };
-        serves(&expected, need) && has_least(&expected, scale.min)
+        serves(&expected, need) && has_least(&expected, scale)
     }
 
     /// Lower number to order for a pool, if that interrupts nothing and leaves enough.
@@ -338,14 +345,16 @@
         (wanted..line.ordered).find(|count| {
             let mut left = ready.clone();
             left.insert(pool, line.registered.ready.min(*count));
-            *count >= line.registered.ready || serves(&left, need) && has_least(&left, scale.min)
+            *count >= line.registered.ready || serves(&left, need) && has_least(&left, scale)
         })
     }
 
     /// Free slots of the ready targets of other pools.
     fn free_elsewhere(&self, pool: &Pool) -> u32 {
         let others = self.lines.iter().filter(|(other, _)| *other != pool);
-        others.map(|(_, line)| line.registered.slots.saturating_sub(line.registered.taken)).sum()
+        let counts = others.map(|(_, line)| &line.registered);
+        let free = counts.map(|counts| counts.slots.saturating_sub(counts.taken));
+        free.fold(0, u32::saturating_add)
     }
 }
 
@@ -365,11 +374,17 @@
     total >= need.total && after_loss >= need.after_loss
 }
 
-/// Whether each zone has its least number of targets.
-fn has_least(counts: &BTreeMap<&Pool, u32>, min: u32) -> bool {
+/// Whether each zone in which targets can be ordered has its least number.
+fn has_least(counts: &BTreeMap<&Pool, u32>, scale: &Scale) -> bool {
     let mut zones: BTreeMap<&ZoneId, u32> = BTreeMap::new();
-    for (pool, count) in counts {
+    for (pool, count) in counts.iter().filter(|(pool, _)| is_offered(scale, &pool.zone)) {
         *zones.entry(&pool.zone).or_default() += count;
     }
-    zones.values().all(|count| *count >= min)
+    zones.values().all(|count| *count >= scale.min)
+}
+
+/// Whether targets can be ordered in a zone. If the configuration names prices, only the zones that have one; a registration
+/// may name any zone.
+fn is_offered(scale: &Scale, zone: &ZoneId) -> bool {
+    scale.zone_prices.is_empty() || scale.zone_prices.contains_key(zone)
 }
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -10,7 +10,9 @@
 use lagoonyard_node::{
     fleet::Target,
     job::Leaving,
-    scale::{CallResult, Kind, Need, Pacer, Peak, Turn, ZoneOffer, plan},
+    scale::{
+        CallResult, Inputs, Kind, Need, Pacer, Peak, Pool, Present, Scaler, Turn, ZoneOffer, plan,
+    },
 };
 use replay::{BOOT, Replay, bounds, pool, secs};
 
@@ -198,6 +200,26 @@
     assert!(replay.calls <= calls + 3, "{} calls", replay.calls - calls);
 }
 
+/// Guards against orders for a zone that only a registration names.
+#[test]
+fn nothing_is_ordered_in_a_zone_without_a_price() {
+    let scale = bounds(1, 10);
+    let present = |zone: &str| Present {
+        pool: Pool { zone: zone.into(), kind: Kind::Spot },
+        slots: 2,
+        taken: 0,
+        draining: false,
+        leaving: false,
+    };
+    let targets = ["z0", "z1", "z2", "odd"].map(present).to_vec();
+    let inputs = Inputs { scale: &scale, targets, steps: Vec::new() };
+    let mut scaler = Scaler::default();
+    for at in 1..600 {
+        scaler.observe(secs(at), &inputs);
+        assert_eq!(scaler.decide(secs(at), &scale, 2.0).orders, []);
+    }
+}
+
 /// Guards against a plan that pays on-demand prices for the cover of a loss, or that misses the need if spot targets are
 /// short.
 #[test]
