--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -14,8 +14,11 @@
         CallResult, Inputs, Kind, Need, Pacer, Peak, Pool, Present, Scaler, Turn, ZoneOffer, plan,
     },
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use replay::{BOOT, Replay, bounds, pool, secs};
 
+const SEEDS: u64 = 20;
+
 /// Steps of the trainers: one of 60 items of 1 s each, every 5 s, due after 7.5 s.
 fn with_steps(replay: &mut Replay) {
     replay.step_every(secs(5), 60);
@@ -185,6 +188,34 @@
     assert_eq!(replay.above_max, 0);
 }
 
+/// Guards against orders beyond the bounds and against interrupted items in orders of events that no other test has: loads
+/// that change, zones that are reclaimed, refuse targets and have them again, and leaders that are replaced.
+#[test]
+fn bounds_and_items_are_kept_whatever_happens() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut replay = Replay::new(bounds(1, 6), rng.random_range(0..3));
+        for _ in 0..60 {
+            let zone = rng.random_range(0..3);
+            match rng.random_range(0..8) {
+                0 => replay.step_every(secs(rng.random_range(2..20)), rng.random_range(1..120)),
+                1 => replay.end_steps(),
+                2 if replay.ready_of(Kind::Spot)[zone] > 0 => replay.reclaim(zone, secs(2)),
+                3 => replay.unavailable(zone, Some(Kind::Spot)),
+                4 => replay.unavailable(zone, None),
+                5 => replay.change_leader(),
+                _ => replay.available(zone),
+            }
+            replay.run(secs(rng.random_range(1..40)));
+        }
+        assert_eq!((replay.above_max, replay.interrupted), (0, 0), "seed {seed}");
+        (0..3).for_each(|zone| replay.available(zone));
+        replay.step_every(secs(5), 40);
+        replay.run(secs(90));
+        assert!(replay.slots_after_loss() >= replay.slots_needed(), "seed {seed}");
+    }
+}
+
 /// Guards against a new leader that shrinks what its predecessor ordered, as it has seen no demand yet.
 #[test]
 fn a_new_leader_goes_on_from_the_registrations() {
