--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -10,10 +10,15 @@
 use lagoonyard_node::{
     fleet::Target,
     job::Leaving,
-    scale::{CallResult, Kind, Need, Pacer, Peak, Turn, ZoneOffer, plan},
+    scale::{
+        CallResult, Inputs, Kind, Need, Pacer, Peak, Pool, Present, Scaler, Turn, ZoneOffer, plan,
+    },
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use replay::{BOOT, Replay, bounds, pool, secs};
 
+const SEEDS: u64 = 20;
+
 /// Steps of the trainers: one of 60 items of 1 s each, every 5 s, due after 7.5 s.
 fn with_steps(replay: &mut Replay) {
     replay.step_every(secs(5), 60);
@@ -40,6 +45,18 @@
     assert!(replay.calls <= 12, "{} calls in all", replay.calls);
 }
 
+/// Guards against a step that comes after a long pause, at its known time, and finds no targets.
+#[test]
+fn targets_are_ready_before_a_step_that_recurs_after_a_pause() {
+    let mut replay = Replay::new(bounds(0, 10), 1);
+    replay.step_every(secs(90), 60);
+    replay.run(secs(150));
+    let (late_steps, low) = (replay.late_steps, replay.ready_of(Kind::Spot));
+    assert_eq!(low, [0, 0, 0], "the pause is longer than the hold time");
+    replay.run(secs(450));
+    assert_eq!(replay.late_steps, late_steps, "steps are late only until their interval is known");
+}
+
 /// Guards against orders in alternating directions while the load stays the same.
 #[test]
 fn a_steady_load_causes_no_further_orders() {
@@ -171,6 +188,34 @@
     assert_eq!(replay.above_max, 0);
 }
 
+/// Guards against orders beyond the bounds and against interrupted items in orders of events that no other test has: loads
+/// that change, zones that are reclaimed, refuse targets and have them again, and leaders that are replaced.
+#[test]
+fn bounds_and_items_are_kept_whatever_happens() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut replay = Replay::new(bounds(1, 6), rng.random_range(0..3));
+        for _ in 0..60 {
+            let zone = rng.random_range(0..3);
+            match rng.random_range(0..8) {
+                0 => replay.step_every(secs(rng.random_range(2..20)), rng.random_range(1..120)),
+                1 => replay.end_steps(),
+                2 if replay.ready_of(Kind::Spot)[zone] > 0 => replay.reclaim(zone, secs(2)),
+                3 => replay.unavailable(zone, Some(Kind::Spot)),
+                4 => replay.unavailable(zone, None),
+                5 => replay.change_leader(),
+                _ => replay.available(zone),
+            }
+            replay.run(secs(rng.random_range(1..40)));
+        }
+        assert_eq!((replay.above_max, replay.interrupted), (0, 0), "seed {seed}");
+        (0..3).for_each(|zone| replay.available(zone));
+        replay.step_every(secs(5), 40);
+        replay.run(secs(90));
+        assert!(replay.slots_after_loss() >= replay.slots_needed(), "seed {seed}");
+    }
+}
+
 /// Guards against a new leader that shrinks what its predecessor ordered, as it has seen no demand yet.
 #[test]
 fn a_new_leader_goes_on_from_the_registrations() {
@@ -186,6 +231,26 @@
     assert!(replay.calls <= calls + 3, "{} calls", replay.calls - calls);
 }
 
+/// Guards against orders for a zone that only a registration names.
+#[test]
+fn nothing_is_ordered_in_a_zone_without_a_price() {
+    let scale = bounds(1, 10);
+    let present = |zone: &str| Present {
+        pool: Pool { zone: zone.into(), kind: Kind::Spot },
+        slots: 2,
+        taken: 0,
+        draining: false,
+        leaving: false,
+    };
+    let targets = ["z0", "z1", "z2", "odd"].map(present).to_vec();
+    let inputs = Inputs { scale: &scale, targets, steps: Vec::new() };
+    let mut scaler = Scaler::default();
+    for at in 1..600 {
+        scaler.observe(secs(at), &inputs);
+        assert_eq!(scaler.decide(secs(at), &scale, 2.0).orders, []);
+    }
+}
+
 /// Guards against a plan that pays on-demand prices for the cover of a loss, or that misses the need if spot targets are
 /// short.
 #[test]
