--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -165,9 +165,11 @@
         loads.into_iter().flat_map(of_model).collect()
     }
 
-    /// The jobs as consumers of slots. Before any text was finished, a unit of a hint is taken for an event.
+    /// The jobs as consumers of slots; none before a text was finished, as the events of a unit of a hint are unknown until then.
     pub fn steps(&self, engines: &Engines) -> Vec<Step> {
-        let events_per_hint = self.lengths.events_per_hint().unwrap_or(1.0);
+        let Some(events_per_hint) = self.lengths.events_per_hint() else {
+            return Vec::new();
+        };
         let pace = engines.typical_pace();
         self.jobs.values().map(|job| job.step(pace, events_per_hint)).collect()
     }
