An answer with an invalid status is no answer

Cause: the HTTP client takes any three digits from 100 on for a status, and 101 for a final answer. The answer was passed on as it came.

Change: Channel::send, through which all answers of targets, engines, judges and the store come, accepts 200 to 599 only. Anything else is an error after which the request may have run, and the connection is not used again.

Measured before, with 000 None, 000, 0, 099, 101, 199, 600, 999, 2000 and 2OO: 101, 600 and 999 reached callers of plain requests (idempotent or not), streams at the first target, taken-up streams, through another host, and second on a kept connection; the store's client returned them as answers (its users refused them). All other codes were refused already, and no code passed in streams at a later target, texts of items, scores of judges, reports and orders of engines, trailers, and answers to no request. The raw stand-in repeats ids in lower case, so a test with ids in upper case passes for the wrong reason.

--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -5,6 +5,7 @@
     collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
+    ops::RangeInclusive,
     rc::Rc,
 };
 
@@ -13,7 +14,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
-use snafu::{ResultExt, Snafu};
+use snafu::{ResultExt, Snafu, ensure};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -45,6 +46,8 @@
 const IDLE_CHANNELS_MAX: usize = 16;
 /// Largest number of bytes that a connection reads ahead.
 const BUFFER_BYTES_MAX: usize = 64 << 10;
+/// Status codes of final answers in HTTP.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Requests that a connection remembers to have carried.
 const CARRIED_MAX: usize = 64;
 
@@ -59,6 +62,9 @@
     /// The peer may have received the request.
     #[snafu(display("could not read an answer: {source}"))]
     Broken { source: hyper::Error },
+    /// The peer may have run the request.
+    #[snafu(display("could not read an answer: {status} is not the status of a final answer"))]
+    InvalidStatus { status: u16 },
     #[snafu(display("could not get a response in time"))]
     Timeout,
     #[snafu(display("could not get a response: the link to the target is lost"))]
@@ -70,7 +76,9 @@
     pub fn failure(&self) -> links::Failure {
         match self {
             Self::ConnectTimeout | Self::Timeout | Self::LinkLost => links::Failure::Silent,
-            Self::Connect { .. } | Self::Broken { .. } => links::Failure::Refused,
+            Self::Connect { .. } | Self::Broken { .. } | Self::InvalidStatus { .. } => {
+                links::Failure::Refused
+            }
         }
     }
 }
@@ -210,7 +218,8 @@
             && !self.carried.contains(&xxh3_64(demand.request.as_bytes()))
     }
 
-    /// Sends a request and waits for the head of the response.
+    /// Sends a request and waits for the head of the response. A status that is none of a final answer is an error, and
+    /// the connection is not to be used again.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -219,10 +228,14 @@
         self.head.begin();
         let response = timeout_at(deadline, self.sender.send_request(request)).await;
         self.head.end();
-        match response {
-            Ok(response) => response.context(BrokenSnafu),
-            Err(_) => TimeoutSnafu.fail(),
-        }
+        let Ok(response) = response else {
+            return TimeoutSnafu.fail();
+        };
+        let response = response.context(BrokenSnafu)?;
+        // The client reads any three digits from 100 on, and takes 101 for a final answer although no request asks for it.
+        let status = response.status().as_u16();
+        ensure!(FINAL_STATUSES.contains(&status), InvalidStatusSnafu { status });
+        Ok(response)
     }
 
     /// Whether the connection can take another request.
