Autoscaling: nothing is ordered in a zone that is out of sight

Cause: while a zone was cut off its registrations ended, and the leader ordered 0 on-demand targets there, as they took the room of spot targets. After the cut sound targets left.

Change: a zone whose on-demand targets have vanished without a word gets no orders for up to 60 s; other zones stand in.

--- a/crates/node/src/scale/line.rs
+++ b/crates/node/src/scale/line.rs
@@ -17,6 +17,8 @@
 /// Time for which all targets of a pool have to be missing until they count as reclaimed. Single ones that are missing may
 /// have crashed, and come back by themselves.
 const GONE_TIME: Duration = Duration::from_secs(1);
+/// Time after which targets that have vanished without a word count as gone. Cuts of a zone are shorter.
+const OUT_OF_SIGHT_MAX: Duration = Duration::from_secs(60);
 /// Time in boots for which a reclaimed zone is not asked again.
 const RECLAIMED_BOOTS: u32 = 2;
 
@@ -120,7 +122,7 @@
             self.retry_at = self.retry_at.max(now + boot * RECLAIMED_BOOTS);
             self.repeat = true;
         }
-        if !self.is_ours && (ready > self.ordered || is_late) {
+        if !self.is_ours && (ready > self.ordered || is_late && !self.is_out_of_sight(now)) {
             // The platform or an earlier leader has changed the number.
             (self.ordered, self.base) = (ready, ready);
             self.deviates_since = None;
@@ -139,6 +141,14 @@
         ready < self.ordered && self.sending.is_none() && (is_leaving || is_gone && !self.repeat)
     }
 
+    /// Whether all targets have vanished without a word, and not because an order was not carried out. For on-demand targets,
+    /// which are not reclaimed, their zone is then probably cut off and they go on.
+    pub fn is_out_of_sight(&self, now: Time) -> bool {
+        let Registered { ready, leaving, .. } = self.registered;
+        let is_lately = self.deviates_since.is_some_and(|since| now < since + OUT_OF_SIGHT_MAX);
+        self.ordered > 0 && ready == 0 && leaving == 0 && !self.unconfirmed && is_lately
+    }
+
     /// Most targets that can be had now, if that is known to be limited.
     pub fn limit(&self, now: Time) -> Option<u32> {
         self.is_blocked(now).then_some(self.registered.ready)
--- a/crates/node/src/scale/scaler.rs
+++ b/crates/node/src/scale/scaler.rs
@@ -203,7 +203,8 @@
         let kept = on_demand.map_or(0, |line| line.base.min(line.registered.ready));
         let price = scale.zone_prices.get(&zone).copied().unwrap_or(1.0);
         let limit = |line: &Line| {
-            if is_offered(scale, &zone) { line.limit(now) } else { Some(line.registered.ready) }
+            let can_grow = is_offered(scale, &zone) && !self.is_out_of_sight(now, &zone);
+            if can_grow { line.limit(now) } else { Some(line.registered.ready) }
         };
         ZoneOffer {
             price,
@@ -263,7 +264,7 @@
 
     fn order(&self, now: Time, scale: &Scale, pool: &Pool, is_served: bool) -> Option<Order> {
         let line = self.lines.get(pool).filter(|line| !line.is_sending())?;
-        if !is_offered(scale, &pool.zone) {
+        if !is_offered(scale, &pool.zone) || self.is_out_of_sight(now, &pool.zone) {
             return None;
         }
         let ready = line.registered.ready;
@@ -292,6 +293,12 @@
         Some(order(count, NOT_NEEDED))
     }
 
+    /// Whether a zone is probably cut off. Orders there would end targets that go on and are not seen.
+    fn is_out_of_sight(&self, now: Time, zone: &ZoneId) -> bool {
+        let on_demand = self.lines.get(&Pool { zone: zone.clone(), kind: Kind::OnDemand });
+        on_demand.is_some_and(|line| line.is_out_of_sight(now))
+    }
+
     /// Most targets of a pool beside those of the other kind.
     fn room(&self, pool: &Pool, scale: &Scale) -> u32 {
         let other = Pool { zone: pool.zone.clone(), kind: pool.kind.other() };
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -130,6 +130,23 @@
     assert!(replay.slots_after_loss() >= needed, "another loss is covered again");
 }
 
+/// Guards against orders for a zone that is cut off: its targets go on, but their registrations have ended, so a lower number
+/// would end sound targets.
+#[test]
+fn nothing_is_ordered_in_a_zone_that_is_out_of_sight() {
+    let mut replay = Replay::new(bounds(1, 6), 4);
+    replay.step_every(secs(5), 120);
+    replay.run(secs(30));
+    let on_demand = replay.ready_of(Kind::OnDemand);
+    assert!(on_demand[2] >= 4, "{on_demand:?}");
+    replay.hidden = Some(2);
+    replay.run(secs(20));
+    assert_eq!(replay.unseen_orders, 0);
+    replay.hidden = None;
+    replay.run(secs(1));
+    assert!(replay.ready_of(Kind::OnDemand)[2] >= on_demand[2]);
+}
+
 /// Guards against a leader that has no spot targets to order and leaves the work without capacity.
 #[test]
 fn on_demand_targets_stand_in_where_no_spot_targets_can_be_had() {
--- a/crates/node/tests/scale/replay.rs
+++ b/crates/node/tests/scale/replay.rs
@@ -49,6 +49,10 @@
     scaler: Scaler,
     now: Time,
     stocks: BTreeMap<Pool, Stock>,
+    /// Zone whose registrations cannot be seen, as it is cut off.
+    pub hidden: Option<usize>,
+    /// Orders for the hidden zone.
+    pub unseen_orders: u32,
     /// Pools that refuse further targets.
     unavailable: Vec<Pool>,
     /// Orders that are carried out at a time.
@@ -87,6 +91,8 @@
             scaler: Scaler::default(),
             now: secs(1000),
             stocks,
+            hidden: None,
+            unseen_orders: 0,
             unavailable: Vec::new(),
             late: Vec::new(),
             next_result: None,
@@ -168,6 +174,10 @@
         (work / interval.as_secs_f64()).ceil() as u32
     }
 
+    fn is_hidden(&self, pool: &Pool) -> bool {
+        self.hidden.is_some_and(|zone| *pool.zone == format!("z{zone}"))
+    }
+
     fn ready(&self, pool: &Pool) -> usize {
         self.stocks[pool].serve_from.iter().filter(|from| **from <= self.now).count()
     }
@@ -189,6 +199,7 @@
         self.scaler.observe(self.now, &inputs);
         for order in self.scaler.decide(self.now, &self.scale, 2.0).orders {
             self.calls += 1;
+            self.unseen_orders += u32::from(self.is_hidden(&order.pool));
             let result = self.call(&order.pool, order.count);
             self.scaler.ended(self.now, &order.pool, result, 0.5);
         }
@@ -262,7 +273,7 @@
 
     fn targets(&self, mut taken: u32) -> Vec<Present> {
         let mut targets = Vec::new();
-        for (pool, stock) in &self.stocks {
+        for (pool, stock) in self.stocks.iter().filter(|(pool, _)| !self.is_hidden(pool)) {
             let leaving = vec![true; stock.leaving as usize];
             for leaving in leaving.into_iter().chain(vec![false; self.ready(pool)]) {
                 let runs = if leaving { 0 } else { taken.min(SLOTS) };
