Autoscaling: the forecast counts steps whose work overlaps; targets that are found late count as needed

Cause: the forecast multiplied a step's slots by the steps that were open at once. Steps that were late or waited for their last items counted whole, so a service with 216 slots, of which about 90 are needed, got 36 further targets; each of them takes loads of weights and connections. A leader that led before it had read the registrations ordered a spot target in each zone.

Change: steps overlap by the time over which their work is spread, relative to their interval. What is found without an order counts as needed whenever it grows.

--- a/crates/node/src/scale/demand.rs
+++ b/crates/node/src/scale/demand.rs
@@ -22,8 +22,13 @@
 impl Step {
     /// Slots that complete the whole step in time if it gets them from its submission on. An item takes one slot at a time.
     pub fn slots_from_start(&self) -> f64 {
+        slots(self.whole.work, self.spread()).min(self.items as f64)
+    }
+
+    /// Time over which its work is spread.
+    pub fn spread(&self) -> Duration {
         let time = self.whole.due.saturating_sub(self.submitted_at);
-        slots(self.whole.work, spread(time, self.whole.longest)).min(self.items as f64)
+        spread(time, self.whole.longest)
     }
 }
 
--- a/crates/node/src/scale/forecast.rs
+++ b/crates/node/src/scale/forecast.rs
@@ -26,8 +26,8 @@
     open: BTreeMap<JobId, f64>,
     /// Decaying peak of the slots that an ended step needed.
     peak: f64,
-    /// Decaying peak of the number of steps open at once.
-    peak_open: f64,
+    /// Time over which the work of the last step is spread.
+    spread: Duration,
     submitted_at: Time,
     interval: Option<Duration>,
 }
@@ -55,9 +55,12 @@
         !self.open.is_empty() || next
     }
 
+    /// Slots for the steps whose work overlaps if all are complete in time. Steps that are open longer are late or wait for
+    /// their last items, and need no slots of their own.
     fn slots(&self) -> f64 {
         let step = self.open.values().copied().fold(self.peak, f64::max);
-        step * self.peak_open.max(self.open.len() as f64)
+        let overlap = self.interval.map(|it| self.spread.as_secs_f64() / it.as_secs_f64());
+        step * overlap.unwrap_or(self.open.len() as f64).max(1.0)
     }
 }
 
@@ -84,7 +87,6 @@
                 series.peak = decayed(series.peak, slots);
             }
         }
-        let mut grown: BTreeSet<&ModelId> = BTreeSet::new();
         for step in sorted {
             if !self.series.contains_key(&step.model) && self.series.len() >= MODELS_MAX {
                 self.forget_oldest();
@@ -92,12 +94,7 @@
             let series = self.series.entry(step.model.clone()).or_default();
             if series.open.insert(step.whole.job.clone(), step.slots_from_start()).is_none() {
                 series.opened(step.submitted_at);
-                grown.insert(&step.model);
-            }
-        }
-        for model in grown {
-            if let Some(series) = self.series.get_mut(model) {
-                series.peak_open = decayed(series.peak_open, series.open.len() as f64);
+                series.spread = step.spread();
             }
         }
     }
--- a/crates/node/src/scale/scaler.rs
+++ b/crates/node/src/scale/scaler.rs
@@ -101,6 +101,8 @@
     /// Targets that were needed lately, in all and after the loss of a zone.
     needed: Peak,
     needed_after_loss: Peak,
+    /// Most targets that were found without an order of this leader.
+    found: u32,
     wanted: BTreeMap<Pool, u32>,
     /// The on-demand targets found at the beginning are not needed any more.
     base_released: bool,
@@ -117,9 +119,11 @@
         self.update_basis(now, inputs);
         let (hold, memory) = (hold(scale), hold(scale) * BASE_HOLDS);
         let need = self.basis.need;
-        if is_first {
-            // A new leader shrinks nothing before it has seen the demand for as long as any other.
-            let found: u32 = self.lines.values().map(|line| line.ordered).sum();
+        let found: u32 = self.lines.values().map(|line| line.base).sum();
+        if found > self.found {
+            // A new leader shrinks nothing before it has seen the demand for as long as any other. It may lead before it has
+            // read all registrations.
+            self.found = found;
             self.needed.observe(now, found, memory);
         }
         self.needed.observe(now, need.total, memory);
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -57,6 +57,20 @@
     assert_eq!(replay.late_steps, late_steps, "steps are late only until their interval is known");
 }
 
+/// Guards against a leader that takes the targets of the start for ones that nobody needs, as it led before it had read their
+/// registrations.
+#[test]
+fn targets_that_are_found_late_count_as_needed() {
+    let mut replay = Replay::new(bounds(1, 10), 4);
+    (replay.hide_all, replay.may_order) = (true, false);
+    replay.run(secs(1));
+    replay.hide_all = false;
+    replay.run(secs(1));
+    replay.may_order = true;
+    replay.run(secs(10));
+    assert_eq!(replay.calls, 0);
+}
+
 /// Guards against orders in alternating directions while the load stays the same.
 #[test]
 fn a_steady_load_causes_no_further_orders() {
--- a/crates/node/tests/scale/replay.rs
+++ b/crates/node/tests/scale/replay.rs
@@ -51,6 +51,10 @@
     stocks: BTreeMap<Pool, Stock>,
     /// Zone whose registrations cannot be seen, as it is cut off.
     pub hidden: Option<usize>,
+    /// The leader may order.
+    pub may_order: bool,
+    /// No registration can be seen.
+    pub hide_all: bool,
     /// Orders for the hidden zone.
     pub unseen_orders: u32,
     /// Pools that refuse further targets.
@@ -92,6 +96,8 @@
             now: secs(1000),
             stocks,
             hidden: None,
+            may_order: true,
+            hide_all: false,
             unseen_orders: 0,
             unavailable: Vec::new(),
             late: Vec::new(),
@@ -175,7 +181,7 @@
     }
 
     fn is_hidden(&self, pool: &Pool) -> bool {
-        self.hidden.is_some_and(|zone| *pool.zone == format!("z{zone}"))
+        self.hide_all || self.hidden.is_some_and(|zone| *pool.zone == format!("z{zone}"))
     }
 
     fn ready(&self, pool: &Pool) -> usize {
@@ -197,6 +203,9 @@
         let targets = self.targets(taken);
         let inputs = Inputs { scale: &self.scale, targets, steps: self.open_steps() };
         self.scaler.observe(self.now, &inputs);
+        if !self.may_order {
+            return;
+        }
         for order in self.scaler.decide(self.now, &self.scale, 2.0).orders {
             self.calls += 1;
             self.unseen_orders += u32::from(self.is_hidden(&order.pool));
