Placement of items by the prompts that engines hold

Items name the parts of their prompts in X-Prompt-Prefix, and an engine prefills only from the first part that it lacks, but members of a group were spread over the engines, which each prefilled the prompt. The leader now estimates what each engine holds and chooses the engine on which the text is expected to be complete first: prefill at the engine's rate, wait for room, and the rest of the text at its pace. On only with prefix_cache.enabled in the settings; no messages change.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -1,7 +1,7 @@
 //! Time of a leader's decisions by the number of engines and of waiting items.
 //!
 //! `assign_full`: an attempt to start items while all slots are taken. `finish_and_start`: a run ends and the next item
-//! starts in its slot.
+//! starts in its slot. `place_by_prompt`: the same choice among open engines, without and with the prompts that they hold.
 
 use std::{collections::BTreeMap, hint::black_box, sync::Arc, time::Duration};
 
@@ -9,7 +9,11 @@
 use lagoonyard_node::{
     events::Progress,
     fleet::Target,
-    job::{Assignment, End, Engines, Item, Job, Outcome, Policy, Queue, Record, Spec},
+    job::{
+        Assignment, End, Engines, Evidence, Item, Job, Outcome, Policy, Queue, Record, Requirement,
+        Spec,
+    },
+    prefix::{Part, Prompt, Settings, Table, Work},
 };
 
 const SLOTS: u32 = 6;
@@ -36,6 +40,7 @@
         body: bytes::Bytes::new(),
         max_total_tokens: 10,
         length_hint: Some(1 + at as u64 % 90),
+        prompt: Prompt::default(),
         group: format!("g{}", at / GROUP_SIZE).into(),
         judge: None,
     })
@@ -123,5 +128,56 @@
     }
 }
 
-criterion_group!(benches, decisions);
+fn work(prompt: &Prompt) -> Work<'_> {
+    Work { prompt, max_total_tokens: 3_000, events: 50.0 }
+}
+
+/// Engines that each hold a part that all share and the prompts of their groups.
+fn place_by_prompt(criterion: &mut Criterion) {
+    const ENGINES: usize = 1_000;
+    let prompt = |group: usize| -> Prompt {
+        [Part::new("all", 500), Part::new(&format!("g{group}"), 1_500)].into_iter().collect()
+    };
+    let (_, mut engines, _) = full(ENGINES, 1, 0);
+    engines.set_demand(&BTreeMap::from([("m0".into(), 0)]));
+    let requirement = Requirement {
+        model: "m0",
+        min_version: 0,
+        avoid: None,
+        software: None,
+        allow_slow: false,
+        evidence: Evidence::Any,
+        work: None,
+    };
+    criterion.bench_function("place without prompts, 1000 engines", |bench| {
+        bench.iter(|| black_box(engines.choose(&requirement).expect("open")));
+    });
+    engines.enable_prefixes(Settings { tokens_per_ms: 10.0 });
+    let mut table = Table::new(Settings { tokens_per_ms: 10.0 });
+    let (model, now) = ("m0".into(), Duration::from_secs(1));
+    for group in 0..ENGINES * 32 {
+        let id = format!("e{}", group % ENGINES).into();
+        engines.record_prompt(&id, &model, &work(&prompt(group)));
+        table.begin_run(&id, &model, &work(&prompt(group)), now);
+    }
+    let mut group = 0;
+    criterion.bench_function("place by prompt, 1000 engines", |bench| {
+        bench.iter(|| {
+            group = (group + 7) % (2 * ENGINES * 32);
+            let prompt = prompt(group);
+            let requirement = Requirement { work: Some(work(&prompt)), ..requirement };
+            black_box(engines.choose(&requirement).expect("open"));
+        });
+    });
+    criterion.bench_function("record a prompt, 1000 engines", |bench| {
+        bench.iter(|| {
+            group = (group + 7) % (2 * ENGINES * 32);
+            let id = format!("e{}", group % ENGINES).into();
+            table.begin_run(&id, &model, &work(&prompt(group)), now);
+            table.end_run(&id);
+        });
+    });
+}
+
+criterion_group!(benches, decisions, place_by_prompt);
 criterion_main!(benches);
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -11,6 +11,7 @@
     control::{
         election::Leadership,
         orders::{Load, LoadResult},
+        prompts,
         rollout::{self, Rollout},
         stored::StoredJob,
     },
@@ -22,6 +23,7 @@
         homes::{Homes, Runner, Streams},
     },
     peer::FailedItem,
+    prefix::Sent,
     prelude::*,
     rate::Limit,
     term,
@@ -46,6 +48,8 @@
     pub(super) started_at: Time,
     /// Failures of the item before it.
     pub(super) failure: Failure,
+    /// What was expected of the engine's cache, until the first event.
+    pub(super) sent: Option<Sent>,
     /// Host that runs it; `None` for this one.
     pub(super) runner: Option<SocketAddr>,
 }
@@ -216,6 +220,7 @@
     /// Drops all jobs, because another host leads or may have led. Returns commands to stop their runs.
     pub fn drop_jobs(&mut self, now: Time) -> Vec<Command> {
         self.reading.clear();
+        self.engines.forget_all_prompts();
         self.queue.ids().iter().flat_map(|id| self.drop_job(id, now)).collect()
     }
 
@@ -247,8 +252,12 @@
             target: assignment.target.clone(),
             started_at: now,
             failure,
+            sent: assignment.sent.clone(),
             runner,
         };
+        if let Some((sent, target)) = assignment.sent.as_ref().zip(assignment.target.as_deref()) {
+            prompts::record(&job.spec.items[assignment.item].id, target, sent);
+        }
         self.runs.insert(self.next_run, run);
         Some(Command::Run(Box::new(Run {
             id: self.next_run,
@@ -309,9 +318,10 @@
     pub fn apply_report(&mut self, report: RunReport, now: Time) {
         match report {
             RunReport::Progress { run: id, progress } => {
-                let Some(run) = self.runs.get(&id) else {
+                let Some(run) = self.runs.get_mut(&id) else {
                     return;
                 };
+                prompts::first_event(run, &mut self.engines, now);
                 self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = present_job(&mut self.queue, id, run) {
                     job.set_progress(run.item, progress);
@@ -319,9 +329,10 @@
                 }
             }
             RunReport::Advanced { run: id, last_event } => {
-                let Some(run) = self.runs.get(&id) else {
+                let Some(run) = self.runs.get_mut(&id) else {
                     return;
                 };
+                prompts::first_event(run, &mut self.engines, now);
                 self.engines.heard(run.target.as_deref().unwrap_or_default(), now);
                 if let Some(job) = present_job(&mut self.queue, id, run) {
                     job.set_events(run.item, last_event);
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod moves;
 mod news;
 mod orders;
+mod prompts;
 mod roles;
 mod rollout;
 mod sessions;
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -46,6 +46,7 @@
             software: self.engines.get(target).map(|engine| &*engine.target.software),
             allow_slow: false,
             evidence: Evidence::NoFailure,
+            work: None,
         };
         self.engines.has_faster(&requirement, target)
     }
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -182,6 +182,8 @@
             self.join_election(&service.name);
         }
         for leader in self.leaders.values_mut() {
+            let service = config.services.iter().find(|service| service.name == leader.service);
+            leader.engines.set_cache_tokens(service.and_then(|service| service.cache_tokens));
             leader.queue.update_policies(&config);
             leader.sync(self.store_state.fleet.targets(), &self.store_state.requested);
         }
@@ -195,8 +197,11 @@
         let (leader_key, receiver) = watch::channel(LeaderKey::Unknown);
         self.leader_keys.insert(service.clone(), leader_key);
         let first_run = (self.leaders.len() as u64) << 48;
-        let leader =
+        let mut leader =
             Leader::new(service.clone(), first_run, &self.terms, &self.crashes, &self.failures);
+        if let Some(settings) = self.settings.prefix {
+            leader.engines.enable_prefixes(settings);
+        }
         self.leaders.insert(service.clone(), leader);
         let lease_min = self.settings.lease_min;
         let (ttl, interval) = (Election::ttl(lease_min), Election::renewal_interval(lease_min));
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -1,9 +1,15 @@
 //! Assignment of a job's items to engines, and the outcomes of their runs.
 
+use std::sync::Arc;
+
 use crate::{
     crash::{self, Content, Verdict},
     events::Progress,
-    job::{Assignment, End, Engines, Evidence, Job, Outcome, Policy, Requirement, status::State},
+    job::{
+        Assignment, End, Engines, Evidence, Job, Outcome, Placement, Policy, Requirement,
+        status::State,
+    },
+    prefix::{Sent, Work},
     prelude::*,
 };
 
@@ -126,8 +132,19 @@
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
         let evidence = Evidence::Any;
-        let requirement =
-            Requirement { model, min_version: min, avoid, software, allow_slow: false, evidence };
+        // The spec outlives the change of the item's state below.
+        let spec = Arc::clone(&self.spec);
+        let work = engines.has_prefixes().then(|| self.work(item));
+        let work = work.map(|work| Work { prompt: &spec.items[item].prompt, ..work });
+        let requirement = Requirement {
+            model,
+            min_version: min,
+            avoid,
+            software,
+            allow_slow: false,
+            evidence,
+            work: work.filter(|work| !work.prompt.is_empty()),
+        };
         // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
         let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
         let proven = heard.into_iter().chain([Evidence::NoFailure]).filter(|_| status.is_unreached);
@@ -141,7 +158,9 @@
         let any = Requirement { software: None, ..any_pace };
         let waited = [any_pace, any].into_iter().filter(|_| has_waited);
         let requirements = proven.chain(other_software).chain([requirement]).chain(waited);
-        let engine = requirements.into_iter().find_map(|it| engines.choose(&it))?;
+        let Placement { engine, first } =
+            requirements.into_iter().find_map(|it| engines.place(&it))?;
+        let instead_of = Some(&first.target.id).filter(|id| **id != engine.target.id).cloned();
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
         if verdict == Verdict::Trial && !crashes.begin_item_trial(self.content(item), now) {
@@ -155,9 +174,15 @@
         {
             status.progress = Progress::default();
         }
+        let begins = status.progress.last_event == 0;
         self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
         engines.start_run(&target);
-        Some(self.assignment(item, Some(target)))
+        let sent = work.and_then(|work| engines.record_prompt(&target, &spec.model, &work));
+        let sent = sent.map(|sent| {
+            let shows_rate = sent.shows_rate && begins;
+            Sent { instead_of, shows_rate, ..sent }
+        });
+        Some(Assignment { sent, ..self.assignment(item, Some(target)) })
     }
 
     fn assignment(&self, item: usize, target: Option<TargetId>) -> Assignment {
@@ -172,6 +197,7 @@
             progress,
             judge_failures,
             last_resort,
+            sent: None,
         }
     }
 
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -190,6 +190,11 @@
         self.quota.as_mut().map_or(Ok(()), |quota| quota.take(priority, now))
     }
 
+    /// Model whose version is being loaded.
+    pub(super) fn loading(&self) -> Option<&ModelId> {
+        self.loading.as_ref()
+    }
+
     pub(super) fn begin_load(&mut self, model: ModelId) {
         self.loading = Some(model);
     }
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -12,18 +12,16 @@
 use crate::{
     fleet::Target,
     job::{
-        Requirement,
         engine::{Engine, PACE_INITIAL},
         paces::Paces,
     },
+    prefix,
     prelude::*,
     rate::Limit,
 };
 
 /// Relative increase of the pace on an engine whose slots are all taken.
 const FULL_ENGINE_COST: f64 = 0.15;
-/// Minimum speed-up for which an item is moved to another engine.
-const FASTER_FACTOR: f64 = 1.2;
 /// An engine is slow if its pace exceeds the median by this factor.
 const SLOW_FACTOR: f64 = 1.7;
 /// The same, relative to the assumed pace before any run was measured.
@@ -37,15 +35,15 @@
 /// What determines the order of engines: whether it is suspect, as runs failed there lately, and its cost.
 type Cost = (bool, Duration);
 /// Cost of an engine, and its id.
-type Rank = (bool, Duration, TargetId);
+pub(super) type Rank = (bool, Duration, TargetId);
 
 /// Engines with a free slot for a model.
 #[derive(Debug, Default)]
-struct OpenEngines {
+pub(super) struct OpenEngines {
     /// Oldest version that any open job of the model accepts.
     min_version: Version,
     /// The first one is chosen first.
-    ranks: BTreeSet<Rank>,
+    pub(super) ranks: BTreeSet<Rank>,
 }
 
 /// An engine and its entries in the indexes.
@@ -62,13 +60,15 @@
 #[derive(Debug, Default)]
 pub struct Engines {
     by_id: BTreeMap<TargetId, Entry>,
-    open: BTreeMap<ModelId, OpenEngines>,
+    pub(super) open: BTreeMap<ModelId, OpenEngines>,
     /// Number of engines by software version.
     software: BTreeMap<Software, usize>,
     paces: Paces,
     /// Engines whose state changes by itself, by time.
     updates: BTreeSet<(Time, TargetId)>,
-    now: Time,
+    /// What the engines hold of prompts, if items are placed by it.
+    pub(super) prefixes: Option<prefix::Table>,
+    pub(super) now: Time,
 }
 
 impl Engines {
@@ -81,7 +81,9 @@
                 if entry.engine.target.started_ms == target.started_ms
                     && entry.engine.target.software == target.software =>
             {
+                let before = self.prefixes.is_some().then(|| entry.engine.versions());
                 entry.engine.target = target;
+                self.forget_loaded(&id, before.unwrap_or_default());
             }
             _ => {
                 self.remove(&id);
@@ -99,6 +101,9 @@
             return;
         };
         unindex(&mut self.open, &mut entry);
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.forget_engine(id);
+        }
         if let Some(count) = self.software.get_mut(&entry.engine.target.software) {
             *count -= 1;
         }
@@ -171,32 +176,7 @@
         self.software.contains_key(software)
     }
 
-    /// Open engine on which an item would finish first; those that failed lately come after the others. Unless the requirement allows slow engines, a slow engine runs
-    /// one item at a time, as a probe of whether it has recovered.
-    pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
-        let qualifies = |engine: &&Engine| {
-            engine
-                .version(requirement.model)
-                .is_some_and(|version| version >= requirement.min_version)
-                && requirement.avoid != Some(&engine.target.id)
-                && requirement.software.is_none_or(|software| *software == *engine.target.software)
-                && requirement.evidence.holds_for(engine)
-                && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
-        };
-        let open = self.open.get(requirement.model)?;
-        open.ranks.iter().filter_map(|(_, _, id)| self.get(id)).find(qualifies)
-    }
-
-    /// Whether an open engine is so much faster than `current` that moving an item pays.
-    pub fn has_faster(&self, requirement: &Requirement, current: &str) -> bool {
-        let Some(engine) = self.get(current) else {
-            return false;
-        };
-        let best = self.choose(requirement);
-        best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
-    }
-
-    fn is_slow(&self, engine: &Engine) -> bool {
+    pub(super) fn is_slow(&self, engine: &Engine) -> bool {
         self.pace(engine) > self.pace_max()
     }
 
@@ -213,12 +193,12 @@
         self.paces.median().unwrap_or(PACE_INITIAL)
     }
 
-    fn pace(&self, engine: &Engine) -> Duration {
+    pub(super) fn pace(&self, engine: &Engine) -> Duration {
         engine.measured_pace(self.now).unwrap_or_else(|| self.typical_pace())
     }
 
     /// Expected time per event, increased by the share of slots taken.
-    fn cost(&self, engine: &Engine) -> Duration {
+    pub(super) fn cost(&self, engine: &Engine) -> Duration {
         let taken = f64::from(engine.in_flight) / f64::from(engine.target.slots.max(1));
         self.pace(engine).mul_f64(1.0 + FULL_ENGINE_COST * taken)
     }
@@ -278,6 +258,9 @@
     /// Frees a slot. `pace` is the run's time per event, if any event arrived.
     pub fn finish_run(&mut self, id: &str, now: Time, pace: Option<Duration>) {
         self.now = self.now.max(now);
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.end_run(id);
+        }
         self.update(id, |engine| {
             engine.end_run();
             if let Some(pace) = pace {
@@ -299,11 +282,15 @@
     /// Starts the backoff of an engine, during which no item starts on it.
     pub fn back_off(&mut self, id: &str, now: Time) {
         self.now = self.now.max(now);
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.forget_prompts(id);
+        }
         self.update(id, |engine| engine.back_off(now));
     }
 
     pub fn begin_load(&mut self, id: &str, model: &ModelId) {
         let now = self.now;
+        self.forget_prompts(id, model);
         self.update(id, |engine| {
             engine.begin_load(model.clone());
             engine.charge(REQUESTS_PER_LOAD, now);
@@ -312,6 +299,10 @@
 
     /// Ends a load, with the version that the engine has if the load succeeded.
     pub fn end_load(&mut self, id: &str, version: Option<Version>) {
+        // Prompts that were sent meanwhile may have been prefilled by either version.
+        if let Some(model) = self.get(id).and_then(|engine| engine.loading().cloned()) {
+            self.forget_prompts(id, &model);
+        }
         self.update(id, |engine| engine.end_load(version));
     }
 
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -13,6 +13,7 @@
 mod order;
 mod outcome;
 mod paces;
+mod placement;
 mod policy;
 mod queue;
 mod reason;
@@ -36,6 +37,7 @@
 };
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
+pub use placement::Placement;
 pub use policy::Policy;
 pub use queue::Queue;
 pub use reason::Reason;
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -55,6 +55,8 @@
     pub chunks: u64,
     /// It cannot be complete in time, so it gets only slots that no other job can use.
     pub(super) deferred: bool,
+    /// Events for each unit of a length hint, once texts have shown it.
+    pub(super) events_per_hint: Option<f64>,
     /// Time at which its first item could start.
     pub(super) started_at: Time,
     pub(super) statuses: Vec<ItemStatus>,
@@ -112,6 +114,7 @@
             listed: 0,
             chunks: 0,
             deferred: false,
+            events_per_hint: None,
             started_at: Time::MAX,
             statuses,
             resubmitted: BTreeSet::new(),
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -4,11 +4,14 @@
 
 use crate::{
     job::{Job, status::ItemStatus, triage::Load},
+    prefix,
     prelude::*,
 };
 
 /// Expected rest of a text that is longer than estimated, as a share of its length so far.
 const OVERRUN_SHARE: f64 = 0.25;
+/// Expected length of a text for which the trainer gives no hint.
+const UNKNOWN_EVENTS: f64 = 100.0;
 
 impl Job {
     /// Sorts the items into their start order. Long items determine when a group is complete, so they start first; the
@@ -71,6 +74,17 @@
         }
     }
 
+    /// What an item needs of an engine.
+    pub(super) fn work(&self, item: usize) -> prefix::Work<'_> {
+        let it = &self.spec.items[item];
+        let per_hint = self.events_per_hint.unwrap_or(1.0);
+        let events = match it.length_hint {
+            Some(_) => self.rest_events(item, &self.statuses[item], per_hint),
+            None => UNKNOWN_EVENTS,
+        };
+        prefix::Work { prompt: &it.prompt, max_total_tokens: it.max_total_tokens, events }
+    }
+
     /// Events that an item's text is expected to lack.
     fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
         if !status.state.is_open() || status.text_complete {
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -1,6 +1,6 @@
 //! A run of an item: its assignment to an engine and its outcome.
 
-use crate::{events::Progress, prelude::*};
+use crate::{events::Progress, prefix, prelude::*};
 
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -88,4 +88,6 @@
     /// The engine is the one that the item should avoid, as no other has a free slot. Its pace is then measured over
     /// more events before the run ends as slow.
     pub last_resort: bool,
+    /// What was expected of the engine's cache, if items are placed by it.
+    pub sent: Option<prefix::Sent>,
 }
--- /dev/null
+++ b/crates/node/src/job/placement.rs
@@ -0,0 +1,144 @@
+//! Choice of the engine for an item: the first suitable one in the order of cost, or the one on which the item ends first if
+//! items are placed by the prompts that engines hold.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    job::{Engine, Engines, Requirement},
+    prefix::{self, Candidate, Sent, Work},
+    prelude::*,
+};
+
+/// Minimum speed-up for which an item is moved to another engine.
+const FASTER_FACTOR: f64 = 1.2;
+/// Engines that are weighed from the head of the order, beside those that hold a part of the prompt.
+const HEAD_ENGINES: usize = 4;
+
+/// An engine chosen for an item.
+#[derive(Clone, Copy, Debug)]
+pub struct Placement<'a> {
+    pub engine: &'a Engine,
+    /// Engine that is chosen without regard to prompts.
+    pub first: &'a Engine,
+}
+
+impl Engines {
+    /// Places items by the prompts that engines hold.
+    pub fn enable_prefixes(&mut self, settings: prefix::Settings) {
+        self.prefixes = Some(prefix::Table::new(settings));
+    }
+
+    /// Whether items are placed by the prompts that engines hold.
+    pub fn has_prefixes(&self) -> bool {
+        self.prefixes.is_some()
+    }
+
+    /// Sets the tokens that an engine keeps, if they are known.
+    pub fn set_cache_tokens(&mut self, tokens: Option<u64>) {
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.set_capacity(tokens);
+        }
+    }
+
+    /// Drops what all engines hold.
+    pub fn forget_all_prompts(&mut self) {
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.forget_all();
+        }
+    }
+
+    /// Drops what an engine holds of one model.
+    pub(super) fn forget_prompts(&mut self, id: &str, model: &str) {
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.forget_model(id, model);
+        }
+    }
+
+    /// Drops what an engine holds of the models whose versions differ from those before, as another leader ordered the loads.
+    pub(super) fn forget_loaded(&mut self, id: &str, before: BTreeMap<ModelId, Version>) {
+        for (model, version) in before {
+            let present = self.get(id).and_then(|engine| engine.version(&model));
+            if present != Some(version) {
+                self.forget_prompts(id, &model);
+            }
+        }
+    }
+
+    /// Open engine on which an item would finish first; those that failed lately come after the others. Unless the
+    /// requirement allows slow engines, a slow engine runs one item at a time, as a probe of whether it has recovered.
+    pub fn choose(&self, requirement: &Requirement) -> Option<&Engine> {
+        self.place(requirement).map(|placement| placement.engine)
+    }
+
+    /// The same, beside the engine that is chosen without regard to prompts.
+    pub fn place(&self, requirement: &Requirement) -> Option<Placement<'_>> {
+        let qualifies = |engine: &&Engine| {
+            engine
+                .version(requirement.model)
+                .is_some_and(|version| version >= requirement.min_version)
+                && requirement.avoid != Some(&engine.target.id)
+                && requirement.software.is_none_or(|software| *software == *engine.target.software)
+                && requirement.evidence.holds_for(engine)
+                && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
+        };
+        let open = self.open.get(requirement.model)?;
+        let mut ranked = open.ranks.iter().filter_map(|(_, _, id)| self.get(id));
+        let first = ranked.by_ref().find(qualifies)?;
+        let Some((table, work)) = self.prefixes.as_ref().zip(requirement.work) else {
+            return Some(Placement { engine: first, first });
+        };
+        let holders = table.holders(requirement.model, work.prompt).filter_map(|id| self.get(id));
+        let holders = holders.filter(|engine| engine.is_open(requirement.model, self.now));
+        let head = ranked.take(HEAD_ENGINES - 1);
+        let others = head.chain(holders).filter(qualifies);
+        let candidate = |engine| (engine, self.candidate(engine, requirement.model, &work, table));
+        let candidates = std::iter::once(first).chain(others).map(candidate);
+        let engine = prefix::weigh(&work, candidates)?;
+        Some(Placement { engine, first })
+    }
+
+    fn candidate(
+        &self,
+        engine: &Engine,
+        model: &str,
+        work: &Work<'_>,
+        table: &prefix::Table,
+    ) -> Candidate {
+        let id = &engine.target.id;
+        let (pace, cached) = (self.cost(engine), table.cached(id, model, work.prompt, self.now));
+        Candidate {
+            is_suspect: engine.is_suspect(self.now),
+            pace,
+            cached,
+            tokens_per_ms: table.tokens_per_ms(id),
+            wait: table.wait(id, work, cached, work.text_time(pace)),
+        }
+    }
+
+    /// Records that an item is sent to an engine. Returns what is expected of its cache, if items are placed by it.
+    pub fn record_prompt(
+        &mut self,
+        id: &TargetId,
+        model: &ModelId,
+        work: &Work<'_>,
+    ) -> Option<Sent> {
+        let now = self.now;
+        Some(self.prefixes.as_mut()?.begin_run(id, model, work, now))
+    }
+
+    /// Records the time to the first event of a run.
+    pub fn record_first_event(&mut self, id: &str, sent: &Sent, took: Duration) {
+        if let Some(prefixes) = &mut self.prefixes {
+            prefixes.record_first_event(id, sent, took);
+        }
+    }
+
+    /// Whether an open engine is so much faster than `current` that moving an item pays.
+    pub fn has_faster(&self, requirement: &Requirement, current: &str) -> bool {
+        let Some(engine) = self.get(current) else {
+            return false;
+        };
+        let best = self.choose(requirement);
+        best.is_some_and(|best| self.pace(engine) > self.pace(best).mul_f64(FASTER_FACTOR))
+    }
+}
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -136,6 +136,7 @@
         let deferred = self.deferred(now, engines, &min_versions);
         for (id, job) in &mut self.jobs {
             job.set_deferred(deferred.contains(id));
+            job.events_per_hint = self.lengths.events_per_hint();
         }
         self.order = self.jobs.keys().cloned().collect();
         self.order.sort_by_key(|id| self.jobs[id].rank());
--- a/crates/node/src/job/requirement.rs
+++ b/crates/node/src/job/requirement.rs
@@ -1,6 +1,6 @@
 //! Requirement of an item on its engine.
 
-use crate::{job::engine::Engine, prelude::*};
+use crate::{job::engine::Engine, prefix, prelude::*};
 
 /// What is known of an engine on which an item may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,4 +36,6 @@
     /// The item has waited long enough to run on a slow engine.
     pub allow_slow: bool,
     pub evidence: Evidence,
+    /// What the item needs of the engine, if it is placed by the prompts that engines hold.
+    pub work: Option<prefix::Work<'a>>,
 }
--- a/crates/node/src/job/spec.rs
+++ b/crates/node/src/job/spec.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Method;
 
-use crate::{crash::Content, prelude::*};
+use crate::{crash::Content, prefix::Prompt, prelude::*};
 
 /// Request to a plain service that scores a finished text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +28,8 @@
     pub max_total_tokens: u64,
     /// Estimated output tokens, if the trainer gives them.
     pub length_hint: Option<u64>,
+    /// Parts of its prompt, if the trainer names them.
+    pub prompt: Prompt,
     pub group: Box<str>,
     pub judge: Option<Judge>,
 }
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -227,6 +227,7 @@
             software: None,
             allow_slow: true,
             evidence: Evidence::Any,
+            work: None,
         };
         self.engines.choose(&any)?;
         let known = status.progress.software.as_deref().filter(|it| self.engines.has_software(it));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod peer;
+pub mod prefix;
 pub mod prelude;
 pub mod rate;
 pub mod relay;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     runs: Counter<u64>,
     rows: Counter<u64>,
     loads: Counter<u64>,
+    prompt_tokens: Counter<u64>,
+    placements: Counter<u64>,
     leads: Gauge<u64>,
     targets: Gauge<u64>,
     config_version: Gauge<u64>,
@@ -102,6 +104,14 @@
             runs: counter("lagoonyard_item_runs", "Ended runs of job items by outcome"),
             rows: counter("lagoonyard_rows_kept", "Results written to the store"),
             loads: counter("lagoonyard_loads", "Orders to load a version by outcome"),
+            prompt_tokens: counter(
+                "lagoonyard_prompt_tokens",
+                "Tokens of items' prompts sent to engines, by whether the engine was expected to hold them",
+            ),
+            placements: counter(
+                "lagoonyard_prompt_placements",
+                "Items with named prompts, by whether what engines hold changed the choice of the engine",
+            ),
             leads: gauge("lagoonyard_leads", "Whether this host leads, by service"),
             targets: gauge("lagoonyard_targets", "Registered targets"),
             config_version: gauge("lagoonyard_config_version", "Version in force"),
@@ -200,6 +210,18 @@
         self.loads.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records an item's prompt that was sent to an engine, and whether the engine was chosen for what it holds.
+    pub fn prompt(&self, tokens: u64, cached: u64, chosen_by_cache: bool) {
+        if tokens == 0 {
+            return;
+        }
+        let missing = tokens.saturating_sub(cached);
+        self.prompt_tokens.add(cached, &[KeyValue::new("state", "cached")]);
+        self.prompt_tokens.add(missing, &[KeyValue::new("state", "missing")]);
+        let choice = if chosen_by_cache { "changed" } else { "unchanged" };
+        self.placements.add(1, &[KeyValue::new("choice", choice)]);
+    }
+
     /// Records whether this host is the leader of a service.
     pub fn leads(&self, service: &str, leads: bool) {
         self.leads.record(u64::from(leads), &[KeyValue::new("service", service.to_owned())]);
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -10,6 +10,7 @@
     events::Progress,
     job::{Assignment, End, Item, Judge, Outcome},
     peer::{departure::Departure, limit::Limit, millis, text::TextPart},
+    prefix::Prompt,
     prelude::*,
     traffic::{Endpoint, Run, RunReport},
 };
@@ -303,6 +304,8 @@
             body: raw.body,
             max_total_tokens: 0,
             length_hint: None,
+            // Only the leader places items.
+            prompt: Prompt::default(),
             group: Box::default(),
             judge,
         };
@@ -330,6 +333,7 @@
                 progress,
                 judge_failures: raw.judge_failures,
                 last_resort: raw.last_resort,
+                sent: None,
             },
             target,
         })
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{cloud, prelude::*};
+use crate::{cloud, prefix, prelude::*};
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -35,4 +35,6 @@
     pub job_retention: Duration,
     /// API of the platform, if this deployment has duties there.
     pub cloud: Option<cloud::Settings>,
+    /// Placement of items by the prompts that engines hold, if it is on.
+    pub prefix: Option<prefix::Settings>,
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -8,6 +8,7 @@
     events::{Event, Progress},
     fleet::Target,
     job::{Engines, Item, Job, Outcome, Policy, Record, Spec},
+    prefix::{Part, Prompt},
 };
 
 pub fn ms(ms: u64) -> Duration {
@@ -47,6 +48,7 @@
         body: bytes::Bytes::new(),
         max_total_tokens: 10,
         length_hint: Some(length_hint),
+        prompt: Prompt::default(),
         group: group.into(),
         judge: None,
     }
@@ -62,6 +64,15 @@
     job_with_items(id, 1, items.iter().map(|(id, group)| item(id, 1, group)).collect())
 }
 
+/// Job of one group whose items have the given prompts, of parts with tokens, and texts of `events` events.
+pub fn prompted_job(id: &str, events: u64, items: &[(&str, &[(&str, u32)])]) -> Job {
+    let prompted = |(id, parts): &(&str, &[(&str, u32)])| {
+        let prompt: Prompt = parts.iter().map(|(id, tokens)| Part::new(id, *tokens)).collect();
+        Item { max_total_tokens: prompt.tokens() + events, prompt, ..item(id, events, "g") }
+    };
+    job_with_items(id, 1, items.iter().map(prompted).collect())
+}
+
 fn job_with_items(id: &str, min_version: u64, items: Vec<Item>) -> Job {
     let record = Record {
         host: "h".into(),
