--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -99,6 +99,7 @@
             spares_fast: false,
             evidence: Evidence::NoFailure,
             idle: false,
+            work: None,
         })
     }
 }
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -1,13 +1,17 @@
 //! Assignment of a job's items to engines, and the outcomes of their runs.
 
+use std::sync::Arc;
+
 use log::info;
 
 use crate::{
     events::Progress,
     job::{
-        Assignment, Doubt, End, Engines, Evidence, Job, Outcome, Policy, Requirement, status::State,
+        Assignment, Doubt, End, Engines, Evidence, Job, Outcome, Placement, Policy, Requirement,
+        status::State,
     },
     logging::ms,
+    prefix::{Sent, Work},
     prelude::*,
 };
 
@@ -99,6 +103,10 @@
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
         let evidence = Evidence::Any;
+        // The spec outlives the change of the item's state below.
+        let spec = Arc::clone(&self.spec);
+        let work = engines.has_prefixes().then(|| self.work(item));
+        let work = work.map(|work| Work { prompt: &spec.items[item].prompt, ..work });
         let requirement = Requirement {
             model,
             min_version: min,
@@ -108,6 +116,7 @@
             spares_fast: false,
             evidence,
             idle: false,
+            work: work.filter(|work| !work.prompt.is_empty()),
         };
         let sparing = Requirement { spares_fast: true, ..requirement };
         let sparing = Some(sparing).filter(|_| self.is_short(item, now, engines.typical_pace()));
@@ -134,7 +143,9 @@
         let waited = [any_pace, any].into_iter().filter(|_| has_waited);
         let requirements =
             proven.chain(other_software).chain(sparing).chain([requirement]).chain(waited);
-        let engine = requirements.into_iter().find_map(|it| engines.choose(&it))?;
+        let Placement { engine, first } =
+            requirements.into_iter().find_map(|it| engines.place(&it))?;
+        let instead_of = Some(&first.target.id).filter(|id| **id != engine.target.id).cloned();
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
         let software = engine.target.software.clone();
         let status = &mut self.statuses[item];
@@ -144,12 +155,18 @@
         {
             status.progress = Progress::default();
         }
+        let begins = status.progress.last_event == 0;
         self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
         match self.statuses[item].doubt.is_raised() {
             true => engines.start_doubtful_run(&target),
             false => engines.start_run(&target),
         }
-        Some(self.assignment(item, Some(target)))
+        let sent = work.and_then(|work| engines.record_prompt(&target, &spec.model, &work));
+        let sent = sent.map(|sent| {
+            let shows_rate = sent.shows_rate && begins;
+            Sent { instead_of, shows_rate, ..sent }
+        });
+        Some(Assignment { sent, ..self.assignment(item, Some(target)) })
     }
 
     fn assignment(&self, item: usize, target: Option<TargetId>) -> Assignment {
@@ -164,6 +181,7 @@
             progress,
             judge_failures,
             last_resort,
+            sent: None,
         }
     }
 
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -15,6 +15,7 @@
 mod order;
 mod outcome;
 mod paces;
+mod placement;
 mod policy;
 mod queue;
 mod reason;
@@ -40,6 +41,7 @@
 pub use leaving::Leaving;
 pub use open::Job;
 pub use outcome::{Assignment, End, Outcome};
+pub use placement::Placement;
 pub use policy::Policy;
 pub use queue::Queue;
 pub use reason::Reason;
--- a/crates/node/src/job/requirement.rs
+++ b/crates/node/src/job/requirement.rs
@@ -1,6 +1,6 @@
 //! Requirement of an item on its engine.
 
-use crate::{job::engine::Engine, prelude::*};
+use crate::{job::engine::Engine, prefix, prelude::*};
 
 /// What is known of an engine on which an item may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -40,6 +40,8 @@
     pub evidence: Evidence,
     /// The engine must run nothing else.
     pub idle: bool,
+    /// What the item needs of the engine, if it is placed by the prompts that engines hold.
+    pub work: Option<prefix::Work<'a>>,
 }
 
 impl Requirement<'_> {
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -192,6 +192,7 @@
             allow_slow: true,
             evidence: Evidence::Any,
             idle: false,
+            work: None,
         };
         self.engines.choose(&any)?;
         let known = status.progress.software.as_deref().filter(|it| self.engines.has_software(it));
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -10,6 +10,7 @@
     events::Progress,
     job::{Assignment, End, Item, Judge, Outcome},
     peer::{departure::Departure, limit::Limit, text::TextPart},
+    prefix::Prompt,
     prelude::*,
     traffic::{Endpoint, Run, RunReport},
 };
@@ -305,6 +306,8 @@
             body: raw.body,
             max_total_tokens: 0,
             length_hint: None,
+            // Only the leader places items.
+            prompt: Prompt::default(),
             group: Box::default(),
             judge,
         };
@@ -333,6 +336,7 @@
                 progress,
                 judge_failures: raw.judge_failures,
                 last_resort: raw.last_resort,
+                sent: None,
             },
             target,
         })
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{cloud, prelude::*, workspace::Bounds};
+use crate::{cloud, prefix, prelude::*, workspace::Bounds};
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -38,6 +38,8 @@
     pub job_retention: Duration,
     /// API of the platform, if this deployment has duties there.
     pub cloud: Option<cloud::Settings>,
+    /// Placement of items by the prompts that engines hold, if it is on.
+    pub prefix: Option<prefix::Settings>,
 }
 
 impl Settings {
--- a/crates/node/tests/uneven.rs
+++ b/crates/node/tests/uneven.rs
@@ -35,6 +35,7 @@
         spares_fast: false,
         evidence: Evidence::Any,
         idle: false,
+        work: None,
     }
 }
 
