Assignment: requirements of an item in a function of their own

Job::assign both chose the order of requirements and changed the item's state. The order is now in Job::requirements; no requirement and no order changes.

--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -95,26 +95,60 @@
         let State::Waiting { not_before } = self.statuses[item].state else {
             return None;
         };
-        let status = &self.statuses[item];
         let waiting_since = not_before.max(self.started_at);
-        let (min, model) = (self.spec.min_version, &self.spec.model);
-        let avoid = status.avoid.as_ref();
-        let has_waited = now >= waiting_since + SLOT_WAIT_MAX;
-        let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
-        let software = known.filter(|_| status.progress.last_event > 0);
-        let evidence = Evidence::Any;
         // The spec outlives the change of the item's state below.
         let spec = Arc::clone(&self.spec);
         let work = engines.has_prefixes().then(|| self.work(item));
         let work = work.map(|work| Work { prompt: &spec.items[item].prompt, ..work });
+        let mut requirements = self.requirements(item, waiting_since, now, work, engines);
+        let Placement { engine, first } = requirements.find_map(|it| engines.place(&it))?;
+        drop(requirements);
+        let (min, model) = (self.spec.min_version, &self.spec.model);
+        let instead_of = Some(&first.target.id).filter(|id| **id != engine.target.id).cloned();
+        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
+        let software = engine.target.software.clone();
+        let status = &mut self.statuses[item];
+        let progress = &status.progress;
+        if !progress.can_continue(min, version, self.policy.single_version)
+            || !progress.fits(&software)
+        {
+            status.progress = Progress::default();
+        }
+        let begins = status.progress.last_event == 0;
+        self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
+        match self.statuses[item].doubt.is_raised() {
+            true => engines.start_doubtful_run(&target),
+            false => engines.start_run(&target),
+        }
+        let sent = work.and_then(|work| engines.record_prompt(&target, &spec.model, &work));
+        let sent = sent.map(|sent| {
+            let shows_rate = sent.shows_rate && begins;
+            Sent { instead_of, shows_rate, ..sent }
+        });
+        Some(Assignment { sent, ..self.assignment(item, Some(target)) })
+    }
+
+    /// Requirements of a ready item on its engine, in the order in which engines are looked for.
+    fn requirements<'a>(
+        &'a self,
+        item: usize,
+        waiting_since: Time,
+        now: Time,
+        work: Option<Work<'a>>,
+        engines: &'a Engines,
+    ) -> impl Iterator<Item = Requirement<'a>> {
+        let status = &self.statuses[item];
+        let has_waited = now >= waiting_since + SLOT_WAIT_MAX;
+        let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
+        let software = known.filter(|_| status.progress.last_event > 0);
         let requirement = Requirement {
-            model,
-            min_version: min,
-            avoid,
+            model: &self.spec.model,
+            min_version: self.spec.min_version,
+            avoid: status.avoid.as_ref(),
             software,
             allow_slow: false,
             spares_fast: false,
-            evidence,
+            evidence: Evidence::Any,
             idle: false,
             work: work.filter(|work| !work.prompt.is_empty()),
         };
@@ -122,12 +156,14 @@
         let sparing = Some(sparing).filter(|_| self.is_short(item, now, engines.typical_pace()));
         // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
         let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
-        let proven = heard.into_iter().chain([Evidence::NoFailure]).filter(|_| status.is_unreached);
-        let proven = proven.map(|evidence| Requirement { evidence, ..requirement });
-        // What a doubtful item may end is best an engine that runs nothing else.
+        let proven = heard.into_iter().chain([Evidence::NoFailure]);
+        let proven = proven.filter(move |_| status.is_unreached);
+        let proven = proven.map(move |evidence| Requirement { evidence, ..requirement });
+        // An item in doubt may end its engine, so one that runs nothing else is preferred.
         let in_doubt = status.doubt.is_raised();
-        let proven =
-            proven.flat_map(|it| [it.on_idle(), it].into_iter().filter(|it| in_doubt || !it.idle));
+        let proven = proven.flat_map(move |it| {
+            [it.on_idle(), it].into_iter().filter(move |it| in_doubt || !it.idle)
+        });
         // An idle engine that has ended refuses at once, but one that fell silent costs a timeout. So an engine that was heard
         // comes first after a silence.
         let any_idle = Requirement { evidence: Evidence::NoFailure, ..requirement.on_idle() };
@@ -140,33 +176,8 @@
         let other_software = Some(other_software).filter(|_| software.is_some() && is_stuck);
         let any_pace = Requirement { avoid: None, allow_slow: true, ..requirement };
         let any = Requirement { software: None, ..any_pace };
-        let waited = [any_pace, any].into_iter().filter(|_| has_waited);
-        let requirements =
-            proven.chain(other_software).chain(sparing).chain([requirement]).chain(waited);
-        let Placement { engine, first } =
-            requirements.into_iter().find_map(|it| engines.place(&it))?;
-        let instead_of = Some(&first.target.id).filter(|id| **id != engine.target.id).cloned();
-        let (target, version) = (engine.target.id.clone(), engine.version(model)?);
-        let software = engine.target.software.clone();
-        let status = &mut self.statuses[item];
-        let progress = &status.progress;
-        if !progress.can_continue(min, version, self.policy.single_version)
-            || !progress.fits(&software)
-        {
-            status.progress = Progress::default();
-        }
-        let begins = status.progress.last_event == 0;
-        self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
-        match self.statuses[item].doubt.is_raised() {
-            true => engines.start_doubtful_run(&target),
-            false => engines.start_run(&target),
-        }
-        let sent = work.and_then(|work| engines.record_prompt(&target, &spec.model, &work));
-        let sent = sent.map(|sent| {
-            let shows_rate = sent.shows_rate && begins;
-            Sent { instead_of, shows_rate, ..sent }
-        });
-        Some(Assignment { sent, ..self.assignment(item, Some(target)) })
+        let waited = [any_pace, any].into_iter().filter(move |_| has_waited);
+        proven.chain(other_software).chain(sparing).chain([requirement]).chain(waited)
     }
 
     fn assignment(&self, item: usize, target: Option<TargetId>) -> Assignment {
