Entry: the outgoing call in a function of its own, one rule for whose a job is

handle_routed did admission, routing and the building of the call. The rule by which a job exists for a workspace was written twice, for callers and for calls of other hosts; both use workspace::is_visible. jobs::check is check_visible.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header};
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header, request::Parts,
+};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use log::{info, warn};
@@ -141,15 +143,14 @@
     let (parts, body) = request.into_parts();
     let head = traffic.dialect.head(&parts.headers);
     let config = view.config.as_deref();
-    let routed = config.and_then(|it| Some((it, it.route(&head.host, parts.uri.path())?)));
-    let caller = routed.map(|(_, route)| access::admit_routed(traffic, &view, route, &head));
-    let caller = match caller {
-        Some(Ok(caller)) => caller,
-        Some(Err(refusal)) => {
+    let route = config.and_then(|config| config.route(&head.host, parts.uri.path()));
+    let caller = route.map(|route| access::admit_routed(traffic, &view, route, &head));
+    let caller = match caller.transpose() {
+        Ok(caller) => caller.unwrap_or(Caller::Any),
+        Err(refusal) => {
             body::discard(body).await;
             return access::refuse(traffic, refusal, &head);
         }
-        None => Caller::Any,
     };
     // The body is read before any response is sent: a connection that is closed with unread bytes is reset, and the
     // response is lost.
@@ -165,7 +166,7 @@
         info!(request = &*head.id; "request refused: no configuration is known yet");
         return not_run_response(RETRY_AFTER);
     };
-    let Some(mut route) = routed.map(|(_, route)| route.clone()) else {
+    let Some(mut route) = route.cloned() else {
         log::debug!(request = &*head.id, version = config.version; "request refused: no route");
         return status(StatusCode::NOT_FOUND);
     };
@@ -181,19 +182,7 @@
     let broken_off = head
         .last_event
         .map(|last_event| BrokenOff { stream: head.resumes.unwrap_or_default(), last_event });
-    let mut headers = end_to_end(parts.headers);
-    access::set_headers(traffic, &mut headers, &caller);
-    let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
-    let call = Call {
-        id: head.id,
-        method: parts.method,
-        uri: uri.unwrap_or_default(),
-        headers,
-        body,
-        held: Some(Rc::new(held)),
-        workspace: caller.workspace().map(|workspace| workspace.name.clone()),
-        deadline: arrived + timeout,
-    };
+    let call = outgoing_call(traffic, (head.id, &caller), parts, (body, held), arrived + timeout);
     if matches!(route.kind, Kind::Stream { .. }) {
         let Ok(take_up) = take_up(traffic, &route, &call.id, broken_off).await else {
             METERS.request(route.kind.name(), "unknown_origin", arrived.elapsed());
@@ -206,6 +195,29 @@
     response(result)
 }
 
+/// Request that is sent on to targets for a caller.
+fn outgoing_call(
+    traffic: &Traffic,
+    (id, caller): (Box<str>, &Caller),
+    parts: Parts,
+    (body, held): (Bytes, Taken),
+    deadline: Instant,
+) -> Call {
+    let mut headers = end_to_end(parts.headers);
+    access::set_headers(traffic, &mut headers, caller);
+    let uri = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse();
+    Call {
+        id,
+        method: parts.method,
+        uri: uri.unwrap_or_default(),
+        headers,
+        body,
+        held: Some(Rc::new(held)),
+        workspace: caller.workspace().map(|workspace| workspace.name.clone()),
+        deadline,
+    }
+}
+
 /// A stream that broke off, of which the caller wants the rest.
 struct BrokenOff {
     stream: Box<str>,
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -57,6 +57,7 @@
     Ok(job.page(traffic.dialect.as_ref(), after))
 }
 
+/// Body of a leader's answer.
 fn served(answer: Answer) -> Result<Bytes, Error> {
     match answer {
         Answer::Served(body) => Ok(body),
@@ -64,7 +65,8 @@
     }
 }
 
-fn check(caller: &Caller, workspace: Option<&str>) -> Result<(), Error> {
+/// Fails if a job of a workspace does not exist for a caller.
+fn check_visible(caller: &Caller, workspace: Option<&str>) -> Result<(), Error> {
     if caller.sees(workspace) { Ok(()) } else { Err(Error::NotFound) }
 }
 
@@ -72,7 +74,7 @@
 /// exist for the caller.
 async fn load(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Result<(), Error> {
     if let Some(mut job) = traffic.cache.get_mut(id) {
-        check(caller, job.workspace.as_deref())?;
+        check_visible(caller, job.workspace.as_deref())?;
         job.last_used = Instant::now();
         return Ok(());
     }
@@ -91,7 +93,7 @@
             (record.total, record.workspace)
         }
     };
-    check(caller, workspace.as_deref())?;
+    check_visible(caller, workspace.as_deref())?;
     let mut cached = CachedJob::new(total, workspace, revision);
     for entry in entries {
         cached.add_encoded(&entry.value);
@@ -237,7 +239,7 @@
 /// Returns whether the job is marked as ended; `false` if its head changed meanwhile.
 async fn try_end(traffic: &Traffic, (id, caller): (&str, &Caller)) -> Result<bool, Error> {
     let (record, revision) = record(traffic, id).await?;
-    check(caller, record.workspace.as_deref())?;
+    check_visible(caller, record.workspace.as_deref())?;
     if record.ended {
         return Ok(true);
     }
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -20,7 +20,7 @@
     },
     prelude::*,
     traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
-    workspace::Caller,
+    workspace::{Caller, is_visible},
 };
 
 /// Time for a response, in addition to the time for which it may wait for results.
@@ -227,8 +227,7 @@
             Some(Kind::Body(request)) => self.job(JobCall::Body(request)).await,
             Some(Kind::End(request)) => self.job(JobCall::End(request)).await,
             Some(Kind::Owned(Owned { workspace, call: Some(call) })) => {
-                let sees = |job: Option<&str>| job.is_none_or(|name| name == workspace);
-                if is_hidden(traffic, call.job(), sees) {
+                if is_hidden(traffic, call.job(), |job| is_visible(job, &workspace)) {
                     return Response::hidden();
                 }
                 self.job(call).await
--- a/crates/node/src/workspace/admission.rs
+++ b/crates/node/src/workspace/admission.rs
@@ -14,6 +14,7 @@
     Any,
     /// A caller of a public route, which needs no key.
     Public,
+    /// A caller with a key of a workspace.
     Member(Arc<Workspace>),
 }
 
@@ -26,27 +27,31 @@
         }
     }
 
-    /// Whether a job exists for the caller. One that names no workspace was accepted by an earlier build, or before there were
-    /// workspaces, so any of them may be its own.
-    pub fn sees(&self, job: Option<&str>) -> bool {
+    /// Whether a job exists for the caller, by the job's workspace.
+    pub fn sees(&self, owner: Option<&str>) -> bool {
         match self {
             Self::Any => true,
             Self::Public => false,
-            Self::Member(workspace) => job.is_none_or(|name| name == &*workspace.name),
+            Self::Member(workspace) => is_visible(owner, &workspace.name),
         }
     }
 }
 
+/// Whether a job exists for the callers of a workspace, by the job's own one. A job without one was accepted by an earlier
+/// build, or before there were workspaces, so it may be that of any.
+pub fn is_visible(owner: Option<&str>, workspace: &str) -> bool {
+    owner.is_none_or(|owner| owner == workspace)
+}
+
 /// Why a call is not served.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
     /// The call brings no key, several or none that can be read.
     NoKey,
+    /// The configuration is current and has no workspace with the key.
     UnknownKey,
     /// The configuration is too old to tell. Another host may serve the call.
-    Behind {
-        age: Duration,
-    },
+    Behind { age: Duration },
 }
 
 impl Refusal {
@@ -78,6 +83,7 @@
         Credential::Missing | Credential::Duplicated | Credential::Malformed => Err(Refusal::NoKey),
     };
     // A newer configuration may have the key, or need none.
-    let refused = |refusal| if bounds.is_current(age) { refusal } else { Refusal::Behind { age } };
-    workspace.map(Caller::Member).map_err(refused)
+    let or_behind =
+        |refusal| if bounds.is_current(age) { refusal } else { Refusal::Behind { age } };
+    workspace.map(Caller::Member).map_err(or_behind)
 }
--- a/crates/node/src/workspace/mod.rs
+++ b/crates/node/src/workspace/mod.rs
@@ -9,7 +9,7 @@
 mod directory;
 mod key;
 
-pub use admission::{Caller, Refusal, admit};
+pub use admission::{Caller, Refusal, admit, is_visible};
 pub use age::{Bounds, Knowledge};
 pub use directory::{Ambiguity, Directory, Entry, Workspace};
 pub use key::{ApiKey, Credential, MalformedKey};
