Comments: public items without one, and one that named a wrong cause

New public items of prefix, workspace, pool, cache and leaving had no doc comment. Reason::Delayed named any end of a run by an engine; only runs that broke without an event delay an item.

--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -73,6 +73,7 @@
         self.lock().entries.is_empty()
     }
 
+    /// Whether a content may run.
     pub fn verdict(&self, content: Content, now: Time) -> Verdict {
         let state = self.lock();
         state.entries.get(&content).map_or(Verdict::Free, |entry| entry.record.verdict(now))
--- a/crates/node/src/job/leaving.rs
+++ b/crates/node/src/job/leaving.rs
@@ -35,6 +35,7 @@
         }
     }
 
+    /// Whether no target has named its end.
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty()
     }
--- a/crates/node/src/job/reason.rs
+++ b/crates/node/src/job/reason.rs
@@ -7,7 +7,7 @@
 /// Why an item is at no engine. The text form gives the details.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reason {
-    /// It may not start before a time, as an engine has just ended its run.
+    /// It may not start before a time, as its runs broke without an event.
     Delayed { left: Duration },
     /// No engine is open for its model.
     NoEngineOpen(Supply),
--- a/crates/node/src/prefix/prompt.rs
+++ b/crates/node/src/prefix/prompt.rs
@@ -26,14 +26,17 @@
 }
 
 impl Prompt {
+    /// Parts in the order of the text.
     pub fn parts(&self) -> &[Part] {
         &self.parts
     }
 
+    /// Whether the sender names no parts.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
     }
 
+    /// Tokens of all parts.
     pub fn tokens(&self) -> u64 {
         self.parts.iter().map(|part| u64::from(part.tokens)).sum()
     }
--- a/crates/node/src/prefix/table.rs
+++ b/crates/node/src/prefix/table.rs
@@ -39,6 +39,7 @@
 }
 
 impl Table {
+    /// An estimate without engines.
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
@@ -49,6 +50,7 @@
         }
     }
 
+    /// Sets the tokens that an engine keeps; `None` if they are not known. Applies from the next run on.
     pub fn set_capacity(&mut self, capacity: Option<u64>) {
         self.capacity = capacity;
     }
@@ -123,6 +125,7 @@
         }
     }
 
+    /// Records that a run on an engine has ended.
     pub fn end_run(&mut self, engine: &str) {
         if let Some(entry) = self.engines.get_mut(engine) {
             entry.cache.end_run();
@@ -171,6 +174,7 @@
         self.holders.clear();
     }
 
+    /// Removes an engine from the holders of parts that it has dropped.
     fn unindex(&mut self, engine: &str, dropped: Vec<(ModelId, PartId)>) {
         for (model, part) in dropped {
             let Some(parts) = self.holders.get_mut(&model) else {
--- a/crates/node/src/traffic/cache.rs
+++ b/crates/node/src/traffic/cache.rs
@@ -51,6 +51,7 @@
 }
 
 impl CachedJob {
+    /// A job of which no chunk is known yet.
     pub fn new(total: usize, workspace: Option<WorkspaceId>, revision: Revision) -> Self {
         Self {
             total,
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -79,6 +79,7 @@
 }
 
 impl Pool {
+    /// A pool for a host in a zone.
     pub fn new(zone: ZoneId) -> Self {
         Self { zone, loads: HashMap::new(), routes: HashMap::new(), round_trips: HashMap::new() }
     }
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -397,6 +397,7 @@
     }
 }
 
+/// Whether the configuration in force has workspaces.
 fn has_workspaces(traffic: &Traffic) -> bool {
     traffic.view.load().config.as_ref().is_some_and(|config| config.workspaces.is_some())
 }
--- a/crates/node/src/workspace/age.rs
+++ b/crates/node/src/workspace/age.rs
@@ -2,7 +2,7 @@
 //!
 //! A watch that waits shows nothing, so only a read proves that the configuration is the present one. Where keys have to be
 //! revoked within a bound on all hosts, the configuration is therefore renewed at intervals, and a host that cannot renew it
-//! stops to admit callers before the bound. Elsewhere a host counts as current while it follows the configuration without a
+//! stops admitting callers before the bound. Elsewhere a host counts as current while it follows the configuration without a
 //! failure.
 
 use crate::prelude::*;
@@ -14,7 +14,7 @@
 /// fifth of the bound old at the beginning, with the time until the reader of a zone has passed a renewal on.
 const RENEWALS_PER_BOUND: u32 = 6;
 
-/// What a host knows of the time of its configuration.
+/// What a host knows of the age of its configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Knowledge {
     /// Time at which the configuration was certainly the present one.
--- a/crates/node/src/workspace/key.rs
+++ b/crates/node/src/workspace/key.rs
@@ -38,10 +38,13 @@
 /// What a call brings to show its workspace.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Credential {
+    /// No header with a key.
     #[default]
     Missing,
     /// The header is there more than once.
     Duplicated,
+    /// The header's value is no API key.
     Malformed,
+    /// A key, which may be unknown.
     Key(ApiKey),
 }
