--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -125,9 +125,10 @@
         self.reserved || self.failed_at.is_some_and(|at| now < at + SUSPECT_TIME)
     }
 
-    /// Keeps the engine for the item in doubt that has just started on it, if it runs nothing else.
+    /// Keeps the engine for the item in doubt that has just started on it, if it runs nothing else. It stays so if another such
+    /// item joins it.
     pub(super) fn reserve(&mut self) {
-        self.reserved = self.in_flight == 1;
+        self.reserved |= self.in_flight == 1;
     }
 
     /// Whether no run has failed since the last one that showed that the engine works.
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -233,5 +233,7 @@
     /// Drops the statistics of targets that are not registered any more.
     pub fn sweep(&mut self, view: &View) {
         self.loads.retain(|id, load| load.in_flight > 0 || view.targets.contains_key(id));
+        let is_known = |zone: &str| view.targets.values().any(|target| *target.zone == *zone);
+        self.round_trips.retain(|zone, _| is_known(zone));
     }
 }
