Feed: one call of the reader for changes and proofs

Two methods contained the same call, check and decoding. They now share call_reader; the constant for the age of proofs says what it bounds.

--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -35,7 +35,7 @@
 /// Two recoveries that are closer than this are the same one, reported twice.
 const SAME_RECOVERY: Duration = Duration::from_millis(500);
 
-/// Intervals between proofs after which that of a reader serves no longer.
+/// Age of a reader's proof, in intervals between proofs, from which it is not used.
 const PROOF_PERIODS: u32 = 2;
 /// Interval at which a reader that has lost the store is asked again.
 const LOST_POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -95,7 +95,21 @@
         })
     }
 
-    /// Asks the reader.
+    /// Sends a request to the reader. The error is the answer without a page.
+    async fn call_reader(&self, request: ChangesRequest, limit: Duration) -> Result<Page, Answer> {
+        let Some(reader) = *self.reader.borrow() else {
+            return Err(Answer::None);
+        };
+        let response = self.peers.call(reader, Kind::Changes(request), limit).await;
+        let response = response.ok_or(Answer::None)?;
+        if !response.served {
+            METERS.feed("lost");
+            return Err(Answer::Lost);
+        }
+        Page::decode(response.body).map_err(|_| Answer::None)
+    }
+
+    /// Asks the reader for what it knows.
     async fn ask(
         &self,
         prefix: &str,
@@ -103,9 +117,6 @@
         wait: Duration,
         max_age: Option<Duration>,
     ) -> Answer {
-        let Some(reader) = *self.reader.borrow() else {
-            return Answer::None;
-        };
         let request = ChangesRequest {
             prefix: prefix.to_owned(),
             after,
@@ -115,15 +126,9 @@
         };
         let asked_at = clock::now();
         let limit = if wait.is_zero() { ON_DEMAND_TIMEOUT } else { wait + RESPONSE_TIMEOUT };
-        let Some(response) = self.peers.call(reader, Kind::Changes(request), limit).await else {
-            return Answer::None;
-        };
-        if !response.served {
-            METERS.feed("lost");
-            return Answer::Lost;
-        }
-        let Ok(page) = Page::decode(response.body) else {
-            return Answer::None;
+        let page = match self.call_reader(request, limit).await {
+            Ok(page) => page,
+            Err(failure) => return failure,
         };
         let is_young = max_age.is_none_or(|max_age| page.age() <= max_age);
         METERS.feed(if is_young { "served" } else { "outdated" });
@@ -140,9 +145,6 @@
         proven_at: Option<Time>,
         period: Duration,
     ) -> Answer {
-        let Some(reader) = *self.reader.borrow() else {
-            return Answer::None;
-        };
         let asked_at = clock::now();
         let known = proven_at.map_or(Duration::MAX, |at| asked_at.saturating_sub(at));
         let request = ChangesRequest {
@@ -152,16 +154,9 @@
             max_age_ms: None,
             proven_ms: Some(peer::millis(known)),
         };
-        let limit = period + RESPONSE_TIMEOUT;
-        let Some(response) = self.peers.call(reader, Kind::Changes(request), limit).await else {
-            return Answer::None;
-        };
-        if !response.served {
-            METERS.feed("lost");
-            return Answer::Lost;
-        }
-        let Ok(page) = Page::decode(response.body) else {
-            return Answer::None;
+        let page = match self.call_reader(request, period + RESPONSE_TIMEOUT).await {
+            Ok(page) => page,
+            Err(failure) => return failure,
         };
         // A reader of an earlier build has no proof.
         let proven_at = page.proven_at(asked_at);
--- a/crates/node/src/feed/page.rs
+++ b/crates/node/src/feed/page.rs
@@ -70,6 +70,7 @@
         if after < 0 { asked_at.checked_sub(distance) } else { asked_at.checked_add(distance) }
     }
 
+    /// Age of the reader's knowledge.
     pub fn age(&self) -> Duration {
         Duration::from_millis(self.age_ms)
     }
--- a/crates/node/src/feed/source.rs
+++ b/crates/node/src/feed/source.rs
@@ -18,7 +18,7 @@
     pub revision: Revision,
     /// Time at which the entries were current.
     pub current_at: Time,
-    /// Time at which a read of the store proved them, if that is known.
+    /// Time at which the read of the store began that proved them, if that is known.
     pub proven_at: Option<Time>,
 }
 
@@ -51,6 +51,7 @@
 /// Source of a prefix of the store.
 #[async_trait(?Send)]
 pub trait Source {
+    /// Reads all entries under a prefix.
     async fn read(&self, prefix: &str) -> Result<Snapshot, Error>;
     /// Waits up to `wait` for changes under a prefix after a revision.
     async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error>;
