--- a/crates/node/src/control/scale.rs
+++ b/crates/node/src/control/scale.rs
@@ -25,7 +25,7 @@
     scale::{Basis, CallResult, Decision, Inputs, Kind, Order, Pool, Present, Scaler, Turn},
 };
 
-/// Interval at which the work and the registrations are looked at.
+/// Interval between evaluations of the work and the registrations.
 const INTERVAL: Duration = Duration::from_millis(300);
 
 /// Scaling of the services that this host leads or has led.
@@ -41,8 +41,8 @@
     fence: Revision,
     scaler: Scaler,
     observed_at: Time,
-    /// End of the time for orders when an order met a conflict. A higher fencing token may be the cause, so the lease has to
-    /// be renewed before the next order.
+    /// End of the time for orders when an order met a conflict, `Time::MAX` until that is recorded. A higher fencing token may
+    /// be the cause, so the lease has to be renewed before the next order.
     doubted: Option<Time>,
 }
 
@@ -117,7 +117,7 @@
     /// Whether the leadership lasts until a time and is not in doubt.
     fn may_order(&mut self, orders_until: Time, now: Time) -> bool {
         match self.doubted {
-            // The first look after the conflict says which renewal was the last one then.
+            // The first check after the conflict records up to when the lease was renewed then.
             Some(Time::MAX) => {
                 self.doubted = Some(orders_until);
                 return false;
@@ -131,7 +131,7 @@
 }
 
 impl Control {
-    /// Looks at the work and the registrations of a service that this host leads, if that is due, and sends the orders that
+    /// Evaluates the work and the registrations of a service that this host leads, if that is due, and sends the orders that
     /// follow.
     pub(super) fn scale_targets(&mut self, name: &ServiceId, now: Time) {
         let (Some(cloud), Some(settings)) = (&self.cloud, &self.settings.cloud) else {
--- a/crates/node/src/scale/mod.rs
+++ b/crates/node/src/scale/mod.rs
@@ -8,22 +8,26 @@
 //! zones and kinds, and [`Scaler`] decides which orders to send. [`Scaler`] keeps the state of one leadership; a new leader
 //! begins with what is registered. Nothing here does input or output.
 
+mod call_result;
+mod decision;
 mod demand;
 mod forecast;
-mod line;
 mod pacer;
 mod peak;
 mod plan;
+mod pool_state;
 mod scaler;
 mod turn;
 
+pub use call_result::CallResult;
+pub use decision::{Basis, Decision, Order};
 pub use demand::{Step, Supply, slots_needed};
 pub use forecast::Forecast;
-pub use line::{CallResult, Line};
 pub use pacer::Pacer;
 pub use peak::Peak;
 pub use plan::{Need, ZoneOffer, plan};
-pub use scaler::{Basis, Decision, Inputs, Order, Present, Scaler};
+pub use pool_state::{PoolState, Registered};
+pub use scaler::{Inputs, Present, Scaler};
 pub use turn::Turn;
 
 use crate::prelude::*;
--- a/crates/node/src/scale/line.rs
+++ b/crates/node/src/scale/pool_state.rs
@@ -1,9 +1,12 @@
-//! State of the orders for one pool.
+//! State of one pool: what is registered of it, and the orders for it.
 //!
 //! Nothing can be read back from the platform but the registrations. An order without a response may take effect late, after
 //! newer ones, so an order counts as carried out only while the registrations show it, and is repeated otherwise.
 
-use crate::{prelude::*, scale::Peak};
+use crate::{
+    prelude::*,
+    scale::{CallResult, Peak},
+};
 
 /// Backoff after a call that had no effect or no response, doubled with each further one.
 const BACKOFF: Duration = Duration::from_secs(1);
@@ -17,38 +20,11 @@
 /// Time for which all targets of a pool have to be missing until they count as reclaimed. Single ones that are missing may
 /// have crashed, and come back by themselves.
 const GONE_TIME: Duration = Duration::from_secs(1);
-/// Time after which targets that have vanished without a word count as gone. Cuts of a zone are shorter.
-const OUT_OF_SIGHT_MAX: Duration = Duration::from_secs(60);
-/// Time in boots for which a reclaimed zone is not asked again.
+/// Time after which targets that have vanished without naming their end count as gone. A zone is cut off for less than that.
+const CUT_OFF_MAX: Duration = Duration::from_secs(60);
+/// Boots for which no more is ordered from a pool whose targets were reclaimed.
 const RECLAIMED_BOOTS: u32 = 2;
 
-/// Result of a call that orders a number of targets.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallResult {
-    Accepted,
-    /// No effect: none to be had, or a higher fencing token was seen.
-    Conflict,
-    /// No effect: too many calls.
-    RateLimited,
-    /// No effect: the call was not sent or not taken.
-    Refused,
-    /// The order may take effect, now or later.
-    NoResponse,
-}
-
-impl CallResult {
-    /// Label in logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Accepted => "accepted",
-            Self::Conflict => "conflict",
-            Self::RateLimited => "rate_limited",
-            Self::Refused => "refused",
-            Self::NoResponse => "no_response",
-        }
-    }
-}
-
 /// Registered targets of a pool.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Registered {
@@ -61,9 +37,9 @@
     pub taken: u32,
 }
 
-/// Orders for one pool.
+/// State of one pool under one leadership.
 #[derive(Clone, Debug)]
-pub struct Line {
+pub struct PoolState {
     /// Number that the platform is taken to keep: the last order, or what was found.
     pub ordered: u32,
     /// Number that was found when the leadership began, or less if fewer were ordered since.
@@ -79,13 +55,16 @@
     unconfirmed: bool,
     /// The last order has to be repeated.
     repeat: bool,
+    /// Time since which the registrations differ from `ordered`.
     deviates_since: Option<Time>,
     failures: u32,
     retry_at: Time,
+    /// Time of the last order that may have been carried out, or of the beginning.
     pub changed_at: Time,
 }
 
-impl Line {
+impl PoolState {
+    /// State at the beginning of a leadership, with what is registered then.
     pub fn new(now: Time, registered: Registered) -> Self {
         Self {
             ordered: registered.ready,
@@ -122,7 +101,7 @@
             self.retry_at = self.retry_at.max(now + boot * RECLAIMED_BOOTS);
             self.repeat = true;
         }
-        if !self.is_ours && (ready > self.ordered || is_late && !self.is_out_of_sight(now)) {
+        if !self.is_ours && (ready > self.ordered || is_late && !self.is_probably_cut_off(now)) {
             // The platform or an earlier leader has changed the number.
             (self.ordered, self.base) = (ready, ready);
             self.deviates_since = None;
@@ -141,11 +120,11 @@
         ready < self.ordered && self.sending.is_none() && (is_leaving || is_gone && !self.repeat)
     }
 
-    /// Whether all targets have vanished without a word, and not because an order was not carried out. For on-demand targets,
+    /// Whether all targets have vanished without naming their end, and not because an order was not carried out. For on-demand targets,
     /// which are not reclaimed, their zone is then probably cut off and they go on.
-    pub fn is_out_of_sight(&self, now: Time) -> bool {
+    pub fn is_probably_cut_off(&self, now: Time) -> bool {
         let Registered { ready, leaving, .. } = self.registered;
-        let is_lately = self.deviates_since.is_some_and(|since| now < since + OUT_OF_SIGHT_MAX);
+        let is_lately = self.deviates_since.is_some_and(|since| now < since + CUT_OFF_MAX);
         self.ordered > 0 && ready == 0 && leaving == 0 && !self.unconfirmed && is_lately
     }
 
@@ -176,6 +155,7 @@
         self.registered.ready.min(self.ordered).min(self.sending.unwrap_or(u32::MAX))
     }
 
+    /// Whether a call is in progress.
     pub fn is_sending(&self) -> bool {
         self.sending.is_some()
     }
--- a/crates/node/src/scale/scaler.rs
+++ b/crates/node/src/scale/scaler.rs
@@ -6,8 +6,8 @@
     config::Scale,
     prelude::*,
     scale::{
-        CallResult, Forecast, Kind, Line, Need, Pacer, Peak, Pool, Step, Supply, ZoneOffer,
-        line::Registered, plan, slots_needed,
+        Basis, CallResult, Decision, Forecast, Kind, Need, Order, Pacer, Peak, Pool, PoolState,
+        Registered, Step, Supply, ZoneOffer, plan, slots_needed,
     },
 };
 
@@ -54,46 +54,11 @@
     pub steps: Vec<Step>,
 }
 
-/// An order to send.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    pub pool: Pool,
-    pub count: u32,
-    /// Last number that was ordered or found, and targets that are ready.
-    pub before: u32,
-    pub ready: u32,
-    /// Why it is sent.
-    pub reason: &'static str,
-}
-
-/// Estimates that led to a decision, in slots.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Basis {
-    pub open_steps: usize,
-    /// Needed by the open steps.
-    pub open: f64,
-    /// Needed by the steps that recur.
-    pub expected: f64,
-    /// Slots of the ready targets.
-    pub ready: f64,
-    /// Slots of a target.
-    pub per_target: f64,
-    /// Targets that are needed.
-    pub need: Need,
-}
-
-/// Orders to send, and what led to them.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Decision {
-    pub basis: Basis,
-    pub orders: Vec<Order>,
-}
-
 /// Scaling of one service by one leadership.
 #[derive(Clone, Debug, Default)]
 pub struct Scaler {
     forecast: Forecast,
-    lines: BTreeMap<Pool, Line>,
+    pools: BTreeMap<Pool, PoolState>,
     pacer: Pacer,
     basis: Basis,
     /// Slots that the work needs, without headroom.
@@ -103,6 +68,7 @@
     needed_after_loss: Peak,
     /// Most targets that were found without an order of this leader.
     found: u32,
+    /// Numbers of the last plan.
     wanted: BTreeMap<Pool, u32>,
     /// The on-demand targets found at the beginning are not needed any more.
     base_released: bool,
@@ -113,13 +79,13 @@
     /// ordered.
     pub fn observe(&mut self, now: Time, inputs: &Inputs) {
         let Inputs { scale, steps, .. } = inputs;
-        let is_first = self.lines.is_empty();
-        self.update_lines(now, inputs);
+        let is_first = self.pools.is_empty();
+        self.update_pools(now, inputs);
         self.forecast.observe(steps);
         self.update_basis(now, inputs);
         let (hold, memory) = (hold(scale), hold(scale) * BASE_HOLDS);
         let need = self.basis.need;
-        let found: u32 = self.lines.values().map(|line| line.base).sum();
+        let found: u32 = self.pools.values().map(|state| state.base).sum();
         if found > self.found {
             // A new leader shrinks nothing before it has seen the demand for as long as any other. It may lead before it has
             // read all registrations.
@@ -128,26 +94,27 @@
         }
         self.needed.observe(now, need.total, memory);
         self.needed_after_loss.observe(now, need.after_loss, memory);
-        let base = self.lines.iter().filter(|(pool, _)| pool.kind == Kind::OnDemand);
-        let base: u32 = base.map(|(_, line)| line.base).sum();
+        let base = self.pools.iter().filter(|(pool, _)| pool.kind == Kind::OnDemand);
+        let base: u32 = base.map(|(_, state)| state.base).sum();
         self.base_released = self.needed.over(now, memory).saturating_mul(2) <= base;
         let offers: Vec<ZoneOffer> =
             self.zones().into_iter().map(|zone| self.offer(now, zone, scale)).collect();
         self.wanted = plan(scale, &offers, need);
-        for (pool, line) in &mut self.lines {
+        for (pool, state) in &mut self.pools {
             if is_first {
-                line.wanted.observe(now, line.ordered, hold * BUSY_HOLDS);
+                state.wanted.observe(now, state.ordered, hold * BUSY_HOLDS);
             }
             let wanted = self.wanted.get(pool).copied().unwrap_or_default();
-            line.wanted.observe(now, wanted, hold * BUSY_HOLDS);
+            state.wanted.observe(now, wanted, hold * BUSY_HOLDS);
         }
     }
 
-    fn update_lines(&mut self, now: Time, inputs: &Inputs) {
+    /// Counts the registered targets of each pool, also of the pools that have none now.
+    fn update_pools(&mut self, now: Time, inputs: &Inputs) {
         let mut registered: BTreeMap<Pool, Registered> = BTreeMap::new();
         let named = inputs.scale.zone_prices.keys();
         let zones = named.chain(inputs.targets.iter().map(|target| &target.pool.zone));
-        for zone in zones.chain(self.lines.keys().map(|pool| &pool.zone)) {
+        for zone in zones.chain(self.pools.keys().map(|pool| &pool.zone)) {
             for kind in [Kind::OnDemand, Kind::Spot] {
                 registered.entry(Pool { zone: zone.clone(), kind }).or_default();
             }
@@ -163,13 +130,14 @@
             counts.taken = counts.taken.saturating_add(target.taken);
         }
         for (pool, counts) in registered {
-            let line = self.lines.entry(pool).or_insert_with(|| Line::new(now, counts));
-            line.observe(now, counts, inputs.scale.boot);
+            let state = self.pools.entry(pool).or_insert_with(|| PoolState::new(now, counts));
+            state.observe(now, counts, inputs.scale.boot);
         }
     }
 
+    /// Estimates the slots and targets that the work needs.
     fn update_basis(&mut self, now: Time, inputs: &Inputs) {
-        let registered = self.lines.values().map(|line| &line.registered);
+        let registered = self.pools.values().map(|state| &state.registered);
         let (ready, slots) = registered.fold((0_u32, 0_u32), |(ready, slots), counts| {
             (ready + counts.ready, slots.saturating_add(counts.slots))
         });
@@ -178,7 +146,7 @@
             self.basis.per_target = f64::from(slots) / f64::from(ready);
         }
         let per_target = self.basis.per_target.max(1.0);
-        let coming = self.lines.values().map(|line| line.coming(now, boot));
+        let coming = self.pools.values().map(|state| state.coming(now, boot));
         let coming = coming.map(|(count, after)| (f64::from(count) * per_target, after));
         let supply = Supply { ready: slots.into(), coming: coming.collect() };
         let open = slots_needed(now, &supply, boot, &inputs.steps);
@@ -189,31 +157,33 @@
         self.basis = Basis { open_steps, open, expected, ready: slots.into(), per_target, need };
     }
 
-    /// Targets that serve the work with some headroom.
+    /// Targets that the work needs, with headroom.
     fn need(&self, headroom: f64, loss_headroom: f64) -> Need {
         let per_target = self.basis.per_target.max(1.0);
         let targets = |headroom: f64| (self.slots * headroom / per_target).ceil() as u32;
         Need { total: targets(headroom), after_loss: targets(loss_headroom) }
     }
 
+    /// Zones of all known pools.
     fn zones(&self) -> Vec<ZoneId> {
-        let spot = self.lines.keys().filter(|pool| pool.kind == Kind::Spot);
+        let spot = self.pools.keys().filter(|pool| pool.kind == Kind::Spot);
         spot.map(|pool| pool.zone.clone()).collect()
     }
 
+    /// What can be ordered in a zone now.
     fn offer(&self, now: Time, zone: ZoneId, scale: &Scale) -> ZoneOffer {
-        let line = |kind| self.lines.get(&Pool { zone: zone.clone(), kind });
-        let on_demand = line(Kind::OnDemand);
-        let kept = on_demand.map_or(0, |line| line.base.min(line.registered.ready));
+        let state = |kind| self.pools.get(&Pool { zone: zone.clone(), kind });
+        let on_demand = state(Kind::OnDemand);
+        let kept = on_demand.map_or(0, |state| state.base.min(state.registered.ready));
         let price = scale.zone_prices.get(&zone).copied().unwrap_or(1.0);
-        let limit = |line: &Line| {
-            let can_grow = is_offered(scale, &zone) && !self.is_out_of_sight(now, &zone);
-            if can_grow { line.limit(now) } else { Some(line.registered.ready) }
+        let limit = |state: &PoolState| {
+            let can_grow = is_offered(scale, &zone) && !self.is_probably_cut_off(now, &zone);
+            if can_grow { state.limit(now) } else { Some(state.registered.ready) }
         };
         ZoneOffer {
             price,
             kept: if self.base_released { 0 } else { kept },
-            spot_max: line(Kind::Spot).and_then(limit),
+            spot_max: state(Kind::Spot).and_then(limit),
             on_demand_max: on_demand.and_then(limit),
             zone,
         }
@@ -223,7 +193,7 @@
     pub fn decide(&mut self, now: Time, scale: &Scale, calls_per_s: f64) -> Decision {
         let is_served = self.is_served(now, scale);
         let mut orders: Vec<Order> =
-            self.lines.keys().filter_map(|pool| self.order(now, scale, pool, is_served)).collect();
+            self.pools.keys().filter_map(|pool| self.order(now, scale, pool, is_served)).collect();
         // Further targets first, then as many as possible at once.
         orders.sort_by_key(|order| {
             (order.count < order.before, std::cmp::Reverse(order.count.abs_diff(order.before)))
@@ -235,8 +205,8 @@
         let pacer = &mut self.pacer;
         orders.retain(|_| pacer.take(now, calls_per_s));
         for order in &orders {
-            if let Some(line) = self.lines.get_mut(&order.pool) {
-                line.sent(order.count);
+            if let Some(state) = self.pools.get_mut(&order.pool) {
+                state.sent(order.count);
             }
         }
         Decision { basis: self.basis, orders }
@@ -249,83 +219,86 @@
             CallResult::RateLimited => self.pacer.refused(now, jitter),
             CallResult::Conflict | CallResult::Refused | CallResult::NoResponse => {}
         }
-        if let Some(line) = self.lines.get_mut(pool) {
-            line.ended(now, result, jitter);
+        if let Some(state) = self.pools.get_mut(pool) {
+            state.ended(now, result, jitter);
         }
     }
 
     /// Pools with the number that is wanted and the targets that are ready.
     pub fn pools(&self) -> impl Iterator<Item = (&Pool, u32, u32)> {
-        self.lines.iter().map(|(pool, line)| {
+        self.pools.iter().map(|(pool, state)| {
             let wanted = self.wanted.get(pool).copied().unwrap_or_default();
-            (pool, wanted, line.registered.ready)
+            (pool, wanted, state.registered.ready)
         })
     }
 
+    /// Estimates of the last observation.
     pub fn basis(&self) -> &Basis {
         &self.basis
     }
 
+    /// Order that a pool needs now, if any.
     fn order(&self, now: Time, scale: &Scale, pool: &Pool, is_served: bool) -> Option<Order> {
-        let line = self.lines.get(pool).filter(|line| !line.is_sending())?;
-        if !is_offered(scale, &pool.zone) || self.is_out_of_sight(now, &pool.zone) {
+        let state = self.pools.get(pool).filter(|state| !state.is_sending())?;
+        if !is_offered(scale, &pool.zone) || self.is_probably_cut_off(now, &pool.zone) {
             return None;
         }
-        let ready = line.registered.ready;
+        let ready = state.registered.ready;
         let order = |count, reason| Order {
             pool: pool.clone(),
             count,
-            before: line.ordered,
+            before: state.ordered,
             ready,
             reason,
         };
         let wanted = self.wanted.get(pool).copied().unwrap_or_default();
         let most = wanted.min(self.room(pool, scale));
-        if most > line.ordered && !line.is_blocked(now) && (!is_served || self.base_released) {
+        if most > state.ordered && !state.is_blocked(now) && (!is_served || self.base_released) {
             return Some(order(most, "needed"));
         }
-        if self.is_in_the_way(now, scale, pool) {
+        if self.blocks_other_kind(now, scale, pool) {
             return Some(order(ready, "blocks_other_kind"));
         }
-        if line.is_repeat_due(now) {
+        if state.is_repeat_due(now) {
             // What has not come and is not wanted any more is not asked for again.
-            let lately = line.wanted.over(now, hold(scale));
-            let count = line.ordered.min(lately.max(ready)).min(self.room(pool, scale));
+            let lately = state.wanted.over(now, hold(scale));
+            let count = state.ordered.min(lately.max(ready)).min(self.room(pool, scale));
             return Some(order(count, "not_carried_out"));
         }
-        let count = self.lowered(now, scale, pool, line)?;
+        let count = self.lowered(now, scale, pool, state)?;
         Some(order(count, NOT_NEEDED))
     }
 
     /// Whether a zone is probably cut off. Orders there would end targets that go on and are not seen.
-    fn is_out_of_sight(&self, now: Time, zone: &ZoneId) -> bool {
-        let on_demand = self.lines.get(&Pool { zone: zone.clone(), kind: Kind::OnDemand });
-        on_demand.is_some_and(|line| line.is_out_of_sight(now))
+    fn is_probably_cut_off(&self, now: Time, zone: &ZoneId) -> bool {
+        let on_demand = self.pools.get(&Pool { zone: zone.clone(), kind: Kind::OnDemand });
+        on_demand.is_some_and(|state| state.is_probably_cut_off(now))
     }
 
     /// Most targets of a pool beside those of the other kind.
     fn room(&self, pool: &Pool, scale: &Scale) -> u32 {
         let other = Pool { zone: pool.zone.clone(), kind: pool.kind.other() };
         let other =
-            self.lines.get(&other).map_or(0, |line| line.ordered.max(line.registered.ready));
+            self.pools.get(&other).map_or(0, |state| state.ordered.max(state.registered.ready));
         scale.max.saturating_sub(other)
     }
 
     /// Whether an order that the platform cannot carry out now takes the room of the other kind, which is wanted.
-    fn is_in_the_way(&self, now: Time, scale: &Scale, pool: &Pool) -> bool {
+    fn blocks_other_kind(&self, now: Time, scale: &Scale, pool: &Pool) -> bool {
         let other = Pool { zone: pool.zone.clone(), kind: pool.kind.other() };
-        let (Some(line), Some(other_line)) = (self.lines.get(pool), self.lines.get(&other)) else {
+        let (Some(state), Some(other_state)) = (self.pools.get(pool), self.pools.get(&other))
+        else {
             return false;
         };
         let wanted = self.wanted.get(&other).copied().unwrap_or_default();
-        let is_wanted = wanted > other_line.ordered && wanted > self.room(&other, scale);
-        line.is_blocked(now) && line.ordered > line.registered.ready && is_wanted
+        let is_wanted = wanted > other_state.ordered && wanted > self.room(&other, scale);
+        state.is_blocked(now) && state.ordered > state.registered.ready && is_wanted
     }
 
     /// Whether the targets that are there or ordered serve the work, also after the loss of a zone.
     fn is_served(&self, now: Time, scale: &Scale) -> bool {
         let expected: BTreeMap<&Pool, u32> =
-            self.lines.iter().map(|(pool, line)| (pool, line.expected(now))).collect();
+            self.pools.iter().map(|(pool, state)| (pool, state.expected(now))).collect();
         let planned = self.wanted.iter().map(|(pool, wanted)| (pool, *wanted)).collect();
         let need = self.need(HEADROOM_MIN, LOSS_HEADROOM_MIN);
         // What the plan cannot reach cannot be asked for.
@@ -336,19 +309,20 @@
     }
 
     /// Lower number to order for a pool, if that interrupts nothing and leaves enough.
-    fn lowered(&self, now: Time, scale: &Scale, pool: &Pool, line: &Line) -> Option<u32> {
+    fn lowered(&self, now: Time, scale: &Scale, pool: &Pool, state: &PoolState) -> Option<u32> {
         let hold = hold(scale);
-        let is_busy = line.registered.taken > 0;
-        let wanted = self.lines.values().map(|line| line.wanted.over(now, hold)).sum::<u32>();
-        let ordered = self.lines.values().map(|line| line.ordered).sum::<u32>();
+        let is_busy = state.registered.taken > 0;
+        let wanted = self.pools.values().map(|state| state.wanted.over(now, hold)).sum::<u32>();
+        let ordered = self.pools.values().map(|state| state.ordered).sum::<u32>();
         let has_surplus = f64::from(ordered) >= f64::from(wanted) * SURPLUS_MIN;
-        let is_early = now < line.changed_at + hold || !has_surplus;
+        let is_early = now < state.changed_at + hold || !has_surplus;
         if is_early || is_busy && pool.kind == Kind::OnDemand {
             return None;
         }
         let is_slow = is_busy || pool.kind == Kind::OnDemand;
-        let wanted = line.wanted.over(now, if is_slow { hold * BUSY_HOLDS } else { hold });
-        if wanted >= line.ordered || is_busy && self.free_elsewhere(pool) < line.registered.taken {
+        let wanted = state.wanted.over(now, if is_slow { hold * BUSY_HOLDS } else { hold });
+        if wanted >= state.ordered || is_busy && self.free_elsewhere(pool) < state.registered.taken
+        {
             return None;
         }
         let need = Need {
@@ -356,26 +330,27 @@
             after_loss: self.needed_after_loss.over(now, hold),
         };
         let lasting: BTreeMap<&Pool, u32> =
-            self.lines.iter().map(|(pool, line)| (pool, line.lasting())).collect();
+            self.pools.iter().map(|(pool, state)| (pool, state.lasting())).collect();
         // Also while some zones offer no spot targets, this much stays covered.
         let reach = scale.max.saturating_mul((self.zones().len() as u32).saturating_sub(1));
         let need = Need { after_loss: need.after_loss.min(reach), ..need };
-        (wanted..line.ordered).find(|count| {
+        (wanted..state.ordered).find(|count| {
             let mut left = lasting.clone();
-            left.insert(pool, line.lasting().min(*count));
-            *count >= line.registered.ready || serves(&left, need) && has_least(&left, scale)
+            left.insert(pool, state.lasting().min(*count));
+            *count >= state.registered.ready || serves(&left, need) && has_least(&left, scale)
         })
     }
 
     /// Free slots of the ready targets of other pools.
     fn free_elsewhere(&self, pool: &Pool) -> u32 {
-        let others = self.lines.iter().filter(|(other, _)| *other != pool);
-        let counts = others.map(|(_, line)| &line.registered);
+        let others = self.pools.iter().filter(|(other, _)| *other != pool);
+        let counts = others.map(|(_, state)| &state.registered);
         let free = counts.map(|counts| counts.slots.saturating_sub(counts.taken));
         free.fold(0, u32::saturating_add)
     }
 }
 
+/// Time for which fewer targets must have been wanted before fewer are ordered.
 fn hold(scale: &Scale) -> Duration {
     (scale.boot * HOLD_BOOTS).max(HOLD_MIN)
 }
@@ -387,6 +362,7 @@
     (total, total - spot.map(|(_, count)| *count).max().unwrap_or_default())
 }
 
+/// Whether these numbers meet a need.
 fn serves(counts: &BTreeMap<&Pool, u32>, need: Need) -> bool {
     let (total, after_loss) = capacity(counts);
     total >= need.total && after_loss >= need.after_loss
--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -147,7 +147,7 @@
 /// Guards against orders for a zone that is cut off: its targets go on, but their registrations have ended, so a lower number
 /// would end sound targets.
 #[test]
-fn nothing_is_ordered_in_a_zone_that_is_out_of_sight() {
+fn nothing_is_ordered_in_a_zone_that_is_probably_cut_off() {
     let mut replay = Replay::new(bounds(1, 6), 4);
     replay.step_every(secs(5), 120);
     replay.run(secs(30));
