--- a/crates/node/src/control/usage.rs
+++ b/crates/node/src/control/usage.rs
@@ -18,10 +18,12 @@
     config::Config,
     control::{
         election::{Election, LeaderKey, Leadership},
+        roles,
         state::Control,
     },
     holder::Holder,
     job,
+    logging::ms,
     peer::{self, Kind, UsageCounts, UsageReply},
     prelude::*,
     relay::Peers,
@@ -32,9 +34,9 @@
 /// Interval at which a host sends what has changed. A host that is lost takes at most the counts of that time with it.
 const SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval at which a host without a holder asks for the clocks of others.
-const QUESTION_INTERVAL: Duration = Duration::from_secs(1);
+const CLOCK_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
 /// Hosts that are asked for their clocks.
-const QUESTION_HOSTS: usize = 3;
+const CLOCK_REQUEST_HOSTS: usize = 3;
 /// Interval at which the holder looks for what is due.
 const TICK: Duration = Duration::from_millis(100);
 /// Time for a host to answer a message.
@@ -60,7 +62,7 @@
     messages: mpsc::UnboundedSender<Message>,
 }
 
-/// What happens to the duty.
+/// Result of an action that the duty has started.
 enum Event {
     Read(Result<(Option<Ledger>, Revision), store::Error>),
     Settled((Revision, Ledger), Result<Outcome, store::Error>),
@@ -79,24 +81,15 @@
         if !settings.has(Duty::UsageReport) || config.workspaces.is_none() {
             return;
         }
-        let now = clock::now();
-        let rules = Rules {
-            host: self.settings.host.clone(),
-            windows: Windows::new(settings.usage_window),
-            deadline: settings.usage_deadline,
-            turn_interval: settings.turn_interval,
-            calls_per_s: settings.calls_per_s,
-            value_bytes: self.settings.value_bytes,
-        };
-        let reporter = Reporter::new(rules, now);
+        let rules = self.usage_rules(settings);
+        let reporter = Reporter::new(rules, clock::now());
         let (key, leader_key) = watch::channel(LeaderKey::Unknown);
         let (holder, held_by) = watch::channel(None);
         let (messages, received) = mpsc::unbounded_channel();
         let (leaderships, leadership_receiver) = mpsc::unbounded_channel();
         let (release, released) = watch::channel(Revision::default());
         let (rejoin, not_before) = watch::channel(reporter.rejoin_at());
-        let lease = Election::ttl(self.settings.lease_min) * LEASE_FACTOR;
-        let ttl = lease.min(settings.usage_deadline / LEASE_DIVISOR).max(self.settings.lease_min);
+        let ttl = self.usage_lease(settings);
         let election = Election {
             service: usage::DUTY.into(),
             holder: Holder { host: self.settings.host.clone(), peer: Some(own) },
@@ -111,7 +104,7 @@
             not_before,
             links: Arc::clone(&self.links),
         };
-        info!(window_ms = crate::logging::ms(settings.usage_window), lease_ms = crate::logging::ms(ttl), turn_interval_ms = crate::logging::ms(settings.turn_interval); "taking part in usage reports");
+        info!(window_ms = ms(settings.usage_window), lease_ms = ms(ttl), turn_interval_ms = ms(settings.turn_interval); "taking part in usage reports");
         tokio::task::spawn_local(election.run());
         let client: Rc<peer::Client> = Rc::default();
         let sender = Sender {
@@ -140,6 +133,24 @@
         self.update_usage_key();
     }
 
+    fn usage_rules(&self, settings: &cloud::Settings) -> Rules {
+        Rules {
+            host: self.settings.host.clone(),
+            windows: Windows::new(settings.usage_window),
+            deadline: settings.usage_deadline,
+            turn_interval: settings.turn_interval,
+            calls_per_s: settings.calls_per_s,
+            value_bytes: self.settings.value_bytes,
+        }
+    }
+
+    /// Length of the lease of the duty.
+    fn usage_lease(&self, settings: &cloud::Settings) -> Duration {
+        let lease_min = self.settings.lease_min;
+        let lease = Election::ttl(lease_min) * LEASE_FACTOR;
+        lease.min(settings.usage_deadline / LEASE_DIVISOR).max(lease_min)
+    }
+
     /// Tells the tasks of the duty who holds it.
     pub(super) fn update_usage_key(&self) {
         let Some(usage) = &self.usage else {
@@ -147,9 +158,9 @@
         };
         let entry = self.store_state.usage_holder.as_ref();
         let key = entry.map_or(LeaderKey::Absent, |entry| LeaderKey::Present(entry.revision));
-        super::roles::set(&usage.key, key);
+        roles::set(&usage.key, key);
         let holder = entry.and_then(|entry| Some((entry.revision, entry.peer?)));
-        super::roles::set(&usage.holder, holder);
+        roles::set(&usage.holder, holder);
     }
 
     /// Passes on the counts of a host. Without the duty on this host the reply is dropped.
@@ -180,11 +191,13 @@
             match held_by {
                 Some((fence, holder)) => {
                     self.meter.set_holder(fence);
-                    if let Some(news) = self.meter.news() {
-                        self.send(holder, news).await;
+                    if let Some(counts) = self.meter.unsent() {
+                        self.send(holder, counts).await;
                     }
                 }
-                None if !self.meter.is_synced() && clock::now() >= asked_at + QUESTION_INTERVAL => {
+                None if !self.meter.is_synced()
+                    && clock::now() >= asked_at + CLOCK_REQUEST_INTERVAL =>
+                {
                     asked_at = clock::now();
                     self.ask_for_clocks().await;
                 }
@@ -193,38 +206,41 @@
         }
     }
 
-    async fn send(&self, holder: SocketAddr, news: UsageCounts) {
+    /// Sends counts to the holder, which may be this host, and applies its reply.
+    async fn send(&self, holder: SocketAddr, counts: UsageCounts) {
         let reply = if holder == self.own {
             let (reply, replied) = oneshot::channel();
-            let _ = self.messages.send((news.clone(), reply));
+            // Fails only while the process ends; the reply then fails as well.
+            let _ = self.messages.send((counts.clone(), reply));
             replied.await.ok().map(|settled_before| self.meter.reply(settled_before))
         } else {
-            self.ask(holder, news.clone()).await
+            self.ask(holder, counts.clone()).await
         };
         if let Some(reply) = reply {
-            self.meter.apply_reply(&news, &reply);
+            self.meter.apply_reply(&counts, &reply);
         }
     }
 
     async fn ask_for_clocks(&self) {
-        let Some(question) = self.meter.question() else {
+        let Some(request) = self.meter.clock_request() else {
             return;
         };
         let hosts = self.peers.all();
-        let hosts = hosts.iter().filter_map(|host| host.peer).take(QUESTION_HOSTS);
-        let replies = join_all(hosts.map(|host| self.ask(host, question.clone()))).await;
+        let hosts = hosts.iter().filter_map(|host| host.peer).take(CLOCK_REQUEST_HOSTS);
+        let replies = join_all(hosts.map(|host| self.ask(host, request.clone()))).await;
         for reply in replies.into_iter().flatten() {
-            self.meter.apply_reply(&question, &reply);
+            self.meter.apply_reply(&request, &reply);
         }
     }
 
+    /// Reply of a host to a message; `None` without one in time.
     async fn ask(&self, host: SocketAddr, message: UsageCounts) -> Option<UsageReply> {
         let response = self.client.call(host, Kind::Usage(message), ANSWER_TIMEOUT).await?;
         UsageReply::decode(response.body).ok().filter(|_| response.served)
     }
 }
 
-/// Task of the duty.
+/// Task that collects the counts of all hosts and, while this host holds the duty, settles and sends them.
 struct UsageDuty {
     own: SocketAddr,
     reporter: Reporter,
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -180,7 +180,7 @@
     if !traffic.meter.is_on() {
         return None;
     }
-    traffic.meter.hear(&counts);
+    traffic.meter.record_clock(&counts);
     let (reply, replied) = oneshot::channel();
     report(traffic, Report::Usage { counts: Box::new(counts), reply });
     let settled_before = timeout_at(Instant::now() + USAGE_TIMEOUT, replied).await;
--- a/crates/node/src/usage/collector.rs
+++ b/crates/node/src/usage/collector.rs
@@ -175,6 +175,7 @@
         self.windows.len()
     }
 
+    /// Whether no window is kept.
     pub fn is_empty(&self) -> bool {
         self.windows.is_empty()
     }
--- a/crates/node/src/usage/counters.rs
+++ b/crates/node/src/usage/counters.rs
@@ -59,11 +59,12 @@
     settled_before: u64,
     /// Fencing token of the holder to which the counts went.
     holder: Option<Revision>,
-    /// The clock of another host, or the holder's answer, is known. No window is closed before.
+    /// Another host has answered, with its clock or as the holder. No window is closed before that.
     synced: bool,
 }
 
 impl Counters {
+    /// Counters without counts. `address` is that of the host for other hosts.
     pub fn new(host: HostId, address: Box<str>, incarnation: u64, windows: Windows) -> Self {
         Self {
             offsets: Offsets::new(host.clone()),
@@ -82,6 +83,7 @@
         }
     }
 
+    /// Whether another host has answered.
     pub fn is_synced(&self) -> bool {
         self.synced
     }
@@ -97,8 +99,8 @@
     }
 
     /// Records the clock of another host.
-    pub fn hear(&mut self, reading: &Reading, now: Time) {
-        self.offsets.hear(reading, now);
+    pub fn record_clock(&mut self, reading: &Reading, now: Time) {
+        self.offsets.record(reading, now);
     }
 
     /// Counts an attempt that begins. Returns its window; `None` if there are too many workspaces.
@@ -150,12 +152,12 @@
         (self.acknowledged, self.acknowledged_close) = (0, 0);
     }
 
-    /// What the holder does not know yet; `None` if it knows all.
-    pub fn news(&mut self, moment: Moment) -> Option<UsageCounts> {
+    /// Message with what the holder does not know yet; `None` if it knows all.
+    pub fn unsent(&mut self, moment: Moment) -> Option<UsageCounts> {
         self.close(moment);
-        let has_news =
+        let is_unsent =
             self.change > self.acknowledged || self.closed_before > self.acknowledged_close;
-        has_news.then(|| self.message(moment, self.acknowledged))
+        is_unsent.then(|| self.message(moment, self.acknowledged))
     }
 
     /// Whether the holder lacks counts.
@@ -163,8 +165,8 @@
         self.kept.values().any(|kept| kept.changed > self.acknowledged)
     }
 
-    /// A message without counts, which asks for the clocks of another host.
-    pub fn question(&self, moment: Moment) -> UsageCounts {
+    /// Message without counts, which asks for the clocks of another host.
+    pub fn clock_request(&self, moment: Moment) -> UsageCounts {
         self.message(moment, u64::MAX)
     }
 
@@ -189,7 +191,7 @@
     /// Applies the answer to a message. Only the holder's answer acknowledges counts.
     pub fn apply_reply(&mut self, sent: &UsageCounts, reply: &UsageReply, moment: Moment) {
         for clock in &reply.clocks {
-            self.offsets.hear(&clock.into(), moment.now);
+            self.offsets.record(&clock.into(), moment.now);
         }
         self.synced = true;
         let Some(settled_before) = reply.settled_before else {
--- a/crates/node/src/usage/ledger.rs
+++ b/crates/node/src/usage/ledger.rs
@@ -29,6 +29,7 @@
 }
 
 impl Ledger {
+    /// Value under which it is stored.
     pub fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
--- a/crates/node/src/usage/meter.rs
+++ b/crates/node/src/usage/meter.rs
@@ -15,6 +15,7 @@
 }
 
 impl Meter {
+    /// Meter that counts.
     pub fn new(counters: Counters) -> Self {
         Self { counters: Some(Mutex::new(counters)) }
     }
@@ -48,6 +49,7 @@
         drop(self.begin(workspace));
     }
 
+    /// Whether another host has answered; also if nothing is counted.
     pub fn is_synced(&self) -> bool {
         self.lock().is_none_or(|counters| counters.is_synced())
     }
@@ -59,11 +61,11 @@
     }
 
     /// Records the clock of a host that sends a message.
-    pub fn hear(&self, message: &UsageCounts) {
+    pub fn record_clock(&self, message: &UsageCounts) {
         if let Some(mut counters) = self.lock() {
             let (host, unix_ms) = (message.host.as_str().into(), message.unix_ms);
             let reading = Reading { host, unix_ms, age: Duration::ZERO };
-            counters.hear(&reading, Moment::present().now);
+            counters.record_clock(&reading, Moment::present().now);
         }
     }
 
@@ -74,6 +76,7 @@
         UsageReply { settled_before, clocks }
     }
 
+    /// Sends all windows again once another host holds the duty.
     pub fn set_holder(&self, fence: Revision) {
         if let Some(mut counters) = self.lock() {
             counters.set_holder(fence);
@@ -92,16 +95,17 @@
         }
     }
 
-    /// What the holder does not know yet.
-    pub fn news(&self) -> Option<UsageCounts> {
-        self.lock()?.news(Moment::present())
+    /// Message with what the holder does not know yet; `None` if it knows all or nothing is counted.
+    pub fn unsent(&self) -> Option<UsageCounts> {
+        self.lock()?.unsent(Moment::present())
     }
 
-    /// A question for the clocks of another host.
-    pub fn question(&self) -> Option<UsageCounts> {
-        Some(self.lock()?.question(Moment::present()))
+    /// Message that asks for the clocks of another host.
+    pub fn clock_request(&self) -> Option<UsageCounts> {
+        Some(self.lock()?.clock_request(Moment::present()))
     }
 
+    /// Applies the answer to a message.
     pub fn apply_reply(&self, sent: &UsageCounts, reply: &UsageReply) {
         if let Some(mut counters) = self.lock() {
             counters.apply_reply(sent, reply, Moment::present());
--- a/crates/node/src/usage/offsets.rs
+++ b/crates/node/src/usage/offsets.rs
@@ -55,33 +55,35 @@
     i64::try_from(ms).unwrap_or(i64::MAX)
 }
 
+/// Offset of this host's time of day from its time since boot.
 fn offset(moment: Moment) -> i64 {
     signed(moment.unix_ms).saturating_sub(signed(crate::peer::millis(moment.now)))
 }
 
 impl Offsets {
+    /// Offsets of a host that knows no other clock.
     pub fn new(host: HostId) -> Self {
         Self { host, others: BTreeMap::new(), estimate: None, estimated_of: Vec::new() }
     }
 
     /// Records the clock of another host.
-    pub fn hear(&mut self, reading: &Reading, now: Time) {
+    pub fn record(&mut self, reading: &Reading, now: Time) {
         if reading.host == self.host || reading.age >= AGE_MAX {
             return;
         }
         let read_at = now.saturating_sub(reading.age);
         // `unix_ms` is that clock's time of day at this moment, whenever it was read.
-        let heard = offset(Moment { now, unix_ms: reading.unix_ms });
-        let is_news = match self.others.get(&reading.host) {
-            Some((known, known_at)) if heard > *known => read_at + DELAY_MAX > *known_at,
-            Some((known, known_at)) if heard == *known => read_at > *known_at,
+        let reported = offset(Moment { now, unix_ms: reading.unix_ms });
+        let is_better = match self.others.get(&reading.host) {
+            Some((known, known_at)) if reported > *known => read_at + DELAY_MAX > *known_at,
+            Some((known, known_at)) if reported == *known => read_at > *known_at,
             Some((_, known_at)) => read_at > *known_at + DELAY_MAX,
             None => self.others.len() < CLOCKS_MAX,
         };
-        if !is_news {
+        if !is_better {
             return;
         }
-        self.others.insert(reading.host.clone(), (heard, read_at));
+        self.others.insert(reading.host.clone(), (reported, read_at));
     }
 
     /// All clocks as known now, for other hosts.
@@ -118,6 +120,7 @@
     }
 }
 
+/// Time of day at `now`, by a clock with this offset.
 fn at(offset: i64, now: Time) -> u64 {
     let ms = offset.saturating_add(signed(crate::peer::millis(now)));
     u64::try_from(ms).unwrap_or_default()
--- a/crates/node/src/usage/reporter.rs
+++ b/crates/node/src/usage/reporter.rs
@@ -64,12 +64,17 @@
     given_up: Option<Revision>,
     /// Ledger in the store, with its revision.
     ledger: Option<(Ledger, Revision)>,
+    /// A call of the store is in progress.
     store_busy: bool,
+    /// Time before which the store is not called.
     store_at: Time,
+    /// A call of the platform is in progress.
     cloud_busy: bool,
+    /// Time before which the platform is not called.
     cloud_at: Time,
     /// Windows that were received or are too old to be sent.
     done: BTreeSet<u64>,
+    /// Calls of the platform that have failed in a row.
     failures: u32,
     /// Time of the first call of those that have failed in a row.
     failing_since: Option<Time>,
@@ -168,18 +173,36 @@
             return None;
         }
         self.skip_old(true_ms);
-        let Some((ledger, revision)) = &self.ledger else {
+        if self.ledger.is_none() {
             self.store_busy = true;
             return Some(Action::Read);
-        };
-        let mut counts = match now < self.taken_at + COLLECT_TIME {
-            true => BTreeMap::new(),
-            false => self.due(ledger.next, true_ms, hosts, gone_at),
-        };
+        }
+        if now < self.taken_at + COLLECT_TIME {
+            return None;
+        }
+        let (ledger, revision) = self.ledger_to_settle(now, true_ms, hosts, gone_at)?;
+        let next = ledger.next;
+        let open = next.checked_sub(1).map(|last| self.collector.open_hosts(last, now));
+        info!(fence, next, unsent = ledger.unsent.len(), true_ms, known_hosts = hosts.len(), open_hosts:? = open.unwrap_or_default(); "settling usage");
+        self.store_busy = true;
+        Some(Action::Settle { fence, revision, ledger })
+    }
+
+    /// Ledger with as many of the due windows as fit into a value of the store, and the revision that it replaces; `None` if
+    /// nothing is due or fits.
+    fn ledger_to_settle(
+        &mut self,
+        now: Time,
+        true_ms: u64,
+        hosts: &BTreeSet<SocketAddr>,
+        gone_at: Time,
+    ) -> Option<(Ledger, Revision)> {
+        let (known, revision) = self.ledger.as_ref()?;
+        let mut counts = self.due(known.next, true_ms, hosts, gone_at);
         if counts.is_empty() {
             return None;
         }
-        let settle = |counts| ledger.settle(counts, |window| self.done.contains(&window));
+        let settle = |counts| known.settle(counts, |window| self.done.contains(&window));
         let mut ledger = settle(counts.clone());
         while ledger.encode().len() > self.rules.value_bytes && counts.len() > 1 {
             counts.pop_last();
@@ -190,11 +213,7 @@
             self.store_at = now + RETRY_DELAY_MAX;
             return None;
         }
-        let (revision, next) = (*revision, ledger.next);
-        let open = next.checked_sub(1).map(|last| self.collector.open_hosts(last, now));
-        info!(fence, next, unsent = ledger.unsent.len(), true_ms, known_hosts = hosts.len(), open_hosts:? = open.unwrap_or_default(); "settling usage");
-        self.store_busy = true;
-        Some(Action::Settle { fence, revision, ledger })
+        Some((ledger, *revision))
     }
 
     /// Windows that are to be settled now, in order, with their counts.
@@ -205,10 +224,10 @@
         hosts: &BTreeSet<SocketAddr>,
         gone_at: Time,
     ) -> BTreeMap<u64, Counts> {
-        let patience = crate::peer::millis(self.rules.deadline.mul_f64(SETTLE_SHARE));
+        let settle_after_ms = crate::peer::millis(self.rules.deadline.mul_f64(SETTLE_SHARE));
         let is_due = |window: &u64| {
             let end_ms = self.rules.windows.end_ms(*window);
-            let overdue = true_ms >= end_ms.saturating_add(patience);
+            let overdue = true_ms >= end_ms.saturating_add(settle_after_ms);
             true_ms >= end_ms
                 && (overdue || self.collector.is_closed(*window, hosts, self.taken_at, gone_at))
         };
@@ -260,6 +279,7 @@
         None
     }
 
+    /// Makes no more calls under a fencing token, and releases it.
     fn give_up(&mut self, fence: Revision) -> Action {
         self.given_up = Some(fence);
         Action::GiveUp(fence)
@@ -323,7 +343,7 @@
                 self.done.retain(unsent);
                 self.ledger = Some((ledger, revision));
             }
-            // What is settled shows the next read; without an answer the write may have taken effect.
+            // Without an answer the write may have taken effect; the next read shows what is settled.
             result => {
                 info!(fence, next = ledger.next, result:? = result; "usage may not be settled; reading what is");
                 self.ledger = None;
--- a/crates/node/src/usage/windows.rs
+++ b/crates/node/src/usage/windows.rs
@@ -9,6 +9,7 @@
 }
 
 impl Windows {
+    /// Windows of a length, which is a millisecond at least.
     pub fn new(length: Duration) -> Self {
         Self { length_ms: crate::peer::millis(length).max(1) }
     }
--- a/crates/node/tests/usage.rs
+++ b/crates/node/tests/usage.rs
@@ -40,11 +40,11 @@
 
 /// Sends what is new to a collector, which acknowledges it.
 fn send(counters: &mut Counters, collector: &mut Collector, next: u64, after_ms: u64) -> u64 {
-    let Some(news) = counters.news(moment(after_ms)) else {
+    let Some(sent) = counters.unsent(moment(after_ms)) else {
         return 0;
     };
-    let late = collector.accept(&news, Some(next), FIRST, ms(after_ms));
-    counters.apply_reply(&news, &reply(Some(next)), moment(after_ms));
+    let late = collector.accept(&sent, Some(next), FIRST, ms(after_ms));
+    counters.apply_reply(&sent, &reply(Some(next)), moment(after_ms));
     late
 }
 
@@ -85,17 +85,17 @@
 fn messages_may_be_repeated_lost_and_late() {
     let (mut counters, mut collector) = (counters(1), Collector::default());
     run(&mut counters, "a", 0);
-    let first = counters.news(moment(1)).unwrap();
+    let first = counters.unsent(moment(1)).unwrap();
     run(&mut counters, "a", 2);
     run(&mut counters, "b", 3);
     // The first message is lost: it is not acknowledged, and comes after the second.
-    let second = counters.news(moment(4)).unwrap();
+    let second = counters.unsent(moment(4)).unwrap();
     for message in [&second, &second, &first] {
         collector.accept(message, Some(0), FIRST, ms(5));
     }
     assert_eq!(collector.total(FIRST), counts(&[("a", 2), ("b", 1)]));
     counters.apply_reply(&second, &reply(Some(0)), moment(6));
-    assert_eq!(counters.news(moment(7)).map(|news| news.windows), Some(Vec::new()));
+    assert_eq!(counters.unsent(moment(7)).map(|sent| sent.windows), Some(Vec::new()));
 }
 
 /// Guards against counts that go to a former holder only.
@@ -108,7 +108,7 @@
     run(&mut counters, "a", 5000);
     send(&mut counters, &mut old, FIRST, 5100);
     counters.set_holder(1);
-    assert_eq!(counters.news(moment(5200)).map(|news| news.windows.len()), Some(0));
+    assert_eq!(counters.unsent(moment(5200)).map(|sent| sent.windows.len()), Some(0));
     counters.set_holder(2);
     send(&mut counters, &mut new, FIRST, 5300);
     assert_eq!(new.total(FIRST), counts(&[("a", 1)]));
@@ -116,8 +116,8 @@
     // A settled window is not sent again.
     send(&mut counters, &mut new, FIRST + 1, 10_100);
     counters.set_holder(3);
-    let news = counters.news(moment(10_200)).unwrap();
-    assert_eq!(news.windows.iter().map(|it| it.window).collect::<Vec<_>>(), [FIRST + 1]);
+    let sent = counters.unsent(moment(10_200)).unwrap();
+    assert_eq!(sent.windows.iter().map(|it| it.window).collect::<Vec<_>>(), [FIRST + 1]);
 }
 
 /// Guards against an answer of a host without the duty that counts as an acknowledgement.
@@ -125,9 +125,9 @@
 fn only_the_holder_acknowledges_counts() {
     let mut counters = counters(1);
     run(&mut counters, "a", 0);
-    let news = counters.news(moment(1)).unwrap();
-    counters.apply_reply(&news, &reply(None), moment(2));
-    assert_eq!(counters.news(moment(3)).map(|news| news.windows.len()), Some(1));
+    let sent = counters.unsent(moment(1)).unwrap();
+    counters.apply_reply(&sent, &reply(None), moment(2));
+    assert_eq!(counters.unsent(moment(3)).map(|sent| sent.windows.len()), Some(1));
 }
 
 /// Guards against counts before a restart that are replaced by those after it.
@@ -151,12 +151,12 @@
     collector.settle_before(FIRST + 1);
     // The host has not learnt that the window is settled.
     run(&mut counters, "a", 20);
-    let news = counters.news(moment(30)).unwrap();
-    let late = |collector: &mut Collector, news: &UsageCounts| {
-        collector.accept(news, Some(FIRST + 1), FIRST + 1, ms(30))
+    let sent = counters.unsent(moment(30)).unwrap();
+    let late = |collector: &mut Collector, sent: &UsageCounts| {
+        collector.accept(sent, Some(FIRST + 1), FIRST + 1, ms(30))
     };
-    assert_eq!(late(&mut collector, &news), 1);
-    assert_eq!(late(&mut collector, &news), 0);
+    assert_eq!(late(&mut collector, &sent), 1);
+    assert_eq!(late(&mut collector, &sent), 0);
     assert!(collector.is_empty());
 }
 
@@ -171,19 +171,19 @@
         let window = counters.begin(&format!("w{workspace}"), moment(5_000_000));
         window.into_iter().for_each(|it| counters.end(it, &format!("w{workspace}"), Ran::Perhaps));
     }
-    let news = counters.news(moment(5_000_001)).unwrap();
-    assert_eq!(news.windows.len(), 64);
-    assert!(news.windows.iter().all(|window| window.counts.len() <= 4096));
-    collector.accept(&news, None, FIRST + 2000, ms(1));
+    let sent = counters.unsent(moment(5_000_001)).unwrap();
+    assert_eq!(sent.windows.len(), 64);
+    assert!(sent.windows.iter().all(|window| window.counts.len() <= 4096));
+    collector.accept(&sent, None, FIRST + 2000, ms(1));
     for incarnation in 0..1000 {
-        let news = UsageCounts { incarnation, ..news.clone() };
-        let windows = news.windows[..1].to_vec();
-        collector.accept(&UsageCounts { windows, ..news }, None, FIRST + 2000, ms(1));
+        let sent = UsageCounts { incarnation, ..sent.clone() };
+        let windows = sent.windows[..1].to_vec();
+        collector.accept(&UsageCounts { windows, ..sent }, None, FIRST + 2000, ms(1));
     }
     assert!(collector.len() <= Collector::WINDOWS_MAX);
     // A window that lies far ahead is not kept.
     let mut ahead = Collector::default();
-    ahead.accept(&news, None, FIRST, ms(1));
+    ahead.accept(&sent, None, FIRST, ms(1));
     assert!(ahead.is_empty());
 }
 
@@ -207,7 +207,7 @@
         // Time since boot differs between hosts as well.
         let now = ms(own as u64 * 1000);
         for (other, skew) in skews.iter().enumerate() {
-            offsets.hear(&reading(&format!("h{other}"), START_MS + skew), now);
+            offsets.record(&reading(&format!("h{other}"), START_MS + skew), now);
             offsets.true_ms(Moment { now, unix_ms: START_MS + skews[own] });
         }
         offsets.true_ms(Moment { now, unix_ms: START_MS + skew })
@@ -220,16 +220,16 @@
 fn a_jump_of_a_clock_does_not_move_the_time() {
     for others in [1, 2, 3, 4] {
         let mut offsets = Offsets::new("own".into());
-        (0..others).for_each(|n| offsets.hear(&reading(&format!("h{n}"), START_MS), ms(0)));
+        (0..others).for_each(|n| offsets.record(&reading(&format!("h{n}"), START_MS), ms(0)));
         assert_eq!(offsets.true_ms(moment(0)), START_MS);
         let jumped = Moment { now: ms(100), unix_ms: START_MS + 5100 };
         assert_eq!(offsets.true_ms(jumped), START_MS + 100, "{others} others");
         // Another clock jumps as well, forward or back.
         for (jump, after) in [(4000, 200), (-4000, 20_000)] {
             let unix_ms = (START_MS + after).saturating_add_signed(jump);
-            offsets.hear(&reading("h0", unix_ms), ms(after));
+            offsets.record(&reading("h0", unix_ms), ms(after));
             (1..others).for_each(|n| {
-                offsets.hear(&reading(&format!("h{n}"), START_MS + after), ms(after));
+                offsets.record(&reading(&format!("h{n}"), START_MS + after), ms(after));
             });
             if others > 2 {
                 assert_eq!(offsets.true_ms(moment(after)), START_MS + after, "{others} others");
@@ -244,13 +244,13 @@
     let mut offsets = Offsets::new("own".into());
     for after in [0, 5000] {
         for host in ["h1", "h2", "h3"] {
-            offsets.hear(&reading(host, START_MS), ms(after));
+            offsets.record(&reading(host, START_MS), ms(after));
         }
         assert_eq!(offsets.true_ms(moment(after)), START_MS + after);
     }
     // A clock that is set back is believed in the end.
     for host in ["h1", "h2", "h3"] {
-        offsets.hear(&reading(host, START_MS + 15_000), ms(20_000));
+        offsets.record(&reading(host, START_MS + 15_000), ms(20_000));
     }
     assert_eq!(offsets.true_ms(moment(20_000)), START_MS + 15_000);
 }
@@ -266,23 +266,23 @@
     meter.begin(workspace.as_ref()).not_run();
     meter.began(workspace.as_ref());
     meter.began(None);
-    let news = meter.news().unwrap();
-    let counts: Vec<_> = news.windows.iter().flat_map(|window| &window.counts).collect();
+    let sent = meter.unsent().unwrap();
+    let counts: Vec<_> = sent.windows.iter().flat_map(|window| &window.counts).collect();
     assert_eq!(counts, [(&"a".to_owned(), &2)]);
     let off = Arc::new(Meter::default());
     off.began(workspace.as_ref());
-    assert_eq!(off.news(), None);
+    assert_eq!(off.unsent(), None);
 }
 
 /// Guards against the clock of a lost host that counts for ever, as hosts repeat it to each other.
 #[test]
 fn a_clock_that_nobody_reads_is_forgotten() {
     let (mut a, mut b) = (Offsets::new("a".into()), Offsets::new("b".into()));
-    a.hear(&reading("lost", START_MS + 900_000), ms(0));
+    a.record(&reading("lost", START_MS + 900_000), ms(0));
     for second in 1..100 {
         let at = moment(second * 1000);
-        a.readings(at).iter().for_each(|reading| b.hear(reading, at.now));
-        b.readings(at).iter().for_each(|reading| a.hear(reading, at.now));
+        a.readings(at).iter().for_each(|reading| b.record(reading, at.now));
+        b.readings(at).iter().for_each(|reading| a.record(reading, at.now));
     }
     let names = |offsets: &Offsets| {
         let readings = offsets.readings(moment(100_000));
@@ -302,7 +302,7 @@
     run(&mut counters, "a", 5100);
     assert!(is_closed(&collector, FIRST, &[ADDRESS]));
     for host in ["h2", "h3"] {
-        counters.hear(&reading(host, START_MS + 2000), ms(5100));
+        counters.record_clock(&reading(host, START_MS + 2000), ms(5100));
     }
     assert_eq!(counters.true_ms(moment(5100)), START_MS + 2000);
     assert_eq!(counters.begin("a", moment(5100)), Some(FIRST + 1));
