--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -108,8 +108,9 @@
 /// Bounds and prices of the targets of a service whose number may be changed.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scale {
-    /// Least and most targets in each zone, of both kinds together.
+    /// Least targets in each zone, of both kinds together.
     pub min: u32,
+    /// Most targets in each zone, of both kinds together.
     pub max: u32,
     /// Time from an order until the new target serves.
     pub boot: Duration,
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -25,11 +25,11 @@
 const OUTAGE_MIN: Duration = Duration::from_millis(1000);
 const RETRY_DELAY_MAX: Duration = Duration::from_millis(600);
 
-/// Smallest share of the interval between proofs after which a reader is asked again.
-const PROOF_PACES_PER_PERIOD: u32 = 4;
+/// Most requests for a proof that a reader gets in an interval between proofs; it may answer each at once.
+const PROOF_REQUESTS_PER_PERIOD: u32 = 4;
 
 /// Returns once another interval between proofs is set.
-async fn changed(renewal: &mut Option<watch::Receiver<Option<Duration>>>) {
+async fn renewal_changed(renewal: &mut Option<watch::Receiver<Option<Duration>>>) {
     let is_changed = match renewal {
         Some(renewal) => renewal.changed().await.is_ok(),
         None => false,
@@ -48,7 +48,8 @@
         mirror: usize,
         revision: Revision,
     },
-    /// The mirror of a prefix that is renewed was proved by a read that began at this time, if at all, and is followed.
+    /// A mirror with renewal is followed. `proven_at` is when the read of the store began that proved it, if this response
+    /// contains a proof.
     Known {
         mirror: usize,
         proven_at: Option<Time>,
@@ -88,7 +89,7 @@
     failures: u32,
     /// Time of the first of them.
     failed_at: Time,
-    /// Interval at which the prefix is read to prove what is known of it; `None` within if that is not needed.
+    /// Interval at which the mirror proves that it is current; the inner `None` means that it need not.
     renewal: Option<watch::Receiver<Option<Duration>>>,
     /// Time of the last proof.
     proven_at: Option<Time>,
@@ -134,7 +135,7 @@
                 // What this host has to read for its zone, it reads at once.
                 () = feed.wait_until_lacking(&prefix), if at.is_some() => Ok(None),
                 // A watch in progress would last too long.
-                () = changed(&mut renewal), if at.is_some() => continue,
+                () = renewal_changed(&mut renewal), if at.is_some() => continue,
             };
             match result {
                 Ok(Some((revision, current_at))) => {
@@ -268,7 +269,7 @@
                     let _ = updates.send(Update::StoreRecovered { mirror: self.number });
                 }
                 // The reader answers when it has a newer proof.
-                self.pace = Some(period / PROOF_PACES_PER_PERIOD);
+                self.pace = Some(period / PROOF_REQUESTS_PER_PERIOD);
                 let changes = changes.into_iter().filter(|change| self.record(change));
                 (changes.collect(), revision, proven_at)
             }
@@ -284,7 +285,7 @@
         Ok(Some((revision.max(after), proven_at)))
     }
 
-    /// Must be called after the changes of a response were sent.
+    /// Publishes a proof. Must be called after the changes of the same response were sent, as receivers then count as current.
     fn record_proof(&mut self, proven_at: Option<Time>, updates: &mpsc::UnboundedSender<Update>) {
         self.proven_at = self.proven_at.max(proven_at);
         if self.renewal.is_some() {
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -66,7 +66,7 @@
         commands
     }
 
-    /// Time that a run is expected to need.
+    /// Time that a run is expected to need until its end; `None` if its length or its engine is unknown.
     fn rest(&self, run: &ActiveRun) -> Option<Duration> {
         let events = self.queue.rest_events(&run.job, run.item)?;
         let engine = self.engines.get(run.target.as_deref()?)?;
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -98,7 +98,6 @@
     pub(super) limits: Arc<rate::Table>,
     /// Links from this host to targets.
     pub(super) links: Arc<Links>,
-    /// Contents under which targets ended.
     /// Terms that are over.
     pub(super) terms: Arc<term::Table>,
     /// Failed items that this host knows.
@@ -140,7 +139,7 @@
     pub(super) resigning: BTreeMap<ServiceId, Time>,
     pub(super) leaderships: mpsc::UnboundedSender<(ServiceId, Leadership)>,
     pub(super) stopping: watch::Receiver<bool>,
-    /// Interval at which the configuration is renewed.
+    /// Interval at which the configuration is proved current; `None` if that is not needed.
     renewal: watch::Sender<Option<Duration>>,
     /// Makes the elections release their leadership.
     pub(super) step_down: watch::Sender<bool>,
@@ -409,7 +408,7 @@
         self.hand_over(now);
     }
 
-    /// Has the configuration renewed as long as callers' keys have to be revoked strictly.
+    /// Sets the interval at which the configuration is proved current; none unless callers' keys have to be revoked strictly.
     fn update_renewal(&self) {
         let config = self.store_state.config.as_ref();
         let has_workspaces = config.is_some_and(|config| config.workspaces.is_some());
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -64,11 +64,11 @@
 pub struct StoreState {
     /// Newest configuration; an older one never replaces it.
     pub config: Option<Arc<Config>>,
-    /// Age of the configuration.
+    /// When the configuration was last proved, and whether it is followed.
     pub knowledge: Knowledge,
-    /// The age has to be published.
+    /// The knowledge has to be published.
     pub knowledge_changed: bool,
-    /// Mirror of the configuration.
+    /// Number of the mirror of the configuration, once it has reported.
     config_mirror: Option<usize>,
     pub fleet: Fleet,
     /// Heads of jobs, followed only while this host leads a service.
@@ -79,7 +79,6 @@
     pub leader_keys: BTreeMap<ServiceId, LeaderEntry>,
     /// Terms that are over, by the leader keys among others.
     terms: Arc<term::Table>,
-    /// Is told of registrations, by which ends of targets are known.
     /// Host that reads for this host's zone.
     pub reader: Option<LeaderEntry>,
     /// Host that holds the duty of usage reports.
