--- a/crates/node/src/cloud.rs
+++ b/crates/node/src/cloud.rs
@@ -35,6 +35,7 @@
 }
 
 impl Settings {
+    /// Whether this deployment has a duty.
     pub fn has(&self, duty: Duty) -> bool {
         self.duties.contains(&duty)
     }
@@ -100,6 +101,7 @@
 /// The platform's API.
 #[async_trait(?Send)]
 pub trait Cloud {
+    /// Makes a call. Nothing is sent after the authority has ended.
     async fn call(&self, authority: &Authority, call: &Call) -> Result<Outcome, Error>;
 }
 
