--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use lagoonyard_node::{
     events::{Event, Progress},
     fleet::Target,
-    job::{Engines, Item, Job, Outcome, Policy, Record, Spec},
+    job::{Engines, Evidence, Item, Job, Outcome, Policy, Record, Requirement, Spec},
     prefix::{Part, Prompt},
 };
 
@@ -32,6 +32,21 @@
     }
 }
 
+/// Requirement that each engine of model `m` meets at a version.
+pub fn requirement() -> Requirement<'static> {
+    Requirement {
+        model: "m",
+        min_version: 1,
+        avoid: None,
+        software: None,
+        allow_slow: false,
+        spares_fast: false,
+        evidence: Evidence::Any,
+        idle: false,
+        work: None,
+    }
+}
+
 pub fn engines(targets: &[Target]) -> Engines {
     let mut engines = Engines::default();
     for target in targets {
--- a/crates/node/tests/prefix.rs
+++ b/crates/node/tests/prefix.rs
@@ -4,11 +4,11 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use common::{engine, engines, ms, outcome, prompted_job};
+use common::{engine, engines, ms, outcome, prompted_job, requirement};
 use lagoonyard_node::{
     events::Progress,
     fleet::Target,
-    job::{Assignment, End, Engines, Evidence, Queue, Requirement},
+    job::{Assignment, End, Engines, Queue, Requirement},
     prefix::{Candidate, Part, Prompt, Rate, Settings, Table, Work, weigh},
     prelude::*,
 };
@@ -341,17 +341,7 @@
 fn holder_must_be_idle_spared_or_unreserved_as_demanded() {
     type Change = fn(&mut Engines);
     let prompt = prompt(GROUP_A);
-    let any = Requirement {
-        model: "m",
-        min_version: 1,
-        avoid: None,
-        software: None,
-        allow_slow: false,
-        spares_fast: false,
-        evidence: Evidence::Any,
-        idle: false,
-        work: Some(work(&prompt, 1.0)),
-    };
+    let any = Requirement { work: Some(work(&prompt, 1.0)), ..requirement() };
     let (idle, sparing) =
         (Requirement { idle: true, ..any }, Requirement { spares_fast: true, ..any });
     let run: Change = |engines| engines.start_run("e0");
--- a/crates/node/tests/uneven.rs
+++ b/crates/node/tests/uneven.rs
@@ -4,10 +4,10 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use common::{engine, engines, job, ms, outcome, text};
+use common::{engine, engines, job, ms, outcome, requirement, text};
 use lagoonyard_node::{
     fleet::Target,
-    job::{End, Engines, Evidence, Queue, Requirement},
+    job::{End, Engines, Queue},
     prelude::TargetId,
     weights::{Demand, Partitions, Versions},
 };
@@ -25,20 +25,6 @@
     engines
 }
 
-fn requirement() -> Requirement<'static> {
-    Requirement {
-        model: "m",
-        min_version: 1,
-        avoid: None,
-        software: None,
-        allow_slow: false,
-        spares_fast: false,
-        evidence: Evidence::Any,
-        idle: false,
-        work: None,
-    }
-}
-
 /// Queue that has seen a text of ten events for a hint of ten.
 fn queue(engines: &mut Engines) -> Queue {
     let mut queue = Queue::default();
