--- a/crates/node/tests/scale/main.rs
+++ b/crates/node/tests/scale/main.rs
@@ -124,7 +124,7 @@
     assert!(replay.calls > calls, "further targets are ordered at once");
     replay.run(BOOT + secs(2));
     assert!(replay.slots_after_loss() >= needed, "another loss is covered again");
-    replay.unavailable(0, None);
+    replay.refuse_orders(0, None);
     replay.run(secs(60));
     assert_eq!((replay.above_max, replay.late_steps), (0, late_steps));
 }
@@ -166,7 +166,7 @@
 fn on_demand_targets_stand_in_where_no_spot_targets_can_be_had() {
     let mut replay = Replay::new(bounds(0, 10), 1);
     for zone in 0..3 {
-        replay.unavailable(zone, Some(Kind::Spot));
+        replay.refuse_orders(zone, Some(Kind::Spot));
     }
     with_steps(&mut replay);
     replay.run(secs(14));
@@ -180,13 +180,13 @@
 #[test]
 fn a_platform_without_targets_is_asked_ever_less_often() {
     let mut replay = Replay::new(bounds(0, 10), 1);
-    (0..3).for_each(|zone| replay.unavailable(zone, None));
+    (0..3).for_each(|zone| replay.refuse_orders(zone, None));
     with_steps(&mut replay);
     replay.run(secs(60));
     let calls = replay.calls;
     replay.run(secs(120));
     assert!(replay.calls - calls <= 36, "{} calls in 2 min", replay.calls - calls);
-    (0..3).for_each(|zone| replay.available(zone));
+    (0..3).for_each(|zone| replay.accept_orders(zone));
     replay.run(secs(60));
     assert!(replay.ready_slots() >= replay.slots_needed(), "the zones are asked again");
 }
@@ -232,15 +232,15 @@
                 0 => replay.step_every(secs(rng.random_range(2..20)), rng.random_range(1..120)),
                 1 => replay.end_steps(),
                 2 if replay.ready_of(Kind::Spot)[zone] > 0 => replay.reclaim(zone, secs(2)),
-                3 => replay.unavailable(zone, Some(Kind::Spot)),
-                4 => replay.unavailable(zone, None),
+                3 => replay.refuse_orders(zone, Some(Kind::Spot)),
+                4 => replay.refuse_orders(zone, None),
                 5 => replay.change_leader(),
-                _ => replay.available(zone),
+                _ => replay.accept_orders(zone),
             }
             replay.run(secs(rng.random_range(1..40)));
         }
         assert_eq!((replay.above_max, replay.interrupted), (0, 0), "seed {seed}");
-        (0..3).for_each(|zone| replay.available(zone));
+        (0..3).for_each(|zone| replay.accept_orders(zone));
         replay.step_every(secs(5), 40);
         replay.run(secs(90));
         assert!(replay.slots_after_loss() >= replay.slots_needed(), "seed {seed}");
@@ -258,8 +258,8 @@
             match rng.random_range(0..5) {
                 0 => replay.step_every(secs(rng.random_range(2..20)), rng.random_range(1..120)),
                 1 => replay.end_steps(),
-                2 => replay.unavailable(rng.random_range(0..3), Some(Kind::Spot)),
-                3 => replay.available(rng.random_range(0..3)),
+                2 => replay.refuse_orders(rng.random_range(0..3), Some(Kind::Spot)),
+                3 => replay.accept_orders(rng.random_range(0..3)),
                 _ => {
                     let delay = secs(rng.random_range(0..30));
                     replay.next_result = Some((CallResult::NoResponse, delay));
@@ -267,7 +267,7 @@
             }
             replay.run(secs(rng.random_range(1..40)));
         }
-        (0..3).for_each(|zone| replay.available(zone));
+        (0..3).for_each(|zone| replay.accept_orders(zone));
         replay.next_result = None;
         replay.step_every(secs(5), 40);
         replay.run(secs(75));
--- a/crates/node/tests/scale/replay.rs
+++ b/crates/node/tests/scale/replay.rs
@@ -133,16 +133,16 @@
         assert!(stock.leaving > 0, "nothing to reclaim");
         stock.leave_at = self.now + after;
         stock.serve_from.clear();
-        self.unavailable(zone, Some(Kind::Spot));
+        self.refuse_orders(zone, Some(Kind::Spot));
     }
 
     /// Makes a zone refuse further targets of one kind or of both.
-    pub fn unavailable(&mut self, zone: usize, kind: Option<Kind>) {
+    pub fn refuse_orders(&mut self, zone: usize, kind: Option<Kind>) {
         let kinds = kind.map_or(vec![Kind::Spot, Kind::OnDemand], |kind| vec![kind]);
         self.unavailable.extend(kinds.into_iter().map(|kind| pool(zone, kind)));
     }
 
-    pub fn available(&mut self, zone: usize) {
+    pub fn accept_orders(&mut self, zone: usize) {
         self.unavailable.retain(|pool| *pool.zone != format!("z{zone}"));
     }
 
--- a/crates/node/tests/usage_report.rs
+++ b/crates/node/tests/usage_report.rs
@@ -146,14 +146,14 @@
         self.reporter.set_leadership(leadership, ms(self.at));
     }
 
-    fn hear(&mut self, host: usize, closed_before: u64, requests: u64) {
+    fn receive(&mut self, host: usize, closed_before: u64, requests: u64) {
         let message = message(host, closed_before, requests);
         self.reporter.accept(&message, ms(self.at), self.at);
     }
 
-    fn hear_all(&mut self, closed_before: u64) {
-        self.hear(0, closed_before, 5);
-        self.hear(1, closed_before, 2);
+    fn receive_from_all(&mut self, closed_before: u64) {
+        self.receive(0, closed_before, 5);
+        self.receive(1, closed_before, 2);
     }
 
     /// Runs under a lease that is renewed until a time, or until it is killed (`false`).
@@ -208,7 +208,7 @@
 /// A host that took the duty well before the end of the window and has heard all hosts.
 fn holder(world: &mut World) -> (Host, Revision) {
     let (mut host, fence) = (host("a", END - 4000), world.elect());
-    host.hear_all(WINDOW);
+    host.receive_from_all(WINDOW);
     host.run(world, fence, END - 100, Loss::Nothing);
     (host, fence)
 }
@@ -219,12 +219,12 @@
     for loss in [Loss::Write, Loss::WriteAnswer, Loss::Call, Loss::CallAnswer] {
         let mut world = World::default();
         let (mut first, fence) = holder(&mut world);
-        first.hear_all(WINDOW + 1);
+        first.receive_from_all(WINDOW + 1);
         assert!(!first.run(&mut world, fence, END + 1000, loss), "{loss:?}");
         let (mut second, fence) = (host("b", END + 2000), world.elect());
         // The hosts send the windows that are not settled, here with one more request than the last holder knew.
-        second.hear(0, WINDOW + 1, 5);
-        second.hear(1, WINDOW + 1, 3);
+        second.receive(0, WINDOW + 1, 5);
+        second.receive(1, WINDOW + 1, 3);
         second.run(&mut world, fence, END + 4500, Loss::Nothing);
         let expected = if loss == Loss::Write { 8 } else { 7 };
         assert_eq!(world.reported().get(&WINDOW), Some(&expected), "{loss:?}");
@@ -238,13 +238,13 @@
 fn a_write_without_an_answer_is_looked_up() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     let sent = world.calls.len();
     first.at += 100;
     first.lead(fence, first.at);
     first.act(&mut world, Loss::WriteUnknown, &Ok(cloud::Outcome::Accepted));
     assert_eq!(world.calls.len(), sent, "sent before it was known what is settled");
-    first.hear(1, WINDOW + 1, 9);
+    first.receive(1, WINDOW + 1, 9);
     first.run(&mut world, fence, END + 2000, Loss::Nothing);
     assert_eq!(world.reported().get(&WINDOW), Some(&7));
 }
@@ -254,7 +254,7 @@
 fn a_late_write_has_no_effect() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     first.at += 100;
     first.lead(fence, first.at);
     let now = ms(first.at);
@@ -265,7 +265,7 @@
     let late = settle(fence, revision, &ledger);
     let no_answer = Err(store::Error::NoResponse { reason: "slow".into() });
     first.reporter.settled((fence, ledger), no_answer, now);
-    first.hear(1, WINDOW + 1, 9);
+    first.receive(1, WINDOW + 1, 9);
     first.run(&mut world, fence, END + 2000, Loss::Nothing);
     assert_eq!(world.reported().get(&WINDOW), Some(&14));
     assert_eq!(world.commit(&late), store::Outcome::Conflict(Vec::new()));
@@ -277,7 +277,7 @@
     let mut world = World::default();
     let (mut frozen, fence) = holder(&mut world);
     let sent = world.calls.len();
-    frozen.hear_all(WINDOW + 1);
+    frozen.receive_from_all(WINDOW + 1);
     frozen.at = END + 3000;
     assert_eq!(frozen.reporter.next(ms(frozen.at), frozen.at, &addresses()), None);
     // A write that it began before has no effect.
@@ -294,10 +294,10 @@
     let mut world = World::default();
     let (mut first, old) = holder(&mut world);
     let (mut second, new) = (host("b", END - 100), world.elect());
-    first.hear(0, WINDOW + 1, 5);
-    first.hear(1, WINDOW + 1, 2);
-    second.hear(0, WINDOW + 1, 5);
-    second.hear(1, WINDOW + 1, 4);
+    first.receive(0, WINDOW + 1, 5);
+    first.receive(1, WINDOW + 1, 2);
+    second.receive(0, WINDOW + 1, 5);
+    second.receive(1, WINDOW + 1, 4);
     let sent = world.calls.len();
     // The first one has not noticed that its lease has ended.
     first.run(&mut world, old, END + 500, Loss::Nothing);
@@ -312,7 +312,7 @@
 fn a_window_waits_for_all_hosts_but_not_until_it_is_due() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear(0, WINDOW + 1, 5);
+    first.receive(0, WINDOW + 1, 5);
     first.run(&mut world, fence, END + 5900, Loss::Nothing);
     assert_eq!(world.reported().get(&WINDOW), None);
     first.run(&mut world, fence, END + 6200, Loss::Nothing);
@@ -326,12 +326,12 @@
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
     assert_eq!(host("a", END).reporter.rejoin_at(), ms(END) + TURN);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     first.run(&mut world, fence, END + 1000, Loss::Nothing);
     let called_at = first.reporter.rejoin_at() - TURN;
     assert!(called_at >= ms(END) && called_at <= ms(END + 1000), "{called_at:?}");
     // A call in progress counts from its beginning and again from its end.
-    first.hear_all(WINDOW + 2);
+    first.receive_from_all(WINDOW + 2);
     first.at = END + LENGTH_MS;
     first.lead(fence, first.at);
     let settle_it = first.reporter.next(ms(first.at), first.at, &addresses());
@@ -356,7 +356,7 @@
 fn a_new_holder_waits_for_counts_and_calls() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     first.run(&mut world, fence, END + 1000, Loss::Call);
     let (mut second, fence) = (host("b", END + LENGTH_MS + 7000), world.elect());
     let (taken_at, sent) = (second.at, world.calls.len());
@@ -376,7 +376,7 @@
 fn a_refused_token_is_not_used_again() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     first.at = END + 200;
     first.lead(fence, first.at);
     first.act(&mut world, Loss::Nothing, &Ok(cloud::Outcome::Conflict));
@@ -423,7 +423,7 @@
 fn a_holder_that_cannot_call_lets_another_host_try() {
     let mut world = World::default();
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 1);
+    first.receive_from_all(WINDOW + 1);
     let cut_off = Err(cloud::Error::Refused { reason: "cut off".into() });
     while first.at < END + 5000 && first.reporter.is_holder() {
         first.at += 100;
@@ -435,7 +435,7 @@
     // An answer that limits the rate is one.
     let mut world = World::default();
     let (mut limited, fence) = holder(&mut world);
-    limited.hear_all(WINDOW + 1);
+    limited.receive_from_all(WINDOW + 1);
     for turn in 0..80 {
         let limit = Ok(cloud::Outcome::RateLimited);
         limited.at += 100;
@@ -453,7 +453,7 @@
     world.revision += 1;
     world.keys.insert(LEDGER.into(), (b"?".to_vec(), world.revision));
     let (mut first, fence) = holder(&mut world);
-    first.hear_all(WINDOW + 2);
+    first.receive_from_all(WINDOW + 2);
     first.run(&mut world, fence, END + LENGTH_MS + 1000, Loss::Nothing);
     assert_eq!(world.reported().into_keys().collect::<Vec<_>>(), [WINDOW + 1]);
 }
@@ -475,6 +475,6 @@
     let ledger = Ledger { next: u64::MAX, unsent: Vec::new() };
     world.keys.insert(LEDGER.into(), (ledger.encode(), 999));
     let (mut second, fence) = (host("b", END + 1000), world.elect());
-    second.hear_all(u64::MAX);
+    second.receive_from_all(u64::MAX);
     assert!(second.run(&mut world, fence, END + 9000, Loss::Nothing));
 }
