Engines: whether one is fast follows from the least pace

Cause: has_fast walked all engines, and a leader asked it on every pass of its loop while an item waited. Where no engine is fast, an item that found no engine looked through the open ones a second time, for one that is not fast.

Change: the least of the ordered paces answers, by the same rule as is_fast; the search that spares fast engines is made only where there are any. Placement and moves are the same.

--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -116,9 +116,10 @@
         }
         let begins = status.progress.last_event == 0;
         self.set_state(item, State::Running { run: 0, target: Some(target.clone()) });
-        match self.statuses[item].doubt.is_raised() {
-            true => engines.start_doubtful_run(&target),
-            false => engines.start_run(&target),
+        if self.statuses[item].doubt.is_raised() {
+            engines.start_doubtful_run(&target);
+        } else {
+            engines.start_run(&target);
         }
         let sent = work.and_then(|work| engines.record_prompt(&target, &spec.model, &work));
         let sent = sent.map(|sent| {
@@ -153,7 +154,8 @@
             work: work.filter(|work| !work.prompt.is_empty()),
         };
         let sparing = Requirement { spares_fast: true, ..requirement };
-        let sparing = Some(sparing).filter(|_| self.is_short(item, now, engines.typical_pace()));
+        let sparing = Some(sparing)
+            .filter(|_| engines.has_fast() && self.is_short(item, now, engines.typical_pace()));
         // Several engines may have ended at once, so a second attempt goes where others have just succeeded.
         let heard = HEARD_TIMES.map(|time| Evidence::HeardSince(now.saturating_sub(time)));
         let proven = heard.into_iter().chain([Evidence::NoFailure]);
--- a/crates/node/src/job/engines.rs
+++ b/crates/node/src/job/engines.rs
@@ -182,13 +182,16 @@
     /// Whether an engine is much faster than most. Its last pace counts, however old, so that a pause between runs does
     /// not change which model it serves.
     pub fn is_fast(&self, engine: &Engine) -> bool {
-        let typical = self.typical_pace();
-        engine.last_pace().is_some_and(|pace| pace.mul_f64(FAST_FACTOR) <= typical)
+        engine.last_pace().is_some_and(|pace| self.is_fast_pace(pace))
     }
 
     /// Whether any engine is fast.
     pub fn has_fast(&self) -> bool {
-        self.iter().any(|engine| self.is_fast(engine))
+        self.paces.least().is_some_and(|pace| self.is_fast_pace(pace))
+    }
+
+    fn is_fast_pace(&self, pace: Duration) -> bool {
+        pace.mul_f64(FAST_FACTOR) <= self.typical_pace()
     }
 
     pub(super) fn is_slow(&self, engine: &Engine) -> bool {
--- a/crates/node/src/job/paces.rs
+++ b/crates/node/src/job/paces.rs
@@ -13,6 +13,10 @@
         self.ascending.get(self.ascending.len() / 2).copied()
     }
 
+    pub(super) fn least(&self) -> Option<Duration> {
+        self.ascending.first().copied()
+    }
+
     /// Replaces the pace of an engine.
     pub(super) fn replace(&mut self, before: Option<Duration>, after: Option<Duration>) {
         if let Some(Ok(at)) = before.map(|pace| self.ascending.binary_search(&pace)) {
