Bodies: judges' answers take no memory, others count with what they allocate

Cause: a host kept the body of each judge's answer, up to 32 MiB each and 40 MiB together, although the score is in the head and the body is never used. The budget counted received bytes only, while the buffers grew by doubling, so the process held up to twice as much, plus copies.

Change: a call states what it needs of a response; a judge's body is read to its end within the same limit and dropped. Other bodies grow by half, never beyond their stated length or limit, and their whole allocation is taken from the budget before it is made. Long partial events of items and streams count with their allocation as well.

--- a/crates/node/src/events.rs
+++ b/crates/node/src/events.rs
@@ -10,6 +10,8 @@
 
 /// Maximum size of an event; an engine sends no larger one.
 const EVENT_BYTES_MAX: usize = 1 << 20;
+/// Largest content of a buffer whose spare room does not count as held.
+const SHORT_BYTES_MAX: usize = 64 << 10;
 
 /// Reason why a stream cannot be continued.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
@@ -68,9 +70,10 @@
         }
     }
 
-    /// Bytes in the buffer.
+    /// Bytes of memory that the buffer holds. The spare room of a short one does not count, as sound streams have many of them.
     pub fn buffered(&self) -> usize {
-        self.buffer.len()
+        let len = self.buffer.len();
+        if len > SHORT_BYTES_MAX { self.buffer.capacity() } else { len }
     }
 
     /// Whether the buffer holds an incomplete event.
--- a/crates/node/src/traffic/body.rs
+++ b/crates/node/src/traffic/body.rs
@@ -2,10 +2,10 @@
 
 use std::{cell::Cell, rc::Rc};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::{body::Body, body::Incoming};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use tokio::time::timeout;
 
 use crate::prelude::*;
@@ -14,6 +14,9 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest part of such a body that is read.
 const DISCARD_BYTES_MAX: usize = 1 << 20;
+/// Divisor of the memory of a body that is by how much it grows at once, if the length of the body is not known. A smaller one
+/// leaves more memory unused, a larger one copies the body more often.
+const GROWTH_DIVISOR: usize = 2;
 
 /// Why a body could not be read.
 #[derive(Debug, Snafu)]
@@ -68,20 +71,60 @@
     }
 }
 
-/// Reads and drops the body of a request that is refused, up to a limit and for a limited time. A connection that is closed
-/// with unread bytes is reset, and the response may be lost.
-pub async fn discard(mut body: Incoming) {
-    let rest = async {
-        let mut bytes = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            bytes += frame.data_ref().map_or(0, Bytes::len);
-            if bytes > DISCARD_BYTES_MAX {
-                return;
+/// Bytes of a body that arrive in parts. All memory that it allocates counts as taken from a budget, not only the part in use.
+#[derive(Debug)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    bytes_max: usize,
+    taken: Taken,
+}
+
+impl Buffer {
+    /// A buffer for at most `bytes_max` bytes.
+    pub fn new(bytes_max: usize, budget: &Rc<Budget>) -> Self {
+        Self { bytes: Vec::new(), bytes_max, taken: Taken::new(budget) }
+    }
+
+    /// Appends received bytes.
+    pub fn push(&mut self, data: &[u8]) -> Result<(), Error> {
+        let (len, capacity) = (self.bytes.len() + data.len(), self.bytes.capacity());
+        if len > self.bytes_max {
+            return TooLargeSnafu { limit: self.bytes_max }.fail();
+        }
+        if len > capacity {
+            let grown = (capacity + capacity / GROWTH_DIVISOR).min(self.bytes_max).max(len);
+            if !self.taken.set(grown) {
+                return NoBudgetSnafu.fail();
             }
+            self.bytes.reserve_exact(grown - self.bytes.len());
         }
-    };
+        self.bytes.extend_from_slice(data);
+        Ok(())
+    }
+
+    /// Bytes of memory that the buffer uses.
+    pub fn allocated(&self) -> usize {
+        self.bytes.capacity()
+    }
+}
+
+/// Reads and drops the body of a request that is refused, up to a limit and for a limited time. A connection that is closed
+/// with unread bytes is reset, and the response may be lost.
+pub async fn discard(body: Incoming) {
     // The response follows either way.
-    let _ = timeout(DISCARD_TIMEOUT, rest).await;
+    let _ = timeout(DISCARD_TIMEOUT, skip(body, DISCARD_BYTES_MAX)).await;
+}
+
+/// Reads a body of at most `limit` bytes to its end, and keeps none of them.
+pub async fn skip(mut body: Incoming, limit: usize) -> Result<(), Error> {
+    let mut bytes = 0;
+    while let Some(frame) = body.frame().await {
+        bytes += frame.context(BrokenSnafu)?.data_ref().map_or(0, Bytes::len);
+        if bytes > limit {
+            return TooLargeSnafu { limit }.fail();
+        }
+    }
+    Ok(())
 }
 
 /// Reads a body of at most `limit` bytes.
@@ -95,22 +138,17 @@
     limit: usize,
     budget: &Rc<Budget>,
 ) -> Result<(Bytes, Taken), Error> {
-    if body.size_hint().lower() > limit as u64 {
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
         return TooLargeSnafu { limit }.fail();
     }
-    let (mut bytes, mut taken) = (BytesMut::new(), Taken::new(budget));
+    // A body of a known length takes no more memory than that.
+    let bytes_max = size.upper().map_or(limit, |upper| limit.min(upper as usize));
+    let mut buffer = Buffer::new(bytes_max, budget);
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|source| Error::Broken { source })?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        if bytes.len() + data.len() > limit {
-            return TooLargeSnafu { limit }.fail();
-        }
-        if !taken.set(bytes.len() + data.len()) {
-            return NoBudgetSnafu.fail();
+        if let Some(data) = frame.context(BrokenSnafu)?.data_ref() {
+            buffer.push(data)?;
         }
-        bytes.extend_from_slice(data);
     }
-    Ok((bytes.freeze(), taken))
+    Ok((buffer.bytes.into(), buffer.taken))
 }
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -21,7 +21,7 @@
         body::{self, Taken},
         dispatch::{Failure, dispatch},
         event_body::EventBody,
-        exchange::{self, Call},
+        exchange::{self, Call, Need},
         jobs, origins,
         serve::Traffic,
         stop::Phase,
@@ -215,6 +215,7 @@
         held: Some(Rc::new(held)),
         workspace: caller.workspace().map(|workspace| workspace.name.clone()),
         deadline,
+        need: Need::Whole,
     }
 }
 
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -41,6 +41,14 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// What is needed of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    Whole,
+    /// The body is dropped.
+    Head,
+}
+
 /// A request to a plain service.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -56,9 +64,10 @@
     pub workspace: Option<WorkspaceId>,
     /// Time at which the request fails if there is no response yet.
     pub deadline: Instant,
+    pub need: Need,
 }
 
-/// A target's response, with its complete body.
+/// A target's response, with its complete body if that is needed.
 #[derive(Clone, Debug)]
 pub struct Response {
     pub status: StatusCode,
@@ -215,7 +224,14 @@
         return Err(fail(&"refusal does not state that the request was not run"));
     }
     let closes = closes_connection(&parts.headers);
-    let body = body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes);
+    let body = async {
+        match call.need {
+            Need::Whole => body::read(body, RESPONSE_BYTES_MAX, &traffic.response_bytes).await,
+            // Read to its end, as the connection is of no more use otherwise. A lower limit would make attempts at judges that do
+            // not end their answers follow each other faster, which takes more processor time than the bytes.
+            Need::Head => body::skip(body, RESPONSE_BYTES_MAX).await.map(|()| Bytes::new()),
+        }
+    };
     let body = body.await.map_err(|error| {
         broke(&error);
         ExchangeError::from(&error)
--- a/crates/node/src/traffic/judge.rs
+++ b/crates/node/src/traffic/judge.rs
@@ -8,7 +8,12 @@
 use crate::{
     job::End,
     prelude::*,
-    traffic::{dispatch::dispatch, exchange::Call, run::Run, serve::Traffic},
+    traffic::{
+        dispatch::dispatch,
+        exchange::{Call, Need},
+        run::Run,
+        serve::Traffic,
+    },
 };
 
 const TIMEOUT: Duration = Duration::from_millis(3000);
@@ -35,6 +40,8 @@
         held: None,
         workspace: None,
         deadline: Instant::now() + TIMEOUT.min(route.timeout),
+        // The score is in the head.
+        need: Need::Head,
     };
     match dispatch(traffic, route, &call).await {
         Ok(response) if response.status.is_success() => (End::Scored(Some(response.receipt)), 0),
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -42,7 +42,7 @@
 mod tunnel;
 
 pub use accept::accept;
-pub use body::{Budget, read as read_body};
+pub use body::{Budget, Buffer, Error as BodyError, read as read_body};
 pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -373,7 +373,7 @@
         if state.progress.text.len() > TEXT_BYTES_MAX {
             return fail(&"text too long");
         }
-        if !held.set(parser.buffered() + state.progress.text.len()) {
+        if !held.set(parser.buffered() + state.progress.text.capacity()) {
             return fail(&"too many bytes of others are being read");
         }
         let has_events = state.progress.last_event > state.resumed_after;
