Results: a job read without workspaces is shown only to its own later

Cause: while the configuration had no workspaces, a job whose first chunk names none was cached as one of no workspace, without a look at its head. Once there were workspaces, each of them saw it until it left the cache.

Change: the cache knows whether the owner of a job is known. If its head was not read, it is read before a caller of a workspace gets the job; deployments without workspaces make no further store call.

--- a/crates/node/src/traffic/cache.rs
+++ b/crates/node/src/traffic/cache.rs
@@ -21,6 +21,7 @@
     dialect::Dialect,
     job::{Chunk, Row, Spec},
     prelude::*,
+    workspace::Caller,
 };
 
 /// Largest total size of cached results and submissions; the job used last stays even if it is larger.
@@ -30,13 +31,21 @@
 /// Time for which a write may be open before the store may show results that this host does not know of.
 const WRITE_OPEN_MAX: Duration = Duration::from_millis(400);
 
+/// What is known of the workspace of a cached job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// The workspace, or that the job has none.
+    Known(Option<WorkspaceId>),
+    /// The chunks name none, and the head was not read, as all callers could see all jobs.
+    NotRead,
+}
+
 /// A cached job.
 #[derive(Debug)]
 pub struct CachedJob {
     /// Number of items in the job.
     pub total: usize,
-    /// Workspace of the job, if it has one.
-    pub workspace: Option<WorkspaceId>,
+    pub owner: Owner,
     chunks: Vec<Arc<Chunk>>,
     /// Revision of the store up to which the chunks are known.
     pub revision: Revision,
@@ -52,10 +61,10 @@
 
 impl CachedJob {
     /// A job of which no chunk is known yet.
-    pub fn new(total: usize, workspace: Option<WorkspaceId>, revision: Revision) -> Self {
+    pub fn new(total: usize, owner: Owner, revision: Revision) -> Self {
         Self {
             total,
-            workspace,
+            owner,
             chunks: Vec::new(),
             revision,
             spec: None,
@@ -67,6 +76,14 @@
         }
     }
 
+    /// Whether the job exists for a caller; `None` if its head has to be read first.
+    pub fn is_visible(&self, caller: &Caller) -> Option<bool> {
+        match &self.owner {
+            Owner::Known(workspace) => Some(caller.sees(workspace.as_deref())),
+            Owner::NotRead => (*caller == Caller::Any).then_some(true),
+        }
+    }
+
     /// Position after the last cached result.
     pub fn end(&self) -> u64 {
         self.chunks.last().map_or(0, |chunk| chunk.end())
@@ -155,7 +172,7 @@
         spec: &Arc<Spec>,
         chunks: Vec<Chunk>,
     ) {
-        let mut job = CachedJob::new(spec.items.len(), workspace, 0);
+        let mut job = CachedJob::new(spec.items.len(), Owner::Known(workspace), 0);
         job.service = Some(service);
         job.set_spec(spec);
         for chunk in chunks {
--- a/crates/node/src/traffic/jobs.rs
+++ b/crates/node/src/traffic/jobs.rs
@@ -14,7 +14,7 @@
     prelude::*,
     store::{self, Change, Outcome, Put, Txn, WatchResponse},
     traffic::{
-        cache::CachedJob,
+        cache::{CachedJob, Owner},
         peers::{self, Answer},
         serve::Traffic,
     },
@@ -73,10 +73,23 @@
 /// Reads the results of a job into the cache, and its head if needed, unless the job is cached. Fails if the job does not
 /// exist for the caller.
 async fn load(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Result<(), Error> {
-    if let Some(mut job) = traffic.cache.get_mut(id) {
-        check_visible(caller, job.workspace.as_deref())?;
+    let is_visible = traffic.cache.get_mut(id).map(|mut job| {
         job.last_used = Instant::now();
-        return Ok(());
+        job.is_visible(caller)
+    });
+    match is_visible {
+        Some(Some(true)) => return Ok(()),
+        Some(Some(false)) => return Err(Error::NotFound),
+        Some(None) => {
+            // The job was cached before there were workspaces.
+            let workspace = record(traffic, id).await?.0.workspace;
+            let is_visible = check_visible(caller, workspace.as_deref());
+            if let Some(mut job) = traffic.cache.get_mut(id) {
+                job.owner = Owner::Known(workspace);
+            }
+            return is_visible;
+        }
+        None => {}
     }
     let (entries, revision) =
         store::read_all(traffic.store.as_ref(), &job::chunks_prefix(id)).await?;
@@ -84,17 +97,20 @@
     // an earlier build does not tell the workspace.
     let first =
         entries.first().and_then(|entry| serde_json::from_slice::<Chunk>(&entry.value).ok());
-    let (total, workspace) = match first {
-        Some(Chunk { total, workspace, .. }) if workspace.is_some() || *caller == Caller::Any => {
-            (total, workspace)
+    let (total, owner) = match first {
+        Some(Chunk { total, workspace: Some(workspace), .. }) => {
+            (total, Owner::Known(Some(workspace)))
         }
+        Some(Chunk { total, .. }) if *caller == Caller::Any => (total, Owner::NotRead),
         _ => {
             let record = record(traffic, id).await?.0;
-            (record.total, record.workspace)
+            (record.total, Owner::Known(record.workspace))
         }
     };
-    check_visible(caller, workspace.as_deref())?;
-    let mut cached = CachedJob::new(total, workspace, revision);
+    let mut cached = CachedJob::new(total, owner, revision);
+    if cached.is_visible(caller) == Some(false) {
+        return Err(Error::NotFound);
+    }
     for entry in entries {
         cached.add_encoded(&entry.value);
     }
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -19,7 +19,10 @@
         UsageCounts,
     },
     prelude::*,
-    traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
+    traffic::{
+        Report, Submission, announce, cache::Owner, permit, runner, serve::Traffic, suspects,
+        tunnel,
+    },
     workspace::{Caller, is_visible},
 };
 
@@ -85,7 +88,10 @@
 
 /// Whether this host holds a job that does not exist for a caller.
 fn is_hidden(traffic: &Traffic, id: &str, sees: impl Fn(Option<&str>) -> bool) -> bool {
-    traffic.cache.held(id).is_some_and(|job| !sees(job.workspace.as_deref()))
+    traffic.cache.held(id).is_some_and(|job| match &job.owner {
+        Owner::Known(workspace) => !sees(workspace.as_deref()),
+        Owner::NotRead => true,
+    })
 }
 
 /// Tells the leader of a service about a job that was just written to the store. A leader that does not learn of it
