--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -178,18 +178,19 @@
         now >= pause.next_call
     }
 
-    /// Records the result of a call of the store: the pause ends with an answer and doubles without one.
-    fn record_call(&self, prefix: &str, answered: bool) {
+    /// Records and returns the result of a call of the store: the pause ends with an answer and doubles without one.
+    fn record_call<T>(&self, prefix: &str, result: Result<T, Error>) -> Result<T, Error> {
         let mut pauses = self.pauses.borrow_mut();
         if let Some(pause) = pauses.get_mut(prefix) {
             let now = clock::now();
-            if answered {
+            if result.is_ok() {
                 pause.next_call = now;
-                return;
+                return result;
             }
             pause.length = (pause.length * 2).min(LOST_PAUSE_MAX);
             pause.next_call = now + pause.length.mul_f64(0.5 + 0.5 * rand::random::<f64>());
         }
+        result
     }
 
     /// Asks the reader for changes. While it has lost the store it is asked again until this host may call the store.
@@ -202,11 +203,7 @@
                 Answer::Lost if !wait.is_zero() && !self.may_call(prefix) => {
                     sleep(LOST_POLL_INTERVAL).await;
                 }
-                Answer::Page(..) => {
-                    self.pauses.borrow_mut().remove(prefix);
-                    return answer;
-                }
-                Answer::Lost | Answer::None => return answer,
+                Answer::Page(..) | Answer::Lost | Answer::None => return answer,
             }
         }
     }
@@ -218,6 +215,17 @@
         let _ = timeout_at(self.started + READER_WAIT, reader.wait_for(Option::is_some)).await;
     }
 
+    /// Records that the reader has answered, and decodes its changes, with whether they follow an outage of the store that is
+    /// not known yet; `None` if it no longer has the changes.
+    fn accept(&self, prefix: &str, page: Page) -> Option<(Vec<Change>, bool)> {
+        self.pauses.borrow_mut().remove(prefix);
+        if page.compacted {
+            return None;
+        }
+        let recovered = self.is_recovery(&page);
+        Some((page.changes.into_iter().map(Change::from).collect(), recovered))
+    }
+
     /// Whether a page tells of an outage of the store that is not known yet.
     fn is_recovery(&self, page: &Page) -> bool {
         let Some(ago) = page.recovered_ms.map(Duration::from_millis) else {
@@ -260,16 +268,15 @@
             let has_reader = self.reader.borrow().is_some();
             let wait = if has_reader { wait.min(self.wait_max / 2) } else { wait };
             let result = self.direct.watch(prefix, after, wait).await;
-            self.record_call(prefix, result.is_ok());
-            return result;
+            return self.record_call(prefix, result);
         };
-        if page.compacted {
-            return Ok(Watched::Compacted);
-        }
-        let recovered = self.is_recovery(&page);
         let revision = page.revision;
-        let changes = page.changes.into_iter().map(Change::from).collect();
-        Ok(Watched::Changes { changes, revision, current_at, recovered })
+        Ok(match self.accept(prefix, page) {
+            Some((changes, recovered)) => {
+                Watched::Changes { changes, revision, current_at, recovered }
+            }
+            None => Watched::Compacted,
+        })
     }
 
     async fn renew(
@@ -281,19 +288,19 @@
     ) -> Result<Renewed, Error> {
         loop {
             match self.ask_for_proof(prefix, after, proven_at, period).await {
-                Answer::Page(Page { compacted: true, .. }, _) => return Ok(Renewed::Compacted),
                 Answer::Page(page, proven_at) => {
-                    self.pauses.borrow_mut().remove(prefix);
-                    let (recovered, revision) = (self.is_recovery(&page), page.revision);
-                    let changes = page.changes.into_iter().map(Change::from).collect();
-                    return Ok(Renewed::Changes { changes, revision, proven_at, recovered });
+                    let revision = page.revision;
+                    return Ok(match self.accept(prefix, page) {
+                        Some((changes, recovered)) => {
+                            Renewed::Changes { changes, revision, proven_at, recovered }
+                        }
+                        None => Renewed::Compacted,
+                    });
                 }
                 Answer::Lost if !self.may_call(prefix) => sleep(LOST_POLL_INTERVAL).await,
                 Answer::Lost | Answer::None => break,
             }
         }
-        let result = self.direct.renew(prefix, after, proven_at, period).await;
-        self.record_call(prefix, result.is_ok());
-        result
+        self.record_call(prefix, self.direct.renew(prefix, after, proven_at, period).await)
     }
 }
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -54,19 +54,19 @@
     /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
     /// hints and each takes `pace`.
     pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
-        self.load_of(pace, |item, status| self.rest_events(item, status, events_per_hint))
+        self.load_of(pace, |item| self.rest_events(item, events_per_hint))
     }
 
     /// Work that the job needed when it was submitted.
     pub(super) fn whole_load(&self, pace: Duration, events_per_hint: f64) -> Load {
-        self.load_of(pace, |item, _| self.length(item, events_per_hint).max(1.0))
+        self.load_of(pace, |item| self.length(item, events_per_hint).max(1.0))
     }
 
-    fn load_of(&self, pace: Duration, events: impl Fn(usize, &ItemStatus) -> f64) -> Load {
+    fn load_of(&self, pace: Duration, events: impl Fn(usize) -> f64) -> Load {
         let mut groups: BTreeMap<usize, (f64, f64)> = BTreeMap::new();
-        for (item, status) in self.statuses.iter().enumerate() {
-            let (sum, longest) = groups.entry(self.groups[item]).or_default();
-            let events = events(item, status);
+        for (item, group) in self.groups.iter().enumerate() {
+            let (sum, longest) = groups.entry(*group).or_default();
+            let events = events(item);
             *sum += events;
             *longest = longest.max(events);
         }
@@ -91,7 +91,7 @@
         let it = &self.spec.items[item];
         let per_hint = self.events_per_hint.unwrap_or(1.0);
         let events = match it.length_hint {
-            Some(_) => self.rest_events(item, &self.statuses[item], per_hint),
+            Some(_) => self.rest_events(item, per_hint),
             None => UNKNOWN_EVENTS,
         };
         prefix::Work { prompt: &it.prompt, max_total_tokens: it.max_total_tokens, events }
@@ -115,26 +115,21 @@
         self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint
     }
 
-    /// Events that a running item's text is expected to lack.
-    pub(super) fn rest_of(&self, item: usize, events_per_hint: f64) -> f64 {
-        let status = self.statuses.get(item);
-        status.map_or(0.0, |status| self.rest_events(item, status, events_per_hint))
-    }
-
     /// Whether an item is done early enough on an engine of a pace that a faster one would not complete the job sooner.
     pub(super) fn is_short(&self, item: usize, now: Time, pace: Duration) -> bool {
         let Some(events_per_hint) = self.events_per_hint else {
             return false;
         };
-        let rest = self.rest_events(item, &self.statuses[item], events_per_hint);
+        let rest = self.rest_events(item, events_per_hint);
         pace.mul_f64(rest) * SHORT_DIVISOR <= self.due.saturating_sub(now)
     }
 
     /// Events that an item's text is expected to lack.
-    fn rest_events(&self, item: usize, status: &ItemStatus, events_per_hint: f64) -> f64 {
-        if !status.state.is_open() || status.text_complete {
+    pub(super) fn rest_events(&self, item: usize, events_per_hint: f64) -> f64 {
+        let status = self.statuses.get(item);
+        let Some(status) = status.filter(|it| it.state.is_open() && !it.text_complete) else {
             return 0.0;
-        }
+        };
         let length = self.length(item, events_per_hint);
         let done = status.events() as f64;
         (length - done).max(done * OVERRUN_SHARE).max(1.0)
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -177,7 +177,7 @@
     /// Events that a running item's text is expected to lack; `None` before any text was finished.
     pub fn rest_events(&self, job: &str, item: usize) -> Option<f64> {
         let events_per_hint = self.lengths.events_per_hint()?;
-        Some(self.jobs.get(job)?.rest_of(item, events_per_hint))
+        Some(self.jobs.get(job)?.rest_events(item, events_per_hint))
     }
 
     /// Gives the run of an assignment its id.
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -43,7 +43,9 @@
 
 pub use accept::accept;
 pub use body::{Budget, read as read_body};
-pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
+pub use channel::{
+    Channel, Channels, Demand, Error as ChannelError, Liveness, set_ack_timeout, set_keepalive,
+};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::{Connection, Pool};
