--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -17,8 +17,8 @@
     },
     fleet::Target,
     job::{
-        Assignment, Engine, Engines, Failure, Failures, Job, Leaving, Pending, Policy, Queue,
-        Reason, Row, Visitor,
+        Engine, Engines, Failure, Failures, Job, Leaving, Pending, Policy, Queue, Reason, Row,
+        Visitor,
         homes::{Homes, Runner, Streams},
     },
     peer::FailedItem,
@@ -26,13 +26,9 @@
     prelude::*,
     rate::Limit,
     term,
-    traffic::{Command, Endpoint, Run, RunReport},
+    traffic::{Command, RunReport},
 };
 
-/// Events over which the pace of a run is measured.
-const PACE_EVENTS: u64 = 6;
-/// The same for an item for which only the engine to be avoided has a free slot.
-const LAST_RESORT_PACE_EVENTS: u64 = 18;
 /// Events from which an item counts as one of the longest of its step.
 const LONG_ITEM_EVENTS: u64 = 40;
 /// Minimum interval between decisions on loads.
@@ -62,9 +58,9 @@
     pub(super) engines: Engines,
     rollout: Rollout,
     pub(super) runs: HashMap<u64, ActiveRun>,
-    homes: Homes,
+    pub(super) homes: Homes,
     /// Hosts that take items.
-    runners: BTreeSet<SocketAddr>,
+    pub(super) runners: BTreeSet<SocketAddr>,
     /// Failed items that this host knows.
     pub(super) failures: Arc<Failures>,
     /// Items wait until the other hosts have said which failed items they know.
@@ -75,7 +71,7 @@
     reading: HashSet<JobId>,
     /// Fencing token that an engine refused as outdated.
     refused_fence: Option<Revision>,
-    next_run: u64,
+    pub(super) next_run: u64,
     pub(super) written_at: Time,
     pub(super) checkpointed_at: Time,
     pub(super) moved_at: Time,
@@ -234,70 +230,6 @@
         self.queue.ids().iter().flat_map(|id| self.drop_job(id, now)).collect()
     }
 
-    /// Commands to run the items that start now.
-    pub fn start_items(&mut self, now: Time) -> Vec<Command> {
-        let mut commands = Vec::new();
-        if !self.leads() || self.awaits_failures {
-            return commands;
-        }
-        while let Some(assignment) = self.queue.assign_next(now, &mut self.engines) {
-            if let Some(command) = self.run_command(assignment, now) {
-                commands.push(command);
-            }
-        }
-        commands
-    }
-
-    fn run_command(&mut self, assignment: Assignment, now: Time) -> Option<Command> {
-        self.next_run += 1;
-        self.queue.begin_run(&assignment, self.next_run);
-        let job = self.queue.get(&assignment.job)?;
-        let engine = assignment.target.as_ref().and_then(|id| self.engines.get(id));
-        let target = engine.map(|engine| Endpoint::from(engine.target.as_ref()));
-        let failure = job.failure(assignment.item);
-        let runner = self.runner_of(assignment.target.as_deref());
-        let run = ActiveRun {
-            job: assignment.job.clone(),
-            item: assignment.item,
-            target: assignment.target.clone(),
-            started_at: now,
-            failure,
-            sent: assignment.sent.clone(),
-            runner,
-        };
-        if let Some((sent, target)) = assignment.sent.as_ref().zip(assignment.target.as_deref()) {
-            prompts::record(&job.spec.items[assignment.item].id, target, sent);
-        }
-        self.runs.insert(self.next_run, run);
-        Some(Command::Run(Box::new(Run {
-            id: self.next_run,
-            item: Arc::clone(&job.spec.items[assignment.item]),
-            host: job.record.host.clone(),
-            min_version: job.spec.min_version,
-            target,
-            runner,
-            single_version: job.policy.single_version,
-            pace_max: self.engines.pace_max(),
-            pace_window: if assignment.last_resort { LAST_RESORT_PACE_EVENTS } else { PACE_EVENTS },
-            failures: failure.failures,
-            max_attempts: job.policy.max_attempts,
-            workspace: job.record.workspace.clone(),
-            assignment,
-        })))
-    }
-
-    /// Host that runs an item on an engine; `None` for this one. Items without an engine go to all hosts in turn.
-    fn runner_of(&self, engine: Option<&str>) -> Option<SocketAddr> {
-        let home = match engine {
-            Some(engine) => self.homes.of(engine),
-            None => {
-                let turn = self.next_run as usize % self.runners.len().max(1);
-                self.runners.iter().nth(turn).copied()
-            }
-        };
-        home.filter(|host| self.runners.contains(host))
-    }
-
     /// Assigns the engines to the hosts at hand. Returns the hosts that have engines.
     pub fn update_homes(&mut self, hosts: &[Runner]) -> BTreeSet<SocketAddr> {
         let streams = |engine: &Engine| Streams {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -16,11 +16,12 @@
         leader::Leader,
         mirror::{Mirror, Schedule, Update},
         orders,
+        parts::Parts,
         scale::Scaling,
         sessions::Outbox,
         software,
-        store_state::{Effect, StoreState},
-        tasks::{Completion, report_retired},
+        store_state::StoreState,
+        tasks::Completion,
         usage,
         waits::Waits,
     },
@@ -34,9 +35,7 @@
     rate,
     relay::{self, Peer, Peers},
     settings::Settings,
-    store::{self, Put, Txn},
-    term,
-    traffic::{Command, Report},
+    store, term,
     usage::Meter,
     view::{Shared, View},
 };
@@ -57,28 +56,6 @@
 const SMALL_HOST_START_DELAY: Duration = Duration::from_millis(600);
 /// Share of the age at which registrations are refreshed up to which those of the zone's reader serve.
 const FEED_AGE_SHARE: f64 = 0.75;
-/// Resources of the control thread that the process provides.
-pub struct Parts {
-    pub settings: Settings,
-    pub view: Shared,
-    pub dialect: dialect::Handle,
-    pub store: store::Handle,
-    /// API of the platform, if this deployment has duties there.
-    pub cloud: Option<cloud::Handle>,
-    /// Hosts that relay calls to the store.
-    pub peers: Peers,
-    pub freshness: Arc<Freshness>,
-    pub feed: Arc<Feed>,
-    pub limits: Arc<rate::Table>,
-    pub links: Arc<Links>,
-    pub terms: Arc<term::Table>,
-    pub failures: Arc<Failures>,
-    /// Usage of workspaces on this host.
-    pub meter: Arc<Meter>,
-    pub commands: mpsc::UnboundedSender<Command>,
-    pub reports: mpsc::UnboundedReceiver<Report>,
-    pub stopping: watch::Receiver<bool>,
-}
 
 /// State of the control loop.
 pub(super) struct Control {
@@ -333,44 +310,6 @@
         self.hand_over_deadline.is_some() || self.leaders.values().any(Leader::is_busy)
     }
 
-    fn apply_update(&mut self, update: Update) {
-        if let Update::Refreshed { at } = update {
-            self.refreshed_at = Some(at);
-        }
-        match self.store_state.apply(update, self.dialect.as_ref()) {
-            Some(Effect::JobEnded { service, job }) => {
-                if let Some(leader) = self.leaders.get_mut(&service) {
-                    let stops = leader.drop_job(&job, clock::now());
-                    METERS.open_jobs(&service, leader.queue.len());
-                    self.outbox.send(&service, stops);
-                }
-            }
-            Some(Effect::LeaderElected { service }) => self.leader_elected(&service),
-            Some(Effect::RetireHost { host }) => self.retire_host(host),
-            None => {}
-        }
-    }
-
-    /// Drops the jobs of a service that another host leads now.
-    fn leader_elected(&mut self, service: &ServiceId) {
-        if let Some(leader) = self.leaders.get_mut(service)
-            && leader.leadership.fence.is_none()
-        {
-            let stops = leader.drop_jobs(clock::now());
-            self.outbox.send(service, stops);
-            self.outbox.disconnect_all(service);
-            leader.clear_runners();
-        }
-    }
-
-    /// Reports a host as retired. Hosts keep nothing on disk, so there is nothing to move first.
-    fn retire_host(&self, host: HostId) {
-        let entry = self.dialect.retired_entry(&host);
-        let put = Put { key: entry.key.clone(), value: entry.value, lease: None };
-        let txn = Txn { expected: vec![(entry.key, 0)], puts: vec![put], removes: Vec::new() };
-        tokio::task::spawn_local(report_retired(Rc::clone(&self.store), host, txn));
-    }
-
     /// Publishes changed state and starts whatever is due.
     fn step(&mut self) {
         let now = clock::now();
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -232,6 +232,11 @@
     Duration::from_millis(ms).min(TIME_MAX)
 }
 
+/// Microseconds of a duration in a message.
+pub(super) fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Milliseconds of a duration in a message.
 pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,8 +6,10 @@
 
 mod client;
 mod departure;
+mod ended;
 mod failure;
 mod frame;
+mod item;
 mod limit;
 mod run;
 mod server;
@@ -18,15 +20,16 @@
 
 pub use client::{Client, connect};
 pub use departure::Departure;
+pub use ended::Ended;
 pub use failure::{FailedItem, FailedItems, FailuresRequest};
+use frame::micros;
 pub use frame::{
     Body, End, Frames, JobCall, Kind, Origin, Owned, Request, Response, Results, Submitted,
     duration, feed, flush, millis,
 };
+pub use item::{Header, RunItem};
 pub use limit::{Limit, Notice, Permit, PermitReply};
-pub use run::{
-    Ended, FromRunner, Generated, Header, Lead, News, Order, Retained, RunItem, ToRunner,
-};
+pub use run::{FromRunner, Generated, Lead, News, Order, Retained, ToRunner};
 pub use server::{Handler, serve};
 pub use suspect::{Strike, Suspect, Suspects, SuspectsRequest, Trial};
 pub use text::TextPart;
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 mod connect;
 mod dispatch;
 mod ended;
+mod endpoint;
 mod entry;
 mod event_body;
 mod exchange;
@@ -32,6 +33,7 @@
 mod report;
 mod run;
 mod run_log;
+mod run_report;
 mod runner;
 mod serve;
 mod silence;
@@ -47,8 +49,10 @@
     Channel, Channels, Demand, Error as ChannelError, Liveness, set_ack_timeout, set_keepalive,
 };
 pub use connect::CONNECT_TIMEOUT;
+pub use endpoint::Endpoint;
 pub use jobs::{Error as JobError, read_spec};
 pub use pool::{Connection, Pool};
 pub use report::{Command, Report, Source, Submission};
-pub use run::{Endpoint, Run, RunReport};
+pub use run::Run;
+pub use run_report::RunReport;
 pub use serve::{Parts, run};
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -10,7 +10,7 @@
     peer::UsageCounts,
     prelude::*,
     rate,
-    traffic::run::{Run, RunReport},
+    traffic::{Run, RunReport},
     usage::Receipt,
 };
 
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -15,12 +15,11 @@
     clock,
     config::Config,
     events::{Parser, Progress},
-    fleet::Target,
     job::{Assignment, End, Failure, Identity, Item, Outcome},
     metrics::METERS,
     prelude::*,
     traffic::{
-        announce,
+        Endpoint, RunReport, announce,
         body::Taken,
         channel::{self, Demand, Route},
         connect::{OnLoss, connect, send, target_lost},
@@ -43,27 +42,6 @@
 /// Interval at which the control thread receives the text of a run.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(800);
 
-/// Id and address of a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Endpoint {
-    pub id: TargetId,
-    pub address: SocketAddr,
-    pub software: Software,
-    /// Start time in Unix milliseconds.
-    pub started_ms: u64,
-}
-
-impl From<&Target> for Endpoint {
-    fn from(target: &Target) -> Self {
-        Self {
-            id: target.id.clone(),
-            address: target.address,
-            software: target.software.clone(),
-            started_ms: target.started_ms,
-        }
-    }
-}
-
 /// An item to run, as commanded by the leader.
 #[derive(Debug)]
 pub struct Run {
@@ -92,42 +70,6 @@
     pub workspace: Option<WorkspaceId>,
 }
 
-/// Report on a run.
-#[derive(Debug)]
-pub enum RunReport {
-    /// Text so far.
-    Progress {
-        run: u64,
-        progress: Progress,
-    },
-    /// Number of the last event, of a run whose text another host keeps.
-    Advanced {
-        run: u64,
-        last_event: u64,
-    },
-    /// The text is complete, so the run holds no slot any more; its judge is called next.
-    Generated {
-        run: u64,
-        /// Average time per event; `None` if no event arrived.
-        pace: Option<Duration>,
-    },
-    Ended {
-        run: u64,
-        outcome: Outcome,
-    },
-}
-
-impl RunReport {
-    /// Run to which the report applies.
-    pub fn run(&self) -> u64 {
-        let (Self::Progress { run, .. }
-        | Self::Advanced { run, .. }
-        | Self::Generated { run, .. }
-        | Self::Ended { run, .. }) = self;
-        *run
-    }
-}
-
 /// State of a run.
 struct RunState {
     progress: Progress,
