A new leader tells another host of failed items that it alone knows

Cause: a leader and the host that ran a rejected item both know of it. If that host becomes the next leader, the others' answers tell it nothing and it told no one, so with its loss nobody knew and the item ran again ("the item reached the engine 4 times").

Change: a new leader compares what it knows with the answers of the other hosts and tells one of them of the failed items, or counts, that none of them named. The message is the one that exists, so hosts of the build before understand it.

--- a/crates/node/src/control/failures.rs
+++ b/crates/node/src/control/failures.rs
@@ -2,11 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use futures::future::join_all;
-use log::info;
-use prost::Message;
-use tokio::sync::mpsc;
-
 use crate::{
     clock,
     control::{
@@ -18,6 +13,9 @@
     peer::{Client, FailedItem, FailedItems, FailuresRequest, Kind},
     prelude::*,
 };
+use futures::future::join_all;
+use log::info;
+use prost::Message;
 
 /// Time for the other hosts to answer. No item starts meanwhile.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
@@ -30,11 +28,17 @@
         };
         leader.awaits_failures = true;
         let (failures, completions) = (Arc::clone(&self.failures), self.completions.clone());
-        let read = read_failures(self.hosts(), service.clone(), fence, failures, completions);
-        tokio::task::spawn_local(read);
+        let (hosts, service) = (self.hosts(), service.clone());
+        tokio::task::spawn_local(async move {
+            let unknown = read_failures(&hosts, &failures).await;
+            send_completion(&completions, Completion::FailuresRead { service, fence });
+            if !unknown.is_empty() {
+                tell_failures(hosts, FailedItems { items: unknown }).await;
+            }
+        });
     }
 
-    /// Tells another host of failed items that ran on this one.
+    /// Tells another host of failed items of which no other host is known to know.
     pub(super) fn tell_failures(&mut self, service: &ServiceId) {
         let untold = self.leaders.get_mut(service).map(|leader| std::mem::take(&mut leader.untold));
         if let Some(items) = untold.filter(|items| !items.is_empty()) {
@@ -72,23 +76,23 @@
     }
 }
 
-/// Asks hosts for the failed items that they know, all at once.
-async fn read_failures(
-    hosts: Vec<SocketAddr>,
-    service: ServiceId,
-    fence: Revision,
-    failures: Arc<Failures>,
-    completions: mpsc::UnboundedSender<Completion>,
-) {
+/// Asks hosts for the failed items that they know, all at once. Returns those of which only this host knows: the leader that
+/// knew of them too may be lost, and this host would be the next one to be lost with them.
+async fn read_failures(hosts: &[SocketAddr], failures: &Failures) -> Vec<FailedItem> {
     let client = Client::default();
     let ask = |host| client.call(host, Kind::Failures(FailuresRequest {}), ANSWER_TIMEOUT);
     let responses = join_all(hosts.iter().map(|host| ask(*host))).await;
     let now = clock::now();
     let served = responses.into_iter().flatten().filter(|response| response.served);
     // An answer that cannot be decoded counts as none.
-    let items = served.filter_map(|response| FailedItems::decode(response.body).ok());
-    items.flat_map(|items| items.items).for_each(|item| item.record(&failures, now));
-    send_completion(&completions, Completion::FailuresRead { service, fence });
+    let answers = served.filter_map(|response| FailedItems::decode(response.body).ok());
+    let others = Failures::default();
+    for item in answers.flat_map(|answer| answer.items) {
+        item.record(&others, now);
+        item.record(failures, now);
+    }
+    let unknown = failures.beyond(&others, now).into_iter();
+    unknown.map(|(item, failure)| FailedItem::new(&item, failure)).collect()
 }
 
 /// Tells one of some hosts of failed items.
--- a/crates/node/src/job/failures.rs
+++ b/crates/node/src/job/failures.rs
@@ -1,7 +1,8 @@
 //! Failed runs of items that this host knows of.
 //!
 //! A leader lists a failed item in the store as soon as it can, but may be lost before. The host that ran the item and the
-//! leader both keep what they know beyond the leadership, and the next leader asks all hosts before it starts items.
+//! leader both keep what they know beyond the leadership, and the next leader asks all hosts before it starts items. If it
+//! alone knows of one, it tells another host, so that two hosts know of it again.
 
 use std::{
     collections::HashMap,
@@ -59,6 +60,15 @@
         entries.map(|(item, entry)| (item.clone(), entry.failure)).collect()
     }
 
+    /// What is known of items here and not in another table.
+    pub fn beyond(&self, other: &Self, now: Time) -> Vec<(Identity, Failure)> {
+        let (mut all, others) = (self.all(now), other.lock());
+        all.retain(|(item, failure)| {
+            others.get(item).is_none_or(|known| known.failure.merged(*failure) != known.failure)
+        });
+        all
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<Identity, Entry>> {
         // The state is consistent between any two statements that change it.
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/node/tests/failures.rs
+++ b/crates/node/tests/failures.rs
@@ -149,3 +149,18 @@
     let judged = Failure { judge_failures: 3, ..REJECTED };
     assert_eq!(Failure::default().after(&End::JudgeFailed, 3), judged);
 }
+
+/// Guards against an item that only this host knows and of which it tells no other host, and against a host that tells of what
+/// others know.
+#[test]
+fn what_others_do_not_know_is_found() {
+    let (known, others) = (Failures::default(), Failures::default());
+    for (item, failure) in [("a", REJECTED), ("b", failed(2)), ("c", failed(1))] {
+        known.record(identity(item), failure, NOW);
+    }
+    others.record(identity("b"), failed(1), NOW);
+    others.record(identity("c"), Failure { failures: 2, ..REJECTED }, NOW);
+    let mut beyond = known.beyond(&others, NOW);
+    beyond.sort_by_key(|(identity, _)| identity.item.clone());
+    assert_eq!(beyond, [(identity("a"), REJECTED), (identity("b"), failed(2))]);
+}
