Double entries of one end in a record of another host count once

Cause: ends of one instance less than 2.5 s apart are one end, but each entry of a received record was compared only with those kept, of which the first stays. Three entries 2 s apart of an earlier build counted as two.

Change: of the entries of a received record, one that follows another of its instance within that time is dropped, however many there are in a row. Records of this build have no such entries; entries 2.5 s or more apart still count.

--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -194,12 +194,21 @@
         self.furthest = self.furthest.max(other.furthest);
         self.passes = self.passes.max(other.passes);
         let mut is_news = is_newer || is_further;
-        for strike in other.strikes {
+        for strike in without_doubles(other.strikes) {
             is_news |= self.add(strike);
         }
-        for end in other.passed {
+        for end in without_doubles(other.passed) {
             is_news |= self.add_passed(end);
         }
         is_news
     }
 }
+
+/// Ends of a record, which are in order of time, without those that follow another one of their instance closely. This build
+/// keeps no such ends, but an earlier one may list one end several times, the last time long after the first.
+fn without_doubles(ends: Vec<Strike>) -> Vec<Strike> {
+    let is_double =
+        |(number, end): (usize, &Strike)| ends[..number].iter().any(|before| before.is_same(end));
+    let doubles: Vec<bool> = ends.iter().enumerate().map(is_double).collect();
+    ends.into_iter().zip(doubles).filter(|(_, double)| !double).map(|(end, _)| end).collect()
+}
