Without strict revocation the age of the configuration counts from answered watches

Cause: a host counted as current while its last call for changes had not failed. A watch waits 15 s, so one that hung on a link that still answers probes showed nothing for up to 16 s, and a reader that hung answered its zone as if it were current. Unknown keys got 401 instead of 503.

Change: the age counts from the beginning of the last watch that was answered, and a reader passes that time on (field 7 of a page; without it, from a reader of the build before, an answer counts as current as it did). With workspaces a watch of the configuration waits a sixth of config_apply_ms at most, paced to a quarter as before, so a host that hears of the store stays below the bound. That is a watch call each 0.75 s for the reader of a zone instead of one each 15 s while nothing changes; nothing is read more often. Without workspaces and with strict revocation the calls are those from before.

only_a_proof_counts_where_revocation_is_strict asked that a host that follows the configuration has age zero, which was the fault. It asks now for the age since something was heard, in four cases, and that the waits of watches leave half of the bound.

--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -14,6 +14,7 @@
     freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error},
+    workspace::Upkeep,
 };
 
 /// Maximum duration of a watch; shorter than the history that the store retains. A dead connection is detected by
@@ -28,10 +29,10 @@
 /// Most requests for a proof that a reader gets in an interval between proofs; it may answer each at once.
 const PROOF_REQUESTS_PER_PERIOD: u32 = 4;
 
-/// Returns once another interval between proofs is set.
-async fn renewal_changed(renewal: &mut Option<watch::Receiver<Option<Duration>>>) {
-    let is_changed = match renewal {
-        Some(renewal) => renewal.changed().await.is_ok(),
+/// Returns once something else is to keep the mirror current.
+async fn upkeep_changed(upkeep: &mut Option<watch::Receiver<Option<Upkeep>>>) {
+    let is_changed = match upkeep {
+        Some(upkeep) => upkeep.changed().await.is_ok(),
         None => false,
     };
     if !is_changed {
@@ -48,11 +49,12 @@
         mirror: usize,
         revision: Revision,
     },
-    /// A mirror with renewal is followed. `proven_at` is when the read of the store began that proved it, if this response
-    /// contains a proof.
+    /// What a mirror with upkeep knows of its age. `proven_at` is when the read of the store began that proved it, if this
+    /// response contains a proof, and `heard_at` the time up to which it has all changes.
     Known {
         mirror: usize,
         proven_at: Option<Time>,
+        heard_at: Time,
     },
     /// The store does not answer.
     StoreUnavailable {
@@ -89,8 +91,8 @@
     failures: u32,
     /// Time of the first of them.
     failed_at: Time,
-    /// Interval at which the mirror proves that it is current; the inner `None` means that it need not.
-    renewal: Option<watch::Receiver<Option<Duration>>>,
+    /// What keeps the mirror current; the inner `None` means that its age does not count.
+    upkeep: Option<watch::Receiver<Option<Upkeep>>>,
     /// Time of the last proof.
     proven_at: Option<Time>,
     /// Minimum interval until the next proof, if the last call was for one.
@@ -106,15 +108,15 @@
             revisions: BTreeMap::new(),
             failures: 0,
             failed_at: Time::ZERO,
-            renewal: None,
+            upkeep: None,
             proven_at: None,
             pace: None,
         }
     }
 
-    /// The same mirror, which proves at an interval that it is current. A watch that waits shows nothing.
-    pub fn with_renewal(self, renewal: watch::Receiver<Option<Duration>>) -> Self {
-        Self { renewal: Some(renewal), ..self }
+    /// The same mirror, which is kept current and tells of its age. A watch that waits shows nothing.
+    pub fn with_upkeep(self, upkeep: watch::Receiver<Option<Upkeep>>) -> Self {
+        Self { upkeep: Some(upkeep), ..self }
     }
 
     /// Follows the prefix until the receiver of updates is closed.
@@ -124,7 +126,7 @@
         feed: Arc<Feed>,
         updates: mpsc::UnboundedSender<Update>,
     ) {
-        let (mut at, prefix, mut renewal) = (None, self.prefix.clone(), self.renewal.clone());
+        let (mut at, prefix, mut upkeep) = (None, self.prefix.clone(), self.upkeep.clone());
         loop {
             let begun = clock::now();
             if feed.lacks(&self.prefix) {
@@ -135,7 +137,7 @@
                 // What this host has to read for its zone, it reads at once.
                 () = feed.wait_until_lacking(&prefix), if at.is_some() => Ok(None),
                 // A watch in progress would last too long.
-                () = renewal_changed(&mut renewal), if at.is_some() => continue,
+                () = upkeep_changed(&mut upkeep), if at.is_some() => continue,
             };
             match result {
                 Ok(Some((revision, current_at))) => {
@@ -191,10 +193,11 @@
     }
 
     /// Time for which a watch waits for the first change.
-    fn watch_timeout(&self) -> Duration {
-        match self.schedule {
-            Schedule::Follow(_) => WATCH_TIMEOUT,
-            Schedule::OnDemand(_) => Duration::ZERO,
+    fn watch_timeout(&self, upkeep: Option<Upkeep>) -> Duration {
+        match (&self.schedule, upkeep) {
+            (Schedule::OnDemand(_), _) => Duration::ZERO,
+            (Schedule::Follow(_), Some(Upkeep::Watches(wait))) => wait.min(WATCH_TIMEOUT),
+            (Schedule::Follow(_), _) => WATCH_TIMEOUT,
         }
     }
 
@@ -217,27 +220,32 @@
                 let _ = updates.send(Update::Changed(change));
             }
             let _ = updates.send(Update::Synced { mirror: self.number, revision });
-            self.record_proof(snapshot.proven_at, updates);
+            self.record_age(snapshot.proven_at, current_at, updates);
             return Ok(Some((revision, current_at)));
         };
-        if let Some(period) = self.renewal.as_ref().and_then(|renewal| *renewal.borrow()) {
+        let upkeep = self.upkeep.as_ref().and_then(|upkeep| *upkeep.borrow());
+        if let Some(Upkeep::Renewal(period)) = upkeep {
             return self.renew(source, feed, (after, period), updates).await;
         }
         self.pace = None;
-        let watched = source.watch(&self.prefix, after, self.watch_timeout()).await?;
+        let watched = source.watch(&self.prefix, after, self.watch_timeout(upkeep)).await?;
         self.record_success(feed, updates);
         match watched {
             Watched::Changes { changes, revision, current_at, recovered } => {
                 if recovered {
                     let _ = updates.send(Update::StoreRecovered { mirror: self.number });
                 }
-                feed.extend(&self.prefix, &changes, revision, self.age_base(current_at));
+                // Without workspaces a watch may have begun 15 s ago. The change that adds them was sent just now, unless the
+                // link held it up; the next, shorter watch tells.
+                let is_first = upkeep.is_none() && !changes.is_empty();
+                let heard_at = if is_first { clock::now() } else { current_at };
+                feed.extend(&self.prefix, &changes, revision, heard_at);
                 for change in changes {
                     if self.record(&change) {
                         let _ = updates.send(Update::Changed(change));
                     }
                 }
-                self.record_proof(None, updates);
+                self.record_age(None, heard_at, updates);
                 Ok(Some((revision.max(after), current_at)))
             }
             Watched::Compacted => {
@@ -275,21 +283,26 @@
             }
             Renewed::Compacted => return Ok(None),
         };
-        feed.extend(&self.prefix, &changes, revision, self.age_base(proven_at));
+        feed.extend(&self.prefix, &changes, revision, proven_at);
         for change in changes {
             // Fails only while the process ends.
             let _ = updates.send(Update::Changed(change));
         }
         feed.prove(&self.prefix, proven_at);
-        self.record_proof(Some(proven_at), updates);
+        self.record_age(Some(proven_at), proven_at, updates);
         Ok(Some((revision.max(after), proven_at)))
     }
 
-    /// Publishes a proof. Must be called after the changes of the same response were sent, as receivers then count as current.
-    fn record_proof(&mut self, proven_at: Option<Time>, updates: &mpsc::UnboundedSender<Update>) {
+    /// Publishes the age. Must be called after the changes of the same response were sent, as receivers then count as current.
+    fn record_age(
+        &mut self,
+        proven_at: Option<Time>,
+        heard_at: Time,
+        updates: &mpsc::UnboundedSender<Update>,
+    ) {
         self.proven_at = self.proven_at.max(proven_at);
-        if self.renewal.is_some() {
-            let _ = updates.send(Update::Known { mirror: self.number, proven_at });
+        if self.upkeep.is_some() {
+            let _ = updates.send(Update::Known { mirror: self.number, proven_at, heard_at });
         }
     }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -39,6 +39,7 @@
     traffic::{Command, Report},
     usage::Meter,
     view::{Shared, View},
+    workspace::Upkeep,
 };
 
 /// Tick interval of the control loop while jobs are open.
@@ -140,7 +141,7 @@
     pub(super) leaderships: mpsc::UnboundedSender<(ServiceId, Leadership)>,
     pub(super) stopping: watch::Receiver<bool>,
     /// Interval at which the configuration is proved current; `None` if that is not needed.
-    renewal: watch::Sender<Option<Duration>>,
+    upkeep: watch::Sender<Option<Upkeep>>,
     /// Makes the elections release their leadership.
     pub(super) step_down: watch::Sender<bool>,
     /// Deadline for releasing leadership; set when the process has to stop, `Time::MAX` once the release has begun.
@@ -187,7 +188,7 @@
         Subject::Operations => None,
     });
     let is_config = |prefix: &str| dialect.prefixes().contains(&(prefix, Subject::Config));
-    let (renewal, renewed) = watch::channel(None);
+    let (upkeep, upkept) = watch::channel(None);
     let leaders = [(job::LEADERS, Schedule::Follow(WATCH_INTERVAL))];
     let mirrors: Vec<Mirror> = leaders
         .into_iter()
@@ -195,7 +196,7 @@
         .enumerate()
         .map(|(number, (prefix, schedule))| {
             let mirror = Mirror::new(number, prefix, schedule);
-            if is_config(prefix) { mirror.with_renewal(renewed.clone()) } else { mirror }
+            if is_config(prefix) { mirror.with_upkeep(upkept.clone()) } else { mirror }
         })
         .collect();
     let direct: feed::Handle = Rc::new(Direct(Rc::clone(&store)));
@@ -267,7 +268,7 @@
         resigning: BTreeMap::new(),
         leaderships,
         stopping: stopping.clone(),
-        renewal,
+        upkeep,
         step_down: watch::channel(false).0,
         hand_over_deadline: None,
         cleaned_up_at: Time::ZERO,
@@ -378,7 +379,7 @@
         self.store_state.changed |= !expired.is_empty();
         let knowledge_changed = std::mem::take(&mut self.store_state.knowledge_changed);
         if std::mem::take(&mut self.store_state.changed) {
-            self.update_renewal();
+            self.update_upkeep();
             self.publish();
             self.sync_leaders();
             self.update_leader_keys();
@@ -408,12 +409,12 @@
         self.hand_over(now);
     }
 
-    /// Sets the interval at which the configuration is proved current; none unless callers' keys have to be revoked strictly.
-    fn update_renewal(&self) {
+    /// Sets what keeps the age of the configuration within its bounds; nothing unless callers have keys.
+    fn update_upkeep(&self) {
         let config = self.store_state.config.as_ref();
         let has_workspaces = config.is_some_and(|config| config.workspaces.is_some());
-        let renewal = self.settings.key_bounds().renewal().filter(|_| has_workspaces);
-        self.renewal.send_if_modified(|known| std::mem::replace(known, renewal) != renewal);
+        let upkeep = has_workspaces.then(|| self.settings.key_bounds().upkeep());
+        self.upkeep.send_if_modified(|known| std::mem::replace(known, upkeep) != upkeep);
     }
 
     /// Records when the published registrations were current, and requests a refresh while this host leads a service.
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -64,12 +64,10 @@
 pub struct StoreState {
     /// Newest configuration; an older one never replaces it.
     pub config: Option<Arc<Config>>,
-    /// When the configuration was last proved, and whether it is followed.
+    /// Up to when the configuration is known.
     pub knowledge: Knowledge,
     /// The knowledge has to be published.
     pub knowledge_changed: bool,
-    /// Number of the mirror of the configuration, once it has reported.
-    config_mirror: Option<usize>,
     pub fleet: Fleet,
     /// Heads of jobs, followed only while this host leads a service.
     pub job_heads: BTreeMap<JobId, Head>,
@@ -103,7 +101,6 @@
             config: None,
             knowledge: Knowledge::default(),
             knowledge_changed: false,
-            config_mirror: None,
             fleet: Fleet::default(),
             job_heads: BTreeMap::new(),
             heads_changed: false,
@@ -143,13 +140,10 @@
                     self.changed = true;
                 }
             }
-            Update::Known { mirror, proven_at } => {
-                self.config_mirror = Some(mirror);
+            Update::Known { proven_at, heard_at, .. } => {
                 let proven_at = proven_at.max(self.knowledge.proven_at);
-                self.set_knowledge(Knowledge { proven_at, followed: true });
-            }
-            Update::StoreUnavailable { mirror } if self.config_mirror == Some(mirror) => {
-                self.set_knowledge(Knowledge { followed: false, ..self.knowledge });
+                let heard_at = Some(heard_at).max(self.knowledge.heard_at);
+                self.set_knowledge(Knowledge { proven_at, heard_at });
             }
             Update::StoreUnavailable { .. } | Update::Refreshed { .. } => {}
             Update::StoreRecovered { .. } => self.fleet.store_recovered(clock::now()),
@@ -158,7 +152,9 @@
     }
 
     fn set_knowledge(&mut self, knowledge: Knowledge) {
-        self.knowledge_changed |= self.knowledge != knowledge;
+        // Without workspaces nothing depends on it; a configuration that adds them is published with it.
+        let has_workspaces = self.config.as_ref().is_some_and(|config| config.workspaces.is_some());
+        self.knowledge_changed |= has_workspaces && self.knowledge != knowledge;
         self.knowledge = knowledge;
     }
 
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -133,7 +133,9 @@
         let is_young = max_age.is_none_or(|max_age| page.age() <= max_age);
         METERS.feed(if is_young { "served" } else { "outdated" });
         // The reader has answered after the request was sent, so its knowledge is at least as young as this.
-        let current_at = asked_at.saturating_sub(page.age());
+        let young_at = asked_at.saturating_sub(page.age());
+        // The reader of a prefix that is followed tells no age of it, although its own watch may hang.
+        let current_at = page.heard_at(asked_at).unwrap_or(young_at);
         if is_young { Answer::Page(page, current_at) } else { Answer::None }
     }
 
--- a/crates/node/src/feed/page.rs
+++ b/crates/node/src/feed/page.rs
@@ -59,15 +59,27 @@
     /// before. A response that waits thus loses nothing of its age to the wait.
     #[prost(sint64, optional, tag = "6")]
     pub proven_after_ms: Option<i64>,
+    /// The same for the time up to which the reader of a prefix that it follows has all changes. A reader of an earlier build
+    /// does not tell.
+    #[prost(sint64, optional, tag = "7")]
+    pub heard_after_ms: Option<i64>,
+}
+
+/// Time that is some milliseconds after the arrival of a request that was sent at `asked_at`, or shortly before.
+fn time_after(asked_at: Time, after_ms: i64) -> Option<Time> {
+    let distance = Duration::from_millis(after_ms.unsigned_abs());
+    if after_ms < 0 { asked_at.checked_sub(distance) } else { asked_at.checked_add(distance) }
 }
 
 impl Page {
     /// Time at which the reader's knowledge was proven, or some time before, if the request was sent at `asked_at`.
     pub fn proven_at(&self, asked_at: Time) -> Option<Time> {
-        let after = self.proven_after_ms?;
-        let distance = Duration::from_millis(after.unsigned_abs());
-        // The request arrived after it was sent, so the proof is younger than this.
-        if after < 0 { asked_at.checked_sub(distance) } else { asked_at.checked_add(distance) }
+        time_after(asked_at, self.proven_after_ms?)
+    }
+
+    /// Time up to which the reader has all changes, or some time before, if the request was sent at `asked_at`.
+    pub fn heard_at(&self, asked_at: Time) -> Option<Time> {
+        self.heard_after_ms.map(|after| time_after(asked_at, after).unwrap_or_default())
     }
 
     /// Age of the reader's knowledge.
--- a/crates/node/src/feed/replica.rs
+++ b/crates/node/src/feed/replica.rs
@@ -44,6 +44,8 @@
     revision: Revision,
     /// Time at which the copy was current; `None` if the prefix is followed.
     current_at: Option<Time>,
+    /// Time up to which the copy has all changes.
+    heard_at: Time,
     /// Time at which a read of the store proved the copy.
     proven_at: Option<Time>,
 }
@@ -110,6 +112,7 @@
             complete_from: snapshot.revision,
             revision: snapshot.revision,
             current_at,
+            heard_at: snapshot.current_at,
             proven_at: snapshot.proven_at,
         };
         state.copies.insert(prefix.into(), copy);
@@ -117,19 +120,14 @@
         self.changed.notify_waiters();
     }
 
-    /// Adds changes to the copy of a prefix.
-    pub fn extend(
-        &self,
-        prefix: &str,
-        changes: &[Change],
-        revision: Revision,
-        current_at: Option<Time>,
-    ) {
+    /// Adds the changes up to a time to the copy of a prefix.
+    pub fn extend(&self, prefix: &str, changes: &[Change], revision: Revision, heard_at: Time) {
         let mut state = self.state();
         if let Some(copy) = state.copies.get_mut(prefix) {
             changes.iter().for_each(|change| copy.apply(change));
             copy.revision = copy.revision.max(revision);
-            copy.current_at = copy.current_at.max(current_at);
+            copy.heard_at = copy.heard_at.max(heard_at);
+            copy.current_at = copy.current_at.map(|at| at.max(heard_at));
             drop(state);
             self.changed.notify_waiters();
         }
@@ -202,6 +200,7 @@
             None => -1 - signed(peer::millis(received_at.saturating_sub(at))),
         };
         page.proven_after_ms = copy.proven_at.map(since);
+        page.heard_after_ms = copy.current_at.is_none().then(|| since(copy.heard_at));
         Some(page)
     }
 }
--- a/crates/node/src/workspace/mod.rs
+++ b/crates/node/src/workspace/mod.rs
@@ -10,6 +10,6 @@
 mod key;
 
 pub use admission::{Caller, Refusal, admit, is_visible};
-pub use age::{Bounds, Knowledge};
+pub use age::{Bounds, Knowledge, Upkeep};
 pub use directory::{Ambiguity, Directory, Entry, Workspace};
 pub use key::{ApiKey, Credential, MalformedKey};
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -131,7 +131,7 @@
         let snapshot = client.read(PREFIX).await.unwrap();
         assert_eq!((snapshot.entries.len(), snapshot.revision), (2, 5));
         let removed = Change::Removed { key: "a/1".into(), revision: 7 };
-        feed.extend(PREFIX, &[removed, Change::Put(entry("a/3", 8))], 8, None);
+        feed.extend(PREFIX, &[removed, Change::Put(entry("a/3", 8))], 8, clock::now());
         let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
         assert_matches!(watched, Watched::Changes { changes, revision: 8, .. } => {
             assert_eq!(keys(&changes), ["-a/1", "+a/3"]);
@@ -158,7 +158,7 @@
         let changed = Arc::clone(&feed);
         tokio::task::spawn_local(async move {
             tokio::time::sleep(ms(50)).await;
-            changed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, None);
+            changed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, clock::now());
         });
         let begun = std::time::Instant::now();
         let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
@@ -214,7 +214,7 @@
         feed.recover();
         let mut reported = Vec::new();
         for revision in [6, 7] {
-            feed.extend(PREFIX, &[Change::Put(entry("a/1", revision))], revision, None);
+            feed.extend(PREFIX, &[Change::Put(entry("a/1", revision))], revision, clock::now());
             let watched = client.watch(PREFIX, revision - 1, ms(100)).await.unwrap();
             assert_matches!(watched, Watched::Changes { recovered, .. } => reported.push(recovered));
         }
@@ -324,12 +324,35 @@
     });
 }
 
+/// Guards against a host that counts its configuration as current since its reader, whose own watch hangs, answers.
+#[test]
+fn the_age_of_what_a_reader_follows_is_passed_on() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let read_by = clock::now();
+        let heard = async |revision| {
+            let watched = client.watch(PREFIX, revision, ms(60)).await.unwrap();
+            assert_matches!(watched, Watched::Changes { current_at, .. } => current_at)
+        };
+        for _ in 0..3 {
+            assert!(heard(5).await <= read_by);
+        }
+        // The time to which its watch has been answered without a change.
+        let answered_at = clock::now();
+        feed.extend(PREFIX, &[], 5, answered_at);
+        let age = answered_at.abs_diff(heard(5).await);
+        assert!(age < ms(10), "{age:?}");
+        assert_eq!(store.calls.get(), 0);
+    });
+}
+
 /// Guards against a copy that counts as proved by a watch, which shows nothing while it waits.
 #[test]
 fn changes_prove_nothing() {
     run(async {
         let feed = feed(None);
-        feed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, None);
+        feed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, clock::now());
         let request = ChangesRequest { prefix: PREFIX.into(), ..ChangesRequest::default() };
         assert_eq!(feed.serve(&request).await.unwrap().proven_after_ms, None);
     });
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -19,6 +19,7 @@
     freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
+    workspace::Upkeep,
 };
 use tokio::{
     sync::{mpsc, watch},
@@ -191,23 +192,48 @@
     let (renewal, renewed) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(1))).with_renewal(renewed);
+        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(1))).with_upkeep(renewed);
         let source = Rc::new(Direct(Rc::new(store)));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let mut proofs = async || {
             let (mut all, end) = (Vec::new(), Instant::now() + ms(220));
             while let Ok(Some(update)) = timeout_at(end, receiver.recv()).await {
-                if let Update::Known { mirror: 3, proven_at } = update {
+                if let Update::Known { mirror: 3, proven_at, .. } = update {
                     all.push(proven_at.expect("a time"));
                 }
             }
             all
         };
         assert_eq!(proofs().await.len(), 1, "the first read; the watch waits");
-        renewal.send(Some(ms(40))).unwrap();
+        renewal.send(Some(Upkeep::Renewal(ms(40)))).unwrap();
         let all = proofs().await;
         assert!((4..=7).contains(&all.len()) && all.is_sorted(), "{all:?}");
         renewal.send(None).unwrap();
         assert!(proofs().await.len() <= 1);
     });
 }
+
+/// Guards against a host that counts its configuration as current while its watch hangs.
+#[test]
+fn a_watch_that_hangs_lets_the_age_grow() {
+    let empty = || Ok(WatchResponse::Changes { changes: Vec::new(), revision: 1 });
+    let store = ScriptedStore { watches: RefCell::new([empty(), empty()].into()) };
+    let (updates, mut receiver) = mpsc::unbounded_channel();
+    let (_upkeep, upkept) = watch::channel(Some(Upkeep::Watches(ms(40))));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(20))).with_upkeep(upkept);
+        let source = Rc::new(Direct(Rc::new(store)));
+        let begun = lagoonyard_node::clock::now();
+        tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
+        let (mut heard, end) = (Vec::new(), Instant::now() + ms(300));
+        while let Ok(Some(update)) = timeout_at(end, receiver.recv()).await {
+            if let Update::Known { heard_at, .. } = update {
+                heard.push(heard_at);
+            }
+        }
+        // The read and the two watches that were answered.
+        assert!(heard.len() == 3 && heard.is_sorted(), "{heard:?}");
+        assert!(heard[2] < begun + ms(200), "{heard:?}");
+    });
+}
--- a/crates/node/tests/workspace.rs
+++ b/crates/node/tests/workspace.rs
@@ -9,7 +9,8 @@
     config::{Config, Kind, Limits, Route},
     job::Record,
     workspace::{
-        Ambiguity, ApiKey, Bounds, Caller, Credential, Directory, Entry, Knowledge, Refusal, admit,
+        Ambiguity, ApiKey, Bounds, Caller, Credential, Directory, Entry, Knowledge, Refusal,
+        Upkeep, admit,
     },
 };
 
@@ -204,18 +205,22 @@
     }
 }
 
-/// Guards against an age that stays small while nothing proves it, and against one that grows where nobody needs a proof.
+/// Guards against an age that stays small while nothing is heard of the configuration, as a watch hangs, and against one that
+/// stays small without a proof where revocation is strict.
 #[test]
 fn only_a_proof_counts_where_revocation_is_strict() {
     let (now, at) = (Duration::from_secs(100), Duration::from_secs(90));
-    let known = |proven_at, followed| Knowledge { proven_at, followed };
+    let known = |proven_at, heard_at| Knowledge { proven_at, heard_at };
     let ages = |knowledge| [LAX.age(knowledge, now), STRICT.age(knowledge, now)];
     let ten = Duration::from_secs(10);
-    assert_eq!(ages(known(Some(at), true)), [Duration::ZERO, ten]);
-    assert_eq!(ages(known(Some(at), false)), [ten, ten]);
-    assert_eq!(ages(known(None, true)), [Duration::ZERO, Duration::MAX]);
+    assert_eq!(ages(known(Some(at), Some(now))), [Duration::ZERO, ten]);
+    assert_eq!(ages(known(Some(at), Some(at))), [ten, ten]);
+    assert_eq!(ages(known(Some(at), None)), [ten, ten]);
+    assert_eq!(ages(known(None, Some(at))), [ten, Duration::MAX]);
     assert_eq!(ages(Knowledge::default()), [Duration::MAX; 2]);
-    assert_eq!(LAX.renewal(), None);
-    let renewal = STRICT.renewal().unwrap();
+    let wait = assert_matches!(LAX.upkeep(), Upkeep::Watches(wait) => wait);
+    // Two waits of a reader and one of a host that asks it, with the pauses between them.
+    assert!(wait * 3 <= LAX.apply / 2, "{wait:?}");
+    let renewal = assert_matches!(STRICT.upkeep(), Upkeep::Renewal(interval) => interval);
     assert!(renewal <= Duration::from_millis(1250), "at least four times within the bound");
 }
