Dry run: hosts explain where a request or an item would go

Cause: nothing tells an operator where a request or the next item of a job would go at this moment, only logs of what has happened.

Choice and explanation share their functions: Pool::weigh gives each target its score or exclusion and choose takes the least rank of it; select skips targets whose limit is reached; Job::find_start finds an item's engine and assign starts it; Engines::unfit says why an engine does not qualify. A new message between hosts (kind 21) asks for it, with the digest of the API key. Admission is that of requests, and a job of another workspace is not found. Other hosts name the leader and open no connection. Choices are the same as before.

The cost of a choice was not measured.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -53,6 +53,9 @@
                 // A dropped receiver means that the requester has given up.
                 let _ = reply.send(self.grant(&service, &target, priority));
             }
+            Report::DryRun { inquiry, reply } => {
+                let _ = reply.send(self.explain(&inquiry).map(Box::new));
+            }
             Report::Usage { counts, reply } => self.take_usage((*counts, reply)),
         }
     }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! that.
 
 mod actions;
+mod dry_run;
 mod election;
 mod failures;
 mod leader;
--- a/crates/node/src/control/waits.rs
+++ b/crates/node/src/control/waits.rs
@@ -105,13 +105,7 @@
         let unread = self.unread_jobs(now);
         let mut summary = Summary::new(passed);
         for (service, leader) in &self.leaders {
-            let is_leaving =
-                self.hand_over_deadline.is_some() || self.resigning.contains_key(service);
-            let blocked = match leader.fence() {
-                None => Some(Reason::NoFencingToken),
-                Some(_) if is_leaving => Some(Reason::HandingOver),
-                Some(_) => None,
-            };
+            let blocked = self.blocked(service, leader);
             leader.visit_idle(now, blocked.as_ref(), &mut |wait| summary.add(wait));
         }
         summary.log();
@@ -139,6 +133,16 @@
         self.waits = Waits { observed_at: now, counted, unread };
     }
 
+    /// What keeps a leader from starting any item.
+    pub(super) fn blocked(&self, service: &str, leader: &Leader) -> Option<Reason> {
+        let is_leaving = self.hand_over_deadline.is_some() || self.resigning.contains_key(service);
+        match leader.fence() {
+            None => Some(Reason::NoFencingToken),
+            Some(_) if is_leaving => Some(Reason::HandingOver),
+            Some(_) => None,
+        }
+    }
+
     /// Open jobs of led services that the leader has not read, with the times since when.
     fn unread_jobs(&self, now: Time) -> HashMap<JobId, Time> {
         let is_unread =
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -24,7 +24,7 @@
 /// Attempts without an event after which the text of an item is given up for another software version.
 const SOFTWARE_ATTEMPTS: u32 = 2;
 /// Items of a job that are tried in one pass while none of them finds an engine.
-const BLOCKED_ITEMS_MAX: usize = 8;
+pub(super) const BLOCKED_ITEMS_MAX: usize = 8;
 
 impl Job {
     /// Makes the items ready whose delay is over.
@@ -92,17 +92,11 @@
 
     /// Assigns a ready item to an engine if one qualifies.
     fn assign(&mut self, item: usize, now: Time, engines: &mut Engines) -> Option<Assignment> {
-        let State::Waiting { not_before } = self.statuses[item].state else {
-            return None;
-        };
-        let waiting_since = not_before.max(self.started_at);
         // The spec outlives the change of the item's state below.
         let spec = Arc::clone(&self.spec);
         let work = engines.has_prefixes().then(|| self.work(item));
         let work = work.map(|work| Work { prompt: &spec.items[item].prompt, ..work });
-        let mut requirements = self.requirements(item, waiting_since, now, work, engines);
-        let Placement { engine, first } = requirements.find_map(|it| engines.place(&it))?;
-        drop(requirements);
+        let (_, Placement { engine, first }) = self.find_start(item, now, work, engines)?;
         let (min, model) = (self.spec.min_version, &self.spec.model);
         let instead_of = Some(&first.target.id).filter(|id| **id != engine.target.id).cloned();
         let (target, version) = (engine.target.id.clone(), engine.version(model)?);
@@ -129,16 +123,34 @@
         Some(Assignment { sent, ..self.assignment(item, Some(target)) })
     }
 
-    /// Requirements of a ready item on its engine, in the order in which engines are looked for.
-    fn requirements<'a>(
+    /// Engine on which a waiting item may start, with the requirement that the engine meets.
+    pub(super) fn find_start<'a>(
+        &'a self,
+        item: usize,
+        now: Time,
+        work: Option<Work<'a>>,
+        engines: &'a Engines,
+    ) -> Option<(Requirement<'a>, Placement<'a>)> {
+        if !matches!(self.statuses[item].state, State::Waiting { .. }) {
+            return None;
+        }
+        let mut requirements = self.requirements(item, now, work, engines);
+        requirements.find_map(|it| Some((it, engines.place(&it)?)))
+    }
+
+    /// Requirements of a waiting item on its engine, in the order in which engines are looked for.
+    pub(super) fn requirements<'a>(
         &'a self,
         item: usize,
-        waiting_since: Time,
         now: Time,
         work: Option<Work<'a>>,
         engines: &'a Engines,
     ) -> impl Iterator<Item = Requirement<'a>> {
         let status = &self.statuses[item];
+        let waiting_since = match status.state {
+            State::Waiting { not_before } => not_before.max(self.started_at.min(now)),
+            _ => now,
+        };
         let has_waited = now >= waiting_since + SLOT_WAIT_MAX;
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
+    dry_run::Exclusion,
     fleet::Target,
     job::supply::Obstacle,
     prelude::*,
@@ -109,6 +110,18 @@
         Some(if is_full { Obstacle::Full } else { Obstacle::Limited })
     }
 
+    /// The same, for an explanation.
+    pub(super) fn closed(&self, model: &str, now: Time) -> Option<Exclusion> {
+        Some(match self.obstacle(model, now)? {
+            Obstacle::Draining => Exclusion::Draining,
+            Obstacle::Loading => Exclusion::Loading,
+            Obstacle::BackingOff => Exclusion::BackingOff,
+            Obstacle::Full => Exclusion::Full,
+            Obstacle::Limited if self.failed_at.is_some() => Exclusion::Probed,
+            Obstacle::Limited => Exclusion::QuotaUsed,
+        })
+    }
+
     /// Whether the engine takes items, now or once a slot is free.
     pub(super) fn is_usable(&self, now: Time) -> bool {
         self.loading.is_none() && !self.target.draining && now >= self.backoff_until
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -5,6 +5,7 @@
 mod doubt;
 mod engine;
 mod engines;
+mod explain;
 mod failure;
 mod failures;
 pub mod homes;
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -33,7 +33,7 @@
 }
 
 impl Waiting {
-    fn len(&self) -> usize {
+    pub(super) fn len(&self) -> usize {
         self.delayed.len() + self.ready.len() + self.unjudged.len()
     }
 }
--- a/crates/node/src/job/placement.rs
+++ b/crates/node/src/job/placement.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
+    dry_run::Exclusion,
     job::{Engine, Engines, Requirement},
     prefix::{self, Candidate, Sent, Work},
     prelude::*,
@@ -86,13 +87,33 @@
 
     /// Whether an item may start on an open engine.
     fn qualifies(&self, engine: &Engine, requirement: &Requirement) -> bool {
-        engine.version(requirement.model).is_some_and(|version| version >= requirement.min_version)
-            && requirement.avoid != Some(&engine.target.id)
-            && requirement.software.is_none_or(|software| *software == *engine.target.software)
-            && requirement.evidence.holds_for(engine)
-            && (!requirement.idle || engine.in_flight == 0)
-            && !(requirement.spares_fast && self.is_fast(engine))
-            && (requirement.allow_slow || engine.in_flight == 0 || !self.is_slow(engine))
+        self.unfit(engine, requirement).is_none()
+    }
+
+    /// Why an item may not start on an open engine, if so.
+    pub(super) fn unfit(&self, engine: &Engine, requirement: &Requirement) -> Option<Exclusion> {
+        let min = requirement.min_version;
+        let Some(version) = engine.version(requirement.model) else {
+            return Some(Exclusion::NoModel);
+        };
+        let is_other = |software: &str| *software != *engine.target.software;
+        if version < min {
+            Some(Exclusion::Outdated { version, min })
+        } else if requirement.avoid == Some(&engine.target.id) {
+            Some(Exclusion::Avoided)
+        } else if requirement.software.is_some_and(is_other) {
+            Some(Exclusion::OtherSoftware)
+        } else if !requirement.evidence.holds_for(engine) {
+            Some(Exclusion::Unproven)
+        } else if requirement.idle && engine.in_flight > 0 {
+            Some(Exclusion::NotIdle)
+        } else if requirement.spares_fast && self.is_fast(engine) {
+            Some(Exclusion::SparedFast)
+        } else if !requirement.allow_slow && engine.in_flight > 0 && self.is_slow(engine) {
+            Some(Exclusion::Slow)
+        } else {
+            None
+        }
     }
 
     /// The engine of `choose`, beside the one that is chosen without regard to prompts.
@@ -131,6 +152,21 @@
         }
     }
 
+    /// Expected time until the text of an item would be complete on an engine.
+    pub(super) fn expected(
+        &self,
+        engine: &Engine,
+        requirement: &Requirement,
+        work: &Work,
+    ) -> Duration {
+        match self.prefixes.as_ref().zip(requirement.work) {
+            Some((table, work)) => {
+                self.candidate(engine, requirement.model, &work, table).time(&work)
+            }
+            None => work.text_time(self.cost(engine)),
+        }
+    }
+
     /// Records that an item is sent to an engine. Returns what is expected of its cache, if items are placed by it.
     pub fn record_prompt(
         &mut self,
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -124,6 +124,12 @@
         None
     }
 
+    /// Jobs with waiting items whose items start before those of a job.
+    pub(super) fn jobs_ahead(&self, id: &str) -> usize {
+        let before = self.order.iter().take_while(|other| ***other != *id);
+        before.filter(|other| self.get(other).is_some_and(Job::has_waiting)).count()
+    }
+
     /// Decides which jobs are deferred, and sorts all jobs.
     fn update_order(&mut self, now: Time, engines: &mut Engines) {
         let mut min_versions: BTreeMap<ModelId, Version> = BTreeMap::new();
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -3,7 +3,9 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
-    job::{Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply},
+    job::{
+        Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State,
+    },
     prelude::*,
 };
 
@@ -118,6 +120,19 @@
     }
 }
 
+/// Why a waiting item does not start.
+pub(super) fn reason(job: &Job, item: usize, engines: &Engines, now: Time) -> Reason {
+    match job.statuses[item].state {
+        State::Waiting { not_before } if not_before > now => {
+            Reason::Delayed { left: not_before - now }
+        }
+        _ => {
+            let supplies = BTreeMap::new();
+            Pass { now, engines, blocked: None, supplies }.ready_reason(job, item)
+        }
+    }
+}
+
 /// A pass over all waiting items.
 struct Pass<'a, 'e> {
     now: Time,
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control;
 pub mod crash;
 pub mod dialect;
+pub mod dry_run;
 pub mod events;
 pub mod explain;
 pub mod feed;
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -9,6 +9,7 @@
 use crate::{
     feed::ChangesRequest,
     peer::{
+        dry_run::DryRun,
         failure::{FailedItems, FailuresRequest},
         limit::{Notice, Permit},
         run::Lead,
@@ -34,7 +35,7 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 20")]
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 20, 21")]
     pub kind: Option<Kind>,
 }
 
@@ -85,6 +86,9 @@
     /// A call about a job for a workspace. Hosts of earlier builds do not serve it, as they cannot tell whose a job is.
     #[prost(message, tag = "20")]
     Owned(Owned),
+    /// Asks where a request or the next item of a job would go. Hosts of earlier builds do not serve it.
+    #[prost(message, tag = "21")]
+    DryRun(DryRun),
 }
 
 /// A call about a job, for a caller of a workspace.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod departure;
+mod dry_run;
 mod failure;
 mod frame;
 mod limit;
@@ -18,6 +19,7 @@
 
 pub use client::{Client, connect};
 pub use departure::Departure;
+pub use dry_run::{DryRun, DryRunReply};
 pub use failure::{FailedItem, FailedItems, FailuresRequest};
 pub use frame::{
     Body, End, Frames, JobCall, Kind, Origin, Owned, Request, Response, Results, Submitted,
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -20,6 +20,7 @@
     traffic::{
         exchange::{Call, ExchangeError, InFlight, Repeat, Response, demand, exchange},
         permit,
+        select::{Selection, Wanted, select},
         serve::Traffic,
         suspects::{self, Admission, Suspect},
     },
@@ -216,24 +217,18 @@
         }
         let view = self.traffic.view.load();
         let now = std::time::Instant::now();
-        let (channels, demand) = (&self.traffic.channels, demand(self.call, self.repeat()));
+        let (channels, demand) = (&self.traffic.channels, demand(&self.call.id, self.repeat()));
         let connection = |target: &Target| channels.connection(target.address, demand);
-        let mut pool = self.traffic.pool.borrow_mut();
+        let pool = self.traffic.pool.borrow();
         let mut excluded = self.tried.clone();
         excluded.append(&mut self.limited.clone());
-        let mut refused_for = None;
-        let target = loop {
-            let Some(target) = pool.choose(&view, &self.service, &excluded, connection, now) else {
-                drop(pool);
-                refused_for.into_iter().for_each(|left| self.refuse_until(left));
-                return None;
-            };
-            let Some(left) = permit::refused_for(self.traffic, &target.id, self.route.priority)
-            else {
-                break target;
-            };
-            refused_for = refused_for.map_or(Some(left), |known: Duration| Some(known.min(left)));
-            excluded.push(target.id.clone());
+        let wanted = Wanted { service: &self.service, priority: self.route.priority, excluded };
+        let Selection { target, refused } =
+            select(self.traffic, &pool, &view, wanted, connection, now);
+        let Some(target) = target else {
+            drop(pool);
+            refused.iter().for_each(|(_, left)| self.refuse_until(*left));
+            return None;
         };
         let hedge_delay = (pool.usual(&self.route.name, &target.id) * HEDGE_DELAY_AVERAGES)
             .clamp(HEDGE_DELAY_MIN, HEDGE_DELAY_MAX);
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -150,9 +150,9 @@
 }
 
 /// Connection that a request needs.
-pub fn demand(call: &Call, repeat: Repeat) -> Demand<'_> {
+pub fn demand(request: &str, repeat: Repeat) -> Demand<'_> {
     let idle_max = if repeat == Repeat::Never { NON_IDEMPOTENT_IDLE_MAX } else { Duration::MAX };
-    Demand { request: &call.id, idle_max, allows_doubt: repeat == Repeat::AfterDoubt }
+    Demand { request, idle_max, allows_doubt: repeat == Repeat::AfterDoubt }
 }
 
 /// Sends a request and reads the response.
@@ -164,7 +164,7 @@
 ) -> Result<(Response, Answer), ExchangeError> {
     let idempotent = repeat != Repeat::Never;
     let to = (&target.id, target.address);
-    let mut channel = connect(traffic, to, demand(call, repeat), call.deadline).await?;
+    let mut channel = connect(traffic, to, demand(&call.id, repeat), call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -5,7 +5,7 @@
 //! and read batch jobs, through their leader (`peers`) or in the store. `run` executes job items on engines as the control
 //! thread commands. `connect` opens the connections to targets, through another host (`tunnel`) while the links of this one
 //! are lost. `suspects` keeps requests from targets under which others ended (`ended`) or fell silent (`silence`), also
-//! after a start (`held`).
+//! after a start (`held`). `dry_run` explains to an operator where a request would go.
 
 mod accept;
 mod access;
@@ -16,6 +16,7 @@
 mod channel;
 mod connect;
 mod dispatch;
+mod dry_run;
 mod ended;
 mod entry;
 mod event_body;
@@ -33,6 +34,7 @@
 mod run;
 mod run_log;
 mod runner;
+mod select;
 mod serve;
 mod silence;
 mod stop;
@@ -46,7 +48,7 @@
 pub use channel::{Channel, Channels, Demand, Liveness, set_ack_timeout, set_keepalive};
 pub use connect::CONNECT_TIMEOUT;
 pub use jobs::{Error as JobError, read_spec};
-pub use pool::{Connection, Pool};
+pub use pool::{Connection, Pool, Score};
 pub use report::{Command, Report, Source, Submission};
 pub use run::{Endpoint, Run, RunReport};
 pub use serve::{Parts, run};
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -19,7 +19,9 @@
         UsageCounts,
     },
     prelude::*,
-    traffic::{Report, Submission, announce, permit, runner, serve::Traffic, suspects, tunnel},
+    traffic::{
+        Report, Submission, announce, dry_run, permit, runner, serve::Traffic, suspects, tunnel,
+    },
     workspace::{Caller, is_visible},
 };
 
@@ -268,6 +270,7 @@
                 Some(Bytes::new())
             }
             Some(Kind::Usage(counts)) => take_usage(traffic, counts).await,
+            Some(Kind::DryRun(message)) => Some(dry_run::answer(traffic, message).await),
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_) | Kind::Owned(_)) | None => None,
         };
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
-use crate::{fleet::Target, prelude::*, view::View};
+use crate::{dry_run::Exclusion, fleet::Target, logging, prelude::*, view::View};
 
 /// Weight of the latest response in the moving average of response times.
 const AVERAGE_WEIGHT: f64 = 0.2;
@@ -65,6 +65,47 @@
             started_ms,
         }
     }
+
+    /// Why requests avoid the target, if they do.
+    fn avoided(&self, now: Instant) -> Option<Exclusion> {
+        if self.alone > 0 {
+            return Some(Exclusion::Reserved);
+        }
+        let left = self.avoided_until.filter(|until| *until > now)?.duration_since(now);
+        let left_ms = logging::ms(left);
+        Some(match self.failures {
+            0 => Exclusion::RefusedLately { left_ms },
+            _ => Exclusion::FailedLately { left_ms },
+        })
+    }
+}
+
+/// What counts for a target in the choice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Score {
+    /// Average response time.
+    pub average: Duration,
+    pub in_flight: u32,
+    pub slots: u32,
+    /// Penalty for another zone.
+    pub zone: Duration,
+    /// Time until a request can begin on its connection.
+    pub setup: Duration,
+    /// Why it is chosen only if all others are avoided too: an avoided target is still better than none.
+    pub avoided: Option<Exclusion>,
+}
+
+impl Score {
+    /// Expected response time, plus a penalty for another zone.
+    pub fn expected(&self) -> Duration {
+        let utilization = f64::from(self.in_flight) / f64::from(self.slots.max(1));
+        self.average.mul_f64(1.0 + 2.0 * utilization) + self.zone + self.setup
+    }
+
+    /// The target with the lowest rank is chosen.
+    pub fn rank(&self) -> (bool, Duration) {
+        (self.avoided.is_some(), self.expected())
+    }
 }
 
 /// Statistics of all targets from the requests of this host.
@@ -87,44 +128,53 @@
     /// Chooses the target of a service with the lowest expected response time, except those in `tried`. `connection` tells
     /// how the request would reach a target.
     pub fn choose(
-        &mut self,
+        &self,
         view: &View,
         service: &str,
         tried: &[TargetId],
         connection: impl Fn(&Target) -> Connection,
         now: Instant,
     ) -> Option<Arc<Target>> {
-        let is_eligible = |target: &&Arc<Target>| {
-            &*target.service == service && !target.draining && !tried.contains(&target.id)
-        };
-        let targets: Vec<&Arc<Target>> = view.targets.values().filter(is_eligible).collect();
-        let cost = |target: &&&Arc<Target>| self.cost(target, connection(target), now);
-        let available = targets.iter().filter(|target| !self.is_avoided(target, now));
-        // A target that is avoided is still better than none.
-        available
-            .min_by_key(cost)
-            .or_else(|| targets.iter().min_by_key(cost))
-            .map(|target| Arc::clone(target))
-    }
-
-    fn is_avoided(&self, target: &Target, now: Instant) -> bool {
-        let load = self.loads.get(&target.id);
-        load.is_some_and(|load| {
-            load.alone > 0 || load.avoided_until.is_some_and(|until| until > now)
+        let weighed = self.weigh(view, service, tried, connection, now);
+        let eligible = weighed.filter_map(|(target, score)| Some((target, score.ok()?.rank())));
+        eligible.min_by_key(|(_, rank)| *rank).map(|(target, _)| Arc::clone(target))
+    }
+
+    /// Targets of a service, each with what counts for it or why it is not chosen at all.
+    pub fn weigh<'a>(
+        &'a self,
+        view: &'a View,
+        service: &'a str,
+        tried: &'a [TargetId],
+        connection: impl Fn(&Target) -> Connection + 'a,
+        now: Instant,
+    ) -> impl Iterator<Item = (&'a Arc<Target>, Result<Score, Exclusion>)> {
+        let targets = view.targets.values().filter(move |target| *target.service == *service);
+        targets.map(move |target| {
+            let score = if target.draining {
+                Err(Exclusion::Draining)
+            } else if tried.contains(&target.id) {
+                Err(Exclusion::Tried)
+            } else {
+                Ok(self.score(target, connection(target), now))
+            };
+            (target, score)
         })
     }
 
-    /// Expected response time, plus a penalty for another zone.
-    fn cost(&self, target: &Target, connection: Connection, now: Instant) -> Duration {
+    /// What counts for a target.
+    pub(super) fn score(&self, target: &Target, connection: Connection, now: Instant) -> Score {
         let zone = if target.zone == self.zone { Duration::ZERO } else { CROSS_ZONE_COST };
-        let fixed = zone + self.setup(target, connection);
+        let setup = self.setup(target, connection);
+        let slots = target.slots;
         let Some(load) = self.loads.get(&target.id) else {
-            return INITIAL_AVERAGE + fixed;
+            let average = INITIAL_AVERAGE;
+            return Score { average, in_flight: 0, slots, zone, setup, avoided: None };
         };
         let is_current = load.answered_at.is_some_and(|at| now.duration_since(at) < AVERAGE_TTL);
         let average = if is_current { load.average } else { load.average.min(INITIAL_AVERAGE) };
-        let utilization = f64::from(load.in_flight) / f64::from(target.slots.max(1));
-        average.mul_f64(1.0 + 2.0 * utilization) + fixed
+        let (in_flight, avoided) = (load.in_flight, load.avoided(now));
+        Score { average, in_flight, slots, zone, setup, avoided }
     }
 
     /// Time until a request can begin on its connection.
--- a/crates/node/src/traffic/report.rs
+++ b/crates/node/src/traffic/report.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    dry_run::{Inquiry, Plan, Refusal},
     fleet::Departure,
     job::{Chunk, Record, Spec},
     peer::UsageCounts,
@@ -95,6 +96,11 @@
         priority: u32,
         reply: oneshot::Sender<Option<Result<(), Duration>>>,
     },
+    /// An operator asks where an item would go.
+    DryRun {
+        inquiry: Inquiry,
+        reply: oneshot::Sender<Result<Box<Plan>, Refusal>>,
+    },
     /// A host tells what it has counted. The reply is the first window that is not settled, if this host holds the duty.
     Usage {
         counts: Box<UsageCounts>,
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -22,7 +22,7 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
-    clock, crash, dialect,
+    clock, crash, dialect, dry_run,
     feed::Feed,
     freshness::Freshness,
     job::Failures,
@@ -132,6 +132,8 @@
     pub phase: watch::Sender<Phase>,
     /// Log of calls refused because the configuration is too old.
     pub behind_log: BehindLog,
+    /// Bounds the dry runs in progress.
+    pub dry_runs: dry_run::Gate,
     connections: Cell<usize>,
     /// Senders that stop runs, by id of the run.
     stops: RefCell<HashMap<u64, oneshot::Sender<()>>>,
@@ -200,6 +202,7 @@
         reports: reports.clone(),
         phase: watch::Sender::new(Phase::Open),
         behind_log: BehindLog::default(),
+        dry_runs: dry_run::Gate::default(),
         connections: Cell::new(0),
         stops: RefCell::default(),
     });
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -125,6 +125,13 @@
     pub(super) last_failure: Option<Response>,
 }
 
+/// Connection that a stream of a route needs.
+pub(super) fn demand(request: &str, kind: Kind) -> Demand<'_> {
+    let is_resumable = kind == Kind::Stream { resumable: true };
+    let idle_max = if is_resumable { Duration::MAX } else { Duration::ZERO };
+    Demand { request, idle_max, allows_doubt: false }
+}
+
 /// Serves a stream. Returns once it has begun or cannot begin.
 pub async fn serve(
     traffic: &Rc<Traffic>,
@@ -253,14 +260,13 @@
         let now = std::time::Instant::now();
         let (channels, demand) = (&self.traffic.channels, self.demand());
         let connection = |target: &Target| channels.connection(target.address, demand);
-        let mut pool = self.traffic.pool.borrow_mut();
+        let pool = self.traffic.pool.borrow();
         pool.choose(&view, &self.service, &excluded, connection, now)
     }
 
     /// Connection that the request needs.
     fn demand(&self) -> Demand<'_> {
-        let idle_max = if self.resumable { Duration::MAX } else { Duration::ZERO };
-        Demand { request: &self.call.id, idle_max, allows_doubt: false }
+        demand(&self.call.id, self.route.kind)
     }
 
     /// Sends the request to a target and waits for its first event.
--- a/crates/node/src/workspace/key.rs
+++ b/crates/node/src/workspace/key.rs
@@ -29,6 +29,18 @@
     }
 }
 
+impl ApiKey {
+    /// Digest of the key.
+    pub fn digest(&self) -> &[u8] {
+        &self.0
+    }
+
+    /// Key with a digest; `None` if the bytes are none.
+    pub fn of_digest(digest: &[u8]) -> Option<Self> {
+        digest.try_into().ok().map(Self)
+    }
+}
+
 impl fmt::Debug for ApiKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("ApiKey")
