Dry run: a route without a leader says so

Cause: a host whose own leadership had just ended answered that a job is unknown to a question about a route of jobs.

Change: it answers that the service has no leader. A test covers placement by cached prompts.

The change of the answer has no test.

--- a/crates/node/src/traffic/dry_run.rs
+++ b/crates/node/src/traffic/dry_run.rs
@@ -195,9 +195,11 @@
     if !leaders.is_empty() {
         return Refusal::Elsewhere { leaders };
     }
-    let engines = config.services.iter().filter(|it| it.engines && is_asked(&it.name));
-    let mut unled = engines.filter(|it| !view.leaders.contains_key(&it.name));
-    match unled.next() {
+    if let Some(service) = service {
+        return Refusal::NoLeader { service: service.clone() };
+    }
+    let mut engines = config.services.iter().filter(|it| it.engines);
+    match engines.find(|it| !view.leaders.contains_key(&it.name)) {
         Some(unled) => Refusal::NoLeader { service: unled.name.clone() },
         None => Refusal::UnknownJob,
     }
--- a/crates/node/tests/dry_run.rs
+++ b/crates/node/tests/dry_run.rs
@@ -14,6 +14,7 @@
     fleet::Target,
     job::{Engines, Queue},
     peer::{DryRun, DryRunReply, Kind, Request, Response},
+    prefix::Settings,
     traffic::{Connection, Pool},
     view::View,
     workspace::{ApiKey, Credential},
@@ -104,6 +105,36 @@
     assert!(plan.wait.is_some());
 }
 
+/// Guards against an explanation that leaves out what engines hold of prompts.
+#[test]
+fn cached_prompts_count_as_they_do_for_a_start() {
+    let targets = ["e1", "e2", "e3"].map(|id| common::engine(id, 1));
+    let mut engines = common::engines(&targets);
+    engines.enable_prefixes(Settings { tokens_per_ms: 10.0 });
+    let mut queue = Queue::default();
+    let (a, b): ([(&str, u32); 1], [(&str, u32); 1]) = ([("a", 4000)], [("b", 4000)]);
+    let items: [(&str, &[(&str, u32)]); 5] =
+        [("i1", &a), ("i2", &b), ("i3", &a), ("i4", &b), ("i5", &a)];
+    queue.insert(common::prompted_job("j", 10, &items));
+    let mut targets = vec![queue.assign_next(NOW, &mut engines).unwrap().target.unwrap()];
+    for _ in 1..items.len() {
+        let plan = explain(&queue, &engines, NOW);
+        let expected = |candidate: &Candidate| match &candidate.inputs {
+            Inputs::Engine(engine) => engine.expected.unwrap(),
+            Inputs::Target(_) => panic!(),
+        };
+        let open = plan.candidates.iter().filter(|candidate| candidate.exclusion.is_none());
+        let least = open.map(expected).min().unwrap();
+        assert_eq!(expected(&plan.candidates[0]), least, "{plan}");
+        let target = queue.assign_next(NOW, &mut engines).unwrap().target;
+        assert_eq!(target, plan.chosen);
+        targets.extend(target);
+    }
+    // Both items with the prompt are on one engine, although another one runs nothing.
+    assert_eq!(targets[0], targets[2]);
+    assert_eq!(targets[1], targets[3]);
+}
+
 /// Guards against an explanation before the job's first item has started, and against one without a reason.
 #[test]
 fn item_without_an_engine_shows_why_it_waits() {
