--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod departure;
+mod dry_run;
 mod ended;
 mod failure;
 mod frame;
@@ -20,6 +21,7 @@
 
 pub use client::{Client, connect};
 pub use departure::Departure;
+pub use dry_run::{DryRun, DryRunReply};
 pub use ended::Ended;
 pub use failure::{FailedItem, FailedItems, FailuresRequest};
 use frame::micros;
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -20,8 +20,8 @@
     },
     prelude::*,
     traffic::{
-        Report, Submission, announce, cache::Owner, permit, runner, serve::Traffic, suspects,
-        tunnel,
+        Report, Submission, announce, cache::Owner, dry_run, permit, runner, serve::Traffic,
+        suspects, tunnel,
     },
     workspace::{Caller, is_visible},
 };
@@ -275,6 +275,7 @@
                 Some(Bytes::new())
             }
             Some(Kind::Usage(counts)) => take_usage(traffic, counts).await,
+            Some(Kind::DryRun(message)) => Some(dry_run::answer(traffic, message).await),
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_) | Kind::Owned(_)) | None => None,
         };
