Fair queue: requests of workspaces wait in turn for a full service

Cause: a request that all targets of a plain service refused was retried every 20 ms, so chance chose the next one, and a workspace with many requests had most of the slots. All refused callers were told to come back after the same 200 ms.

Change: with workspaces in the configuration, waiting requests form one queue per service and host (module share, without I/O). An answer of a target gives the first one its turn; every 20 ms the first also tries without one. Requests that would wait too long are refused at once. Retry-After for lack of room is jittered, also without workspaces.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod relay;
 pub mod scale;
 pub mod settings;
+pub mod share;
 pub mod software;
 pub mod store;
 pub mod term;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -27,6 +27,8 @@
     request_seconds: Histogram<f64>,
     attempts: Counter<u64>,
     limited_requests: Counter<u64>,
+    waiting_requests: Gauge<u64>,
+    queue_refusals: Counter<u64>,
     streams: Counter<u64>,
     store_calls: Counter<u64>,
     store_seconds: Histogram<f64>,
@@ -96,6 +98,14 @@
                 "lagoonyard_limited_requests",
                 "Requests for targets that name a limit, by outcome",
             ),
+            waiting_requests: gauge(
+                "lagoonyard_waiting_requests",
+                "Requests of workspaces that wait for a target with room, by service",
+            ),
+            queue_refusals: counter(
+                "lagoonyard_queue_refusals",
+                "Requests of workspaces that were refused for lack of room, by cause",
+            ),
             streams: counter(
                 "lagoonyard_streams",
                 "Callers' streams by how they ended, and those that went on at another target",
@@ -205,6 +215,17 @@
         self.limited_requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// Records the number of requests that wait for a target of a service with room.
+    pub fn waiting_requests(&self, service: &str, count: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.waiting_requests.record(count as u64, &[service]);
+    }
+
+    /// Records that a request was refused for lack of room.
+    pub fn queue_refusal(&self, cause: &'static str) {
+        self.queue_refusals.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Records the outcome of a call to the store.
     pub fn store_call(&self, call: &'static str, outcome: &'static str, took: Duration) {
         let call = KeyValue::new("call", call);
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -22,6 +22,7 @@
         permit,
         serve::Traffic,
         suspects::{self, Admission, Suspect},
+        turn::{self, Turn},
     },
 };
 
@@ -37,6 +38,8 @@
 pub enum Failure {
     /// No target has run the request, and none will.
     NotRun,
+    /// The same, because the targets have no room; with the time after which to try again.
+    NoRoom(Duration),
     /// The same, because the targets' limits are reached; with the time after which to try again.
     Limited(Duration),
     /// The same, because targets ended under its content.
@@ -87,6 +90,8 @@
     retry_after: Option<Duration>,
     /// Time for which the content is held since targets ended under it.
     held_for: Option<Duration>,
+    /// Turn among the requests that wait for targets with room.
+    turn: Option<Turn>,
 }
 
 /// Sends a request to targets of its route, with retries and hedges, and returns the response or why there is none.
@@ -113,6 +118,7 @@
         limited: Vec::new(),
         retry_after: None,
         held_for: None,
+        turn: None,
     };
     state.run().await
 }
@@ -133,6 +139,9 @@
                 let refuse_at = *refuse_at.get_or_insert_with(|| {
                     (Instant::now() + self.route.objective / 4).min(self.call.deadline)
                 });
+                if self.is_behind_others() {
+                    self.wait_turn(refuse_at).await?;
+                }
                 next_attempt_at = match self.start_attempt() {
                     Some((attempt, hedge_delay)) => {
                         in_flight.push(attempt);
@@ -147,7 +156,7 @@
                     {
                         self.ran_before = self.maybe_run + self.doubtful;
                         self.tried.clear();
-                        Some(Instant::now() + REFUSED_BACKOFF)
+                        Some(self.wait_turn(refuse_at).await?)
                     }
                     None if in_flight.is_empty() => {
                         let failure = self.failure();
@@ -181,6 +190,31 @@
         }
     }
 
+    /// Whether other requests wait for the targets, of which this one has tried none yet.
+    fn is_behind_others(&self) -> bool {
+        let has_tried = !self.tried.is_empty() || !self.limited.is_empty() || self.ran() > 0;
+        let is_new = self.turn.is_none() && !has_tried;
+        is_new && turn::is_contended(self.traffic, &self.service)
+    }
+
+    /// Waits until the request may try targets again. Returns the time of the next attempt. A request that a target may have
+    /// run is retried at intervals, so that its response is not lost to a refusal.
+    async fn wait_turn(&mut self, refuse_at: Instant) -> Result<Instant, Failure> {
+        let retry_at = Instant::now() + REFUSED_BACKOFF;
+        if self.ran() > 0 || !turn::is_active(self.traffic) {
+            return Ok(retry_at);
+        }
+        let new = || Turn::new(self.traffic, (self.route, &self.service), self.call);
+        let waited = self.turn.get_or_insert_with(new).wait(refuse_at.max(retry_at)).await;
+        waited.map_err(|refusal| Failure::NoRoom(refusal.retry_after))?;
+        Ok(Instant::now())
+    }
+
+    /// Attempts that a target may have run.
+    fn ran(&self) -> u32 {
+        self.maybe_run + self.doubtful
+    }
+
     fn may_retry(&self) -> bool {
         self.idempotent && self.may_attempt()
     }
@@ -366,6 +400,10 @@
             (Outcome::Broken, 0)
         }
     };
+    drop(pool);
+    if matches!(outcome, Outcome::Answered(_)) {
+        traffic.turns.free(&target.service);
+    }
     METERS.attempt(match &outcome {
         Outcome::Answered(response) if response.status.is_success() => "success",
         Outcome::Answered(_) => "failure",
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -33,7 +33,8 @@
 
 /// Delay that a refused caller is told to wait before it retries.
 pub(super) const RETRY_AFTER: Duration = Duration::from_millis(200);
-/// Largest share by which the delay of a caller is lengthened that is refused because of the limits of targets.
+/// Largest share by which the delay of a caller is lengthened that is refused for lack of room or because of the limits of
+/// targets, so that the callers do not return together.
 const RETRY_SPREAD: f64 = 0.5;
 /// Longest time that a request for results waits for new ones.
 const RESULTS_WAIT_MAX: Duration = Duration::from_millis(1000);
@@ -321,17 +322,18 @@
             *response.headers_mut() = end_to_end(received.headers);
             response
         }
-        Err(Failure::NotRun) => not_run_response(RETRY_AFTER),
-        // Spread, so that the callers do not return together.
-        Err(Failure::Limited(after)) => {
-            not_run_response(after.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>()))
-        }
+        Err(Failure::NotRun) => not_run_response(spread(RETRY_AFTER)),
+        Err(Failure::NoRoom(after) | Failure::Limited(after)) => not_run_response(spread(after)),
         Err(Failure::Held(after)) => not_run_response(after),
         Err(Failure::Unknown) => status(StatusCode::BAD_GATEWAY),
         Err(Failure::Timeout) => status(StatusCode::GATEWAY_TIMEOUT),
     }
 }
 
+fn spread(after: Duration) -> Duration {
+    after.mul_f64(1.0 + RETRY_SPREAD * rand::random::<f64>())
+}
+
 fn log_end(
     id: &str,
     route: &Route,
@@ -342,7 +344,7 @@
     let outcome = match result {
         Ok(response) if response.status.is_success() => "success",
         Ok(_) => "failure",
-        Err(Failure::NotRun) => "not_run",
+        Err(Failure::NotRun | Failure::NoRoom(_)) => "not_run",
         Err(Failure::Limited(_)) => "limited",
         Err(Failure::Held(_)) => "held",
         Err(Failure::Unknown) => "unknown",
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -1,7 +1,7 @@
 //! The traffic thread: serves callers and trainers, and sends their requests and the items of jobs to targets.
 //!
 //! `entry` handles requests at the entry address if their keys allow it (`access`): `dispatch` forwards them to plain
-//! services over targets that `pool` chooses, `permit` asks for requests to targets with a limit, `submit` and `jobs` write
+//! services over targets that `pool` chooses, in turn (`turns`) while these have no room and callers have workspaces, `permit` asks for requests to targets with a limit, `submit` and `jobs` write
 //! and read batch jobs, through their leader (`peers`) or in the store. `run` executes job items on engines as the control
 //! thread commands. `connect` opens the connections to targets, through another host (`tunnel`) while the links of this one
 //! are lost. `suspects` keeps requests from targets under which others ended (`ended`) or fell silent (`silence`), also
@@ -40,6 +40,8 @@
 mod submit;
 mod suspects;
 mod tunnel;
+mod turn;
+mod turns;
 
 pub use accept::accept;
 pub use body::{Budget, read as read_body};
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -107,6 +107,12 @@
             .map(|target| Arc::clone(target))
     }
 
+    /// Whether a target of a service is not avoided, so that it may have room.
+    pub fn may_have_room(&self, view: &View, service: &str, now: Instant) -> bool {
+        let mut targets = view.targets.values().filter(|target| &*target.service == service);
+        targets.any(|target| !target.draining && !self.is_avoided(target, now))
+    }
+
     fn is_avoided(&self, target: &Target, now: Instant) -> bool {
         let load = self.loads.get(&target.id);
         load.is_some_and(|load| {
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -54,6 +54,7 @@
         stop::{self, Phase},
         suspects,
         tunnel::Tunnels,
+        turns::Turns,
     },
     usage::Meter,
     view::{Shared, View},
@@ -101,6 +102,8 @@
     /// Limits that targets name.
     pub limits: Arc<rate::Table>,
     pub permits: Permits,
+    /// Requests of workspaces that wait for targets with room.
+    pub turns: Rc<Turns>,
     /// Links from this host to targets.
     pub links: Arc<Links>,
     pub tunnels: Tunnels,
@@ -181,6 +184,7 @@
         pool,
         limits,
         permits: Permits::default(),
+        turns: Rc::default(),
         links,
         tunnels: Tunnels::default(),
         crashes,
--- /dev/null
+++ b/crates/node/src/traffic/turn.rs
@@ -0,0 +1,110 @@
+//! Turn of one request among those that wait for a plain service without room. Requests wait in turn only while the configuration
+//! has workspaces.
+
+use std::rc::Rc;
+
+use tokio::{
+    sync::oneshot,
+    time::{Instant, sleep_until},
+};
+
+use crate::{
+    config::Route,
+    prelude::*,
+    share::{Granted, Refusal, Request, Ticket},
+    traffic::{
+        exchange::Call,
+        serve::Traffic,
+        turns::{Turns, now},
+    },
+};
+
+/// Whether requests wait in turn.
+pub fn is_active(traffic: &Traffic) -> bool {
+    let view = traffic.view.load();
+    view.config.as_ref().is_some_and(|config| config.workspaces.is_some())
+}
+
+/// Whether requests wait for a service, so that a new one has to wait as well. If a target may have room, the next one tries.
+pub fn is_contended(traffic: &Traffic, service: &str) -> bool {
+    if !is_active(traffic) || !traffic.turns.is_contended(service) {
+        return false;
+    }
+    let view = traffic.view.load();
+    if traffic.pool.borrow().may_have_room(&view, service, now()) {
+        traffic.turns.try_next(service);
+    }
+    traffic.turns.is_contended(service)
+}
+
+/// Place of one request in the queue of its service, and its charge once it has had its turn.
+pub struct Turn {
+    turns: Rc<Turns>,
+    service: ServiceId,
+    request: Request,
+    /// Its last turn, and when that began.
+    granted: Option<(Granted, Instant)>,
+}
+
+impl Turn {
+    pub fn new(traffic: &Traffic, (route, service): (&Route, &ServiceId), call: &Call) -> Self {
+        let deadline = call.deadline.into_std();
+        let request = Request {
+            id: call.id.clone(),
+            share: call.workspace.clone(),
+            priority: route.priority,
+            deadline,
+            until: deadline,
+        };
+        let turns = Rc::clone(&traffic.turns);
+        Self { turns, service: service.clone(), request, granted: None }
+    }
+
+    /// Waits until the request may try targets, at most until a time.
+    pub async fn wait(&mut self, until: Instant) -> Result<(), Refusal> {
+        self.request.until = until.into_std().min(self.request.deadline);
+        let last = self.granted.take().map(|(granted, _)| granted);
+        let (ticket, receiver) = self.turns.enter(&self.service, &self.request, last)?;
+        let entered = Entered { turns: &self.turns, service: &self.service, ticket, receiver };
+        match entered.wait(Instant::from_std(self.request.until)).await {
+            Some(granted) => {
+                self.granted = Some((granted, Instant::now()));
+                Ok(())
+            }
+            None => Err(self.turns.give_up(&self.service, &self.request)),
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some((granted, at)) = self.granted.take() {
+            self.turns.end(&self.service, &granted, at.elapsed());
+        }
+    }
+}
+
+/// A request that waits; it leaves the queue when dropped.
+struct Entered<'a> {
+    turns: &'a Turns,
+    service: &'a str,
+    ticket: Ticket,
+    receiver: oneshot::Receiver<Granted>,
+}
+
+impl Entered<'_> {
+    /// Waits for the turn until a time.
+    async fn wait(mut self, until: Instant) -> Option<Granted> {
+        tokio::select! {
+            biased;
+            granted = &mut self.receiver => granted.ok(),
+            () = sleep_until(until) => None,
+        }
+    }
+}
+
+impl Drop for Entered<'_> {
+    fn drop(&mut self) {
+        self.turns.leave(self.service, self.ticket, self.receiver.try_recv().ok());
+    }
+}
