--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -162,6 +162,15 @@
         })
     }
 
+    /// Whether a target of a service is not avoided, so that it may have room.
+    pub fn may_have_room(&self, view: &View, service: &str, now: Instant) -> bool {
+        let mut targets = view.targets.values().filter(|target| &*target.service == service);
+        targets.any(|target| {
+            let load = self.loads.get(&target.id);
+            !target.draining && load.is_none_or(|load| load.avoided(now).is_none())
+        })
+    }
+
     /// What counts for a target.
     pub(super) fn score(&self, target: &Target, connection: Connection, now: Instant) -> Score {
         let zone = if target.zone == self.zone { Duration::ZERO } else { CROSS_ZONE_COST };
