Traffic: select, turn and held work on the parts that they need

Cause: the files that take the whole of Traffic had grown by two with the dry run and the fair queue.

Change: the selection of a target gets its limits as a function, a turn gets the queues, the view and the pool, and held contents get the store and the table.

--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -195,17 +195,18 @@
     fn is_behind_others(&self) -> bool {
         let has_tried = !self.tried.is_empty() || !self.limited.is_empty() || self.ran() > 0;
         let is_new = self.turn.is_none() && !has_tried;
-        is_new && turn::is_contended(self.traffic, &self.service)
+        let Traffic { turns, view, pool, .. } = &**self.traffic;
+        is_new && turn::is_contended(turns, &view.load(), &pool.borrow(), &self.service)
     }
 
     /// Waits until the request may try targets again. Returns the time of the next attempt. A request that a target may have
     /// run is retried at intervals, so that its response is not lost to a refusal.
     async fn wait_turn(&mut self, refuse_at: Instant) -> Result<Instant, Failure> {
         let retry_at = Instant::now() + REFUSED_BACKOFF;
-        if self.ran() > 0 || !turn::is_active(self.traffic) {
+        if self.ran() > 0 || !turn::is_active(&self.traffic.view.load()) {
             return Ok(retry_at);
         }
-        let new = || Turn::new(self.traffic, (self.route, &self.service), self.call);
+        let new = || Turn::new(&self.traffic.turns, (self.route, &self.service), self.call);
         let waited = self.turn.get_or_insert_with(new).wait(refuse_at.max(retry_at)).await;
         waited.map_err(|refusal| Failure::NoRoom(refusal.retry_after))?;
         Ok(Instant::now())
@@ -256,9 +257,10 @@
         let pool = self.traffic.pool.borrow();
         let mut excluded = self.tried.clone();
         excluded.append(&mut self.limited.clone());
-        let wanted = Wanted { service: &self.service, priority: self.route.priority, excluded };
+        let wanted = Wanted { service: &self.service, excluded };
+        let refused_for = |id: &str| permit::refused_for(self.traffic, id, self.route.priority);
         let Selection { target, refused } =
-            select(self.traffic, &pool, &view, wanted, connection, now);
+            select(&pool, &view, wanted, refused_for, connection, now);
         let Some(target) = target else {
             drop(pool);
             refused.iter().for_each(|(_, left)| self.refuse_until(*left));
--- a/crates/node/src/traffic/dry_run.rs
+++ b/crates/node/src/traffic/dry_run.rs
@@ -23,6 +23,7 @@
         Report, access,
         channel::Demand,
         exchange::{self, Repeat},
+        permit,
         pool::Score,
         select::{Selection, Wanted, select},
         serve::Traffic,
@@ -118,8 +119,9 @@
     let (now, demand) = (std::time::Instant::now(), first_demand(route, id));
     let connection = |target: &Target| traffic.channels.connection(target.address, demand);
     let pool = traffic.pool.borrow();
-    let wanted = Wanted { service: &service, priority, excluded: Vec::new() };
-    let Selection { target, refused } = select(traffic, &pool, view, wanted, connection, now);
+    let wanted = Wanted { service: &service, excluded: Vec::new() };
+    let refused_for = |id: &str| permit::refused_for(traffic, id, priority);
+    let Selection { target, refused } = select(&pool, view, wanted, refused_for, connection, now);
     let chosen = target.map(|target| target.id.clone());
     let weighed = pool.weigh(view, &service, &[], connection, now);
     let mut ranked: Vec<_> = weighed
--- a/crates/node/src/traffic/held.rs
+++ b/crates/node/src/traffic/held.rs
@@ -1,18 +1,17 @@
 //! Held contents in the store. Hosts tell each other of them; the store is read when a host starts, as all others may have been
 //! started anew as well.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
 use log::{info, warn};
 use tokio::time::sleep;
 
 use crate::{
     clock,
-    crash::{Content, Record, Stored},
+    crash::{Content, Record, Stored, Table},
     job,
     prelude::*,
-    store::{self, Entry, Put, Txn},
-    traffic::serve::Traffic,
+    store::{self, Entry, Handle, Put, Txn},
 };
 
 /// Delay before a failed call is made again, and number of calls; the store may be away for long.
@@ -20,25 +19,25 @@
 const WRITES_MAX: usize = 5;
 
 /// Keeps a content in the store.
-pub async fn keep(traffic: &Rc<Traffic>, content: Content) {
-    let Some(record) = traffic.crashes.record(content) else {
+pub async fn keep(store: &Handle, crashes: &Table, content: Content) {
+    let Some(record) = crashes.record(content) else {
         return;
     };
     let value = serde_json::to_vec(&Stored::from(&record)).unwrap_or_default().into();
     let put = Put { key: job::held_key(content), value, lease: None };
-    write(traffic, content, Txn { puts: vec![put], ..Txn::default() }).await;
+    write(store, content, Txn { puts: vec![put], ..Txn::default() }).await;
 }
 
 /// Removes a content that was cleared.
-pub async fn forget(traffic: Rc<Traffic>, content: Content) {
+pub async fn forget(store: Handle, content: Content) {
     let removes = vec![job::held_key(content)];
-    write(&traffic, content, Txn { removes, ..Txn::default() }).await;
+    write(&store, content, Txn { removes, ..Txn::default() }).await;
 }
 
 /// Makes a write, which may take effect twice.
-async fn write(traffic: &Rc<Traffic>, content: Content, txn: Txn) {
+async fn write(store: &Handle, content: Content, txn: Txn) {
     for _ in 0..WRITES_MAX {
-        match traffic.store.commit(&txn).await {
+        match store.commit(&txn).await {
             Ok(outcome) => {
                 info!(content:% = content, outcome:? = outcome, held = !txn.puts.is_empty(); "held content written");
                 return;
@@ -53,9 +52,9 @@
 }
 
 /// Reads the contents when this host starts.
-pub async fn read(traffic: Rc<Traffic>) {
+pub async fn read(store: Handle, crashes: Arc<Table>) {
     let entries = loop {
-        match store::read_all(traffic.store.as_ref(), job::HELD).await {
+        match store::read_all(store.as_ref(), job::HELD).await {
             Ok((entries, _)) => break entries,
             Err(error) => {
                 info!(reason:% = error; "could not read the held contents");
@@ -70,10 +69,10 @@
             continue;
         };
         if record.is_outdated(now) {
-            tokio::task::spawn_local(forget(Rc::clone(&traffic), content));
+            tokio::task::spawn_local(forget(store.clone(), content));
             continue;
         }
-        traffic.crashes.merge(content, record, now);
+        crashes.merge(content, record, now);
     }
 }
 
--- a/crates/node/src/traffic/select.rs
+++ b/crates/node/src/traffic/select.rs
@@ -5,18 +5,13 @@
 use crate::{
     fleet::Target,
     prelude::*,
-    traffic::{
-        permit,
-        pool::{Connection, Pool},
-        serve::Traffic,
-    },
+    traffic::pool::{Connection, Pool},
     view::View,
 };
 
 /// What a request wants.
 pub struct Wanted<'a> {
     pub service: &'a str,
-    pub priority: u32,
     /// Targets that are not to be chosen.
     pub excluded: Vec<TargetId>,
 }
@@ -28,20 +23,20 @@
     pub refused: Vec<(TargetId, Duration)>,
 }
 
-/// Chooses the target of a request.
+/// Chooses the target of a request. `refused_for` tells for how long a target is known to take no such request.
 pub fn select(
-    traffic: &Traffic,
     pool: &Pool,
     view: &View,
     wanted: Wanted<'_>,
+    refused_for: impl Fn(&str) -> Option<Duration>,
     connection: impl Fn(&Target) -> Connection,
     now: Instant,
 ) -> Selection {
-    let Wanted { service, priority, mut excluded } = wanted;
+    let Wanted { service, mut excluded } = wanted;
     let mut refused = Vec::new();
     loop {
         let target = pool.choose(view, service, &excluded, &connection, now);
-        let left = target.as_ref().and_then(|it| permit::refused_for(traffic, &it.id, priority));
+        let left = target.as_ref().and_then(|target| refused_for(&target.id));
         let Some((target, left)) = target.as_ref().zip(left) else {
             return Selection { target, refused };
         };
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -224,7 +224,7 @@
     tokio::task::spawn_local(sweep(Rc::clone(&traffic)));
     tokio::task::spawn_local(announce::run(Rc::clone(&traffic)));
     tokio::task::spawn_local(suspects::pull(Rc::clone(&traffic)));
-    tokio::task::spawn_local(held::read(Rc::clone(&traffic)));
+    tokio::task::spawn_local(held::read(traffic.store.clone(), Arc::clone(&traffic.crashes)));
     tokio::task::spawn_local(connect::probe(Rc::clone(&traffic)));
     tokio::task::spawn_local(accept_loop(
         Rc::clone(&traffic),
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -127,7 +127,7 @@
 pub async fn keep_if_held(traffic: &Rc<Traffic>, suspect: &Suspect) {
     let (content, now) = (suspect.content, clock::now());
     if let Verdict::Held(_) = traffic.crashes.verdict(content, now) {
-        held::keep(traffic, content).await;
+        held::keep(&traffic.store, &traffic.crashes, content).await;
     }
 }
 
@@ -142,7 +142,7 @@
     };
     traffic.changes.tell(content);
     if matches!(before, Verdict::Held(_) | Verdict::Trial) {
-        tokio::task::spawn_local(held::forget(Rc::clone(traffic), content));
+        tokio::task::spawn_local(held::forget(traffic.store.clone(), content));
     }
 }
 
--- a/crates/node/src/traffic/turn.rs
+++ b/crates/node/src/traffic/turn.rs
@@ -14,27 +14,26 @@
     share::{Granted, Refusal, Request, Ticket},
     traffic::{
         exchange::Call,
-        serve::Traffic,
+        pool::Pool,
         turns::{Turns, now},
     },
+    view::View,
 };
 
 /// Whether requests wait in turn.
-pub fn is_active(traffic: &Traffic) -> bool {
-    let view = traffic.view.load();
+pub fn is_active(view: &View) -> bool {
     view.config.as_ref().is_some_and(|config| config.workspaces.is_some())
 }
 
 /// Whether requests wait for a service, so that a new one has to wait as well. If a target may have room, the next one tries.
-pub fn is_contended(traffic: &Traffic, service: &str) -> bool {
-    if !is_active(traffic) || !traffic.turns.is_contended(service) {
+pub fn is_contended(turns: &Turns, view: &View, pool: &Pool, service: &str) -> bool {
+    if !is_active(view) || !turns.is_contended(service) {
         return false;
     }
-    let view = traffic.view.load();
-    if traffic.pool.borrow().may_have_room(&view, service, now()) {
-        traffic.turns.try_next(service);
+    if pool.may_have_room(view, service, now()) {
+        turns.try_next(service);
     }
-    traffic.turns.is_contended(service)
+    turns.is_contended(service)
 }
 
 /// Place of one request in the queue of its service, and its charge once it has had its turn.
@@ -47,7 +46,7 @@
 }
 
 impl Turn {
-    pub fn new(traffic: &Traffic, (route, service): (&Route, &ServiceId), call: &Call) -> Self {
+    pub fn new(turns: &Rc<Turns>, (route, service): (&Route, &ServiceId), call: &Call) -> Self {
         let deadline = call.deadline.into_std();
         let request = Request {
             id: call.id.clone(),
@@ -56,8 +55,7 @@
             deadline,
             until: deadline,
         };
-        let turns = Rc::clone(&traffic.turns);
-        Self { turns, service: service.clone(), request, granted: None }
+        Self { turns: Rc::clone(turns), service: service.clone(), request, granted: None }
     }
 
     /// Waits until the request may try targets, at most until a time.
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -249,7 +249,9 @@
 #[test]
 fn more_requests_try_until_one_is_refused() {
     let mut case = Case::new(1);
-    (0..100).for_each(|_| drop(case.arrive("a", 0, HOLD, LONG).unwrap()));
+    for _ in 0..100 {
+        case.arrive("a", 0, HOLD, LONG).unwrap();
+    }
     let counts = [(); 4].map(|()| case.queue.tick(case.now).len());
     assert_eq!(counts, [1, 2, 4, 8]);
     let refused = case.queue.grant(case.now).unwrap();
