Refusals: without workspaces the Retry-After is that from before

Cause: a refusal without workspaces was lengthened by up to half at random, though deployments that use none of the new parts are to be served as before.

Change: only a refusal by the fair queue and one for the limits of targets are lengthened.

--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -323,7 +323,7 @@
             *response.headers_mut() = end_to_end(received.headers);
             response
         }
-        Err(Failure::NotRun) => not_run_response(spread(RETRY_AFTER)),
+        Err(Failure::NotRun) => not_run_response(RETRY_AFTER),
         Err(Failure::NoRoom(after) | Failure::Limited(after)) => not_run_response(spread(after)),
         Err(Failure::Held(after)) => not_run_response(after),
         Err(Failure::Unknown) => status(StatusCode::BAD_GATEWAY),
