Fair queue: last try of a request that has waited, short objectives as before

Cause: a request whose time in the queue was over was refused without another try at a target, though one could have room; before the queue it was tried until then and once after. With an objective of at most 80 ms the time was over before the first tick, so the request was never tried again.

Change: such a request tries once more, unless answers gave turns in the last second: then it would take the slot of the request that is next. Routes with a short objective are retried as without workspaces. A request that is refused in its last turn counts as refused (log, metric, place of a returned caller) and no longer lowers its workspace's average hold time; one stopped by limits or its content passes its turn on.

--- a/crates/node/src/share/queue.rs
+++ b/crates/node/src/share/queue.rs
@@ -102,11 +102,10 @@
         Ok(self.add(request, rank))
     }
 
-    /// Adds a request again that no target took. The targets have no room, so one request at a time probes them.
+    /// Adds a request again that no target took.
     pub fn enter_again(&mut self, request: &Request, granted: &Granted, now: Instant) -> Ticket {
         self.restart_rate(now);
-        self.shares.refund(&granted.share, granted.charge);
-        self.probes = 1;
+        self.refused(granted);
         let rank = (!self.returns.is_known(request), request.deadline, granted.ticket);
         self.add(request, rank)
     }
@@ -161,6 +160,22 @@
         self.shares.end(&granted.share, granted.charge, held);
     }
 
+    /// Grants a last try to a request that has left because it has waited as long as it may. While slots become free, it would
+    /// take one from the request that is next.
+    pub fn last_try(&mut self, ticket: Ticket, request: &Request, now: Instant) -> Option<Granted> {
+        if self.rate.is_recent(now) {
+            return None;
+        }
+        let charge = self.shares.charge(&request.share);
+        Some(Granted { ticket, share: request.share.clone(), charge })
+    }
+
+    /// Takes the grant of a request back that no target took. The targets have no room, so one request at a time probes them.
+    pub fn refused(&mut self, granted: &Granted) {
+        self.cancel(granted);
+        self.probes = 1;
+    }
+
     /// Takes a grant back that was not used.
     pub fn cancel(&mut self, granted: &Granted) {
         self.shares.refund(&granted.share, granted.charge);
--- a/crates/node/src/share/rate.rs
+++ b/crates/node/src/share/rate.rs
@@ -34,11 +34,16 @@
 
     /// Slots per second; `None` if unknown.
     pub fn per_s(&self, now: Instant) -> Option<f64> {
-        let is_current = self.age(now)? <= AGE_MAX && self.freed.len() >= EVENTS_MIN;
+        let is_current = self.is_recent(now) && self.freed.len() >= EVENTS_MIN;
         let elapsed = now.saturating_duration_since(self.since).as_secs_f64();
         (is_current && elapsed > 0.0).then(|| self.freed.len() as f64 / elapsed)
     }
 
+    /// Whether a slot became free lately.
+    pub fn is_recent(&self, now: Instant) -> bool {
+        self.age(now).is_some_and(|age| age <= AGE_MAX)
+    }
+
     /// Time since a slot last became free.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.freed.back().map(|at| now.saturating_duration_since(*at))
--- a/crates/node/src/share/shares.rs
+++ b/crates/node/src/share/shares.rs
@@ -49,13 +49,18 @@
         self.accounts.get(share).map_or(self.level_s, |account| account.served_s)
     }
 
-    /// Charges the start of a request. Returns the charge.
+    /// Charges the start of a request whose share is next. Returns the charge.
     pub fn start(&mut self, share: &Share) -> Duration {
+        self.level_s = self.level_s.max(self.served_s(share));
+        self.charge(share)
+    }
+
+    /// Charges the start of a request out of turn. The level stays, as its share may have had more service than others.
+    pub fn charge(&mut self, share: &Share) -> Duration {
         let account = self.account(share);
-        let (before, hold_s) = (account.served_s, account.hold_s);
+        let hold_s = account.hold_s;
         account.served_s += hold_s / WEIGHT;
         account.running += 1;
-        self.level_s = self.level_s.max(before);
         Duration::from_secs_f64(hold_s)
     }
 
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -34,6 +34,7 @@
 const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
 /// Delay before all targets are tried again when none is left to try.
 pub(super) const REFUSED_BACKOFF: Duration = Duration::from_millis(20);
+
 /// Why a request has no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -160,7 +161,7 @@
                         Some(self.wait_turn(refuse_at).await?)
                     }
                     None if in_flight.is_empty() => {
-                        let failure = self.failure();
+                        let failure = self.refuse();
                         // An error response from a target is more useful to the caller than the error of a later
                         // attempt.
                         return self.last_failure.ok_or(failure);
@@ -200,10 +201,12 @@
     }
 
     /// Waits until the request may try targets again. Returns the time of the next attempt. A request that a target may have
-    /// run is retried at intervals, so that its response is not lost to a refusal.
+    /// run is retried at intervals, so that its response is not lost to a refusal, and so is one that may wait no longer than
+    /// an interval.
     async fn wait_turn(&mut self, refuse_at: Instant) -> Result<Instant, Failure> {
         let retry_at = Instant::now() + REFUSED_BACKOFF;
-        if self.ran() > 0 || !turn::is_active(&self.traffic.view.load()) {
+        let is_short = self.route.objective / 4 <= REFUSED_BACKOFF;
+        if self.ran() > 0 || is_short || !turn::is_active(&self.traffic.view.load()) {
             return Ok(retry_at);
         }
         let new = || Turn::new(&self.traffic.turns, (self.route, &self.service), self.call);
@@ -230,6 +233,20 @@
         if self.admission == Admission::Once { 1 } else { self.route.max_attempts }
     }
 
+    /// Ends the turn of the request. Returns why it is refused.
+    fn refuse(&mut self) -> Failure {
+        let failure = self.failure();
+        let turn = self.turn.take().filter(|_| self.ran() == 0);
+        match (turn, failure) {
+            (Some(turn), Failure::NotRun) => Failure::NoRoom(turn.give_up().retry_after),
+            (Some(turn), _) => {
+                turn.pass();
+                failure
+            }
+            (None, _) => failure,
+        }
+    }
+
     fn failure(&self) -> Failure {
         match (self.held_for, self.retry_after) {
             _ if self.maybe_run > 0 => Failure::Unknown,
--- a/crates/node/src/traffic/turn.rs
+++ b/crates/node/src/traffic/turn.rs
@@ -58,18 +58,34 @@
         Self { turns: Rc::clone(turns), service: service.clone(), request, granted: None }
     }
 
-    /// Waits until the request may try targets, at most until a time.
+    /// Waits until the request may try targets, at most until a time. It then tries once more if its deadline has not passed
+    /// and no answer gave turns lately, as a slot may be free of which the host was not told.
     pub async fn wait(&mut self, until: Instant) -> Result<(), Refusal> {
         self.request.until = until.into_std().min(self.request.deadline);
         let last = self.granted.take().map(|(granted, _)| granted);
         let (ticket, receiver) = self.turns.enter(&self.service, &self.request, last)?;
         let entered = Entered { turns: &self.turns, service: &self.service, ticket, receiver };
-        match entered.wait(Instant::from_std(self.request.until)).await {
-            Some(granted) => {
-                self.granted = Some((granted, Instant::now()));
-                Ok(())
-            }
-            None => Err(self.turns.give_up(&self.service, &self.request)),
+        let mut granted = entered.wait(Instant::from_std(self.request.until)).await;
+        if granted.is_none() && self.request.until < self.request.deadline {
+            granted = self.turns.last_try(&self.service, ticket, &self.request);
+        }
+        let granted = granted.ok_or_else(|| self.turns.give_up(&self.service, &self.request))?;
+        self.granted = Some((granted, Instant::now()));
+        Ok(())
+    }
+
+    /// Ends the wait of a request that no target took. Returns why it is refused.
+    pub fn give_up(mut self) -> Refusal {
+        if let Some((granted, _)) = self.granted.take() {
+            self.turns.refused(&self.service, &granted);
+        }
+        self.turns.give_up(&self.service, &self.request)
+    }
+
+    /// Ends the wait of a request that tries no target. The next one has its turn.
+    pub fn pass(mut self) {
+        if let Some((granted, _)) = self.granted.take() {
+            self.turns.leave(&self.service, granted.ticket, Some(granted));
         }
     }
 }
--- a/crates/node/src/traffic/turns.rs
+++ b/crates/node/src/traffic/turns.rs
@@ -127,6 +127,16 @@
         });
     }
 
+    /// Grants a last try to a request that has left because it has waited as long as it may.
+    pub fn last_try(&self, service: &str, ticket: Ticket, request: &Request) -> Option<Granted> {
+        self.with(service, |lane| lane.queue.last_try(ticket, request, now())).flatten()
+    }
+
+    /// Records that no target took a request in its turn.
+    pub fn refused(&self, service: &str, granted: &Granted) {
+        self.with(service, |lane| lane.queue.refused(granted));
+    }
+
     /// Records that a request has waited as long as it may.
     pub fn give_up(&self, service: &ServiceId, request: &Request) -> Refusal {
         let mut lanes = self.lanes.borrow_mut();
--- a/crates/node/tests/share.rs
+++ b/crates/node/tests/share.rs
@@ -256,3 +256,24 @@
     case.queue.enter_again(&request, &refused, case.now);
     assert_eq!(case.queue.tick(case.now).len(), 1);
 }
+
+/// Guards against a last try that is free for its workspace, or that takes from others what they have a claim to.
+#[test]
+fn a_last_try_is_charged_and_a_refused_one_is_not() {
+    let mut case = Case::new(1);
+    let last = case.request("last", "heavy", 0, PATIENCE);
+    let ticket = case.queue.enter(&last, case.now).unwrap();
+    case.queue.leave(ticket, case.now);
+    let refused = case.queue.last_try(ticket, &last, case.now).unwrap();
+    case.queue.refused(&refused);
+    let served = case.queue.last_try(ticket, &last, case.now).unwrap();
+    case.queue.end(&served, HOLD);
+    let heavy = case.arrive("heavy", 0, HOLD, PATIENCE).unwrap();
+    let light: Vec<Ticket> = (0..2).map(|_| case.arrive("light", 0, HOLD, LONG).unwrap()).collect();
+    let granted = [(); 3].map(|()| case.queue.grant(case.now).unwrap().ticket);
+    // One try of the heavy workspace is charged: the light one has a turn for it, and they are even.
+    assert_eq!(granted, [light[0], heavy, light[1]]);
+    case.arrive("light", 0, HOLD, LONG).unwrap();
+    case.queue.free(case.now).unwrap();
+    assert!(case.queue.last_try(ticket, &last, case.now).is_none(), "slots become free");
+}
