Mirror: changes read on demand keep the age of their call

Cause: the time of the first change to a configuration with workspaces, which counts as heard now, was taken for all mirrors without upkeep. Registrations, which are read on demand, were thus shown to the zone as current at the end of the call, so a slow store made them younger than they are, also beyond the age up to which they serve. Change: only a mirror that can have upkeep, that of the configuration, counts its first change as heard now. The comment on the sender of upkeep says what it holds. Result: the new test failed before (a watch of 200 ms gave a page younger than that) and passes now, with the other tests of mirror, feed, revocation and workspace.

--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -237,8 +237,8 @@
                 }
                 // Without workspaces a watch may have begun 15 s ago. The change that adds them was sent just now, unless the
                 // link held it up; the next, shorter watch tells.
-                let is_first = upkeep.is_none() && !changes.is_empty();
-                let heard_at = if is_first { clock::now() } else { current_at };
+                let may_add_them = self.upkeep.is_some() && upkeep.is_none() && !changes.is_empty();
+                let heard_at = if may_add_them { clock::now() } else { current_at };
                 feed.extend(&self.prefix, &changes, revision, heard_at);
                 for change in changes {
                     if self.record(&change) {
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -117,7 +117,7 @@
     pub(super) resigning: BTreeMap<ServiceId, Time>,
     pub(super) leaderships: mpsc::UnboundedSender<(ServiceId, Leadership)>,
     pub(super) stopping: watch::Receiver<bool>,
-    /// Interval at which the configuration is proved current; `None` if that is not needed.
+    /// What keeps the age of the configuration within its bounds; `None` if its age does not count.
     upkeep: watch::Sender<Option<Upkeep>>,
     /// Makes the elections release their leadership.
     pub(super) step_down: watch::Sender<bool>,
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -15,7 +15,7 @@
 use common::ms;
 use lagoonyard_node::{
     control::{Mirror, Schedule, Update},
-    feed::Direct,
+    feed::{ChangesRequest, Direct, Feed},
     freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
@@ -67,8 +67,11 @@
 }
 
 /// Store with one entry. Watches return the scripted responses in order, then block.
+#[derive(Default)]
 struct ScriptedStore {
     watches: RefCell<VecDeque<Result<WatchResponse, Error>>>,
+    /// Time that each watch takes.
+    delay: Duration,
 }
 
 #[async_trait(?Send)]
@@ -84,6 +87,7 @@
 
     async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, Error> {
         let next = self.watches.borrow_mut().pop_front();
+        tokio::time::sleep(self.delay).await;
         match next {
             Some(response) => response,
             None => std::future::pending().await,
@@ -117,7 +121,8 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mirror = Mirror::new(0, "a/", Schedule::Follow(ms(1)));
-        let source = Rc::new(Direct(Rc::new(ScriptedStore { watches })));
+        let source =
+            Rc::new(Direct(Rc::new(ScriptedStore { watches, ..ScriptedStore::default() })));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let mut all = Vec::new();
         while !matches!(all.last(), Some(Update::Changed(Change::Removed { .. }))) {
@@ -187,7 +192,7 @@
 /// not needed any more.
 #[test]
 fn a_mirror_proves_that_it_is_current_as_long_as_that_is_asked_for() {
-    let store = ScriptedStore { watches: RefCell::default() };
+    let store = ScriptedStore::default();
     let (updates, mut receiver) = mpsc::unbounded_channel();
     let (renewal, renewed) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -217,7 +222,8 @@
 #[test]
 fn a_watch_that_hangs_lets_the_age_grow() {
     let empty = || Ok(WatchResponse::Changes { changes: Vec::new(), revision: 1 });
-    let store = ScriptedStore { watches: RefCell::new([empty(), empty()].into()) };
+    let watches = RefCell::new([empty(), empty()].into());
+    let store = ScriptedStore { watches, ..ScriptedStore::default() };
     let (updates, mut receiver) = mpsc::unbounded_channel();
     let (_upkeep, upkept) = watch::channel(Some(Upkeep::Watches(ms(40))));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
@@ -237,3 +243,31 @@
         assert!(heard[2] < begun + ms(200), "{heard:?}");
     });
 }
+
+/// Guards against a host that shows registrations to its zone as younger than they are, after a store that answered slowly. They
+/// are as old as the beginning of the call.
+#[test]
+fn changes_read_on_demand_are_as_old_as_their_call() {
+    let changed = Change::Removed { key: "a/1".into(), revision: 2 };
+    let answered = Ok(WatchResponse::Changes { changes: vec![changed], revision: 2 });
+    let store = ScriptedStore { watches: RefCell::new([answered].into()), delay: ms(200) };
+    let (updates, mut receiver) = mpsc::unbounded_channel();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (freshness, feed) = (Arc::new(Freshness::new(ms(1_000))), Arc::new(Feed::default()));
+        feed.set_serving(true);
+        let mirror = Mirror::new(0, "a/", Schedule::OnDemand(Arc::clone(&freshness)));
+        let source = Rc::new(Direct(Rc::new(store)));
+        tokio::task::spawn_local(mirror.follow(source, Arc::clone(&feed), updates));
+        let mut is_removed = false;
+        while !is_removed {
+            match receiver.recv().await.expect("the mirror has ended") {
+                Update::Refreshed { .. } => freshness.request_refresh(),
+                update => is_removed = matches!(update, Update::Changed(Change::Removed { .. })),
+            }
+        }
+        let request = ChangesRequest { prefix: "a/".into(), ..ChangesRequest::default() };
+        let page = feed.serve(&request).await.expect("a page");
+        assert!(page.age() >= ms(200), "{:?}", page.age());
+    });
+}
