One piece for backoffs, log limits, averages and look-ups of workspaces

Four more copies of the doubled backoff of the mirror, the relay, the pool and the engines; three limits on repeated log lines; three moving averages in the pool; seven looks whether the configuration has workspaces; two that give a caller's priority; and three searches for a service by its name.

The dry run no longer asks for a route without attempts, which the configuration cannot have. No behaviour is meant to change.

--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -149,6 +149,16 @@
         Self { workspaces, ..self }
     }
 
+    /// Whether callers need keys.
+    pub fn has_workspaces(&self) -> bool {
+        self.workspaces.is_some()
+    }
+
+    /// Service with a name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| *service.name == *name)
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
         self.by_host.values().flatten()
@@ -178,6 +188,6 @@
 
     /// Whether an item for a host name and path needs a workspace.
     pub fn needs_workspace(&self, host: &str, path: &str) -> bool {
-        self.workspaces.is_some() && self.route(host, path).is_none_or(|route| !route.public)
+        self.has_workspaces() && self.route(host, path).is_none_or(|route| !route.public)
     }
 }
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    backoff::doubled,
     clock,
     feed::{self, Feed, Renewed, Source, Watched},
     freshness::Freshness,
@@ -148,8 +149,7 @@
                 Err(error) => {
                     feed.fail(&self.prefix);
                     self.record_failure(&error, &updates);
-                    let delay = RETRY_DELAY.saturating_mul(1 << (self.failures - 1).min(8));
-                    sleep(delay.min(RETRY_DELAY_MAX)).await;
+                    sleep(doubled(RETRY_DELAY, self.failures - 1, RETRY_DELAY_MAX)).await;
                     // Without a first read this host serves nothing, so nothing would request one.
                     if let Schedule::OnDemand(freshness) = &self.schedule
                         && at.is_some()
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -188,7 +188,7 @@
             self.join_election(&service.name);
         }
         for leader in self.leaders.values_mut() {
-            let service = config.services.iter().find(|service| service.name == leader.service);
+            let service = config.service(&leader.service);
             leader.engines.set_cache_tokens(service.and_then(|service| service.cache_tokens));
             leader.queue.update_policies(&config);
             let state = &self.store_state;
--- a/crates/node/src/control/scale.rs
+++ b/crates/node/src/control/scale.rs
@@ -197,7 +197,7 @@
 
 /// Bounds of a service whose targets may be scaled.
 fn scale_of<'a>(config: &'a Config, name: &ServiceId) -> Option<&'a Scale> {
-    let service = config.services.iter().find(|service| service.name == *name)?;
+    let service = config.service(name)?;
     service.scale.as_ref().filter(|_| service.engines)
 }
 
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -351,7 +351,7 @@
     /// Sets what keeps the age of the configuration within its bounds; nothing unless callers have keys.
     fn update_upkeep(&self) {
         let config = self.store_state.config.as_ref();
-        let has_workspaces = config.is_some_and(|config| config.workspaces.is_some());
+        let has_workspaces = config.is_some_and(|config| config.has_workspaces());
         let upkeep = has_workspaces.then(|| self.settings.key_bounds().upkeep());
         self.upkeep.send_if_modified(|known| std::mem::replace(known, upkeep) != upkeep);
     }
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -153,7 +153,7 @@
 
     fn set_knowledge(&mut self, knowledge: Knowledge) {
         // Without workspaces nothing depends on it; a configuration that adds them is published with it.
-        let has_workspaces = self.config.as_ref().is_some_and(|config| config.workspaces.is_some());
+        let has_workspaces = self.config.as_ref().is_some_and(|config| config.has_workspaces());
         self.knowledge_changed |= has_workspaces && self.knowledge != knowledge;
         self.knowledge = knowledge;
     }
--- a/crates/node/src/control/stored.rs
+++ b/crates/node/src/control/stored.rs
@@ -21,7 +21,7 @@
     /// The same job, whose items carry the name of its workspace instead of what the trainer has sent in the headers about
     /// workspaces. Runners of earlier builds forward the headers of items as they get them.
     pub fn with_workspace(mut self, config: Option<&Config>, dialect: &dialect::Handle) -> Self {
-        let has_workspaces = config.is_some_and(|config| config.workspaces.is_some());
+        let has_workspaces = config.is_some_and(Config::has_workspaces);
         let workspace = self.record.workspace.as_deref();
         if workspace.is_some() || has_workspaces {
             for item in &mut Arc::make_mut(&mut self.spec).items {
--- a/crates/node/src/control/usage.rs
+++ b/crates/node/src/control/usage.rs
@@ -78,7 +78,7 @@
         let Some(own) = self.settings.peer.filter(|_| self.usage.is_none()) else {
             return;
         };
-        if !settings.has(Duty::UsageReport) || config.workspaces.is_none() {
+        if !settings.has(Duty::UsageReport) || !config.has_workspaces() {
             return;
         }
         let rules = self.usage_rules(settings);
--- a/crates/node/src/job/doubt.rs
+++ b/crates/node/src/job/doubt.rs
@@ -4,7 +4,7 @@
 //! that. It resumes at once if its last run made events, and else after a short delay that grows, so that it does not run from
 //! engine to engine faster than news of their ends spread. It goes to engines that run nothing else where there are such.
 
-use crate::prelude::*;
+use crate::{backoff::doubled, prelude::*};
 
 /// Delay after the second run in a row that broke without an event between them; the first one is followed at once. It doubles
 /// with each further one.
@@ -38,7 +38,7 @@
         }
         let delay = match self.fruitless {
             0 => Duration::ZERO,
-            repeated => DELAY.saturating_mul(1 << (repeated - 1).min(8)).min(DELAY_MAX),
+            repeated => doubled(DELAY, repeated - 1, DELAY_MAX),
         };
         let delay = delay.min(DELAYS_MAX.saturating_sub(self.delayed));
         self.fruitless = self.fruitless.saturating_add(1);
--- a/crates/node/src/job/engine.rs
+++ b/crates/node/src/job/engine.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
+    backoff::doubled,
     dry_run::Exclusion,
     fleet::Target,
     job::supply::Obstacle,
@@ -247,8 +248,7 @@
             self.runs_before = self.in_flight;
         }
         if now >= self.backoff_until {
-            let backoff = BACKOFF.saturating_mul(1 << self.failures.min(8));
-            self.backoff_until = now + backoff.min(BACKOFF_MAX);
+            self.backoff_until = now + doubled(BACKOFF, self.failures, BACKOFF_MAX);
             self.failures += 1;
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! and job items to targets. `job` and `weights` hold the decisions and do no input or output. Names and formats on the
 //! wire are left to an adapter that implements `store::Store` and `dialect::Dialect`.
 
+pub mod backoff;
 pub mod build;
 pub mod clock;
 pub mod cloud;
@@ -22,6 +23,7 @@
 pub mod job;
 pub mod links;
 pub mod loads;
+pub mod log_limit;
 pub mod logging;
 pub mod metrics;
 pub mod peer;
--- a/crates/node/src/relay/path.rs
+++ b/crates/node/src/relay/path.rs
@@ -1,6 +1,6 @@
 //! State of the path that calls to the store take: directly, or through other hosts.
 
-use crate::prelude::*;
+use crate::{backoff::doubled, prelude::*};
 
 /// Time without relayed calls after the store refused one through other hosts too; doubles up to the maximum.
 const RELAY_BACKOFF: Duration = Duration::from_millis(500);
@@ -47,8 +47,7 @@
     /// Records that the store answered through no other host either, so the store itself is unavailable.
     pub fn relay_refused(&mut self, now: Time) {
         self.relayed = false;
-        self.backoff_until =
-            now + RELAY_BACKOFF.saturating_mul(1 << self.refusals.min(8)).min(RELAY_BACKOFF_MAX);
+        self.backoff_until = now + doubled(RELAY_BACKOFF, self.refusals, RELAY_BACKOFF_MAX);
         self.refusals += 1;
     }
 }
--- a/crates/node/src/scale/pacer.rs
+++ b/crates/node/src/scale/pacer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use crate::prelude::*;
+use crate::{backoff::doubled, prelude::*};
 
 /// Length of the window in which calls are counted. It exceeds a second, as calls that are a second apart here may arrive
 /// closer together.
@@ -39,7 +39,7 @@
 
     /// Records that the API refused a call as too many. `jitter` is from 0 to 1.
     pub fn refused(&mut self, now: Time, jitter: f64) {
-        let pause = PAUSE.saturating_mul(1 << self.refusals.min(8)).min(PAUSE_MAX);
+        let pause = doubled(PAUSE, self.refusals, PAUSE_MAX);
         self.refusals += 1;
         self.paused_until = now + pause.mul_f64(1.0 + jitter / 2.0);
     }
--- a/crates/node/src/scale/pool_state.rs
+++ b/crates/node/src/scale/pool_state.rs
@@ -4,6 +4,7 @@
 //! newer ones, so an order counts as carried out only while the registrations show it, and is repeated otherwise.
 
 use crate::{
+    backoff::doubled,
     prelude::*,
     scale::{CallResult, Peak},
 };
@@ -198,7 +199,7 @@
     }
 
     fn fail(&mut self, now: Time, backoff: Duration, jitter: f64) {
-        let backoff = backoff.saturating_mul(1 << self.failures.min(8)).min(BACKOFF_MAX);
+        let backoff = doubled(backoff, self.failures, BACKOFF_MAX);
         self.failures += 1;
         self.retry_at = now + backoff.mul_f64(1.0 + jitter / 2.0);
     }
--- a/crates/node/src/traffic/access.rs
+++ b/crates/node/src/traffic/access.rs
@@ -1,7 +1,5 @@
 //! Access of callers: what their keys let them do, and the responses to those that are refused.
 
-use std::cell::Cell;
-
 use http::{HeaderMap, StatusCode};
 use log::{debug, warn};
 
@@ -11,7 +9,6 @@
     dialect::Head,
     logging,
     metrics::METERS,
-    prelude::*,
     traffic::{
         entry::{HttpResponse, RETRY_AFTER, not_run_response, status},
         serve::Traffic,
@@ -20,9 +17,6 @@
     workspace::{self, Caller, Refusal},
 };
 
-/// Minimum interval between lines about calls that were refused as the configuration is too old.
-const BEHIND_LOG_INTERVAL: Duration = Duration::from_secs(1);
-
 /// Decides about a request on a route. A job belongs to a workspace, so its submission needs a key on any route.
 pub fn admit_routed(
     traffic: &Traffic,
@@ -30,8 +24,7 @@
     route: &Route,
     head: &Head,
 ) -> Result<Caller, Refusal> {
-    let has_workspaces = view.config.as_ref().is_some_and(|config| config.workspaces.is_some());
-    if has_workspaces && route.public && route.kind != Kind::Job {
+    if view.has_workspaces() && route.public && route.kind != Kind::Job {
         return Ok(Caller::Public);
     }
     admit(traffic, view, head)
@@ -49,34 +42,15 @@
 pub fn refuse(traffic: &Traffic, refusal: Refusal, head: &Head) -> HttpResponse {
     METERS.refused_key(refusal.name());
     if let Refusal::Behind { age } = refusal {
-        traffic.behind_log.write(head, age);
+        if let Some(refused) = traffic.behind_log.count(clock::now()) {
+            warn!(request = &*head.id, age_ms = logging::ms(age), refused; "calls refused: the configuration is too old to tell whose keys are valid");
+        }
         return not_run_response(RETRY_AFTER);
     }
     debug!(request = &*head.id, reason = refusal.name(); "call refused by its key");
     status(StatusCode::UNAUTHORIZED)
 }
 
-/// Log of calls that were refused as the configuration is too old, with a limit on its lines.
-#[derive(Debug, Default)]
-pub struct BehindLog {
-    written_at: Cell<Option<Time>>,
-    /// Calls that were refused since the last line.
-    refused: Cell<u64>,
-}
-
-impl BehindLog {
-    fn write(&self, head: &Head, age: Duration) {
-        let now = clock::now();
-        self.refused.set(self.refused.get() + 1);
-        if self.written_at.get().is_some_and(|at| now < at + BEHIND_LOG_INTERVAL) {
-            return;
-        }
-        self.written_at.set(Some(now));
-        let refused = self.refused.take();
-        warn!(request = &*head.id, age_ms = logging::ms(age), refused; "calls refused: the configuration is too old to tell whose keys are valid");
-    }
-}
-
 /// Replaces what a caller has sent in the headers about workspaces by what targets are to know.
 pub fn set_headers(traffic: &Traffic, headers: &mut HeaderMap, caller: &Caller) {
     if *caller != Caller::Any {
--- a/crates/node/src/traffic/dispatch.rs
+++ b/crates/node/src/traffic/dispatch.rs
@@ -206,7 +206,7 @@
     async fn wait_turn(&mut self, refuse_at: Instant) -> Result<Instant, Failure> {
         let retry_at = Instant::now() + REFUSED_BACKOFF;
         let is_short = self.route.objective / 4 <= REFUSED_BACKOFF;
-        if self.ran() > 0 || is_short || !turn::is_active(&self.traffic.view.load()) {
+        if self.ran() > 0 || is_short || !self.traffic.view.load().has_workspaces() {
             return Ok(retry_at);
         }
         let new = || Turn::new(&self.traffic.turns, (self.route, &self.service), self.call);
--- a/crates/node/src/traffic/dry_run.rs
+++ b/crates/node/src/traffic/dry_run.rs
@@ -88,8 +88,7 @@
         return Err(Refusal::NeedsId { route: route.name.clone() });
     }
     let service = route.service(id).cloned().unwrap_or_default();
-    let priority = caller.workspace().and_then(|workspace| workspace.priority);
-    let priority = priority.unwrap_or(route.priority);
+    let priority = caller.priority(route);
     let plan = match (route.kind, view.config.as_deref()) {
         (Kind::Job, Some(config)) => {
             ask_leader(traffic, view, config, Inquiry::Service(service)).await?
@@ -105,8 +104,7 @@
     match route.kind {
         Kind::Stream { .. } => stream::demand(id, route.kind),
         Kind::NonIdempotent | Kind::Job => exchange::demand(id, Repeat::Never),
-        Kind::Idempotent if route.max_attempts > 0 => exchange::demand(id, Repeat::AfterDoubt),
-        Kind::Idempotent => exchange::demand(id, Repeat::AfterFailure),
+        Kind::Idempotent => exchange::demand(id, Repeat::AfterDoubt),
     }
 }
 
--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -171,8 +171,7 @@
         log::debug!(request = &*head.id, version = config.version; "request refused: no route");
         return status(StatusCode::NOT_FOUND);
     };
-    let priority = caller.workspace().and_then(|workspace| workspace.priority);
-    route.priority = priority.unwrap_or(route.priority);
+    route.priority = caller.priority(&route);
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     if route.kind == Kind::Job {
         let id = (&*head.id, &*head.host, parts.uri.path());
--- a/crates/node/src/traffic/pool.rs
+++ b/crates/node/src/traffic/pool.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Instant};
 
-use crate::{dry_run::Exclusion, fleet::Target, logging, prelude::*, view::View};
+use crate::{backoff::doubled, dry_run::Exclusion, fleet::Target, logging, prelude::*, view::View};
 
 /// Weight of the latest response in the moving average of response times.
 const AVERAGE_WEIGHT: f64 = 0.2;
@@ -201,7 +201,7 @@
     pub fn record_connection(&mut self, zone: &ZoneId, took: Duration) {
         let took = took.min(ROUND_TRIP_MAX);
         let round_trip = self.round_trips.entry(zone.clone()).or_insert(took);
-        *round_trip = round_trip.mul_f64(1.0 - AVERAGE_WEIGHT) + took.mul_f64(AVERAGE_WEIGHT);
+        *round_trip = averaged(*round_trip, took);
     }
 
     /// Records the start of a request.
@@ -238,8 +238,7 @@
     /// Records a response that took `took`.
     pub fn record_response(&mut self, id: &str, took: Duration, now: Instant) {
         if let Some(load) = self.loads.get_mut(id) {
-            load.average =
-                load.average.mul_f64(1.0 - AVERAGE_WEIGHT) + took.mul_f64(AVERAGE_WEIGHT);
+            load.average = averaged(load.average, took);
             load.answered_at = Some(now);
             load.failures = 0;
             load.avoided_until = None;
@@ -249,9 +248,7 @@
     /// Records the response time of a request of a route.
     pub fn record_route(&mut self, route: &str, took: Duration) {
         match self.routes.get_mut(route) {
-            Some(average) => {
-                *average = average.mul_f64(1.0 - AVERAGE_WEIGHT) + took.mul_f64(AVERAGE_WEIGHT);
-            }
+            Some(average) => *average = averaged(*average, took),
             None => {
                 self.routes.insert(route.into(), took);
             }
@@ -278,8 +275,8 @@
     /// Records a connection that could not be opened or that broke.
     pub fn record_failure(&mut self, id: &str, now: Instant) {
         if let Some(load) = self.loads.get_mut(id) {
-            let backoff = FAILURE_BACKOFF.saturating_mul(1 << load.failures.min(8));
-            load.avoided_until = Some(now + backoff.min(FAILURE_BACKOFF_MAX));
+            let backoff = doubled(FAILURE_BACKOFF, load.failures, FAILURE_BACKOFF_MAX);
+            load.avoided_until = Some(now + backoff);
             load.failures += 1;
         }
     }
@@ -296,3 +293,8 @@
         self.round_trips.retain(|zone, _| is_known(zone));
     }
 }
+
+/// Moving average with a new value.
+fn averaged(average: Duration, latest: Duration) -> Duration {
+    average.mul_f64(1.0 - AVERAGE_WEIGHT) + latest.mul_f64(AVERAGE_WEIGHT)
+}
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -339,11 +339,6 @@
     }
 }
 
-/// Whether the configuration in force has workspaces.
-fn has_workspaces(traffic: &Traffic) -> bool {
-    traffic.view.load().config.as_ref().is_some_and(|config| config.workspaces.is_some())
-}
-
 /// Whether an item has no workspace and needs one. A leader of an earlier build sends it so.
 pub fn lacks_workspace(traffic: &Traffic, run: &Run) -> bool {
     let view = traffic.view.load();
@@ -360,7 +355,7 @@
         headers.append(name, HeaderValue::from_str(value).ok()?);
     }
     headers.insert(header::HOST, HeaderValue::from_str(&run.host).ok()?);
-    if run.workspace.is_some() || has_workspaces(traffic) {
+    if run.workspace.is_some() || traffic.view.load().has_workspaces() {
         traffic.dialect.set_workspace_header(&mut headers, run.workspace.as_deref());
     }
     traffic.dialect.set_attempt_headers(&mut headers, &item.id, &target.id, None);
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     io,
     net::SocketAddr,
     rc::Rc,
@@ -27,6 +27,7 @@
     freshness::Freshness,
     job::Failures,
     links::Links,
+    log_limit::LogLimit,
     metrics::METERS,
     peer,
     prelude::*,
@@ -35,9 +36,7 @@
     settings::Settings,
     store, term,
     traffic::{
-        accept,
-        access::BehindLog,
-        announce,
+        accept, announce,
         body::Budget,
         cache::Cache,
         channel::{Channels, set_keepalive},
@@ -134,7 +133,7 @@
     pub reports: mpsc::UnboundedSender<Report>,
     pub phase: watch::Sender<Phase>,
     /// Log of calls refused because the configuration is too old.
-    pub behind_log: BehindLog,
+    pub behind_log: LogLimit,
     /// Bounds the dry runs in progress.
     pub dry_runs: dry_run::Gate,
     connections: Cell<usize>,
@@ -205,7 +204,7 @@
         peers: peer::Client::default(),
         reports: reports.clone(),
         phase: watch::Sender::new(Phase::Open),
-        behind_log: BehindLog::default(),
+        behind_log: LogLimit::default(),
         dry_runs: dry_run::Gate::default(),
         connections: Cell::new(0),
         stops: RefCell::default(),
@@ -264,8 +263,8 @@
         let view = traffic.view.load();
         traffic.pool.borrow_mut().sweep(&view);
         if let Some(config) = &view.config {
-            let is_known = |name: &str| config.routes().any(|route| *route.name == *name);
-            traffic.pool.borrow_mut().retain_routes(is_known);
+            let known: HashSet<&str> = config.routes().map(|route| &*route.name).collect();
+            traffic.pool.borrow_mut().retain_routes(|name| known.contains(name));
         }
         traffic.limits.retain(|target| view.targets.contains_key(target));
         traffic.links.retain(|target| view.targets.contains_key(target));
--- a/crates/node/src/traffic/turn.rs
+++ b/crates/node/src/traffic/turn.rs
@@ -20,14 +20,9 @@
     view::View,
 };
 
-/// Whether requests wait in turn.
-pub fn is_active(view: &View) -> bool {
-    view.config.as_ref().is_some_and(|config| config.workspaces.is_some())
-}
-
 /// Whether requests wait for a service, so that a new one has to wait as well. If a target may have room, the next one tries.
 pub fn is_contended(turns: &Turns, view: &View, pool: &Pool, service: &str) -> bool {
-    if !is_active(view) || !turns.is_contended(service) {
+    if !view.has_workspaces() || !turns.is_contended(service) {
         return false;
     }
     if pool.may_have_room(view, service, now()) {
--- a/crates/node/src/traffic/turns.rs
+++ b/crates/node/src/traffic/turns.rs
@@ -1,11 +1,7 @@
 //! Turns of callers' requests at the targets of plain services that have no room. [`share::Queue`] decides whose turn it is;
 //! this module wakes the requests, ticks, and logs. A request waits through its `turn`.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    rc::Rc,
-};
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use log::info;
 use tokio::{
@@ -14,6 +10,8 @@
 };
 
 use crate::{
+    clock,
+    log_limit::LogLimit,
     logging,
     metrics::METERS,
     prelude::*,
@@ -21,8 +19,6 @@
     traffic::dispatch::REFUSED_BACKOFF,
 };
 
-/// Minimum interval between lines about refused requests.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Most services with a queue. Services without waiting requests are dropped beyond it.
 const LANES_MAX: usize = 256;
 
@@ -61,9 +57,8 @@
 #[derive(Debug, Default)]
 pub struct Turns {
     lanes: RefCell<HashMap<ServiceId, Lane>>,
-    logged_at: Cell<Option<Instant>>,
-    /// Requests that were refused since the last line.
-    refused: Cell<u64>,
+    /// Limit on lines about refused requests.
+    refusal_log: LogLimit,
 }
 
 impl Turns {
@@ -74,18 +69,18 @@
 
     /// Records that a target of a service answered, and has the next request try.
     pub fn free(&self, service: &str) {
-        if let Some(lane) = self.lanes.borrow_mut().get_mut(service) {
+        self.with(service, |lane| {
             let granted = lane.queue.free(now());
             lane.wake(granted);
-        }
+        });
     }
 
     /// Has the next request of a service try, as a target may have room.
     pub fn try_next(&self, service: &str) {
-        if let Some(lane) = self.lanes.borrow_mut().get_mut(service) {
+        self.with(service, |lane| {
             let granted = lane.queue.grant(now());
             lane.wake(granted);
-        }
+        });
     }
 
     /// Adds a request to the queue of a service, again if it had its turn before. Its next turn comes through the receiver.
@@ -158,12 +153,9 @@
 
     fn record_refusal(&self, service: &str, request: &Request, refusal: &Refusal) {
         METERS.queue_refusal(refusal.cause.name());
-        self.refused.set(self.refused.get() + 1);
-        if self.logged_at.get().is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+        let Some(refused) = self.refusal_log.count(clock::now()) else {
             return;
-        }
-        self.logged_at.set(Some(Instant::now()));
-        let refused = self.refused.take();
+        };
         let cause = refusal.cause.name();
         let Refusal { waiting, ahead, rate, rate_age, expected, retry_after, .. } = *refusal;
         let rate = rate.map_or_else(|| "unknown".into(), |rate| format!("{rate:.1}"));
--- a/crates/node/src/usage/intake_log.rs
+++ b/crates/node/src/usage/intake_log.rs
@@ -3,11 +3,7 @@
 
 use log::warn;
 
-use crate::{
-    metrics::METERS,
-    prelude::*,
-    usage::{Intake, LogLimit},
-};
+use crate::{log_limit::LogLimit, metrics::METERS, prelude::*, usage::Intake};
 
 /// Limits on the lines of each kind.
 #[derive(Debug, Default)]
@@ -20,7 +16,7 @@
 
 impl IntakeLog {
     /// Writes and counts what became of the counts of a host.
-    pub fn write(&mut self, host: &str, intake: &Intake, current: u64, now: Time) {
+    pub fn write(&self, host: &str, intake: &Intake, current: u64, now: Time) {
         let (late, removed) = (intake.late, intake.removed);
         if late > 0 {
             METERS.usage("late", late);
--- a/crates/node/src/usage/reporter.rs
+++ b/crates/node/src/usage/reporter.rs
@@ -12,6 +12,7 @@
 use log::{info, warn};
 
 use crate::{
+    backoff::doubled,
     cloud::{self, Authority, UsageReport},
     control::Leadership,
     logging,
@@ -389,7 +390,7 @@
                 error.to_string().into()
             }
         };
-        let delay = RETRY_DELAY.saturating_mul(1 << self.failures.min(8)).min(RETRY_DELAY_MAX);
+        let delay = doubled(RETRY_DELAY, self.failures, RETRY_DELAY_MAX);
         self.failures += 1;
         self.cloud_at = now + delay;
         info!(window, fence, failures = self.failures, delay_ms = logging::ms(delay), reason = &*reason; "usage report not received");
--- a/crates/node/src/view.rs
+++ b/crates/node/src/view.rs
@@ -22,5 +22,12 @@
     pub stopping: bool,
 }
 
+impl View {
+    /// Whether callers need keys, as far as the configuration is known.
+    pub fn has_workspaces(&self) -> bool {
+        self.config.as_ref().is_some_and(|config| config.has_workspaces())
+    }
+}
+
 /// View shared by both threads.
 pub type Shared = Arc<ArcSwap<View>>;
--- a/crates/node/src/workspace/admission.rs
+++ b/crates/node/src/workspace/admission.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
+    config::Route,
     prelude::*,
     workspace::{Bounds, Credential, Directory, Workspace},
 };
@@ -27,6 +28,12 @@
         }
     }
 
+    /// Priority of the caller's requests on a route: that of its workspace goes before that of the route.
+    pub fn priority(&self, route: &Route) -> u32 {
+        let own = self.workspace().and_then(|workspace| workspace.priority);
+        own.unwrap_or(route.priority)
+    }
+
     /// Whether a job exists for the caller, by the job's workspace.
     pub fn sees(&self, owner: Option<&str>) -> bool {
         match self {
