--- /dev/null
+++ b/review/kit-2/src/cases/mod.rs
@@ -0,0 +1,5 @@
+//! The cases.
+
+pub mod hints;
+pub mod line_feed;
+pub mod turns;
