--- a/review/kit-2/src/kv.rs
+++ b/review/kit-2/src/kv.rs
@@ -44,6 +44,8 @@
     changes: Vec<Change>,
     leases: HashMap<u64, (Instant, Duration)>,
     last_lease: u64,
+    /// Prefix of which the next answer of a watch with changes is lost.
+    to_lose: Option<String>,
 }
 
 /// Handle of the store.
@@ -80,6 +82,16 @@
         self.shared.1.notify_all();
     }
 
+    /// Loses the next answer of one watch of a prefix that has changes: its channel returns nothing further.
+    pub fn lose_answer_of_watch(&self, prefix: &str) {
+        self.lock().to_lose = Some(prefix.into());
+    }
+
+    /// Whether that answer has been lost.
+    pub fn has_lost_it(&self) -> bool {
+        self.lock().to_lose.is_none()
+    }
+
     pub fn value(&self, key: &str) -> Option<String> {
         let state = self.lock();
         state.items.get(key).map(|item| String::from_utf8_lossy(&item.value).into_owned())
@@ -141,7 +153,7 @@
 
 fn respond(shared: &(Mutex<State>, Condvar), request: &Request) -> Reply {
     if request.path == "/lagoonyard/kv-watch" {
-        return Reply::Answer(watch(shared, request));
+        return watch(shared, request);
     }
     let mut state = shared.0.lock().expect("no holder panics");
     state.expire();
@@ -209,7 +221,7 @@
     )
 }
 
-fn watch(shared: &(Mutex<State>, Condvar), request: &Request) -> Response {
+fn watch(shared: &(Mutex<State>, Condvar), request: &Request) -> Reply {
     let prefix = request.parameter("prefix");
     let after: u64 = request.parameter("after").parse().unwrap_or(0);
     let wait_ms: u64 = request.parameter("wait_ms").parse().unwrap_or(0);
@@ -221,8 +233,18 @@
         let events: Vec<&str> = found.map(|it| &*it.event).collect();
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            let (events, now) = (events.join(","), state.revision);
-            return Response::json(200, format!("{{\"events\":[{events}],\"current_rev\":{now}}}"));
+            let (is_lost, now) =
+                (!events.is_empty() && state.to_lose.as_ref() == Some(&prefix), state.revision);
+            if is_lost {
+                state.to_lose = None;
+                drop(state);
+                // The caller gives up sooner.
+                thread::sleep(Duration::from_secs(25));
+                return Reply::Close;
+            }
+            let events = events.join(",");
+            let body = format!("{{\"events\":[{events}],\"current_rev\":{now}}}");
+            return Reply::Answer(Response::json(200, body));
         }
         state = shared.1.wait_timeout(state, left).expect("no holder panics").0;
     }
--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -35,8 +35,10 @@
     let record = Record::create(&Path::new(&folder).join("record.txt"));
     record.line(format!("case {case}, trouble {trouble}"));
     let run: fn(bool, &Record) -> Verdict = match &*case {
+        "encoded" => cases::encoded::run,
         "hints" => cases::hints::run,
         "line-feed" => cases::line_feed::run,
+        "lost-watch" => cases::lost_watch::run,
         "same-ids" => cases::same_ids::run,
         "slow-readers" => cases::slow_readers::run,
         "turns" => cases::turns::run,
