--- a/review/kit-2/src/cases/slow_readers.rs
+++ b/review/kit-2/src/cases/slow_readers.rs
@@ -24,12 +24,12 @@
 const SERVICE: &str = "pixo44c";
 const PREFIX: &str = "/lohu930/";
 /// Length of an answer.
-const ANSWER_BYTES: usize = 8 << 20;
-/// New requests at each machine: 13.8 a second in all, as many as on the sheet.
-const INTERVAL: Duration = Duration::from_millis(217);
-/// Bytes that a slow caller reads at once, and the pause after them: 0.7 MB a second.
+const ANSWER_BYTES: usize = 12 << 20;
+/// New requests at each machine: 12 a second in all, as many as on the sheet.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Bytes that a slow caller reads at once, and the pause after them: 1 MB a second.
 const READ_BYTES: usize = 64 << 10;
-const READ_PAUSE: Duration = Duration::from_millis(90);
+const READ_PAUSE: Duration = Duration::from_millis(62);
 /// Time that a caller gives a request.
 const PATIENCE: Duration = Duration::from_secs(14);
 const ATTEMPTS_MAX: usize = 3;
