Events: read all of the format of event streams, so that no text lacks lines

The trainer trained on texts that no engine wrote; there was no log line, failure or retry.

Cause: `Parser::event` let each line "data" of an event replace the one before. Beside it, an event was found only by two line feeds, so one whose lines end with CR or CR LF never was; a block of comments was an error that ended the run; and a version that could not be read counted as unchanged. `lagoonyard complete` looked at the first line of data only.

Lines end with CR LF, LF or CR, also when the two bytes arrive apart; data is joined by line feeds; a byte order mark, comments and blocks without a field of an event are passed on to callers and left out of texts. What a text would lack is an error of a type: no id, an id or a version that cannot be read, bytes that are not UTF-8, an event without data. The last id of all, 2^64 - 1, is not followed by 0. `complete` uses the event reader of volo-http, as the client of engines does.

--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -1,5 +1,6 @@
 //! Forwarding of a stream that has begun, to its end or to where it breaks off.
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use log::{debug, info};
 use tokio::{
@@ -147,10 +148,13 @@
     loop {
         let (event, bytes) = match open.parser.next_raw() {
             Ok(Some(next)) => next,
-            Ok(None) => return Ok(sent),
+            Ok(None) => {
+                send_skipped(stream, open, parts).await?;
+                return Ok(sent);
+            }
             Err(error) => return Err(Break::Target(error.to_string().into())),
         };
-        if stream.last_event.is_some_and(|last| event.id != last + 1) {
+        if stream.last_event.is_some_and(|last| !event.follows(last)) {
             return Err(Break::Target("events do not follow each other".into()));
         }
         // Beside the buffer, one event waits for the caller and one is being sent.
@@ -164,11 +168,26 @@
             }
             sleep(BUDGET_RETRY_DELAY).await;
         }
-        match timeout_at(stream.call.deadline, parts.send(Part::Data(bytes))).await {
-            Ok(Ok(())) => stream.last_event = Some(event.id),
-            Ok(Err(_)) => return Err(Break::CallerLeft),
-            Err(_) => return Err(Break::Deadline),
-        }
+        send(stream, bytes, parts).await?;
+        stream.last_event = Some(event.id);
         sent += 1;
     }
 }
+
+/// Sends comments and the like, which no event follows yet.
+async fn send_skipped(
+    stream: &Stream,
+    open: &mut Open,
+    parts: &mpsc::Sender<Part>,
+) -> Result<(), Break> {
+    let skipped = open.parser.take_skipped();
+    if skipped.is_empty() { Ok(()) } else { send(stream, skipped, parts).await }
+}
+
+async fn send(stream: &Stream, bytes: Bytes, parts: &mpsc::Sender<Part>) -> Result<(), Break> {
+    match timeout_at(stream.call.deadline, parts.send(Part::Data(bytes))).await {
+        Ok(Ok(())) => Ok(()),
+        Ok(Err(_)) => Err(Break::CallerLeft),
+        Err(_) => Err(Break::Deadline),
+    }
+}
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -4,7 +4,7 @@
 use lagoonyard_node::events::{Error, Event, Parser, Progress};
 
 fn event(id: u64) -> Event {
-    Event { id, data: "x".into(), version: None }
+    Event { id, data: Some("x".into()), version: None }
 }
 
 #[test]
@@ -20,8 +20,8 @@
             }
         }
         assert_eq!(found.len(), 2, "cut at {cut}");
-        assert_eq!((&*found[0].data, found[0].version), ("a", None));
-        assert_eq!((&*found[1].data, found[1].version), ("b: c", Some(3)));
+        assert_eq!((found[0].data.as_deref(), found[0].version), (Some("a"), None));
+        assert_eq!((found[1].data.as_deref(), found[1].version), (Some("b: c"), Some(3)));
         assert!(!parser.is_partial());
     }
 }
@@ -63,3 +63,102 @@
     assert!(progress.can_continue(4, 4, true));
     assert!(!progress.can_continue(4, 5, true));
 }
+
+/// Data of the events of a stream.
+type Data = Vec<Option<Box<str>>>;
+
+/// Data of the events of a stream whose bytes arrive one by one, and whether its end is complete.
+fn data_of(stream: &str) -> Result<(Data, bool), Error> {
+    let mut parser = Parser::new("x-version");
+    let mut data = Vec::new();
+    for byte in stream.as_bytes() {
+        parser.push(&[*byte]);
+        while let Some(event) = parser.next_event()? {
+            data.push(event.data);
+        }
+    }
+    parser.take_skipped();
+    Ok((data, !parser.is_partial()))
+}
+
+/// Guards against texts that lack a line: in a block, each line of data replaced the one before.
+#[test]
+fn lines_of_data_are_joined_as_the_format_says() {
+    for (stream, expected) in [
+        ("data: a\ndata: b\nid: 1\n\n", "a\nb"),
+        ("id: 1\ndata:\ndata: b\n\n", "\nb"),
+        ("id: 1\ndata: a\ndata:\n\n", "a\n"),
+        ("id: 1\ndata:\n\n", ""),
+        ("id: 1\ndata\n\n", ""),
+        ("id: 1\ndata\ndata\n\n", "\n"),
+        ("id: 1\ndata: a\ndata\n\n", "a\n"),
+        ("id: 1\ndata:a\ndata:  b\n\n", "a\n b"),
+        ("id: 1\n: data: x\ndatum: y\nretry: 5\ndata: a\n\n", "a"),
+        ("\u{feff}id: 1\ndata: a\n\n", "a"),
+    ] {
+        let expected = vec![Some(expected.into())];
+        assert_eq!(data_of(stream), Ok((expected, true)), "{stream:?}");
+    }
+}
+
+/// Guards against streams of which no event was found, as their lines end otherwise.
+#[test]
+fn lines_end_with_cr_lf_or_both() {
+    for end in ["\n", "\r", "\r\n"] {
+        let stream = "id: 1\ndata: a\ndata: b\n\nx-version: 3\nid: 2\ndata: c\n\n";
+        let stream = stream.replace('\n', end);
+        let expected = vec![Some("a\nb".into()), Some("c".into())];
+        assert_eq!(data_of(&stream), Ok((expected, true)), "{stream:?}");
+    }
+    let mixed = "id: 1\r\ndata: a\n\rid: 2\rdata: b\r\n\n";
+    assert_eq!(data_of(mixed), Ok((vec![Some("a".into()), Some("b".into())], true)));
+}
+
+/// Guards against runs that end at a comment, which was read as an event without an id.
+#[test]
+fn blocks_without_an_event_are_skipped() {
+    let stream =
+        ": ping\n\nid: 1\ndata: a\n\n: ping\r\n\r\nevent: x\n\n\n\nid: 2\ndata: b\n\n: bye\n";
+    assert_eq!(data_of(stream), Ok((vec![Some("a".into()), Some("b".into())], true)));
+}
+
+/// Guards against a text that lacks an event without a trace.
+#[test]
+fn what_cannot_be_read_is_refused() {
+    for stream in [
+        "data: a\n\n",
+        "id\ndata: a\n\n",
+        "id: x\ndata: a\n\n",
+        "id: 18446744073709551616\ndata: a\n\n",
+        "x-version: 3\n\n",
+        "x-version: x\nid: 1\ndata: a\n\n",
+    ] {
+        assert_matches!(data_of(stream), Err(Error::Malformed { .. }), "{stream:?}");
+    }
+    let without_data = Event { id: 1, data: None, version: None };
+    let mut progress = Progress::default();
+    assert_eq!(progress.append(&without_data, 1), Err(Error::NoData { id: 1 }));
+    let after_last = Event { id: 0, ..event(1) };
+    progress.last_event = u64::MAX;
+    assert_matches!(progress.append(&after_last, 1), Err(Error::Gap { .. }));
+}
+
+/// Guards against streams that reach a caller with other bytes than the target wrote.
+#[test]
+fn the_bytes_of_events_and_of_what_is_skipped_are_the_stream() {
+    let stream =
+        "\u{feff}: hi\r\n\r\nid: 1\r\ndata: a\r\n\r\n: ping\n\nid: 2\rdata: b\r\rid: 3\n\n";
+    let bytes = stream.as_bytes();
+    for cut in 0..bytes.len() {
+        let (mut parser, mut sent) = (Parser::new("v"), Vec::new());
+        for part in [&bytes[..cut], &bytes[cut..]] {
+            parser.push(part);
+            while let Some((_, raw)) = parser.next_raw().unwrap() {
+                sent.extend_from_slice(&raw);
+            }
+            sent.extend_from_slice(&parser.take_skipped());
+        }
+        assert_eq!(sent, bytes, "cut at {cut}");
+        assert!(!parser.is_partial(), "cut at {cut}");
+    }
+}
--- a/src/cmd/complete.rs
+++ b/src/cmd/complete.rs
@@ -1,18 +1,22 @@
 //! `complete`: streams a completion to stdout.
 
-use bytes::BytesMut;
 use http::Method;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use serde_json::{Value, json};
 use tokio::time;
-use volo_http::{body::Body, response::Response};
+use volo_http::{body::Body, client::sse::SseReader, response::Response};
 
 use super::{Client, Complete, Error, Failure, Result, Run, client::ApiError, print};
 use crate::prelude::*;
 
 const ACTION: &str = "complete the prompt";
-/// Maximum size of an event.
-const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Maximum size of an answer.
+const ANSWER_MAX_BYTES: usize = 64 << 20;
+/// Maximum size of an answer that is an error.
+const ERROR_MAX_BYTES: usize = 1 << 20;
+
+/// Event stream of an answer.
+type Events = SseReader<Limited<Body>>;
 
 impl Run for Complete {
     async fn run(self) -> Result<()> {
@@ -26,7 +30,7 @@
         let mut events = loop {
             let opened = client.open(Method::POST, "/v1/completions", &[], call.to_string().into());
             match time::timeout(client.remaining(), opened).await {
-                Ok(Ok(response)) => match Events::from_response(&client, response).await {
+                Ok(Ok(response)) => match read_head(&client, response).await {
                     Ok(events) => break events,
                     // The request did not run, and another host may accept it.
                     Err(Error::Refused { code: Code::Draining | Code::NotReady, .. })
@@ -52,11 +56,11 @@
     async fn print(&self, client: &Client, events: &mut Events) -> Result<()> {
         let (mut text, mut last) = (String::new(), Value::Null);
         loop {
-            let event = time::timeout(client.remaining(), events.next()).await;
-            let Some(event) = event.ok().flatten() else {
+            let event = time::timeout(client.remaining(), events.read()).await;
+            let Ok(Ok(Some(event))) = event else {
                 return Err(incomplete());
             };
-            let Some(data) = event.lines().find_map(|line| line.strip_prefix("data:")) else {
+            let Some(data) = event.data() else {
                 continue;
             };
             let data = data.trim();
@@ -88,56 +92,25 @@
     }
 }
 
-/// Event stream of an answer.
-struct Events {
-    body: Body,
-    buffer: BytesMut,
-}
-
-impl Events {
-    /// Returns the events of a successful answer, or the error of the host.
-    async fn from_response(client: &Client, response: Response) -> Result<Self> {
-        let status = response.status().as_u16();
-        let mut events = Self { body: response.into_body(), buffer: BytesMut::new() };
-        if status == 200 {
-            return Ok(events);
-        }
-        let error = time::timeout(client.remaining(), events.read_error(status)).await;
-        Err(error.unwrap_or_else(|_| incomplete()))
-    }
-
-    /// Returns the next event, or `None` if the stream has ended or failed.
-    async fn next(&mut self) -> Option<String> {
-        loop {
-            if let Some(end) = self.buffer.windows(2).position(|pair| pair == b"\n\n") {
-                let event = self.buffer.split_to(end + 2);
-                return Some(String::from_utf8_lossy(&event).into_owned());
-            }
-            if self.buffer.len() > EVENT_MAX_BYTES {
-                return None;
-            }
-            let frame = self.body.frame().await?.ok()?;
-            if let Ok(data) = frame.into_data() {
-                self.buffer.extend_from_slice(&data);
-            }
-        }
+/// Returns the events of a successful answer, or the error of the host.
+async fn read_head(client: &Client, response: Response) -> Result<Events> {
+    let status = response.status().as_u16();
+    if status == 200 {
+        let response = response.map(|body| Limited::new(body, ANSWER_MAX_BYTES));
+        return Events::into_sse(response).map_err(|error| Error::InvalidAnswer {
+            action: ACTION.into(),
+            message: error.to_string().into(),
+        });
     }
+    let error = time::timeout(client.remaining(), read_error(status, response.into_body())).await;
+    Err(error.unwrap_or_else(|_| incomplete()))
+}
 
-    /// Reads the error from an answer that is not a stream.
-    async fn read_error(&mut self, status: u16) -> Error {
-        while self.buffer.len() < EVENT_MAX_BYTES {
-            let Some(Ok(frame)) = self.body.frame().await else {
-                break;
-            };
-            if let Ok(data) = frame.into_data() {
-                self.buffer.extend_from_slice(&data);
-            }
-        }
-        match ApiError::parse(&self.buffer) {
-            Some(error) => error.into_error(ACTION),
-            None => Error::Status { action: ACTION.into(), status },
-        }
-    }
+/// Reads the error from an answer that is not a stream.
+async fn read_error(status: u16, body: Body) -> Error {
+    let body = Limited::new(body, ERROR_MAX_BYTES).collect().await;
+    let error = body.ok().and_then(|body| ApiError::parse(&body.to_bytes()));
+    error.map_or(Error::Status { action: ACTION.into(), status }, |it| it.into_error(ACTION))
 }
 
 fn incomplete() -> Error {
--- a/tests/cmd.rs
+++ b/tests/cmd.rs
@@ -45,9 +45,11 @@
                 reader.read_exact(&mut body).unwrap();
                 seen.lock().unwrap().push(serde_json::from_slice(&body).unwrap_or(Value::Null));
                 if let Some((status, body)) = answer {
+                    let media_type =
+                        if body.is_string() { "text/event-stream" } else { "application/json" };
                     let body = body.as_str().map_or_else(|| body.to_string(), str::to_owned);
                     let head = format!(
-                        "HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-length: {}",
+                        "HTTP/1.1 {status} X\r\nconnection: close\r\ncontent-type: {media_type}\r\ncontent-length: {}",
                         body.len()
                     );
                     write!(stream, "{head}\r\n\r\n{body}").unwrap();
@@ -255,3 +257,14 @@
     assert_eq!(output.stdout, b"a");
     assert_eq!(host.bodies.lock().unwrap().len(), 2);
 }
+
+/// Guards against a completion that lacks what stands on a later line of an event's data.
+#[test]
+fn a_completion_whose_events_have_several_lines_of_data_is_whole() {
+    let stream = ": ping\r\n\r\ndata: {\"choices\": [{\"text\": \"a\",\r\n\
+        data: \"finish_reason\": \"stop\"}]}\r\n\r\ndata: [DONE]\r\n\r\n";
+    let host = Host::new(vec![Some((200, stream.into()))]);
+    let output = lagoonyard(&["complete", "m", "p", "--host", &host.url]);
+    assert_eq!(output.status.code(), Some(0));
+    assert_eq!(output.stdout, b"a\n");
+}
