Length hints: measured by their own trainer, limited, and never summed to an overflow

Cause: a hint went unchecked into `Duration::mul_f64` and sums of `Duration`, which panic, in order.rs, triage.rs, moves.rs and leaving.rs, and into a sum of integers of a group. The same number bent decisions for others: one running ratio of events to hints for all trainers, which one finished text with such a hint held near 0 for some fifty more, and the demand for engines, of which one step could claim nearly all for its model.

Change: `length::Hint` is checked where it enters: 1 to 4 Mi tokens, all else is no hint. `length::Table` measures hints by the texts of the same workspace and model, and a hint far off the median weighs as one that is off by four. A text is expected to have 1 event to twice the longest recent one (400 at least). `job::Effort` is the one type for expected work, a year at most, and its sums stay there. Demand for engines is counted in expected events, and a claim that no text shows gives way to the first that one does. A job that would be late even alone is deferred before it costs another its place.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -13,6 +13,7 @@
         Assignment, End, Engines, Evidence, Item, Job, Outcome, Policy, Queue, Record, Requirement,
         Spec,
     },
+    length::Hint,
     prefix::{Part, Prompt, Settings, Table, Work},
 };
 
@@ -39,7 +40,7 @@
         headers: Vec::new(),
         body: bytes::Bytes::new(),
         max_total_tokens: 10,
-        length_hint: Some(1 + at as u64 % 90),
+        length_hint: Hint::try_from(1 + at as u64 % 90).ok(),
         prompt: Prompt::default(),
         group: format!("g{}", at / GROUP_SIZE).into(),
         judge: None,
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -175,7 +175,7 @@
         let rows: Vec<Row> = rows.cloned().collect();
         if self.queue.get(&id).is_none() {
             let job = Job::new(Arc::clone(&spec), record, policy, submitted_at);
-            self.rollout.record_demand(&job);
+            self.rollout.record_demand(&job, self.queue.claim(&job));
             self.queue.insert(job);
         }
         if let Some(job) = self.queue.get_mut(&id) {
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     control::leader::{ActiveRun, Leader},
-    job::{Evidence, Requirement},
+    job::{Effort, Evidence, Requirement},
     prelude::*,
     traffic::Command,
 };
@@ -70,7 +70,7 @@
     fn rest(&self, run: &ActiveRun) -> Option<Duration> {
         let events = self.queue.rest_events(&run.job, run.item)?;
         let engine = self.engines.get(run.target.as_deref()?)?;
-        Some(self.engines.pace(engine).mul_f64(events))
+        Some(Effort::new(self.engines.pace(engine), events).time())
     }
 
     fn is_movable(&self, run: &ActiveRun, now: Time) -> bool {
@@ -84,7 +84,7 @@
         let rest = self.queue.rest_events(&run.job, run.item);
         // Before any text has ended, the length of a text in events is unknown.
         saving.is_some_and(|saving| {
-            rest.is_none_or(|events| saving.mul_f64(events) >= MOVE_SAVING_MIN)
+            rest.is_none_or(|events| Effort::new(saving, events).time() >= MOVE_SAVING_MIN)
         })
     }
 
--- a/crates/node/src/control/rollout.rs
+++ b/crates/node/src/control/rollout.rs
@@ -5,17 +5,13 @@
 
 use crate::{
     control::orders::LoadResult,
-    job::{Engine, Engines, Job},
+    demand,
+    job::{Claim, Engine, Engines, Job},
     loads::Ends,
     prelude::*,
-    weights::{self, Candidate, Demand, Partitions, Versions},
+    weights::{self, Candidate, Partitions, Versions},
 };
 
-/// Weight of the last step in a model's moving average of demand.
-const DEMAND_WEIGHT: f64 = 0.3;
-/// Factor on the demand of a step for each rank of lower priority.
-const PRIORITY_FACTOR: f64 = 0.8;
-
 /// A load to order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlannedLoad {
@@ -32,8 +28,7 @@
     partitions: Partitions,
     /// Engines, requested versions or demand have changed since the last rebalancing.
     rebalance_due: bool,
-    /// Moving average of the output tokens per step, by model.
-    demand: Demand,
+    demand: demand::Averages,
     /// Loads in progress.
     loads: HashMap<TargetId, (ModelId, Version)>,
     /// Engines that ended under an order.
@@ -49,14 +44,9 @@
         self.rebalance_due = true;
     }
 
-    /// Adds a step to its model's demand: the output tokens that its trainer expects, reduced by priority.
-    pub fn record_demand(&mut self, job: &Job) {
-        let hints = job.spec.items.iter().map(|item| item.length_hint.unwrap_or(1));
-        let tokens = hints.fold(0, u64::saturating_add);
-        let rank = i32::try_from(job.policy.priority).unwrap_or(i32::MAX);
-        let work = tokens as f64 * PRIORITY_FACTOR.powi(rank);
-        let average = self.demand.entry(job.spec.model.clone()).or_insert(work);
-        *average += (work - *average) * DEMAND_WEIGHT;
+    /// Adds a step to the demand for its model.
+    pub fn record_demand(&mut self, job: &Job, claim: Claim) {
+        self.demand.record(&job.spec.model, job.policy.priority, claim);
         self.rebalance_due = true;
     }
 
@@ -86,7 +76,7 @@
                 engines.iter().map(|it| (it.target.id.clone(), it.versions())).collect()
             };
             let (fast, others) = (versions(fast), versions(others));
-            self.partitions.rebalance(&fast, &others, &self.requested, &self.demand);
+            self.partitions.rebalance(&fast, &others, &self.requested, &self.demand.demand());
         }
         let mut candidates = self.candidates(now, engines, long);
         let total = engines.len();
--- a/crates/node/src/job/leaving.rs
+++ b/crates/node/src/job/leaving.rs
@@ -43,7 +43,7 @@
     /// Whether a run that needs `rest` more, if that is known, is cut by the end of its target.
     pub fn cuts(&self, target: &str, now: Time, rest: Option<Duration>) -> bool {
         self.ends.get(target).is_some_and(|(_, end)| {
-            rest.is_none_or(|rest| now.saturating_add(rest) + MARGIN > *end)
+            rest.is_none_or(|rest| now.saturating_add(rest).saturating_add(MARGIN) > *end)
         })
     }
 }
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -2,7 +2,9 @@
 
 mod assign;
 mod checkpoint;
+mod claim;
 mod doubt;
+mod effort;
 mod engine;
 mod engines;
 mod explain;
@@ -11,7 +13,6 @@
 pub mod homes;
 mod keys;
 mod leaving;
-mod length;
 mod open;
 mod order;
 mod outcome;
@@ -30,7 +31,9 @@
 mod wait;
 
 pub use checkpoint::Checkpoint;
+pub use claim::Claim;
 pub use doubt::Doubt;
+pub use effort::Effort;
 pub use engine::Engine;
 pub use engines::Engines;
 pub use failure::{Failure, Identity};
--- a/crates/node/src/job/open.rs
+++ b/crates/node/src/job/open.rs
@@ -11,6 +11,7 @@
         Checkpoint, Doubt, Policy, Record, Row, Spec,
         status::{ItemStatus, State},
     },
+    length::{Estimate, Trainer},
     prelude::*,
 };
 
@@ -55,8 +56,8 @@
     pub chunks: u64,
     /// It cannot be complete in time, so it gets only slots that no other job can use.
     pub(super) deferred: bool,
-    /// Events that are generated for each unit of a length hint, once that is known.
-    pub(super) events_per_hint: Option<f64>,
+    /// Lengths of the trainer's texts, once any are known.
+    pub(super) lengths: Option<Estimate>,
     /// It has no workspace and needs one, so runners would refuse its items.
     pub(super) unowned: bool,
     /// Time at which its first item could start.
@@ -111,7 +112,7 @@
             record: Arc::new(record),
             policy,
             submitted_at,
-            events_per_hint: None,
+            lengths: None,
             due: Time::ZERO,
             expires: Time::ZERO,
             listed: 0,
@@ -196,6 +197,11 @@
         }
     }
 
+    /// Trainer of the job, as far as it can be told from others.
+    pub(super) fn trainer(&self) -> Trainer {
+        (self.record.workspace.clone(), self.spec.model.clone())
+    }
+
     /// Events of an item's text, as last reported.
     pub fn events(&self, item: usize) -> u64 {
         self.statuses.get(item).map_or(0, ItemStatus::events)
--- a/crates/node/src/job/order.rs
+++ b/crates/node/src/job/order.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    job::{Job, status::ItemStatus, triage::Load},
+    job::{Effort, Job, status::ItemStatus, triage::Load},
+    length::{Estimate, Hint},
     prefix,
     prelude::*,
     scale::Step,
@@ -13,18 +14,16 @@
 const SHORT_DIVISOR: u32 = 6;
 /// Expected rest of a text that is longer than estimated, as a share of its length so far.
 const OVERRUN_SHARE: f64 = 0.25;
-/// Expected length of a text for which the trainer gives no hint.
-const UNKNOWN_EVENTS: f64 = 100.0;
 
 impl Job {
     /// Sorts the items into their start order. Long items determine when a group is complete, so they start first; the
     /// largest groups beyond those that the trainer waits for start last. Of a job that cannot be complete in time, the
     /// smallest groups start first, as they may still be.
     pub(super) fn sort(&mut self) {
-        let hint = |item: usize| self.spec.items[item].length_hint.unwrap_or_default();
+        let hint = |item: usize| self.spec.items[item].length_hint.map_or(0, Hint::tokens);
         let mut sizes: BTreeMap<usize, u64> = BTreeMap::new();
         for (item, group) in self.groups.iter().enumerate() {
-            *sizes.entry(*group).or_default() += hint(item);
+            *sizes.entry(*group).or_default() += u64::from(hint(item));
         }
         let mut by_size: Vec<(u64, usize)> =
             sizes.iter().map(|(group, size)| (*size, *group)).collect();
@@ -51,15 +50,19 @@
             ready.into_iter().map(|position| self.positions[before[position]]).collect();
     }
 
-    /// Work that the job needs to be complete, if `events_per_hint` events are generated for each unit of the length
-    /// hints and each takes `pace`.
-    pub(super) fn load(&self, pace: Duration, events_per_hint: f64) -> Load {
-        self.load_of(pace, |item| self.rest_events(item, events_per_hint))
+    /// Work that the job needs to be complete, if each event takes `pace`.
+    pub(super) fn load(&self, pace: Duration, lengths: &Estimate) -> Load {
+        self.load_of(pace, |item| self.rest_events(item, lengths))
     }
 
     /// Work that the job needed when it was submitted.
-    pub(super) fn whole_load(&self, pace: Duration, events_per_hint: f64) -> Load {
-        self.load_of(pace, |item| self.length(item, events_per_hint).max(1.0))
+    pub(super) fn whole_load(&self, pace: Duration, lengths: &Estimate) -> Load {
+        self.load_of(pace, |item| self.length(item, lengths))
+    }
+
+    /// Events that all its texts are expected to have.
+    pub(super) fn whole_events(&self, lengths: &Estimate) -> f64 {
+        (0..self.spec.items.len()).map(|item| self.length(item, lengths)).sum()
     }
 
     fn load_of(&self, pace: Duration, events: impl Fn(usize) -> f64) -> Load {
@@ -81,56 +84,52 @@
             job: self.spec.id.clone(),
             due: self.due,
             priority: self.policy.priority,
-            work: pace.mul_f64(sum),
-            longest: pace.mul_f64(longest),
+            work: Effort::new(pace, sum),
+            longest: Effort::new(pace, longest),
         }
     }
 
     /// What an item needs of an engine.
     pub(super) fn work(&self, item: usize) -> prefix::Work<'_> {
         let it = &self.spec.items[item];
-        let per_hint = self.events_per_hint.unwrap_or(1.0);
-        let events = match it.length_hint {
-            Some(_) => self.rest_events(item, per_hint),
-            None => UNKNOWN_EVENTS,
-        };
+        let events = self.rest_events(item, &self.lengths.unwrap_or_default());
         prefix::Work { prompt: &it.prompt, max_total_tokens: it.max_total_tokens, events }
     }
 
     /// The job as a consumer of slots.
-    pub(super) fn step(&self, pace: Duration, events_per_hint: f64) -> Step {
+    pub(super) fn step(&self, pace: Duration, lengths: &Estimate) -> Step {
         let is_open = |status: &&ItemStatus| status.state.is_open() && !status.text_complete;
         Step {
             model: self.spec.model.clone(),
             submitted_at: self.submitted_at,
-            rest: self.load(pace, events_per_hint),
-            whole: self.whole_load(pace, events_per_hint),
+            rest: self.load(pace, lengths),
+            whole: self.whole_load(pace, lengths),
             open_items: self.statuses.iter().filter(is_open).count(),
             items: self.statuses.len(),
         }
     }
 
     /// Expected length of an item's text.
-    fn length(&self, item: usize, events_per_hint: f64) -> f64 {
-        self.spec.items[item].length_hint.unwrap_or(1) as f64 * events_per_hint
+    fn length(&self, item: usize, lengths: &Estimate) -> f64 {
+        lengths.events(self.spec.items[item].length_hint)
     }
 
     /// Whether an item is done early enough on an engine of a pace that a faster one would not complete the job sooner.
     pub(super) fn is_short(&self, item: usize, now: Time, pace: Duration) -> bool {
-        let Some(events_per_hint) = self.events_per_hint else {
+        let Some(lengths) = &self.lengths else {
             return false;
         };
-        let rest = self.rest_events(item, events_per_hint);
-        pace.mul_f64(rest) * SHORT_DIVISOR <= self.due.saturating_sub(now)
+        let rest = Effort::new(pace, self.rest_events(item, lengths));
+        rest.time() <= self.due.saturating_sub(now) / SHORT_DIVISOR
     }
 
     /// Events that an item's text is expected to lack.
-    pub(super) fn rest_events(&self, item: usize, events_per_hint: f64) -> f64 {
+    pub(super) fn rest_events(&self, item: usize, lengths: &Estimate) -> f64 {
         let status = self.statuses.get(item);
         let Some(status) = status.filter(|it| it.state.is_open() && !it.text_complete) else {
             return 0.0;
         };
-        let length = self.length(item, events_per_hint);
+        let length = self.length(item, lengths);
         let done = status.events() as f64;
         (length - done).max(done * OVERRUN_SHARE).max(1.0)
     }
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -9,11 +9,11 @@
     dialect::Strategy,
     events::Progress,
     job::{
-        Assignment, End, Engines, Job, Outcome, Record, Row,
-        length::Estimate,
+        Assignment, Claim, End, Engines, Job, Outcome, Record, Row,
         status::State,
         triage::{self, Load},
     },
+    length::{self, Estimate},
     prelude::*,
     scale::Step,
 };
@@ -33,7 +33,7 @@
     /// The jobs have changed since the order was determined.
     order_outdated: bool,
     triaged_at: Time,
-    lengths: Estimate,
+    lengths: length::Table,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
 }
@@ -141,7 +141,7 @@
         let deferred = self.deferred(now, engines, &min_versions);
         for (id, job) in &mut self.jobs {
             job.set_deferred(deferred.contains(id));
-            job.events_per_hint = self.lengths.events_per_hint();
+            job.lengths = self.lengths.estimate(&job.trainer());
         }
         self.order = self.jobs.keys().cloned().collect();
         self.order.sort_by_key(|id| self.jobs[id].rank());
@@ -156,14 +156,14 @@
         engines: &Engines,
         min_versions: &BTreeMap<ModelId, Version>,
     ) -> BTreeSet<JobId> {
-        let Some(events_per_hint) = self.lengths.events_per_hint() else {
-            return BTreeSet::new();
-        };
         let slots = engines.slots_by_model(min_versions);
         let pace = engines.typical_pace();
         let mut loads: BTreeMap<&str, Vec<Load>> = BTreeMap::new();
         for job in self.jobs.values() {
-            loads.entry(&job.spec.model).or_default().push(job.load(pace, events_per_hint));
+            let Some(lengths) = self.lengths_of(job) else {
+                return BTreeSet::new();
+            };
+            loads.entry(&job.spec.model).or_default().push(job.load(pace, &lengths));
         }
         let of_model = |(model, loads): (&str, Vec<Load>)| {
             triage::deferred(now, slots.get(model).copied().unwrap_or_default(), loads)
@@ -171,19 +171,28 @@
         loads.into_iter().flat_map(of_model).collect()
     }
 
+    /// Lengths of the texts of a job's trainer; `None` before any text was finished.
+    fn lengths_of(&self, job: &Job) -> Option<Estimate> {
+        self.lengths.estimate(&job.trainer())
+    }
+
+    /// Events that a job claims, and whether its trainer's own texts show it.
+    pub fn claim(&self, job: &Job) -> Claim {
+        let lengths = self.lengths_of(job).unwrap_or_default();
+        Claim { events: job.whole_events(&lengths), is_measured: lengths.is_own }
+    }
+
     /// The jobs as consumers of slots; none before a text was finished, as the events of a unit of a hint are unknown until then.
     pub fn steps(&self, engines: &Engines) -> Vec<Step> {
-        let Some(events_per_hint) = self.lengths.events_per_hint() else {
-            return Vec::new();
-        };
         let pace = engines.typical_pace();
-        self.jobs.values().map(|job| job.step(pace, events_per_hint)).collect()
+        let step = |job: &Job| Some(job.step(pace, &self.lengths_of(job)?));
+        self.jobs.values().filter_map(step).collect()
     }
 
     /// Events that a running item's text is expected to lack; `None` before any text was finished.
     pub fn rest_events(&self, job: &str, item: usize) -> Option<f64> {
-        let events_per_hint = self.lengths.events_per_hint()?;
-        Some(self.jobs.get(job)?.rest_events(item, events_per_hint))
+        let job = self.jobs.get(job)?;
+        Some(job.rest_events(item, &self.lengths_of(job)?))
     }
 
     /// Gives the run of an assignment its id.
@@ -211,7 +220,7 @@
                 let is_present = job.has_run(outcome.item, outcome.run);
                 if matches!(outcome.end, End::Scored(_)) {
                     let hint = job.spec.items.get(outcome.item).and_then(|item| item.length_hint);
-                    self.lengths.record(hint, outcome.progress.last_event);
+                    self.lengths.record(&job.trainer(), hint, outcome.progress.last_event);
                 }
                 if is_present {
                     job.finish_run(outcome, now);
--- a/crates/node/src/job/spec.rs
+++ b/crates/node/src/job/spec.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::Method;
 
-use crate::{crash::Content, prefix::Prompt, prelude::*};
+use crate::{crash::Content, length::Hint, prefix::Prompt, prelude::*};
 
 /// Request to a plain service that scores a finished text.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,8 +26,8 @@
     pub body: Bytes,
     /// Prompt tokens plus the maximum number of output tokens.
     pub max_total_tokens: u64,
-    /// Estimated output tokens, if the trainer gives them.
-    pub length_hint: Option<u64>,
+    /// Estimated output tokens, if the trainer gives an estimate that can be.
+    pub length_hint: Option<Hint>,
     /// Parts of its prompt, if the trainer names them.
     pub prompt: Prompt,
     pub group: Box<str>,
--- a/crates/node/src/job/triage.rs
+++ b/crates/node/src/job/triage.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::prelude::*;
+use crate::{job::Effort, prelude::*};
 
 /// Work that a job needs to be complete.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,35 +18,36 @@
     /// Priority of the route; 0 is the most urgent.
     pub priority: u32,
     /// Slot time of all items that the trainer still needs.
-    pub work: Duration,
+    pub work: Effort,
     /// Time of the longest of these items.
-    pub longest: Duration,
+    pub longest: Effort,
 }
 
 /// Jobs to defer of those that share `slots` slots.
 pub fn deferred(now: Time, slots: f64, mut loads: Vec<Load>) -> BTreeSet<JobId> {
     loads.sort_by(|a, b| a.due.cmp(&b.due).then_with(|| a.job.cmp(&b.job)));
     let (mut accepted, mut deferred): (Vec<Load>, BTreeSet<JobId>) = Default::default();
-    let mut work = Duration::ZERO;
     for load in loads {
         let due = load.due;
-        work += load.work;
+        // A job that would be late even alone costs no other job its place.
+        if !fits(now, slots, std::slice::from_ref(&load), due) {
+            deferred.insert(load.job);
+            continue;
+        }
         accepted.push(load);
-        while !fits(now, slots, work, &accepted, due) {
+        while !fits(now, slots, &accepted, due) {
             let dropped = largest(&accepted);
-            let load = accepted.swap_remove(dropped);
-            work -= load.work;
-            deferred.insert(load.job);
+            deferred.insert(accepted.swap_remove(dropped).job);
         }
     }
     deferred
 }
 
 /// Whether the accepted jobs are complete by `due`, the latest of their due times.
-fn fits(now: Time, slots: f64, work: Duration, accepted: &[Load], due: Time) -> bool {
+fn fits(now: Time, slots: f64, accepted: &[Load], due: Time) -> bool {
     let longest = accepted.iter().map(|load| load.longest).max().unwrap_or_default();
-    let shared = work.div_f64(slots.max(1.0));
-    accepted.is_empty() || now + shared.max(longest) <= due
+    let work: Effort = accepted.iter().map(|load| load.work).sum();
+    accepted.is_empty() || now + work.in_slots(slots).max(longest.time()) <= due
 }
 
 /// Index of the largest of the least urgent jobs.
--- a/crates/node/src/scale/demand.rs
+++ b/crates/node/src/scale/demand.rs
@@ -1,6 +1,9 @@
 //! Slots that the open steps need to be complete by their due times.
 
-use crate::{job::triage::Load, prelude::*};
+use crate::{
+    job::{Effort, triage::Load},
+    prelude::*,
+};
 
 /// Least share of the time until a step is due over which its work is spread, however long its longest item is.
 const SPREAD_SHARE_MIN: f64 = 1.0 / 3.0;
@@ -22,13 +25,13 @@
 impl Step {
     /// Slots that complete the whole step in time if it gets them from its submission on. An item takes one slot at a time.
     pub fn slots_from_start(&self) -> f64 {
-        slots(self.whole.work, self.spread()).min(self.items as f64)
+        slots(self.whole.work.time(), self.spread()).min(self.items as f64)
     }
 
     /// Time over which its work is spread.
     pub fn spread(&self) -> Duration {
         let time = self.whole.due.saturating_sub(self.submitted_at);
-        spread(time, self.whole.longest)
+        spread(time, self.whole.longest.time())
     }
 }
 
@@ -73,15 +76,15 @@
     by_due.sort_by_key(|step| step.rest.due);
     let (mut work, mut longest, mut items, mut needed) = (0.0, Duration::ZERO, 0, 0.0_f64);
     for step in by_due {
-        work += step.rest.work.as_secs_f64();
-        longest = longest.max(step.rest.longest);
+        work += step.rest.work.time().as_secs_f64();
+        longest = longest.max(step.rest.longest.time());
         items += step.open_items;
         let time = spread(step.rest.due.saturating_sub(now).max(boot * BOOTS_MIN), longest);
         let served = supply.work_within(time);
         let share = if served > 0.0 { (work / served).min(1.0) } else { 0.0 };
         let time_of_further = time.saturating_sub(boot).max(time / 2);
-        let further = Duration::from_secs_f64((work - served).max(0.0));
-        let slots = supply.slots() * share + slots(further, time_of_further);
+        let further = Effort::new(Duration::from_secs(1), work - served);
+        let slots = supply.slots() * share + slots(further.time(), time_of_further);
         needed = needed.max(slots.min(items as f64));
     }
     needed
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -8,6 +8,7 @@
     events::{Event, Progress},
     fleet::Target,
     job::{Engines, Evidence, Item, Job, Outcome, Policy, Record, Requirement, Spec},
+    length::Hint,
     prefix::{Part, Prompt},
 };
 
@@ -62,7 +63,7 @@
         headers: Vec::new(),
         body: bytes::Bytes::new(),
         max_total_tokens: 10,
-        length_hint: Some(length_hint),
+        length_hint: Hint::try_from(length_hint).ok(),
         prompt: Prompt::default(),
         group: group.into(),
         judge: None,
--- a/crates/node/tests/scale/replay.rs
+++ b/crates/node/tests/scale/replay.rs
@@ -295,12 +295,12 @@
     }
 
     fn open_steps(&self) -> Vec<Step> {
-        let load = |step: &OpenStep, work| Load {
+        let load = |step: &OpenStep, work: Duration| Load {
             job: step.id.to_string().into(),
             due: step.submitted_at + DEADLINE,
             priority: 0,
-            work,
-            longest: ITEM,
+            work: work.into(),
+            longest: ITEM.into(),
         };
         let step = |step: &OpenStep| Step {
             model: "m".into(),
--- a/crates/node/tests/triage.rs
+++ b/crates/node/tests/triage.rs
@@ -14,7 +14,13 @@
 };
 
 fn load(job: &str, due: u64, work: u64, longest: u64) -> Load {
-    Load { job: job.into(), due: ms(due), priority: 0, work: ms(work), longest: ms(longest) }
+    Load {
+        job: job.into(),
+        due: ms(due),
+        priority: 0,
+        work: ms(work).into(),
+        longest: ms(longest).into(),
+    }
 }
 
 fn ids(jobs: &[&str]) -> BTreeSet<JobId> {
@@ -51,6 +57,15 @@
     assert_eq!(triage::deferred(ms(0), 4.0, loads), ids(&["low"]));
 }
 
+/// Guards against a job that takes the place of another by a claim that no engine can meet in time.
+#[test]
+fn a_job_that_is_late_even_alone_costs_no_other_job_its_place() {
+    let mut low = load("low", 1_500, 2_000, 100);
+    low.priority = 1;
+    let loads = vec![low, load("overlong", 2_000, 4_000, 5_000)];
+    assert_eq!(triage::deferred(ms(0), 4.0, loads), ids(&["overlong"]));
+}
+
 /// Two steps on 2 slots: 5 s of work due after 4 s, and 3 s of work due after 4.5 s. By due time both would be late.
 #[test]
 fn one_of_two_steps_is_complete_in_time_if_both_cannot_be() {
