Heads of jobs: a number of parts that no job can have is refused when read

What callers would see: a head of an ended job that names 2^36 parts ends each leader of its service in turn, at the end of the job's retention.

Cause: `remove_job` lists the keys of all parts before it removes them, so the process allocates as much as the head says.

Evidence: odd_entries::an_ended_job_of_countless_parts_ends_no_leader failed on: "memory allocation of bytes failed", "host-0 has ended".

Change: a head with more than 1,024 parts is not decoded, and ignored with a log line like any other odd one; a transaction of the store takes 32 entries, so no job has as many. The end of a chunk of rows no longer overflows either.

--- a/crates/node/src/job/record.rs
+++ b/crates/node/src/job/record.rs
@@ -1,9 +1,12 @@
 //! Metadata of a job as stored.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error};
 
 use crate::{job::Policy, prelude::*};
 
+/// Most parts of a submitted body. All are written in one transaction, which takes far fewer.
+const PARTS_MAX: usize = 1024;
+
 /// Metadata of a job. The submitted body is stored separately, in parts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -17,6 +20,7 @@
     /// Number of items.
     pub total: usize,
     /// Number of parts of the submitted body.
+    #[serde(deserialize_with = "parts")]
     pub parts: usize,
     /// The trainer ended the job.
     pub ended: bool,
@@ -34,3 +38,12 @@
         Duration::from_millis(unix_ms.saturating_sub(self.submitted_ms))
     }
 }
+
+/// Checks a number of parts, by which a leader removes the job.
+fn parts<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    let parts = usize::deserialize(deserializer)?;
+    if parts > PARTS_MAX {
+        return Err(D::Error::custom("more parts than a job can have"));
+    }
+    Ok(parts)
+}
--- a/crates/node/src/job/row.rs
+++ b/crates/node/src/job/row.rs
@@ -32,6 +32,6 @@
 impl Chunk {
     /// Position after the last row.
     pub fn end(&self) -> u64 {
-        self.first + self.rows.len() as u64
+        self.first.saturating_add(self.rows.len() as u64)
     }
 }
