Leader: a job on which it panics is set aside, and all others go on

Cause: a panic on the control thread ends the process on purpose, as a host without it would go on with what it knew at that moment.

Change: what is computed of one job alone (opening it, its load, its rank, its step) is guarded. If it panics, the job is removed from the queue and not read again until the process ends; an error is logged and `lagoonyard_isolated_jobs_total` counts it. What is computed over several jobs is not guarded.

Evidence: isolation::a_job_that_panics_is_set_aside_and_all_others_go_on orders a job whose rank overflows beside a sound one; without the guard, the same overflow panics out of `assign_next`.

--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -175,7 +175,7 @@
                         let opened = leader.finish_read(job, policy, submitted_at, now);
                         config.into_iter().for_each(|it| leader.queue.update_policies(it));
                         METERS.open_jobs(&service, leader.queue.len());
-                        self.outbox.send(&service, vec![opened]);
+                        self.outbox.send(&service, opened.into_iter().collect());
                     }
                     _ => {
                         leader.fail_read(&id);
@@ -340,7 +340,7 @@
         let opened = leader.finish_read(stored, policy, submitted_at, now);
         config.into_iter().for_each(|it| leader.queue.update_policies(it));
         METERS.open_jobs(&service, leader.queue.len());
-        self.outbox.send(&service, vec![opened]);
+        self.outbox.send(&service, opened.into_iter().collect());
     }
 
     /// Ends a job of a service that this host leads, on request of its trainer. Replies `false` if the requester has to
--- a/crates/node/src/control/leader.rs
+++ b/crates/node/src/control/leader.rs
@@ -18,7 +18,7 @@
     fleet::Target,
     job::{
         Engine, Engines, Failure, Failures, Job, Leaving, Pending, Policy, Queue, Reason, Row,
-        Visitor,
+        Visitor, guard,
         homes::{Homes, Runner, Streams},
     },
     peer::FailedItem,
@@ -157,19 +157,36 @@
 
     /// Whether a job has to be read from the store now. If so, it counts as being read.
     pub fn begin_read(&mut self, id: &JobId) -> bool {
-        self.leads() && self.queue.get(id).is_none() && self.reading.insert(id.clone())
+        let is_known = self.queue.get(id).is_some() || self.queue.is_isolated(id);
+        self.leads() && !is_known && self.reading.insert(id.clone())
     }
 
-    /// Adds a job that was read from the store. Returns the command that makes its results available.
+    /// Adds a job that was read from the store. Returns the command that makes its results available, or `None` if the job
+    /// is set aside.
     pub fn finish_read(
         &mut self,
         stored: StoredJob,
         policy: Policy,
         submitted_at: Time,
         now: Time,
+    ) -> Option<Command> {
+        let id = stored.spec.id.clone();
+        self.reading.remove(&id);
+        let opened = guard(&id, || self.open_job(stored, policy, submitted_at, now));
+        if opened.is_none() {
+            self.queue.isolate(&id);
+        }
+        opened
+    }
+
+    fn open_job(
+        &mut self,
+        stored: StoredJob,
+        policy: Policy,
+        submitted_at: Time,
+        now: Time,
     ) -> Command {
         let StoredJob { spec, record, chunks, checkpoints } = stored;
-        self.reading.remove(&spec.id);
         let workspace = record.workspace.clone();
         let (id, rows) = (spec.id.clone(), chunks.iter().flat_map(|chunk| &chunk.rows));
         let rows: Vec<Row> = rows.cloned().collect();
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -11,6 +11,7 @@
 mod failure;
 mod failures;
 pub mod homes;
+mod isolation;
 mod keys;
 mod leaving;
 mod open;
@@ -38,6 +39,7 @@
 pub use engines::Engines;
 pub use failure::{Failure, Identity};
 pub use failures::Failures;
+pub use isolation::guard;
 pub use keys::{
     HEADS, HELD, HOSTS, Key, LEADERS, READERS, body_key, checkpoints_key, chunk_key, chunks_prefix,
     head_key, held_key, host_key, leader_key, software_key,
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -10,6 +10,7 @@
     events::Progress,
     job::{
         Assignment, Claim, End, Engines, Job, Outcome, Record, Row,
+        isolation::{Isolated, guard},
         status::State,
         triage::{self, Load},
     },
@@ -33,6 +34,7 @@
     /// The jobs have changed since the order was determined.
     order_outdated: bool,
     triaged_at: Time,
+    isolated: Isolated,
     lengths: length::Table,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
     retained: HashMap<ItemId, (Time, Progress, bool)>,
@@ -138,37 +140,54 @@
             *min = job.spec.min_version.min(*min);
         }
         engines.set_demand(&min_versions);
-        let deferred = self.deferred(now, engines, &min_versions);
+        let loads = self.loads(engines.typical_pace());
+        let deferred = deferred(now, &engines.slots_by_model(&min_versions), loads);
+        let mut ranks = Vec::with_capacity(self.jobs.len());
         for (id, job) in &mut self.jobs {
-            job.set_deferred(deferred.contains(id));
-            job.lengths = self.lengths.estimate(&job.trainer());
+            let lengths = self.lengths.estimate(&job.trainer());
+            let rank = guard(id, || {
+                job.set_deferred(deferred.contains(id));
+                job.lengths = lengths;
+                job.rank()
+            });
+            match rank {
+                Some(rank) => ranks.push((rank, id.clone())),
+                None => _ = self.isolated.insert(id.clone()),
+            }
         }
-        self.order = self.jobs.keys().cloned().collect();
-        self.order.sort_by_key(|id| self.jobs[id].rank());
+        ranks.sort();
+        self.order = ranks.into_iter().map(|(_, id)| id).collect();
+        self.jobs.retain(|id, _| !self.isolated.contains(id));
         self.order_outdated = false;
         self.triaged_at = now;
     }
 
-    /// Jobs that cannot be complete in time. The slots of an engine count in equal parts for the models that it serves.
-    fn deferred(
-        &self,
-        now: Time,
-        engines: &Engines,
-        min_versions: &BTreeMap<ModelId, Version>,
-    ) -> BTreeSet<JobId> {
-        let slots = engines.slots_by_model(min_versions);
-        let pace = engines.typical_pace();
-        let mut loads: BTreeMap<&str, Vec<Load>> = BTreeMap::new();
-        for job in self.jobs.values() {
-            let Some(lengths) = self.lengths_of(job) else {
-                return BTreeSet::new();
+    /// Work of all jobs, by model; none before any text was finished.
+    fn loads(&mut self, pace: Duration) -> BTreeMap<ModelId, Vec<Load>> {
+        let mut loads: BTreeMap<ModelId, Vec<Load>> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            let Some(lengths) = self.lengths.estimate(&job.trainer()) else {
+                return BTreeMap::new();
             };
-            loads.entry(&job.spec.model).or_default().push(job.load(pace, &lengths));
+            match guard(id, || job.load(pace, &lengths)) {
+                Some(load) => loads.entry(job.spec.model.clone()).or_default().push(load),
+                None => _ = self.isolated.insert(id.clone()),
+            }
         }
-        let of_model = |(model, loads): (&str, Vec<Load>)| {
-            triage::deferred(now, slots.get(model).copied().unwrap_or_default(), loads)
-        };
-        loads.into_iter().flat_map(of_model).collect()
+        self.jobs.retain(|id, _| !self.isolated.contains(id));
+        loads
+    }
+
+    /// Sets a job aside that this host cannot handle.
+    pub fn isolate(&mut self, id: &JobId) {
+        self.jobs.remove(id);
+        self.isolated.insert(id.clone());
+        self.order_outdated = true;
+    }
+
+    /// Whether a job is set aside.
+    pub fn is_isolated(&self, id: &str) -> bool {
+        self.isolated.contains(id)
     }
 
     /// Lengths of the texts of a job's trainer; `None` before any text was finished.
@@ -185,8 +204,11 @@
     /// The jobs as consumers of slots; none before a text was finished, as the events of a unit of a hint are unknown until then.
     pub fn steps(&self, engines: &Engines) -> Vec<Step> {
         let pace = engines.typical_pace();
-        let step = |job: &Job| Some(job.step(pace, &self.lengths_of(job)?));
-        self.jobs.values().filter_map(step).collect()
+        let step = |(id, job): (&JobId, &Job)| {
+            let lengths = self.lengths_of(job)?;
+            guard(id, || job.step(pace, &lengths))
+        };
+        self.jobs.iter().filter_map(step).collect()
     }
 
     /// Events that a running item's text is expected to lack; `None` before any text was finished.
@@ -313,3 +335,16 @@
         if single { Strategy::Wait } else { Strategy::Keep }
     }
 }
+
+/// Jobs that cannot be complete in time, with the slots for each model. The slots of an engine count in equal parts for the
+/// models that it serves.
+fn deferred(
+    now: Time,
+    slots: &BTreeMap<ModelId, f64>,
+    loads: BTreeMap<ModelId, Vec<Load>>,
+) -> BTreeSet<JobId> {
+    let of_model = |(model, loads): (ModelId, Vec<Load>)| {
+        triage::deferred(now, slots.get(&model).copied().unwrap_or_default(), loads)
+    };
+    loads.into_iter().flat_map(of_model).collect()
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -44,6 +44,7 @@
     targets: Gauge<u64>,
     config_version: Gauge<u64>,
     open_jobs: Gauge<u64>,
+    isolated_jobs: Counter<u64>,
     idle_items: Gauge<u64>,
     cut_off: Gauge<u64>,
     tunnels: Counter<u64>,
@@ -133,6 +134,10 @@
             targets: gauge("lagoonyard_targets", "Registered targets"),
             config_version: gauge("lagoonyard_config_version", "Version in force"),
             open_jobs: gauge("lagoonyard_open_jobs", "Open jobs of this leader"),
+            isolated_jobs: counter(
+                "lagoonyard_isolated_jobs",
+                "Jobs that this host has set aside, as it panics on them",
+            ),
             idle_items: gauge(
                 "lagoonyard_idle_items",
                 "Items that have been at no engine for 2 s or more, by reason",
@@ -291,6 +296,11 @@
         self.open_jobs.record(count as u64, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts a job that is set aside.
+    pub fn isolated_job(&self) {
+        self.isolated_jobs.add(1, &[]);
+    }
+
     /// Records the number of items that are at no engine for one reason.
     pub fn idle_items(&self, reason: &'static str, count: u64) {
         self.idle_items.record(count, &[KeyValue::new("reason", reason)]);
