Refactor: one way to open a job, to answer a call about a job, and to build a requirement

It joins logic that stood two or three times: opening a job that was read and one that was just submitted (`Control::open_job`), the three calls about a job at this host or at its leader (`peers::answer`, `held`), `Requirement` with nothing special (`Requirement::new`) and `Wait` from a reason. Only the opened job is checked against the configuration, as the others know it. The fair queue keeps ranks in a set, since nobody read the requests in it.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -9,10 +9,7 @@
 use lagoonyard_node::{
     events::Progress,
     fleet::Target,
-    job::{
-        Assignment, End, Engines, Evidence, Item, Job, Outcome, Policy, Queue, Record, Requirement,
-        Spec,
-    },
+    job::{Assignment, End, Engines, Item, Job, Outcome, Policy, Queue, Record, Requirement, Spec},
     length::Hint,
     prefix::{Part, Prompt, Settings, Table, Work},
 };
@@ -141,17 +138,7 @@
     };
     let (_, mut engines, _) = full(ENGINES, 1, 0);
     engines.set_demand(&BTreeMap::from([("m0".into(), 0)]));
-    let requirement = Requirement {
-        model: "m0",
-        min_version: 0,
-        avoid: None,
-        software: None,
-        allow_slow: false,
-        spares_fast: false,
-        evidence: Evidence::Any,
-        idle: false,
-        work: None,
-    };
+    let requirement = Requirement::new("m0", 0);
     criterion.bench_function("place without prompts, 1000 engines", |bench| {
         bench.iter(|| black_box(engines.choose(&requirement).expect("open")));
     });
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -164,20 +164,14 @@
                 let head = self.store_state.job_heads.get(&id);
                 let ended = head.is_none_or(|head| head.record.ended);
                 let policy = job.as_ref().and_then(|job| self.policy(&job.record));
-                let Some(leader) = self.leaders.get_mut(&service) else {
-                    return;
-                };
                 match (job, policy) {
                     (Some(job), Some(policy)) if !ended => {
-                        let submitted_at = now.saturating_sub(job.record.age(clock::unix_ms()));
-                        let config = self.store_state.config.as_deref();
-                        let job = job.with_workspace(config, &self.dialect);
-                        let opened = leader.finish_read(job, policy, submitted_at, now);
-                        config.into_iter().for_each(|it| leader.queue.update_policies(it));
-                        METERS.open_jobs(&service, leader.queue.len());
-                        self.outbox.send(&service, opened.into_iter().collect());
+                        self.open_job(&service, *job, policy, now);
                     }
                     _ => {
+                        let Some(leader) = self.leaders.get_mut(&service) else {
+                            return;
+                        };
                         leader.fail_read(&id);
                         self.store_state.heads_changed = true;
                     }
@@ -331,16 +325,24 @@
         let Some(policy) = policy.filter(|_| is_new && leader.begin_read(&id)) else {
             return;
         };
-        let now = clock::now();
-        let submitted_at = now.saturating_sub(record.age(clock::unix_ms()));
         self.store_state.put_head(id, Head { record: record.clone(), revision });
         let stored = StoredJob { spec, record, chunks: Vec::new(), checkpoints: Vec::new() };
+        self.open_job(&service, stored, policy, clock::now());
+    }
+
+    /// Opens a job of a service that this host leads.
+    fn open_job(&mut self, service: &ServiceId, job: StoredJob, policy: Policy, now: Time) {
+        let Some(leader) = self.leaders.get_mut(service) else {
+            return;
+        };
+        let submitted_at = now.saturating_sub(job.record.age(clock::unix_ms()));
         let config = self.store_state.config.as_deref();
-        let stored = stored.with_workspace(config, &self.dialect);
-        let opened = leader.finish_read(stored, policy, submitted_at, now);
-        config.into_iter().for_each(|it| leader.queue.update_policies(it));
-        METERS.open_jobs(&service, leader.queue.len());
-        self.outbox.send(&service, opened.into_iter().collect());
+        let id = job.spec.id.clone();
+        let job = job.with_workspace(config, &self.dialect);
+        let opened = leader.finish_read(job, policy, submitted_at, now);
+        config.into_iter().for_each(|config| leader.queue.update_policy(&id, config));
+        METERS.open_jobs(service, leader.queue.len());
+        self.outbox.send(service, opened.into_iter().collect());
     }
 
     /// Ends a job of a service that this host leads, on request of its trainer. Replies `false` if the requester has to
--- a/crates/node/src/control/dry_run.rs
+++ b/crates/node/src/control/dry_run.rs
@@ -44,7 +44,7 @@
                     return Err(Refusal::EndedJob);
                 }
                 let candidates = leader.engines.explain(now);
-                let wait = Some(wait(&Reason::JobNotRead));
+                let wait = Some(Wait::from(&Reason::JobNotRead));
                 Ok(Plan { candidates, wait, ..self.plan_of(leader, now) })
             }
         }
@@ -62,16 +62,12 @@
     fn plan_job(&self, leader: &Leader, id: &JobId, now: Time) -> Plan {
         let mut plan = self.plan_of(leader, now);
         leader.queue.explain(id, now, &leader.engines, &mut plan);
-        let blocked = self.blocked(&leader.service, leader).map(|reason| wait(&reason));
-        let awaits = || Wait { reason: AWAITS_FAILURES.into(), detail: "".into() };
-        let blocked = blocked.or_else(|| leader.awaits_failures.then(awaits));
+        let blocked = self.blocked(&leader.service, leader).map(|reason| Wait::from(&reason));
+        let awaits = || leader.awaits_failures.then(|| Wait::new(AWAITS_FAILURES));
+        let blocked = blocked.or_else(awaits);
         if blocked.is_some() {
             (plan.chosen, plan.wait) = (None, blocked);
         }
         plan
     }
 }
-
-fn wait(reason: &Reason) -> Wait {
-    Wait { reason: reason.name().into(), detail: reason.to_string().into() }
-}
--- a/crates/node/src/control/moves.rs
+++ b/crates/node/src/control/moves.rs
@@ -92,16 +92,11 @@
     fn requirement<'a>(&'a self, run: &'a ActiveRun) -> Option<Requirement<'a>> {
         let (job, target) = (self.queue.get(&run.job)?, run.target.as_ref()?);
         Some(Requirement {
-            model: &job.spec.model,
-            min_version: job.spec.min_version,
             avoid: Some(target),
             // A text goes on only at the version that began it.
             software: self.engines.get(target).map(|engine| &*engine.target.software),
-            allow_slow: false,
-            spares_fast: false,
             evidence: Evidence::NoFailure,
-            idle: false,
-            work: None,
+            ..Requirement::new(&job.spec.model, job.spec.min_version)
         })
     }
 }
--- a/crates/node/src/dry_run/plan.rs
+++ b/crates/node/src/dry_run/plan.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     dry_run::{CANDIDATES_MAX, Candidate, millis},
+    job::Reason,
     prelude::*,
 };
 
@@ -81,6 +82,19 @@
     pub detail: Box<str>,
 }
 
+impl Wait {
+    /// A reason that needs no detail.
+    pub fn new(reason: &str) -> Self {
+        Self { reason: reason.into(), detail: "".into() }
+    }
+}
+
+impl From<&Reason> for Wait {
+    fn from(reason: &Reason) -> Self {
+        Self { reason: reason.name().into(), detail: reason.to_string().into() }
+    }
+}
+
 /// Ages of what the decision is made by.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ages {
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -155,15 +155,10 @@
         let known = status.progress.software.as_deref().filter(|it| engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
         let requirement = Requirement {
-            model: &self.spec.model,
-            min_version: self.spec.min_version,
             avoid: status.avoid.as_ref(),
             software,
-            allow_slow: false,
-            spares_fast: false,
-            evidence: Evidence::Any,
-            idle: false,
             work: work.filter(|work| !work.prompt.is_empty()),
+            ..Requirement::new(&self.spec.model, self.spec.min_version)
         };
         let sparing = Requirement { spares_fast: true, ..requirement };
         let sparing = Some(sparing)
--- a/crates/node/src/job/explain.rs
+++ b/crates/node/src/job/explain.rs
@@ -57,12 +57,9 @@
         plan.chosen = found.map(|(_, _, engine)| engine.target.id.clone());
         plan.wait = match (found, next) {
             (Some(_), _) => None,
-            _ if self.unowned => Some(Wait { reason: UNOWNED.into(), detail: "".into() }),
-            (None, Some(item)) => {
-                let reason = wait::reason(self, item, engines, now);
-                Some(Wait { reason: reason.name().into(), detail: reason.to_string().into() })
-            }
-            (None, None) => Some(Wait { reason: NOTHING_WAITS.into(), detail: "".into() }),
+            _ if self.unowned => Some(Wait::new(UNOWNED)),
+            (None, Some(item)) => Some(Wait::from(&wait::reason(self, item, engines, now))),
+            (None, None) => Some(Wait::new(NOTHING_WAITS)),
         };
         // An item that finds no engine is explained by the last and widest of its requirements.
         let requirement = found.map(|(_, requirement, _)| requirement).or_else(|| {
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -96,18 +96,14 @@
     /// Applies a configuration to the jobs that do not know it yet.
     pub fn update_policies(&mut self, config: &Config) {
         for job in self.jobs.values_mut() {
-            let Record { host, path, workspace, .. } = &*job.record;
-            let unowned = workspace.is_none() && config.needs_workspace(host, path);
-            if unowned && !job.unowned {
-                warn!(job = &*job.spec.id; "items of a job are not started: an earlier build has accepted it without a workspace");
-            }
-            job.unowned = unowned;
-            if let Some(later) = config.job_policy(&job.record)
-                && later.config > job.policy.config
-            {
-                job.set_policy(job.policy.updated(later));
-                self.order_outdated = true;
-            }
+            self.order_outdated |= update_policy(job, config);
+        }
+    }
+
+    /// Applies a configuration to one job.
+    pub fn update_policy(&mut self, id: &str, config: &Config) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            self.order_outdated |= update_policy(job, config);
         }
     }
 
@@ -348,3 +344,15 @@
     };
     loads.into_iter().flat_map(of_model).collect()
 }
+
+/// Applies a configuration to a job. Returns whether its policy has changed.
+fn update_policy(job: &mut Job, config: &Config) -> bool {
+    let Record { host, path, workspace, .. } = &*job.record;
+    let unowned = workspace.is_none() && config.needs_workspace(host, path);
+    if unowned && !job.unowned {
+        warn!(job = &*job.spec.id; "items of a job are not started: an earlier build has accepted it without a workspace");
+    }
+    job.unowned = unowned;
+    let later = config.job_policy(&job.record).filter(|later| later.config > job.policy.config);
+    later.inspect(|later| job.set_policy(job.policy.updated(*later))).is_some()
+}
--- a/crates/node/src/job/requirement.rs
+++ b/crates/node/src/job/requirement.rs
@@ -44,7 +44,22 @@
     pub work: Option<prefix::Work<'a>>,
 }
 
-impl Requirement<'_> {
+impl<'a> Requirement<'a> {
+    /// Requirement that any open engine with a version of a model meets, unless it is slow.
+    pub fn new(model: &'a str, min_version: Version) -> Self {
+        Self {
+            model,
+            min_version,
+            avoid: None,
+            software: None,
+            allow_slow: false,
+            spares_fast: false,
+            evidence: Evidence::Any,
+            idle: false,
+            work: None,
+        }
+    }
+
     /// The same on an engine that runs nothing else.
     pub(super) fn on_idle(self) -> Self {
         Self { idle: true, ..self }
--- a/crates/node/src/job/wait.rs
+++ b/crates/node/src/job/wait.rs
@@ -3,9 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
-    job::{
-        Engines, Evidence, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State,
-    },
+    job::{Engines, Item, Job, Outcome, Queue, Reason, Requirement, Supply, status::State},
     prelude::*,
 };
 
@@ -197,18 +195,8 @@
     /// What an item demands of its engine that no open engine offers.
     fn demand_reason(&self, job: &Job, item: usize) -> Option<Reason> {
         let status = &job.statuses[item];
-        let (model, min_version) = (&*job.spec.model, job.spec.min_version);
-        let any = Requirement {
-            spares_fast: false,
-            model,
-            min_version,
-            avoid: None,
-            software: None,
-            allow_slow: true,
-            evidence: Evidence::Any,
-            idle: false,
-            work: None,
-        };
+        let any = Requirement::new(&job.spec.model, job.spec.min_version);
+        let any = Requirement { allow_slow: true, ..any };
         self.engines.choose(&any)?;
         let known = status.progress.software.as_deref().filter(|it| self.engines.has_software(it));
         let software = known.filter(|_| status.progress.last_event > 0);
--- a/crates/node/src/share/queue.rs
+++ b/crates/node/src/share/queue.rs
@@ -1,4 +1,7 @@
-use std::{collections::BTreeMap, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Instant,
+};
 
 use crate::{
     prelude::*,
@@ -25,7 +28,7 @@
 /// Waiting requests of one priority.
 #[derive(Debug, Default)]
 struct Class {
-    shares: BTreeMap<Share, BTreeMap<Rank, Request>>,
+    shares: BTreeMap<Share, BTreeSet<Rank>>,
     len: usize,
     /// Grants to this class since the last one to a less urgent class.
     grants: u32,
@@ -147,7 +150,7 @@
         let served = |share: &Share| self.shares.served_s(share);
         let by_service = |a: &&Share, b: &&Share| served(a).total_cmp(&served(b));
         let share = shares.keys().min_by(by_service)?.clone();
-        let rank = *shares.get(&share)?.keys().next()?;
+        let rank = *shares.get(&share)?.first()?;
         let ticket = rank.2;
         self.places.remove(&ticket);
         self.take(priority, &share, rank, now);
@@ -197,7 +200,7 @@
         }
         let class = self.classes.entry(request.priority).or_default();
         class.len += 1;
-        class.shares.entry(request.share.clone()).or_default().insert(rank, request.clone());
+        class.shares.entry(request.share.clone()).or_default().insert(rank);
         self.places.insert(ticket, (request.priority, request.share.clone(), rank));
         ticket
     }
@@ -238,7 +241,7 @@
 
     fn waiting_of(&self, priority: u32, share: &Share) -> usize {
         let class = self.classes.get(&priority);
-        class.and_then(|class| class.shares.get(share)).map_or(0, BTreeMap::len)
+        class.and_then(|class| class.shares.get(share)).map_or(0, BTreeSet::len)
     }
 
     /// Number of requests that will probably be served before one that enters, if all shares are served in turn.
--- a/crates/node/src/traffic/dry_run.rs
+++ b/crates/node/src/traffic/dry_run.rs
@@ -136,10 +136,8 @@
         .collect();
     ranked.sort_by_key(|(rank, _)| *rank);
     let candidates: Vec<Candidate> = ranked.into_iter().map(|(_, candidate)| candidate).collect();
-    let wait = chosen.is_none().then(|| Wait {
-        reason: if candidates.is_empty() { "no_target" } else { "all_excluded" }.into(),
-        detail: "".into(),
-    });
+    let reason = if candidates.is_empty() { "no_target" } else { "all_excluded" };
+    let wait = chosen.is_none().then(|| Wait::new(reason));
     Plan { service, chosen, wait, candidates, ..Plan::default() }
 }
 
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -49,14 +49,8 @@
     after: u64,
     wait: Duration,
 ) -> Option<Answer> {
-    if is_hidden(traffic, id, |job| caller.sees(job)) {
-        return Some(Answer::Hidden);
-    }
-    if let Some(body) = held_results(traffic, id, after, wait).await {
-        return Some(Answer::Served(body));
-    }
     let call = JobCall::Results(Results { job: id.into(), after, wait_ms: peer::millis(wait) });
-    ask(traffic, caller, call, wait + RESPONSE_TIMEOUT).await
+    answer(traffic, caller, call, wait + RESPONSE_TIMEOUT).await
 }
 
 /// Returns the body of an item from its job's leader.
@@ -65,25 +59,40 @@
     (id, caller): (&str, &Caller),
     item: &str,
 ) -> Option<Answer> {
-    if is_hidden(traffic, id, |job| caller.sees(job)) {
-        return Some(Answer::Hidden);
-    }
-    if let Some(body) = held_body(traffic, id, item) {
-        return Some(Answer::Served(body));
-    }
     let call = JobCall::Body(Body { job: id.into(), item: item.into() });
-    ask(traffic, caller, call, RESPONSE_TIMEOUT).await
+    answer(traffic, caller, call, RESPONSE_TIMEOUT).await
 }
 
 /// Lets the leader of a job end it.
 pub async fn end(traffic: &Rc<Traffic>, (id, caller): (&str, &Caller)) -> Option<Answer> {
-    if is_hidden(traffic, id, |job| caller.sees(job)) {
+    answer(traffic, caller, JobCall::End(End { job: id.into() }), END_TIMEOUT).await
+}
+
+/// Answers a call if this host holds its job, and asks the leaders otherwise.
+async fn answer(
+    traffic: &Rc<Traffic>,
+    caller: &Caller,
+    call: JobCall,
+    limit: Duration,
+) -> Option<Answer> {
+    if is_hidden(traffic, call.job(), |job| caller.sees(job)) {
         return Some(Answer::Hidden);
     }
-    if end_here(traffic, id).await {
-        return Some(Answer::Served(Bytes::new()));
+    match held(traffic, &call).await {
+        Some(body) => Some(Answer::Served(body)),
+        None => ask(traffic, caller, call, limit).await,
+    }
+}
+
+/// Serves a call about a job that this host holds.
+async fn held(traffic: &Traffic, call: &JobCall) -> Option<Bytes> {
+    match call {
+        JobCall::Results(Results { job, after, wait_ms }) => {
+            held_results(traffic, job, *after, peer::duration(*wait_ms)).await
+        }
+        JobCall::Body(Body { job, item }) => held_body(traffic, job, item),
+        JobCall::End(End { job }) => end_here(traffic, job).await.then(Bytes::new),
     }
-    ask(traffic, caller, JobCall::End(End { job: id.into() }), END_TIMEOUT).await
 }
 
 /// Whether this host holds a job that does not exist for a caller.
@@ -204,18 +213,6 @@
         let spec = self.0.dialect.submission(&submitted.job, &submitted.body).ok()?;
         Some(Submission { record, revision: submitted.revision, spec: Arc::new(spec) })
     }
-
-    /// Serves a call about a job that this host holds.
-    async fn job(&self, call: JobCall) -> Option<Bytes> {
-        let traffic = &self.0;
-        match call {
-            JobCall::Results(Results { job, after, wait_ms }) => {
-                held_results(traffic, &job, after, peer::duration(wait_ms)).await
-            }
-            JobCall::Body(Body { job, item }) => held_body(traffic, &job, &item),
-            JobCall::End(End { job }) => end_here(traffic, &job).await.then(Bytes::new),
-        }
-    }
 }
 
 impl Handler for PeerHandler {
@@ -230,14 +227,14 @@
     async fn handle(&self, request: Request) -> Response {
         let traffic = &self.0;
         let body = match request.kind {
-            Some(Kind::Results(request)) => self.job(JobCall::Results(request)).await,
-            Some(Kind::Body(request)) => self.job(JobCall::Body(request)).await,
-            Some(Kind::End(request)) => self.job(JobCall::End(request)).await,
+            Some(Kind::Results(request)) => held(traffic, &JobCall::Results(request)).await,
+            Some(Kind::Body(request)) => held(traffic, &JobCall::Body(request)).await,
+            Some(Kind::End(request)) => held(traffic, &JobCall::End(request)).await,
             Some(Kind::Owned(Owned { workspace, call: Some(call) })) => {
                 if is_hidden(traffic, call.job(), |job| is_visible(job, &workspace)) {
                     return Response::hidden();
                 }
-                self.job(call).await
+                held(traffic, &call).await
             }
             Some(Kind::Submitted(submitted)) => self.submitted(submitted).map(|submission| {
                 report(traffic, Report::Submitted(Box::new(submission)));
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use lagoonyard_node::{
     events::{Event, Progress},
     fleet::Target,
-    job::{Engines, Evidence, Item, Job, Outcome, Policy, Record, Requirement, Spec},
+    job::{Engines, Item, Job, Outcome, Policy, Record, Requirement, Spec},
     length::Hint,
     prefix::{Part, Prompt},
 };
@@ -35,17 +35,7 @@
 
 /// Requirement of an item of model `m` that any open engine with a version meets, unless it is slow.
 pub fn requirement() -> Requirement<'static> {
-    Requirement {
-        model: "m",
-        min_version: 1,
-        avoid: None,
-        software: None,
-        allow_slow: false,
-        spares_fast: false,
-        evidence: Evidence::Any,
-        idle: false,
-        work: None,
-    }
+    Requirement::new("m", 1)
 }
 
 pub fn engines(targets: &[Target]) -> Engines {
