Kept texts: go on only for an item of the same workspace, model and content

Cause: texts of unfinished items were kept, and found again, by the item's id alone: in the queue of a leader, for late ends of runs, and at runners, which return them to a new leader. An id names an item only within its job.

Change: `job::Origin` is the id and a digest of workspace, model and body; kept texts have it as their key. It goes with an item's order (field 27) and with a returned text (field 4). Texts of hosts of earlier builds, which name none, are generated anew.

--- a/crates/node/benches/decisions.rs
+++ b/crates/node/benches/decisions.rs
@@ -95,7 +95,7 @@
         run: 0,
         job: run.job.clone(),
         item: run.item,
-        item_id: format!("{}-{}", run.job, run.item).into(),
+        origin: run.origin.clone(),
         target: run.target.clone(),
         end: End::Stopped,
         progress: Progress::default(),
--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -87,9 +87,9 @@
                 // Only the store decides: the host may be one of another deployment, at an address that is used again.
                 warn!(service = &*service, bound; "another host takes this one for a former leader");
             }
-            Event::Retained { service, item, progress, text_complete } => {
+            Event::Retained { service, origin, progress, text_complete } => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
-                    leader.queue.resume_item(item, progress, text_complete, now);
+                    leader.queue.resume_item(origin, progress, text_complete, now);
                 }
             }
         }
--- a/crates/node/src/control/sessions.rs
+++ b/crates/node/src/control/sessions.rs
@@ -16,7 +16,7 @@
 use crate::{
     events::Progress,
     fleet::Departure,
-    job::{Assignment, End, Outcome},
+    job::{Assignment, End, Origin, Outcome},
     peer::{self, Frames, FromRunner, Kind, Lead, News, Order, Request, RunItem, ToRunner},
     prelude::*,
     rate,
@@ -64,7 +64,7 @@
     /// Text of an item that ran for an earlier leader.
     Retained {
         service: ServiceId,
-        item: ItemId,
+        origin: Origin,
         progress: Progress,
         text_complete: bool,
     },
@@ -168,7 +168,6 @@
 /// A run at a runner, with the text received so far.
 struct Tracked {
     run: u64,
-    item: ItemId,
     assignment: Assignment,
     /// The text is complete, so the slot on the engine is free.
     generated: bool,
@@ -178,7 +177,7 @@
     fn new(run: &Run) -> Self {
         let assignment = run.assignment.clone();
         let generated = run.target.is_none();
-        Self { run: run.id, item: run.item.id.clone(), generated, assignment }
+        Self { run: run.id, generated, assignment }
     }
 
     fn outcome(&self, end: End) -> Outcome {
@@ -186,7 +185,7 @@
             run: self.run,
             job: self.assignment.job.clone(),
             item: self.assignment.item,
-            item_id: self.item.clone(),
+            origin: self.assignment.origin.clone(),
             target: self.assignment.target.clone(),
             end,
             progress: self.assignment.progress.clone(),
@@ -344,17 +343,14 @@
             Some(News::Ended(ended)) => return self.apply_end(*ended),
             Some(News::Leaving(_)) => report(&self.events, Event::Leaving(self.runner.clone())),
             Some(News::Retained(retained)) => {
-                let mut progress = Progress::default();
-                if retained.part.is_some_and(|part| part.apply(&mut progress)) {
-                    report(
-                        &self.events,
-                        Event::Retained {
-                            service: self.runner.0.clone(),
-                            item: retained.item.into(),
-                            progress,
-                            text_complete: retained.text_complete,
-                        },
-                    );
+                let (service, mut progress) = (self.runner.0.clone(), Progress::default());
+                let text_complete = retained.text_complete;
+                // A runner of an earlier build does not say what its text was generated for.
+                if let Some(origin) = retained.origin()
+                    && retained.part.is_some_and(|part| part.apply(&mut progress))
+                {
+                    let retained = Event::Retained { service, origin, progress, text_complete };
+                    report(&self.events, retained);
                 }
             }
             Some(News::Limit(limit)) => {
--- a/crates/node/src/job/assign.rs
+++ b/crates/node/src/job/assign.rs
@@ -197,6 +197,7 @@
         Assignment {
             job: self.spec.id.clone(),
             item,
+            origin: self.origin(item),
             target,
             progress,
             judge_failures,
@@ -260,7 +261,7 @@
             End::Broken => {
                 let delay = status.doubt.raise(has_advanced, outcome.connection_broke);
                 let events = status.progress.last_event;
-                info!(job = &*self.spec.id, item = &*outcome.item_id, target_id = outcome.target.as_deref(), events, advanced = has_advanced, reset = outcome.connection_broke, breaks = status.doubt.breaks(), delay_ms = ms(delay); "the run of an item broke");
+                info!(job = &*self.spec.id, item = &*outcome.origin.item, target_id = outcome.target.as_deref(), events, advanced = has_advanced, reset = outcome.connection_broke, breaks = status.doubt.breaks(), delay_ms = ms(delay); "the run of an item broke");
                 status.avoid = outcome.target;
                 not_before += delay;
             }
--- a/crates/node/src/job/failure.rs
+++ b/crates/node/src/job/failure.rs
@@ -105,7 +105,7 @@
         now: Time,
     ) -> Option<(Identity, Failure)> {
         let job = self.jobs.get_mut(&outcome.job)?;
-        let identity = job.identity(outcome.item).filter(|it| it.item == outcome.item_id)?;
+        let identity = job.identity(outcome.item).filter(|it| it.item == outcome.origin.item)?;
         let is_present = job.has_run(outcome.item, outcome.run);
         let before = if is_present { job.failure(outcome.item) } else { before };
         let failure = before.after(&outcome.end, outcome.judge_failures);
--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -16,6 +16,7 @@
 mod leaving;
 mod open;
 mod order;
+mod origin;
 mod outcome;
 mod paces;
 mod placement;
@@ -46,6 +47,7 @@
 };
 pub use leaving::Leaving;
 pub use open::Job;
+pub use origin::Origin;
 pub use outcome::{Assignment, End, Outcome};
 pub use placement::Placement;
 pub use policy::Policy;
--- a/crates/node/src/job/outcome.rs
+++ b/crates/node/src/job/outcome.rs
@@ -1,6 +1,6 @@
 //! A run of an item: its assignment to an engine and its outcome.
 
-use crate::{events::Progress, prefix, prelude::*};
+use crate::{events::Progress, job::Origin, prefix, prelude::*};
 
 /// How a run ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,7 +57,8 @@
     pub run: u64,
     pub job: JobId,
     pub item: usize,
-    pub item_id: ItemId,
+    /// Item, and what the text was generated for.
+    pub origin: Origin,
     pub target: Option<TargetId>,
     pub end: End,
     pub progress: Progress,
@@ -78,6 +79,7 @@
 pub struct Assignment {
     pub job: JobId,
     pub item: usize,
+    pub origin: Origin,
     /// `None` if only the score is missing.
     pub target: Option<TargetId>,
     pub progress: Progress,
--- a/crates/node/src/job/queue.rs
+++ b/crates/node/src/job/queue.rs
@@ -9,7 +9,7 @@
     dialect::Strategy,
     events::Progress,
     job::{
-        Assignment, Claim, End, Engines, Job, Outcome, Record, Row,
+        Assignment, Claim, End, Engines, Job, Origin, Outcome, Record, Row,
         isolation::{Isolated, guard},
         status::State,
         triage::{self, Load},
@@ -37,16 +37,17 @@
     isolated: Isolated,
     lengths: length::Table,
     /// Texts of unfinished items of ended jobs, with their expiry and whether the text is complete.
-    retained: HashMap<ItemId, (Time, Progress, bool)>,
+    retained: HashMap<Origin, (Time, Progress, bool)>,
 }
 
 impl Queue {
     pub fn insert(&mut self, mut job: Job) {
         let mut resubmitted = BTreeSet::new();
-        for (at, item) in job.spec.clone().items.iter().enumerate() {
-            if let Some((_, progress, text_complete)) = self.retained.remove(&item.id) {
-                job.resume_item(&item.id, progress, text_complete);
-                resubmitted.insert(at);
+        for item in 0..job.spec.items.len() {
+            let origin = job.origin(item);
+            if let Some((_, progress, text_complete)) = self.retained.remove(&origin) {
+                job.resume_item(&origin, progress, text_complete);
+                resubmitted.insert(item);
             }
         }
         if !resubmitted.is_empty() {
@@ -83,12 +84,11 @@
             return;
         };
         self.order_outdated = true;
-        for (item, status) in job.spec.items.iter().zip(job.statuses) {
+        for (item, status) in job.statuses.iter().enumerate() {
             if status.state != State::Listed && status.progress.last_event > 0 {
-                self.retained.insert(
-                    item.id.clone(),
-                    (now + TEXT_RETENTION, status.progress, status.text_complete),
-                );
+                let progress = status.progress.clone();
+                let text = (now + TEXT_RETENTION, progress, status.text_complete);
+                self.retained.insert(job.origin(item), text);
             }
         }
     }
@@ -253,16 +253,16 @@
     /// Retains the text of a run that was stopped because its job ended or was read again.
     fn retain_text(&mut self, outcome: Outcome, now: Time) {
         if outcome.progress.last_event > 0 {
-            self.resume_item(outcome.item_id, outcome.progress, outcome.text_complete, now);
+            self.resume_item(outcome.origin, outcome.progress, outcome.text_complete, now);
         }
     }
 
-    /// Continues an item from a text. If no open job has the item, the text is retained for a later one.
-    pub fn resume_item(&mut self, item: ItemId, progress: Progress, complete: bool, now: Time) {
-        let resumed = |job: &mut Job| job.resume_item(&item, progress.clone(), complete);
+    /// Continues an item from a text. If no open job has an item of this origin, the text is retained for a later one.
+    pub fn resume_item(&mut self, origin: Origin, progress: Progress, complete: bool, now: Time) {
+        let resumed = |job: &mut Job| job.resume_item(&origin, progress.clone(), complete);
         // The item may have been resubmitted before its run had stopped.
         if !self.jobs.values_mut().any(resumed) {
-            self.retained.insert(item, (now + TEXT_RETENTION, progress, complete));
+            self.retained.insert(origin, (now + TEXT_RETENTION, progress, complete));
         }
     }
 
--- a/crates/node/src/peer/item.rs
+++ b/crates/node/src/peer/item.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 
 use crate::{
+    crash::Content,
     events::Progress,
-    job::{Assignment, Item, Judge},
+    job::{Assignment, Item, Judge, Origin},
     peer::micros,
     prefix::Prompt,
     prelude::*,
@@ -95,6 +96,9 @@
     /// Workspace of the job; absent from leaders of earlier builds, which send the headers of the trainer as they are.
     #[prost(string, optional, tag = "26")]
     pub workspace: Option<String>,
+    /// Content of the text's origin. Leaders of earlier builds send none.
+    #[prost(bytes = "vec", tag = "27")]
+    pub origin: Vec<u8>,
 }
 
 impl From<&Run> for RunItem {
@@ -145,6 +149,7 @@
             failures: run.failures,
             max_attempts: run.max_attempts,
             workspace: run.workspace.as_deref().map(str::to_owned),
+            origin: assignment.origin.content.to_bytes().to_vec(),
         }
     }
 }
@@ -162,6 +167,10 @@
                 started_ms: raw.started_ms,
             }),
         };
+        let origin = Content::try_from(&*raw.origin).map_or_else(
+            |_| Origin::unknown(&raw.job, &raw.item),
+            |content| Origin { item: raw.item.as_str().into(), content },
+        );
         let headers = raw.headers.into_iter();
         let judge = raw.judge.map(|judge| Judge {
             id: judge.id.into(),
@@ -202,6 +211,7 @@
             assignment: Assignment {
                 job: raw.job.into(),
                 item: usize::try_from(raw.index).unwrap_or(usize::MAX),
+                origin,
                 target: target.as_ref().map(|target| target.id.clone()),
                 progress,
                 judge_failures: raw.judge_failures,
--- a/crates/node/src/peer/run.rs
+++ b/crates/node/src/peer/run.rs
@@ -5,6 +5,8 @@
 //! follows what was sent before.
 
 use crate::{
+    crash::Content,
+    job::Origin,
     peer::{
         departure::Departure, ended::Ended, item::RunItem, limit::Limit, micros, text::TextPart,
     },
@@ -95,6 +97,17 @@
     pub part: Option<TextPart>,
     #[prost(bool, tag = "3")]
     pub text_complete: bool,
+    /// Content of the text's origin. Runners of earlier builds send none.
+    #[prost(bytes = "vec", tag = "4")]
+    pub content: Vec<u8>,
+}
+
+impl Retained {
+    /// What the text was generated for, if the runner says so.
+    pub fn origin(&self) -> Option<Origin> {
+        let content = Content::try_from(&*self.content).ok()?;
+        Some(Origin { item: self.item.as_str().into(), content })
+    }
 }
 
 impl Generated {
--- a/crates/node/src/traffic/run.rs
+++ b/crates/node/src/traffic/run.rs
@@ -140,7 +140,7 @@
         run: run.id,
         job: run.assignment.job.clone(),
         item: run.assignment.item,
-        item_id: run.item.id.clone(),
+        origin: run.assignment.origin.clone(),
         target: run.assignment.target.clone(),
         end,
         progress: state.progress,
--- a/crates/node/src/traffic/runner.rs
+++ b/crates/node/src/traffic/runner.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     events::Progress,
+    job::Origin,
     peer::{
         self, Departure, Ended, Frames, FromRunner, Generated, Lead, Limit, News, Order, Retained,
         RunItem, TextPart, ToRunner,
@@ -45,11 +46,11 @@
     /// Terms that are over by the leaders that have connected. They end the connections of earlier leaders and nothing else:
     /// at the address of a host that is gone, a host of another deployment may answer or call.
     connected: term::Table,
-    texts: RefCell<HashMap<ItemId, Text>>,
+    texts: RefCell<HashMap<Origin, Text>>,
 }
 
 impl Runner {
-    fn keep_text(&self, item: ItemId, progress: Progress, complete: bool) {
+    fn keep_text(&self, origin: Origin, progress: Progress, complete: bool) {
         if progress.last_event == 0 {
             return;
         }
@@ -57,11 +58,11 @@
         texts.retain(|_, text| text.stopped_at.elapsed() < TEXT_RETENTION);
         let bytes: usize = texts.values().map(|text| text.progress.text.len()).sum();
         if bytes + progress.text.len() <= TEXT_BYTES_MAX {
-            texts.insert(item, Text { progress, complete, stopped_at: Instant::now() });
+            texts.insert(origin, Text { progress, complete, stopped_at: Instant::now() });
         }
     }
 
-    fn take_texts(&self) -> Vec<(ItemId, Text)> {
+    fn take_texts(&self) -> Vec<(Origin, Text)> {
         let texts = self.texts.borrow_mut().drain().collect::<Vec<_>>();
         texts.into_iter().filter(|(_, text)| text.stopped_at.elapsed() < TEXT_RETENTION).collect()
     }
@@ -205,7 +206,7 @@
                 Some(Report::Run(RunReport::Ended { run, outcome })) => {
                     self.runs.remove(&run);
                     let text = (outcome.progress, outcome.text_complete);
-                    self.traffic.runner.keep_text(outcome.item_id, text.0, text.1);
+                    self.traffic.runner.keep_text(outcome.origin, text.0, text.1);
                 }
                 Some(_) => {}
                 None => return,
@@ -229,9 +230,10 @@
         for target in view.targets.values().filter(|target| target.draining) {
             self.feed(News::Departure(Departure::new(&target.id, target.started_ms))).await?;
         }
-        for (item, text) in self.traffic.runner.take_texts() {
+        for (origin, text) in self.traffic.runner.take_texts() {
             self.feed(News::Retained(Retained {
-                item: item.to_string(),
+                item: origin.item.to_string(),
+                content: origin.content.to_bytes().to_vec(),
                 part: Some(TextPart::new(0, &text.progress, 0)),
                 text_complete: text.complete,
             }))
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use lagoonyard_node::{
     events::{Event, Progress},
     fleet::Target,
-    job::{Engines, Item, Job, Outcome, Policy, Record, Requirement, Spec},
+    job::{Engines, Item, Job, Origin, Outcome, Policy, Record, Requirement, Spec},
     length::Hint,
     prefix::{Part, Prompt},
 };
@@ -124,6 +124,11 @@
     progress
 }
 
+/// What an item of a job of model `m` without a workspace and without a body is asked to do.
+pub fn origin(id: &str) -> Origin {
+    Origin::new(None, "m", id, b"")
+}
+
 /// Outcome of a run that has no id.
 pub fn outcome(
     (job, item, id): (&str, usize, &str),
@@ -135,7 +140,7 @@
         run: 0,
         job: job.into(),
         item,
-        item_id: id.into(),
+        origin: origin(id),
         target: Some(target.into()),
         end,
         progress,
--- a/crates/node/tests/samples/mod.rs
+++ b/crates/node/tests/samples/mod.rs
@@ -161,7 +161,12 @@
 fn leader_and_runner() -> Vec<Sample> {
     let order = |order| ToRunner { order: Some(order) };
     let news = |news| FromRunner { news: Some(news) };
-    let retained = Retained { item: "i".into(), part: Some(part()), text_complete: true };
+    let retained = Retained {
+        item: "i".into(),
+        part: Some(part()),
+        text_complete: true,
+        ..Retained::default()
+    };
     vec![
         message("run", order(Order::Run(Box::new(run_item())))),
         message("stop", order(Order::Stop(7))),
--- a/crates/node/tests/software.rs
+++ b/crates/node/tests/software.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use common::{engine, engines, job, ms, outcome, text};
+use common::{engine, engines, job, ms, origin, outcome, text};
 use lagoonyard_node::{
     events::Progress,
     fleet::Target,
@@ -84,7 +84,7 @@
     engines.set_demand(&BTreeMap::from([("m".into(), 1)]));
     let mut queue = Queue::default();
     queue.insert(job("j", 1, &[("a", 10)]));
-    queue.resume_item("a".into(), Progress { software: None, ..text(5, 1) }, false, ms(0));
+    queue.resume_item(origin("a"), Progress { software: None, ..text(5, 1) }, false, ms(0));
     let started = queue.assign_next(ms(0), &mut engines).unwrap();
     assert_eq!(started.progress.last_event, 0);
 }
