--- a/crates/node/src/job/mod.rs
+++ b/crates/node/src/job/mod.rs
@@ -25,6 +25,7 @@
 mod reason;
 mod record;
 mod requirement;
+mod resumption;
 mod row;
 mod spec;
 mod status;
