Events: a block of unknown fields only is an error, and an id without data an event, as before

What callers would have seen since: a target that answers a resumed stream with success and bytes that are no events, such as an error's text, ended it as complete; an item whose engine writes an event without data was never done.

Change: only comments, `event` and `retry` may be left out without an event. An event without data has empty data again.

--- a/crates/node/src/events/error.rs
+++ b/crates/node/src/events/error.rs
@@ -8,6 +8,4 @@
     Malformed { reason: &'static str },
     #[snafu(display("could not append event {found} after event {last}"))]
     Gap { last: u64, found: u64 },
-    #[snafu(display("could not append event {id}: it has no data"))]
-    NoData { id: u64 },
 }
--- a/crates/node/src/events/event.rs
+++ b/crates/node/src/events/event.rs
@@ -7,8 +7,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Event {
     pub id: u64,
-    /// Its lines of data, joined by line feeds. `None` if it has none: in the format, it then only sets the last id.
-    pub data: Option<Box<str>>,
+    /// Its lines of data, joined by line feeds. Empty if it has none: in the format, such a block is no event, but what has an
+    /// id of its own counts as one.
+    pub data: Box<str>,
     /// Version from this event on, if it changes with this event.
     pub version: Option<Version>,
 }
@@ -46,13 +47,14 @@
         let Ok(version) = version.map(str::parse).transpose() else {
             return malformed("invalid version").fail();
         };
-        Ok(Self { id, data: data.map(Into::into), version })
+        Ok(Self { id, data: data.unwrap_or_default().into(), version })
     }
 
-    /// Whether a line belongs to an event. All others may be left out.
-    pub(super) fn has_line(line: &[u8], version_field: &str) -> bool {
+    /// Whether a block of such lines only may be left out. Unknown ones may not: they are also what a target writes that answers
+    /// with no events at all.
+    pub(super) fn is_ignorable(line: &[u8]) -> bool {
         let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
-        name == b"id" || name == b"data" || name == version_field.as_bytes()
+        matches!(name, b"" | b"event" | b"retry")
     }
 
     /// Whether it directly follows the event with an id.
--- a/crates/node/src/events/parser.rs
+++ b/crates/node/src/events/parser.rs
@@ -16,18 +16,17 @@
     Empty,
     /// Fields that no event needs.
     Other,
-    /// A field of an event.
+    /// A field of an event, or one that is unknown.
     Event,
 }
 
 impl Block {
-    fn with_line(self, line: &[u8], version_field: &str) -> Self {
+    fn with_line(self, line: &[u8]) -> Self {
         let is_comment = line.is_empty() || line.starts_with(b":");
         match self {
-            _ if Event::has_line(line, version_field) => Self::Event,
             Self::Empty if is_comment => Self::Empty,
-            Self::Empty | Self::Other => Self::Other,
-            Self::Event => Self::Event,
+            Self::Empty | Self::Other if Event::is_ignorable(line) => Self::Other,
+            _ => Self::Event,
         }
     }
 }
@@ -147,7 +146,7 @@
         let bytes = &self.buffer[self.line_start..end];
         let (line, _) = line::split(bytes).unwrap_or_default();
         self.after_cr = end == self.buffer.len() && bytes.ends_with(b"\r");
-        self.block = self.block.with_line(line, &self.version_field);
+        self.block = self.block.with_line(line);
         (self.line_start, self.searched) = (end, end);
         if line.is_empty() {
             let ended = std::mem::replace(&mut self.block, Block::Empty);
--- a/crates/node/src/events/progress.rs
+++ b/crates/node/src/events/progress.rs
@@ -27,13 +27,10 @@
         if !event.follows(self.last_event) {
             return Err(Error::Gap { last: self.last_event, found: event.id });
         }
-        let Some(data) = &event.data else {
-            return Err(Error::NoData { id: event.id });
-        };
         if self.last_event > 0 {
             self.text.push('\n');
         }
-        self.text.push_str(data);
+        self.text.push_str(&event.data);
         self.last_event = event.id;
         self.versions.insert(version);
         Ok(())
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -118,7 +118,7 @@
 pub fn text(events: u64, version: u64) -> Progress {
     let mut progress = Progress { software: Some("v1".into()), ..Progress::default() };
     for id in 1..=events {
-        let event = Event { id, data: Some(format!("e{id}").into()), version: None };
+        let event = Event { id, data: format!("e{id}").into(), version: None };
         progress.append(&event, version).unwrap();
     }
     progress
--- a/crates/node/tests/events.rs
+++ b/crates/node/tests/events.rs
@@ -4,7 +4,7 @@
 use lagoonyard_node::events::{Error, Event, Parser, Progress};
 
 fn event(id: u64) -> Event {
-    Event { id, data: Some("x".into()), version: None }
+    Event { id, data: "x".into(), version: None }
 }
 
 #[test]
@@ -20,8 +20,8 @@
             }
         }
         assert_eq!(found.len(), 2, "cut at {cut}");
-        assert_eq!((found[0].data.as_deref(), found[0].version), (Some("a"), None));
-        assert_eq!((found[1].data.as_deref(), found[1].version), (Some("b: c"), Some(3)));
+        assert_eq!((&*found[0].data, found[0].version), ("a", None));
+        assert_eq!((&*found[1].data, found[1].version), ("b: c", Some(3)));
         assert!(!parser.is_partial());
     }
 }
@@ -65,7 +65,7 @@
 }
 
 /// Data of the events of a stream.
-type Data = Vec<Option<Box<str>>>;
+type Data = Vec<Box<str>>;
 
 /// Data of the events of a stream whose bytes arrive one by one, and whether its end is complete.
 fn data_of(stream: &str) -> Result<(Data, bool), Error> {
@@ -90,13 +90,14 @@
         ("id: 1\ndata: a\ndata:\n\n", "a\n"),
         ("id: 1\ndata:\n\n", ""),
         ("id: 1\ndata\n\n", ""),
+        ("id: 1\n\n", ""),
         ("id: 1\ndata\ndata\n\n", "\n"),
         ("id: 1\ndata: a\ndata\n\n", "a\n"),
         ("id: 1\ndata:a\ndata:  b\n\n", "a\n b"),
         ("id: 1\n: data: x\ndatum: y\nretry: 5\ndata: a\n\n", "a"),
         ("\u{feff}id: 1\ndata: a\n\n", "a"),
     ] {
-        let expected = vec![Some(expected.into())];
+        let expected = vec![expected.into()];
         assert_eq!(data_of(stream), Ok((expected, true)), "{stream:?}");
     }
 }
@@ -107,11 +108,11 @@
     for end in ["\n", "\r", "\r\n"] {
         let stream = "id: 1\ndata: a\ndata: b\n\nx-version: 3\nid: 2\ndata: c\n\n";
         let stream = stream.replace('\n', end);
-        let expected = vec![Some("a\nb".into()), Some("c".into())];
+        let expected = vec!["a\nb".into(), "c".into()];
         assert_eq!(data_of(&stream), Ok((expected, true)), "{stream:?}");
     }
     let mixed = "id: 1\r\ndata: a\n\rid: 2\rdata: b\r\n\n";
-    assert_eq!(data_of(mixed), Ok((vec![Some("a".into()), Some("b".into())], true)));
+    assert_eq!(data_of(mixed), Ok((vec!["a".into(), "b".into()], true)));
 }
 
 /// Guards against runs that end at a comment, which was read as an event without an id.
@@ -119,7 +120,7 @@
 fn blocks_without_an_event_are_skipped() {
     let stream =
         ": ping\n\nid: 1\ndata: a\n\n: ping\r\n\r\nevent: x\n\n\n\nid: 2\ndata: b\n\n: bye\n";
-    assert_eq!(data_of(stream), Ok((vec![Some("a".into()), Some("b".into())], true)));
+    assert_eq!(data_of(stream), Ok((vec!["a".into(), "b".into()], true)));
 }
 
 /// Guards against a text that lacks an event without a trace.
@@ -131,16 +132,14 @@
         "id: x\ndata: a\n\n",
         "id: 18446744073709551616\ndata: a\n\n",
         "x-version: 3\n\n",
+        "internal error\n\n",
+        "HTTP/1.1 500 Error\r\n\r\n",
         "x-version: x\nid: 1\ndata: a\n\n",
     ] {
         assert_matches!(data_of(stream), Err(Error::Malformed { .. }), "{stream:?}");
     }
-    let without_data = Event { id: 1, data: None, version: None };
-    let mut progress = Progress::default();
-    assert_eq!(progress.append(&without_data, 1), Err(Error::NoData { id: 1 }));
-    let after_last = Event { id: 0, ..event(1) };
-    progress.last_event = u64::MAX;
-    assert_matches!(progress.append(&after_last, 1), Err(Error::Gap { .. }));
+    let mut progress = Progress { last_event: u64::MAX, ..Progress::default() };
+    assert_matches!(progress.append(&event(0), 1), Err(Error::Gap { .. }));
 }
 
 /// Guards against streams that reach a caller with other bytes than the target wrote.
