--- a/review/kit-3/src/worker.rs
+++ b/review/kit-3/src/worker.rs
@@ -37,6 +37,8 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
+    /// Model on it, if it is a model worker.
+    model: Option<String>,
     kv: Kv,
     serve: Arc<Serve>,
     state: Arc<Mutex<State>>,
@@ -50,6 +52,25 @@
         (id, service, zone): (&str, &str, &str),
         kv: &Kv,
         serve: impl Fn(&Worker, &Message, &TcpStream) -> io::Result<()> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_with((id, service, zone), None, kv, serve)
+    }
+
+    /// Starts a model worker, with version 1 of a model, and registers it. It answers calls for its report by itself.
+    pub fn start_engine(
+        (id, service, zone): (&str, &str, &str),
+        model: &str,
+        kv: &Kv,
+        serve: impl Fn(&Worker, &Message, &TcpStream) -> io::Result<()> + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        Self::start_with((id, service, zone), Some(model.to_owned()), kv, serve)
+    }
+
+    fn start_with(
+        (id, service, zone): (&str, &str, &str),
+        model: Option<String>,
+        kv: &Kv,
+        serve: impl Fn(&Worker, &Message, &TcpStream) -> io::Result<()> + Send + Sync + 'static,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let worker = Self {
@@ -57,6 +78,7 @@
             service: service.to_owned(),
             zone: zone.to_owned(),
             address: listener.local_addr()?,
+            model,
             kv: kv.clone(),
             serve: Arc::new(serve),
             state: Arc::default(),
@@ -70,7 +92,7 @@
 
     /// Writes the worker's entry.
     pub fn register(&self, state: &str) {
-        let entry = Json::map([
+        let mut entry = Json::map([
             ("service", self.service.as_str().into()),
             ("address", self.address.to_string().into()),
             ("zone", self.zone.as_str().into()),
@@ -81,9 +103,24 @@
             ("seq_no", 1.into()),
             ("born", self.born.load(Ordering::SeqCst).into()),
         ]);
+        if self.model.is_some() {
+            entry.set("stage", "both");
+            entry.set("models", self.models());
+        }
         self.kv.put(&format!("servers/{}", self.id), &entry);
     }
 
+    fn models(&self) -> Json {
+        let model = |name: &String| {
+            Json::map([
+                ("name", name.as_str().into()),
+                ("version", 1.into()),
+                ("adapters", Json::List(Vec::new())),
+            ])
+        };
+        Json::list(self.model.iter().map(model))
+    }
+
     /// Removes the worker's entry; the worker goes on.
     pub fn deregister(&self) {
         self.kv.remove(&format!("servers/{}", self.id));
@@ -162,6 +199,22 @@
             let headers = [("X-Instance-Id", self.id.as_str())];
             return stream.write_all(&http::response(421, &headers, b""));
         }
+        if request.path() == "/lagoonyard/report" {
+            let report = Json::map([
+                ("stage", "both".into()),
+                ("models", self.models()),
+                ("busy", false.into()),
+                ("seq_no", 0.into()),
+                ("num_waiting", 0.into()),
+                ("num_running", 0.into()),
+                ("kv_used", 0.into()),
+                ("kv_total", 72728.into()),
+                ("handles", 0.into()),
+                ("born", self.born.load(Ordering::SeqCst).into()),
+            ]);
+            let headers = [("Content-Type", "application/json")];
+            return stream.write_all(&http::response(200, &headers, report.to_string().as_bytes()));
+        }
         (self.serve)(self, request, stream)
     }
 
