--- a/review/kit-3/src/bin/forgotten.rs
+++ b/review/kit-3/src/bin/forgotten.rs
@@ -68,7 +68,9 @@
         poison::pause(PAUSE);
     }
     let (crashes, late) = (seen.crashes(), seen.late_retries());
-    record.add(format!("{crashes} crashes, {late} retries reached workers later than contact_ms after the third"));
+    record.add(format!(
+        "{crashes} crashes, {late} retries reached workers later than contact_ms after the third"
+    ));
     drop(workers);
     Ok(if late > LATE_RETRIES_MAX { BROKEN } else { HELD })
 }
--- a/review/kit-3/src/bin/growing.rs
+++ b/review/kit-3/src/bin/growing.rs
@@ -1,10 +1,6 @@
 //! A stream that crashes each worker which runs it, and that gets a little further before some crashes than before others.
 
-use std::{
-    path::Path,
-    process::exit,
-    time::Duration,
-};
+use std::{path::Path, process::exit, time::Duration};
 
 use review_kit_3::{
     BROKEN, Cluster, HELD, Json, Kv, NOT_RUN, Record, has_trouble,
@@ -49,7 +45,10 @@
             if is_poison && event > before {
                 std::thread::sleep(EVENT_TIME);
                 let number = at_worker.crashed();
-                log.add(format!("worker {} crashes under {id} after {before} events: crash {number}", worker.id));
+                log.add(format!(
+                    "worker {} crashes under {id} after {before} events: crash {number}",
+                    worker.id
+                ));
                 worker.crash(DOWN);
                 return Err(review_kit_3::Worker::gone());
             }
@@ -71,8 +70,12 @@
         poison::pause(PAUSE);
     }
     let (crashes, late) = (seen.crashes(), seen.late_retries());
-    record.add(format!("{crashes} crashes, {late} retries reached workers later than contact_ms after the third"));
-    if let Ok(to) = std::env::var("KEEP_LOGS") { cluster.keep_logs(Path::new(&to)); }
+    record.add(format!(
+        "{crashes} crashes, {late} retries reached workers later than contact_ms after the third"
+    ));
+    if let Ok(to) = std::env::var("KEEP_LOGS") {
+        cluster.keep_logs(Path::new(&to));
+    }
     drop(workers);
     if !has_trouble() && served < SENDS {
         return Ok(NOT_RUN);
--- a/review/kit-3/src/bin/heldback.rs
+++ b/review/kit-3/src/bin/heldback.rs
@@ -57,7 +57,10 @@
         let left = left.lock().unwrap().clone();
         if let Some((id, at)) = left.filter(|(id, _)| *id == worker.id) {
             let request = request.header("x-request-id").unwrap_or_default();
-            log.add(format!("worker {id} begins {request}, {} ms after its entry was removed", at.elapsed().as_millis()));
+            log.add(format!(
+                "worker {id} begins {request}, {} ms after its entry was removed",
+                at.elapsed().as_millis()
+            ));
             *found.lock().unwrap() += usize::from(at.elapsed() > DRAIN);
         }
         thread::sleep(WORK);
@@ -79,18 +82,26 @@
         let neighbour = (0..IN_ZONE).find(|number| *number != reader).unwrap_or(0);
         let (name, entry) =
             (cluster.nodes[neighbour].spec.name.clone(), cluster.nodes[neighbour].entry);
-        record.add(format!("round {round}: {} reads for its zone; clients send to {name}", cluster.nodes[reader].spec.name));
+        record.add(format!(
+            "round {round}: {} reads for its zone; clients send to {name}",
+            cluster.nodes[reader].spec.name
+        ));
         let stop: Arc<AtomicBool> = Arc::default();
         let send = |client: usize| {
             let (stop, record) = (Arc::clone(&stop), record.clone());
-            thread::spawn(move || send_all(entry, &format!("{round:02}{client:02}"), &stop, &record))
+            thread::spawn(move || {
+                send_all(entry, &format!("{round:02}{client:02}"), &stop, &record)
+            })
         };
         let clients: Vec<_> = (0..CLIENTS).map(send).collect();
         pause(Duration::from_secs(2));
         let cut: Vec<usize> = (0..IN_ZONE).filter(|number| *number != neighbour).collect();
         if has_trouble() {
             cut.iter().for_each(|number| cluster.nodes[*number].store.set_silent(true));
-            record.add(format!("the store does not answer {} of {MACHINES} machines; {name} is none of them", cut.len()));
+            record.add(format!(
+                "the store does not answer {} of {MACHINES} machines; {name} is none of them",
+                cut.len()
+            ));
         }
         pause(SILENT);
         if has_trouble() {
@@ -101,7 +112,10 @@
         let leaving = workers.remove(0);
         leaving.deregister();
         *removed.lock().unwrap() = Some((leaving.id.clone(), Instant::now()));
-        record.add(format!("the store has accepted the removal of {}, which goes on serving", leaving.id));
+        record.add(format!(
+            "the store has accepted the removal of {}, which goes on serving",
+            leaving.id
+        ));
         pause(Duration::from_secs(4));
         stop.store(true, Ordering::SeqCst);
         let sent: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
@@ -110,7 +124,9 @@
         pause(Duration::from_secs(5));
     }
     let late = *late.lock().unwrap();
-    record.add(format!("{late} requests reached a worker later than drain_ms after its entry was removed"));
+    record.add(format!(
+        "{late} requests reached a worker later than drain_ms after its entry was removed"
+    ));
     if let Ok(to) = std::env::var("KEEP_LOGS") {
         cluster.keep_logs(Path::new(&to));
     }
@@ -123,11 +139,8 @@
     while !stop.load(Ordering::SeqCst) {
         number += 1;
         let id = format!("{name}{number:06}");
-        let headers = [
-            ("Host", "ficu95.example"),
-            ("X-Request-Id", id.as_str()),
-            ("X-Deadline-Ms", "2000"),
-        ];
+        let headers =
+            [("Host", "ficu95.example"), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "2000")];
         let limit = Duration::from_millis(2500);
         let answer = http::call(entry, ("POST", "/lodge/1"), &headers, b"x", limit);
         match answer.map_or(0, |answer| answer.status()) {
--- a/review/kit-3/src/bin/notfound.rs
+++ b/review/kit-3/src/bin/notfound.rs
@@ -158,7 +158,10 @@
         Json::map([
             ("id", format!("{:08x}{at:08x}", 0xd000 + number).into()),
             ("path", format!("/rolls/{number}/{at}").into()),
-            ("headers", Json::map([("X-Model-Name", "m0".into()), ("X-Token-Usage", "340,52".into())])),
+            (
+                "headers",
+                Json::map([("X-Model-Name", "m0".into()), ("X-Token-Usage", "340,52".into())]),
+            ),
             ("body", base64::encode(b"a prompt").into()),
             ("tokens", 392.into()),
             ("group", format!("g{}", at / 4).into()),
--- a/review/kit-3/src/kv.rs
+++ b/review/kit-3/src/kv.rs
@@ -4,7 +4,10 @@
     collections::{BTreeMap, HashMap},
     io::{self, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -64,6 +67,20 @@
     }
 }
 
+/// Whether a machine gets no answers. A channel on which an answer is lost returns nothing further.
+#[derive(Clone, Default)]
+pub struct Losses(Arc<AtomicBool>);
+
+impl Losses {
+    pub fn set(&self, loses: bool) {
+        self.0.store(loses, Ordering::SeqCst);
+    }
+
+    fn are_on(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
 /// Handle of the store.
 #[derive(Clone, Default)]
 pub struct Kv {
@@ -93,15 +110,16 @@
         kv
     }
 
-    /// Serves calls at a new address.
-    pub fn listen(&self) -> io::Result<SocketAddr> {
+    /// Serves calls at a new address, whose answers may be lost.
+    pub fn listen(&self, losses: &Losses) -> io::Result<SocketAddr> {
+        let losses = losses.clone();
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let kv = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let kv = kv.clone();
-                thread::spawn(move || kv.serve(&stream));
+                let (kv, losses) = (kv.clone(), losses.clone());
+                thread::spawn(move || kv.serve(&stream, &losses));
             }
         });
         Ok(address)
@@ -148,7 +166,7 @@
         state.calls.iter().filter(|(_, target)| target.contains(text)).map(|(at, _)| *at).collect()
     }
 
-    fn serve(&self, stream: &TcpStream) {
+    fn serve(&self, stream: &TcpStream, losses: &Losses) {
         let _ = stream.set_nodelay(true);
         let Ok(clone) = stream.try_clone() else { return };
         let (mut reader, mut writer) = (BufReader::new(clone), stream);
@@ -156,6 +174,11 @@
             self.lock().calls.push((Instant::now(), request.target().to_owned()));
             thread::sleep(ANSWER_TIME);
             let (status, body) = self.handle(&request);
+            if losses.are_on() {
+                // Nothing further, until the machine closes the channel.
+                while http::read_request(&mut reader).is_ok() {}
+                return;
+            }
             let body = body.map_or_else(String::new, |body| body.to_string());
             let headers = [("Content-Type", "application/json")];
             if writer.write_all(&http::response(status, &headers, body.as_bytes())).is_err() {
@@ -262,8 +285,7 @@
         let mut state = self.lock();
         let now = |state: &State, key: &str| state.items.get(key).map_or(0, |item| item.revision);
         let expected = body.get("expected").items();
-        let differs =
-            |row: &&Json| now(&state, row.get("key").str()) != row.get("revision").u64();
+        let differs = |row: &&Json| now(&state, row.get("key").str()) != row.get("revision").u64();
         if expected.iter().any(|row| differs(&row)) {
             let found = expected.iter().filter_map(|row| {
                 let key = row.get("key").str();
--- a/review/kit-3/src/node.rs
+++ b/review/kit-3/src/node.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use crate::{Json, Kv, Link, http, wait_until};
+use crate::{Json, Kv, Link, http, kv::Losses, wait_until};
 
 /// Settings of an entry process that differ between scripts.
 #[derive(Clone, Debug)]
@@ -27,6 +27,8 @@
     pub peer: SocketAddr,
     /// Its way to the store.
     pub store: Link,
+    /// Whether the store's answers to it are lost.
+    pub losses: Losses,
     file: PathBuf,
     log: PathBuf,
     process: Option<Child>,
@@ -104,12 +106,12 @@
     pub fn start(name: &str, specs: &[Spec], kv: Kv, bounds: &Json) -> io::Result<Self> {
         let dir = std::env::temp_dir().join(format!("review-{name}-{}", std::process::id()));
         fs::create_dir_all(&dir)?;
-        let store = kv.listen()?;
         let mut cluster = Self { kv, nodes: Vec::new(), dir };
         for spec in specs {
             let ports = free_ports(6)?;
             let address = |at: u16| SocketAddr::from(([127, 0, 0, 1], ports + at));
-            let link = Link::start(store)?;
+            let losses = Losses::default();
+            let link = Link::start(cluster.kv.listen(&losses)?)?;
             let file = cluster.dir.join(format!("{}.json", spec.name));
             fs::write(&file, settings(spec, specs, ports, link.address, bounds).to_string())?;
             let log = cluster.dir.join(format!("{}.log", spec.name));
@@ -119,6 +121,7 @@
                 ready: address(1),
                 peer: address(4),
                 store: link,
+                losses,
                 file,
                 log,
                 process: None,
@@ -126,7 +129,8 @@
             node.start()?;
             cluster.nodes.push(node);
         }
-        let ready = wait_until(Duration::from_secs(10), || cluster.nodes.iter().all(Node::is_ready));
+        let ready =
+            wait_until(Duration::from_secs(10), || cluster.nodes.iter().all(Node::is_ready));
         if ready { Ok(cluster) } else { Err(io::Error::other("the processes are not ready")) }
     }
 
--- a/review/kit-3/src/poison.rs
+++ b/review/kit-3/src/poison.rs
@@ -127,10 +127,16 @@
 }
 
 /// Sends the request once as a client attempt of its own at a node.
-pub fn send(cluster: &Cluster, record: &Record, at: usize, path: &str, id: &str, body: &str) -> u16 {
+pub fn send(
+    cluster: &Cluster,
+    record: &Record,
+    at: usize,
+    path: &str,
+    id: &str,
+    body: &str,
+) -> u16 {
     let node = &cluster.nodes[at % cluster.nodes.len()];
-    let headers =
-        [("Host", "ficu95.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
+    let headers = [("Host", "ficu95.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
     record.add(format!("client sends {id} ({body}) to {}", node.spec.name));
     let limit = Duration::from_millis(2500);
     let answer = http::call(node.entry, ("POST", path), &headers, body.as_bytes(), limit);
