--- a/review/kit-3/src/kv.rs
+++ b/review/kit-3/src/kv.rs
@@ -16,6 +16,8 @@
 
 /// Largest number of entries in a page.
 const PAGE: usize = 500;
+/// Size of the values from which a page ends.
+const PAGE_BYTES: usize = 1_000_000;
 /// Largest number of entries in a transaction.
 const TXN_MAX: usize = 32;
 /// Time of an answer.
@@ -208,9 +210,16 @@
                 let items = state.items.iter().filter(|(key, _)| {
                     key.starts_with(&prefix) && after.as_ref().is_none_or(|after| *key > after)
                 });
-                let all: Vec<Json> = items.map(|(key, item)| encoded(key, item)).collect();
-                let more = all.len() > PAGE;
-                let page = Json::list(all.into_iter().take(PAGE));
+                let (mut page, mut bytes, mut more) = (Vec::new(), 0, false);
+                for (key, item) in items {
+                    bytes += item.value.len();
+                    more = !page.is_empty() && (bytes > PAGE_BYTES || page.len() == PAGE);
+                    if more {
+                        break;
+                    }
+                    page.push(encoded(key, item));
+                }
+                let page = Json::List(page);
                 let fields = [
                     ("items", page),
                     ("more_pages", more.into()),
--- a/review/kit-3/src/lib.rs
+++ b/review/kit-3/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod json;
 pub mod kv;
 pub mod link;
+pub mod lots;
 pub mod node;
 pub mod poison;
 pub mod record;
