--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -11,15 +11,14 @@
 use crate::{
     backoff::doubled,
     clock,
-    feed::{self, Feed, Renewed, Source, Watched},
+    feed::{self, Checked, Feed, MaxAge, Renewed, Source, Wait, Watched},
     freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error},
     workspace::Upkeep,
 };
 
-/// Maximum duration of a watch; shorter than the history that the store retains. A dead connection is detected by
-/// keep-alive probes of the transport, not by this timeout.
+/// Maximum duration of a watch; shorter than the history that the store retains.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(15);
 /// Backoff after a failed call; doubles with each consecutive failure.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
@@ -74,8 +73,13 @@
 /// When a mirror reads changes from the store.
 #[derive(Clone, Debug)]
 pub enum Schedule {
-    /// Continuously, with a minimum interval between calls, so that many changes share a call.
-    Follow(Duration),
+    /// Continuously.
+    Follow {
+        /// Minimum interval between calls, so that many changes share a call.
+        interval: Duration,
+        /// Bound on the age of what is known.
+        max_age: MaxAge,
+    },
     /// When a refresh is requested.
     OnDemand(Arc<Freshness>),
 }
@@ -143,7 +147,11 @@
             match result {
                 Ok(Some((revision, current_at))) => {
                     at = Some(revision);
-                    self.wait_until_due(begun, current_at, &feed, &updates).await;
+                    tokio::select! {
+                        () = self.wait_until_due(begun, current_at, &feed, &updates) => {}
+                        // Proofs are due at once from the moment in which they are needed.
+                        () = upkeep_changed(&mut upkeep) => {}
+                    }
                 }
                 Ok(None) => at = None,
                 Err(error) => {
@@ -173,7 +181,7 @@
         updates: &mpsc::UnboundedSender<Update>,
     ) {
         match &self.schedule {
-            Schedule::Follow(interval) => {
+            Schedule::Follow { interval, .. } => {
                 let interval = self.pace.unwrap_or(*interval);
                 sleep(interval.saturating_sub(clock::now().saturating_sub(begun))).await;
             }
@@ -192,12 +200,67 @@
         matches!(self.schedule, Schedule::OnDemand(_)).then_some(current_at)
     }
 
-    /// Time for which a watch waits for the first change.
-    fn watch_timeout(&self, upkeep: Option<Upkeep>) -> Duration {
-        match (&self.schedule, upkeep) {
-            (Schedule::OnDemand(_), _) => Duration::ZERO,
-            (Schedule::Follow(_), Some(Upkeep::Watches(wait))) => wait.min(WATCH_TIMEOUT),
-            (Schedule::Follow(_), _) => WATCH_TIMEOUT,
+    /// Waits for changes after a revision.
+    async fn watch(
+        &self,
+        source: &dyn Source,
+        feed: &Feed,
+        after: Revision,
+        upkeep: Option<Upkeep>,
+    ) -> Result<Watched, Error> {
+        let max_age = match self.schedule {
+            Schedule::OnDemand(_) => {
+                return source.watch(&self.prefix, after, Duration::ZERO.into()).await;
+            }
+            Schedule::Follow { max_age, .. } => max_age,
+        };
+        let length = match upkeep {
+            Some(Upkeep::Watches(length)) => length,
+            Some(Upkeep::Renewal(_)) => WATCH_TIMEOUT,
+            None => match self.watch_checked(source, feed, after, max_age).await {
+                Some(result) => return result,
+                None => WATCH_TIMEOUT,
+            },
+        };
+        let length = length.min(WATCH_TIMEOUT).min(max_age.watch_wait());
+        source.watch(&self.prefix, after, Wait { length, max_age }).await
+    }
+
+    /// Waits for changes by a long watch, and checks with another reader meanwhile that it has lost no answer. Returns `None` if
+    /// there is no such reader, or not any more.
+    async fn watch_checked(
+        &self,
+        source: &dyn Source,
+        feed: &Feed,
+        after: Revision,
+        max_age: MaxAge,
+    ) -> Option<Result<Watched, Error>> {
+        if max_age == MaxAge::UNBOUNDED {
+            return None;
+        }
+        let prefix = &*self.prefix;
+        let Checked::Current(at) = source.check(prefix, after, max_age).await else {
+            return None;
+        };
+        feed.extend(prefix, &[], after, at);
+        let mut watch = source.watch(prefix, after, Wait { length: WATCH_TIMEOUT, max_age });
+        loop {
+            let check = async {
+                sleep(max_age.check_interval()).await;
+                source.check(prefix, after, max_age).await
+            };
+            let checked = tokio::select! {
+                result = &mut watch => return Some(result),
+                checked = check => checked,
+            };
+            match checked {
+                Checked::Current(at) => feed.extend(prefix, &[], after, at),
+                Checked::Behind(watched) => {
+                    info!(prefix, after; "changes missed by a watch; taken from another reader");
+                    return Some(Ok(watched));
+                }
+                Checked::Unchecked => return None,
+            }
         }
     }
 
@@ -228,7 +291,7 @@
             return self.renew(source, feed, (after, period), updates).await;
         }
         self.pace = None;
-        let watched = source.watch(&self.prefix, after, self.watch_timeout(upkeep)).await?;
+        let watched = self.watch(source, feed, after, upkeep).await?;
         self.record_success(feed, updates);
         match watched {
             Watched::Changes { changes, revision, current_at, recovered } => {
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -1,6 +1,6 @@
 //! Roles of this host: leader of services, and reader of its zone.
 
-use std::{rc::Rc, sync::Arc};
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use tokio::sync::watch;
 
@@ -14,7 +14,7 @@
         store_state::{LEADERS_MIRROR, LeaderEntry},
     },
     dialect::Subject,
-    feed,
+    feed::{self, MaxAge},
     holder::Holder,
     job,
     metrics::METERS,
@@ -25,6 +25,10 @@
 /// Lease of a reader in leases of a leader: other hosts do without a reader, so a slow succession costs little.
 const READER_LEASE_FACTOR: u32 = 2;
 const READER_RENEWALS_PER_LEASE: u32 = 4;
+/// Bound on the age of requested versions: without the newest one, items of its first step are at no engine.
+const VERSIONS_MAX_AGE: MaxAge = MaxAge::new(Duration::from_secs(6));
+/// Bound on the age of the heads of jobs. A job that a trainer has ended may run for three seconds more.
+const HEADS_MAX_AGE: MaxAge = MaxAge::new(Duration::from_secs(4));
 /// Minimum interval between watches of the registered hosts.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -89,7 +93,11 @@
         if let Some(mirror) = self.hosts_mirror.take() {
             mirror.abort();
         } else {
-            let mirror = Mirror::new(usize::MAX, job::HOSTS, Schedule::Follow(HOSTS_INTERVAL));
+            let mirror = Mirror::new(
+                usize::MAX,
+                job::HOSTS,
+                Schedule::Follow { interval: HOSTS_INTERVAL, max_age: MaxAge::UNBOUNDED },
+            );
             let follow = mirror.follow(
                 Rc::clone(&self.direct),
                 Arc::clone(&self.feed),
@@ -151,7 +159,11 @@
         set(&self.reader_key, state(self.store_state.reader.as_ref()));
         self.update_usage_key();
         let reader = self.store_state.reader.as_ref().and_then(|reader| reader.peer);
-        set(&self.reader, reader.filter(|reader| Some(*reader) != self.settings.peer));
+        let is_other = |reader: &SocketAddr| Some(*reader) != self.settings.peer;
+        set(&self.reader, reader.filter(is_other));
+        // All hosts agree on it, as they know the same keys.
+        let primary = self.store_state.reader_addresses.values().next().copied();
+        set(&self.primary, primary.filter(is_other));
     }
 
     /// Starts or stops the mirrors of job heads, requested versions and retired hosts, which only a leader needs. Any
@@ -159,10 +171,15 @@
     fn update_leader_mirrors(&mut self) {
         let leads = self.leads_any();
         if leads && self.leader_mirrors.is_empty() {
-            let prefixes = self.dialect.prefixes().iter();
-            let operations = prefixes.filter(|(_, subject)| *subject == Subject::Operations);
-            for prefix in operations.map(|(prefix, _)| *prefix).chain([job::HEADS]) {
-                let mirror = Mirror::new(usize::MAX, prefix, Schedule::Follow(WATCH_INTERVAL));
+            let operations =
+                self.dialect.prefixes().iter().filter_map(|(prefix, subject)| match subject {
+                    Subject::Versions => Some((*prefix, VERSIONS_MAX_AGE)),
+                    Subject::Retirements => Some((*prefix, MaxAge::UNBOUNDED)),
+                    Subject::Config | Subject::Targets => None,
+                });
+            for (prefix, max_age) in operations.chain([(job::HEADS, HEADS_MAX_AGE)]) {
+                let schedule = Schedule::Follow { interval: WATCH_INTERVAL, max_age };
+                let mirror = Mirror::new(usize::MAX, prefix, schedule);
                 let (source, feed) = (Rc::clone(&self.direct), Arc::default());
                 let follow = mirror.follow(source, feed, self.updates.clone());
                 self.leader_mirrors.push(tokio::task::spawn_local(follow));
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -26,7 +26,7 @@
         waits::Waits,
     },
     dialect::{self, Subject},
-    feed::{self, Direct, Feed},
+    feed::{self, Direct, Feed, MaxAge, Readers},
     freshness::Freshness,
     job::{self, Failures},
     links::Links,
@@ -48,6 +48,8 @@
 /// Minimum interval between watches of a prefix that this program writes. Changes that matter sooner are also announced
 /// by other hosts.
 pub(super) const WATCH_INTERVAL: Duration = Duration::from_millis(250);
+/// Bound on the age of the leader keys, well within the time for which an item may be at no engine.
+const LEADERS_MAX_AGE: MaxAge = MaxAge::new(Duration::from_secs(5));
 /// Watches of the configuration within the time in which a new one must be in force.
 const CONFIG_WATCHES_PER_DEADLINE: u32 = 4;
 /// Time for which a new job may still be announced by the host that wrote it, instead of being read from the store.
@@ -88,6 +90,8 @@
     pub(super) direct: feed::Handle,
     /// Address of the host that reads for the zone, if it is another one.
     pub(super) reader: watch::Sender<Option<SocketAddr>>,
+    /// Address of the primary reader, unless this host is it.
+    pub(super) primary: watch::Sender<Option<SocketAddr>>,
     /// Leader key of the reader, for its election.
     pub(super) reader_key: watch::Sender<LeaderKey>,
     /// Mirror of the hosts, which only a reader needs.
@@ -159,14 +163,18 @@
     let platform = dialect.prefixes().iter().filter_map(|(prefix, subject)| match subject {
         Subject::Config => Some((
             *prefix,
-            Schedule::Follow(settings.config_deadline / CONFIG_WATCHES_PER_DEADLINE),
+            Schedule::Follow {
+                interval: settings.config_deadline / CONFIG_WATCHES_PER_DEADLINE,
+                max_age: MaxAge::new(settings.config_deadline),
+            },
         )),
         Subject::Targets => Some((*prefix, Schedule::OnDemand(Arc::clone(&freshness)))),
-        Subject::Operations => None,
+        Subject::Versions | Subject::Retirements => None,
     });
     let is_config = |prefix: &str| dialect.prefixes().contains(&(prefix, Subject::Config));
     let (upkeep, upkept) = watch::channel(None);
-    let leaders = [(job::LEADERS, Schedule::Follow(WATCH_INTERVAL))];
+    let leaders = Schedule::Follow { interval: WATCH_INTERVAL, max_age: LEADERS_MAX_AGE };
+    let leaders = [(job::LEADERS, leaders)];
     let mirrors: Vec<Mirror> = leaders
         .into_iter()
         .chain(platform)
@@ -177,10 +185,11 @@
         })
         .collect();
     let direct: feed::Handle = Rc::new(Direct(Rc::clone(&store)));
-    let (reader, reader_receiver) = watch::channel(None);
+    let (reader, zone_reader) = watch::channel(None);
+    let (primary, primary_reader) = watch::channel(None);
     let source: feed::Handle = feed::Client::new(
         Direct(Rc::clone(&store)),
-        reader_receiver,
+        Readers { zone: zone_reader, primary: primary_reader },
         settings.config_deadline / CONFIG_WATCHES_PER_DEADLINE,
         freshness.refresh_age().mul_f64(FEED_AGE_SHARE),
     );
@@ -225,6 +234,7 @@
         usage: None,
         direct,
         reader,
+        primary,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
         hosts_mirror: None,
         outbox: Outbox::new(commands, runner_events),
--- a/crates/node/src/dialect.rs
+++ b/crates/node/src/dialect.rs
@@ -126,8 +126,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Subject {
     Config,
-    /// Requested versions and retired hosts, which only a leader acts on.
-    Operations,
+    /// Requested versions, which only a leader acts on.
+    Versions,
+    /// Hosts that an operator retires, which only a leader acts on.
+    Retirements,
     /// Registrations of targets.
     Targets,
 }
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -16,7 +16,9 @@
 
 use crate::{
     clock,
-    feed::{ChangesRequest, Direct, Page, Renewed, Snapshot, Source, Watched},
+    feed::{
+        ChangesRequest, Checked, Direct, MaxAge, Page, Renewed, Snapshot, Source, Wait, Watched,
+    },
     job,
     metrics::METERS,
     peer::{self, Kind},
@@ -52,6 +54,11 @@
     None,
 }
 
+/// Whether a page without changes is young enough, if all changes up to `current_at` are in it.
+fn is_within(max_age: MaxAge, page: &Page, current_at: Time) -> bool {
+    !page.changes.is_empty() || max_age.admits(clock::now().saturating_sub(current_at))
+}
+
 /// Pause of this host's own calls of the store while its reader has lost it: the store is probably down for all hosts of
 /// the zone, and their calls would be many.
 #[derive(Clone, Copy, Debug)]
@@ -60,12 +67,21 @@
     length: Duration,
 }
 
+/// Addresses of readers that a host asks.
+#[derive(Clone, Debug)]
+pub struct Readers {
+    /// Reader of the host's zone; `None` if there is none or the host is the reader.
+    pub zone: watch::Receiver<Option<SocketAddr>>,
+    /// Reader with which a host that reads from the store checks what it knows; `None` if there is none or the host is that
+    /// reader.
+    pub primary: watch::Receiver<Option<SocketAddr>>,
+}
+
 /// Client of the reader of a zone, for one thread.
 pub struct Client {
     direct: Direct,
     peers: peer::Client,
-    /// Address of the zone's reader; `None` if there is none or this host is the reader.
-    reader: watch::Receiver<Option<SocketAddr>>,
+    readers: Readers,
     started: Instant,
     /// Longest wait for changes, so that a reader that is gone is noticed in time.
     wait_max: Duration,
@@ -79,14 +95,14 @@
 impl Client {
     pub fn new(
         direct: Direct,
-        reader: watch::Receiver<Option<SocketAddr>>,
+        readers: Readers,
         wait_max: Duration,
         max_age: Duration,
     ) -> Rc<Self> {
         Rc::new(Self {
             direct,
             peers: peer::Client::default(),
-            reader,
+            readers,
             started: Instant::now(),
             wait_max,
             max_age,
@@ -95,11 +111,19 @@
         })
     }
 
-    /// Sends a request to the reader. The error is the answer without a page.
+    /// Sends a request to the zone's reader. The error is the answer without a page.
     async fn call_reader(&self, request: ChangesRequest, limit: Duration) -> Result<Page, Answer> {
-        let Some(reader) = *self.reader.borrow() else {
-            return Err(Answer::None);
-        };
+        let reader = *self.readers.zone.borrow();
+        self.call(reader.ok_or(Answer::None)?, request, limit).await
+    }
+
+    /// Sends a request to a reader. The error is the answer without a page.
+    async fn call(
+        &self,
+        reader: SocketAddr,
+        request: ChangesRequest,
+        limit: Duration,
+    ) -> Result<Page, Answer> {
         let response = self.peers.call(reader, Kind::Changes(request), limit).await;
         let response = response.ok_or(Answer::None)?;
         if !response.served {
@@ -196,15 +220,21 @@
     }
 
     /// Asks the reader for changes. While it has lost the store it is asked again until this host may call the store.
-    async fn ask_for_changes(&self, prefix: &str, after: Revision, wait: Duration) -> Answer {
+    async fn ask_for_changes(&self, prefix: &str, after: Revision, wait: Wait) -> Answer {
+        let Wait { length, max_age } = wait;
         // A prefix that is read on demand needs young answers; for one that is followed, the reader passes changes on.
-        let max_age = wait.is_zero().then_some(self.max_age);
+        let page_age = length.is_zero().then_some(self.max_age);
         loop {
-            let answer = self.ask(prefix, Some(after), wait.min(self.wait_max), max_age).await;
+            let answer = self.ask(prefix, Some(after), length.min(self.wait_max), page_age).await;
             match answer {
-                Answer::Lost if !wait.is_zero() && !self.may_call(prefix) => {
+                Answer::Lost if !length.is_zero() && !self.may_call(prefix) => {
                     sleep(LOST_POLL_INTERVAL).await;
                 }
+                // The reader's own watch may hang.
+                Answer::Page(page, at) if !is_within(max_age, &page, at) => {
+                    METERS.feed("outdated");
+                    return Answer::None;
+                }
                 Answer::Page(..) | Answer::Lost | Answer::None => return answer,
             }
         }
@@ -212,7 +242,7 @@
 
     /// Waits for a reader for a limited time after the start, when all hosts would read at once.
     async fn wait_for_reader(&self) {
-        let mut reader = self.reader.clone();
+        let mut reader = self.readers.zone.clone();
         // Without a reader by then, this host reads from the store.
         let _ = timeout_at(self.started + READER_WAIT, reader.wait_for(Option::is_some)).await;
     }
@@ -263,13 +293,13 @@
         Ok(Snapshot { entries, revision: page.revision, current_at, proven_at })
     }
 
-    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error> {
+    async fn watch(&self, prefix: &str, after: Revision, wait: Wait) -> Result<Watched, Error> {
         let Answer::Page(page, current_at) = self.ask_for_changes(prefix, after, wait).await else {
             // The reader may have lost the store just now, and a watch that begins in that moment can be lost without
             // notice. So it is a short one, after which the reader is asked again.
-            let has_reader = self.reader.borrow().is_some();
-            let wait = if has_reader { wait.min(self.wait_max / 2) } else { wait };
-            let result = self.direct.watch(prefix, after, wait).await;
+            let has_reader = self.readers.zone.borrow().is_some();
+            let length = if has_reader { wait.length.min(self.wait_max / 2) } else { wait.length };
+            let result = self.direct.watch(prefix, after, Wait { length, ..wait }).await;
             return self.record_call(prefix, result);
         };
         let revision = page.revision;
@@ -281,6 +311,43 @@
         })
     }
 
+    async fn check(&self, prefix: &str, after: Revision, max_age: MaxAge) -> Checked {
+        let primary = *self.readers.primary.borrow();
+        let (None, Some(primary)) = (*self.readers.zone.borrow(), primary) else {
+            return Checked::Unchecked;
+        };
+        let asked_at = clock::now();
+        let request = ChangesRequest {
+            prefix: prefix.to_owned(),
+            after: Some(after),
+            ..ChangesRequest::default()
+        };
+        let Ok(page) = self.call(primary, request, RESPONSE_TIMEOUT).await else {
+            return Checked::Unchecked;
+        };
+        // A reader of an earlier build does not tell up to when it knows the changes.
+        let current_at = page.heard_at(asked_at).unwrap_or_default();
+        if page.compacted {
+            return Checked::Behind(Watched::Compacted);
+        }
+        if !page.changes.is_empty() {
+            METERS.feed("missed");
+            let revision = page.revision;
+            let changes = page.changes.into_iter().map(Change::from).collect();
+            return Checked::Behind(Watched::Changes {
+                changes,
+                revision,
+                current_at,
+                recovered: false,
+            });
+        }
+        if max_age.admits(clock::now().saturating_sub(current_at)) {
+            return Checked::Current(current_at);
+        }
+        METERS.feed("outdated");
+        Checked::Unchecked
+    }
+
     async fn renew(
         &self,
         prefix: &str,
--- a/crates/node/src/feed/source.rs
+++ b/crates/node/src/feed/source.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     clock,
+    feed::MaxAge,
     prelude::*,
     store::{self, Change, Entry, Error, WatchResponse},
 };
@@ -22,6 +23,31 @@
     pub proven_at: Option<Time>,
 }
 
+/// How long a watch waits for a change.
+#[derive(Clone, Copy, Debug)]
+pub struct Wait {
+    pub length: Duration,
+    /// Bound on the age of what another host answers.
+    pub max_age: MaxAge,
+}
+
+impl From<Duration> for Wait {
+    fn from(length: Duration) -> Self {
+        Self { length, max_age: MaxAge::UNBOUNDED }
+    }
+}
+
+/// What another reader of a prefix tells of what this host knows.
+#[derive(Clone, Debug)]
+pub enum Checked {
+    /// Nothing, or nothing that is young enough.
+    Unchecked,
+    /// This host knows all changes up to a time.
+    Current(Time),
+    /// This host has missed these.
+    Behind(Watched),
+}
+
 /// Result of waiting for changes.
 #[derive(Clone, Debug)]
 pub enum Watched {
@@ -53,8 +79,10 @@
 pub trait Source {
     /// Reads all entries under a prefix.
     async fn read(&self, prefix: &str) -> Result<Snapshot, Error>;
-    /// Waits up to `wait` for changes under a prefix after a revision.
-    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error>;
+    /// Waits for changes under a prefix after a revision.
+    async fn watch(&self, prefix: &str, after: Revision, wait: Wait) -> Result<Watched, Error>;
+    /// Asks another reader whether there are changes under a prefix after a revision.
+    async fn check(&self, prefix: &str, after: Revision, max_age: MaxAge) -> Checked;
     /// Proves what is known of a prefix up to a revision. `proven_at` is the time of the last proof, and `period` the interval
     /// between two of them.
     async fn renew(
@@ -77,9 +105,9 @@
         Ok(Snapshot { entries, revision, current_at, proven_at: Some(current_at) })
     }
 
-    async fn watch(&self, prefix: &str, after: Revision, wait: Duration) -> Result<Watched, Error> {
+    async fn watch(&self, prefix: &str, after: Revision, wait: Wait) -> Result<Watched, Error> {
         let current_at = clock::now();
-        Ok(match self.0.watch(prefix, after, wait).await? {
+        Ok(match self.0.watch(prefix, after, wait.length).await? {
             WatchResponse::Changes { changes, revision } => {
                 Watched::Changes { changes, revision, current_at, recovered: false }
             }
@@ -87,6 +115,10 @@
         })
     }
 
+    async fn check(&self, _: &str, _: Revision, _: MaxAge) -> Checked {
+        Checked::Unchecked
+    }
+
     async fn renew(
         &self,
         prefix: &str,
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -10,7 +10,10 @@
 use common::ms;
 use lagoonyard_node::{
     clock,
-    feed::{ChangesRequest, Client, Direct, Feed, Renewed, Snapshot, Source, Watched},
+    feed::{
+        ChangesRequest, Checked, Client, Direct, Feed, MaxAge, Readers, Renewed, Snapshot, Source,
+        Wait, Watched,
+    },
     peer::{self, Frames, Handler, Kind, Lead, Request, Response, Tunnel},
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
@@ -102,12 +105,21 @@
     feed
 }
 
-async fn client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
+fn zone_reader(address: SocketAddr) -> Readers {
+    Readers { zone: watch::channel(Some(address)).1, primary: watch::channel(None).1 }
+}
+
+/// Serves a feed, and returns the address.
+async fn serve(feed: &Arc<Feed>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address: SocketAddr = listener.local_addr().unwrap();
+    let address = listener.local_addr().unwrap();
     tokio::task::spawn_local(peer::serve(listener, Rc::new(Reader(Arc::clone(feed)))));
-    let (_, reader) = watch::channel(Some(address));
-    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), reader, ms(200), ms(300))
+    address
+}
+
+async fn client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
+    let address = serve(feed).await;
+    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), zone_reader(address), ms(200), ms(300))
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -132,7 +144,7 @@
         assert_eq!((snapshot.entries.len(), snapshot.revision), (2, 5));
         let removed = Change::Removed { key: "a/1".into(), revision: 7 };
         feed.extend(PREFIX, &[removed, Change::Put(entry("a/3", 8))], 8, clock::now());
-        let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
+        let watched = client.watch(PREFIX, 5, ms(5_000).into()).await.unwrap();
         assert_matches!(watched, Watched::Changes { changes, revision: 8, .. } => {
             assert_eq!(keys(&changes), ["-a/1", "+a/3"]);
         });
@@ -146,7 +158,7 @@
     run(async {
         let (feed, store) = (feed(None), Rc::new(Counter::default()));
         let client = client(&feed, &store).await;
-        assert_matches!(client.watch(PREFIX, 4, ms(100)).await, Ok(Watched::Compacted));
+        assert_matches!(client.watch(PREFIX, 4, ms(100).into()).await, Ok(Watched::Compacted));
     });
 }
 
@@ -161,7 +173,7 @@
             changed.extend(PREFIX, &[Change::Put(entry("a/1", 9))], 9, clock::now());
         });
         let begun = std::time::Instant::now();
-        let watched = client.watch(PREFIX, 5, ms(5_000)).await.unwrap();
+        let watched = client.watch(PREFIX, 5, ms(5_000).into()).await.unwrap();
         assert_matches!(watched, Watched::Changes { changes, .. } => assert_eq!(changes.len(), 1));
         assert!(begun.elapsed() < ms(150), "{:?}", begun.elapsed());
     });
@@ -174,7 +186,7 @@
         let store = Rc::new(Counter::default());
         let old = feed(Some(clock::now().saturating_sub(ms(400))));
         let client = client(&old, &store).await;
-        client.watch(PREFIX, 5, Duration::ZERO).await.unwrap();
+        client.watch(PREFIX, 5, Duration::ZERO.into()).await.unwrap();
         assert_eq!(store.calls.get(), 1);
     });
 }
@@ -185,7 +197,7 @@
         let store = Rc::new(Counter::default());
         let young = feed(Some(clock::now().saturating_sub(ms(200))));
         let client = client(&young, &store).await;
-        let watched = client.watch(PREFIX, 5, Duration::ZERO).await.unwrap();
+        let watched = client.watch(PREFIX, 5, Duration::ZERO.into()).await.unwrap();
         assert_matches!(watched, Watched::Changes { current_at, .. } => {
             assert!(clock::now().saturating_sub(current_at) >= ms(200));
         });
@@ -200,7 +212,7 @@
         let (feed, store) = (feed(None), Rc::new(Counter::default()));
         let client = client(&feed, &store).await;
         feed.fail(PREFIX);
-        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        client.watch(PREFIX, 5, ms(15_000).into()).await.unwrap();
         assert_eq!((store.calls.get(), store.last_wait.get()), (1, ms(100)));
     });
 }
@@ -215,7 +227,7 @@
         let mut reported = Vec::new();
         for revision in [6, 7] {
             feed.extend(PREFIX, &[Change::Put(entry("a/1", revision))], revision, clock::now());
-            let watched = client.watch(PREFIX, revision - 1, ms(100)).await.unwrap();
+            let watched = client.watch(PREFIX, revision - 1, ms(100).into()).await.unwrap();
             assert_matches!(watched, Watched::Changes { recovered, .. } => reported.push(recovered));
         }
         assert_eq!(reported, [true, false]);
@@ -240,11 +252,11 @@
         let store = Rc::new(Counter::default());
         // Connections are accepted by the kernel, and nobody reads from them.
         let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let (_, reader) = watch::channel(Some(silent.local_addr().unwrap()));
+        let readers = zone_reader(silent.local_addr().unwrap());
         let client =
-            Client::new(Direct(Rc::clone(&store) as Rc<dyn Store>), reader, ms(200), ms(300));
+            Client::new(Direct(Rc::clone(&store) as Rc<dyn Store>), readers, ms(200), ms(300));
         let begun = std::time::Instant::now();
-        client.watch(PREFIX, 5, Duration::ZERO).await.unwrap();
+        client.watch(PREFIX, 5, Duration::ZERO.into()).await.unwrap();
         assert_eq!(store.calls.get(), 1);
         assert!(begun.elapsed() < ms(100), "{:?}", begun.elapsed());
     });
@@ -260,7 +272,7 @@
         store.is_down.set(true);
         let watches = async {
             loop {
-                let _ = client.watch(PREFIX, 5, ms(15_000)).await;
+                let _ = client.watch(PREFIX, 5, ms(15_000).into()).await;
                 tokio::time::sleep(ms(50)).await;
             }
         };
@@ -268,9 +280,9 @@
         assert!((1..=5).contains(&store.calls.get()), "{} calls in 3 s", store.calls.get());
         // An answer of the store ends the pauses.
         store.is_down.set(false);
-        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        client.watch(PREFIX, 5, ms(15_000).into()).await.unwrap();
         let begun = std::time::Instant::now();
-        client.watch(PREFIX, 5, ms(15_000)).await.unwrap();
+        client.watch(PREFIX, 5, ms(15_000).into()).await.unwrap();
         assert!(begun.elapsed() < ms(100), "{:?}", begun.elapsed());
     });
 }
@@ -332,7 +344,7 @@
         let client = client(&feed, &store).await;
         let read_by = clock::now();
         let heard = async |revision| {
-            let watched = client.watch(PREFIX, revision, ms(60)).await.unwrap();
+            let watched = client.watch(PREFIX, revision, ms(60).into()).await.unwrap();
             assert_matches!(watched, Watched::Changes { current_at, .. } => current_at)
         };
         for _ in 0..3 {
@@ -357,3 +369,57 @@
         assert_eq!(feed.serve(&request).await.unwrap().proven_after_ms, None);
     });
 }
+
+/// Client of a host that reads from the store itself and checks with the primary reader.
+async fn checking_client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
+    let primary = watch::channel(Some(serve(feed).await)).1;
+    let readers = Readers { zone: watch::channel(None).1, primary };
+    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), readers, ms(200), ms(300))
+}
+
+/// Guards against a reader that misses a change with an answer of the store that was lost, although another reader knows it.
+#[test]
+fn a_reader_learns_from_the_primary_one_what_it_has_missed() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = checking_client(&feed, &store).await;
+        let max_age = MaxAge::new(ms(400));
+        assert_matches!(client.check(PREFIX, 5, max_age).await, Checked::Current(_));
+        feed.extend(PREFIX, &[Change::Put(entry("a/3", 8))], 8, clock::now());
+        let missed = assert_matches!(client.check(PREFIX, 5, max_age).await, Checked::Behind(missed) => missed);
+        assert_matches!(missed, Watched::Changes { changes, revision: 8, .. } => {
+            assert_eq!(keys(&changes), ["+a/3"]);
+        });
+        assert_eq!(store.calls.get(), 0);
+    });
+}
+
+/// Guards against a reader that relies on a primary one whose own watch hangs, or that has lost the store.
+#[test]
+fn a_check_with_a_reader_that_is_behind_shows_nothing() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = checking_client(&feed, &store).await;
+        let max_age = MaxAge::new(ms(100));
+        tokio::time::sleep(ms(120)).await;
+        assert_matches!(client.check(PREFIX, 5, max_age).await, Checked::Unchecked);
+        feed.extend(PREFIX, &[], 5, clock::now());
+        assert_matches!(client.check(PREFIX, 5, max_age).await, Checked::Current(_));
+        feed.fail(PREFIX);
+        assert_matches!(client.check(PREFIX, 5, max_age).await, Checked::Unchecked);
+    });
+}
+
+/// Guards against a host that waits for changes of a reader whose own watch hangs.
+#[test]
+fn a_reader_that_is_behind_is_replaced_by_a_watch() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let wait = Wait { length: ms(60), max_age: MaxAge::new(ms(100)) };
+        client.watch(PREFIX, 5, wait).await.unwrap();
+        assert_eq!(store.calls.get(), 0);
+        client.watch(PREFIX, 5, wait).await.unwrap();
+        assert_eq!(store.calls.get(), 1);
+    });
+}
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -15,7 +15,7 @@
 use common::ms;
 use lagoonyard_node::{
     control::{Mirror, Schedule, Update},
-    feed::{ChangesRequest, Direct, Feed},
+    feed::{ChangesRequest, Direct, Feed, MaxAge},
     freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error, Outcome, Page, Store, Txn, WatchResponse},
@@ -72,6 +72,8 @@
     watches: RefCell<VecDeque<Result<WatchResponse, Error>>>,
     /// Time that each watch takes.
     delay: Duration,
+    /// Longest wait of a watch.
+    wait_max: Cell<Duration>,
 }
 
 #[async_trait(?Send)]
@@ -85,7 +87,8 @@
         Ok(Page { entries: vec![entry], revision: 1, more: false })
     }
 
-    async fn watch(&self, _: &str, _: Revision, _: Duration) -> Result<WatchResponse, Error> {
+    async fn watch(&self, _: &str, _: Revision, wait: Duration) -> Result<WatchResponse, Error> {
+        self.wait_max.set(wait.max(self.wait_max.get()));
         let next = self.watches.borrow_mut().pop_front();
         tokio::time::sleep(self.delay).await;
         match next {
@@ -111,6 +114,11 @@
     }
 }
 
+/// Follows a prefix of which no rule bounds the age.
+fn follow(interval: Duration) -> Schedule {
+    Schedule::Follow { interval, max_age: MaxAge::UNBOUNDED }
+}
+
 /// Updates of a mirror whose watch fails a number of times and then returns a removal, up to that.
 fn updates_after_failures(failures: usize) -> Vec<Update> {
     let removed = Change::Removed { key: "a/1".into(), revision: 2 };
@@ -120,7 +128,7 @@
     let (updates, mut receiver) = mpsc::unbounded_channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mirror = Mirror::new(0, "a/", Schedule::Follow(ms(1)));
+        let mirror = Mirror::new(0, "a/", follow(ms(1)));
         let source =
             Rc::new(Direct(Rc::new(ScriptedStore { watches, ..ScriptedStore::default() })));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
@@ -197,7 +205,7 @@
     let (renewal, renewed) = watch::channel(None);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(1))).with_upkeep(renewed);
+        let mirror = Mirror::new(3, "a/", follow(ms(1))).with_upkeep(renewed);
         let source = Rc::new(Direct(Rc::new(store)));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let mut proofs = async || {
@@ -228,7 +236,7 @@
     let (_upkeep, upkept) = watch::channel(Some(Upkeep::Watches(ms(40))));
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let mirror = Mirror::new(3, "a/", Schedule::Follow(ms(20))).with_upkeep(upkept);
+        let mirror = Mirror::new(3, "a/", follow(ms(20))).with_upkeep(upkept);
         let source = Rc::new(Direct(Rc::new(store)));
         let begun = lagoonyard_node::clock::now();
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
@@ -250,7 +258,8 @@
 fn changes_read_on_demand_are_as_old_as_their_call() {
     let changed = Change::Removed { key: "a/1".into(), revision: 2 };
     let answered = Ok(WatchResponse::Changes { changes: vec![changed], revision: 2 });
-    let store = ScriptedStore { watches: RefCell::new([answered].into()), delay: ms(200) };
+    let watches = RefCell::new([answered].into());
+    let store = ScriptedStore { watches, delay: ms(200), ..ScriptedStore::default() };
     let (updates, mut receiver) = mpsc::unbounded_channel();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
@@ -271,3 +280,21 @@
         assert!(page.age() >= ms(200), "{:?}", page.age());
     });
 }
+
+/// Guards against a change that is unknown for many seconds, as the answer of a long watch was lost.
+#[test]
+fn a_watch_of_which_the_age_is_bounded_is_short() {
+    let empty = Ok(WatchResponse::Changes { changes: Vec::new(), revision: 1 });
+    let watches = RefCell::new([empty].into());
+    let store = Rc::new(ScriptedStore { watches, ..ScriptedStore::default() });
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let max_age = MaxAge::new(ms(1_000));
+        let mirror = Mirror::new(0, "a/", Schedule::Follow { interval: ms(1), max_age });
+        let source = Rc::new(Direct(Rc::clone(&store) as Rc<dyn Store>));
+        let (updates, _receiver) = mpsc::unbounded_channel();
+        let follow = mirror.follow(source, Arc::default(), updates);
+        let _ = tokio::time::timeout(ms(100), follow).await;
+    });
+    assert!((ms(1)..=ms(500)).contains(&store.wait_max.get()), "{:?}", store.wait_max.get());
+}
