--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -160,6 +160,7 @@
     pub(super) fn complete(&mut self, completion: Completion) {
         let now = clock::now();
         match completion {
+            Completion::OutageRefuted { outage } => self.refute_outage(&outage),
             Completion::JobRead { service, id, job } => {
                 let head = self.store_state.job_heads.get(&id);
                 let ended = head.is_none_or(|head| head.record.ended);
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -11,6 +11,7 @@
 use crate::{
     backoff::doubled,
     clock,
+    contact::Outage,
     feed::{self, Checked, Feed, MaxAge, Renewed, Source, Wait, Watched},
     freshness::Freshness,
     prelude::*,
@@ -60,9 +61,10 @@
     StoreUnavailable {
         mirror: usize,
     },
-    /// The store answers again.
+    /// The store answers again after an outage.
     StoreRecovered {
         mirror: usize,
+        outage: Outage,
     },
     /// The mirror of a prefix that is read on demand was current at this time.
     Refreshed {
@@ -275,7 +277,7 @@
     ) -> Result<Option<(Revision, Time)>, Error> {
         let Some(after) = at else {
             let snapshot = source.read(&self.prefix).await?;
-            self.record_success(feed, updates);
+            self.record_success(source, feed, updates);
             feed.reset(&self.prefix, &snapshot, self.age_base(snapshot.current_at));
             let (revision, current_at) = (snapshot.revision, snapshot.current_at);
             for change in self.compare(snapshot.entries, revision) {
@@ -292,12 +294,10 @@
         }
         self.pace = None;
         let watched = self.watch(source, feed, after, upkeep).await?;
-        self.record_success(feed, updates);
+        self.record_success(source, feed, updates);
         match watched {
-            Watched::Changes { changes, revision, current_at, recovered } => {
-                if recovered {
-                    let _ = updates.send(Update::StoreRecovered { mirror: self.number });
-                }
+            Watched::Changes { changes, revision, current_at, outage } => {
+                self.report_outage(outage, updates);
                 // Without workspaces a watch may have begun 15 s ago. The change that adds them was sent just now, unless the
                 // link held it up; the next, shorter watch tells.
                 let may_add_them = self.upkeep.is_some() && upkeep.is_none() && !changes.is_empty();
@@ -327,7 +327,7 @@
         updates: &mpsc::UnboundedSender<Update>,
     ) -> Result<Option<(Revision, Time)>, Error> {
         let renewed = source.renew(&self.prefix, after, self.proven_at, period).await?;
-        self.record_success(feed, updates);
+        self.record_success(source, feed, updates);
         let (changes, revision, proven_at) = match renewed {
             Renewed::Read(snapshot) => {
                 self.pace = Some(period);
@@ -335,10 +335,8 @@
                 let changes = self.compare(snapshot.entries, snapshot.revision);
                 (changes, snapshot.revision, proven_at)
             }
-            Renewed::Changes { changes, revision, proven_at, recovered } => {
-                if recovered {
-                    let _ = updates.send(Update::StoreRecovered { mirror: self.number });
-                }
+            Renewed::Changes { changes, revision, proven_at, outage } => {
+                self.report_outage(outage, updates);
                 // The reader answers when it has a newer proof.
                 self.pace = Some(period / PROOF_REQUESTS_PER_PERIOD);
                 let changes = changes.into_iter().filter(|change| self.record(change));
@@ -404,16 +402,29 @@
 
     /// Must be called before the changes of a response are sent: entries whose leases expired during an outage may come
     /// back shortly after it. A shorter failure, such as a change of the way to the store, has let no lease expire.
-    fn record_success(&mut self, feed: &Feed, updates: &mpsc::UnboundedSender<Update>) {
+    fn record_success(
+        &mut self,
+        source: &dyn Source,
+        feed: &Feed,
+        updates: &mpsc::UnboundedSender<Update>,
+    ) {
         if std::mem::take(&mut self.failures) == 0 {
             return;
         }
-        let outage = clock::now().saturating_sub(self.failed_at);
-        let after_ms = crate::logging::ms(outage);
-        info!(prefix = &*self.prefix, after_ms; "store answers again");
-        if outage >= OUTAGE_MIN {
-            feed.recover();
-            let _ = updates.send(Update::StoreRecovered { mirror: self.number });
+        let outage = source.outage_since(self.failed_at);
+        let after_ms = crate::logging::ms(clock::now().saturating_sub(self.failed_at));
+        let outage_ms = crate::logging::ms(outage.length());
+        info!(prefix = &*self.prefix, after_ms, outage_ms; "store answers again");
+        if outage.length() >= OUTAGE_MIN {
+            feed.record_outage(outage);
+            self.report_outage(Some(outage), updates);
+        }
+    }
+
+    fn report_outage(&self, outage: Option<Outage>, updates: &mpsc::UnboundedSender<Update>) {
+        if let Some(outage) = outage {
+            // Fails only while the process ends.
+            let _ = updates.send(Update::StoreRecovered { mirror: self.number, outage });
         }
     }
 
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod moves;
 mod news;
 mod orders;
+mod outages;
 mod parts;
 mod prompts;
 mod roles;
--- a/crates/node/src/control/parts.rs
+++ b/crates/node/src/control/parts.rs
@@ -5,7 +5,9 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
-    cloud, dialect,
+    cloud,
+    contact::Contact,
+    dialect,
     feed::Feed,
     freshness::Freshness,
     job::Failures,
@@ -25,6 +27,7 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    pub contact: Arc<Contact>,
     /// API of the platform, if this deployment has duties there.
     pub cloud: Option<cloud::Handle>,
     /// Hosts that relay calls to the store.
--- a/crates/node/src/control/state.rs
+++ b/crates/node/src/control/state.rs
@@ -147,6 +147,7 @@
         view,
         dialect,
         store,
+        contact,
         cloud,
         peers,
         freshness,
@@ -184,11 +185,11 @@
             if is_config(prefix) { mirror.with_upkeep(upkept.clone()) } else { mirror }
         })
         .collect();
-    let direct: feed::Handle = Rc::new(Direct(Rc::clone(&store)));
+    let direct = Direct { store: Rc::clone(&store), contact: Arc::clone(&contact) };
     let (reader, zone_reader) = watch::channel(None);
     let (primary, primary_reader) = watch::channel(None);
     let source: feed::Handle = feed::Client::new(
-        Direct(Rc::clone(&store)),
+        direct.clone(),
         Readers { zone: zone_reader, primary: primary_reader },
         settings.config_deadline / CONFIG_WATCHES_PER_DEADLINE,
         freshness.refresh_age().mul_f64(FEED_AGE_SHARE),
@@ -232,7 +233,7 @@
         failures,
         meter,
         usage: None,
-        direct,
+        direct: Rc::new(direct),
         reader,
         primary,
         reader_key: watch::Sender::new(LeaderKey::Unknown),
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -145,8 +145,8 @@
                 let heard_at = Some(heard_at).max(self.knowledge.heard_at);
                 self.set_knowledge(Knowledge { proven_at, heard_at });
             }
-            Update::StoreUnavailable { .. } | Update::Refreshed { .. } => {}
-            Update::StoreRecovered { .. } => self.fleet.store_recovered(clock::now()),
+            Update::StoreUnavailable { .. } | Update::StoreRecovered { .. } => {}
+            Update::Refreshed { at } => self.fleet.refreshed(at),
         }
         None
     }
--- a/crates/node/src/control/tasks.rs
+++ b/crates/node/src/control/tasks.rs
@@ -8,6 +8,7 @@
 use tokio::{sync::mpsc, time::sleep};
 
 use crate::{
+    contact::Outage,
     control::{
         orders::LoadResult,
         store_state::Head,
@@ -48,6 +49,10 @@
         target: TargetId,
         result: LoadResult,
     },
+    /// The store has answered other hosts in an outage.
+    OutageRefuted {
+        outage: Outage,
+    },
     /// An engine has said that it leaves.
     Departure(Departure),
     /// A call that orders a number of targets has ended.
--- a/crates/node/src/control/updates.rs
+++ b/crates/node/src/control/updates.rs
@@ -16,6 +16,9 @@
         if let Update::Refreshed { at } = update {
             self.refreshed_at = Some(at);
         }
+        if let Update::StoreRecovered { outage, .. } = update {
+            self.store_recovered(outage);
+        }
         match self.store_state.apply(update, self.dialect.as_ref()) {
             Some(Effect::JobEnded { service, job }) => {
                 if let Some(leader) = self.leaders.get_mut(&service) {
--- a/crates/node/src/feed/client.rs
+++ b/crates/node/src/feed/client.rs
@@ -8,6 +8,7 @@
 };
 
 use async_trait::async_trait;
+use log::info;
 use prost::Message;
 use tokio::{
     sync::watch,
@@ -16,10 +17,11 @@
 
 use crate::{
     clock,
+    contact::Outage,
     feed::{
         ChangesRequest, Checked, Direct, MaxAge, Page, Renewed, Snapshot, Source, Wait, Watched,
     },
-    job,
+    job, logging,
     metrics::METERS,
     peer::{self, Kind},
     prelude::*,
@@ -87,6 +89,7 @@
     wait_max: Duration,
     /// Age up to which what the reader knows serves a request without a wait.
     max_age: Duration,
+    /// End of the last outage that a reader has told of.
     recovered_at: Cell<Option<Time>>,
     /// Pauses by prefix.
     pauses: RefCell<HashMap<Box<str>, Pause>>,
@@ -247,28 +250,29 @@
         let _ = timeout_at(self.started + READER_WAIT, reader.wait_for(Option::is_some)).await;
     }
 
-    /// Records that the reader has answered, and decodes its changes, with whether they follow an outage of the store that is
-    /// not known yet; `None` if it no longer has the changes.
-    fn accept(&self, prefix: &str, page: Page) -> Option<(Vec<Change>, bool)> {
+    /// Records that the reader has answered, and decodes its changes, with the outage of the store that they follow if it is not
+    /// known yet; `None` if it no longer has the changes.
+    fn accept(&self, prefix: &str, page: Page) -> Option<(Vec<Change>, Option<Outage>)> {
         self.pauses.borrow_mut().remove(prefix);
         if page.compacted {
             return None;
         }
-        let recovered = self.is_recovery(&page);
-        Some((page.changes.into_iter().map(Change::from).collect(), recovered))
+        let outage = self.new_outage(&page);
+        Some((page.changes.into_iter().map(Change::from).collect(), outage))
     }
 
-    /// Whether a page tells of an outage of the store that is not known yet.
-    fn is_recovery(&self, page: &Page) -> bool {
-        let Some(ago) = page.recovered_ms.map(Duration::from_millis) else {
-            return false;
-        };
-        let at = clock::now().saturating_sub(ago);
-        let is_new = self.recovered_at.get().is_none_or(|known| at > known + SAME_RECOVERY);
-        if is_new {
-            self.recovered_at.set(Some(at));
+    /// Outage of the store of which a page tells, unless it is known already or the store has answered this host meanwhile: it
+    /// was then away for the reader alone, and let no registration expire.
+    fn new_outage(&self, page: &Page) -> Option<Outage> {
+        let outage = page.outage(clock::now())?;
+        let is_known = |known: Time| outage.ended_at <= known + SAME_RECOVERY;
+        if self.recovered_at.get().is_some_and(is_known) {
+            return None;
         }
-        is_new
+        self.recovered_at.set(Some(outage.ended_at));
+        let was_there = self.direct.contact.has_answered(outage.began_at, outage.lost_at);
+        info!(lost_ms = logging::ms(outage.length()), was_there; "reader has got no answers from the store");
+        (!was_there).then_some(outage)
     }
 }
 
@@ -304,9 +308,7 @@
         };
         let revision = page.revision;
         Ok(match self.accept(prefix, page) {
-            Some((changes, recovered)) => {
-                Watched::Changes { changes, revision, current_at, recovered }
-            }
+            Some((changes, outage)) => Watched::Changes { changes, revision, current_at, outage },
             None => Watched::Compacted,
         })
     }
@@ -338,7 +340,7 @@
                 changes,
                 revision,
                 current_at,
-                recovered: false,
+                outage: None,
             });
         }
         if max_age.admits(clock::now().saturating_sub(current_at)) {
@@ -348,6 +350,10 @@
         Checked::Unchecked
     }
 
+    fn outage_since(&self, began_at: Time) -> Outage {
+        self.direct.outage_since(began_at)
+    }
+
     async fn renew(
         &self,
         prefix: &str,
@@ -360,8 +366,8 @@
                 Answer::Page(page, proven_at) => {
                     let revision = page.revision;
                     return Ok(match self.accept(prefix, page) {
-                        Some((changes, recovered)) => {
-                            Renewed::Changes { changes, revision, proven_at, recovered }
+                        Some((changes, outage)) => {
+                            Renewed::Changes { changes, revision, proven_at, outage }
                         }
                         None => Renewed::Compacted,
                     });
--- a/crates/node/src/feed/page.rs
+++ b/crates/node/src/feed/page.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 
 use crate::{
+    contact::Outage,
     peer,
     prelude::*,
     store::{Change, Entry},
@@ -63,6 +64,12 @@
     /// does not tell.
     #[prost(sint64, optional, tag = "7")]
     pub heard_after_ms: Option<i64>,
+    /// Time since the reader's last call without an answer began, in that outage. A reader of an earlier build does not tell.
+    #[prost(uint64, optional, tag = "8")]
+    pub lost_ms: Option<u64>,
+    /// Time since the reader's first call without an answer had failed, in that outage.
+    #[prost(uint64, optional, tag = "9")]
+    pub outage_ms: Option<u64>,
 }
 
 /// Time that is some milliseconds after the arrival of a request that was sent at `asked_at`, or shortly before.
@@ -88,9 +95,23 @@
     }
 
     /// Sets the times of a page that is sent at `now`.
-    pub(super) fn set_times(&mut self, now: Time, current_at: Time, recovered_at: Option<Time>) {
-        self.age_ms = peer::millis(now.saturating_sub(current_at));
-        self.recovered_ms = recovered_at.map(|at| peer::millis(now.saturating_sub(at)));
+    pub(super) fn set_times(&mut self, now: Time, current_at: Time, outage: Option<Outage>) {
+        let since = |at: Time| peer::millis(now.saturating_sub(at));
+        self.age_ms = since(current_at);
+        self.recovered_ms = outage.map(|outage| since(outage.ended_at));
+        self.lost_ms = outage.map(|outage| since(outage.lost_at));
+        self.outage_ms = outage.map(|outage| since(outage.began_at));
+    }
+
+    /// Outage of the store that the reader has seen, if the page has just arrived.
+    pub fn outage(&self, now: Time) -> Option<Outage> {
+        let before = |ms| now.saturating_sub(Duration::from_millis(ms));
+        let ended_at = before(self.recovered_ms?);
+        Some(Outage {
+            began_at: self.outage_ms.map_or(ended_at, before),
+            lost_at: self.lost_ms.map_or(ended_at, before),
+            ended_at,
+        })
     }
 }
 
--- a/crates/node/src/feed/replica.rs
+++ b/crates/node/src/feed/replica.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     clock,
+    contact::Outage,
     feed::{ChangesRequest, Page, Snapshot},
     peer,
     prelude::*,
@@ -56,7 +57,8 @@
     serving: bool,
     /// Copies of the prefixes that the store has answered for last.
     copies: BTreeMap<Box<str>, Replica>,
-    recovered_at: Option<Time>,
+    /// Last outage of the store.
+    outage: Option<Outage>,
 }
 
 /// Copies shared by the control thread, which fills them, and the traffic thread, which serves them.
@@ -147,9 +149,14 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that the store answers again.
-    pub fn recover(&self) {
-        self.state().recovered_at = Some(clock::now());
+    /// Records an outage of the store that is over.
+    pub fn record_outage(&self, outage: Outage) {
+        self.state().outage = Some(outage);
+    }
+
+    /// Forgets an outage in which the store was there for other hosts.
+    pub fn refute_outage(&self, outage: &Outage) {
+        self.state().outage.take_if(|known| known.ended_at <= outage.ended_at);
     }
 
     /// Returns once a request needs younger copies of prefixes that are read on demand.
@@ -192,8 +199,8 @@
         let copy = state.copies.get(&*request.prefix).filter(|_| state.serving)?;
         let mut page = copy.page(request.after);
         let now = clock::now();
-        let recovered_at = state.recovered_at.filter(|at| now < *at + RECOVERY_PERIOD);
-        page.set_times(now, copy.current_at.unwrap_or(now), recovered_at);
+        let outage = state.outage.filter(|outage| now < outage.ended_at + RECOVERY_PERIOD);
+        page.set_times(now, copy.current_at.unwrap_or(now), outage);
         let since = |at: Time| match at.checked_sub(received_at) {
             Some(after) => signed(peer::millis(after)),
             // Rounded away from the present.
--- a/crates/node/src/feed/source.rs
+++ b/crates/node/src/feed/source.rs
@@ -1,11 +1,12 @@
 //! Where a mirror reads a prefix from: the store, or a host that reads it for others.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use async_trait::async_trait;
 
 use crate::{
     clock,
+    contact::{Contact, Outage},
     feed::MaxAge,
     prelude::*,
     store::{self, Change, Entry, Error, WatchResponse},
@@ -56,8 +57,8 @@
         revision: Revision,
         /// Time up to which the changes are complete.
         current_at: Time,
-        /// The source has lost the store for a time and reads it again since then.
-        recovered: bool,
+        /// Outage of the store that the source has seen and this host may not have.
+        outage: Option<Outage>,
     },
     /// The changes are not available any more; the prefix has to be read again.
     Compacted,
@@ -69,7 +70,7 @@
     /// All entries, read from the store.
     Read(Snapshot),
     /// Changes, from a reader that has read the store.
-    Changes { changes: Vec<Change>, revision: Revision, proven_at: Time, recovered: bool },
+    Changes { changes: Vec<Change>, revision: Revision, proven_at: Time, outage: Option<Outage> },
     /// The changes are not available any more; the prefix has to be read again.
     Compacted,
 }
@@ -92,24 +93,30 @@
         proven_at: Option<Time>,
         period: Duration,
     ) -> Result<Renewed, Error>;
+    /// Outage of the store for this host, if calls failed from a time on and were answered just now.
+    fn outage_since(&self, began_at: Time) -> Outage;
 }
 
 /// The store itself.
-pub struct Direct(pub store::Handle);
+#[derive(Clone)]
+pub struct Direct {
+    pub store: store::Handle,
+    pub contact: Arc<Contact>,
+}
 
 #[async_trait(?Send)]
 impl Source for Direct {
     async fn read(&self, prefix: &str) -> Result<Snapshot, Error> {
         let current_at = clock::now();
-        let (entries, revision) = store::read_all(self.0.as_ref(), prefix).await?;
+        let (entries, revision) = store::read_all(self.store.as_ref(), prefix).await?;
         Ok(Snapshot { entries, revision, current_at, proven_at: Some(current_at) })
     }
 
     async fn watch(&self, prefix: &str, after: Revision, wait: Wait) -> Result<Watched, Error> {
         let current_at = clock::now();
-        Ok(match self.0.watch(prefix, after, wait.length).await? {
+        Ok(match self.store.watch(prefix, after, wait.length).await? {
             WatchResponse::Changes { changes, revision } => {
-                Watched::Changes { changes, revision, current_at, recovered: false }
+                Watched::Changes { changes, revision, current_at, outage: None }
             }
             WatchResponse::Compacted => Watched::Compacted,
         })
@@ -128,6 +135,10 @@
     ) -> Result<Renewed, Error> {
         self.read(prefix).await.map(Renewed::Read)
     }
+
+    fn outage_since(&self, began_at: Time) -> Outage {
+        self.contact.outage_since(began_at)
+    }
 }
 
 /// Handle of a source, for one thread.
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,11 +1,11 @@
 //! Registered targets.
 //!
-//! Registrations that expire during an outage of the store come back shortly after it, so removals that arrive right
-//! after an outage are held back for a grace period.
+//! Registrations that expire during an outage of the store come back shortly after it, so the removals that the first answer
+//! after an outage tells of are held back for a grace period. Later answers tell of removals that were made after it.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
-use crate::prelude::*;
+use crate::{contact::Outage, prelude::*};
 
 /// Grace period after an outage of the store in which a missing registration may still come back.
 const OUTAGE_GRACE: Duration = Duration::from_millis(2200);
@@ -49,8 +49,10 @@
     targets: Arc<BTreeMap<TargetId, Arc<Target>>>,
     /// Targets whose registration is missing since an outage, with the time at which they are removed.
     missing: BTreeMap<TargetId, Time>,
-    /// End of the grace period.
-    grace_until: Time,
+    /// Last outage, until the first answer after it.
+    outage: Option<Outage>,
+    /// Begin of the last call that read the registrations.
+    refreshed_at: Time,
     /// Targets that have said in an answer that they leave, with the start time of the instance that said so.
     departures: BTreeMap<TargetId, u64>,
 }
@@ -92,13 +94,14 @@
         true
     }
 
-    /// Removes a target, or marks it as missing during the grace period. Returns whether it was removed.
+    /// Removes a target, or marks it as missing if its registration may have expired in an outage. Returns whether it was removed.
     pub fn deregister(&mut self, id: &str, now: Time) -> bool {
         if !self.targets.contains_key(id) {
             return false;
         }
-        if now < self.grace_until {
-            self.missing.insert(id.into(), self.grace_until);
+        let grace_until = self.outage.map(|outage| outage.ended_at + OUTAGE_GRACE);
+        if let Some(grace_until) = grace_until.filter(|until| now < *until) {
+            self.missing.entry(id.into()).or_insert(grace_until);
             return false;
         }
         Arc::make_mut(&mut self.targets).remove(id).is_some()
@@ -110,9 +113,29 @@
         self.targets.contains_key(id) && Arc::make_mut(&mut self.targets).remove(id).is_some()
     }
 
-    /// Starts the grace period, as the store answers again after an outage.
-    pub fn store_recovered(&mut self, now: Time) {
-        self.grace_until = now + OUTAGE_GRACE;
+    /// Starts the grace period after an outage, unless the registrations were read since its end. Returns whether that is news.
+    pub fn store_recovered(&mut self, outage: &Outage) -> bool {
+        let is_later = |known: Outage| outage.ended_at > known.ended_at;
+        let is_news = outage.ended_at > self.refreshed_at && self.outage.is_none_or(is_later);
+        if is_news {
+            self.outage = Some(*outage);
+        }
+        is_news
+    }
+
+    /// Ends the grace period of an outage in which no registration has expired, and removes the targets that are missing since
+    /// then. Returns their ids.
+    pub fn refute(&mut self, outage: &Outage) -> Vec<TargetId> {
+        self.outage.take_if(|known| known.ended_at <= outage.ended_at);
+        let grace_until = outage.ended_at + OUTAGE_GRACE;
+        self.expire(grace_until)
+    }
+
+    /// Records that the registrations were read by a call that began at a time. The removals that are told from now on were made
+    /// after it.
+    pub fn refreshed(&mut self, at: Time) {
+        self.refreshed_at = self.refreshed_at.max(at);
+        self.outage.take_if(|outage| at >= outage.ended_at);
     }
 
     /// Removes targets whose registration has not come back. Returns their ids.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod cloud;
 pub mod config;
+pub mod contact;
 pub mod control;
 pub mod crash;
 pub mod demand;
--- a/crates/node/src/peer/frame.rs
+++ b/crates/node/src/peer/frame.rs
@@ -9,6 +9,7 @@
 use crate::{
     feed::ChangesRequest,
     peer::{
+        contact::ContactRequest,
         dry_run::DryRun,
         failure::{FailedItems, FailuresRequest},
         limit::{Notice, Permit},
@@ -35,7 +36,10 @@
 /// A request of another host. One request at a time is in progress on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Request {
-    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 20, 21")]
+    #[prost(
+        oneof = "Kind",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 20, 21, 22"
+    )]
     pub kind: Option<Kind>,
 }
 
@@ -89,6 +93,9 @@
     /// Asks where a request or the next item of a job would go. Hosts of earlier builds do not serve it.
     #[prost(message, tag = "21")]
     DryRun(DryRun),
+    /// Asks whether the store has answered a host in a time. Hosts of earlier builds do not serve it.
+    #[prost(message, tag = "22")]
+    Contact(ContactRequest),
 }
 
 /// A call about a job, for a caller of a workspace.
--- a/crates/node/src/peer/mod.rs
+++ b/crates/node/src/peer/mod.rs
@@ -5,6 +5,7 @@
 //! one connection to each. A host that has lost its links to targets has its connections opened by other hosts.
 
 mod client;
+mod contact;
 mod departure;
 mod dry_run;
 mod ended;
@@ -20,6 +21,7 @@
 mod usage;
 
 pub use client::{Client, connect};
+pub use contact::ContactRequest;
 pub use departure::Departure;
 pub use dry_run::{DryRun, DryRunReply};
 pub use ended::Ended;
--- a/crates/node/src/relay/client.rs
+++ b/crates/node/src/relay/client.rs
@@ -1,6 +1,6 @@
 //! Client for calls to the store, directly or through another host.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Instant};
 
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -10,6 +10,7 @@
 
 use crate::{
     clock,
+    contact::Contact,
     metrics::METERS,
     prelude::*,
     relay::{
@@ -47,12 +48,18 @@
     failover: Rc<Failover>,
     peers: Peers,
     zone: ZoneId,
+    contact: Arc<Contact>,
     idle: RefCell<Vec<Connection>>,
 }
 
 impl Client {
-    pub fn new(direct: Rc<dyn Transport>, peers: Peers, zone: ZoneId) -> Self {
-        Self { failover: Failover::new(direct), peers, zone, idle: RefCell::default() }
+    pub fn new(
+        direct: Rc<dyn Transport>,
+        peers: Peers,
+        zone: ZoneId,
+        contact: Arc<Contact>,
+    ) -> Self {
+        Self { failover: Failover::new(direct), peers, zone, contact, idle: RefCell::default() }
     }
 
     /// Whether calls go through other hosts. Long polls should then have short timeouts: if the other host loses the
@@ -61,8 +68,18 @@
         self.failover.path().is_relayed()
     }
 
-    /// Makes a call on the path that works.
+    /// Makes a call on the path that works, and records whether it was answered.
     pub async fn call(&self, call: &Call) -> Result<Response, Error> {
+        let begun_at = clock::now();
+        let result = self.call_any(call).await;
+        match &result {
+            Ok(_) => self.contact.record_answer(),
+            Err(_) => self.contact.record_loss(begun_at),
+        }
+        result
+    }
+
+    async fn call_any(&self, call: &Call) -> Result<Response, Error> {
         if self.is_relayed()
             && let Some(result) = self.call_relayed(call).await
         {
--- a/crates/node/src/relay/peers.rs
+++ b/crates/node/src/relay/peers.rs
@@ -61,6 +61,15 @@
         self.refresh.notify_one();
     }
 
+    /// Addresses of up to `count` random hosts for requests about jobs.
+    pub fn sample_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let all = self.all.load();
+        let mut addresses: Vec<SocketAddr> = all.iter().filter_map(|peer| peer.peer).collect();
+        addresses.shuffle(&mut rand::rng());
+        addresses.truncate(count);
+        addresses
+    }
+
     /// Up to `count` random hosts, those of an availability zone first.
     pub fn sample(&self, zone: &str, count: usize) -> Vec<SocketAddr> {
         let mut peers = self.all.load().as_ref().clone();
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -14,9 +14,9 @@
     clock,
     job::Record,
     peer::{
-        self, Body, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler, JobCall, Kind,
-        Lead, Origin, Owned, Request, Response, Results, Submitted, SuspectsRequest, Tunnel,
-        UsageCounts,
+        self, Body, ContactRequest, End, FailedItem, FailedItems, FailuresRequest, Frames, Handler,
+        JobCall, Kind, Lead, Origin, Owned, Request, Response, Results, Submitted, SuspectsRequest,
+        Tunnel, UsageCounts,
     },
     prelude::*,
     traffic::{
@@ -273,9 +273,17 @@
             }
             Some(Kind::Usage(counts)) => take_usage(traffic, counts).await,
             Some(Kind::DryRun(message)) => Some(dry_run::answer(traffic, message).await),
+            Some(Kind::Contact(request)) => has_contact(traffic, request).then(Bytes::new),
             Some(Kind::Trial(trial)) => suspects::grant_trial(traffic, trial).then(Bytes::new),
             Some(Kind::Lead(_) | Kind::Tunnel(_) | Kind::Owned(_)) | None => None,
         };
         body.map_or_else(Response::not_served, Response::served)
     }
 }
+
+/// Whether the store has answered this host in a time before now.
+fn has_contact(traffic: &Traffic, request: ContactRequest) -> bool {
+    let now = clock::now();
+    let before = |ms| now.saturating_sub(peer::duration(ms));
+    traffic.contact.has_answered(before(request.from_ms), before(request.to_ms))
+}
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -22,7 +22,9 @@
 use tokio_io_timeout::TimeoutStream;
 
 use crate::{
-    clock, crash, dialect, dry_run,
+    clock,
+    contact::Contact,
+    crash, dialect, dry_run,
     feed::Feed,
     freshness::Freshness,
     job::Failures,
@@ -73,6 +75,7 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    pub contact: Arc<Contact>,
     /// Carries calls to the store that other hosts relay through this one.
     pub direct: Rc<dyn Transport>,
     pub freshness: Arc<Freshness>,
@@ -94,6 +97,8 @@
     pub view: Shared,
     pub dialect: dialect::Handle,
     pub store: store::Handle,
+    /// Answers of the store to this host.
+    pub contact: Arc<Contact>,
     /// Age of the target registrations in the view.
     pub freshness: Arc<Freshness>,
     pub channels: Channels,
@@ -155,6 +160,7 @@
         view,
         dialect,
         store,
+        contact,
         direct,
         freshness,
         feed,
@@ -180,6 +186,7 @@
         view,
         dialect,
         store,
+        contact,
         freshness,
         channels: Channels::default(),
         pool,
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -12,7 +12,7 @@
     prefix::{Part, Prompt},
 };
 
-pub fn ms(ms: u64) -> Duration {
+pub const fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
--- a/crates/node/tests/feed.rs
+++ b/crates/node/tests/feed.rs
@@ -10,6 +10,7 @@
 use common::ms;
 use lagoonyard_node::{
     clock,
+    contact::{Contact, Outage},
     feed::{
         ChangesRequest, Checked, Client, Direct, Feed, MaxAge, Readers, Renewed, Snapshot, Source,
         Wait, Watched,
@@ -117,9 +118,13 @@
     address
 }
 
+fn direct(store: Rc<dyn Store>) -> Direct {
+    Direct { store, contact: Arc::default() }
+}
+
 async fn client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
     let address = serve(feed).await;
-    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), zone_reader(address), ms(200), ms(300))
+    Client::new(direct(Rc::clone(store) as Rc<dyn Store>), zone_reader(address), ms(200), ms(300))
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -217,18 +222,25 @@
     });
 }
 
+/// Outage of two seconds that has just ended.
+fn outage() -> Outage {
+    let ended_at = clock::now();
+    let before = |time| ended_at.saturating_sub(time);
+    Outage { began_at: before(ms(2_000)), lost_at: before(ms(300)), ended_at }
+}
+
 /// Guards against targets that are removed because their registrations expired while only the reader saw the outage.
 #[test]
 fn an_outage_of_the_store_is_reported_once() {
     run(async {
         let (feed, store) = (feed(None), Rc::new(Counter::default()));
         let client = client(&feed, &store).await;
-        feed.recover();
+        feed.record_outage(outage());
         let mut reported = Vec::new();
         for revision in [6, 7] {
             feed.extend(PREFIX, &[Change::Put(entry("a/1", revision))], revision, clock::now());
             let watched = client.watch(PREFIX, revision - 1, ms(100).into()).await.unwrap();
-            assert_matches!(watched, Watched::Changes { recovered, .. } => reported.push(recovered));
+            assert_matches!(watched, Watched::Changes { outage, .. } => reported.push(outage.is_some()));
         }
         assert_eq!(reported, [true, false]);
     });
@@ -254,7 +266,7 @@
         let silent = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let readers = zone_reader(silent.local_addr().unwrap());
         let client =
-            Client::new(Direct(Rc::clone(&store) as Rc<dyn Store>), readers, ms(200), ms(300));
+            Client::new(direct(Rc::clone(&store) as Rc<dyn Store>), readers, ms(200), ms(300));
         let begun = std::time::Instant::now();
         client.watch(PREFIX, 5, Duration::ZERO.into()).await.unwrap();
         assert_eq!(store.calls.get(), 1);
@@ -374,7 +386,7 @@
 async fn checking_client(feed: &Arc<Feed>, store: &Rc<Counter>) -> Rc<Client> {
     let primary = watch::channel(Some(serve(feed).await)).1;
     let readers = Readers { zone: watch::channel(None).1, primary };
-    Client::new(Direct(Rc::clone(store) as Rc<dyn Store>), readers, ms(200), ms(300))
+    Client::new(direct(Rc::clone(store) as Rc<dyn Store>), readers, ms(200), ms(300))
 }
 
 /// Guards against a reader that misses a change with an answer of the store that was lost, although another reader knows it.
@@ -423,3 +435,48 @@
         assert_eq!(store.calls.get(), 1);
     });
 }
+
+/// Guards against a removed target that a host keeps since its reader alone got no answers from the store, which let no
+/// registration expire.
+#[test]
+fn an_outage_of_the_reader_alone_is_none() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let contact = Arc::<Contact>::default();
+        let direct = Direct { store, contact: Arc::clone(&contact) };
+        let readers = zone_reader(serve(&feed).await);
+        let client = Client::new(direct, readers, ms(200), ms(300));
+        let began_at = clock::now();
+        tokio::time::sleep(ms(50)).await;
+        contact.record_answer();
+        tokio::time::sleep(ms(50)).await;
+        let lost_at = clock::now();
+        feed.record_outage(Outage { began_at, lost_at, ended_at: lost_at + ms(1) });
+        feed.extend(PREFIX, &[Change::Put(entry("a/1", 6))], 6, clock::now());
+        let watched = client.watch(PREFIX, 5, ms(100).into()).await.unwrap();
+        assert_matches!(watched, Watched::Changes { outage: None, .. });
+    });
+}
+
+/// Guards against a grace period that begins anew at each host that hears of an outage.
+#[test]
+fn the_end_of_an_outage_is_passed_on() {
+    run(async {
+        let (feed, store) = (feed(None), Rc::new(Counter::default()));
+        let client = client(&feed, &store).await;
+        let told = outage();
+        feed.record_outage(told);
+        tokio::time::sleep(ms(400)).await;
+        feed.extend(PREFIX, &[Change::Put(entry("a/1", 6))], 6, clock::now());
+        let watched = client.watch(PREFIX, 5, ms(100).into()).await.unwrap();
+        let heard =
+            assert_matches!(watched, Watched::Changes { outage: Some(outage), .. } => outage);
+        for (heard, told) in [
+            (heard.began_at, told.began_at),
+            (heard.lost_at, told.lost_at),
+            (heard.ended_at, told.ended_at),
+        ] {
+            assert!(heard.abs_diff(told) < ms(50), "{heard:?} {told:?}");
+        }
+    });
+}
--- a/crates/node/tests/mirror.rs
+++ b/crates/node/tests/mirror.rs
@@ -119,6 +119,10 @@
     Schedule::Follow { interval, max_age: MaxAge::UNBOUNDED }
 }
 
+fn direct(store: Rc<dyn Store>) -> Direct {
+    Direct { store, contact: Arc::default() }
+}
+
 /// Updates of a mirror whose watch fails a number of times and then returns a removal, up to that.
 fn updates_after_failures(failures: usize) -> Vec<Update> {
     let removed = Change::Removed { key: "a/1".into(), revision: 2 };
@@ -130,7 +134,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mirror = Mirror::new(0, "a/", follow(ms(1)));
         let source =
-            Rc::new(Direct(Rc::new(ScriptedStore { watches, ..ScriptedStore::default() })));
+            Rc::new(direct(Rc::new(ScriptedStore { watches, ..ScriptedStore::default() })));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let mut all = Vec::new();
         while !matches!(all.last(), Some(Update::Changed(Change::Removed { .. }))) {
@@ -152,7 +156,7 @@
             Update::Changed(Change::Put(_)),
             Update::Synced { mirror: 0, .. },
             Update::StoreUnavailable { mirror: 0 },
-            Update::StoreRecovered { mirror: 0 },
+            Update::StoreRecovered { mirror: 0, .. },
             Update::Changed(Change::Removed { .. }),
         ]
     );
@@ -183,7 +187,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let freshness = Arc::new(Freshness::new(ms(1_000)));
         let mirror = Mirror::new(0, "a/", Schedule::OnDemand(freshness));
-        let source = Rc::new(Direct(Rc::new(store)));
+        let source = Rc::new(direct(Rc::new(store)));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let synced = async {
             while let Some(update) = receiver.recv().await {
@@ -206,7 +210,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mirror = Mirror::new(3, "a/", follow(ms(1))).with_upkeep(renewed);
-        let source = Rc::new(Direct(Rc::new(store)));
+        let source = Rc::new(direct(Rc::new(store)));
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let mut proofs = async || {
             let (mut all, end) = (Vec::new(), Instant::now() + ms(220));
@@ -237,7 +241,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let mirror = Mirror::new(3, "a/", follow(ms(20))).with_upkeep(upkept);
-        let source = Rc::new(Direct(Rc::new(store)));
+        let source = Rc::new(direct(Rc::new(store)));
         let begun = lagoonyard_node::clock::now();
         tokio::task::spawn_local(mirror.follow(source, Arc::default(), updates));
         let (mut heard, end) = (Vec::new(), Instant::now() + ms(300));
@@ -266,7 +270,7 @@
         let (freshness, feed) = (Arc::new(Freshness::new(ms(1_000))), Arc::new(Feed::default()));
         feed.set_serving(true);
         let mirror = Mirror::new(0, "a/", Schedule::OnDemand(Arc::clone(&freshness)));
-        let source = Rc::new(Direct(Rc::new(store)));
+        let source = Rc::new(direct(Rc::new(store)));
         tokio::task::spawn_local(mirror.follow(source, Arc::clone(&feed), updates));
         let mut is_removed = false;
         while !is_removed {
@@ -291,7 +295,7 @@
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let max_age = MaxAge::new(ms(1_000));
         let mirror = Mirror::new(0, "a/", Schedule::Follow { interval: ms(1), max_age });
-        let source = Rc::new(Direct(Rc::clone(&store) as Rc<dyn Store>));
+        let source = Rc::new(direct(Rc::clone(&store) as Rc<dyn Store>));
         let (updates, _receiver) = mpsc::unbounded_channel();
         let follow = mirror.follow(source, Arc::default(), updates);
         let _ = tokio::time::timeout(ms(100), follow).await;
--- a/crates/node/tests/relay.rs
+++ b/crates/node/tests/relay.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
+    sync::Arc,
 };
 
 use assert_matches::assert_matches;
@@ -81,7 +82,7 @@
     tokio::task::spawn_local(serve(listener, Rc::clone(other) as Rc<dyn Transport>));
     let peers = Peers::default();
     peers.set(vec![Peer { zone: "z".into(), address, peer: None, cpu_share: 1.0 }]);
-    Client::new(Rc::clone(own) as Rc<dyn Transport>, peers, "z".into())
+    Client::new(Rc::clone(own) as Rc<dyn Transport>, peers, "z".into(), Arc::default())
 }
 
 fn run(test: impl Future<Output = ()>) {
