--- a/crates/node/src/traffic/entry.rs
+++ b/crates/node/src/traffic/entry.rs
@@ -114,7 +114,7 @@
             }
             response
         }
-        Err(jobs::Error::NotFound) => status(StatusCode::NOT_FOUND),
+        Err(jobs::Error::NotFound { .. }) => status(StatusCode::NOT_FOUND),
         Err(error) => {
             warn!(reason:% = error; "could not serve a job request");
             not_run_response(RETRY_AFTER)
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -7,6 +7,7 @@
 //! are lost. `suspects` keeps requests from targets under which others ended (`ended`) or fell silent (`silence`), also
 //! after a start (`held`). `dry_run` explains to an operator where a request would go.
 
+mod absence;
 mod accept;
 mod access;
 mod announce;
--- a/crates/node/src/traffic/peers.rs
+++ b/crates/node/src/traffic/peers.rs
@@ -20,7 +20,7 @@
     },
     prelude::*,
     traffic::{
-        Report, Submission, announce, cache::Owner, dry_run, permit, runner, serve::Traffic,
+        Report, Submission, announce, cache::Owner, dry_run, jobs, permit, runner, serve::Traffic,
         suspects, tunnel,
     },
     workspace::{Caller, is_visible},
@@ -97,7 +97,7 @@
 
 /// Whether this host holds a job that does not exist for a caller.
 fn is_hidden(traffic: &Traffic, id: &str, sees: impl Fn(Option<&str>) -> bool) -> bool {
-    traffic.cache.held(id).is_some_and(|job| match &job.owner {
+    traffic.cache.held(id).is_some_and(|job| match &job.borrow().owner {
         Owner::Known(workspace) => !sees(workspace.as_deref()),
         Owner::NotRead => true,
     })
@@ -145,17 +145,20 @@
     None
 }
 
-/// Results of a job that this host holds, from position `after` on. Waits for new ones if there are none yet.
+/// Results of a job that this host holds, from position `after` on. Waits for new ones if there are none yet. `None` if it does
+/// not hold the job, or could not read results that were evicted.
 async fn held_results(traffic: &Traffic, id: &str, after: u64, wait: Duration) -> Option<Bytes> {
     let deadline = Instant::now() + wait;
     loop {
-        let changed = traffic.cache.changed(id)?;
+        let job = traffic.cache.held(id)?;
+        let changed = job.borrow().changed();
         let notified = changed.notified();
-        {
-            let job = traffic.cache.held(id)?;
-            if job.end() > after || job.is_complete() || Instant::now() >= deadline {
-                return Some(job.page(traffic.dialect.as_ref(), after));
-            }
+        let is_due = {
+            let job = job.borrow();
+            job.end() > after || job.is_complete() || Instant::now() >= deadline
+        };
+        if is_due {
+            return jobs::page(traffic, (id, &job), after).await.ok();
         }
         let until = deadline.min(Instant::now() + LEADERSHIP_CHECK_INTERVAL);
         // After a timeout the state is checked in the same way as after a change.
@@ -164,8 +167,7 @@
 }
 
 fn held_body(traffic: &Traffic, id: &str, item: &str) -> Option<Bytes> {
-    let job = traffic.cache.held(id)?;
-    let spec = job.spec.as_ref()?;
+    let spec = traffic.cache.held(id)?.borrow_mut().use_spec()?;
     spec.items.iter().find(|it| &*it.id == item).map(|item| item.body.clone())
 }
 
