--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -50,6 +50,7 @@
     tunnels: Counter<u64>,
     broken_connections: Counter<u64>,
     silent_targets: Counter<u64>,
+    left_visits: Counter<u64>,
     target_ends: Counter<u64>,
     held_requests: Counter<u64>,
     held_contents: Gauge<u64>,
@@ -155,6 +156,10 @@
                 "lagoonyard_silent_targets",
                 "Looks at targets that did not answer a request, by whether the target had ended",
             ),
+            left_visits: counter(
+                "lagoonyard_left_visits",
+                "Requests that were at a target without an answer when they ended, by whether the target ended after that",
+            ),
             target_ends: counter(
                 "lagoonyard_target_ends",
                 "Ends of targets under a request, by what they count against its content",
@@ -326,6 +331,11 @@
         self.silent_targets.add(1, &[KeyValue::new("finding", finding)]);
     }
 
+    /// Records what became of a target after a request had left it without an answer.
+    pub fn left_visit(&self, finding: &'static str) {
+        self.left_visits.add(1, &[KeyValue::new("finding", finding)]);
+    }
+
     /// Records an end of a target under a request, with what it counts against its content.
     pub fn target_end(&self, effect: &'static str) {
         self.target_ends.add(1, &[KeyValue::new("effect", effect)]);
--- a/crates/node/src/traffic/channel.rs
+++ b/crates/node/src/traffic/channel.rs
@@ -331,6 +331,13 @@
         }
     }
 
+    /// Whether an idle connection to an address is open.
+    pub fn has_open(&self, address: SocketAddr) -> bool {
+        let all = self.idle.borrow();
+        let is_open = |(channel, _): &IdleChannel| !channel.is_closed();
+        all.get(&address).is_some_and(|channels| channels.iter().any(is_open))
+    }
+
     /// Closes all idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
--- a/crates/node/src/traffic/exchange.rs
+++ b/crates/node/src/traffic/exchange.rs
@@ -17,11 +17,12 @@
     traffic::{
         announce,
         body::{self, Taken},
-        channel::{self, Demand},
+        channel::{self, Channel, Demand},
         connect::{OnLoss, connect, send},
         serve::Traffic,
         silence::Silence,
         suspects::Suspect,
+        visit::Visit,
     },
 };
 
@@ -170,10 +171,25 @@
     target: &Arc<Target>,
     call: &Call,
     repeat: Repeat,
+) -> Result<(Response, Answer), ExchangeError> {
+    let to = (&target.id, target.address);
+    let channel = connect(traffic, to, demand(&call.id, repeat), call.deadline).await?;
+    let suspect = Suspect::request(call.content(), target, Run::default());
+    let visit = Visit::begin(traffic, suspect, call.deadline);
+    let result = exchange_on(channel, traffic, target, call, repeat).await;
+    visit.settle();
+    result
+}
+
+async fn exchange_on(
+    mut channel: Channel,
+    traffic: &Rc<Traffic>,
+    target: &Arc<Target>,
+    call: &Call,
+    repeat: Repeat,
 ) -> Result<(Response, Answer), ExchangeError> {
     let idempotent = repeat != Repeat::Never;
     let to = (&target.id, target.address);
-    let mut channel = connect(traffic, to, demand(&call.id, repeat), call.deadline).await?;
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -38,7 +38,9 @@
 pub(super) async fn forward(mut stream: Stream, mut open: Open, parts: mpsc::Sender<Part>) {
     loop {
         let from = stream.last_event.unwrap_or(0);
-        let reason = match forward_from(&mut stream, &mut open, &parts).await {
+        let ended = forward_from(&mut stream, &mut open, &parts).await;
+        end_visit(&mut open, stream.last_event, &ended);
+        let reason = match ended {
             Break::Complete => {
                 METERS.stream("complete");
                 suspects::answered(&stream.traffic, || stream.call.content());
@@ -81,6 +83,18 @@
     }
 }
 
+/// Has a target followed that may still run the stream.
+fn end_visit(open: &mut Open, last_event: Option<u64>, ended: &Break) {
+    let Some(mut visit) = open.visit.take() else {
+        return;
+    };
+    visit.reach(last_event.unwrap_or(0));
+    match ended {
+        Break::CallerLeft | Break::Deadline => drop(visit),
+        Break::Complete | Break::Target(_) | Break::Connection(_) => visit.settle(),
+    }
+}
+
 /// Goes on after the last event at another target.
 async fn go_on(stream: &mut Stream, broken_at: &TargetId) -> Option<Box<Open>> {
     if !stream.resumable || Instant::now() >= stream.call.deadline {
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -47,6 +47,7 @@
 mod tunnel;
 mod turn;
 mod turns;
+mod visit;
 
 pub use accept::accept;
 pub use body::{Budget, Buffer, Error as BodyError, read as read_body};
--- a/crates/node/src/traffic/serve.rs
+++ b/crates/node/src/traffic/serve.rs
@@ -56,6 +56,7 @@
         suspects,
         tunnel::Tunnels,
         turns::Turns,
+        visit::Followed,
     },
     usage::Meter,
     view::{Shared, View},
@@ -120,6 +121,8 @@
     /// Usage of workspaces.
     pub meter: Arc<Meter>,
     pub looks: Looks,
+    /// Requests that have left their targets before an answer.
+    pub followed: Followed,
     pub origins: Origins,
     /// What other hosts are to be told of targets.
     pub changes: announce::Changes,
@@ -200,6 +203,7 @@
         failures,
         meter,
         looks: Looks::default(),
+        followed: Followed::default(),
         origins: Origins::default(),
         changes: announce::Changes::default(),
         hosts,
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -42,6 +42,7 @@
         serve::Traffic,
         silence::Silence,
         suspects::{self, Admission, Suspect},
+        visit::Visit,
     },
 };
 
@@ -98,6 +99,8 @@
     pub(super) ended: bool,
     pub(super) closes: bool,
     pub(super) answer: Answer,
+    /// Until the end of the stream at this target.
+    pub(super) visit: Option<Visit>,
     pub(super) _in_flight: InFlight,
 }
 
@@ -318,10 +321,28 @@
         &self,
         target: &Arc<Target>,
         in_flight: InFlight,
+    ) -> Result<Outcome, ExchangeError> {
+        let (traffic, deadline) = (&self.traffic, self.call.deadline);
+        let to = (&target.id, target.address);
+        let channel = connect(traffic, to, self.demand(), deadline).await?;
+        let suspect = self.suspect(target, self.last_event.unwrap_or(0));
+        let visit = Visit::begin(traffic, suspect, deadline);
+        let mut result = self.exchange_on(channel, target, in_flight).await;
+        match &mut result {
+            Ok(Outcome::Started(Start::Begun(open))) => open.visit = Some(visit),
+            Ok(_) | Err(_) => visit.settle(),
+        }
+        result
+    }
+
+    async fn exchange_on(
+        &self,
+        mut channel: Channel,
+        target: &Arc<Target>,
+        in_flight: InFlight,
     ) -> Result<Outcome, ExchangeError> {
         let (traffic, call) = (&self.traffic, &self.call);
         let to = (&target.id, target.address);
-        let mut channel = connect(traffic, to, self.demand(), call.deadline).await?;
         let broke = |reason: &dyn Display| {
             info!(request = &*call.id, target = &*target.id, content:% = call.content(), reason:% = reason; "stream did not begin");
             ExchangeError::ConnectionBroke
@@ -408,6 +429,7 @@
             ended,
             closes,
             answer,
+            visit: None,
             _in_flight: in_flight,
         }))))
     }
