--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -7,10 +7,12 @@
 
 /// Strikes from which on a content may be held.
 const STRIKES_MAX: usize = 3;
-/// Ends that give no strike because their run got further than any before.
+/// Ends that give no strike because their run made progress.
 const PASSES_MAX: u32 = 3;
 /// Trials that follow soon, as a content may only have been beside the one that ended the targets.
 const EARLY_TRIALS: usize = 2;
+/// Ends in all, with those that gave no strike, from which on no trial follows soon.
+const EARLY_ENDS_MAX: usize = 6;
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(1);
 /// Delay of all further trials.
 const LATE_TRIAL_DELAY: Duration = Duration::from_secs(3600);
@@ -89,9 +91,20 @@
         self
     }
 
-    /// Whether the run of an end got further than any before. One that ends its target does so at the same event again.
-    pub(super) fn is_further(&self, run: Run) -> bool {
-        run.reached > run.from && run.reached > self.furthest
+    /// Whether the run of an end made progress: it got further than any before, and the next one may go on from there. A run that
+    /// starts at the beginning after another one has ended does the same work once more, so how far it gets says nothing.
+    pub(super) fn is_progress(&self, run: Run) -> bool {
+        let is_first = self.is_clear();
+        run.resumable
+            && (run.from > 0 || is_first)
+            && run.reached > run.from
+            && run.reached > self.furthest
+    }
+
+    /// Adds the strike that the end of a run gives.
+    pub(super) fn strike(&mut self, end: Strike, run: Run) {
+        self.furthest = self.furthest.max(run.reached);
+        self.add(end);
     }
 
     /// Lets an end give no strike, unless that has happened a few times: some contents may end their targets after any event.
@@ -134,13 +147,19 @@
         let Some(last) = self.strikes.last().filter(|_| self.strikes.len() >= STRIKES_MAX) else {
             return if self.strikes.is_empty() { Verdict::Free } else { Verdict::Suspect };
         };
-        let is_early = self.strikes.len() < STRIKES_MAX + EARLY_TRIALS;
+        let is_early =
+            self.strikes.len() < STRIKES_MAX + EARLY_TRIALS && self.ends() < EARLY_ENDS_MAX;
         let delay = if is_early { EARLY_TRIAL_DELAY } else { LATE_TRIAL_DELAY };
         // A trial is due some time after the last one, or after the last strike.
         let due = self.tried_at.unwrap_or(last.at).max(last.at) + delay;
         if now < due { Verdict::Held(due) } else { Verdict::Trial }
     }
 
+    /// Ends of targets that are known, with those that gave no strike.
+    fn ends(&self) -> usize {
+        self.strikes.len() + usize::try_from(self.passes).unwrap_or(usize::MAX / 2)
+    }
+
     /// Whether the last strike is so old that the record is dropped.
     pub fn is_outdated(&self, now: Time) -> bool {
         self.last_strike().is_none_or(|at| now >= at + RETENTION)
@@ -200,6 +219,8 @@
         for end in without_doubles(other.passed) {
             is_news |= self.add_passed(end);
         }
+        // Two hosts may each have let other ends pass.
+        self.passes = self.passes.max(u32::try_from(self.passed.len()).unwrap_or(u32::MAX));
         is_news
     }
 }
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -27,6 +27,8 @@
     pub reached: u64,
     /// Time from the start of the run to the last sign of life of its target.
     pub time: Duration,
+    /// Whether another run may go on after its last event.
+    pub resumable: bool,
 }
 
 /// What an end of a target means for a content.
@@ -92,8 +94,7 @@
         true
     }
 
-    /// Records that a target ended under a content. That gives no strike, a few times, if the run had got further than any
-    /// before.
+    /// Records that a target ended under a content. That gives no strike, a few times, if the run had made progress.
     pub fn ended(&self, content: Content, end: Strike, run: Run, now: Time) -> Effect {
         let mut state = self.lock();
         let record = &mut state.entry(content, now).record;
@@ -102,12 +103,12 @@
             return effect;
         }
         let (target_id, born, ran_ms) = (end.target.clone(), end.started_ms, ms(run.time));
-        if record.is_further(run) && record.pass(end.clone(), run) {
+        if record.is_progress(run) && record.pass(end.clone(), run) {
             info!(content:% = content, target_id = &*target_id, born, ran_ms, events = run.reached, passes = record.passes; "a target ended under a content without a strike");
             return Effect::Passed;
         }
         let age_ms = ms(now.saturating_sub(end.at));
-        record.add(end);
+        record.strike(end, run);
         let (strikes, verdict) = (record.strikes.len(), record.verdict(now));
         warn!(content:% = content, target_id = &*target_id, born, ran_ms, age_ms, events = run.reached, strikes, verdict:? = verdict; "a target ended under a content");
         Effect::Struck
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -313,7 +313,8 @@
 
     /// What a target ran after event `from`.
     pub(super) fn suspect(&self, target: &Target, from: u64) -> Suspect {
-        let run = Run { from, reached: self.last_event.unwrap_or(0), ..Run::default() };
+        let reached = self.last_event.unwrap_or(0);
+        let run = Run { from, reached, resumable: self.resumable, ..Run::default() };
         Suspect::request(self.call.content(), target, run)
     }
 
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use common::ms;
 use lagoonyard_node::{
-    crash::{Content, Record, Run, Stored, Strike, Table, Verdict},
+    crash::{Content, Effect, Record, Run, Stored, Strike, Table, Verdict},
     prelude::*,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom};
@@ -94,7 +94,7 @@
     for table in [&excusing, &counting] {
         table.ended(content("a"), strike("t1", SECOND), Run::default(), SECOND);
     }
-    let further = Run { from: 0, reached: 4, ..Run::default() };
+    let further = Run { from: 2, reached: 4, resumable: true, ..Run::default() };
     excusing.ended(content("a"), end.clone(), further, SECOND * 2);
     counting.ended(content("a"), end, Run::default(), SECOND * 2);
     for (to, from) in [(&excusing, &counting), (&counting, &excusing)] {
@@ -190,16 +190,16 @@
 #[test]
 fn a_run_that_gets_further_gives_no_strike() {
     let table = Table::default();
-    for (number, reached) in [3, 7, 9].into_iter().enumerate() {
+    for (number, (from, reached)) in [(0, 3), (3, 7), (7, 9)].into_iter().enumerate() {
         let at = SECOND * (number as u32 + 1);
-        let run = Run { from: 0, reached, ..Run::default() };
+        let run = Run { from, reached, resumable: true, ..Run::default() };
         table.ended(content("a"), strike(&format!("further{number}"), at), run, at);
     }
     assert_eq!(table.verdict(content("a"), SECOND * 3), Verdict::Free);
     // One that ends its target at the same event each time.
     for number in 0..3 {
         let at = SECOND * (number + 5);
-        let run = Run { from: 0, reached: 9, ..Run::default() };
+        let run = Run { from: 0, reached: 9, resumable: true, ..Run::default() };
         table.ended(content("a"), strike(&format!("same{number}"), at), run, at);
     }
     assert_matches!(table.verdict(content("a"), SECOND * 7), Verdict::Held(_));
@@ -212,12 +212,76 @@
     for reached in 1..=6 {
         let at = SECOND * u32::try_from(reached).unwrap();
         assert_matches!(table.verdict(content("a"), at), Verdict::Free | Verdict::Suspect);
-        let run = Run { from: reached - 1, reached, ..Run::default() };
+        let run = Run { from: reached - 1, reached, resumable: true, ..Run::default() };
         table.ended(content("a"), strike(&format!("t{reached}"), at), run, at);
     }
     assert_matches!(table.verdict(content("a"), SECOND * 6), Verdict::Held(_));
 }
 
+/// Ends of a content until it is held, and in all until its trials are an hour apart, if each run ends its target and comes when it
+/// may.
+fn ends_of(run: impl Fn(u64) -> Run) -> (usize, usize) {
+    let table = Table::default();
+    let (mut now, mut number, mut until_held) = (SECOND, 0, 0);
+    loop {
+        match table.verdict(content("a"), now) {
+            Verdict::Free | Verdict::Suspect => until_held += 1,
+            Verdict::Held(until) if until > now + SECOND * 60 => return (until_held, number),
+            Verdict::Held(until) => {
+                now = until;
+                continue;
+            }
+            Verdict::Trial => assert!(table.begin_trial(content("a"), now)),
+        }
+        number += 1;
+        let end = strike(&format!("t{number}"), now);
+        table.ended(content("a"), end, run(number as u64), now);
+        now += SECOND * 4;
+    }
+}
+
+/// Guards against a stream that ends targets without limit since it ends each one at another event, although each run starts at the
+/// beginning (review/15).
+#[test]
+fn runs_from_the_beginning_make_no_progress() {
+    let run = |reached, resumable| Run { from: 0, reached, resumable, ..Run::default() };
+    assert_eq!(ends_of(|number| run(number, false)), (3, 5));
+    assert_eq!(ends_of(|number| run([1, 2, 3, 2][number as usize % 4], false)), (3, 5));
+    // The first run of a resumable stream might have gone on.
+    assert_eq!(ends_of(|number| run(number, true)), (4, 6));
+}
+
+/// Guards against late ends beyond those that the platform allows, three after the third, of runs that go on.
+#[test]
+fn runs_that_go_on_end_six_targets() {
+    let run = |number| Run { from: number - 1, reached: number, resumable: true, ..Run::default() };
+    assert_eq!(ends_of(run), (6, 6));
+}
+
+/// Guards against a request without events that ends more targets than three and those of two trials.
+#[test]
+fn requests_without_events_end_five_targets() {
+    assert_eq!(ends_of(|_| Run::default()), (3, 5));
+}
+
+/// Guards against hosts that each let other ends pass, so that a content has as many free ends as there are hosts times three.
+#[test]
+fn ends_that_pass_on_several_hosts_count_together() {
+    let (one, other) = (Table::default(), Table::default());
+    let run = |reached| Run { from: reached - 1, reached, resumable: true, ..Run::default() };
+    for (table, reached) in [(&one, 1), (&other, 2), (&one, 3), (&other, 4)] {
+        let at = SECOND * u32::try_from(reached).unwrap();
+        table.ended(content("a"), strike(&format!("t{reached}"), at), run(reached), at);
+    }
+    for (to, from) in [(&one, &other), (&other, &one)] {
+        to.merge(content("a"), from.record(content("a")).unwrap(), SECOND * 5);
+    }
+    for table in [&one, &other] {
+        let effect = table.ended(content("a"), strike("t9", SECOND * 9), run(9), SECOND * 9);
+        assert_eq!(effect, Effect::Struck);
+    }
+}
+
 /// Guards against memory that grows with the contents that callers think up.
 #[test]
 fn the_number_of_records_is_bounded() {
