--- a/crates/node/src/control/actions.rs
+++ b/crates/node/src/control/actions.rs
@@ -9,7 +9,6 @@
     clock,
     control::{
         leader::Leader,
-        mirror::Update,
         orders::{LoadResult, Term},
         sessions::Event,
         state::Control,
@@ -19,6 +18,7 @@
             Completion, WriteResult, end_job, read_job, remove_jobs, write_checkpoints,
             write_chunks,
         },
+        update::Update,
     },
     job::{Policy, Record, homes::Runner},
     metrics::METERS,
--- a/crates/node/src/control/mirror.rs
+++ b/crates/node/src/control/mirror.rs
@@ -12,8 +12,8 @@
     backoff::doubled,
     clock,
     contact::Outage,
+    control::{schedule::Schedule, update::Update},
     feed::{self, Checked, Feed, MaxAge, Renewed, Source, Wait, Watched},
-    freshness::Freshness,
     prelude::*,
     store::{Change, Entry, Error},
     workspace::Upkeep,
@@ -41,51 +41,6 @@
     }
 }
 
-/// Update sent by a mirror.
-#[derive(Clone, Debug)]
-pub enum Update {
-    Changed(Change),
-    /// The whole prefix was read, as it was at a revision.
-    Synced {
-        mirror: usize,
-        revision: Revision,
-    },
-    /// What a mirror with upkeep knows of its age. `proven_at` is when the read of the store began that proved it, if this
-    /// response contains a proof, and `heard_at` the time up to which it has all changes.
-    Known {
-        mirror: usize,
-        proven_at: Option<Time>,
-        heard_at: Time,
-    },
-    /// The store does not answer.
-    StoreUnavailable {
-        mirror: usize,
-    },
-    /// The store answers again after an outage.
-    StoreRecovered {
-        mirror: usize,
-        outage: Outage,
-    },
-    /// The mirror of a prefix that is read on demand was current at this time.
-    Refreshed {
-        at: Time,
-    },
-}
-
-/// When a mirror reads changes from the store.
-#[derive(Clone, Debug)]
-pub enum Schedule {
-    /// Continuously.
-    Follow {
-        /// Minimum interval between calls, so that many changes share a call.
-        interval: Duration,
-        /// Bound on the age of what is known.
-        max_age: MaxAge,
-    },
-    /// When a refresh is requested.
-    OnDemand(Arc<Freshness>),
-}
-
 /// Mirror of a prefix.
 pub struct Mirror {
     /// Index among the mirrors that must be synced before this host serves; `usize::MAX` for any other mirror.
--- a/crates/node/src/control/roles.rs
+++ b/crates/node/src/control/roles.rs
@@ -9,7 +9,8 @@
     control::{
         election::{Election, LeaderKey, Leadership},
         leader::Leader,
-        mirror::{Mirror, Schedule},
+        mirror::Mirror,
+        schedule::Schedule,
         state::{Control, WATCH_INTERVAL},
         store_state::{LEADERS_MIRROR, LeaderEntry},
     },
--- a/crates/node/src/control/store_state.rs
+++ b/crates/node/src/control/store_state.rs
@@ -7,7 +7,7 @@
 use crate::{
     clock,
     config::Config,
-    control::mirror::Update,
+    control::update::Update,
     dialect::{Dialect, PlatformChange},
     fleet::Fleet,
     holder::Holder,
--- a/crates/node/src/control/updates.rs
+++ b/crates/node/src/control/updates.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock,
-    control::{mirror::Update, state::Control, store_state::Effect, tasks::report_retired},
+    control::{state::Control, store_state::Effect, tasks::report_retired, update::Update},
     metrics::METERS,
     prelude::*,
     store::{Put, Txn},
--- a/crates/node/src/traffic/forward.rs
+++ b/crates/node/src/traffic/forward.rs
@@ -15,8 +15,9 @@
     traffic::{
         connect::link_lost,
         event_body::Part,
+        open::Open,
         silence::Silence,
-        stream::{EVENT_TIMEOUT, Open, Start, Stream},
+        stream::{EVENT_TIMEOUT, Start, Stream},
         suspects,
     },
 };
--- a/crates/node/src/traffic/mod.rs
+++ b/crates/node/src/traffic/mod.rs
@@ -28,6 +28,7 @@
 mod held;
 mod jobs;
 mod judge;
+mod open;
 mod origins;
 mod peers;
 mod permit;
--- a/crates/node/src/traffic/stream.rs
+++ b/crates/node/src/traffic/stream.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, response::Parts};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
 use log::{debug, info};
 use tokio::{
     sync::mpsc,
@@ -21,7 +20,6 @@
     clock,
     config::{Kind, Route},
     crash::Run,
-    dialect::Answer,
     events::Parser,
     fleet::Target,
     metrics::METERS,
@@ -38,6 +36,7 @@
             Response, closes_connection,
         },
         forward::forward,
+        open::Open,
         origins, permit,
         serve::Traffic,
         silence::Silence,
@@ -86,24 +85,6 @@
     Broken,
 }
 
-/// A stream at a target, from its first event on.
-pub(super) struct Open {
-    pub(super) target: Arc<Target>,
-    pub(super) head: Parts,
-    pub(super) channel: Channel,
-    pub(super) body: Incoming,
-    pub(super) parser: Parser,
-    /// Bytes held for the caller.
-    pub(super) held: Taken,
-    /// The target has sent everything.
-    pub(super) ended: bool,
-    pub(super) closes: bool,
-    pub(super) answer: Answer,
-    /// Until the end of the stream at this target.
-    pub(super) visit: Option<Visit>,
-    pub(super) _in_flight: InFlight,
-}
-
 /// State of a caller's stream.
 pub(super) struct Stream {
     pub(super) traffic: Rc<Traffic>,
