--- a/crates/node/src/crash/record.rs
+++ b/crates/node/src/crash/record.rs
@@ -11,7 +11,10 @@
 const PASSES_MAX: u32 = 3;
 /// Trials that follow soon, as a content may only have been beside the one that ended the targets.
 const EARLY_TRIALS: usize = 2;
-/// Ends in all, with those that gave no strike, from which on no trial follows soon.
+/// Ends in all, with those that gave no strike, from which on a record is kept in the store: if all hosts are killed after the
+/// first one, three more strikes and two trials are not too many.
+const STORED_ENDS_MIN: usize = 2;
+/// The same from which on no trial follows soon.
 const EARLY_ENDS_MAX: usize = 6;
 const EARLY_TRIAL_DELAY: Duration = Duration::from_secs(1);
 /// Delay of all further trials.
@@ -160,6 +163,11 @@
         self.strikes.len() + usize::try_from(self.passes).unwrap_or(usize::MAX / 2)
     }
 
+    /// Whether the record is kept in the store, for hosts that are all started anew.
+    pub fn is_stored(&self) -> bool {
+        self.ends() >= STORED_ENDS_MIN
+    }
+
     /// Whether the last strike is so old that the record is dropped.
     pub fn is_outdated(&self, now: Time) -> bool {
         self.last_strike().is_none_or(|at| now >= at + RETENTION)
--- a/crates/node/src/crash/table.rs
+++ b/crates/node/src/crash/table.rs
@@ -114,12 +114,12 @@
         Effect::Struck
     }
 
-    /// Records that a target has answered a content. Returns what it was before if that is news.
-    pub fn answered(&self, content: Content, now: Time) -> Option<Verdict> {
+    /// Records that a target has answered a content. Returns what was known of it if that is news.
+    pub fn answered(&self, content: Content, now: Time) -> Option<Record> {
         let mut state = self.lock();
         let entry = state.entries.get_mut(&content).filter(|it| !it.record.is_clear())?;
-        let before = entry.record.verdict(now);
-        info!(content:% = content, strikes = entry.record.strikes.len(); "content cleared by an answer");
+        let before = entry.record.clone();
+        info!(content:% = content, strikes = before.strikes.len(); "content cleared by an answer");
         entry.record.clear();
         entry.touched_at = now;
         Some(before)
--- a/crates/node/src/traffic/held.rs
+++ b/crates/node/src/traffic/held.rs
@@ -1,4 +1,4 @@
-//! Held contents in the store. Hosts tell each other of them; the store is read when a host starts, as all others may have been
+//! Contents in the store under which several targets ended, as one more end holds them. Hosts tell each other of them; the store is read when a host starts, as all others may have been
 //! started anew as well.
 
 use std::sync::Arc;
@@ -19,11 +19,8 @@
 const WRITES_MAX: usize = 5;
 
 /// Keeps a content in the store.
-pub async fn keep(store: &Handle, crashes: &Table, content: Content) {
-    let Some(record) = crashes.record(content) else {
-        return;
-    };
-    let value = serde_json::to_vec(&Stored::from(&record)).unwrap_or_default().into();
+pub async fn keep(store: &Handle, content: Content, record: &Record) {
+    let value = serde_json::to_vec(&Stored::from(record)).unwrap_or_default().into();
     let put = Put { key: job::held_key(content), value, lease: None };
     write(store, content, Txn { puts: vec![put], ..Txn::default() }).await;
 }
--- a/crates/node/src/traffic/silence.rs
+++ b/crates/node/src/traffic/silence.rs
@@ -142,7 +142,7 @@
             Finding::Sound => return false,
             Finding::Ended => {
                 suspects::record_end(traffic, suspect, at);
-                suspects::keep_if_held(traffic, suspect).await;
+                suspects::keep(traffic, suspect).await;
                 return true;
             }
             Finding::Unknown => sleep(RETRY_DELAY).await,
--- a/crates/node/src/traffic/suspects.rs
+++ b/crates/node/src/traffic/suspects.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     clock,
-    crash::{Content, Effect, Run, Strike, Verdict},
+    crash::{Content, Effect, Record, Run, Strike, Verdict},
     fleet::Target,
     metrics::METERS,
     peer::{self, Kind, Suspects, SuspectsRequest, Trial},
@@ -104,7 +104,7 @@
             Finding::Ended => {
                 let effect = record_end(&traffic, &suspect, at);
                 tell(effect != Effect::Passed);
-                return keep_if_held(&traffic, &suspect).await;
+                return keep(&traffic, &suspect).await;
             }
             Finding::Unknown => sleep(LOOK_DELAY).await,
         }
@@ -123,11 +123,11 @@
     effect
 }
 
-/// Keeps a content in the store if it is held.
-pub async fn keep_if_held(traffic: &Rc<Traffic>, suspect: &Suspect) {
-    let (content, now) = (suspect.content, clock::now());
-    if let Verdict::Held(_) = traffic.crashes.verdict(content, now) {
-        held::keep(&traffic.store, &traffic.crashes, content).await;
+/// Keeps a content in the store if several targets ended under it.
+pub async fn keep(traffic: &Rc<Traffic>, suspect: &Suspect) {
+    let record = traffic.crashes.record(suspect.content);
+    if let Some(record) = record.filter(Record::is_stored) {
+        held::keep(&traffic.store, suspect.content, &record).await;
     }
 }
 
@@ -141,7 +141,7 @@
         return;
     };
     traffic.changes.tell(content);
-    if matches!(before, Verdict::Held(_) | Verdict::Trial) {
+    if before.is_stored() {
         tokio::task::spawn_local(held::forget(traffic.store.clone(), content));
     }
 }
--- a/crates/node/src/traffic/visit.rs
+++ b/crates/node/src/traffic/visit.rs
@@ -82,7 +82,7 @@
         if finding == Finding::Ended {
             info!(content:% = suspect.content, target_id = &*suspect.target.id, born = suspect.target.started_ms, events = suspect.run.reached; "target ended after a request had left it");
             suspects::record_end(&traffic, &suspect, clock::now());
-            suspects::keep_if_held(&traffic, &suspect).await;
+            suspects::keep(&traffic, &suspect).await;
         }
     });
 }
--- a/crates/node/tests/crash.rs
+++ b/crates/node/tests/crash.rs
@@ -142,7 +142,9 @@
 fn an_answer_clears_a_content() {
     let table = Table::default();
     let last = end_targets(&table, content("a"), 3);
-    assert_matches!(table.answered(content("a"), last), Some(Verdict::Held(_)));
+    let before = table.answered(content("a"), last).expect("news");
+    assert_matches!(before.verdict(last), Verdict::Held(_));
+    assert!(before.is_stored());
     assert_eq!(table.verdict(content("a"), last), Verdict::Free);
     assert_eq!(table.answered(content("a"), last), None, "a second answer is no news");
 }
